--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Regenerates the committed code for the protocol between processes.
+# Needs grpcio-tools and mypy-protobuf beside the locked libraries.
+set -eu
+cd "$(dirname "$0")/.."
+out=src/mulberrypass/peer
+python -m grpc_tools.protoc -Iproto --python_out=$out --mypy_out=$out \
+  --grpclib_python_out=$out proto/peer.proto
+sed -i 's/^import peer_pb2$/from mulberrypass.peer import peer_pb2/' $out/peer_grpc.py
--- /dev/null
+++ b/src/mulberrypass/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments over real processes."""
--- /dev/null
+++ b/src/mulberrypass/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers."""
--- /dev/null
+++ b/src/mulberrypass/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Publishing, following and caching of configurations."""
--- /dev/null
+++ b/src/mulberrypass/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/src/mulberrypass/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The course of batch jobs, their lots and their items."""
--- /dev/null
+++ b/src/mulberrypass/model/__init__.py
@@ -0,0 +1,1 @@
+"""The named objects that operators submit."""
--- /dev/null
+++ b/src/mulberrypass/online/__init__.py
@@ -0,0 +1,1 @@
+"""The course of one online request."""
--- /dev/null
+++ b/src/mulberrypass/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards operators, and its client."""
--- /dev/null
+++ b/src/mulberrypass/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the system's own processes."""
--- /dev/null
+++ b/src/mulberrypass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table, objects, instances and weights."""
--- /dev/null
+++ b/src/mulberrypass/platform/api.py
@@ -0,0 +1,270 @@
+"""What the system asks of the platform, and the errors it can meet."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+import enum
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from expression import Result
+
+MAX_TRANSACTION_OPS = 100
+MAX_TRANSACTION_BYTES = 1_048_576
+MAX_SCAN_ROWS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """Holds while there is no row under the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class VersionIs:
+    """Holds while the row has this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Always:
+    """Holds always."""
+
+
+Condition = Absent | VersionIs | Always
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Writes one row, whole."""
+
+    table: str
+    key: str
+    row: Mapping[str, Any]
+    condition: Condition
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Removes one row."""
+
+    table: str
+    key: str
+    condition: Condition
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Makes a transaction conditional on a row that it does not write."""
+
+    table: str
+    key: str
+    condition: Condition
+
+
+Op = Put | Delete | Check
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One stored row.
+
+    :param version: rises with each write; never 0
+    """
+
+    key: str
+    version: int
+    row: Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Rows of one scan in the order of their keys.
+
+    :param next_after: pass as ``after`` to go on; ``None`` at the end
+    """
+
+    rows: tuple[Row, ...]
+    next_after: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """A transaction took effect.
+
+    :param versions: the new version of each operation's row; 0 where none
+    """
+
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A condition did not hold, and nothing was written.
+
+    :param index: the first operation whose condition failed
+    :param found: the row that stands there
+    """
+
+    index: int
+    found: Row | None
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform gave no answer.
+
+    :param maybe_applied: whether the call may have taken effect
+    """
+
+    reason: str
+    maybe_applied: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Throttled:
+    """The platform refused the call for its rate; nothing was done."""
+
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """There is no object under the key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Exists:
+    """An object stands under the key already, and stays as it is."""
+
+    key: str
+
+
+TableError = Conflict | Unavailable | Throttled
+ReadError = Unavailable | Throttled
+ObjectError = Missing | Exists | Unavailable | Throttled
+
+
+class Table(ABC):
+    """The transactional table service."""
+
+    @abstractmethod
+    def transact(self, ops: tuple[Op, ...]) -> Result[Committed, TableError]:
+        """Apply all operations or none.
+
+        :param ops: at most ``MAX_TRANSACTION_OPS``
+        """
+
+    @abstractmethod
+    def read(self, table: str, key: str) -> Result[Row | None, ReadError]:
+        """Read the latest committed row."""
+
+    @abstractmethod
+    def scan(
+        self,
+        table: str,
+        prefix: str,
+        after: str = "",
+        limit: int = MAX_SCAN_ROWS,
+    ) -> Result[Page, ReadError]:
+        """Read rows whose key has the prefix, after a key."""
+
+
+class Objects(ABC):
+    """The object store. Objects are immutable once written."""
+
+    @abstractmethod
+    def put(self, key: str, data: bytes) -> Result[None, ObjectError]:
+        """Write an object; ``Exists`` where one stands already."""
+
+    @abstractmethod
+    def get(self, key: str) -> Result[bytes, ObjectError]:
+        """Read a whole object."""
+
+    @abstractmethod
+    def delete(self, key: str) -> Result[None, ObjectError]:
+        """Remove an object; ``Missing`` where there is none."""
+
+
+class ListedState(enum.StrEnum):
+    """The state in which the platform lists a machine."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedKind(enum.StrEnum):
+    """What a listed machine is."""
+
+    INSTANCE = "instance"
+    BACKEND = "backend"
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One entry of the platform's lagging list.
+
+    :param address: IP number; programs have fixed ports on it
+    """
+
+    name: str
+    kind: ListedKind
+    zone: str
+    address: str
+    state: ListedState
+
+
+class InstanceList(ABC):
+    """The platform's list of machines, some seconds late."""
+
+    @abstractmethod
+    def listed(self) -> Result[tuple[Listed, ...], ReadError]:
+        """Read the list."""
+
+
+class WeightStore(ABC):
+    """The rate-limited store of model weights."""
+
+    @abstractmethod
+    def reserve(
+        self, weights: str, size_bytes: int
+    ) -> Result[float, ReadError]:
+        """Ask to fetch weights; seconds until the fetch may start."""
+
+
+__all__ = [
+    "Absent",
+    "Always",
+    "Check",
+    "Committed",
+    "Condition",
+    "Conflict",
+    "Delete",
+    "Exists",
+    "InstanceList",
+    "Listed",
+    "ListedKind",
+    "ListedState",
+    "MAX_SCAN_ROWS",
+    "MAX_TRANSACTION_BYTES",
+    "MAX_TRANSACTION_OPS",
+    "Missing",
+    "ObjectError",
+    "Objects",
+    "Op",
+    "Page",
+    "Put",
+    "ReadError",
+    "Row",
+    "Table",
+    "TableError",
+    "Throttled",
+    "Unavailable",
+    "VersionIs",
+    "WeightStore",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no socket, no clock, no thread."""
--- /dev/null
+++ b/src/mulberrypass/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One composition root for each program."""
--- /dev/null
+++ b/src/mulberrypass/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every program shares: settings, logs, metrics, dump, HTTP."""
--- /dev/null
+++ b/src/mulberrypass/runtime/logs.py
@@ -0,0 +1,58 @@
+"""Structured logs that never hold a key."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
+SECRET_FIELDS = frozenset({"key", "authorization", "secret", "token"})
+REDACTED = "***"
+
+
+def configure(program: str, member: str, log_format: str, level: str) -> None:
+    """Set the form and level of all logs of this process.
+
+    :param member: name of this process in the fleet
+    :param log_format: ``json`` or ``console``
+    """
+    renderer: Any = structlog.processors.JSONRenderer()
+    if log_format == "console":
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            redact,
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+    )
+    structlog.contextvars.bind_contextvars(program=program, member=member)
+
+
+def redact(
+    _logger: Any, _method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Replace values of fields that name a secret."""
+    for name in SECRET_FIELDS & event.keys():
+        event[name] = REDACTED
+    return event
+
+
+def get_logger(name: str) -> Any:
+    """Give a logger that adds its name to each line."""
+    return structlog.get_logger(source=name)
+
+
+__all__ = ["REDACTED", "SECRET_FIELDS", "configure", "get_logger", "redact"]
--- /dev/null
+++ b/src/mulberrypass/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, arranged as the packages that they cover."""
--- /dev/null
+++ b/tests/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what every program shares."""
--- /dev/null
+++ b/tests/runtime/test_http.py
@@ -0,0 +1,91 @@
+"""Tests of the HTTP border."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from typing import TYPE_CHECKING
+import unittest
+
+from mulberrypass.policy.messages import Ran
+from mulberrypass.runtime.http import (
+    HttpServer,
+    Problem,
+    Route,
+    Streamed,
+    WsgiApp,
+    json_answer,
+)
+
+if TYPE_CHECKING:
+    from mulberrypass.runtime.http import Reply, Request
+
+
+def _echo(req: Request) -> Reply:
+    return json_answer({"name": req.params["name"], "query": req.query})
+
+
+def _refuse(_req: Request) -> Reply:
+    return Problem(503, "busy", "no slot", Ran.NO, retry_after_s=0.2)
+
+
+def _fail(_req: Request) -> Reply:
+    raise ValueError("a fault")
+
+
+def _stream(_req: Request) -> Reply:
+    return Streamed(iter((b"a", b"b")), "text/plain")
+
+
+class HttpServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        app = WsgiApp(
+            (
+                Route("GET", "/echo/{name}", _echo),
+                Route("GET", "/refuse", _refuse),
+                Route("GET", "/fail", _fail),
+                Route("GET", "/stream", _stream),
+            )
+        )
+        self.app = app
+        self.server = HttpServer(app, "127.0.0.1", 0, 2, 1_000)
+        self.server.start()
+        self.addCleanup(self.server.stop, 1.0)
+
+    def get(
+        self, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        conn = http.client.HTTPConnection("127.0.0.1", self.server.port)
+        self.addCleanup(conn.close)
+        conn.request(method, path, body=body)
+        resp = conn.getresponse()
+        return resp.status, resp.read()
+
+    def test_route_gives_params_and_query(self) -> None:
+        status, body = self.get("GET", "/echo/dock?a=1")
+        self.assertEqual(200, status)
+        self.assertEqual(
+            {"name": "dock", "query": {"a": "1"}}, json.loads(body)
+        )
+
+    def test_problem_says_whether_the_work_ran(self) -> None:
+        status, body = self.get("GET", "/refuse")
+        self.assertEqual(503, status)
+        self.assertEqual("no", json.loads(body)["ran"])
+
+    def test_faults_and_unknown_paths_are_problems(self) -> None:
+        for method, path, expected in (
+            ("GET", "/fail", 500),
+            ("GET", "/none", 404),
+            ("POST", "/refuse", 405),
+        ):
+            with self.subTest(path=path):
+                self.assertEqual(expected, self.get(method, path)[0])
+        self.assertTrue(self.server.stop(grace_s=5.0))
+
+    def test_stream_is_whole(self) -> None:
+        self.assertEqual((200, b"ab"), self.get("GET", "/stream"))
+
+    def test_large_body_is_refused(self) -> None:
+        status, _ = self.get("GET", "/echo/x", b"x" * 2_000)
+        self.assertEqual(413, status)
