Check whole sets of objects and give them a canonical form

Cause: the entry, batch and control programs need checked objects and one byte form that all of them agree on. Versions and adapters stand under "model/name", since two models may both have a version r1. No kind of object can name its own kind, so references have no cycles to look for. A backend server may be in one pool only, since one owner admits for it. Conclusion: other parts can build configurations from the examples now.

--- /dev/null
+++ b/src/mulberrypass/model/load.py
@@ -0,0 +1,152 @@
+"""Reads documents from files, and says where each one stands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from mulberrypass.model.fault import Fault, Source
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+SUFFIXES = frozenset({".yaml", ".yml", ".json"})
+TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
+
+
+@dataclass(frozen=True, slots=True)
+class RawDocument:
+    """One document that has not been checked yet."""
+
+    source: Source
+    content: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """The documents of some files, and the files' own faults."""
+
+    documents: tuple[RawDocument, ...]
+    faults: tuple[Fault, ...]
+
+
+class _Loader(yaml.SafeLoader):
+    """Leaves timestamps as text, and refuses a field given twice."""
+
+    def construct_mapping(self, node: Any, deep: bool = False) -> Any:
+        seen = set()
+        for key_node, _ in node.value:
+            key = key_node.value
+            if key in seen:
+                raise yaml.MarkedYAMLError(
+                    problem=f'field "{key}" is given twice',
+                    problem_mark=key_node.start_mark,
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep=True)
+
+
+_Loader.yaml_implicit_resolvers = {
+    first: [(tag, regex) for tag, regex in rules if tag != TIMESTAMP_TAG]
+    for first, rules in yaml.SafeLoader.yaml_implicit_resolvers.items()
+}
+
+
+def load_files(paths: Iterable[str]) -> Loaded:
+    """Read all documents of files, and of the files in directories."""
+    documents: list[RawDocument] = []
+    faults: list[Fault] = []
+    for path in paths:
+        found = list(_expand(Path(path)))
+        if not found:
+            problem = "there is no YAML or JSON file"
+            faults.append(_file_fault(path, 0, problem))
+        for file in found:
+            try:
+                documents.extend(load_text(str(file), file.read_text()))
+            except _Unreadable as exc:
+                faults.append(exc.fault)
+            except (OSError, UnicodeDecodeError) as exc:
+                problem = f"the file can't be read: {exc}"
+                faults.append(_file_fault(str(file), 0, problem))
+    return Loaded(tuple(documents), tuple(faults))
+
+
+def load_text(file: str, text: str) -> list[RawDocument]:
+    """Read all documents of a text; a list gives one document an entry."""
+    if file.endswith(".json"):
+        return _load_json(file, text)
+    return _load_yaml(file, text)
+
+
+def _expand(path: Path) -> Iterator[Path]:
+    if not path.is_dir():
+        yield path
+        return
+    for file in sorted(path.iterdir()):
+        if file.suffix in SUFFIXES:
+            yield file
+
+
+def _load_json(file: str, text: str) -> list[RawDocument]:
+    try:
+        value = json.loads(text, object_pairs_hook=_unique)
+    except json.JSONDecodeError as exc:
+        raise _Unreadable(_file_fault(file, exc.lineno, exc.msg))
+    except ValueError as exc:
+        raise _Unreadable(_file_fault(file, 1, str(exc)))
+    entries = value if isinstance(value, list) else [value]
+    return [RawDocument(Source(file, 1), entry) for entry in entries]
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    fields: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in fields:
+            raise ValueError(f'field "{key}" is given twice')
+        fields[key] = value
+    return fields
+
+
+def _load_yaml(file: str, text: str) -> list[RawDocument]:
+    loader = _Loader(text)
+    documents = []
+    try:
+        while loader.check_node():
+            node = loader.get_node()
+            for part in _entries(node):
+                line = part.start_mark.line + 1
+                content = loader.construct_document(part)
+                documents.append(RawDocument(Source(file, line), content))
+    except yaml.MarkedYAMLError as exc:
+        mark = exc.problem_mark
+        line = 0 if mark is None else mark.line + 1
+        raise _Unreadable(_file_fault(file, line, str(exc.problem)))
+    except yaml.YAMLError as exc:
+        raise _Unreadable(_file_fault(file, 0, str(exc)))
+    finally:
+        loader.dispose()
+    return [doc for doc in documents if doc.content is not None]
+
+
+def _entries(node: Any) -> list[Any]:
+    if isinstance(node, yaml.SequenceNode):
+        return list(node.value)
+    return [node]
+
+
+def _file_fault(file: str, line: int, problem: str) -> Fault:
+    return Fault(file, line, "", "", problem, "")
+
+
+class _Unreadable(Exception):
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.text())
+        self.fault = fault
+
+
+__all__ = ["Loaded", "RawDocument", "load_files", "load_text"]
--- a/src/mulberrypass/model/objects.py
+++ b/src/mulberrypass/model/objects.py
@@ -203,12 +203,18 @@
     keys: tuple[KeyDigest, ...]
 
 
+def version_key(model: str, name: str) -> str:
+    """Give the key of a model's version or adapter in a configuration."""
+    return f"{model}/{name}"
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """One whole published set of objects.
 
     :param generation: rises by one with each published set; 0 is empty
     :param digest: digest of the set's canonical form
+    :param versions: by ``version_key``, as are the adapters
     """
 
     generation: int = 0
@@ -242,4 +248,5 @@
     "Service",
     "ServiceKind",
     "Version",
+    "version_key",
 ]
--- /dev/null
+++ b/src/mulberrypass/model/rules.py
@@ -0,0 +1,282 @@
+"""Checks what objects of a set must be to one another."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from mulberrypass.model import document as d
+from mulberrypass.model.fault import quoted
+from mulberrypass.model.objects import BackendKind, Role, ServiceKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from mulberrypass.model.fault import Fault
+    from mulberrypass.model.placed import ObjectSet, Placed
+
+KIND_OF_BACKEND = {
+    ServiceKind.MODEL: BackendKind.ENGINE,
+    ServiceKind.PLAIN: BackendKind.PLAIN,
+}
+
+
+def check_rules(objects: ObjectSet) -> Iterator[Fault]:
+    """Give the faults of all rules that are not about references."""
+    yield from _check_unique_names(objects)
+    yield from _check_unique_addresses(objects)
+    yield from _check_unique_keys(objects)
+    yield from _check_pools(objects)
+    for placed, backend in objects.of(d.BackendDocument):
+        yield from _check_backend(placed, backend)
+    for placed, quota in objects.of(d.QuotaDocument):
+        yield from _check_quota(placed, quota)
+    for placed, service in objects.of(d.ServiceDocument):
+        yield from _check_service(objects, placed, service)
+
+
+def _check_unique_names(objects: ObjectSet) -> Iterator[Fault]:
+    first: dict[tuple[str, str], Placed] = {}
+    for placed in objects.documents:
+        key = (placed.document.KIND, placed.document.key())
+        other = first.setdefault(key, placed)
+        if other is not placed:
+            problem = f"it is defined already{_place(other)}"
+            yield placed.fault("name", problem, "keep one of them")
+
+
+def _check_unique_addresses(objects: ObjectSet) -> Iterator[Fault]:
+    first: dict[str, Placed] = {}
+    for placed, backend in objects.of(d.BackendDocument):
+        other = first.setdefault(backend.address, placed)
+        if other is not placed:
+            problem = f'"{backend.address}" is the address of {other.label}'
+            yield placed.fault("address", problem, "give each its own")
+
+
+def _check_unique_keys(objects: ObjectSet) -> Iterator[Fault]:
+    first: dict[str, Placed] = {}
+    for placed, keys in _holders(objects):
+        if not keys:
+            remedy = "give it the digest of at least one"
+            yield placed.fault("keys", "it has no key", remedy)
+        for index, key in enumerate(keys):
+            field = f"keys.{index}.digest"
+            other = first.setdefault(key.digest, placed)
+            if other is not placed:
+                problem = f"the key belongs to {other.label} too"
+                yield placed.fault(field, problem, "give each its own")
+
+
+def _holders(
+    objects: ObjectSet,
+) -> Iterator[tuple[Placed, tuple[d.KeyPart, ...]]]:
+    for placed, customer in objects.of(d.CustomerDocument):
+        yield placed, customer.keys
+    for placed, operator in objects.of(d.OperatorDocument):
+        yield placed, operator.keys
+
+
+def _check_pools(objects: ObjectSet) -> Iterator[Fault]:
+    pool_of: dict[str, str] = {}
+    for placed, pool in objects.of(d.PoolDocument):
+        if not pool.backends:
+            remedy = "name at least one"
+            yield placed.fault("backends", "it has no backends", remedy)
+        seen = set()
+        for index, name in enumerate(pool.backends):
+            field = f"backends.{index}"
+            other = pool_of.setdefault(name, pool.name)
+            if name in seen:
+                problem = f'backend "{name}" is named twice'
+                yield placed.fault(field, problem, "name it once")
+            elif other != pool.name:
+                problem = f'backend "{name}" is in pool "{other}" already'
+                remedy = "a backend is in one pool; let services share it"
+                yield placed.fault(field, problem, remedy)
+            seen.add(name)
+
+
+def _check_backend(
+    placed: Placed, backend: d.BackendDocument
+) -> Iterator[Fault]:
+    if backend.type is BackendKind.ENGINE and not backend.kv_tokens:
+        problem = "an engine without KV memory can run nothing"
+        remedy = "give the tokens that it holds"
+        yield placed.fault("kv_tokens", problem, remedy)
+    if backend.type is BackendKind.PLAIN and backend.role is not Role.BOTH:
+        problem = "a plain backend has no role"
+        yield placed.fault("role", problem, "leave it out")
+
+
+def _check_quota(placed: Placed, quota: d.QuotaDocument) -> Iterator[Fault]:
+    online = quota.requests_per_s > 0
+    if online and not quota.burst:
+        problem = "0 admits no request at any rate"
+        yield placed.fault("burst", problem, "write at least 1")
+    if online and not quota.online_running:
+        problem = "0 lets no online request run, whatever the rate"
+        remedy = 'write at least 1, or 0 for "requests_per_s" too'
+        yield placed.fault("online_running", problem, remedy)
+    if not online and quota.online_running:
+        problem = "0 admits no request, yet some may run"
+        remedy = 'write a rate, or 0 for "online_running" too'
+        yield placed.fault("requests_per_s", problem, remedy)
+    if not quota.online_running and not quota.batch_running:
+        problem = "nothing may run, online or in batch"
+        yield placed.fault("", problem, "raise one of the two")
+
+
+def _check_service(
+    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    yield from _check_repeats(placed, service)
+    yield from _check_times(placed, service)
+    yield from _check_pool_kind(objects, placed, service)
+    match service.type:
+        case ServiceKind.PLAIN:
+            yield from _check_plain(placed, service)
+        case ServiceKind.MODEL:
+            yield from _check_model(objects, placed, service)
+
+
+def _check_repeats(
+    placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    if service.idempotent:
+        return
+    if service.hedge:
+        problem = "work that is not idempotent can't be hedged"
+        remedy = 'write "hedge: false", or leave it out'
+        yield placed.fault("hedge", problem, remedy)
+    if (service.max_attempts or 1) > 1:
+        problem = "work that is not idempotent can't be retried"
+        remedy = 'write "max_attempts: 1", or leave it out'
+        yield placed.fault("max_attempts", problem, remedy)
+
+
+def _check_times(
+    placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    if service.timeout_ms > service.max_timeout_ms:
+        problem = (
+            f"{service.timeout_ms} is over max_timeout_ms, "
+            f"{service.max_timeout_ms}"
+        )
+        remedy = f"write at most {service.max_timeout_ms}"
+        yield placed.fault("timeout_ms", problem, remedy)
+
+
+def _check_pool_kind(
+    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    needed = KIND_OF_BACKEND[service.type]
+    backends = {b.name: b for _, b in objects.of(d.BackendDocument)}
+    pools = {p.name: p for _, p in objects.of(d.PoolDocument)}
+    pool = pools.get(service.pool)
+    if pool is None:
+        return
+    members = [backends[name] for name in pool.backends if name in backends]
+    wrong = [b.name for b in members if b.type is not needed]
+    if wrong:
+        problem = (
+            f'pool "{pool.name}" has backends that are not of type '
+            f'"{needed}": {quoted(wrong)}'
+        )
+        remedy = f'name a pool of type "{needed}" only'
+        yield placed.fault("pool", problem, remedy)
+    elif needed is BackendKind.ENGINE:
+        yield from _check_roles(placed, pool, members)
+
+
+def _check_roles(
+    placed: Placed,
+    pool: d.PoolDocument,
+    members: Iterable[d.BackendDocument],
+) -> Iterator[Fault]:
+    roles = {member.role for member in members}
+    if not roles or Role.BOTH in roles:
+        return
+    for role in (Role.PREFILL, Role.DECODE):
+        if role not in roles:
+            problem = f'pool "{pool.name}" has no engine for {role}'
+            remedy = f'add an engine of role "{role}" or "both"'
+            yield placed.fault("pool", problem, remedy)
+
+
+def _check_plain(
+    placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    for field in ("model", "routes", "streams"):
+        if getattr(service, field):
+            problem = "a plain service has none"
+            yield placed.fault(field, problem, "leave it out")
+
+
+def _check_model(
+    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    if service.model is None:
+        problem = "a model service needs one"
+        yield placed.fault("model", problem, "name a model")
+    if not service.routes:
+        remedy = "add a route with a version"
+        yield placed.fault("routes", "there is no route", remedy)
+        return
+    yield from _check_route_names(objects, placed, service)
+    yield from _check_route_totals(objects, placed, service)
+
+
+def _check_route_names(
+    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    groups = {c.group for _, c in objects.of(d.CustomerDocument)}
+    seen: set[tuple[str, str | None, tuple[str, ...]]] = set()
+    for index, route in enumerate(service.routes):
+        key = (route.version, route.adapter, route.groups)
+        if key in seen:
+            problem = f'version "{route.version}" is routed to twice'
+            remedy = "join the two and add their weights"
+            yield placed.fault(f"routes.{index}", problem, remedy)
+        seen.add(key)
+        for group in route.groups:
+            if group not in groups:
+                field = f"routes.{index}.groups"
+                problem = f'no customer is in group "{group}"'
+                remedy = f"the groups are {quoted(groups - {''})}"
+                yield placed.fault(field, problem, remedy)
+
+
+def _check_route_totals(
+    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+) -> Iterator[Fault]:
+    if sum(route.weight for route in service.routes) <= 0:
+        problem = "the weights add up to 0"
+        remedy = "give at least one route a weight above 0"
+        yield placed.fault("routes", problem, remedy)
+        return
+    left_out: dict[str, list[str]] = defaultdict(list)
+    for _, customer in objects.of(d.CustomerDocument):
+        allowed = not service.customers or customer.name in service.customers
+        if allowed and not _has_route(service, customer.group):
+            left_out[customer.group].append(customer.name)
+    for group, names in sorted(left_out.items()):
+        whose = f'group "{group}"' if group else "no group"
+        problem = f"no route is for customers of {whose}: {quoted(names)}"
+        remedy = "add a route for all groups, with a weight above 0"
+        yield placed.fault("routes", problem, remedy)
+
+
+def _has_route(service: d.ServiceDocument, group: str) -> bool:
+    return any(
+        route.weight > 0 and (not route.groups or group in route.groups)
+        for route in service.routes
+    )
+
+
+def _place(placed: Placed) -> str:
+    source = placed.source
+    return f" at {source.file}:{source.line}" if source.file else ""
+
+
+__all__ = ["check_rules"]
--- /dev/null
+++ b/tests/model/test_check.py
@@ -0,0 +1,388 @@
+"""Whole sets of objects: faults, examples and the canonical form."""
+
+from __future__ import annotations
+
+import copy
+from pathlib import Path
+from typing import Any
+import unittest
+
+from expression import Result
+
+from mulberrypass.model.check import check
+from mulberrypass.model.fault import Fault, Source
+from mulberrypass.model.load import RawDocument, load_files, load_text
+from mulberrypass.model.objects import BackendKind, Configuration
+from mulberrypass.model.snapshot import Snapshot, canonical, decode, encode
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+DIGEST = "ab" * 32
+
+GOOD: tuple[dict[str, Any], ...] = (
+    {"kind": "model", "name": "rackmind"},
+    {
+        "kind": "version",
+        "name": "r1",
+        "model": "rackmind",
+        "weights": "rackmind/r1",
+        "size_bytes": 1,
+    },
+    {
+        "kind": "backend",
+        "name": "e1",
+        "zone": "z1",
+        "address": "10.0.0.1:8000",
+        "slots": 4,
+        "kv_tokens": 100,
+    },
+    {
+        "kind": "backend",
+        "name": "p1",
+        "type": "plain",
+        "zone": "z1",
+        "address": "10.0.0.2:8000",
+        "slots": 4,
+    },
+    {"kind": "pool", "name": "engines", "backends": ["e1"]},
+    {"kind": "pool", "name": "plains", "backends": ["p1"]},
+    {
+        "kind": "service",
+        "name": "dock",
+        "pool": "engines",
+        "model": "rackmind",
+        "routes": [{"version": "r1"}],
+    },
+    {
+        "kind": "service",
+        "name": "booking",
+        "type": "plain",
+        "pool": "plains",
+        "idempotent": False,
+    },
+    {
+        "kind": "quota",
+        "name": "small",
+        "requests_per_s": 1.5,
+        "burst": 2,
+        "online_running": 2,
+        "batch_running": 2,
+    },
+    {
+        "kind": "customer",
+        "name": "firm",
+        "quota": "small",
+        "keys": [{"digest": DIGEST}],
+    },
+)
+
+
+def edited(name: str, /, **fields: Any) -> list[dict[str, Any]]:
+    """Give the good set with fields of one object set, or dropped."""
+    contents = copy.deepcopy(list(GOOD))
+    for content in contents:
+        if content["name"] == name:
+            content.update(fields)
+            for field in [f for f, v in fields.items() if v is None]:
+                del content[field]
+    return contents
+
+
+def raws(contents: Any) -> list[RawDocument]:
+    """Place documents in a file, one a line."""
+    return [
+        RawDocument(Source("set.yaml", line), content)
+        for line, content in enumerate(contents, 1)
+    ]
+
+
+def checked(
+    contents: Any, base: Configuration | None = None
+) -> Configuration | tuple[Fault, ...]:
+    """Check documents."""
+    match check(raws(contents), base):
+        case Result(tag="ok", ok=cfg):
+            return cfg
+        case Result(error=faults):
+            return faults
+
+
+FAULTS: tuple[tuple[str, list[dict[str, Any]], str], ...] = (
+    (
+        "missing reference",
+        edited("dock", pool="engine"),
+        'service "dock", field "pool": pool "engine" does not exist; '
+        'define it, or name one of "engines", "plains"',
+    ),
+    (
+        "misspelt field",
+        edited("dock", timeout=5),
+        'service "dock", field "timeout": there is no such field; '
+        'did you mean "timeout_ms"?',
+    ),
+    (
+        "missing field",
+        edited("p1", zone=None),
+        'backend "p1", field "zone": it is missing; give it a value',
+    ),
+    (
+        "wrong type",
+        edited("e1", slots="four"),
+        'backend "e1", field "slots": input should be a valid integer',
+    ),
+    (
+        "address",
+        edited("e1", address="rack.example:8000"),
+        'backend "e1", field "address": "rack.example:8000" is not an IP '
+        'number and a port; write it as in "10.0.0.5:8000"',
+    ),
+    (
+        "two backends with one address",
+        edited("e1", address="10.0.0.2:08000"),
+        'backend "p1", field "address": "10.0.0.2:8000" is the address of '
+        'backend "e1"; give each its own',
+    ),
+    (
+        "digest",
+        edited("firm", keys=[{"digest": "secret"}]),
+        'customer "firm", field "keys.0.digest": the key digest is not a '
+        "SHA-256 in 64 hexadecimal digits; make it with "
+        '"mulberryctl digest"',
+    ),
+    (
+        "no key",
+        edited("firm", keys=[]),
+        'customer "firm", field "keys": it has no key; give it the digest '
+        "of at least one",
+    ),
+    (
+        "hedged, not idempotent",
+        edited("booking", hedge=True),
+        'service "booking", field "hedge": work that is not idempotent '
+        'can\'t be hedged; write "hedge: false", or leave it out',
+    ),
+    (
+        "retried, not idempotent",
+        edited("booking", max_attempts=2),
+        'service "booking", field "max_attempts": work that is not '
+        'idempotent can\'t be retried; write "max_attempts: 1", or leave '
+        "it out",
+    ),
+    (
+        "pool of the wrong kind",
+        edited("dock", pool="plains"),
+        'service "dock", field "pool": pool "plains" has backends that are '
+        'not of type "engine": "p1"; name a pool of type "engine" only',
+    ),
+    (
+        "weights of 0",
+        edited("dock", routes=[{"version": "r1", "weight": 0}]),
+        'service "dock", field "routes": the weights add up to 0; give at '
+        "least one route a weight above 0",
+    ),
+    (
+        "unknown group",
+        edited("dock", routes=[{"version": "r1", "groups": ["x"]}]),
+        'service "dock", field "routes.0.groups": no customer is in group '
+        '"x"; the groups are ',
+    ),
+    (
+        "customer without a route",
+        edited("dock", routes=[{"version": "r1", "groups": ["x"]}]),
+        'service "dock", field "routes": no route is for customers of no '
+        'group: "firm"; add a route for all groups, with a weight above 0',
+    ),
+    (
+        "quota that can't be used",
+        edited("small", online_running=0),
+        'quota "small", field "online_running": 0 lets no online request '
+        "run, whatever the rate; write at least 1, or 0 for "
+        '"requests_per_s" too',
+    ),
+    (
+        "timeout over its bound",
+        edited("dock", max_timeout_ms=10),
+        'service "dock", field "timeout_ms": 30000 is over max_timeout_ms, '
+        "10; write at most 10",
+    ),
+    (
+        "defined twice",
+        [*GOOD, GOOD[0]],
+        'model "rackmind", field "name": it is defined already at '
+        "set.yaml:1; keep one of them",
+    ),
+    (
+        "backend in two pools",
+        edited("plains", backends=["p1", "e1"]),
+        'pool "plains", field "backends.1": backend "e1" is in pool '
+        '"engines" already; a backend is in one pool; let services share it',
+    ),
+    (
+        "backend named twice",
+        edited("engines", backends=["e1", "e1"]),
+        'pool "engines", field "backends.1": backend "e1" is named twice; '
+        "name it once",
+    ),
+    (
+        "roles",
+        edited("e1", role="prefill"),
+        'service "dock", field "pool": pool "engines" has no engine for '
+        'decode; add an engine of role "decode" or "both"',
+    ),
+    (
+        "engine without KV memory",
+        edited("e1", kv_tokens=0),
+        'backend "e1", field "kv_tokens": an engine without KV memory can '
+        "run nothing; give the tokens that it holds",
+    ),
+    (
+        "plain service with a model",
+        edited("booking", model="rackmind"),
+        'service "booking", field "model": a plain service has none; '
+        "leave it out",
+    ),
+    (
+        "name",
+        edited("dock", name="Dock!"),
+        'service "Dock!", field "name": "Dock!" is not a name; write up to '
+        "63 lower-case letters, digits, dots, hyphens or underscores",
+    ),
+    (
+        "kind",
+        [*GOOD, {"kind": "modle", "name": "x"}],
+        'object "x", field "kind": "modle" is not a kind of object; write '
+        'one of "adapter", "backend"',
+    ),
+)
+
+
+class FaultsTest(unittest.TestCase):
+    """Each fault says what is wrong, where, and what would be right."""
+
+    def test_each_fault(self) -> None:
+        for name, contents, expected in FAULTS:
+            with self.subTest(name):
+                faults = checked(contents)
+                assert isinstance(faults, tuple)
+                texts = [fault.text() for fault in faults]
+                self.assertTrue(any(expected in text for text in texts), texts)
+                self.assertTrue(texts[0].startswith("set.yaml:"))
+
+    def test_all_faults_in_one_answer(self) -> None:
+        contents = edited("dock", pool="engine", model="racknind")
+        contents[2]["slots"] = 0
+        faults = checked(contents)
+        assert isinstance(faults, tuple)
+        fields = [(fault.object, fault.field) for fault in faults]
+        self.assertEqual(
+            [
+                ('backend "e1"', "slots"),
+                ('service "dock"', "model"),
+                ('service "dock"', "pool"),
+                ('service "dock"', "routes.0.version"),
+            ],
+            fields,
+        )
+
+    def test_removal_of_what_is_referenced(self) -> None:
+        base = checked(GOOD)
+        assert isinstance(base, Configuration)
+        faults = checked([GOOD[0], *GOOD[2:]], base)
+        assert isinstance(faults, tuple)
+        self.assertEqual(
+            'set.yaml:6: service "dock", field "routes.0.version": version '
+            '"r1" of model "rackmind" is still referenced by service "dock" '
+            "and can't be removed; keep it, or change this field first",
+            faults[0].text(),
+        )
+
+
+class LoadTest(unittest.TestCase):
+    """Files that can't be read are faults with a file and a line."""
+
+    def test_yaml_and_json_give_the_same(self) -> None:
+        yaml = "kind: model\nname: a\n---\nkind: model\nname: b\n"
+        text = '[{"kind": "model", "name": "a"},{"kind":"model","name":"b"}]'
+        by_yaml = load_text("x.yaml", yaml)
+        self.assertEqual([1, 4], [raw.source.line for raw in by_yaml])
+        by_json = [raw.content for raw in load_text("x.json", text)]
+        self.assertEqual([raw.content for raw in by_yaml], by_json)
+
+    def test_times_of_keys(self) -> None:
+        for end in ("1800000000", "2027-01-15T08:00:00Z"):
+            with self.subTest(end):
+                text = (
+                    "kind: operator\nname: a\nkeys:\n"
+                    f"- digest: {DIGEST}\n  not_after: {end}\n"
+                )
+                match check(load_text("x.yaml", text)):
+                    case Result(tag="ok", ok=cfg):
+                        key = cfg.operators["a"].keys[0]
+                        self.assertEqual(1_800_000_000.0, key.not_after)
+                    case Result(error=faults):
+                        self.fail(faults)
+
+    def test_missing_file(self) -> None:
+        loaded = load_files(["no-such-file.yaml"])
+        self.assertEqual("no-such-file.yaml", loaded.faults[0].file)
+        self.assertIn("can't be read", loaded.faults[0].problem)
+
+
+class ExamplesTest(unittest.TestCase):
+    """The examples are whole and correct."""
+
+    def test_examples(self) -> None:
+        sizes = {"consortium": 5, "padukalaya": 6, "demo": 2}
+        for name, engines in sizes.items():
+            with self.subTest(name):
+                loaded = load_files([str(EXAMPLES / name)])
+                self.assertEqual((), loaded.faults)
+                match check(loaded.documents):
+                    case Result(tag="ok", ok=cfg):
+                        kinds = [b.kind for b in cfg.backends.values()]
+                        self.assertEqual(
+                            engines, kinds.count(BackendKind.ENGINE)
+                        )
+                    case Result(error=faults):
+                        self.fail([fault.text() for fault in faults])
+
+
+class SnapshotTest(unittest.TestCase):
+    """The canonical form is stable, and comes back whole."""
+
+    def setUp(self) -> None:
+        cfg = checked(GOOD)
+        assert isinstance(cfg, Configuration)
+        self.cfg = cfg
+
+    def test_order_of_documents_does_not_matter(self) -> None:
+        other = checked(reversed(GOOD))
+        assert isinstance(other, Configuration)
+        self.assertEqual(self.cfg.digest, other.digest)
+
+    def test_there_and_back(self) -> None:
+        encoded = encode(self.cfg, 7)
+        match decode(encoded):
+            case Result(tag="ok", ok=cfg):
+                self.assertEqual(7, cfg.generation)
+                self.assertEqual(self.cfg.services, cfg.services)
+                self.assertEqual(self.cfg.customers, cfg.customers)
+                self.assertEqual(canonical(self.cfg), canonical(cfg))
+            case Result(error=bad):
+                self.fail(bad)
+
+    def test_bad_bytes(self) -> None:
+        good = encode(self.cfg, 7)
+        other = encode(Configuration(), 7)
+        for reason, digest, data in (
+            ("decompressed", good.digest, b"not compressed"),
+            ("cut off", good.digest, good.data[:-8]),
+            ("digest", good.digest, other.data),
+        ):
+            with self.subTest(reason):
+                result = decode(Snapshot(7, digest, data))
+                self.assertTrue(result.is_error())
+                self.assertIn(reason, result.error.reason)
+
+
+if __name__ == "__main__":
+    unittest.main()
