Add the platform stand-in and the HTTP clients of the platform

Cause: every program stores, lists and fences through the platform, and tests need its faults. Change: a stand-in with transactional rows, objects, a lagging list and paced weights, in process and over HTTP, whose faults (outage, latency, rates, lost requests and replies, a script for the next writes) are set over HTTP; pooled http.client clients that say whether a call may have been applied.

--- /dev/null
+++ b/src/mulberrypass/platform/caller.py
@@ -0,0 +1,163 @@
+"""HTTP calls to the platform over pooled connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import http.client
+import select
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.platform.api import Unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    import ssl
+
+    from expression import Result
+
+MAX_IDLE_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where the platform is, and how to call it.
+
+    :param key: sent as bearer key; empty for none
+    :param tls: makes connections TLS
+    :param max_idle: connections kept open while none is in use
+    """
+
+    host: str
+    port: int
+    key: str = ""
+    tls: ssl.SSLContext | None = None
+    connect_timeout_s: float = 1.0
+    read_timeout_s: float = 5.0
+    max_idle: int = 16
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Idle:
+    conn: http.client.HTTPConnection
+    since: float
+
+
+class HttpCaller:
+    """Makes calls from any thread, each on a connection of its own."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._lock = threading.Lock()
+        self._idle: list[_Idle] = []
+        self._headers = {"Content-Type": "application/json"}
+        if endpoint.key:
+            self._headers["Authorization"] = f"Bearer {endpoint.key}"
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpReply, Unavailable]:
+        """Make one call; a read again where a kept connection had ended.
+
+        :returns: the answer whatever its status, or ``Unavailable`` with
+            ``maybe_applied`` set where the request may have arrived
+        """
+        sent_headers = {**self._headers, **(headers or {})}
+        kept = self._take()
+        if kept is not None:
+            result = self._exchange(kept, method, target, body, sent_headers)
+            if result.is_ok() or method != "GET":
+                return result
+        opened = self._open()
+        if opened.is_error():
+            return Error(opened.error)
+        return self._exchange(opened.ok, method, target, body, sent_headers)
+
+    def _exchange(
+        self,
+        conn: http.client.HTTPConnection,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> Result[HttpReply, Unavailable]:
+        try:
+            conn.request(method, target, body, headers)
+            resp = conn.getresponse()
+            reply = HttpReply(resp.status, resp.read())
+        except (OSError, http.client.HTTPException) as exc:
+            conn.close()
+            return Error(Unavailable(f"no answer: {exc!r}", True))
+        self._give_back(conn, resp.will_close)
+        return Ok(reply)
+
+    def close(self) -> None:
+        """Close connections that are not in use."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for entry in idle:
+            entry.conn.close()
+
+    def _take(self) -> http.client.HTTPConnection | None:
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                entry = self._idle.pop()
+            fresh = time.monotonic() - entry.since < MAX_IDLE_S
+            if fresh and not _closed_by_peer(entry.conn):
+                return entry.conn
+            entry.conn.close()
+
+    def _open(self) -> Result[http.client.HTTPConnection, Unavailable]:
+        end = self._endpoint
+        timeout_s = end.connect_timeout_s
+        conn: http.client.HTTPConnection
+        if end.tls is None:
+            conn = http.client.HTTPConnection(end.host, end.port, timeout_s)
+        else:
+            conn = http.client.HTTPSConnection(
+                end.host, end.port, timeout=timeout_s, context=end.tls
+            )
+        try:
+            conn.connect()
+        except OSError as exc:
+            conn.close()
+            return Error(Unavailable(f"no connection: {exc!r}", False))
+        conn.sock.settimeout(end.read_timeout_s)
+        return Ok(conn)
+
+    def _give_back(
+        self, conn: http.client.HTTPConnection, will_close: bool
+    ) -> None:
+        with self._lock:
+            if not will_close and len(self._idle) < self._endpoint.max_idle:
+                self._idle.append(_Idle(conn, time.monotonic()))
+                return
+        conn.close()
+
+
+def _closed_by_peer(conn: http.client.HTTPConnection) -> bool:
+    if conn.sock is None:
+        return True
+    poller = select.poll()
+    poller.register(conn.sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+__all__ = ["Endpoint", "HttpCaller", "HttpReply"]
--- /dev/null
+++ b/src/mulberrypass/platform/wire.py
@@ -0,0 +1,147 @@
+"""The JSON forms of the platform's messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.platform.api import (
+    Absent,
+    Always,
+    Check,
+    Delete,
+    Listed,
+    ListedKind,
+    ListedState,
+    Page,
+    Put,
+    Row,
+    VersionIs,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from mulberrypass.platform.api import Condition, Op
+
+
+class WireError(ValueError):
+    """A document is not of the form that it should have."""
+
+
+def op_to_json(op: Op) -> dict[str, Any]:
+    """Give the document of one operation."""
+    doc: dict[str, Any] = {
+        "table": op.table,
+        "key": op.key,
+        "if": _condition_to_json(op.condition),
+    }
+    match op:
+        case Put():
+            return doc | {"op": "put", "row": dict(op.row)}
+        case Delete():
+            return doc | {"op": "delete"}
+        case Check():
+            return doc | {"op": "check"}
+
+
+def op_from_json(doc: Mapping[str, Any]) -> Op:
+    """Read the document of one operation."""
+    match doc:
+        case {"op": "put", "table": str(), "key": str(), "row": dict()}:
+            condition = _condition_from_json(doc["if"])
+            return Put(doc["table"], doc["key"], doc["row"], condition)
+        case {"op": "delete", "table": str(), "key": str()}:
+            condition = _condition_from_json(doc["if"])
+            return Delete(doc["table"], doc["key"], condition)
+        case {"op": "check", "table": str(), "key": str()}:
+            condition = _condition_from_json(doc["if"])
+            return Check(doc["table"], doc["key"], condition)
+    raise WireError("not an operation")
+
+
+def _condition_to_json(condition: Condition) -> dict[str, Any]:
+    match condition:
+        case Absent():
+            return {"kind": "absent"}
+        case VersionIs(version=version):
+            return {"kind": "version", "version": version}
+        case Always():
+            return {"kind": "always"}
+
+
+def _condition_from_json(doc: Any) -> Condition:
+    match doc:
+        case {"kind": "absent"}:
+            return Absent()
+        case {"kind": "version", "version": int(version)}:
+            return VersionIs(version)
+        case {"kind": "always"}:
+            return Always()
+    raise WireError("not a condition")
+
+
+def row_to_json(row: Row | None) -> dict[str, Any] | None:
+    """Give the document of one row, or of none."""
+    if row is None:
+        return None
+    return {"key": row.key, "version": row.version, "row": dict(row.row)}
+
+
+def row_from_json(doc: Any) -> Row | None:
+    """Read the document of one row, or of none."""
+    match doc:
+        case None:
+            return None
+        case {"key": str(key), "version": int(version), "row": dict(row)}:
+            return Row(key, version, row)
+    raise WireError("not a row")
+
+
+def page_to_json(page: Page) -> dict[str, Any]:
+    """Give the document of one page of a scan."""
+    rows = [row_to_json(row) for row in page.rows]
+    return {"rows": rows, "next_after": page.next_after}
+
+
+def page_from_json(doc: Any) -> Page:
+    """Read the document of one page of a scan."""
+    match doc:
+        case {"rows": list(rows), "next_after": str() | None}:
+            found = tuple(row_from_json(row) for row in rows)
+            whole = tuple(row for row in found if row is not None)
+            return Page(whole, doc["next_after"])
+    raise WireError("not a page")
+
+
+def listed_to_json(entry: Listed) -> dict[str, Any]:
+    """Give the document of one listed machine."""
+    return {
+        "name": entry.name,
+        "kind": entry.kind.value,
+        "zone": entry.zone,
+        "address": entry.address,
+        "state": entry.state.value,
+    }
+
+
+def listed_from_json(doc: Any) -> Listed:
+    """Read the document of one listed machine."""
+    match doc:
+        case {"name": str(name), "zone": str(zone), "address": str(address)}:
+            kind = ListedKind(doc.get("kind", "instance"))
+            state = ListedState(doc.get("state", "live"))
+            return Listed(name, kind, zone, address, state)
+    raise WireError("not a listed machine")
+
+
+__all__ = [
+    "WireError",
+    "listed_from_json",
+    "listed_to_json",
+    "op_from_json",
+    "op_to_json",
+    "page_from_json",
+    "page_to_json",
+    "row_from_json",
+    "row_to_json",
+]
--- /dev/null
+++ b/src/mulberrypass/testing/platform_rows.py
@@ -0,0 +1,113 @@
+"""The rows of the platform stand-in's table service."""
+
+from __future__ import annotations
+
+from bisect import bisect_right, insort
+from typing import TYPE_CHECKING
+
+from mulberrypass.platform.api import (
+    Absent,
+    Always,
+    Check,
+    Committed,
+    Conflict,
+    Delete,
+    Page,
+    Put,
+    Row,
+    VersionIs,
+)
+
+if TYPE_CHECKING:
+    from mulberrypass.platform.api import Condition, Op
+
+
+class Rows:
+    """Rows in memory. Not safe to share between threads.
+
+    :param keep_history: whether to keep every row that was ever written
+    """
+
+    def __init__(self, keep_history: bool = False) -> None:
+        self._tables: dict[str, dict[str, Row]] = {}
+        self._keys: dict[str, list[str]] = {}
+        self._version = 0
+        self._history: dict[tuple[str, str], list[Row | None]] | None = None
+        if keep_history:
+            self._history = {}
+
+    def transact(self, ops: tuple[Op, ...]) -> Committed | Conflict:
+        """Apply all operations or none."""
+        for index, op in enumerate(ops):
+            found = self.read(op.table, op.key)
+            if not _holds(op.condition, found):
+                return Conflict(index, found)
+        return Committed(tuple(self._apply(op) for op in ops))
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Read one row."""
+        return self._tables.get(table, {}).get(key)
+
+    def scan(self, table: str, prefix: str, after: str, limit: int) -> Page:
+        """Read rows whose key has the prefix, after a key."""
+        keys = self._keys.get(table, [])
+        rows = self._tables.get(table, {})
+        found: list[Row] = []
+        start = bisect_right(keys, after) if after else 0
+        if prefix > after:
+            start = bisect_right(keys, prefix)
+            start -= 1 if start and keys[start - 1] == prefix else 0
+        for index in range(start, len(keys)):
+            if not keys[index].startswith(prefix):
+                break
+            if len(found) == limit:
+                return Page(tuple(found), found[-1].key)
+            found.append(rows[keys[index]])
+        return Page(tuple(found), None)
+
+    def history(self, table: str, key: str) -> tuple[Row | None, ...]:
+        """Give each row that stood under a key; ``None`` for a removal."""
+        return tuple((self._history or {}).get((table, key), ()))
+
+    def _apply(self, op: Op) -> int:
+        match op:
+            case Put(table=table, key=key, row=row):
+                self._version += 1
+                stored = Row(key, self._version, dict(row))
+                self._store(table, key, stored)
+                return self._version
+            case Delete(table=table, key=key):
+                self._remove(table, key)
+                return 0
+            case Check(table=table, key=key):
+                stands = self.read(table, key)
+                return stands.version if stands else 0
+
+    def _store(self, table: str, key: str, row: Row) -> None:
+        rows = self._tables.setdefault(table, {})
+        if key not in rows:
+            insort(self._keys.setdefault(table, []), key)
+        rows[key] = row
+        if self._history is not None:
+            self._history.setdefault((table, key), []).append(row)
+
+    def _remove(self, table: str, key: str) -> None:
+        if self._tables.get(table, {}).pop(key, None) is None:
+            return
+        keys = self._keys[table]
+        del keys[bisect_right(keys, key) - 1]
+        if self._history is not None:
+            self._history.setdefault((table, key), []).append(None)
+
+
+def _holds(condition: Condition, found: Row | None) -> bool:
+    match condition:
+        case Absent():
+            return found is None
+        case VersionIs(version=version):
+            return found is not None and found.version == version
+        case Always():
+            return True
+
+
+__all__ = ["Rows"]
--- /dev/null
+++ b/tests/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the peer package."""
--- /dev/null
+++ b/tests/platform/test_caller.py
@@ -0,0 +1,106 @@
+"""Tests of calls to a platform that is away, slow or wrong."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+
+from mulberrypass.platform.api import Always, Put, Throttled, Unavailable
+from mulberrypass.platform.caller import Endpoint
+from mulberrypass.platform.client import PlatformClients, open_platform
+from mulberrypass.testing.platform_state import FakePlatform
+from tests.platform.contract import HOST, maybe_applied, serve
+
+OPS = (Put("t", "k", {}, Always()),)
+
+
+def _answer(status: str, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class CallerTest(unittest.TestCase):
+    def listen(self) -> socket.socket:
+        sock = socket.create_server((HOST, 0))
+        self.addCleanup(sock.close)
+        return sock
+
+    def clients(self, port: int, key: str = "") -> PlatformClients:
+        endpoint = Endpoint(HOST, port, key, read_timeout_s=0.2)
+        clients = open_platform(endpoint)
+        self.addCleanup(clients.close)
+        return clients
+
+    def answer_once(
+        self, sock: socket.socket, data: bytes
+    ) -> threading.Thread:
+        def run() -> None:
+            conn, _ = sock.accept()
+            with conn:
+                conn.recv(65_536)
+                conn.sendall(data)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        self.addCleanup(thread.join)
+        return thread
+
+    def test_connection_refused_is_not_applied(self) -> None:
+        sock = self.listen()
+        port = sock.getsockname()[1]
+        sock.close()
+        error = self.clients(port).table.transact(OPS).error
+        self.assertFalse(maybe_applied(error))
+
+    def test_no_answer_may_be_applied_but_a_read_is_not(self) -> None:
+        clients = self.clients(self.listen().getsockname()[1])
+        self.assertTrue(maybe_applied(clients.table.transact(OPS).error))
+        self.assertTrue(maybe_applied(clients.objects.put("k", b"").error))
+        self.assertFalse(maybe_applied(clients.table.read("t", "k").error))
+
+    def test_answers_that_are_no_results(self) -> None:
+        table = (
+            ("503 Service Unavailable", b"", Unavailable, False),
+            ("500 Internal Server Error", b"", Unavailable, True),
+            ("400 Bad Request", b"", Unavailable, False),
+            ("200 OK", b"not json", Unavailable, True),
+            ("200 OK", b"{}", Unavailable, True),
+            ("409 Conflict", b"[]", Unavailable, True),
+            ("429 Too Many Requests", b"", Throttled, False),
+        )
+        for status, body, kind, expected in table:
+            with self.subTest(status=status, body=body):
+                sock = self.listen()
+                self.answer_once(sock, _answer(status, body))
+                clients = self.clients(sock.getsockname()[1])
+                error = clients.table.transact(OPS).error
+                self.assertIsInstance(error, kind)
+                if isinstance(error, Unavailable):
+                    self.assertEqual(expected, error.maybe_applied)
+
+    def test_cut_answer_may_be_applied(self) -> None:
+        sock = self.listen()
+        whole = _answer("200 OK", b'{"versions": [1]}')
+        self.answer_once(sock, whole[:-4])
+        clients = self.clients(sock.getsockname()[1])
+        self.assertTrue(maybe_applied(clients.table.transact(OPS).error))
+
+    def test_kept_connection_that_ended_is_not_used(self) -> None:
+        sock = self.listen()
+        clients = self.clients(sock.getsockname()[1])
+        for version in (1, 2, 3):
+            body = b'{"versions": [%d]}' % version
+            thread = self.answer_once(sock, _answer("200 OK", body))
+            result = clients.table.transact(OPS)
+            thread.join()
+            self.assertEqual((version,), result.ok.versions)
+
+    def test_wrong_key_is_refused(self) -> None:
+        port = serve(self, FakePlatform(), "right")
+        error = self.clients(port, "wrong").table.transact(OPS).error
+        self.assertEqual(Unavailable("status 401", False), error)
+
+
+if __name__ == "__main__":
+    unittest.main()
