--- /dev/null
+++ b/src/mulberrypass/engine/plain_client.py
@@ -0,0 +1,75 @@
+"""A server of a plain service that is called over HTTP."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+import json
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok
+
+from mulberrypass.engine.api import EngineFailed, PlainService
+from mulberrypass.engine.wire import (
+    MAX_ANSWER_BYTES,
+    ConnectionPool,
+    Deadline,
+    WireError,
+    decode_object,
+    refusal,
+)
+from mulberrypass.policy.messages import Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    import ssl
+
+    from expression import Result
+
+CALL_PATH = "/call"
+
+
+class HttpPlainService(PlainService):
+    """One server of a plain service at an address; it retries nothing.
+
+    :param address: IP number and port
+    :param ssl_context: speaks TLS where it is given
+    """
+
+    def __init__(
+        self, address: str, ssl_context: ssl.SSLContext | None = None
+    ) -> None:
+        self._pool = ConnectionPool(address, ssl_context)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+    def call(
+        self, request_id: str, payload: Any, deadline_s: float
+    ) -> Result[Mapping[str, Any], EngineFailed]:
+        """Make one call; see ``PlainService``."""
+        body = {"request_id": request_id, "payload": payload}
+        deadline = Deadline.after(deadline_s)
+        try:
+            doc = self._post(json.dumps(body).encode(), deadline)
+        except WireError as exc:
+            return Error(exc.failed)
+        result = doc.get("result")
+        if doc.get("request_id") != request_id or not isinstance(result, dict):
+            return Error(EngineFailed("wrong answer", Ran.MAYBE))
+        return Ok(result)
+
+    def _post(self, body: bytes, deadline: Deadline) -> dict[str, Any]:
+        exchange = self._pool.exchange(
+            "POST", CALL_PATH, body, deadline, repeatable=False
+        )
+        try:
+            answer = exchange.read_whole(MAX_ANSWER_BYTES, deadline)
+        finally:
+            exchange.finish()
+        if exchange.status != HTTPStatus.OK:
+            raise WireError(refusal(exchange.status, answer))
+        return decode_object(answer)
+
+
+__all__ = ["HttpPlainService"]
--- /dev/null
+++ b/src/mulberrypass/testing/plain_http.py
@@ -0,0 +1,165 @@
+"""A stand-in server of a plain service over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+import json
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from pydantic import BaseModel, Field, ValidationError
+
+from mulberrypass.policy.messages import Ran
+from mulberrypass.runtime.http import (
+    JSON_TYPE,
+    HttpServer,
+    Problem,
+    Route,
+    Streamed,
+    WsgiApp,
+    json_answer,
+)
+from mulberrypass.testing.engine_faults import Faults, FaultSettings
+from mulberrypass.testing.engine_http import StreamCutError
+from mulberrypass.testing.engine_tokens import (
+    POISON,
+    SLOW_PREFIX,
+    expected_result,
+)
+
+if TYPE_CHECKING:
+    from mulberrypass.runtime.http import Reply, Request
+
+MAX_BODY_BYTES = 4_194_304
+RETRY_AFTER_S = 0.5
+STOP_GRACE_S = 1.0
+
+
+class CallBody(BaseModel):
+    """One call."""
+
+    request_id: str = Field(min_length=1)
+    payload: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlainOptions:
+    """What a stand-in plain service is started with.
+
+    :param service_s: seconds that a call takes
+    :param slots: calls that run at once; the others wait
+    """
+
+    service_s: float = 0.02
+    slots: int = 16
+    time_scale: float = 1.0
+    threads: int = 64
+
+
+class FakePlainService:
+    """One stand-in server: its routes, its slots and its faults."""
+
+    def __init__(self, options: PlainOptions) -> None:
+        self._options = options
+        self._faults = Faults()
+        self._slots = threading.Semaphore(options.slots)
+        self._lock = threading.Lock()
+        self._down_until = 0.0
+        self._paused_until = 0.0
+        self.counts: dict[str, dict[str, int]] = {}
+
+    def serve(self, host: str, port: int) -> HttpServer:
+        """Start to serve on an address; port 0 takes a free one."""
+        app = WsgiApp(
+            (
+                Route("POST", "/call", self._call),
+                Route("PUT", "/admin/faults", self._set_faults),
+                Route(
+                    "GET", "/admin/faults", lambda _req: self._faults.show()
+                ),
+                Route("GET", "/admin/runs", self._count_runs),
+            )
+        )
+        server = HttpServer(
+            app, host, port, self._options.threads, MAX_BODY_BYTES
+        )
+        server.start()
+        return server
+
+    def _call(self, req: Request) -> Reply:
+        try:
+            body = CallBody.model_validate_json(req.body.read(req.body_bytes))
+        except ValidationError as exc:
+            return Problem(400, "wrong_request", str(exc), Ran.NO)
+        down = time.monotonic() < self._down_until
+        if down or self._faults.use("refuse"):
+            detail = "the server takes nothing now"
+            return Problem(503, "refused", detail, Ran.NO, RETRY_AFTER_S)
+        with self._slots:
+            return self._run(body)
+
+    def _run(self, body: CallBody) -> Reply:
+        self._count(body.request_id, "started")
+        if _mentions(body.payload, POISON):
+            detail = "the payload can't be answered"
+            return Problem(422, "poisoned", detail, Ran.YES)
+        time.sleep(self._service_s(body.payload))
+        self._count(body.request_id, "finished")
+        time.sleep(self._faults.now.late_s)
+        if self._faults.use("cut_streams"):
+            return Streamed(_cut(), JSON_TYPE)
+        request_id = body.request_id
+        if self._faults.use("crossed"):
+            request_id = f"other-{request_id}"
+        result = expected_result(body.payload)
+        return json_answer({"request_id": request_id, "result": result})
+
+    def _service_s(self, payload: Any) -> float:
+        factor = self._faults.now.slow * _slowness(payload)
+        seconds = self._options.service_s * self._options.time_scale * factor
+        paused_s = self._paused_until - time.monotonic()
+        return seconds + max(0.0, paused_s)
+
+    def _count(self, request_id: str, what: str) -> None:
+        with self._lock:
+            count = self.counts.setdefault(
+                request_id, {"started": 0, "finished": 0}
+            )
+            count[what] += 1
+
+    def _set_faults(self, req: Request) -> Reply:
+        given = self._faults.answer(req)
+        if not isinstance(given, FaultSettings):
+            return given
+        now = time.monotonic()
+        if given.pause_s:
+            self._paused_until = now + given.pause_s
+        if given.crash_s:
+            self._down_until = now + given.crash_s
+        return self._faults.show()
+
+    def _count_runs(self, _req: Request) -> Reply:
+        with self._lock:
+            return json_answer({"runs": self.counts, "leaving_starts": []})
+
+
+def _cut() -> Iterator[bytes]:
+    yield b'{"request_id":'
+    raise StreamCutError
+
+
+def _mentions(payload: Any, word: str) -> bool:
+    return word in json.dumps(payload).replace('"', " ").split()
+
+
+def _slowness(payload: Any) -> int:
+    for word in json.dumps(payload).replace('"', " ").split():
+        digits = word.removeprefix(SLOW_PREFIX)
+        if digits != word and digits.isdigit():
+            return max(1, int(digits))
+    return 1
+
+
+__all__ = ["FakePlainService", "PlainOptions"]
