Publish configurations by one conditional write and follow them everywhere

Cause: a configuration that was accepted must be in force everywhere within seconds and never go back, with the store up or down after acceptance.

--- /dev/null
+++ b/src/mulberrypass/configuration/store.py
@@ -0,0 +1,371 @@
+"""Publishes configurations by one conditional write of the head row."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from mulberrypass.configuration import rows
+from mulberrypass.model.diff import differences
+from mulberrypass.model.objects import Configuration
+from mulberrypass.model.snapshot import Snapshot, decode, encode
+from mulberrypass.platform import api
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ATTEMPTS = 4
+RETRY_S = 0.25
+MAX_HISTORY = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A whole set of objects that an operator wants in force.
+
+    :param cfg: the set, checked and not yet published
+    :param base: the generation that the set was made from
+    :param submit_id: the same for each repetition of the submission
+    """
+
+    cfg: Configuration
+    base: int
+    submit_id: str
+    operator: str
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The set is published.
+
+    :param repeated: whether the submission had been accepted before
+    :param unchanged: whether the same set was in force already
+    """
+
+    snapshot: Snapshot
+    repeated: bool = False
+    unchanged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Another submission was accepted since the base; nothing is changed.
+
+    :param since: generations after the base, newest first
+    """
+
+    generation: int
+    since: tuple[rows.HistoryRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitIdReused:
+    """The id names an accepted submission of another set."""
+
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreDown:
+    """The platform gave no answer that settles the matter.
+
+    :param maybe_accepted: whether a submission may be accepted all the same
+    """
+
+    reason: str
+    maybe_accepted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NoSuchGeneration:
+    """The snapshot is not in the object store, or is not what it was."""
+
+    generation: int
+    reason: str
+
+
+SubmitError = Overtaken | SubmitIdReused | StoreDown
+SnapshotError = NoSuchGeneration | StoreDown
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head row and its version; version 0 where there is no row."""
+
+    version: int
+    row: rows.HeadRow | None
+
+    @property
+    def generation(self) -> int:
+        """The published generation."""
+        return 0 if self.row is None else self.row.generation
+
+    @property
+    def condition(self) -> api.Condition:
+        """The condition that the row is still this one."""
+        if self.row is None:
+            return api.Absent()
+        return api.VersionIs(self.version)
+
+
+class ConfigurationStore:
+    """Publishes and reads configurations. Safe on any thread.
+
+    :param clock: gives Unix time in seconds
+    :param sleep: waits between attempts
+    """
+
+    def __init__(
+        self,
+        table: api.Table,
+        objects: api.Objects,
+        clock: Callable[[], float] = time.time,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._sleep = sleep
+
+    def head(self) -> Result[Head, StoreDown]:
+        """Read the head row."""
+        match self._table.read(rows.TABLE, rows.HEAD_KEY):
+            case Result(tag="ok", ok=None):
+                return Ok(Head(0, None))
+            case Result(tag="ok", ok=api.Row() as row):
+                found = rows.HeadRow.model_validate(row.row)
+                return Ok(Head(row.version, found))
+            case Result(error=exc):
+                return Error(StoreDown(_reason(exc)))
+
+    def history(
+        self, limit: int = MAX_HISTORY
+    ) -> Result[tuple[rows.HistoryRow, ...], StoreDown]:
+        """Read the newest generations, newest first."""
+        page = self._table.scan(
+            rows.TABLE, rows.HISTORY_PREFIX, limit=min(limit, MAX_HISTORY)
+        )
+        match page:
+            case Result(tag="ok", ok=found):
+                return Ok(
+                    tuple(
+                        rows.HistoryRow.model_validate(row.row)
+                        for row in found.rows
+                    )
+                )
+            case Result(error=exc):
+                return Error(StoreDown(_reason(exc)))
+
+    def snapshot(
+        self, generation: int, digest: str
+    ) -> Result[Snapshot, SnapshotError]:
+        """Read one published snapshot; its digest is not yet checked."""
+        match self._objects.get(rows.snapshot_key(generation, digest)):
+            case Result(tag="ok", ok=data):
+                return Ok(Snapshot(generation, digest, data))
+            case Result(error=api.Unavailable() | api.Throttled() as exc):
+                return Error(StoreDown(_reason(exc)))
+            case _:
+                reason = "its snapshot is not in the object store"
+                return Error(NoSuchGeneration(generation, reason))
+
+    def configuration(
+        self, head: Head
+    ) -> Result[Configuration, SnapshotError]:
+        """Read the configuration that a head names."""
+        if head.row is None:
+            return Ok(Configuration())
+        row = head.row
+        match self.snapshot(row.generation, row.digest):
+            case Result(tag="ok", ok=found):
+                return decode(found).map_error(
+                    lambda bad: NoSuchGeneration(row.generation, bad.reason)
+                )
+            case Result(error=exc):
+                return Error(exc)
+
+    def submit(self, sub: Submission) -> Result[Accepted, SubmitError]:
+        """Publish a set, once, however often it is submitted.
+
+        A reply that is lost is settled by submitting the same conditions
+        again: either the write takes effect now, or its own row is found.
+        """
+        before = self._table.read(rows.TABLE, rows.submit_key(sub.submit_id))
+        match before:
+            case Result(tag="ok", ok=api.Row() as row):
+                return _outcome(sub, row)
+            case Result(tag="error", error=exc):
+                return Error(StoreDown(_reason(exc)))
+        match self.head():
+            case Result(tag="ok", ok=head):
+                return self._submit_on(head, sub)
+            case Result(error=down):
+                return Error(down)
+
+    def _submit_on(
+        self, head: Head, sub: Submission
+    ) -> Result[Accepted, SubmitError]:
+        if head.row is not None and head.row.digest == sub.cfg.digest:
+            snapshot = encode(sub.cfg, head.generation)
+            return Ok(Accepted(snapshot, unchanged=True))
+        if head.generation != sub.base:
+            return self._overtaken(head.generation, sub.base)
+        match self.configuration(head):
+            case Result(tag="ok", ok=current):
+                return self._publish(head, current, sub)
+            case Result(error=exc):
+                return Error(StoreDown(exc.reason))
+
+    def _publish(
+        self, head: Head, current: Configuration, sub: Submission
+    ) -> Result[Accepted, SubmitError]:
+        snapshot = encode(sub.cfg, head.generation + 1)
+        stored = self._put_snapshot(snapshot)
+        if stored is not None:
+            return Error(stored)
+        row = rows.HeadRow(
+            generation=snapshot.generation,
+            digest=snapshot.digest,
+            base=sub.base,
+            submit_id=sub.submit_id,
+            operator=sub.operator,
+            at=round(self._clock(), 3),
+            message=sub.message,
+        )
+        changes = differences(current, sub.cfg)
+        ops = _publishing(head, row, rows.history_row(row, changes))
+        return self._commit(ops, snapshot, sub)
+
+    def _put_snapshot(self, snapshot: Snapshot) -> StoreDown | None:
+        key = rows.snapshot_key(snapshot.generation, snapshot.digest)
+        reason = ""
+        for attempt in range(ATTEMPTS):
+            match self._objects.put(key, snapshot.data):
+                case Result(tag="ok") | Result(error=api.Exists()):
+                    return None
+                case Result(error=exc):
+                    reason = _reason(exc)
+            self._pause(attempt)
+        return StoreDown(reason)
+
+    def _commit(
+        self, ops: tuple[api.Op, ...], snapshot: Snapshot, sub: Submission
+    ) -> Result[Accepted, SubmitError]:
+        maybe = False
+        reason = ""
+        for attempt in range(ATTEMPTS):
+            match self._table.transact(ops):
+                case Result(tag="ok"):
+                    return Ok(Accepted(snapshot))
+                case Result(error=api.Conflict()):
+                    return self._settle(sub, maybe)
+                case Result(error=exc):
+                    reason = _reason(exc)
+                    maybe = maybe or _maybe_applied(exc)
+            self._pause(attempt)
+        return Error(StoreDown(reason, maybe_accepted=maybe))
+
+    def _settle(
+        self, sub: Submission, maybe: bool
+    ) -> Result[Accepted, SubmitError]:
+        """Tell whether a conflict is with another submission or our own."""
+        key = rows.submit_key(sub.submit_id)
+        check = api.Check(rows.TABLE, key, api.Absent())
+        reason = ""
+        for attempt in range(ATTEMPTS):
+            match self._table.transact((check,)):
+                case Result(tag="ok"):
+                    return self._overtaken_now(sub)
+                case Result(error=api.Conflict(found=api.Row() as row)):
+                    return _outcome(sub, row)
+                case Result(error=exc):
+                    reason = _reason(exc)
+            self._pause(attempt)
+        return Error(StoreDown(reason, maybe_accepted=maybe))
+
+    def _overtaken_now(self, sub: Submission) -> Result[Accepted, SubmitError]:
+        match self.head():
+            case Result(tag="ok", ok=head):
+                return self._overtaken(head.generation, sub.base)
+            case Result(error=down):
+                return Error(down)
+
+    def _overtaken(
+        self, generation: int, base: int
+    ) -> Result[Accepted, SubmitError]:
+        match self.history():
+            case Result(tag="ok", ok=entries):
+                since = tuple(e for e in entries if e.generation > base)
+                return Error(Overtaken(generation, since))
+            case Result(error=down):
+                return Error(down)
+
+    def _pause(self, attempt: int) -> None:
+        if attempt + 1 < ATTEMPTS:
+            self._sleep(RETRY_S * 2**attempt)
+
+
+def _publishing(
+    head: Head, row: rows.HeadRow, history: rows.HistoryRow
+) -> tuple[api.Op, ...]:
+    outcome = rows.SubmitRow(generation=row.generation, digest=row.digest)
+    return (
+        api.Put(
+            rows.TABLE,
+            rows.HEAD_KEY,
+            row.model_dump(mode="json"),
+            head.condition,
+        ),
+        api.Put(
+            rows.TABLE,
+            rows.history_key(row.generation),
+            history.model_dump(mode="json"),
+            api.Absent(),
+        ),
+        api.Put(
+            rows.TABLE,
+            rows.submit_key(row.submit_id),
+            outcome.model_dump(mode="json"),
+            api.Absent(),
+        ),
+    )
+
+
+def _outcome(sub: Submission, row: api.Row) -> Result[Accepted, SubmitError]:
+    found = rows.SubmitRow.model_validate(row.row)
+    if found.digest != sub.cfg.digest:
+        return Error(SubmitIdReused(found.generation))
+    snapshot = encode(sub.cfg, found.generation)
+    return Ok(Accepted(snapshot, repeated=True))
+
+
+def _reason(exc: api.ObjectError | api.TableError) -> str:
+    match exc:
+        case api.Unavailable(reason=reason):
+            return f"the platform gave no answer: {reason}"
+        case api.Throttled(retry_after_s=wait):
+            return f"the platform is over its rate for {wait:g} s"
+        case _:
+            return f"the platform refused: {exc!r}"
+
+
+def _maybe_applied(exc: api.TableError) -> bool:
+    return isinstance(exc, api.Unavailable) and exc.maybe_applied
+
+
+__all__ = [
+    "Accepted",
+    "ConfigurationStore",
+    "Head",
+    "NoSuchGeneration",
+    "Overtaken",
+    "SnapshotError",
+    "StoreDown",
+    "Submission",
+    "SubmitError",
+    "SubmitIdReused",
+]
--- /dev/null
+++ b/src/mulberrypass/model/diff.py
@@ -0,0 +1,87 @@
+"""What differs between two configurations, object by object."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+import enum
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.model.snapshot import KINDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mulberrypass.model.objects import Configuration
+
+
+class Action(enum.StrEnum):
+    """What happened to an object."""
+
+    ADDED = "added"
+    CHANGED = "changed"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One field of a changed object."""
+
+    field: str
+    before: Any
+    after: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One object that was added, changed or removed.
+
+    :param kind: as in ``service``
+    :param key: name, or model and name of a version or adapter
+    """
+
+    kind: str
+    key: str
+    action: Action
+    fields: tuple[FieldChange, ...] = ()
+
+    @property
+    def label(self) -> str:
+        """The object's kind and name."""
+        model, _, name = self.key.rpartition("/")
+        suffix = f' of model "{model}"' if model else ""
+        return f'{self.kind} "{name}"{suffix}'
+
+
+def differences(
+    before: Configuration, after: Configuration
+) -> tuple[Change, ...]:
+    """Give all changes in the order of kinds and keys."""
+    return tuple(
+        change
+        for kind in sorted(KINDS)
+        for change in _of_kind(
+            kind[:-1], getattr(before, kind), getattr(after, kind)
+        )
+    )
+
+
+def _of_kind(kind: str, before: Any, after: Any) -> Iterator[Change]:
+    for key in sorted({*before, *after}):
+        if key not in before:
+            yield Change(kind, key, Action.ADDED)
+        elif key not in after:
+            yield Change(kind, key, Action.REMOVED)
+        elif before[key] != after[key]:
+            changed = tuple(_fields(before[key], after[key]))
+            yield Change(kind, key, Action.CHANGED, changed)
+
+
+def _fields(before: Any, after: Any) -> Iterator[FieldChange]:
+    for item in fields(before):
+        old = getattr(before, item.name)
+        new = getattr(after, item.name)
+        if old != new:
+            yield FieldChange(item.name, old, new)
+
+
+__all__ = ["Action", "Change", "FieldChange", "differences"]
--- /dev/null
+++ b/src/mulberrypass/peer/configuration.py
@@ -0,0 +1,104 @@
+"""Gives the configuration to peers, and fetches it from them."""
+
+from __future__ import annotations
+
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from mulberrypass.configuration.follower import PeerSilent
+from mulberrypass.model.snapshot import Snapshot
+from mulberrypass.peer.peer_grpc import PeerStub
+from mulberrypass.peer.peer_pb2 import FetchReply, FetchRequest
+from mulberrypass.peer.server import KEY_HEADER, ConfigurationHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import ssl
+
+    from mulberrypass.peer.loop import LoopThread
+
+FETCH_TIMEOUT_S = 2.0
+LOOP_MARGIN_S = 0.5
+
+Address = tuple[str, int]
+
+
+class ConfigurationPeers(ConfigurationHandler):
+    """Serves on the peer loop; fetches from any other thread.
+
+    :param address_of: address of a member's peer port, if it is known
+    :param in_force: the snapshot in force here
+    """
+
+    def __init__(
+        self,
+        loop: LoopThread,
+        key: str,
+        address_of: Callable[[str], Address | None],
+        in_force: Callable[[], Snapshot | None],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._loop = loop
+        self._key = key
+        self._address_of = address_of
+        self._in_force = in_force
+        self._tls = tls
+
+    async def fetch(self, req: FetchRequest) -> FetchReply:
+        """Give the snapshot in force; its bytes only where new enough."""
+        snapshot = self._in_force()
+        if snapshot is None:
+            return FetchReply()
+        if snapshot.generation < req.at_least_generation:
+            return FetchReply(generation=snapshot.generation)
+        return FetchReply(
+            generation=snapshot.generation,
+            digest=snapshot.digest,
+            snapshot=snapshot.data,
+        )
+
+    def fetch_from(
+        self, member: str, at_least: int
+    ) -> Result[Snapshot, PeerSilent]:
+        """Fetch a member's snapshot; not to be called on the peer loop."""
+        address = self._address_of(member)
+        if address is None:
+            return Error(PeerSilent("its address is not known"))
+        fut = self._loop.submit(self._fetch(address, at_least))
+        try:
+            return fut.result(FETCH_TIMEOUT_S + LOOP_MARGIN_S)
+        except FutureTimeoutError:
+            fut.cancel()
+            return Error(PeerSilent("no answer in time"))
+
+    async def _fetch(
+        self, address: Address, at_least: int
+    ) -> Result[Snapshot, PeerSilent]:
+        host, port = address
+        channel = Channel(host, port, ssl=self._tls)
+        try:
+            reply = await PeerStub(channel).FetchConfiguration(
+                FetchRequest(at_least_generation=at_least),
+                timeout=FETCH_TIMEOUT_S,
+                metadata={KEY_HEADER: self._key},
+            )
+        except (
+            TimeoutError,
+            GRPCError,
+            StreamTerminatedError,
+            OSError,
+        ) as exc:
+            return Error(PeerSilent(repr(exc)))
+        finally:
+            channel.close()
+        if reply.generation < at_least or not reply.snapshot:
+            reason = f"it holds generation {reply.generation}"
+            return Error(PeerSilent(reason))
+        return Ok(Snapshot(reply.generation, reply.digest, reply.snapshot))
+
+
+__all__ = ["ConfigurationPeers"]
--- /dev/null
+++ b/tests/peer/test_configuration.py
@@ -0,0 +1,75 @@
+"""Peers that give one another the configuration over real sockets."""
+
+from __future__ import annotations
+
+import unittest
+
+from expression import Result
+
+from mulberrypass.model.objects import Configuration, Model
+from mulberrypass.model.snapshot import Snapshot, encode
+from mulberrypass.peer.configuration import ConfigurationPeers
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
+from mulberrypass.peer.server import HeartbeatHandler, PeerServer
+from mulberrypass.runtime.ports import CONTROL_PEER_PORT
+
+HOST = "127.0.50.1"
+KEY = "peer-key"
+SNAPSHOT = encode(Configuration(models={"a": Model("a")}), 4)
+
+
+class NoHeartbeats(HeartbeatHandler):
+    """Answers with nothing."""
+
+    async def heartbeat(self, req: HeartbeatRequest) -> HeartbeatReply:
+        """Answer with nothing."""
+        return HeartbeatReply()
+
+
+class ConfigurationPeersTest(unittest.TestCase):
+    """A fetch gives the whole snapshot or says why not."""
+
+    def setUp(self) -> None:
+        self.in_force: Snapshot | None = SNAPSHOT
+        self.address: tuple[str, int] | None = None
+        self.loop = LoopThread()
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+        handler = self.make_peers(KEY)
+        server = PeerServer(KEY, NoHeartbeats(), handler)
+        self.loop.submit(server.start(HOST, CONTROL_PEER_PORT)).result(5)
+        self.addCleanup(lambda: self.loop.submit(server.stop()).result(5))
+        self.address = (HOST, CONTROL_PEER_PORT)
+
+    def make_peers(self, key: str) -> ConfigurationPeers:
+        """Give one end of the conversation."""
+        return ConfigurationPeers(
+            self.loop, key, lambda _: self.address, lambda: self.in_force
+        )
+
+    def test_fetch(self) -> None:
+        result = self.make_peers(KEY).fetch_from("entry@1", 4)
+        self.assertEqual(SNAPSHOT, result.ok)
+
+    def test_failures(self) -> None:
+        cases = (
+            ("newer asked", KEY, SNAPSHOT, self.address, 5, "generation 4"),
+            ("none there", KEY, None, self.address, 1, "generation 0"),
+            ("wrong key", "x", SNAPSHOT, self.address, 1, "unknown peer key"),
+            ("no address", KEY, SNAPSHOT, None, 1, "address is not known"),
+            ("no listener", KEY, SNAPSHOT, (HOST, 9), 1, "ConnectionRefused"),
+        )
+        for name, key, in_force, address, at_least, reason in cases:
+            with self.subTest(name):
+                self.in_force, self.address = in_force, address
+                peers = self.make_peers(key)
+                match peers.fetch_from("entry@1", at_least):
+                    case Result(tag="ok"):
+                        self.fail("a snapshot came")
+                    case Result(error=silent):
+                        self.assertIn(reason, silent.reason)
+
+
+if __name__ == "__main__":
+    unittest.main()
