--- /dev/null
+++ b/src/mulberrypass/platform/settled_objects.py
@@ -0,0 +1,110 @@
+"""Settles calls to the object store whose reply was lost."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.platform.api import (
+    Exists,
+    Missing,
+    Objects,
+    Throttled,
+    Unavailable,
+)
+from mulberrypass.platform.settled import SettlePolicy
+from mulberrypass.runtime.metrics import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from mulberrypass.platform.api import ObjectError
+    from mulberrypass.runtime.metrics import Metrics
+
+
+class SettledObjects(Objects):
+    """An object store that answers for lost replies.
+
+    An ``Exists`` after a lost reply counts as this caller's own where the
+    bytes are the same.
+    """
+
+    def __init__(
+        self,
+        objects: Objects,
+        rng: random.Random | None = None,
+        sleep: Callable[[float], None] = time.sleep,
+        metrics: Metrics | None = None,
+        policy: SettlePolicy | None = None,
+    ) -> None:
+        self._objects = objects
+        self._rng = rng or random.Random()
+        self._sleep = sleep
+        self._metrics = metrics
+        self._policy = policy or SettlePolicy()
+
+    def put(self, key: str, data: bytes) -> Result[None, ObjectError]:
+        """Write an object."""
+        result, unsure = self._settle(lambda: self._objects.put(key, data))
+        if not unsure or result.is_ok():
+            return result
+        if not isinstance(result.error, Exists):
+            return result
+        stands = self._objects.get(key)
+        match stands.error if stands.is_error() else None:
+            case None:
+                return Ok(None) if stands.ok == data else result
+            case Missing():
+                return Error(Unavailable("removed meanwhile", True))
+        return Error(Unavailable("not read back", maybe_applied=True))
+
+    def get(self, key: str) -> Result[bytes, ObjectError]:
+        """Read a whole object."""
+        return self._objects.get(key)
+
+    def delete(self, key: str) -> Result[None, ObjectError]:
+        """Remove an object."""
+        result, unsure = self._settle(lambda: self._objects.delete(key))
+        if result.is_ok() or not unsure:
+            return result
+        gone = isinstance(result.error, Missing)
+        return Ok(None) if gone else result
+
+    def _settle(
+        self, call: Callable[[], Result[None, ObjectError]]
+    ) -> tuple[Result[None, ObjectError], bool]:
+        """Call until an answer comes or the attempts are used up.
+
+        :returns: the last result, and whether an earlier reply was lost
+        """
+        unsure = False
+        for tried in range(1, self._policy.attempts + 1):
+            result = call()
+            if result.is_ok():
+                return result, unsure
+            match result.error:
+                case Missing() | Exists():
+                    return result, unsure
+                case Unavailable(maybe_applied=True):
+                    unsure = True
+                case _ if not unsure:
+                    return result, unsure
+            if tried < self._policy.attempts:
+                self._wait(tried, result.error)
+        return Error(Unavailable("not settled", maybe_applied=True)), unsure
+
+    def _wait(self, tried: int, error: ObjectError) -> None:
+        wait_s = self._policy.backoff.wait_s(tried, self._rng.random())
+        if isinstance(error, Throttled):
+            wait_s = max(wait_s, error.retry_after_s)
+        if self._metrics is not None:
+            self._metrics.count(Decision.PLATFORM_RETRIED)
+        self._sleep(wait_s)
+
+
+__all__ = ["SettledObjects"]
--- /dev/null
+++ b/src/mulberrypass/policy/budget.py
@@ -0,0 +1,135 @@
+"""Shares of the platform's rates, and the spacing of retries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+FLEET_WRITES_PER_S = 300.0
+FLEET_READS_PER_S = 1_500.0
+PROGRAM_WEIGHTS: Mapping[str, float] = {
+    "entry": 0.4,
+    "batch": 0.5,
+    "control": 0.1,
+}
+OTHER_WEIGHT = 0.05
+BURST_S = 1.0
+MIN_BURST = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What one process may ask of the platform."""
+
+    writes_per_s: float
+    reads_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FleetBudget:
+    """What the whole fleet may ask of the platform."""
+
+    writes_per_s: float = FLEET_WRITES_PER_S
+    reads_per_s: float = FLEET_READS_PER_S
+
+    def share(self, program: str, live: int) -> Share:
+        """Give the share of one process of a program.
+
+        :param live: processes of the program that are alive
+        """
+        weight = PROGRAM_WEIGHTS.get(program, OTHER_WEIGHT)
+        part = weight / max(1, live)
+        return Share(self.writes_per_s * part, self.reads_per_s * part)
+
+
+class TokenBucket:
+    """Spaces calls to a rate; callers wait in the order they came.
+
+    :param per_s: calls a second
+    :param burst_s: unused calls are kept for so long
+    """
+
+    def __init__(
+        self, now: float, per_s: float, burst_s: float = BURST_S
+    ) -> None:
+        self._per_s = per_s
+        self._burst_s = burst_s
+        self._at = now
+        self._tokens = self._capacity()
+
+    @property
+    def per_s(self) -> float:
+        """Calls a second."""
+        return self._per_s
+
+    def set_rate(self, now: float, per_s: float) -> None:
+        """Change the rate; calls already granted stay granted."""
+        self._earn(now)
+        self._per_s = per_s
+        self._tokens = min(self._tokens, self._capacity())
+
+    def take(self, now: float, max_wait_s: float) -> float | None:
+        """Take one call.
+
+        :returns: seconds to wait before the call; ``None``, with nothing
+            taken, where that would be more than ``max_wait_s``
+        """
+        self._earn(now)
+        wait_s = max(0.0, (1.0 - self._tokens) / self._per_s)
+        if wait_s > max_wait_s:
+            return None
+        self._tokens -= 1.0
+        return wait_s
+
+    def next_s(self, now: float) -> float:
+        """Give the wait that the next call would have."""
+        self._earn(now)
+        return max(0.0, (1.0 - self._tokens) / self._per_s)
+
+    def _earn(self, now: float) -> None:
+        earned = max(0.0, now - self._at) * self._per_s
+        self._tokens = min(self._capacity(), self._tokens + earned)
+        self._at = max(self._at, now)
+
+    def _capacity(self) -> float:
+        return max(MIN_BURST, self._per_s * self._burst_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Backoff:
+    """Spacing of retries: exponential, with full jitter.
+
+    :param floor_s: no retry comes sooner
+    :param base_s: bound of the first retry's jitter
+    :param cap_s: bound of any retry's jitter
+    """
+
+    floor_s: float = 0.01
+    base_s: float = 0.05
+    cap_s: float = 2.0
+
+    def wait_s(self, failures: int, jitter: float) -> float:
+        """Give the wait after a number of failures in a row.
+
+        :param failures: 1 after the first failure
+        :param jitter: random, from 0 to 1
+        """
+        bound_s: float = self.cap_s
+        if failures <= MAX_DOUBLINGS:
+            doubled = self.base_s * (1 << max(0, failures - 1))
+            bound_s = min(self.cap_s, doubled)
+        return self.floor_s + bound_s * jitter
+
+
+MAX_DOUBLINGS = 30
+
+__all__ = [
+    "Backoff",
+    "FleetBudget",
+    "PROGRAM_WEIGHTS",
+    "Share",
+    "TokenBucket",
+]
