--- /dev/null
+++ b/src/mulberrypass/jobs/lot_changes.py
@@ -0,0 +1,81 @@
+"""How the row of a lot changes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import json
+from typing import TYPE_CHECKING
+
+from mulberrypass.jobs.rows import LotPhase, LotRow
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from mulberrypass.jobs.rows import Chunk
+    from mulberrypass.policy.job_commands import LotFlush
+    from mulberrypass.policy.jobs import HeldLot, Holder
+
+
+def settled_items(lines: Iterable[bytes]) -> frozenset[int]:
+    """Give the items that lines of outcomes are of."""
+    return frozenset(json.loads(line)["item"] for line in lines)
+
+
+def may_take(before: LotRow | None, lost: HeldLot | None) -> bool:
+    """Tell whether a lot may be leased.
+
+    :param lost: the lot as it was held by the holder that is gone
+    """
+    if before is None:
+        return lost is None
+    if lost is None:
+        return before.phase is LotPhase.FREE
+    return (
+        before.phase is LotPhase.HELD
+        and before.holder == lost.holder
+        and before.incarnation == lost.incarnation
+    )
+
+
+def flushed_row(
+    row: LotRow,
+    part: LotFlush,
+    chunks: tuple[Chunk, ...],
+    intended: Collection[int],
+    nonce: str,
+) -> LotRow:
+    """Give the row of a lot after a flush.
+
+    :param intended: items with an intent under the row's epoch
+    """
+    row = replace(row, chunks=chunks, nonce=nonce)
+    if part.ended:
+        return replace(row, phase=LotPhase.DONE)
+    if part.released:
+        returned = {*row.returned}.difference(intended) | {*part.returned}
+        return replace(
+            row,
+            phase=LotPhase.FREE,
+            holder="",
+            incarnation=0,
+            returned=tuple(sorted(returned)),
+            returned_epoch=row.epoch,
+        )
+    return row
+
+
+def leased_row(before: LotRow | None, own: Holder, nonce: str) -> LotRow:
+    """Give the row of a lot that a holder leases under a new epoch."""
+    if before is None:
+        return LotRow(1, own.name, own.incarnation, LotPhase.HELD, nonce)
+    return replace(
+        before,
+        epoch=before.epoch + 1,
+        holder=own.name,
+        incarnation=own.incarnation,
+        phase=LotPhase.HELD,
+        nonce=nonce,
+    )
+
+
+__all__ = ["flushed_row", "leased_row", "may_take", "settled_items"]
--- /dev/null
+++ b/src/mulberrypass/jobs/reading.py
@@ -0,0 +1,132 @@
+"""Reads of jobs' rows and objects."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from mulberrypass.jobs.rows import (
+    HELD_PREFIX,
+    OPEN_PREFIX,
+    TABLE,
+    held_from_row,
+    intent_prefix,
+    job_from_row,
+    job_key,
+    lot_from_row,
+    lot_prefix,
+    manifest_key,
+    open_from_row,
+)
+from mulberrypass.policy.job_commands import Board
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from mulberrypass.jobs.rows import Chunk, JobRow, LotRow
+    from mulberrypass.platform.api import (
+        ObjectError,
+        Objects,
+        ReadError,
+        Row,
+        Table,
+    )
+    from mulberrypass.policy.lots import LotKey
+
+
+class JobReader:
+    """Reads what the platform holds of jobs."""
+
+    def __init__(self, table: Table, objects: Objects) -> None:
+        self._table = table
+        self._objects = objects
+
+    def board(self) -> Result[Board, ReadError]:
+        """Read the open jobs and the held lots."""
+        jobs = self.scan(OPEN_PREFIX)
+        if jobs.is_error():
+            return Error(jobs.error)
+        held = self.scan(HELD_PREFIX)
+        if held.is_error():
+            return Error(held.error)
+        return Ok(
+            Board(
+                tuple(open_from_row(row) for row in jobs.ok),
+                tuple(held_from_row(row) for row in held.ok),
+            )
+        )
+
+    def row(self, key: str) -> Result[Row | None, ReadError]:
+        """Read one row."""
+        return self._table.read(TABLE, key)
+
+    def job(self, job: str) -> Result[JobRow | None, ReadError]:
+        """Read a job."""
+        found = self.row(job_key(job))
+        return found.map(
+            lambda row: None if row is None else job_from_row(row.row)
+        )
+
+    def lots(self, job: str) -> Result[dict[int, LotRow], ReadError]:
+        """Read the lots of a job that were leased at least once."""
+        rows = self.scan(lot_prefix(job))
+        return rows.map(
+            lambda found: {
+                int(row.key.rsplit("/", 1)[1]): lot_from_row(row.row)
+                for row in found
+            }
+        )
+
+    def scan(self, prefix: str) -> Result[list[Row], ReadError]:
+        """Read all rows whose key has the prefix."""
+        rows: list[Row] = []
+        after: str | None = ""
+        while after is not None:
+            page = self._table.scan(TABLE, prefix, after)
+            if page.is_error():
+                return Error(page.error)
+            rows.extend(page.ok.rows)
+            after = page.ok.next_after
+        return Ok(rows)
+
+    def intended(
+        self, key: LotKey, lot: LotRow
+    ) -> Result[frozenset[int], ReadError]:
+        """Read the items of a lot that an earlier holder may have run."""
+        rows = self.scan(intent_prefix(key))
+        if rows.is_error():
+            return Error(rows.error)
+        items: set[int] = set()
+        later: set[int] = set()
+        for row in rows.ok:
+            items.update(row.row["items"])
+            if int(row.key.split("/")[-2]) > lot.returned_epoch:
+                later.update(row.row["items"])
+        return Ok(frozenset(items - (set(lot.returned) - later)))
+
+    def inputs(
+        self, job: JobRow, lot: int
+    ) -> Result[list[bytes], ObjectError]:
+        """Read the lines of a lot's items."""
+        key = manifest_key(job.job, lot, job.lots[lot].digest)
+        found = self._objects.get(key)
+        return found.map(lambda data: data.split(b"\n"))
+
+    def outcomes(
+        self, chunks: Iterable[Chunk]
+    ) -> Result[list[bytes], ObjectError]:
+        """Read the lines of a lot's outcomes in the order of their flush."""
+        lines: list[bytes] = []
+        for chunk in chunks:
+            data = self._objects.get(chunk.key)
+            if data.is_error():
+                return Error(data.error)
+            last = chunk.start + chunk.lines
+            found = data.ok.split(b"\n")
+            lines.extend(itertools.islice(found, chunk.start, last))
+        return Ok(lines)
+
+
+__all__ = ["JobReader"]
--- /dev/null
+++ b/src/mulberrypass/jobs/runner.py
@@ -0,0 +1,358 @@
+"""The task that holds lots: events in, commands out."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+import queue
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error
+
+from mulberrypass.jobs.store import NotLeased
+from mulberrypass.jobs.writer import GaveUp
+from mulberrypass.policy.items import ItemState
+from mulberrypass.policy.job_commands import (
+    Board,
+    CloseJob,
+    Flush,
+    LeaseNext,
+    Poll,
+    RecordIntents,
+    StartItem,
+    StopRun,
+    TakeOver,
+)
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.runtime.metrics import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from mulberrypass.jobs.reading import JobReader
+    from mulberrypass.jobs.runs import ItemRuns
+    from mulberrypass.jobs.store import HolderStore
+    from mulberrypass.policy.items import Outcome, RunResult
+    from mulberrypass.policy.job_commands import Command, Fleet
+    from mulberrypass.policy.job_holder import HolderState, LotHolder
+    from mulberrypass.policy.lots import LotGrant, LotKey
+    from mulberrypass.runtime.metrics import Metrics
+
+LOG = get_logger(__name__)
+TICK_S = 0.05
+STALE_S = 1.0
+RETRY_BASE_S = 0.1
+MAX_RETRY_S = 2.0
+RETRY_DOUBLINGS = 10
+
+DECISIONS = {
+    ItemState.DONE: Decision.ITEM_DONE,
+    ItemState.FAILED: Decision.ITEM_FAILED,
+    ItemState.INDETERMINATE: Decision.ITEM_INDETERMINATE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    run: int
+    result: RunResult
+
+
+@dataclass(frozen=True, slots=True)
+class _Polled:
+    board: Board | None
+
+
+@dataclass(frozen=True, slots=True)
+class _LeaseAnswered:
+    lease: Result[LotGrant, NotLeased]
+
+
+@dataclass(frozen=True, slots=True)
+class _IntentsAnswered:
+    key: LotKey
+    durable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Flushed:
+    fenced: tuple[LotKey, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Cancelled:
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Drain:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class _StopIdempotent:
+    pass
+
+
+_Event = (
+    _Ended
+    | _Polled
+    | _LeaseAnswered
+    | _IntentsAnswered
+    | _Flushed
+    | _Cancelled
+    | _Drain
+    | _StopIdempotent
+)
+
+
+class RetryPause:
+    """Waits between tries at the platform, with jitter; ends at a stop."""
+
+    def __init__(self, stop: threading.Event, seed: int) -> None:
+        self._stop = stop
+        self._random = random.Random(seed)
+
+    def __call__(self, attempt: int, asked_s: float) -> None:
+        """Wait before another try.
+
+        :raises GaveUp: where the process stops meanwhile
+        """
+        doublings = min(attempt - 1, RETRY_DOUBLINGS)
+        longest = min(MAX_RETRY_S, RETRY_BASE_S * 2**doublings)
+        wait_s = max(asked_s, self._random.uniform(0, longest))
+        if self._stop.wait(wait_s):
+            raise GaveUp
+
+
+class JobRunner:
+    """Owns the holder's state; other threads post events to it.
+
+    :param fleet: what is known of the processes beside this one
+    :param stop: set when writes that wait for the platform are given up
+    """
+
+    def __init__(
+        self,
+        holder: LotHolder,
+        store: HolderStore,
+        reader: JobReader,
+        fleet: Callable[[], Fleet],
+        metrics: Metrics,
+        stop: threading.Event,
+    ) -> None:
+        self._holder = holder
+        self._store = store
+        self._reader = reader
+        self._fleet = fleet
+        self._metrics = metrics
+        self._stop = stop
+        self._events: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._writer = ThreadPoolExecutor(1, "job-writer")
+        self._poller = ThreadPoolExecutor(1, "job-poller")
+        self._thread = threading.Thread(
+            target=self._loop, name="job-runner", daemon=True
+        )
+        self._runs: ItemRuns | None = None
+        self._cancelled: set[str] = set()
+        self._beat = time.monotonic()
+        self._idle = threading.Event()
+
+    def start(self, runs: ItemRuns) -> None:
+        """Start to hold lots."""
+        self._runs = runs
+        self._thread.start()
+
+    def run_ended(self, run: int, result: RunResult) -> None:
+        """Take the end of a run, on any thread."""
+        self._events.put(_Ended(run, result))
+
+    def job_cancelled(self, job: str) -> None:
+        """Take news of a cancelled job, on any thread."""
+        self._events.put(_Cancelled(job))
+
+    def may_start(self, key: LotKey) -> bool:
+        """Tell whether an item may be sent now, on any thread.
+
+        Nothing is sent while this task hasn't run for long, as after a
+        pause of the process: a job may have been cancelled meanwhile.
+        """
+        fresh = time.monotonic() - self._beat < STALE_S
+        return fresh and key.job not in self._cancelled
+
+    def state(self) -> HolderState:
+        """Give what a dump shows."""
+        return self._holder.state()
+
+    def drain(self, grace_s: float) -> bool:
+        """Finish or hand back all lots.
+
+        :param grace_s: seconds for what runs to end
+        :returns: whether nothing was left behind
+        """
+        deadline = time.monotonic() + grace_s
+        self._events.put(_Drain())
+        if not self._idle.wait(grace_s / 2):
+            self._events.put(_StopIdempotent())
+        left_s = max(0.0, deadline - time.monotonic())
+        whole = self._idle.wait(left_s)
+        self._stop.set()
+        self._thread.join()
+        self._writer.shutdown(wait=True, cancel_futures=True)
+        self._poller.shutdown(wait=False, cancel_futures=True)
+        return whole
+
+    def _loop(self) -> None:
+        draining = False
+        while not self._stop.is_set():
+            try:
+                event: _Event | None = self._events.get(timeout=TICK_S)
+            except queue.Empty:
+                event = None
+            while event is not None:
+                draining = draining or isinstance(event, _Drain)
+                self._take(event, time.monotonic())
+                event = None if self._events.empty() else self._events.get()
+            self._tick()
+            if draining and self._holder.idle:
+                self._idle.set()
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        self._holder.tick(self._fleet(), now)
+        self._carry_out()
+        if not self._holder.blocked:
+            self._beat = now
+
+    def _take(self, event: _Event, now: float) -> None:
+        match event:
+            case _Ended(run=run, result=result):
+                self._count(self._holder.run_ended(run, result, now))
+            case _Polled(board=None):
+                self._holder.poll_failed(now)
+            case _Polled(board=Board() as board):
+                self._note_cancelled(board)
+                self._holder.polled(board, now)
+            case _LeaseAnswered(lease=lease):
+                self._leased(lease, now)
+            case _IntentsAnswered(key=key, durable=True):
+                self._holder.intents_recorded(key)
+            case _IntentsAnswered(key=key):
+                self._fenced(key)
+            case _Flushed(fenced=fenced):
+                for key in fenced:
+                    self._fenced(key)
+                self._holder.flushed()
+            case _Cancelled(job=job):
+                self._cancelled.add(job)
+                self._holder.cancel(job)
+            case _Drain():
+                self._holder.drain()
+            case _StopIdempotent():
+                self._holder.stop_idempotent()
+        self._carry_out()
+
+    def _note_cancelled(self, board: Board) -> None:
+        self._cancelled = {job.job for job in board.jobs if job.cancelled}
+
+    def _leased(self, lease: Result[LotGrant, NotLeased], now: float) -> None:
+        if lease.is_error():
+            self._holder.not_leased(lease.error.exhausted, now)
+            return
+        grant = lease.ok
+        taken_over = grant.epoch > 1
+        self._metrics.count(
+            Decision.LOT_TAKEN_OVER if taken_over else Decision.LOT_LEASED
+        )
+        LOG.info(
+            "lot leased",
+            job=grant.key.job,
+            lot=grant.key.lot,
+            epoch=grant.epoch,
+            left=grant.count - len(grant.settled),
+        )
+        self._holder.leased(grant, now)
+
+    def _fenced(self, key: LotKey) -> None:
+        self._metrics.count(Decision.LOT_FENCED)
+        LOG.warning("lot was taken by another", job=key.job, lot=key.lot)
+        self._holder.fenced(key)
+
+    def _count(self, outcome: Outcome | None) -> None:
+        if outcome is not None:
+            self._metrics.count(DECISIONS[outcome.state])
+
+    def _carry_out(self) -> None:
+        for command in self._holder.take_commands():
+            self._carry_out_one(command)
+
+    def _carry_out_one(self, command: Command) -> None:
+        assert self._runs is not None
+        match command:
+            case StartItem():
+                self._runs.start(command)
+            case StopRun(run=run):
+                self._runs.stop(run)
+            case Poll():
+                self._poller.submit(self._poll)
+            case LeaseNext() | TakeOver() | RecordIntents() | Flush():
+                self._writer.submit(self._write, command)
+            case CloseJob():
+                self._writer.submit(self._write, command)
+
+    def _poll(self) -> None:
+        board: Board | None = None
+        try:
+            read = self._reader.board()
+            board = read.ok if read.is_ok() else None
+        except Exception:
+            LOG.exception("poll failed")
+        self._events.put(_Polled(board))
+
+    def _write(self, command: Command) -> None:
+        event: _Event | None
+        try:
+            event = self._written(command)
+        except GaveUp:
+            return
+        except Exception:
+            LOG.exception("write failed")
+            event = _after_fault(command)
+        if event is not None:
+            self._events.put(event)
+
+    def _written(self, command: Command) -> _Event | None:
+        match command:
+            case LeaseNext(job=job, skip=skip):
+                return _LeaseAnswered(self._store.lease_next(job, skip))
+            case TakeOver(job=job, held=held):
+                return _LeaseAnswered(self._store.take_over(job, held))
+            case RecordIntents(key=key, items=items):
+                durable = self._store.record_intents(key, items)
+                return _IntentsAnswered(key, durable)
+            case Flush():
+                return _Flushed(self._store.flush(command))
+            case CloseJob(job=job):
+                self._store.close(job)
+        return None
+
+
+def _after_fault(command: Command) -> _Event | None:
+    """Give up what a write that broke was for; a poll finds it again."""
+    match command:
+        case LeaseNext() | TakeOver():
+            return _LeaseAnswered(Error(NotLeased(False)))
+        case RecordIntents(key=key):
+            return _IntentsAnswered(key, False)
+        case Flush(lots=lots):
+            return _Flushed(tuple(lot.key for lot in lots))
+        case _:
+            return None
+
+
+__all__ = ["JobRunner", "RetryPause"]
--- /dev/null
+++ b/src/mulberrypass/jobs/runs.py
@@ -0,0 +1,221 @@
+"""All runs of one process, each on a thread of its own."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+import threading
+import time
+from typing import TYPE_CHECKING, Protocol
+
+import xxhash
+
+from mulberrypass.jobs.manifest import read_item
+from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
+from mulberrypass.model.objects import BackendKind, ServiceKind
+from mulberrypass.policy.canary import route_version
+from mulberrypass.policy.items import Broken, Stopped
+from mulberrypass.policy.messages import Ran
+from mulberrypass.policy.prefix import prefix_hashes
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.api import ModelEngine, PlainService
+    from mulberrypass.jobs.manifest import Item
+    from mulberrypass.model.objects import Backend, Route, Service
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.api import PermitClient
+    from mulberrypass.policy.items import RunResult
+    from mulberrypass.policy.job_commands import StartItem
+    from mulberrypass.policy.jobs import Holder
+    from mulberrypass.policy.lots import LotKey
+
+LOG = get_logger(__name__)
+CANCEL_THREADS = 4
+
+
+class EngineClients(Protocol):
+    """Gives the client of a backend server."""
+
+    def engine(self, backend: Backend) -> ModelEngine:
+        """Give the client of a model engine."""
+
+    def plain(self, backend: Backend) -> PlainService:
+        """Give the client of a server of a plain service."""
+
+
+@dataclass(slots=True)
+class _Live:
+    command: StartItem
+    run: ItemRun | None = None
+    stopped: bool = False
+    crowded: bool = False
+    backend: str = ""
+
+
+class ItemRuns:
+    """Starts and stops runs, and posts the end of each.
+
+    :param line: gives the line of an item of a held lot
+    :param may_start: whether an item of a lot may be sent now
+    :param post: takes each run's number and result, on the run's thread
+    :param threads: runs at once
+    """
+
+    def __init__(
+        self,
+        own: Holder,
+        configuration: ConfigurationSource,
+        clients: EngineClients,
+        permits: PermitClient,
+        line: Callable[[LotKey, int], bytes | None],
+        may_start: Callable[[LotKey], bool],
+        post: Callable[[int, RunResult], None],
+        threads: int,
+    ) -> None:
+        self._own = own
+        self._configuration = configuration
+        self._clients = clients
+        self._permits = permits
+        self._line = line
+        self._may_start = may_start
+        self._post = post
+        self._lock = threading.Lock()
+        self._live: dict[int, _Live] = {}
+        self._pool = ThreadPoolExecutor(threads, "item")
+        self._cancels = ThreadPoolExecutor(CANCEL_THREADS, "cancel")
+
+    def start(self, command: StartItem) -> None:
+        """Start a run."""
+        with self._lock:
+            self._live[command.run] = _Live(command)
+        self._pool.submit(self._execute, command)
+
+    def stop(self, number: int) -> None:
+        """Stop a run; its end is posted all the same."""
+        with self._lock:
+            live = self._live.get(number)
+            if live is None:
+                return
+            live.stopped = True
+            run = live.run
+        if run is not None:
+            run.stop()
+
+    def close(self) -> None:
+        """Let the threads end."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._cancels.shutdown(wait=False, cancel_futures=True)
+
+    def _execute(self, command: StartItem) -> None:
+        result: RunResult = Broken("the run failed", Ran.MAYBE)
+        try:
+            result = self._run(command)
+        except Exception:
+            LOG.exception("run failed", job=command.key.job, item=command.item)
+        finally:
+            with self._lock:
+                del self._live[command.run]
+            self._post(command.run, result)
+
+    def _run(self, command: StartItem) -> RunResult:
+        cfg = self._configuration.current()
+        service = cfg.services.get(command.terms.service)
+        line = self._line(command.key, command.item)
+        if service is None or line is None:
+            return Stopped(Ran.NO)
+        task = self._task(command, service, read_item(line, service))
+        run = ItemRun(
+            task, self._own.name, self._permits, self._hooks(command)
+        )
+        with self._lock:
+            live = self._live[command.run]
+            live.run = run
+            if live.stopped:
+                return Stopped(Ran.NO)
+        return run.execute()
+
+    def _task(
+        self, command: StartItem, service: Service, item: Item
+    ) -> RunTask:
+        route = self._route(command, service)
+        prefix: tuple[int, ...] = ()
+        if service.kind is ServiceKind.MODEL:
+            prefix = prefix_hashes(str(item.payload))
+        number = f"{self._own.incarnation}.{command.run}"
+        return RunTask(
+            request_id=f"{self._own.name}.{number}",
+            customer=command.terms.customer,
+            service=service,
+            item=item,
+            route=route,
+            prefix=prefix,
+            avoid=(*command.avoid, *self._twin_backends(command)),
+            budget_s=command.terms.due - time.time(),
+        )
+
+    def _route(self, command: StartItem, service: Service) -> Route | None:
+        cfg = self._configuration.current()
+        customer = cfg.customers.get(command.terms.customer)
+        if customer is None:
+            return None
+        name = f"{command.key.job}/{command.item}".encode()
+        digest = xxhash.xxh64_intdigest(name)
+        return route_version(service, customer, digest)
+
+    def _twin_backends(self, command: StartItem) -> tuple[str, ...]:
+        with self._lock:
+            return tuple(
+                live.backend
+                for live in self._live.values()
+                if live.backend
+                and live.command.key == command.key
+                and live.command.item == command.item
+            )
+
+    def _hooks(self, command: StartItem) -> RunHooks:
+        return RunHooks(
+            may_start=lambda: self._may_start(command.key),
+            model=self._model,
+            plain=self._plain,
+            placed=lambda backend: self._placed(command, backend),
+            crowded=lambda: self._crowded(command),
+            later=self._later,
+        )
+
+    def _later(self, call: Callable[[], object]) -> None:
+        self._cancels.submit(call)
+
+    def _placed(self, command: StartItem, backend: str) -> None:
+        with self._lock:
+            own = self._live[command.run]
+            own.backend = backend
+            if not command.suspect:
+                return
+            for live in self._live.values():
+                beside = live.command.suspect and live.backend == backend
+                if beside and live is not own:
+                    live.crowded = own.crowded = True
+
+    def _crowded(self, command: StartItem) -> bool:
+        with self._lock:
+            return self._live[command.run].crowded
+
+    def _backend(self, name: str, kind: BackendKind) -> Backend | None:
+        backend = self._configuration.current().backends.get(name)
+        if backend is None or backend.kind is not kind:
+            return None
+        return backend
+
+    def _model(self, name: str) -> ModelEngine | None:
+        backend = self._backend(name, BackendKind.ENGINE)
+        return None if backend is None else self._clients.engine(backend)
+
+    def _plain(self, name: str) -> PlainService | None:
+        backend = self._backend(name, BackendKind.PLAIN)
+        return None if backend is None else self._clients.plain(backend)
+
+
+__all__ = ["EngineClients", "ItemRuns"]
--- /dev/null
+++ b/src/mulberrypass/jobs/service.py
@@ -0,0 +1,152 @@
+"""The parts of a process that accepts and runs jobs, wired together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.caller.jobs import JobRoutes
+from mulberrypass.jobs.desk import JobDesk
+from mulberrypass.jobs.manifest import LOT_ITEMS
+from mulberrypass.jobs.reading import JobReader
+from mulberrypass.jobs.results import JobResults
+from mulberrypass.jobs.runner import JobRunner, RetryPause
+from mulberrypass.jobs.runs import ItemRuns
+from mulberrypass.jobs.store import HolderStore
+from mulberrypass.jobs.writer import PatientWriter
+from mulberrypass.policy.job_commands import Fleet, HolderSettings
+from mulberrypass.policy.job_holder import LotHolder
+from mulberrypass.policy.jobs import Holder
+from mulberrypass.policy.lots import LotTerms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.jobs.runs import EngineClients
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.api import Member, Membership, PermitClient
+    from mulberrypass.platform.api import Objects, Table
+    from mulberrypass.policy.job_holder import HolderState
+    from mulberrypass.policy.jobs import OpenJob
+    from mulberrypass.runtime.http import Route
+    from mulberrypass.runtime.metrics import Metrics
+
+PROGRAM = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class JobPeers:
+    """What the parts talk to."""
+
+    table: Table
+    objects: Objects
+    configuration: ConfigurationSource
+    membership: Membership
+    permits: PermitClient
+    clients: EngineClients
+
+
+class JobService:
+    """Accepts jobs and runs lots in one process.
+
+    :param member: this process, as its membership names it
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        peers: JobPeers,
+        settings: HolderSettings,
+        metrics: Metrics,
+        lot_items: int = LOT_ITEMS,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._peers = peers
+        own = Holder(member.name, member.incarnation)
+        stop = threading.Event()
+        pause = RetryPause(stop, member.incarnation)
+        reader = JobReader(peers.table, peers.objects)
+        writer = PatientWriter(own, peers.table, peers.objects, pause)
+        store = HolderStore(own, peers.table, reader, writer, wall)
+        holder = LotHolder(own, settings, self._terms)
+        self._runner = JobRunner(
+            holder, store, reader, self._fleet, metrics, stop
+        )
+        self._runs = ItemRuns(
+            own,
+            peers.configuration,
+            peers.clients,
+            peers.permits,
+            store.input,
+            self._runner.may_start,
+            self._runner.run_ended,
+            settings.window,
+        )
+        desk = JobDesk(
+            peers.table,
+            peers.objects,
+            reader,
+            wall,
+            RetryPause(threading.Event(), member.incarnation),
+            lot_items,
+        )
+        self._routes = JobRoutes(
+            peers.configuration,
+            desk,
+            JobResults(reader),
+            self._runner.job_cancelled,
+            metrics,
+            wall,
+        )
+
+    def routes(self) -> tuple[Route, ...]:
+        """Give the routes of the callers' interface."""
+        return self._routes.routes()
+
+    def start(self) -> None:
+        """Start to run lots."""
+        self._runner.start(self._runs)
+
+    def stop(self, grace_s: float) -> bool:
+        """Finish or hand back all lots; whether nothing was left behind."""
+        whole = self._runner.drain(grace_s)
+        self._runs.close()
+        return whole
+
+    def state(self) -> HolderState:
+        """Give what a dump shows."""
+        return self._runner.state()
+
+    def _terms(self, job: OpenJob) -> LotTerms | None:
+        cfg = self._peers.configuration.current()
+        service = cfg.services.get(job.service)
+        if service is None:
+            return None
+        return LotTerms(
+            job.customer,
+            job.service,
+            service.idempotent,
+            service.max_attempts,
+            job.due,
+        )
+
+    def _fleet(self) -> Fleet:
+        cfg = self._peers.configuration.current()
+        membership = self._peers.membership
+        return Fleet(
+            live={
+                member.name: member.incarnation
+                for member in membership.members(PROGRAM)
+            },
+            drawing=tuple(m.name for m in membership.live(PROGRAM)),
+            slots=sum(backend.slots for backend in cfg.backends.values()),
+            weights={
+                customer.name: customer.weight
+                for customer in cfg.customers.values()
+            },
+        )
+
+
+__all__ = ["JobPeers", "JobService", "PROGRAM"]
--- /dev/null
+++ b/src/mulberrypass/jobs/store.py
@@ -0,0 +1,374 @@
+"""Writes of one holder: leases, intents, flushes and the end of jobs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from mulberrypass.jobs.lot_changes import (
+    flushed_row,
+    leased_row,
+    may_take,
+    settled_items,
+)
+from mulberrypass.jobs.rows import (
+    TABLE,
+    JobRow,
+    LotPhase,
+    LotRow,
+    chunk_of,
+    held_key,
+    held_to_row,
+    intent_key,
+    job_key,
+    lot_from_row,
+    lot_key,
+    lot_to_row,
+    open_key,
+    outcomes_to_lines,
+)
+from mulberrypass.platform.api import (
+    Absent,
+    Always,
+    Check,
+    Committed,
+    Delete,
+    Put,
+    VersionIs,
+)
+from mulberrypass.policy.jobs import JobState
+from mulberrypass.policy.lots import LotGrant, LotKey
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.jobs.reading import JobReader
+    from mulberrypass.jobs.writer import PatientWriter
+    from mulberrypass.platform.api import (
+        Condition,
+        Op,
+        Table,
+    )
+    from mulberrypass.policy.job_commands import Flush, LotFlush
+    from mulberrypass.policy.jobs import HeldLot, Holder, OpenJob
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeased:
+    """No lot was leased.
+
+    :param exhausted: whether the job has no free lot
+    """
+
+    exhausted: bool
+
+
+@dataclass(slots=True)
+class _Held:
+    """A lot that this process holds, as the store has it."""
+
+    version: int
+    row: LotRow
+    job: JobRow
+    inputs: list[bytes]
+    intents: int = 0
+    intended: set[int] = field(default_factory=set)
+
+
+class HolderStore:
+    """Keeps one holder's lots in the platform. Not safe to share.
+
+    Every write of a lot is conditional on the version of its row that this
+    process wrote last, so that a holder whose lot was taken is fenced. A
+    write without an answer is repeated, and settled by its nonce.
+
+    :param wall: Unix time in seconds
+    """
+
+    def __init__(
+        self,
+        own: Holder,
+        table: Table,
+        reader: JobReader,
+        writer: PatientWriter,
+        wall: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._reader = reader
+        self._writer = writer
+        self._wall = wall
+        self._held: dict[LotKey, _Held] = {}
+
+    def input(self, key: LotKey, item: int) -> bytes | None:
+        """Give the line of an item of a held lot."""
+        held = self._held.get(key)
+        if held is None:
+            return None
+        return held.inputs[item - held.job.lots[key.lot].first]
+
+    def lease_next(
+        self, open_job: OpenJob, skip: int
+    ) -> Result[LotGrant, NotLeased]:
+        """Lease a free lot of a job.
+
+        :param skip: free lots to leave to other holders
+        """
+        lots = self._reader.lots(open_job.job)
+        if lots.is_error():
+            return Error(NotLeased(False))
+        free = [
+            number
+            for number in range(open_job.lots)
+            if number not in lots.ok or lots.ok[number].phase is LotPhase.FREE
+        ]
+        if not free:
+            self._end_if_done(open_job.job, lots.ok)
+            return Error(NotLeased(True))
+        return self._lease(open_job, free[skip % len(free)], None)
+
+    def take_over(
+        self, open_job: OpenJob, lost: HeldLot
+    ) -> Result[LotGrant, NotLeased]:
+        """Lease a lot whose holder is gone, under a higher epoch."""
+        return self._lease(open_job, lost.key.lot, lost)
+
+    def record_intents(self, key: LotKey, items: tuple[int, ...]) -> bool:
+        """Make intents durable; ``False`` where the lot was taken."""
+        held = self._held.get(key)
+        if held is None:
+            return False
+        held.intents += 1
+        held.intended.update(items)
+        nonce = self._writer.nonce()
+        stored = intent_key(key, held.row.epoch, held.intents)
+        ops: tuple[Op, ...] = (
+            Put(TABLE, stored, {"items": items, "nonce": nonce}, Absent()),
+            Check(TABLE, lot_key(key), VersionIs(held.version)),
+        )
+        done = self._writer.write(ops)
+        if isinstance(done, Committed):
+            return True
+        found = done.found
+        if done.index == 0 and found and found.row["nonce"] == nonce:
+            return self._still_held(key, held)
+        self._held.pop(key, None)
+        return False
+
+    def flush(self, flush: Flush) -> tuple[LotKey, ...]:
+        """Write outcomes; the lots that were found to be taken."""
+        parts = [part for part in flush.lots if part.key in self._held]
+        fenced = [part.key for part in flush.lots if part not in parts]
+        nonce = self._writer.nonce()
+        rows = self._new_rows(parts, nonce)
+        while parts:
+            lost = self._commit(parts, rows, nonce)
+            if lost is None:
+                break
+            parts = [part for part in parts if part.key != lost]
+            fenced.append(lost)
+        fenced.extend(p.key for p in parts if p.key not in self._held)
+        self._forget(fenced)
+        ended = {part.key.job for part in parts if part.ended}
+        self._forget([p.key for p in parts if p.ended or p.released])
+        for job in sorted(ended):
+            lots = self._reader.lots(job)
+            if lots.is_ok():
+                self._end_if_done(job, lots.ok)
+        return tuple(fenced)
+
+    def close(self, open_job: OpenJob) -> None:
+        """Close a cancelled job of which no lot is held."""
+        found = self._reader.row(job_key(open_job.job))
+        if found.is_error() or found.ok is None:
+            return
+        ended = {**found.ok.row, "ended": self._wall()}
+        seen = VersionIs(found.ok.version)
+        self._table.transact(
+            (
+                Put(TABLE, job_key(open_job.job), ended, seen),
+                Delete(
+                    TABLE,
+                    open_key(open_job.job),
+                    VersionIs(open_job.version),
+                ),
+            )
+        )
+
+    def _lease(
+        self, open_job: OpenJob, number: int, lost: HeldLot | None
+    ) -> Result[LotGrant, NotLeased]:
+        key = LotKey(open_job.job, number)
+        job = self._reader.job(open_job.job)
+        stands = self._reader.row(lot_key(key))
+        if job.is_error() or job.ok is None or stands.is_error():
+            return Error(NotLeased(False))
+        before = lot_from_row(stands.ok.row) if stands.ok else None
+        if not may_take(before, lost):
+            return Error(NotLeased(False))
+        nonce = self._writer.nonce()
+        row = leased_row(before, self._own, nonce)
+        condition: Condition = Absent()
+        if stands.ok is not None:
+            condition = VersionIs(stands.ok.version)
+        version = self._write_lease(open_job, key, row, condition)
+        if version is None:
+            return Error(NotLeased(False))
+        return self._load(job.ok, open_job, key, row, version)
+
+    def _write_lease(
+        self,
+        open_job: OpenJob,
+        key: LotKey,
+        row: LotRow,
+        condition: Condition,
+    ) -> int | None:
+        held = held_to_row(open_job.customer, row)
+        is_open = VersionIs(open_job.version)
+        done = self._table.transact(
+            (
+                Put(TABLE, lot_key(key), lot_to_row(row), condition),
+                Put(TABLE, held_key(key), held, Always()),
+                Check(TABLE, open_key(key.job), is_open),
+            )
+        )
+        if done.is_ok():
+            return done.ok.versions[0]
+        return self._written(key, row.nonce)
+
+    def _written(self, key: LotKey, nonce: str) -> int | None:
+        """Give the version of a lot's row if the named write made it."""
+        found = self._reader.row(lot_key(key))
+        if found.is_error() or found.ok is None:
+            return None
+        return found.ok.version if found.ok.row["nonce"] == nonce else None
+
+    def _load(
+        self,
+        job: JobRow,
+        open_job: OpenJob,
+        key: LotKey,
+        row: LotRow,
+        version: int,
+    ) -> Result[LotGrant, NotLeased]:
+        inputs = self._reader.inputs(job, key.lot)
+        lines = self._reader.outcomes(row.chunks)
+        intended = self._reader.intended(key, row)
+        if inputs.is_error() or lines.is_error() or intended.is_error():
+            return Error(NotLeased(False))
+        self._held[key] = _Held(version, row, job, inputs.ok)
+        lot = job.lots[key.lot]
+        return Ok(
+            LotGrant(
+                key,
+                row.epoch,
+                lot.first,
+                lot.count,
+                settled_items(lines.ok),
+                intended.ok,
+                open_job.cancelled,
+            )
+        )
+
+    def _new_rows(
+        self, parts: list[LotFlush], nonce: str
+    ) -> dict[LotKey, LotRow]:
+        chunk_key = f"outcomes/{nonce}"
+        lines: list[bytes] = []
+        rows: dict[LotKey, LotRow] = {}
+        for part in parts:
+            held = self._held[part.key]
+            chunks = held.row.chunks
+            if part.outcomes:
+                chunk = chunk_of(chunk_key, len(lines), part.outcomes)
+                chunks = (*chunks, chunk)
+                lines.extend(outcomes_to_lines(part.outcomes))
+            rows[part.key] = flushed_row(
+                held.row, part, chunks, held.intended, nonce
+            )
+        if lines:
+            self._writer.put_object(chunk_key, b"\n".join(lines))
+        return rows
+
+    def _commit(
+        self,
+        parts: list[LotFlush],
+        rows: dict[LotKey, LotRow],
+        nonce: str,
+    ) -> LotKey | None:
+        """Write the rows of a flush; a lot that stopped the write."""
+        ops: list[Op] = []
+        for part in parts:
+            version = VersionIs(self._held[part.key].version)
+            row = lot_to_row(rows[part.key])
+            ops.append(Put(TABLE, lot_key(part.key), row, version))
+        for part in parts:
+            if part.ended or part.released:
+                ops.append(Delete(TABLE, held_key(part.key), Always()))
+        done = self._writer.write(tuple(ops))
+        if isinstance(done, Committed):
+            for index, part in enumerate(parts):
+                written = done.versions[index]
+                self._note_written(part.key, rows[part.key], written)
+            return None
+        if done.found is None or done.found.row["nonce"] != nonce:
+            return parts[done.index].key
+        return self._settle(parts, rows, nonce)
+
+    def _settle(
+        self,
+        parts: list[LotFlush],
+        rows: dict[LotKey, LotRow],
+        nonce: str,
+    ) -> LotKey | None:
+        """Note a flush whose reply was lost; a lot that was taken since."""
+        for part in parts:
+            if part.ended or part.released:
+                continue
+            row = self._writer.read_row(lot_key(part.key))
+            if row is None or row.row["nonce"] != nonce:
+                self._held.pop(part.key)
+                continue
+            self._note_written(part.key, rows[part.key], row.version)
+        return None
+
+    def _note_written(self, key: LotKey, row: LotRow, version: int) -> None:
+        self._held[key].version = version
+        self._held[key].row = row
+
+    def _still_held(self, key: LotKey, held: _Held) -> bool:
+        row = self._writer.read_row(lot_key(key))
+        if row is not None and row.version == held.version:
+            return True
+        self._held.pop(key, None)
+        return False
+
+    def _end_if_done(self, job: str, lots: dict[int, LotRow]) -> None:
+        if any(lot.phase is not LotPhase.DONE for lot in lots.values()):
+            return
+        found = self._reader.row(job_key(job))
+        if found.is_error() or found.ok is None:
+            return
+        row = found.ok.row
+        if row["ended"] is not None or len(lots) < len(row["lots"]):
+            return
+        state = JobState(row["state"])
+        if state is JobState.RUNNING:
+            state = JobState.DONE
+        ended = {**row, "state": state.value, "ended": self._wall()}
+        seen = VersionIs(found.ok.version)
+        self._table.transact(
+            (
+                Put(TABLE, job_key(job), ended, seen),
+                Delete(TABLE, open_key(job), Always()),
+            )
+        )
+
+    def _forget(self, keys: list[LotKey]) -> None:
+        for key in keys:
+            self._held.pop(key, None)
+
+
+__all__ = ["HolderStore", "NotLeased"]
--- /dev/null
+++ b/src/mulberrypass/jobs/writer.py
@@ -0,0 +1,97 @@
+"""Calls to the platform that are repeated until it answers."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from mulberrypass.jobs.rows import TABLE
+from mulberrypass.platform.api import (
+    Committed,
+    Conflict,
+    Exists,
+    Throttled,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.platform.api import (
+        ObjectError,
+        Objects,
+        Op,
+        ReadError,
+        Row,
+        Table,
+        TableError,
+    )
+    from mulberrypass.policy.jobs import Holder
+
+
+class GaveUp(Exception):  # noqa: N818
+    """The process stops before the platform has answered."""
+
+
+class PatientWriter:
+    """Repeats each call until the platform answers it.
+
+    :param pause: waits before another try, given its number and the
+        seconds that the platform asked for; raises ``GaveUp`` at a stop
+    """
+
+    def __init__(
+        self,
+        own: Holder,
+        table: Table,
+        objects: Objects,
+        pause: Callable[[int, float], None],
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._objects = objects
+        self._pause = pause
+        self._nonces = itertools.count(1)
+
+    def nonce(self) -> str:
+        """Give an identity for one write, unique over the fleet."""
+        own = self._own
+        return f"{own.name}/{own.incarnation}/{next(self._nonces):08}"
+
+    def write(self, ops: tuple[Op, ...]) -> Committed | Conflict:
+        """Repeat a transaction until the platform answers."""
+        for attempt in itertools.count(1):
+            done = self._table.transact(ops)
+            if done.is_ok():
+                return done.ok
+            if isinstance(done.error, Conflict):
+                return done.error
+            self._wait(attempt, done.error)
+        raise AssertionError
+
+    def put_object(self, key: str, data: bytes) -> None:
+        """Write an object under a key that no other write uses."""
+        for attempt in itertools.count(1):
+            done = self._objects.put(key, data)
+            if done.is_ok() or isinstance(done.error, Exists):
+                return
+            self._wait(attempt, done.error)
+
+    def read_row(self, key: str) -> Row | None:
+        """Read a row."""
+        for attempt in itertools.count(1):
+            found = self._table.read(TABLE, key)
+            if found.is_ok():
+                return found.ok
+            self._wait(attempt, found.error)
+        raise AssertionError
+
+    def _wait(
+        self, attempt: int, error: TableError | ReadError | ObjectError
+    ) -> None:
+        asked_s = 0.0
+        if isinstance(error, Throttled):
+            asked_s = error.retry_after_s
+        self._pause(attempt, asked_s)
+
+
+__all__ = ["GaveUp", "PatientWriter"]
--- /dev/null
+++ b/src/mulberrypass/policy/job_commands.py
@@ -0,0 +1,180 @@
+"""What the holder of lots asks of the store and of the item runner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from mulberrypass.policy.items import Outcome
+    from mulberrypass.policy.jobs import HeldLot, OpenJob
+    from mulberrypass.policy.lots import LotKey, LotTerms
+
+
+@dataclass(frozen=True, slots=True)
+class HolderSettings:
+    """Bounds of one holder.
+
+    :param window: items in flight
+    :param max_lots: lots that still have items to start
+    :param flush_outcomes: outcomes that are flushed together
+    :param flush_age_s: age at which fewer are flushed
+    :param effect_flush_age_s: the same for non-idempotent items
+    :param max_outcomes: outcomes in memory beyond which nothing starts
+    :param max_suspects: suspects that run at once
+    :param poll_s: time between readings of the open jobs
+    :param idle_poll_s: the same for a process that draws no lots
+    :param takeover_s: time for which a holder must be gone
+    :param pause_s: gap between ticks after which a poll must come first
+    """
+
+    window: int = 192
+    max_lots: int = 4
+    flush_outcomes: int = 2_000
+    flush_age_s: float = 60.0
+    effect_flush_age_s: float = 5.0
+    max_outcomes: int = 20_000
+    max_suspects: int = 4
+    poll_s: float = 1.0
+    idle_poll_s: float = 5.0
+    takeover_s: float = 2.0
+    pause_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What a holder knows of the processes beside it.
+
+    :param live: incarnation of each member that isn't known to be dead
+    :param drawing: members that may draw lots
+    :param slots: what all backend servers run at once
+    :param weights: share of each customer
+    """
+
+    live: Mapping[str, int]
+    drawing: tuple[str, ...]
+    slots: int
+    weights: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Board:
+    """The open jobs and the held lots at one time."""
+
+    jobs: tuple[OpenJob, ...]
+    held: tuple[HeldLot, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """Read the open jobs and the held lots."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseNext:
+    """Lease a free lot of a job.
+
+    :param skip: free lots to leave to other holders
+    """
+
+    job: OpenJob
+    skip: int
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """Lease a lot whose holder is gone."""
+
+    job: OpenJob
+    held: HeldLot
+
+
+@dataclass(frozen=True, slots=True)
+class StartItem:
+    """Run one item.
+
+    :param avoid: backend servers not to run it on
+    """
+
+    run: int
+    key: LotKey
+    item: int
+    terms: LotTerms
+    suspect: bool = False
+    avoid: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop one run."""
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordIntents:
+    """Make intents durable before their items are run."""
+
+    key: LotKey
+    items: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LotFlush:
+    """The part of a flush that is one lot's.
+
+    :param ended: whether nothing of the lot is left to do
+    :param released: whether the holder gives the lot back
+    :param returned: items with an intent that certainly haven't run
+    """
+
+    key: LotKey
+    outcomes: tuple[Outcome, ...]
+    ended: bool = False
+    released: bool = False
+    returned: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Flush:
+    """Write outcomes of some lots together."""
+
+    lots: tuple[LotFlush, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CloseJob:
+    """Close a cancelled job of which no lot is held."""
+
+    job: OpenJob
+
+
+Command = (
+    Poll
+    | LeaseNext
+    | TakeOver
+    | StartItem
+    | StopRun
+    | RecordIntents
+    | Flush
+    | CloseJob
+)
+
+
+__all__ = [
+    "Board",
+    "CloseJob",
+    "Command",
+    "Fleet",
+    "Flush",
+    "HolderSettings",
+    "LeaseNext",
+    "LotFlush",
+    "Poll",
+    "RecordIntents",
+    "StartItem",
+    "StopRun",
+    "TakeOver",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/job_draw.py
@@ -0,0 +1,171 @@
+"""Decides which lot one holder leases next."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.job_commands import (
+    Board,
+    CloseJob,
+    LeaseNext,
+    TakeOver,
+)
+from mulberrypass.policy.jobs import active_holders, draw_order, orphaned
+from mulberrypass.policy.lots import LotKey
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from mulberrypass.policy.job_commands import Fleet, HolderSettings
+    from mulberrypass.policy.jobs import Holder, OpenJob
+    from mulberrypass.policy.lots import LotTerms
+
+EXHAUSTED_S = 5.0
+LEASE_RETRY_S = 0.2
+
+
+class LotDraw:
+    """Draws free lots, and lots whose holder is gone, one at a time."""
+
+    def __init__(
+        self,
+        own: Holder,
+        settings: HolderSettings,
+        terms_of: Callable[[OpenJob], LotTerms | None],
+    ) -> None:
+        self._own = own
+        self._settings = settings
+        self._terms_of = terms_of
+        self._exhausted: dict[str, float] = {}
+        self._missing: dict[LotKey, float] = {}
+        self._after = 0.0
+        self.board = Board((), ())
+        self.leasing: OpenJob | None = None
+
+    def note_board(
+        self,
+        board: Board,
+        fleet: Fleet,
+        keys: Collection[LotKey],
+        now: float,
+    ) -> None:
+        """Take what a poll gave.
+
+        :param keys: lots that this process holds
+        """
+        self.board = board
+        open_jobs = {job.job for job in board.jobs}
+        self._exhausted = {
+            job: until
+            for job, until in self._exhausted.items()
+            if job in open_jobs
+        }
+        lost = orphaned(board.held, fleet.live, self._own, keys)
+        self._missing = {
+            lot.key: self._missing.get(lot.key, now) for lot in lost
+        }
+
+    def may_draw(self, fleet: Fleet) -> bool:
+        """Tell whether this process is one of those that draw lots."""
+        return self._own.name in self._active(fleet)
+
+    def to_close(self) -> tuple[CloseJob, ...]:
+        """Give cancelled jobs of which no lot is held."""
+        held = {lot.key.job for lot in self.board.held}
+        return tuple(
+            CloseJob(job)
+            for job in self.board.jobs
+            if job.cancelled and job.job not in held
+        )
+
+    def next_command(
+        self,
+        fleet: Fleet,
+        keys: Collection[LotKey],
+        served: Collection[str],
+        now: float,
+    ) -> LeaseNext | TakeOver | None:
+        """Choose a lot to lease, none while one is being leased.
+
+        :param served: services of which this process has items to start
+        """
+        if self.leasing is not None or now < self._after:
+            return None
+        place = self._active(fleet).index(self._own.name)
+        command: LeaseNext | TakeOver | None
+        command = self._take_over(keys, place, now)
+        if command is None:
+            command = self._lease(fleet, served, place, now)
+        if command is not None:
+            self.leasing = command.job
+        return command
+
+    def leased(self) -> OpenJob | None:
+        """Note that the lot asked for was leased; its job."""
+        job, self.leasing = self.leasing, None
+        return job
+
+    def not_leased(self, exhausted: bool, now: float) -> None:
+        """Note that no lot was leased.
+
+        :param exhausted: whether the job has no free lot
+        """
+        job, self.leasing = self.leasing, None
+        if job is not None and exhausted:
+            self._exhausted[job.job] = now + EXHAUSTED_S
+        self._after = now + (0.0 if exhausted else LEASE_RETRY_S)
+
+    def all_drawn(self, job: str) -> bool:
+        """Tell whether the job has no free lot, as far as is known."""
+        if job in self._exhausted:
+            return True
+        lots = next((o.lots for o in self.board.jobs if o.job == job), 0)
+        last = LotKey(job, lots - 1)
+        return lots == 1 or any(lot.key == last for lot in self.board.held)
+
+    def _active(self, fleet: Fleet) -> tuple[str, ...]:
+        window = self._settings.window
+        return active_holders(fleet.drawing, fleet.slots, window)
+
+    def _take_over(
+        self, keys: Collection[LotKey], place: int, now: float
+    ) -> TakeOver | None:
+        jobs = {job.job: job for job in self.board.jobs}
+        ready = sorted(
+            key
+            for key, since in self._missing.items()
+            if now - since >= self._settings.takeover_s
+            and key.job in jobs
+            and key not in keys
+        )
+        if not ready:
+            return None
+        key = ready[place % len(ready)]
+        lot = next(lot for lot in self.board.held if lot.key == key)
+        self._missing.pop(key)
+        return TakeOver(jobs[key.job], lot)
+
+    def _lease(
+        self,
+        fleet: Fleet,
+        served: Collection[str],
+        place: int,
+        now: float,
+    ) -> LeaseNext | None:
+        jobs = [
+            job
+            for job in self.board.jobs
+            if not job.cancelled
+            and self._exhausted.get(job.job, 0.0) <= now
+            and self._terms_of(job) is not None
+        ]
+        order = draw_order(jobs, self.board.held, fleet.weights)
+        if not order:
+            return None
+        unserved = tuple(job for job in order if job.service not in served)
+        order = unserved or order
+        skip, turn = divmod(place, len(order))
+        return LeaseNext(order[turn], skip)
+
+
+__all__ = ["LotDraw"]
--- /dev/null
+++ b/src/mulberrypass/policy/job_holder.py
@@ -0,0 +1,364 @@
+"""Decides what one holder of lots does next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.job_commands import (
+    Fleet,
+    Flush,
+    HolderSettings,
+    LotFlush,
+    Poll,
+    RecordIntents,
+    StartItem,
+    StopRun,
+)
+from mulberrypass.policy.job_draw import LotDraw
+from mulberrypass.policy.lots import LotState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from mulberrypass.policy.items import Outcome, RunResult
+    from mulberrypass.policy.job_commands import Board, Command
+    from mulberrypass.policy.jobs import Holder, OpenJob
+    from mulberrypass.policy.lots import LotGrant, LotKey, LotTerms
+
+
+@dataclass(frozen=True, slots=True)
+class HolderState:
+    """What a dump shows of a holder."""
+
+    lots: tuple[LotKey, ...]
+    running: int
+    pending: int
+    outcomes: int
+    blocked: bool
+    draining: bool
+
+
+class LotHolder:
+    """Takes events, and gives the commands that follow from them."""
+
+    def __init__(
+        self,
+        own: Holder,
+        settings: HolderSettings,
+        terms_of: Callable[[OpenJob], LotTerms | None],
+    ) -> None:
+        self._draw = LotDraw(own, settings, terms_of)
+        self._settings = settings
+        self._terms_of = terms_of
+        self._commands: list[Command] = []
+        self._lots: dict[LotKey, LotState] = {}
+        self._runs: dict[int, LotKey] = {}
+        self._suspect_runs: set[int] = set()
+        self._next_run = 0
+        self._fleet = Fleet({}, (), 0, {})
+        self._cancelled: set[str] = set()
+        self._flushing: Flush | None = None
+        self._polling = False
+        self._poll_stale = False
+        self._blocked = True
+        self._next_poll = 0.0
+        self._last_tick: float | None = None
+        self._draining = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether it holds nothing and runs nothing."""
+        return not self._lots and not self._runs and self._draw.leasing is None
+
+    @property
+    def blocked(self) -> bool:
+        """Whether nothing starts until a poll is answered."""
+        return self._blocked
+
+    def state(self) -> HolderState:
+        """Give what a dump shows."""
+        lots = tuple(self._lots.values())
+        return HolderState(
+            tuple(lot.key for lot in lots),
+            len(self._runs),
+            sum(lot.pending for lot in lots),
+            sum(lot.held_outcomes for lot in lots),
+            self._blocked,
+            self._draining,
+        )
+
+    def take_commands(self) -> list[Command]:
+        """Take the commands that have gathered, in order."""
+        commands, self._commands = self._commands, []
+        return commands
+
+    def tick(self, fleet: Fleet, now: float) -> None:
+        """Decide by the time; called often."""
+        self._fleet = fleet
+        self._note_pause(now)
+        self._poll(now)
+        self._lease(now)
+        self._ask_intents()
+        self._start(now)
+        self._run_stragglers_again(now)
+        self._flush(now)
+
+    def polled(self, board: Board, now: float) -> None:
+        """Take the open jobs and held lots that a poll gave."""
+        self._draw.note_board(board, self._fleet, tuple(self._lots), now)
+        self._poll_answered(now)
+        for job in board.jobs:
+            if job.cancelled:
+                self.cancel(job.job)
+        open_jobs = {job.job for job in board.jobs}
+        self._cancelled &= open_jobs | {key.job for key in self._lots}
+        if self._may_draw():
+            self._commands.extend(self._draw.to_close())
+
+    def poll_failed(self, now: float) -> None:
+        """Note that the platform gave no answer to a poll."""
+        self._poll_answered(now)
+
+    def cancel(self, job: str) -> None:
+        """Stop all work of a cancelled job."""
+        self._cancelled.add(job)
+        for lot in self._lots.values():
+            if lot.key.job == job and not lot.cancelled:
+                self._stop(lot.cancel())
+
+    def leased(self, grant: LotGrant, now: float) -> None:
+        """Take a lot that was leased."""
+        job = self._draw.leased()
+        if job is None:
+            return
+        terms = self._terms_of(job)
+        if terms is None:
+            return
+        self._lots[grant.key] = LotState(grant, terms, now)
+        if grant.key.job in self._cancelled:
+            self._lots[grant.key].cancel()
+
+    def not_leased(self, exhausted: bool, now: float) -> None:
+        """Note that no lot was leased.
+
+        :param exhausted: whether the job has no free lot
+        """
+        self._draw.not_leased(exhausted, now)
+
+    def intents_recorded(self, key: LotKey) -> None:
+        """Note that intents are durable."""
+        if key in self._lots:
+            self._lots[key].intents_durable()
+
+    def fenced(self, key: LotKey) -> None:
+        """Drop a lot that another holder has taken."""
+        lot = self._lots.pop(key, None)
+        if lot is not None:
+            self._stop(lot.cancel())
+
+    def flushed(self) -> None:
+        """Note that the flush in flight is in the store."""
+        flush, self._flushing = self._flushing, None
+        if flush is None:
+            return
+        for part in flush.lots:
+            lot = self._lots.get(part.key)
+            if lot is None:
+                continue
+            lot.flushed()
+            if part.ended or part.released:
+                del self._lots[part.key]
+
+    def run_ended(
+        self, run: int, result: RunResult, now: float
+    ) -> Outcome | None:
+        """Note the end of a run; its item's outcome, if this settled it."""
+        key = self._runs.pop(run)
+        self._suspect_runs.discard(run)
+        lot = self._lots.get(key)
+        if lot is None:
+            return None
+        item = lot.running[run].item
+        outcome = lot.end(run, result, now)
+        if outcome is not None:
+            self._stop(lot.twins(item))
+        return outcome
+
+    def drain(self) -> None:
+        """Start nothing more, and give lots back once they are at rest."""
+        self._draining = True
+
+    def stop_idempotent(self) -> None:
+        """Stop the runs that may be run again."""
+        for lot in self._lots.values():
+            if lot.terms.idempotent:
+                self._stop(lot.running)
+
+    def _stop(self, runs: Iterable[int]) -> None:
+        self._commands.extend(StopRun(run) for run in runs)
+
+    def _note_pause(self, now: float) -> None:
+        last, self._last_tick = self._last_tick, now
+        if last is not None and now - last > self._settings.pause_s:
+            self._blocked = True
+            self._poll_stale = self._polling
+            self._next_poll = now
+
+    def _poll(self, now: float) -> None:
+        if self._polling or now < self._next_poll:
+            return
+        self._polling = True
+        busy = bool(self._lots) or self._may_draw()
+        settings = self._settings
+        pause = settings.poll_s if busy else settings.idle_poll_s
+        self._next_poll = now + pause
+        self._commands.append(Poll())
+
+    def _poll_answered(self, now: float) -> None:
+        self._polling = False
+        if self._poll_stale:
+            self._poll_stale = False
+            self._next_poll = now
+            return
+        self._blocked = False
+
+    def _may_draw(self) -> bool:
+        if self._draining:
+            return False
+        return self._draw.may_draw(self._fleet)
+
+    def _lease(self, now: float) -> None:
+        if self._blocked or not self._may_draw() or not self._wants_lot():
+            return
+        command = self._draw.next_command(
+            self._fleet, tuple(self._lots), self._served(), now
+        )
+        if command is not None:
+            self._commands.append(command)
+
+    def _served(self) -> set[str]:
+        return {
+            lot.terms.service for lot in self._lots.values() if lot.pending
+        }
+
+    def _wants_lot(self) -> bool:
+        unstarted = [lot for lot in self._lots.values() if lot.pending]
+        if len(unstarted) >= self._settings.max_lots:
+            return False
+        if self._outcomes() >= self._settings.max_outcomes:
+            return False
+        pending = sum(lot.pending for lot in unstarted)
+        if pending + len(self._runs) < self._settings.window:
+            return True
+        served = self._served()
+        return any(j.service not in served for j in self._draw.board.jobs)
+
+    def _outcomes(self) -> int:
+        return sum(lot.held_outcomes for lot in self._lots.values())
+
+    def _ask_intents(self) -> None:
+        if self._draining or self._blocked:
+            return
+        for lot in self._lots.values():
+            items = lot.intents_wanted()
+            if items:
+                self._commands.append(RecordIntents(lot.key, items))
+
+    def _start(self, now: float) -> None:
+        if self._draining or self._blocked:
+            return
+        room = self._settings.window - len(self._runs)
+        room = min(room, self._settings.max_outcomes - self._outcomes())
+        lots = list(self._lots.values())
+        while room > 0 and lots:
+            lot = min(lots, key=lambda lot: len(lot.running))
+            if self._start_one(lot, now):
+                room -= 1
+            else:
+                lots.remove(lot)
+
+    def _start_one(self, lot: LotState, now: float) -> bool:
+        free = len(self._suspect_runs) < self._settings.max_suspects
+        chosen = lot.next_item(now, free)
+        if chosen is None:
+            return False
+        running = lot.start(self._new_run(lot.key), chosen, now)
+        if running.suspect:
+            self._suspect_runs.add(running.run)
+        self._commands.append(
+            StartItem(
+                running.run,
+                lot.key,
+                chosen.item,
+                lot.terms,
+                running.suspect,
+                chosen.record.avoid,
+            )
+        )
+        return True
+
+    def _new_run(self, key: LotKey) -> int:
+        self._next_run += 1
+        self._runs[self._next_run] = key
+        return self._next_run
+
+    def _run_stragglers_again(self, now: float) -> None:
+        if self._draining or self._blocked:
+            return
+        if any(lot.pending for lot in self._lots.values()):
+            return
+        for lot in self._lots.values():
+            for straggler in lot.stragglers(now):
+                if len(self._runs) >= self._settings.window:
+                    return
+                if not straggler.suspect:
+                    self._run_twice(lot, straggler.item, now)
+
+    def _run_twice(self, lot: LotState, item: int, now: float) -> None:
+        run = self._new_run(lot.key)
+        lot.start_twin(run, item, now)
+        self._commands.append(StartItem(run, lot.key, item, lot.terms))
+
+    def _flush(self, now: float) -> None:
+        if self._flushing is not None or not self._flush_due(now):
+            return
+        parts = tuple(self._part(lot) for lot in self._lots.values())
+        parts = tuple(p for p in parts if p.outcomes or p.ended or p.released)
+        if parts:
+            self._flushing = Flush(parts)
+            self._commands.append(self._flushing)
+
+    def _flush_due(self, now: float) -> bool:
+        lots = self._lots.values()
+        if sum(lot.unflushed for lot in lots) >= self._settings.flush_outcomes:
+            return True
+        return any(self._lot_flush_due(lot, now) for lot in lots)
+
+    def _lot_flush_due(self, lot: LotState, now: float) -> bool:
+        if self._draining and not lot.running:
+            return True
+        if lot.ended and self._last_of_job(lot):
+            return True
+        age = self._settings.flush_age_s
+        if not lot.terms.idempotent:
+            age = self._settings.effect_flush_age_s
+        return bool(lot.unflushed) and now - lot.unflushed_since >= age
+
+    def _last_of_job(self, lot: LotState) -> bool:
+        if lot.cancelled or not lot.unflushed:
+            return True
+        return self._draw.all_drawn(lot.key.job)
+
+    def _part(self, lot: LotState) -> LotFlush:
+        released = self._draining and not lot.running and not lot.ended
+        return LotFlush(
+            lot.key,
+            lot.take_flush(),
+            lot.ended,
+            released,
+            lot.returned() if released else (),
+        )
+
+
+__all__ = ["HolderState", "LotHolder"]
--- /dev/null
+++ b/src/mulberrypass/policy/lots.py
@@ -0,0 +1,311 @@
+"""The state of one leased lot: what is to run, runs and has ended."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+import heapq
+import statistics
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.items import (
+    Again,
+    ItemRecord,
+    ItemState,
+    Outcome,
+    Settle,
+    judge,
+)
+
+if TYPE_CHECKING:
+    from mulberrypass.policy.items import RunResult
+
+INTENT_ITEMS = 100
+STRAGGLER_FACTOR = 3.0
+MIN_DURATIONS = 5
+KEPT_DURATIONS = 200
+INDETERMINATE_ERROR = "the process that ran it was lost"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class LotKey:
+    """Names one lot of one job."""
+
+    job: str
+    lot: int
+
+
+@dataclass(frozen=True, slots=True)
+class LotTerms:
+    """What the service and the job say of a lot's items.
+
+    :param due: Unix time in seconds
+    """
+
+    customer: str
+    service: str
+    idempotent: bool
+    max_attempts: int
+    due: float
+
+
+@dataclass(frozen=True, slots=True)
+class LotGrant:
+    """A lease of a lot that this process has got.
+
+    :param first: number of the lot's first item
+    :param settled: items whose outcome is in the store
+    :param intended: items that an earlier holder may have run
+    """
+
+    key: LotKey
+    epoch: int
+    first: int
+    count: int
+    settled: frozenset[int] = frozenset()
+    intended: frozenset[int] = frozenset()
+    cancelled: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """One run of an item.
+
+    :param suspect: whether it runs apart from other suspects
+    """
+
+    run: int
+    item: int
+    started: float
+    suspect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Next:
+    """The item to run next, and what is remembered of it."""
+
+    item: int
+    record: ItemRecord
+
+
+@dataclass(slots=True)
+class _Unflushed:
+    outcomes: list[Outcome] = field(default_factory=list)
+    since: float = 0.0
+
+
+class LotState:
+    """One lot in the hands of its holder."""
+
+    def __init__(self, grant: LotGrant, terms: LotTerms, now: float) -> None:
+        self.grant = grant
+        self.terms = terms
+        self.cancelled = grant.cancelled
+        self.running: dict[int, Running] = {}
+        self._records: dict[int, ItemRecord] = {}
+        self._settled = set(grant.settled)
+        self._unflushed = _Unflushed()
+        self._flushing = 0
+        self._asked: tuple[int, ...] = ()
+        self._durations: deque[float] = deque(maxlen=KEPT_DURATIONS)
+        self._unintended: deque[int] = deque()
+        self._ready: deque[int] = deque()
+        self._suspects: deque[int] = deque()
+        self._delayed: list[tuple[float, int]] = []
+        self._take_over(now)
+
+    @property
+    def key(self) -> LotKey:
+        """Which lot it is."""
+        return self.grant.key
+
+    @property
+    def pending(self) -> int:
+        """Items that wait for a run."""
+        return (
+            len(self._unintended)
+            + len(self._asked)
+            + len(self._ready)
+            + len(self._suspects)
+            + len(self._delayed)
+        )
+
+    @property
+    def unflushed(self) -> int:
+        """Outcomes that no flush has taken yet."""
+        return len(self._unflushed.outcomes)
+
+    @property
+    def unflushed_since(self) -> float:
+        """Time of the oldest outcome that no flush has taken."""
+        return self._unflushed.since
+
+    @property
+    def held_outcomes(self) -> int:
+        """Outcomes in memory that aren't known to be in the store."""
+        return self.unflushed + self._flushing
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing of the lot runs or is to run."""
+        return not self.running and not self.pending
+
+    def next_item(self, now: float, suspects_free: bool) -> Next | None:
+        """Take the item to run next.
+
+        :param suspects_free: whether a suspect may run now
+        """
+        if self.cancelled:
+            return None
+        while self._delayed and self._delayed[0][0] <= now:
+            self._enqueue(heapq.heappop(self._delayed)[1])
+        queue = self._ready
+        if suspects_free and self._suspects:
+            queue = self._suspects
+        if not queue:
+            return None
+        item = queue.popleft()
+        return Next(item, self._records.get(item, ItemRecord()))
+
+    def start(self, run: int, chosen: Next, now: float) -> Running:
+        """Note that a run of an item starts."""
+        running = Running(run, chosen.item, now, chosen.record.suspect)
+        self.running[run] = running
+        return running
+
+    def start_twin(self, run: int, item: int, now: float) -> None:
+        """Note that an item is run a second time beside its first run."""
+        self.running[run] = Running(run, item, now)
+
+    def end(self, run: int, result: RunResult, now: float) -> Outcome | None:
+        """Note the end of a run; the item's outcome if this run settled it."""
+        running = self.running.pop(run)
+        item = running.item
+        if item in self._settled:
+            return None
+        record = self._records.get(item, ItemRecord())
+        verdict = judge(
+            item,
+            result,
+            record,
+            self.terms.idempotent,
+            self.terms.max_attempts,
+            now,
+        )
+        match verdict:
+            case Settle(outcome=outcome):
+                self._settle(outcome, now)
+                self._durations.append(now - running.started)
+                return outcome
+            case Again(record=again):
+                self._requeue(item, again, now)
+                return None
+
+    def twins(self, item: int) -> tuple[int, ...]:
+        """Give the runs of an item that go on."""
+        return tuple(r.run for r in self.running.values() if r.item == item)
+
+    def intents_wanted(self) -> tuple[int, ...]:
+        """Give items to record an intent for, none while one is asked for."""
+        if self.cancelled or self._asked:
+            return ()
+        if len(self._ready) >= INTENT_ITEMS // 2:
+            return ()
+        count = min(INTENT_ITEMS, len(self._unintended))
+        self._asked = tuple(self._unintended.popleft() for _ in range(count))
+        return self._asked
+
+    def intents_durable(self) -> None:
+        """Note that the intents asked for last are durable."""
+        self._ready.extend(self._asked)
+        self._asked = ()
+
+    def returned(self) -> tuple[int, ...]:
+        """Give items with a durable intent that certainly haven't run."""
+        if self.terms.idempotent:
+            return ()
+        delayed = (item for _, item in self._delayed)
+        waiting = (*self._asked, *self._ready, *self._suspects, *delayed)
+        return tuple(sorted(waiting))
+
+    def take_flush(self) -> tuple[Outcome, ...]:
+        """Take the outcomes that are to be flushed."""
+        outcomes = tuple(self._unflushed.outcomes)
+        self._unflushed = _Unflushed()
+        self._flushing = len(outcomes)
+        return outcomes
+
+    def flushed(self) -> None:
+        """Note that the flush that was taken is in the store."""
+        self._flushing = 0
+
+    def cancel(self) -> tuple[int, ...]:
+        """Run nothing more; the runs to stop."""
+        self.cancelled = True
+        self._unintended.clear()
+        self._asked = ()
+        self._ready.clear()
+        self._suspects.clear()
+        self._delayed.clear()
+        return tuple(self.running)
+
+    def stragglers(self, now: float) -> tuple[Running, ...]:
+        """Give items that run alone and far longer than the others did."""
+        if self.pending or not self.terms.idempotent or self.cancelled:
+            return ()
+        if len(self._durations) < MIN_DURATIONS:
+            return ()
+        limit = STRAGGLER_FACTOR * statistics.median(self._durations)
+        return tuple(
+            r
+            for r in self.running.values()
+            if now - r.started > limit and len(self.twins(r.item)) == 1
+        )
+
+    def _take_over(self, now: float) -> None:
+        for item in sorted(self.grant.intended - self._settled):
+            self._settle(
+                Outcome(
+                    item, ItemState.INDETERMINATE, error=INDETERMINATE_ERROR
+                ),
+                now,
+            )
+        if self.cancelled:
+            return
+        last = self.grant.first + self.grant.count
+        queue = self._ready if self.terms.idempotent else self._unintended
+        queue.extend(
+            i for i in range(self.grant.first, last) if i not in self._settled
+        )
+
+    def _requeue(self, item: int, record: ItemRecord, now: float) -> None:
+        self._records[item] = record
+        if self.cancelled or self.twins(item):
+            return
+        if record.not_before > now:
+            heapq.heappush(self._delayed, (record.not_before, item))
+        else:
+            self._enqueue(item)
+
+    def _enqueue(self, item: int) -> None:
+        record = self._records.get(item, ItemRecord())
+        queue = self._suspects if record.suspect else self._ready
+        queue.appendleft(item)
+
+    def _settle(self, outcome: Outcome, now: float) -> None:
+        self._settled.add(outcome.item)
+        self._records.pop(outcome.item, None)
+        if not self._unflushed.outcomes:
+            self._unflushed.since = now
+        self._unflushed.outcomes.append(outcome)
+
+
+__all__ = [
+    "INTENT_ITEMS",
+    "LotGrant",
+    "LotKey",
+    "LotState",
+    "LotTerms",
+    "Next",
+    "Running",
+]
--- /dev/null
+++ b/tests/jobs/test_service.py
@@ -0,0 +1,232 @@
+"""Jobs from submission to results over in-process fakes."""
+
+from __future__ import annotations
+
+import io
+import json
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+import unittest
+
+from mulberrypass.jobs.service import JobPeers, JobService
+from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.policy.messages import Ran
+from mulberrypass.runtime.http import WsgiApp
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
+from mulberrypass.testing.platform_state import FakePlatform
+from tests.jobs import fakes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SETTINGS = HolderSettings(window=32, poll_s=0.05, takeover_s=0.1)
+WAIT_S = 30.0
+
+
+class Instance:
+    """One instance's batch process, without its HTTP server."""
+
+    def __init__(
+        self,
+        name: str,
+        platform: FakePlatform,
+        membership: fakes.FakeMembership,
+        backends: fakes.FakeBackends,
+    ) -> None:
+        cfg = fakes.FixedConfiguration()
+        self.member = fakes.member(name)
+        self.table = fakes.CutTable(MemoryTable(platform))
+        self.permits = fakes.OpenPermits(cfg.current())
+        self.metrics = Metrics("batch")
+        self.service = JobService(
+            self.member,
+            JobPeers(
+                self.table,
+                MemoryObjects(platform),
+                cfg,
+                membership,
+                self.permits,
+                backends,
+            ),
+            SETTINGS,
+            self.metrics,
+            lot_items=100,
+        )
+        self.app = WsgiApp(self.service.routes())
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        query: str = "",
+        body: bytes = b"",
+        customer: str = "lakeshore",
+        key: str = "",
+    ) -> tuple[int, bytes]:
+        """Call the callers' interface."""
+        status: list[str] = []
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "HTTP_AUTHORIZATION": f"Bearer {fakes.KEYS[customer]}",
+            "HTTP_IDEMPOTENCY_KEY": key,
+            "wsgi.input": io.BytesIO(body),
+            "CONTENT_LENGTH": str(len(body)),
+        }
+        chunks = self.app(environ, lambda line, _headers: status.append(line))
+        whole = b"".join(chunks)
+        return int(status[0].split()[0]), whole
+
+    def submit(self, body: bytes, service: str = "rackmind") -> str:
+        """Submit a job; its id."""
+        status, answer = self.call(
+            "POST", "/v1/jobs", f"service={service}", body, key="night-1"
+        )
+        assert status in {200, 202}, answer
+        return str(json.loads(answer)["job_id"])
+
+    def show(self, job: str) -> dict[str, Any]:
+        """Show a job."""
+        return dict(json.loads(self.call("GET", f"/v1/jobs/{job}")[1]))
+
+    def results(self, job: str, query: str = "") -> list[dict[str, Any]]:
+        """Read results."""
+        answer = self.call("GET", f"/v1/jobs/{job}/results", query)[1]
+        return [json.loads(line) for line in answer.splitlines()]
+
+
+def manifest(count: int) -> bytes:
+    """Give a manifest of items that can be told apart."""
+    lines = [json.dumps({"input": f"crate {n}"}) for n in range(count)]
+    return "\n".join(lines).encode() + b"\n"
+
+
+def wait(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds, and fail the test if it never does."""
+    deadline = time.monotonic() + WAIT_S
+    pause = threading.Event()
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition never held")
+        pause.wait(0.01)
+
+
+class ServiceTestCase(unittest.TestCase):
+    """Two instances over one platform."""
+
+    def setUp(self) -> None:
+        """Start both."""
+        self.platform = FakePlatform()
+        self.backends = fakes.FakeBackends()
+        names = ("a", "b")
+        members = [fakes.member(name) for name in names]
+        self.membership = fakes.FakeMembership(*members)
+        self.a, self.b = (
+            Instance(name, self.platform, self.membership, self.backends)
+            for name in names
+        )
+        for instance in (self.a, self.b):
+            instance.service.start()
+            self.addCleanup(instance.service.stop, 5.0)
+        self.addCleanup(self.backends.gate.set)
+
+    def ended(self, instance: Instance, job: str) -> bool:
+        """Tell whether a job has ended."""
+        return instance.show(job)["ended"] is not None
+
+
+class TestJob(ServiceTestCase):
+    """A job is run whole, and read from any instance."""
+
+    def test_every_item_once(self) -> None:
+        job = self.a.submit(manifest(1_000))
+        self.assertEqual(job, self.b.submit(manifest(1_000)))
+        wait(lambda: self.ended(self.b, job))
+        self.assertEqual("done", self.b.show(job)["state"])
+        self.assertEqual(1_000, self.b.show(job)["counts"]["done"])
+        results = self.b.results(job)
+        texts = [line["output"]["text"] for line in results]
+        self.assertEqual([f"re: crate {n}" for n in range(1_000)], texts)
+        self.assertEqual({1}, set(self.backends.runs.values()))
+        part = self.a.results(job, "from=198&limit=4")
+        self.assertEqual([198, 199, 200, 201], [x["item"] for x in part])
+
+    def test_takeover_of_a_lost_holder(self) -> None:
+        self.backends.gate.clear()
+        self.backends.held = {f"crate {n}" for n in range(50)}
+        job = self.a.submit(manifest(300))
+        holders = {self.a.member.name: self.a, self.b.member.name: self.b}
+        wait(
+            lambda: bool(self.platform.rows.scan("jobs", "held/", "", 9).rows)
+        )
+        held = self.platform.rows.scan("jobs", "held/", "", 9).rows[0]
+        lost = holders.pop(held.row["holder"])
+        (other,) = holders.values()
+        lost.table.cut = True
+        self.membership.all.remove(lost.member)
+        self.backends.held = set()
+        wait(lambda: self.ended(other, job))
+        counts = other.show(job)["counts"]
+        self.assertEqual(300, counts["done"])
+        items = [line["item"] for line in other.results(job)]
+        self.assertEqual(list(range(300)), items)
+
+
+class TestBorder(ServiceTestCase):
+    """Bad requests get their own clear errors."""
+
+    def test_refusals(self) -> None:
+        good = manifest(2)
+        table = (
+            ("service=nosuch", good, "k", 404, "unknown_service"),
+            ("service=rackmind", good, "", 400, "bad_header"),
+            ("service=rackmind&due=soon", good, "k", 400, "bad_due"),
+            ("service=rackmind", b"", "k", 400, "empty_manifest"),
+            ("service=rackmind", good + b"{", "k", 400, "bad_item"),
+            ("service=rackmind", good + b'{"x":1}', "k", 400, "bad_item"),
+            ("service=rackmind", b'{"input":7}', "k", 400, "bad_item"),
+            (
+                "service=rackmind",
+                b'{"input":"a","max_tokens":65}',
+                "k",
+                400,
+                "bad_item",
+            ),
+        )
+        for query, body, key, status, code in table:
+            with self.subTest(query=query, body=body, key=key):
+                got, answer = self.a.call(
+                    "POST", "/v1/jobs", query, body, key=key
+                )
+                doc = json.loads(answer)
+                self.assertEqual((status, code), (got, doc["code"]))
+                self.assertEqual(Ran.NO.value, doc["ran"])
+
+    def test_key_taken_and_foreign_job(self) -> None:
+        job = self.a.submit(manifest(2))
+        got, answer = self.a.call(
+            "POST", "/v1/jobs", "service=rackmind", manifest(3), key="night-1"
+        )
+        self.assertEqual((409, "key_taken"), (got, json.loads(answer)["code"]))
+        for method, path in (
+            ("GET", f"/v1/jobs/{job}"),
+            ("GET", f"/v1/jobs/{job}/results"),
+            ("POST", f"/v1/jobs/{job}/cancel"),
+        ):
+            with self.subTest(path=path):
+                status, _ = self.a.call(method, path, customer="padukalaya")
+                self.assertEqual(404, status)
+        _, answer = self.a.call("GET", "/v1/jobs")
+        self.assertEqual({"jobs": [job]}, json.loads(answer))
+
+    def test_store_down(self) -> None:
+        self.a.table.cut = True
+        status, answer = self.a.call(
+            "POST", "/v1/jobs", "service=rackmind", manifest(2), key="k"
+        )
+        doc = json.loads(answer)
+        self.assertEqual((503, "no"), (status, doc["ran"]))
+        self.assertIn("retry_after_s", doc)
