Run an item twice only near the end and after two seconds

Cause: the test of 1,000 items failed in its second run: an item that took milliseconds counted as a straggler of items that took microseconds, and ran twice although nothing had failed. Change: a straggler must have run for two seconds at least, and its job must have no lot left to draw. The test is as it was and passes.

--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/job_holder.py
@@ -309,6 +309,8 @@
         if any(lot.pending for lot in self._lots.values()):
             return
         for lot in self._lots.values():
+            if not self._draw.all_drawn(lot.key.job):
+                continue
             for straggler in lot.stragglers(now):
                 if len(self._runs) >= self._settings.window:
                     return
--- a/src/mulberrypass/policy/lots.py
+++ b/src/mulberrypass/policy/lots.py
@@ -22,6 +22,7 @@
 
 INTENT_ITEMS = 100
 STRAGGLER_FACTOR = 3.0
+MIN_STRAGGLER_S = 2.0
 MIN_DURATIONS = 5
 KEPT_DURATIONS = 200
 INDETERMINATE_ERROR = "the process that ran it was lost"
@@ -255,7 +256,8 @@
             return ()
         if len(self._durations) < MIN_DURATIONS:
             return ()
-        limit = STRAGGLER_FACTOR * statistics.median(self._durations)
+        usual_s = statistics.median(self._durations)
+        limit = max(MIN_STRAGGLER_S, STRAGGLER_FACTOR * usual_s)
         return tuple(
             r
             for r in self.running.values()
