Let operators check, plan, submit and read objects

Cause: operators drive the system only by objects, and nothing took them in. Change: the control program's HTTP interface and the mulberryctl command line, with faults in one answer, plans field by field, conflicts object by object with who, when and in which generation, history, generations by member, status, explain and dump. Objects are shown as documents that can be submitted again. A submission is repeated under its id until its outcome is known, and the id is printed where it is not. The bootstrap key is taken only while the store says that no operator is published. Membership is a stand-in here until the shared wiring of the programs is there. Seen by the golden sessions and mended: the first submission ended with an error after it was accepted, since its key was no longer an operator's when the command asked where the set was in force. Conclusion: other programs can be configured by operators from now on.

--- a/src/mulberrypass/model/fault.py
+++ b/src/mulberrypass/model/fault.py
@@ -46,9 +46,14 @@
         return f"{where}{what}{self.problem}{hint}"
 
 
+def counted(count: int, noun: str) -> str:
+    """Give a count and its noun, as in ``1 fault`` and ``2 faults``."""
+    return f"{count} {noun}" if count == 1 else f"{count} {noun}s"
+
+
 def quoted(names: Iterable[str]) -> str:
     """Give names in quotes, in order, with commas."""
     return ", ".join(f'"{name}"' for name in sorted(names))
 
 
-__all__ = ["Fault", "Source", "quoted"]
+__all__ = ["Fault", "Source", "counted", "quoted"]
--- /dev/null
+++ b/src/mulberrypass/operator/app.py
@@ -0,0 +1,290 @@
+"""The HTTP interface of operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from expression import Result
+
+from mulberrypass.configuration.store import StoreDown, SubmitIdReused
+from mulberrypass.model.fault import counted
+from mulberrypass.model.render import document_of, documents_of
+from mulberrypass.model.snapshot import KINDS
+from mulberrypass.operator.changes import Conflicting, Faulty
+from mulberrypass.operator.messages import CheckBody, SubmitBody, read_body
+from mulberrypass.runtime.dump import jsonable
+from mulberrypass.runtime.http import Problem, Route, json_answer
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from mulberrypass.configuration.store import ConfigurationStore
+    from mulberrypass.model.fault import Fault
+    from mulberrypass.operator.auth import OperatorAuth
+    from mulberrypass.operator.changes import (
+        ChangeError,
+        ConfigurationChanges,
+        Current,
+    )
+    from mulberrypass.operator.explain import ExplainProxy
+    from mulberrypass.operator.fleet import Fleet
+    from mulberrypass.runtime.http import Reply, Request
+
+LOG = get_logger(__name__)
+DEFAULT_HISTORY = 20
+SINGULAR = {kind: kind[:-1] for kind in KINDS}
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorParts:
+    """What the interface answers from.
+
+    :param status: further parts of the status, by name
+    """
+
+    auth: OperatorAuth
+    changes: ConfigurationChanges
+    store: ConfigurationStore
+    fleet: Fleet
+    explain: ExplainProxy
+    status: Mapping[str, Callable[[], Any]]
+
+
+class OperatorApp:
+    """Answers operators."""
+
+    def __init__(self, parts: OperatorParts) -> None:
+        self._parts = parts
+
+    def routes(self) -> tuple[Route, ...]:
+        """Give the routes of the interface, each behind a key."""
+        base = "/v1/configuration"
+        objects = "/v1/objects/{kind}"
+        guarded = self._guarded
+        return (
+            Route("POST", f"{base}/check", guarded(self._check)),
+            Route("POST", f"{base}/plan", guarded(self._plan)),
+            Route("POST", f"{base}/submit", guarded(self._submit)),
+            Route("GET", base, guarded(self._configuration)),
+            Route("GET", f"{base}/history", guarded(self._history)),
+            Route("GET", objects, guarded(self._objects)),
+            Route("GET", objects + "/{name}", guarded(self._object)),
+            Route("GET", objects + "/{model}/{name}", guarded(self._object)),
+            Route("GET", "/v1/generation", guarded(self._generation)),
+            Route("GET", "/v1/status", guarded(self._status)),
+            Route("GET", "/v1/explain", guarded(self._explain)),
+        )
+
+    def _guarded(
+        self, handler: Callable[[Request, str], Reply]
+    ) -> Callable[[Request], Reply]:
+        def handle(req: Request) -> Reply:
+            match self._parts.auth.authenticate(req):
+                case Result(tag="ok", ok=operator):
+                    return handler(req, operator)
+                case Result(error=problem):
+                    return problem
+
+        return handle
+
+    def _check(self, req: Request, _operator: str) -> Reply:
+        match read_body(req, CheckBody):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=reason):
+                return _bad_body(reason)
+        match self._parts.changes.check(body.raws()):
+            case Result(tag="ok", ok=cfg):
+                counts = {kind: len(getattr(cfg, kind)) for kind in KINDS}
+                return json_answer({"digest": cfg.digest, "objects": counts})
+            case Result(error=faulty):
+                return _faulty(faulty.faults)
+
+    def _plan(self, req: Request, _operator: str) -> Reply:
+        match read_body(req, CheckBody):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=reason):
+                return _bad_body(reason)
+        match self._parts.changes.plan(body.raws()):
+            case Result(tag="ok", ok=plan):
+                return json_answer(
+                    {
+                        "generation": plan.base.cfg.generation,
+                        "doubt": plan.base.doubt,
+                        "digest": plan.checked.digest,
+                        "changes": jsonable(plan.changes),
+                    }
+                )
+            case Result(error=faulty):
+                return _faulty(faulty.faults)
+
+    def _submit(self, req: Request, operator: str) -> Reply:
+        match read_body(req, SubmitBody):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=reason):
+                return _bad_body(reason)
+        match self._parts.changes.submit(body, operator):
+            case Result(tag="ok", ok=done):
+                LOG.info(
+                    "submission accepted",
+                    operator=operator,
+                    generation=done.generation,
+                    repeated=done.accepted.repeated,
+                )
+                return json_answer(
+                    {
+                        "generation": done.generation,
+                        "digest": done.accepted.snapshot.digest,
+                        "repeated": done.accepted.repeated,
+                        "unchanged": done.accepted.unchanged,
+                        "changes": jsonable(done.changes),
+                    }
+                )
+            case Result(error=exc):
+                return _refused(exc)
+
+    def _configuration(self, _req: Request, _operator: str) -> Reply:
+        current = self._parts.changes.current()
+        return _documents(current, list(documents_of(current.cfg)))
+
+    def _history(self, req: Request, _operator: str) -> Reply:
+        limit = req.query.get("limit", str(DEFAULT_HISTORY))
+        if not limit.isdecimal() or not int(limit):
+            return _bad_query("limit", "write a whole number from 1")
+        match self._parts.store.history(int(limit)):
+            case Result(tag="ok", ok=entries):
+                shown = [entry.model_dump(mode="json") for entry in entries]
+                return json_answer({"history": shown})
+            case Result(error=down):
+                return _store_down(down)
+
+    def _objects(self, req: Request, _operator: str) -> Reply:
+        kind = _kind(req.params["kind"])
+        if kind is None:
+            return _no_kind(req.params["kind"])
+        current = self._parts.changes.current()
+        found = getattr(current.cfg, kind)
+        shown = [document_of(kind, found[key]) for key in sorted(found)]
+        return _documents(current, shown)
+
+    def _object(self, req: Request, _operator: str) -> Reply:
+        kind = _kind(req.params["kind"])
+        if kind is None:
+            return _no_kind(req.params["kind"])
+        current = self._parts.changes.current()
+        model = req.params.get("model")
+        name = req.params["name"]
+        key = name if model is None else f"{model}/{name}"
+        found = getattr(current.cfg, kind).get(key)
+        if found is None:
+            detail = f'{SINGULAR[kind]} "{key}" does not exist'
+            return Problem(HTTPStatus.NOT_FOUND, "no_such_object", detail)
+        return _documents(current, [document_of(kind, found)])
+
+    def _generation(self, req: Request, _operator: str) -> Reply:
+        at_least = req.query.get("at_least", "0")
+        if not at_least.isdecimal():
+            return _bad_query("at_least", "write a whole number")
+        return json_answer(jsonable(self._parts.fleet.holds(int(at_least))))
+
+    def _status(self, _req: Request, _operator: str) -> Reply:
+        holds = self._parts.fleet.holds()
+        status = {"fleet": jsonable(holds)}
+        for name, part in self._parts.status.items():
+            status[name] = jsonable(part())
+        return json_answer(status)
+
+    def _explain(self, req: Request, _operator: str) -> Reply:
+        return self._parts.explain.explain(req)
+
+
+def _documents(current: Current, documents: list[dict[str, Any]]) -> Reply:
+    return json_answer(
+        {
+            "generation": current.cfg.generation,
+            "digest": current.cfg.digest,
+            "doubt": current.doubt,
+            "documents": documents,
+        }
+    )
+
+
+def _kind(name: str) -> str | None:
+    plural = name if name in SINGULAR else f"{name}s"
+    return plural if plural in SINGULAR else None
+
+
+def _bad_body(reason: str) -> Problem:
+    return Problem(HTTPStatus.BAD_REQUEST, "bad_body", reason)
+
+
+def _bad_query(name: str, remedy: str) -> Problem:
+    detail = f'"{name}" of the query: {remedy}'
+    return Problem(HTTPStatus.BAD_REQUEST, "bad_query", detail)
+
+
+def _no_kind(name: str) -> Problem:
+    kinds = ", ".join(sorted(SINGULAR.values()))
+    detail = f'"{name}" is not a kind of object; write one of {kinds}'
+    return Problem(HTTPStatus.NOT_FOUND, "no_such_kind", detail)
+
+
+def _faulty(faults: tuple[Fault, ...]) -> Problem:
+    shown = [jsonable(fault) | {"text": fault.text()} for fault in faults]
+    return Problem(
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        "faulty_objects",
+        f"{counted(len(faults), 'fault')}; nothing is published",
+        extra={"faults": shown},
+    )
+
+
+def _refused(exc: ChangeError) -> Problem:
+    match exc:
+        case Faulty(faults=faults):
+            return _faulty(faults)
+        case StoreDown():
+            return _store_down(exc)
+        case SubmitIdReused(generation=generation):
+            detail = (
+                "the submit id was used for another set, published as "
+                f"generation {generation}"
+            )
+            return Problem(HTTPStatus.CONFLICT, "submit_id_reused", detail)
+        case Conflicting(base=base, generation=generation, objects=objects):
+            detail = (
+                f"the set was made from generation {base}, and generation "
+                f"{generation} is in force; nothing is published"
+            )
+            extra = {
+                "base": base,
+                "generation": generation,
+                "objects": jsonable(objects),
+            }
+            return Problem(
+                HTTPStatus.CONFLICT, "conflict", detail, extra=extra
+            )
+
+
+def _store_down(down: StoreDown) -> Problem:
+    detail = down.reason
+    if down.maybe_accepted:
+        detail += (
+            "; the submission may be accepted all the same: repeat it with "
+            "the same submit id"
+        )
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "store_down",
+        detail,
+        retry_after_s=2.0,
+        extra={"maybe_accepted": down.maybe_accepted},
+    )
+
+
+__all__ = ["OperatorApp", "OperatorParts"]
--- /dev/null
+++ b/src/mulberrypass/operator/client.py
@@ -0,0 +1,104 @@
+"""The operators' client of the control programs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException
+import json
+from typing import Any
+from urllib.parse import urlsplit
+
+from expression import Error, Ok, Result
+
+TIMEOUT_S = 30.0
+MAX_ANSWER_BYTES = 268_435_456
+FIRST_ERROR_STATUS = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """No control program answered."""
+
+    reason: str
+
+    @property
+    def detail(self) -> str:
+        """Why none did."""
+        return self.reason
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A control program refused the request.
+
+    :param document: the problem document
+    """
+
+    status: int
+    document: dict[str, Any]
+
+    @property
+    def code(self) -> str:
+        """Stable name of the kind of error."""
+        return str(self.document.get("code", ""))
+
+    @property
+    def detail(self) -> str:
+        """What is wrong."""
+        return str(self.document.get("detail", f"status {self.status}"))
+
+
+ClientError = Silent | Refused
+Reply = Result[dict[str, Any], ClientError]
+
+
+class ControlClient:
+    """Asks control programs in turn, until one answers.
+
+    :param controls: URLs of control programs, as ``http://IP:port``
+    :param key: the operator's key
+    """
+
+    def __init__(self, controls: tuple[str, ...], key: str) -> None:
+        self._controls = controls
+        self._key = key
+
+    def get(self, path: str) -> Reply:
+        """Read something."""
+        return self._call("GET", path, None)
+
+    def post(self, path: str, document: Any) -> Reply:
+        """Send a document that may be sent twice."""
+        return self._call("POST", path, json.dumps(document).encode())
+
+    def _call(self, method: str, path: str, body: bytes | None) -> Reply:
+        reason = "no control program is named"
+        for control in self._controls:
+            try:
+                return self._ask(control, method, path, body)
+            except (OSError, HTTPException, ValueError) as exc:
+                reason = f"{control} gives no answer: {exc}"
+        return Error(Silent(reason))
+
+    def _ask(
+        self, control: str, method: str, path: str, body: bytes | None
+    ) -> Reply:
+        url = urlsplit(control)
+        if url.scheme != "http" or url.hostname is None:
+            raise ValueError("it is not a URL as http://IP:port")
+        conn = HTTPConnection(url.hostname, url.port, timeout=TIMEOUT_S)
+        headers = {"Authorization": f"Bearer {self._key}"}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            conn.request(method, path, body, headers)
+            resp = conn.getresponse()
+            document = json.loads(resp.read(MAX_ANSWER_BYTES))
+        finally:
+            conn.close()
+        if resp.status >= FIRST_ERROR_STATUS:
+            return Error(Refused(resp.status, document))
+        return Ok(document)
+
+
+__all__ = ["ClientError", "ControlClient", "Refused", "Reply", "Silent"]
--- a/tests/model/test_check.py
+++ b/tests/model/test_check.py
@@ -13,6 +13,7 @@
 from mulberrypass.model.fault import Fault, Source
 from mulberrypass.model.load import RawDocument, load_files, load_text
 from mulberrypass.model.objects import BackendKind, Configuration
+from mulberrypass.model.render import documents_of
 from mulberrypass.model.snapshot import Snapshot, canonical, decode, encode
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -342,6 +343,7 @@
                         self.assertEqual(
                             engines, kinds.count(BackendKind.ENGINE)
                         )
+                        self.assertEqual(cfg, checked(documents_of(cfg)))
                     case Result(error=faults):
                         self.fail([fault.text() for fault in faults])
 
--- /dev/null
+++ b/tests/operator/test_session.py
@@ -0,0 +1,241 @@
+"""Whole sessions of operators, against golden files.
+
+With MULBERRY_GOLDEN=write the files are written anew.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+import io
+import logging
+import os
+from pathlib import Path
+import random
+import sys
+import unittest
+
+from expression import Error, Result
+from structlog.testing import capture_logs
+
+from mulberrypass.configuration.follower import (
+    ConfigurationFollower,
+    FollowerPorts,
+    PeerSilent,
+)
+from mulberrypass.configuration.store import ConfigurationStore
+from mulberrypass.model.snapshot import Snapshot
+from mulberrypass.operator.alone import AloneMembership
+from mulberrypass.operator.app import OperatorApp, OperatorParts
+from mulberrypass.operator.auth import OperatorAuth
+from mulberrypass.operator.changes import ConfigurationChanges
+from mulberrypass.operator.client import ControlClient
+from mulberrypass.operator.commands import Commands, Terminal
+from mulberrypass.operator.explain import ExplainProxy
+from mulberrypass.operator.fleet import Fleet
+from mulberrypass.peer.api import Member
+from mulberrypass.programs.ctl import Mulberryctl, run
+from mulberrypass.runtime.http import HttpServer, WsgiApp
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_faults import CallFault, Faults
+from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
+from mulberrypass.testing.platform_state import FakePlatform
+
+GOLDEN = Path(__file__).parents[1] / "golden" / "operator"
+HOST = "127.0.50.2"
+START = 1_780_000_000.0
+BOOT = "791b825266061d2038706c11cb29f74fb2c6514e5520e56bbfa46085725264e6"
+LOST = [CallFault.PASS, CallFault.LOSE_REPLY, *[CallFault.REFUSE] * 3]
+
+
+@dataclass(frozen=True)
+class Run:
+    """One command of an operator."""
+
+    who: str
+    command: str
+
+
+@dataclass(frozen=True)
+class Outage:
+    """The platform goes down, or comes back."""
+
+    down: bool
+
+
+@dataclass(frozen=True)
+class LoseReply:
+    """The next submission takes effect and no answer of it arrives."""
+
+
+Step = Run | Outage | LoseReply
+
+SESSIONS: dict[str, tuple[Step, ...]] = {
+    "first-day": (
+        Run("boot", "check faulty.yaml first.yaml"),
+        Run("boot", "check broken.yaml"),
+        Run("boot", "check first.yaml"),
+        Run("boot", "plan first.yaml"),
+        Run("boot", "submit first.yaml --message the-first-set"),
+        Run("boot", "history"),
+        Run("ann", "show service dock"),
+        Run("ann", "show version r1 --model rackmind"),
+        Run("ann", "show service slip"),
+        Run("ann", "show gadget"),
+        Run("ann", "generation"),
+    ),
+    "conflict": (
+        Run("boot", "submit first.yaml"),
+        Run("bob", "submit bob.yaml --base 1 --message shorter-deadline"),
+        Run("ann", "plan canary.yaml"),
+        Run("ann", "submit canary.yaml --base 1 --message try-r2"),
+        Run("ann", "submit canary.yaml --base 2 --message try-r2"),
+        Run("ann", "submit canary.yaml"),
+        Run("bob", "plan removed.yaml"),
+        Run("bob", "history --limit 2"),
+    ),
+    "outage": (
+        Run("boot", "submit first.yaml"),
+        Outage(True),
+        Run("ann", "plan bob.yaml"),
+        Run("ann", "submit bob.yaml --base 1 --wait 0 --submit-id s-7"),
+        Run("ann", "history"),
+        Run("ann", "show operator ann"),
+        Outage(False),
+        LoseReply(),
+        Run("ann", "submit bob.yaml --base 1 --wait 0 --submit-id s-7"),
+        Run("ann", "submit bob.yaml --base 1 --submit-id s-7"),
+        Run("ann", "submit first.yaml --base 1 --submit-id s-7"),
+        Run("ann", "history --limit 1"),
+    ),
+    "json": (
+        Run("boot", "submit first.yaml"),
+        Run("ann", "check faulty.yaml --json"),
+        Run("bob", "plan bob.yaml --json"),
+        Run("ann", "generation --json"),
+    ),
+}
+
+
+def no_peer(_member: str, _at_least: int) -> Result[Snapshot, PeerSilent]:
+    """Answer as if no peer were there."""
+    return Error(PeerSilent("no peer"))
+
+
+class SessionTest(unittest.TestCase):
+    """Each session reads as its golden file does."""
+
+    maxDiff = None
+
+    def setUp(self) -> None:
+        self.enterContext(capture_logs())
+        self.enterContext(contextlib.chdir(GOLDEN / "sets"))
+        logging.getLogger("waitress").setLevel(logging.ERROR)
+        self.now = START
+        self.submits = 0
+        self.platform = FakePlatform()
+        store = ConfigurationStore(
+            MemoryTable(self.platform),
+            MemoryObjects(self.platform),
+            clock=lambda: self.now,
+            sleep=lambda _: None,
+        )
+        self.follower = ConfigurationFollower(
+            FollowerPorts(store, no_peer, tuple),
+            Metrics("test"),
+            random.Random(1),
+            lambda: self.now,
+        )
+        parts = self.make_parts(store)
+        server = HttpServer(
+            WsgiApp(OperatorApp(parts).routes()), HOST, 0, 1, 1_000_000
+        )
+        server.start()
+        self.addCleanup(server.stop, 0.0)
+        self.url = f"http://{HOST}:{server.port}"
+
+    def make_parts(self, store: ConfigurationStore) -> OperatorParts:
+        """Wire the interface of one control process."""
+        changes = ConfigurationChanges(store, self.follower)
+        own = Member("control@i-1", "control", "duluth-bay", HOST, 1)
+        peers = AloneMembership(
+            (Member("entry@i-2", "entry", "erie-vault", HOST, 1),)
+        )
+        return OperatorParts(
+            OperatorAuth(self.follower, store, BOOT, lambda: self.now),
+            changes,
+            store,
+            Fleet(
+                own,
+                peers,
+                changes,
+                lambda: self.follower.current().generation,
+            ),
+            ExplainProxy(AloneMembership()),
+            {},
+        )
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass, and the control process do what is due."""
+        self.now += seconds
+        self.follower.step()
+
+    def new_id(self) -> str:
+        """Give the next submit id."""
+        self.submits += 1
+        return f"submit-{self.submits}"
+
+    def run_command(self, step: Run) -> str:
+        """Run one command as an operator at a terminal."""
+        test = self
+        out, err = io.StringIO(), io.StringIO()
+
+        class TestCtl(Mulberryctl):
+            def _commands(self) -> Commands:
+                key = f"{step.who}-key"
+                terminal = Terminal(
+                    out,
+                    lambda: "",
+                    key,
+                    test.tick,
+                    lambda: test.now,
+                    test.new_id,
+                )
+                client = ControlClient((test.url,), key)
+                return Commands(terminal, client, bool(self._json))
+
+        with contextlib.redirect_stderr(err):
+            status = run(step.command.split(), TestCtl)
+        self.tick(2.0)
+        shown = f"{step.who}$ mulberryctl {step.command}\n{out.getvalue()}"
+        return f"{shown}{err.getvalue()}[{status}]\n"
+
+    def transcript(self, steps: tuple[Step, ...]) -> str:
+        """Give what a session shows."""
+        shown = []
+        for step in steps:
+            match step:
+                case Run():
+                    shown.append(self.run_command(step))
+                case Outage(down=down):
+                    self.platform.set_faults(Faults(outage=down))
+                    shown.append(f"# platform {'down' if down else 'up'}\n")
+                case LoseReply():
+                    self.platform.script_writes(LOST)
+                    shown.append("# the next answer is lost\n")
+        return "\n".join(shown).replace(self.url, "http://control")
+
+    def test_sessions(self) -> None:
+        for name, steps in SESSIONS.items():
+            with self.subTest(name):
+                self.setUp()
+                shown = self.transcript(steps)
+                path = GOLDEN / f"{name}.txt"
+                if os.environ.get("MULBERRY_GOLDEN") == "write":
+                    path.write_text(shown)
+                    sys.stderr.write(f"written: {path.name}\n")
+                self.assertEqual(path.read_text(), shown)
+
+
+if __name__ == "__main__":
+    unittest.main()
