--- /dev/null
+++ b/src/mulberrypass/peer/local.py
@@ -0,0 +1,56 @@
+"""A holder's connection to the owner in its own process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.peer.permit_session import OwnerSession
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from mulberrypass.peer.loop import LoopThread
+    from mulberrypass.peer.owner import OwnerTask
+    from mulberrypass.peer.permit_inbox import HolderSession, OwnerReply
+    from mulberrypass.policy.messages import HolderMessage
+
+
+class LocalSession(OwnerSession):
+    """Messages to and from the owner's thread, without a socket."""
+
+    def __init__(
+        self,
+        me: str,
+        task: OwnerTask,
+        loop: LoopThread,
+        clock: Callable[[], float],
+        on_reply: Callable[[OwnerSession, OwnerReply], None],
+        on_open: Callable[[OwnerSession], None],
+    ) -> None:
+        super().__init__(me, clock, on_reply, on_open)
+        self._task = task
+        self._loop = loop
+        self._session: HolderSession | None = None
+
+    def start(self) -> None:
+        """Join the owner."""
+        self._session = self._task.join(self.owner, self._deliver)
+        self.opened()
+
+    def stop(self) -> None:
+        """Leave the owner."""
+        self.open = False
+        if self._session is not None:
+            self._task.leave(self._session)
+
+    def send(self, messages: Iterable[HolderMessage]) -> None:
+        """Put messages into the owner's inbox."""
+        if self._session is not None:
+            self._task.receive(self._session, messages)
+            self.awaiting()
+
+    def _deliver(self, reply: OwnerReply) -> None:
+        self._loop.call(self.replied, reply)
+
+
+__all__ = ["LocalSession"]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -0,0 +1,159 @@
+"""The cells that this process owns, by the members known to be alive."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.policy.admission import Cell
+from mulberrypass.policy.cells import CellKey, cut, owner
+from mulberrypass.policy.messages import WorkClass
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from mulberrypass.model.objects import Configuration
+    from mulberrypass.peer.api import Membership
+    from mulberrypass.policy.admission import CellDecision
+    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.cells import CellLoad
+
+LOG = get_logger(__name__)
+HOLDER_PROGRAMS = ("entry", "batch", "control")
+OWNER_PROGRAM = "entry"
+
+
+class OwnedCells:
+    """Takes cells up and gives them up; used on the owner's thread only."""
+
+    def __init__(
+        self, me: str, membership: Membership, settings: CellSettings
+    ) -> None:
+        self._me = me
+        self._membership = membership
+        self._settings = settings
+        self._cells: dict[CellKey, Cell] = {}
+        self._shared: set[CellKey] = set()
+        self._live: tuple[str, ...] = ()
+        self._owners: dict[CellKey, str | None] = {}
+        self.loaded: dict[str, frozenset[str]] = {}
+
+    def __iter__(self) -> Iterator[Cell]:
+        """Give all cells."""
+        return iter(tuple(self._cells.values()))
+
+    def get(self, key: CellKey) -> Cell | None:
+        """Give a cell, if it is owned here."""
+        return self._cells.get(key)
+
+    def refresh(
+        self, cfg: Configuration, sessions: Mapping[str, object], now: float
+    ) -> Iterator[CellDecision]:
+        """Look at members and objects again.
+
+        :param sessions: holders that are connected, by name
+        """
+        zones = self._zones(sessions)
+        owned: set[CellKey] = set()
+        for pool in cfg.pools.values():
+            parts = cut(pool.backends)
+            for index, names in enumerate(parts):
+                key = CellKey(pool.name, index)
+                if self._owner(key) == self._me:
+                    owned.add(key)
+                    yield from self._configure(
+                        key, names, len(parts), cfg, zones, now
+                    )
+        for key in self._cells.keys() - owned:
+            yield from self._give_up(key)
+
+    def _owner(self, key: CellKey) -> str | None:
+        live = tuple(m.name for m in self._membership.live(OWNER_PROGRAM))
+        if live != self._live:
+            self._live = live
+            self._owners.clear()
+        if key not in self._owners:
+            self._owners[key] = owner(key, live)
+        return self._owners[key]
+
+    def close(self) -> Iterator[CellDecision]:
+        """Give up all cells."""
+        for key in tuple(self._cells):
+            yield from self._give_up(key)
+
+    def shared_loads(self) -> dict[str, CellLoad]:
+        """Give the loads of cells in pools of several, by name."""
+        return {key.name: self._cells[key].load() for key in self._shared}
+
+    def state(self) -> dict[str, Any]:
+        """Give queues, permits and engines' scores of each cell."""
+        return {
+            key.name: _cell_state(cell) for key, cell in self._cells.items()
+        }
+
+    def _configure(
+        self,
+        key: CellKey,
+        names: tuple[str, ...],
+        count: int,
+        cfg: Configuration,
+        zones: Mapping[str, str],
+        now: float,
+    ) -> list[CellDecision]:
+        cell = self._cells.get(key)
+        if cell is None:
+            LOG.info("cell taken up", cell=key.name)
+            cell = self._cells[key] = Cell(self._settings, now)
+        self._shared.discard(key)
+        if count > 1:
+            self._shared.add(key)
+        return cell.configure(
+            [cfg.backends[name] for name in names if name in cfg.backends],
+            cfg.customers,
+            cfg.quotas,
+            self._membership.leaving_backends(),
+            zones,
+            now,
+            cells=count,
+            loaded=self.loaded,
+        )
+
+    def _give_up(self, key: CellKey) -> list[CellDecision]:
+        LOG.info("cell given up", cell=key.name)
+        self._shared.discard(key)
+        return self._cells.pop(key).close()
+
+    def _zones(self, sessions: Mapping[str, object]) -> dict[str, str]:
+        zones = {name: "" for name in sessions}
+        for program in HOLDER_PROGRAMS:
+            for member in self._membership.members(program):
+                zones[member.name] = member.zone
+        return zones
+
+
+def _cell_state(cell: Cell) -> dict[str, Any]:
+    return {
+        "queued": {
+            work_class.value: cell.queued(work_class).counts()
+            for work_class in WorkClass
+        },
+        "running": cell.running(),
+        "permits": len(cell.permits),
+        "batch_prefill_tokens_per_s": cell.pace.tokens_per_s,
+        "engines": {
+            name: {
+                "leaving": engine.leaving,
+                "running": engine.running,
+                "batch": engine.batch,
+                "revoked": engine.revoked,
+                "kv_tokens": engine.kv_tokens,
+                "prefill_tokens": engine.prefill_tokens,
+                "prefixes": len(engine.prefixes),
+            }
+            for name, engine in list(cell.engines.items())
+        },
+        "health": cell.health.state(),
+    }
+
+
+__all__ = ["OwnedCells"]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_codec.py
@@ -0,0 +1,202 @@
+"""Turns permit messages into protocol messages and back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import mulberrypass.peer.peer_pb2 as pb
+from mulberrypass.policy.cells import CellLoad
+from mulberrypass.policy.messages import (
+    Ask,
+    FirstToken,
+    Grant,
+    RefusalReason,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+    Revoke,
+    Withdraw,
+    WorkClass,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from mulberrypass.policy.messages import HolderMessage, OwnerMessage
+
+MAX_UINT32 = 2**32 - 1
+
+
+def encode_holder(message: HolderMessage) -> pb.HolderMessage:
+    """Encode a message of a holder."""
+    match message:
+        case Ask():
+            return pb.HolderMessage(ask=_encode_ask(message))
+        case Withdraw(ask_id=ask_id):
+            return pb.HolderMessage(withdraw=pb.Withdraw(ask_id=ask_id))
+        case FirstToken(ask_id=ask_id, after_s=after_s):
+            first = pb.FirstToken(ask_id=ask_id, after_s=after_s)
+            return pb.HolderMessage(first_token=first)
+        case Release():
+            return pb.HolderMessage(release=_encode_release(message))
+
+
+def decode_holder(
+    message: pb.HolderMessage, holder: str
+) -> HolderMessage | None:
+    """Decode a message of a holder; ``None`` for an unknown kind.
+
+    :param holder: the name that the holder gave on its stream
+    """
+    match message.WhichOneof("kind"):
+        case "ask":
+            return _decode_ask(message.ask, holder)
+        case "withdraw":
+            return Withdraw(message.withdraw.ask_id)
+        case "first_token":
+            first = message.first_token
+            return FirstToken(first.ask_id, first.after_s)
+        case "release":
+            return _decode_release(message.release)
+        case _:
+            return None
+
+
+def encode_owner(message: OwnerMessage) -> pb.OwnerMessage:
+    """Encode a message of an owner."""
+    match message:
+        case Grant(ask_id=ask_id, backend=backend):
+            grant = pb.Grant(ask_id=ask_id, backend=backend)
+            return pb.OwnerMessage(grant=grant)
+        case Refuse(ask_id=ask_id, reason=reason, retry_after_s=after_s):
+            refuse = pb.Refuse(
+                ask_id=ask_id, reason=reason.value, retry_after_s=after_s
+            )
+            return pb.OwnerMessage(refuse=refuse)
+        case Revoke(ask_id=ask_id):
+            return pb.OwnerMessage(revoke=pb.Revoke(ask_id=ask_id))
+
+
+def decode_owner(message: pb.OwnerMessage) -> OwnerMessage | None:
+    """Decode a message of an owner; ``None`` for an unknown kind."""
+    match message.WhichOneof("kind"):
+        case "grant":
+            return Grant(message.grant.ask_id, message.grant.backend)
+        case "refuse":
+            refuse = message.refuse
+            return Refuse(
+                refuse.ask_id, _reason(refuse.reason), refuse.retry_after_s
+            )
+        case "revoke":
+            return Revoke(message.revoke.ask_id)
+        case _:
+            return None
+
+
+def encode_owner_batch(
+    messages: Iterable[OwnerMessage], loads: Mapping[str, CellLoad]
+) -> pb.OwnerBatch:
+    """Encode many messages of an owner, and its cells' loads by name."""
+    return pb.OwnerBatch(
+        messages=[encode_owner(message) for message in messages],
+        loads=[_encode_load(name, load) for name, load in loads.items()],
+    )
+
+
+def decode_loads(batch: pb.OwnerBatch) -> dict[str, CellLoad]:
+    """Decode the loads of an owner's cells, by name."""
+    return {
+        load.pool: CellLoad(
+            load.free_slots, load.queued_online, load.queued_batch
+        )
+        for load in batch.loads
+    }
+
+
+def _encode_ask(ask: Ask) -> pb.Ask:
+    return pb.Ask(
+        ask_id=ask.ask_id,
+        pool=ask.pool,
+        customer=ask.customer,
+        batch=ask.work_class is WorkClass.BATCH,
+        budget_s=ask.budget_s,
+        prompt_tokens=_uint32(ask.prompt_tokens),
+        output_tokens=_uint32(ask.output_tokens),
+        prefix=ask.prefix,
+        avoid=ask.avoid,
+        revocable=ask.revocable,
+        version=ask.version,
+        granted=ask.granted,
+    )
+
+
+def _decode_ask(ask: pb.Ask, holder: str) -> Ask:
+    return Ask(
+        ask_id=ask.ask_id,
+        holder=holder,
+        pool=ask.pool,
+        customer=ask.customer,
+        work_class=WorkClass.BATCH if ask.batch else WorkClass.ONLINE,
+        budget_s=ask.budget_s,
+        prompt_tokens=ask.prompt_tokens,
+        output_tokens=ask.output_tokens,
+        prefix=tuple(ask.prefix),
+        avoid=tuple(ask.avoid),
+        revocable=ask.revocable,
+        version=ask.version,
+        granted=ask.granted,
+    )
+
+
+def _encode_release(release: Release) -> pb.Release:
+    return pb.Release(
+        ask_id=release.ask_id,
+        outcome=release.outcome.value,
+        service_s=release.service_s,
+        tokens=_uint32(release.tokens),
+        gap_s=release.gap_s,
+    )
+
+
+def _decode_release(release: pb.Release) -> Release:
+    try:
+        outcome = ReleaseOutcome(release.outcome)
+    except ValueError:
+        outcome = ReleaseOutcome.CANCELLED
+    return Release(
+        release.ask_id,
+        outcome,
+        release.service_s,
+        release.tokens,
+        release.gap_s,
+    )
+
+
+def _encode_load(name: str, load: CellLoad) -> pb.PoolLoad:
+    return pb.PoolLoad(
+        pool=name,
+        free_slots=_uint32(load.free_slots),
+        queued_online=_uint32(load.queued_online),
+        queued_batch=_uint32(load.queued_batch),
+    )
+
+
+def _reason(value: str) -> RefusalReason:
+    try:
+        return RefusalReason(value)
+    except ValueError:
+        return RefusalReason.QUEUE_FULL
+
+
+def _uint32(value: int) -> int:
+    return min(MAX_UINT32, max(0, value))
+
+
+__all__ = [
+    "decode_holder",
+    "decode_loads",
+    "decode_owner",
+    "encode_holder",
+    "encode_owner",
+    "encode_owner_batch",
+]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_fallback.py
@@ -0,0 +1,53 @@
+"""A holder's own share of the slots while an owner can't be reached."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from mulberrypass.model.objects import Backend
+    from mulberrypass.policy.messages import Ask
+
+
+class LocalShare:
+    """Counts online work that runs without an owner's permit."""
+
+    def __init__(self) -> None:
+        self._running: Counter[str] = Counter()
+
+    def choose(
+        self, ask: Ask, backends: Iterable[Backend], members: int
+    ) -> str | None:
+        """Choose the least used backend server with a free local slot.
+
+        :param backends: those that are not leaving
+        :param members: live members that may do the same
+        """
+        free = [
+            (self._running[backend.name] / share, backend.name)
+            for backend in backends
+            if backend.name not in ask.avoid
+            for share in (max(1, backend.slots // max(1, members)),)
+            if self._running[backend.name] < share
+        ]
+        return min(free)[1] if free else None
+
+    def started(self, backend: str) -> None:
+        """Count work in."""
+        self._running[backend] += 1
+
+    def ended(self, backend: str) -> None:
+        """Count work out."""
+        self._running[backend] -= 1
+        if self._running[backend] <= 0:
+            del self._running[backend]
+
+    def running(self) -> dict[str, int]:
+        """Count the work that runs, by backend server."""
+        return dict(self._running)
+
+
+__all__ = ["LocalShare"]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_routes.py
@@ -0,0 +1,105 @@
+"""Which cell and owner a holder's asks go to."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.cells import CellKey, choose, cut, owner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.model.objects import Backend
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.api import Membership
+    from mulberrypass.policy.cells import CellLoad
+
+OWNER_PROGRAM = "entry"
+
+
+class CellRoutes:
+    """Reads the configuration and the members, and picks cells."""
+
+    def __init__(
+        self,
+        zone: str,
+        membership: Membership,
+        configuration: ConfigurationSource,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._zone = zone
+        self._membership = membership
+        self._configuration = configuration
+        self._rng = rng or random.Random()
+        self._owners: dict[CellKey, str] = {}
+        self._live: list[str] | None = None
+        self.loads: dict[str, CellLoad] = {}
+
+    def cells(self, pool: str) -> tuple[CellKey, ...]:
+        """Give the cells of a pool; none where there is no such pool."""
+        found = self._configuration.current().pools.get(pool)
+        count = len(cut(found.backends)) if found else 0
+        return tuple(CellKey(pool, index) for index in range(count))
+
+    def backends(self, key: CellKey) -> list[Backend]:
+        """Give the backend servers of a cell that are not leaving."""
+        cfg = self._configuration.current()
+        pool = cfg.pools.get(key.pool)
+        parts = cut(pool.backends) if pool else ()
+        if key.index >= len(parts):
+            return []
+        leaving = self._membership.leaving_backends()
+        return [
+            cfg.backends[name]
+            for name in parts[key.index]
+            if name in cfg.backends and name not in leaving
+        ]
+
+    def owner(self, key: CellKey) -> str:
+        """Name the live member that owns a cell; empty where none is."""
+        if key not in self._owners:
+            self._owners[key] = owner(key, self.live_names()) or ""
+        return self._owners[key]
+
+    def live_names(self) -> list[str]:
+        """Name the live members that may own cells."""
+        if self._live is None:
+            live = self._membership.live(OWNER_PROGRAM)
+            self._live = [member.name for member in live]
+        return self._live
+
+    def forget_owners(self) -> None:
+        """Look at the members again, as they have changed."""
+        self._owners.clear()
+        self._live = None
+
+    def choose(
+        self, pool: str, answers: Callable[[CellKey], bool]
+    ) -> CellKey | None:
+        """Choose a cell of a pool.
+
+        :param answers: whether the owner of a cell answers; others are
+            chosen only where none does
+        """
+        keys = self.cells(pool)
+        if len(keys) > 1:
+            keys = tuple(filter(answers, keys)) or keys
+        if not keys:
+            return None
+        return choose(keys, self.loads, self._near, self._rng.randrange)
+
+    def cell_of(self, pool: str, backend: str) -> CellKey | None:
+        """Give the cell that a backend server is in now."""
+        found = self._configuration.current().pools.get(pool)
+        parts = cut(found.backends) if found else ()
+        for index, names in enumerate(parts):
+            if backend in names:
+                return CellKey(pool, index)
+        return None
+
+    def _near(self, key: CellKey) -> bool:
+        return any(b.zone == self._zone for b in self.backends(key))
+
+
+__all__ = ["CellRoutes", "OWNER_PROGRAM"]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_session.py
@@ -0,0 +1,204 @@
+"""A holder's connections to the owners of cells."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+
+from mulberrypass.peer.peer_grpc import PeerStub
+import mulberrypass.peer.peer_pb2 as pb
+from mulberrypass.peer.permit_codec import (
+    decode_loads,
+    decode_owner,
+    encode_holder,
+)
+from mulberrypass.peer.permit_inbox import OwnerReply
+from mulberrypass.peer.permit_outbox import Outbox
+from mulberrypass.peer.server import KEY_HEADER
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    import ssl
+
+    from mulberrypass.peer.api import Member
+    from mulberrypass.policy.messages import HolderMessage
+
+LOG = get_logger(__name__)
+CONNECT_TIMEOUT_S = 1.0
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+REFUSED_SILENCE_S = 1.0
+
+
+class OwnerSession(ABC):
+    """A connection to one owner; used on the peer loop only.
+
+    :ivar silent_since: since when an answer is awaited, else ``None``
+    """
+
+    def __init__(
+        self,
+        owner: str,
+        clock: Callable[[], float],
+        on_reply: Callable[[OwnerSession, OwnerReply], None],
+        on_open: Callable[[OwnerSession], None],
+    ) -> None:
+        self.owner = owner
+        self.address = ""
+        self.clock = clock
+        self.on_reply = on_reply
+        self.on_open = on_open
+        self.silent_since: float | None = None
+        self.sent_at = 0.0
+        self.open = False
+
+    @abstractmethod
+    def start(self) -> None:
+        """Connect, and stay connected."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """End the connection."""
+
+    def reset(self) -> None:
+        """Connect anew, as the connection gives no sign."""
+        since = self.silent_since
+        self.stop()
+        self.start()
+        self.silent_since = since
+
+    @abstractmethod
+    def send(self, messages: Iterable[HolderMessage]) -> None:
+        """Send messages, if the connection is open."""
+
+    def silent_s(self, now: float) -> float:
+        """Give the seconds for which an answer has been awaited."""
+        return 0.0 if self.silent_since is None else now - self.silent_since
+
+    def awaiting(self) -> None:
+        """Note that something was sent that is answered."""
+        self.sent_at = self.clock()
+        if self.silent_since is None:
+            self.silent_since = self.sent_at
+
+    def opened(self) -> None:
+        """Note that the connection is open."""
+        self.open = True
+        self.on_open(self)
+
+    def closed(self) -> None:
+        """Note that the connection is lost."""
+        self.open = False
+        if self.silent_since is None:
+            self.silent_since = self.clock()
+
+    def replied(self, reply: OwnerReply) -> None:
+        """Take in a reply."""
+        self.silent_since = None
+        self.on_reply(self, reply)
+
+
+class StreamSession(OwnerSession):
+    """A long-lived stream to the owner in another process."""
+
+    def __init__(
+        self,
+        me: Member,
+        peer: Member,
+        port: int,
+        key: str,
+        clock: Callable[[], float],
+        on_reply: Callable[[OwnerSession, OwnerReply], None],
+        on_open: Callable[[OwnerSession], None],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__(peer.name, clock, on_reply, on_open)
+        self.address = peer.address
+        self._me = me
+        self._port = port
+        self._key = key
+        self._tls = tls
+        self._outbox: Outbox[HolderMessage] = Outbox()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Connect, and connect again whenever the stream ends."""
+        self.silent_since = self.clock()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """End the stream."""
+        self.open = False
+        if self._task is not None:
+            self._task.cancel()
+
+    def send(self, messages: Iterable[HolderMessage]) -> None:
+        """Send messages, if the stream is open."""
+        if self.open:
+            self._outbox.put(messages)
+            self.awaiting()
+
+    async def _run(self) -> None:
+        wait_s = FIRST_RETRY_S
+        while True:
+            began = self.clock()
+            try:
+                await self._serve()
+            except asyncio.CancelledError:
+                raise
+            except ConnectionRefusedError:
+                self.silent_since = self.clock() - REFUSED_SILENCE_S
+            except Exception as exc:
+                LOG.info("owner lost", owner=self.owner, error=repr(exc))
+            if self.open:
+                wait_s = FIRST_RETRY_S
+            self.closed()
+            await asyncio.sleep(max(0.0, began + wait_s - self.clock()))
+            wait_s = min(MAX_RETRY_S, wait_s * 2)
+
+    async def _serve(self) -> None:
+        """Open a stream, and take in replies until it ends."""
+        channel = Channel(self.address, self._port, ssl=self._tls or None)
+        try:
+            await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
+            stub = PeerStub(channel)
+            metadata = {KEY_HEADER: self._key}
+            async with stub.Permits.open(metadata=metadata) as stream:
+                self._outbox = Outbox()
+                await stream.send_message(self._hello())
+                sender = asyncio.get_running_loop().create_task(
+                    self._outbox.run(
+                        lambda batch: stream.send_message(_encode(batch))
+                    )
+                )
+                try:
+                    self.awaiting()
+                    self.opened()
+                    async for reply in stream:
+                        self.replied(_decode(reply))
+                finally:
+                    sender.cancel()
+        finally:
+            channel.close()
+
+    def _hello(self) -> pb.HolderBatch:
+        return pb.HolderBatch(
+            holder=self._me.name, incarnation=self._me.incarnation
+        )
+
+
+def _encode(messages: list[HolderMessage]) -> pb.HolderBatch:
+    return pb.HolderBatch(messages=[encode_holder(m) for m in messages])
+
+
+def _decode(batch: pb.OwnerBatch) -> OwnerReply:
+    decoded = (decode_owner(message) for message in batch.messages)
+    messages = tuple(m for m in decoded if m is not None)
+    return OwnerReply(messages, decode_loads(batch))
+
+
+__all__ = ["OwnerSession", "StreamSession"]
--- /dev/null
+++ b/src/mulberrypass/peer/permit_streams.py
@@ -0,0 +1,71 @@
+"""Serves the permit streams of holders on the peer loop."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+from mulberrypass.peer.permit_codec import decode_holder, encode_owner_batch
+from mulberrypass.peer.permit_outbox import Outbox
+from mulberrypass.peer.server import PermitsHandler
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from mulberrypass.peer.owner import OwnerTask
+    import mulberrypass.peer.peer_pb2 as pb
+    from mulberrypass.peer.permit_inbox import OwnerReply
+
+LOG = get_logger(__name__)
+
+
+class PermitStreams(PermitsHandler):
+    """Serves holders' streams; runs on the peer loop."""
+
+    def __init__(self, owner: OwnerTask) -> None:
+        self._owner = owner
+
+    async def permits(
+        self, stream: Stream[pb.HolderBatch, pb.OwnerBatch]
+    ) -> None:
+        """Serve one holder's stream until it ends."""
+        batch = await stream.recv_message()
+        if batch is None or not batch.holder:
+            return
+        holder = batch.holder
+        outbox: Outbox[OwnerReply] = Outbox()
+        loop = asyncio.get_running_loop()
+        session = self._owner.join(holder, partial(_post, loop, outbox))
+        sender = loop.create_task(outbox.run(partial(_send, stream)))
+        try:
+            while batch is not None:
+                decoded = (decode_holder(m, holder) for m in batch.messages)
+                messages = [m for m in decoded if m is not None]
+                self._owner.receive(session, messages)
+                batch = await stream.recv_message()
+        finally:
+            sender.cancel()
+            self._owner.leave(session)
+
+
+def _post(
+    loop: asyncio.AbstractEventLoop,
+    outbox: Outbox[OwnerReply],
+    reply: OwnerReply,
+) -> None:
+    try:
+        loop.call_soon_threadsafe(outbox.put, (reply,))
+    except RuntimeError:
+        LOG.info("loop closed before a reply was sent")
+
+
+async def _send(
+    stream: Stream[pb.HolderBatch, pb.OwnerBatch], replies: list[OwnerReply]
+) -> None:
+    messages = [m for reply in replies for m in reply.messages]
+    await stream.send_message(encode_owner_batch(messages, replies[-1].loads))
+
+
+__all__ = ["PermitStreams"]
--- /dev/null
+++ b/src/mulberrypass/policy/admission.py
@@ -0,0 +1,341 @@
+"""Admission to the engines of one cell, as a pure state machine."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.cell_dispatch import CellDecision, Dispatcher
+from mulberrypass.policy.cell_ledger import Ledger
+from mulberrypass.policy.cell_pacing import BatchPace
+from mulberrypass.policy.cell_settings import CellSettings
+from mulberrypass.policy.cells import CellLoad
+from mulberrypass.policy.health import HealthBoard
+from mulberrypass.policy.messages import (
+    Ask,
+    FirstToken,
+    Grant,
+    RefusalReason,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+    Revoke,
+    Withdraw,
+    WorkClass,
+)
+from mulberrypass.policy.queue_wait import ServiceEstimate, wait_s
+from mulberrypass.policy.queueing import Queued, lane_of, work_of
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+    from mulberrypass.model.objects import Backend, Customer, Quota
+    from mulberrypass.policy.cell_engines import Engine, Permit
+    from mulberrypass.policy.cell_permits import PermitBook
+    from mulberrypass.policy.messages import HolderMessage, OwnerMessage
+    from mulberrypass.policy.queueing import FairQueue
+
+MIN_TOKENS_FOR_RATE = 8
+RETRY_AFTER_S = 1.0
+
+
+class Cell:
+    """One queue over all engines of a cell.
+
+    No method waits or reads a clock; each gives the messages to be sent.
+    """
+
+    def __init__(
+        self, settings: CellSettings | None = None, now: float = 0.0
+    ) -> None:
+        self.settings = settings or CellSettings()
+        self.pace = BatchPace(self.settings.pacing)
+        self.health = HealthBoard(self.settings.health)
+        self._ledger = Ledger(self.settings)
+        self._dispatcher = Dispatcher(
+            self.settings,
+            self._ledger,
+            self.health,
+            self.pace,
+            now + self.settings.settle_s,
+        )
+        self._service = ServiceEstimate()
+        self._sequence = 0
+        self._out: list[CellDecision] = []
+
+    def configure(
+        self,
+        backends: Iterable[Backend],
+        customers: Mapping[str, Customer],
+        quotas: Mapping[str, Quota],
+        leaving: Collection[str],
+        members: Mapping[str, str],
+        now: float,
+        *,
+        cells: int = 1,
+        loaded: Mapping[str, frozenset[str]] | None = None,
+    ) -> list[CellDecision]:
+        """Set what the cell consists of.
+
+        :param leaving: backend servers that get nothing new
+        :param members: zones of the holders known to live, by name
+        :param cells: cells of the pool, over which limits are divided
+        :param loaded: versions that backend servers have, where known
+        """
+        self._ledger.set_engines(backends, leaving, loaded or {})
+        self.health.set_engines(self._ledger.usable())
+        weights = {name: c.weight for name, c in customers.items()}
+        for queue in self._dispatcher.queues:
+            queue.set_weights(weights)
+        self._ledger.limits.configure(customers, quotas, cells, now)
+        self._dispatcher.zones = members
+        for holder in self._ledger.holders() - set(members):
+            self._lose_holder(holder, now)
+        self._refuse_unservable()
+        return self._run(now)
+
+    def handle(self, message: HolderMessage, now: float) -> list[CellDecision]:
+        """Take in one message of a holder."""
+        match message:
+            case Ask():
+                self._on_ask(message, now)
+            case Withdraw(ask_id=ask_id):
+                self._on_withdraw(ask_id)
+            case FirstToken():
+                self._on_first_token(message, now)
+            case Release():
+                self._on_release(message, now)
+        return self._run(now)
+
+    def holder_gone(self, holder: str, now: float) -> list[CellDecision]:
+        """Drop a lost holder's asks; its permits stay for a grace period."""
+        self._lose_holder(holder, now)
+        return self._run(now)
+
+    def tick(self, now: float) -> list[CellDecision]:
+        """Drop late asks, reclaim permits, and let paced work go on."""
+        for queue in self._dispatcher.queues:
+            for queued in queue.expired(now):
+                self._refuse(queued.ask, RefusalReason.DEADLINE, 0.0)
+        for permit in self.permits.overdue(now):
+            self._ledger.end(permit)
+        self.pace.tick(now)
+        if self.health.due(now):
+            self.health.evaluate(now, self._ledger.overdue(now))
+        return self._run(now)
+
+    def close(self) -> list[CellDecision]:
+        """Refuse all that is queued, as another member owns the cell now."""
+        for queue in self._dispatcher.queues:
+            for queued in queue:
+                queue.remove(queued.ask.ask_id)
+                self._refuse(queued.ask, RefusalReason.NOT_OWNER, 0.0)
+        return self._take_out()
+
+    def cache_hint(self, backend: str, stored: bool, block: int) -> None:
+        """Take in an engine's late report on its prefix cache."""
+        engine = self.engines.get(backend)
+        if engine is None:
+            return
+        if stored:
+            engine.prefixes.remember((block,))
+        else:
+            engine.prefixes.forget(block)
+
+    def load(self) -> CellLoad:
+        """Give what holders choose a cell by."""
+        free = sum(
+            max(0, engine.backend.slots - engine.running + engine.revocable)
+            for engine in self.engines.values()
+            if not engine.leaving
+        )
+        online, batch = self._dispatcher.queues
+        return CellLoad(free, len(online), len(batch))
+
+    @property
+    def engines(self) -> Mapping[str, Engine]:
+        """The engines and what runs on them, by name."""
+        return self._ledger.engines
+
+    @property
+    def permits(self) -> PermitBook:
+        """The permits in use."""
+        return self._ledger.permits
+
+    def queued(self, work_class: WorkClass) -> FairQueue:
+        """Give the queue of a class."""
+        return self._dispatcher.queue(work_class)
+
+    def running(self) -> dict[str, dict[str, int]]:
+        """Count running work by class and customer."""
+        return self._ledger.limits.running()
+
+    def knows(self, ask_id: str) -> bool:
+        """Whether an ask is queued here or has a permit."""
+        if self.permits.get(ask_id) is not None:
+            return True
+        return any(ask_id in queue for queue in self._dispatcher.queues)
+
+    def may_run(self, customer: str, work_class: WorkClass) -> bool:
+        """Whether a customer is below its limit."""
+        return self._dispatcher.may_run(customer, work_class)
+
+    def _on_ask(self, ask: Ask, now: float) -> None:
+        permit = self.permits.get(ask.ask_id)
+        if permit is not None:
+            self._on_known_permit(permit, ask)
+        elif ask.granted:
+            self._dispatcher.adopt(ask, now)
+        elif ask.ask_id not in self.queued(ask.work_class):
+            self._on_new_ask(ask, now)
+
+    def _on_known_permit(self, permit: Permit, ask: Ask) -> None:
+        """Answer again, as the first answer may be lost."""
+        self._ledger.keep(permit)
+        if not ask.granted:
+            self._send(permit.ask, Grant(ask.ask_id, permit.backend))
+        if permit.revoked:
+            self._send(permit.ask, Revoke(ask.ask_id))
+
+    def _on_new_ask(self, ask: Ask, now: float) -> None:
+        if not self._ledger.servable(ask):
+            self._refuse(ask, RefusalReason.NO_BACKEND, RETRY_AFTER_S)
+            return
+        online = ask.work_class is WorkClass.ONLINE
+        if online:
+            wait = self._ledger.limits.rate_wait_s(ask.customer, now)
+            if wait > 0:
+                self._refuse(ask, RefusalReason.CUSTOMER_LIMIT, wait)
+                return
+        work = work_of(ask.prompt_tokens, ask.output_tokens)
+        least = self._service.expected_s(work) if online else 0.0
+        least *= self.settings.service_margin
+        wait = self._wait_s(ask) if online else 0.0
+        if ask.budget_s <= 0 or wait + least > ask.budget_s:
+            self._refuse(ask, RefusalReason.DEADLINE, wait)
+            return
+        self._sequence += 1
+        deadline = now + ask.budget_s
+        drop_at = deadline - least
+        lane = lane_of(ask)
+        self._enqueue(
+            Queued(ask, work, deadline, drop_at, self._sequence, lane)
+        )
+
+    def _enqueue(self, queued: Queued) -> None:
+        """Queue an ask; a full queue drops of who has most queued."""
+        ask = queued.ask
+        queue = self.queued(ask.work_class)
+        if len(queue) >= self._most_queued(ask.work_class):
+            longest = queue.longest()
+            mine = queue.share_of(ask.customer, queued.work)
+            if longest is None or mine >= queue.share_of(longest.ask.customer):
+                self._refuse(ask, RefusalReason.QUEUE_FULL, RETRY_AFTER_S)
+                return
+            queue.remove(longest.ask.ask_id)
+            reason = RefusalReason.QUEUE_FULL
+            self._refuse(longest.ask, reason, RETRY_AFTER_S)
+        queue.add(queued)
+
+    def _on_withdraw(self, ask_id: str) -> None:
+        for queue in self._dispatcher.queues:
+            if queue.remove(ask_id) is not None:
+                return
+        permit = self.permits.get(ask_id)
+        if permit is not None:
+            self._ledger.end(permit)
+
+    def _on_first_token(self, message: FirstToken, now: float) -> None:
+        permit = self.permits.get(message.ask_id)
+        if permit is None or not permit.prefilling:
+            return
+        permit.first_after_s = message.after_s
+        self.engines[permit.backend].first_token(permit)
+        steps = message.after_s / permit.expected_steps
+        self.health.first_token(permit.backend, steps, now)
+        if not permit.batch:
+            self.pace.first_token(message.after_s)
+
+    def _on_release(self, message: Release, now: float) -> None:
+        permit = self.permits.get(message.ask_id)
+        if permit is None:
+            return
+        self._ledger.end(permit)
+        match message.outcome:
+            case ReleaseOutcome.DONE:
+                self._learn(permit, message, now)
+            case ReleaseOutcome.FAILED:
+                self.health.failed(permit.backend, now)
+
+    def _learn(self, permit: Permit, message: Release, now: float) -> None:
+        if not permit.batch:
+            self._service.observe(permit.work, message.service_s)
+            if message.gap_s > 0:
+                self.pace.gap(message.gap_s)
+        if message.tokens == 0:
+            self.health.service(permit.backend, message.service_s, now)
+        elif message.tokens >= MIN_TOKENS_FOR_RATE:
+            decode_s = message.service_s - permit.first_after_s
+            token_s = decode_s / message.tokens
+            self.health.service(permit.backend, token_s, now)
+        work = work_of(permit.ask.prompt_tokens, message.tokens)
+        queue = self.queued(permit.ask.work_class)
+        queue.settle(permit.ask.customer, work - permit.work)
+
+    def _wait_s(self, ask: Ask) -> float:
+        """Estimate how long an online ask waits for a slot."""
+        queue = self.queued(WorkClass.ONLINE)
+        limits = self._ledger.limits
+        if not len(queue) and self.may_run(ask.customer, WorkClass.ONLINE):
+            return 0.0
+        slots = sum(
+            engine.backend.slots - engine.fixed
+            for engine in self.engines.values()
+            if engine.serves(ask)
+        )
+        work = queue.work_ahead(ask.customer)
+        wait = wait_s(self._service.expected_s(work), slots)
+        most = limits.most_running(ask.customer, WorkClass.ONLINE)
+        if most is None:
+            return wait
+        own = self._service.expected_s(queue.work_of(ask.customer))
+        return max(wait, wait_s(own, min(slots, most)))
+
+    def _refuse_unservable(self) -> None:
+        for queue in self._dispatcher.queues:
+            for queued in queue:
+                if not self._ledger.servable(queued.ask):
+                    queue.remove(queued.ask.ask_id)
+                    reason = RefusalReason.NO_BACKEND
+                    self._refuse(queued.ask, reason, RETRY_AFTER_S)
+
+    def _lose_holder(self, holder: str, now: float) -> None:
+        for queue in self._dispatcher.queues:
+            for queued in queue:
+                if queued.ask.holder == holder:
+                    queue.remove(queued.ask.ask_id)
+        self._ledger.lose_holder(holder, now)
+
+    def _most_queued(self, work_class: WorkClass) -> int:
+        if work_class is WorkClass.ONLINE:
+            return self.settings.max_queued_online
+        return self.settings.max_queued_batch
+
+    def _refuse(self, ask: Ask, reason: RefusalReason, wait: float) -> None:
+        most = self.settings.max_retry_after_s
+        retry_after_s = min(most, wait) if math.isfinite(wait) else most
+        self._send(ask, Refuse(ask.ask_id, reason, retry_after_s))
+
+    def _send(self, ask: Ask, message: OwnerMessage) -> None:
+        self._out.append(CellDecision(ask.holder, message))
+
+    def _run(self, now: float) -> list[CellDecision]:
+        self._out.extend(self._dispatcher.run(now))
+        return self._take_out()
+
+    def _take_out(self) -> list[CellDecision]:
+        out, self._out = self._out, []
+        return out
+
+
+__all__ = ["Cell", "CellDecision"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -0,0 +1,178 @@
+"""Grants what is queued in a cell, and takes back batch permits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.messages import Grant, Revoke, WorkClass
+from mulberrypass.policy.queueing import FairQueue
+from mulberrypass.policy.routing import Router
+
+if TYPE_CHECKING:
+    from collections.abc import Generator, Iterator, Mapping
+
+    from mulberrypass.policy.cell_engines import Permit
+    from mulberrypass.policy.cell_ledger import Ledger
+    from mulberrypass.policy.cell_pacing import BatchPace
+    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.health import HealthBoard
+    from mulberrypass.policy.messages import Ask, OwnerMessage
+    from mulberrypass.policy.queueing import Lane, Queued
+    from mulberrypass.policy.routing import Choice
+
+
+@dataclass(frozen=True, slots=True)
+class CellDecision:
+    """A message that the owner of a cell sends to a holder."""
+
+    holder: str
+    message: OwnerMessage
+
+
+class Dispatcher:
+    """Serves online asks first, then batch asks, each class in fair order."""
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        ledger: Ledger,
+        health: HealthBoard,
+        pace: BatchPace,
+        batch_from: float,
+    ) -> None:
+        self._settings = settings
+        self._ledger = ledger
+        self._health = health
+        self._pace = pace
+        self._batch_from = batch_from
+        self._router = Router(settings, health)
+        self.zones: Mapping[str, str] = {}
+        self.online = FairQueue()
+        self.batch = FairQueue()
+
+    @property
+    def queues(self) -> tuple[FairQueue, FairQueue]:
+        """The queues of both classes."""
+        return self.online, self.batch
+
+    def queue(self, work_class: WorkClass) -> FairQueue:
+        """Give the queue of a class."""
+        if work_class is WorkClass.ONLINE:
+            return self.online
+        return self.batch
+
+    def run(self, now: float) -> Iterator[CellDecision]:
+        """Grant what may be granted now."""
+        if len(self.online):
+            waits = yield from self._fill(WorkClass.ONLINE, now)
+            if waits:
+                yield from self._revoke(now)
+                return
+        if len(self.batch) and now >= self._batch_from:
+            yield from self._fill(WorkClass.BATCH, now)
+
+    def adopt(self, ask: Ask, now: float) -> None:
+        """Count in work that runs by a former owner's permit."""
+        engine = self._ledger.engines.get(ask.granted)
+        if engine is not None:
+            choice = self._router.choice(ask, engine, "", now)
+            self._admit(replace(ask, granted=""), choice, now)
+
+    def may_run(self, customer: str, work_class: WorkClass) -> bool:
+        """Whether a customer is below its limit."""
+        return self._ledger.limits.room(customer, work_class) > 0
+
+    def _fill(
+        self, work_class: WorkClass, now: float
+    ) -> Generator[CellDecision, None, bool]:
+        """Grant in fair order; whether an eligible ask waits for room."""
+        queue = self.queue(work_class)
+        engines = self._ledger.engines.values()
+        if not any(
+            self._router.has_slot(engine, work_class, now)
+            for engine in engines
+        ):
+            return any(self.may_run(c, work_class) for c in queue.customers)
+        full: set[Lane] = set()
+        found = self._next(work_class, full, now)
+        while found is not None:
+            queued, choice = found
+            queue.serve(queued)
+            budget_s = queued.deadline - now
+            ask = replace(queued.ask, budget_s=budget_s)
+            self._admit(ask, choice, now)
+            grant = Grant(ask.ask_id, choice.engine.backend.name)
+            yield CellDecision(ask.holder, grant)
+            found = self._next(work_class, full, now)
+        return bool(full)
+
+    def _next(
+        self, work_class: WorkClass, full: set[Lane], now: float
+    ) -> tuple[Queued, Choice] | None:
+        """Find the first ask that an engine has room for.
+
+        :param full: lanes without room; those found are added
+        """
+        queue = self.queue(work_class)
+        choose = self._router.online
+        if work_class is WorkClass.BATCH:
+            choose = self._router.batch
+        engines = self._ledger.engines.values()
+        for queued in queue.scan(lambda c: self.may_run(c, work_class)):
+            if queued.lane in full:
+                continue
+            zone = self.zones.get(queued.ask.holder, "")
+            choice = choose(queued.ask, engines, zone, now)
+            if choice is not None:
+                return queued, choice
+            full.add(queued.lane)
+            if len(full) >= queue.lanes:
+                break
+        return None
+
+    def _admit(self, ask: Ask, choice: Choice, now: float) -> None:
+        permit = self._ledger.admit(ask, choice, now)
+        if choice.probe:
+            self._health.probed(permit.backend, now)
+        if permit.batch:
+            rest = self._pace.interval_s(permit.uncached_tokens)
+            choice.engine.batch_ready_at = now + rest
+
+    def _revoke(self, now: float) -> Iterator[CellDecision]:
+        """Take back batch permits for online asks that found no slot."""
+        engines = self._ledger.engines
+        permits = self._ledger.permits
+        need = self._waiting_online()
+        need -= sum(engine.revoked for engine in engines.values())
+        for permit in tuple(permits.revocable()):
+            if need <= 0:
+                return
+            if not self._worth_revoking(permit, now):
+                continue
+            need -= 1
+            engines[permit.backend].revoke(permit)
+            permits.revoked(permit)
+            at = now + self._settings.revoke_grace_s
+            permits.reclaim_at(permit, min(permit.reclaim_at, at))
+            ask = permit.ask
+            yield CellDecision(ask.holder, Revoke(ask.ask_id))
+
+    def _worth_revoking(self, permit: Permit, now: float) -> bool:
+        """Whether online work may use the slot once it is free."""
+        engine = self._ledger.engines[permit.backend]
+        slots = engine.backend.slots
+        cap = self._health.cap(permit.backend, slots, now)
+        after = engine.running - engine.revoked - 1
+        return not engine.leaving and after < cap
+
+    def _waiting_online(self) -> int:
+        limits = self._ledger.limits
+        rooms = (
+            min(count, limits.room(name, WorkClass.ONLINE))
+            for name, count in self.online.counts().items()
+        )
+        return int(sum(rooms))
+
+
+__all__ = ["CellDecision", "Dispatcher"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_ledger.py
@@ -0,0 +1,122 @@
+"""What runs on the engines of a cell, by whom and until when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.cell_engines import Engine, Permit, PrefixTable
+from mulberrypass.policy.cell_limits import CustomerLimits
+from mulberrypass.policy.cell_permits import PermitBook
+from mulberrypass.policy.queueing import work_of
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+    from mulberrypass.model.objects import Backend
+    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.messages import Ask
+    from mulberrypass.policy.routing import Choice
+
+
+class Ledger:
+    """Engines, permits and customers' running work, kept in step."""
+
+    def __init__(self, settings: CellSettings) -> None:
+        self._settings = settings
+        self.engines: dict[str, Engine] = {}
+        self.permits = PermitBook()
+        self.limits = CustomerLimits()
+        self._chosen = 0
+
+    def set_engines(
+        self,
+        backends: Iterable[Backend],
+        leaving: Collection[str],
+        loaded: Mapping[str, frozenset[str]],
+    ) -> None:
+        """Set the backend servers; those gone stay until they are idle."""
+        present = {backend.name: backend for backend in backends}
+        for name, backend in present.items():
+            engine = self.engines.get(name)
+            if engine is None:
+                most = self._settings.routing.max_prefixes
+                engine = Engine(backend, PrefixTable(most))
+                self.engines[name] = engine
+            engine.backend = backend
+            engine.leaving = name in leaving
+            engine.loaded = loaded.get(name)
+        for name in tuple(self.engines):
+            if name not in present:
+                self.engines[name].leaving = True
+                if not self.engines[name].running:
+                    del self.engines[name]
+
+    def usable(self) -> list[str]:
+        """Name the engines that may get new work."""
+        return [n for n, e in self.engines.items() if not e.leaving]
+
+    def servable(self, ask: Ask) -> bool:
+        """Whether any engine may ever take an ask."""
+        return any(engine.serves(ask) for engine in self.engines.values())
+
+    def admit(self, ask: Ask, choice: Choice, now: float) -> Permit:
+        """Count work in that starts now.
+
+        :param ask: with the budget that is left now
+        """
+        engine = choice.engine
+        deadline = now + max(0.0, ask.budget_s)
+        permit = Permit(
+            ask=ask,
+            backend=engine.backend.name,
+            granted_at=now,
+            deadline=deadline,
+            work=work_of(ask.prompt_tokens, ask.output_tokens),
+            uncached_tokens=choice.uncached_tokens,
+            expected_steps=choice.expected_steps,
+            reclaim_at=deadline + self._settings.release_grace_s,
+        )
+        engine.add(permit)
+        self._chosen += 1
+        engine.chosen = self._chosen
+        self.permits.add(permit)
+        self.limits.started(ask.customer, ask.work_class)
+        return permit
+
+    def end(self, permit: Permit) -> None:
+        """Count work out."""
+        self.permits.remove(permit.ask.ask_id)
+        self.engines[permit.backend].remove(permit)
+        self.limits.ended(permit.ask.customer, permit.ask.work_class)
+
+    def keep(self, permit: Permit) -> None:
+        """Note that a permit's holder still has it."""
+        if not permit.revoked:
+            at = permit.deadline + self._settings.release_grace_s
+            self.permits.reclaim_at(permit, at)
+
+    def lose_holder(self, holder: str, now: float) -> None:
+        """Reclaim a lost holder's permits after a grace period."""
+        at = now + self._settings.holder_grace_s
+        for permit in self.permits:
+            if permit.ask.holder == holder and permit.reclaim_at > at:
+                self.permits.reclaim_at(permit, at)
+
+    def holders(self) -> set[str]:
+        """Name the holders of permits."""
+        return {permit.ask.holder for permit in self.permits}
+
+    def overdue(self, now: float) -> dict[str, list[float]]:
+        """Give the ages of work without a first token, by engine.
+
+        Ages are in steps of an empty engine for each step expected.
+        """
+        ages: dict[str, list[float]] = {}
+        for permit in self.permits:
+            if permit.prefilling:
+                age = (now - permit.granted_at) / permit.expected_steps
+                ages.setdefault(permit.backend, []).append(age)
+        return ages
+
+
+__all__ = ["Ledger"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_pacing.py
@@ -0,0 +1,56 @@
+"""Paces batch prefill by what online work observes of its own latency."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mulberrypass.policy.cell_settings import PacingSettings
+
+
+class BatchPace:
+    """Rises by steps, and falls by a factor when online misses targets."""
+
+    def __init__(self, settings: PacingSettings) -> None:
+        self._settings = settings
+        self._seen = 0.0
+        self._missed = 0.0
+        self._next_at = 0.0
+        self.tokens_per_s = settings.start_tokens_per_s
+
+    def first_token(self, after_s: float) -> None:
+        """Take in an online first token."""
+        self._observe(after_s > self._settings.first_token_s)
+
+    def gap(self, gap_s: float) -> None:
+        """Take in the 95th percentile gap of an online answer."""
+        self._observe(gap_s > self._settings.gap_s)
+
+    def interval_s(self, prompt_tokens: int) -> float:
+        """Give the seconds that an engine rests after a batch prefill."""
+        return prompt_tokens / self.tokens_per_s
+
+    def tick(self, now: float) -> None:
+        """Change the pace when its interval is over."""
+        if now < self._next_at:
+            return
+        self._next_at = now + self._settings.interval_s
+        if self._missed > self._seen * self._settings.miss_share:
+            self._change(self.tokens_per_s * self._settings.decrease_factor)
+        else:
+            step = self._settings.increase_tokens_per_s
+            self._change(self.tokens_per_s + step)
+        self._seen *= self._settings.memory
+        self._missed *= self._settings.memory
+
+    def _change(self, tokens_per_s: float) -> None:
+        lowest = self._settings.min_tokens_per_s
+        highest = self._settings.max_tokens_per_s
+        self.tokens_per_s = min(highest, max(lowest, tokens_per_s))
+
+    def _observe(self, missed: bool) -> None:
+        self._seen += 1
+        self._missed += missed
+
+
+__all__ = ["BatchPace"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_permits.py
@@ -0,0 +1,75 @@
+"""The permits that a cell has granted, and when each is reclaimed."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.messages import WorkClass
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mulberrypass.policy.cell_engines import Permit
+
+
+class PermitBook:
+    """Permits by id; those that may be revoked, youngest first."""
+
+    def __init__(self) -> None:
+        self._permits: dict[str, Permit] = {}
+        self._revocable: dict[str, Permit] = {}
+        self._reclaims: list[tuple[float, int, Permit]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        """Count the permits."""
+        return len(self._permits)
+
+    def __iter__(self) -> Iterator[Permit]:
+        """Give all permits."""
+        return iter(tuple(self._permits.values()))
+
+    def get(self, ask_id: str) -> Permit | None:
+        """Give a permit."""
+        return self._permits.get(ask_id)
+
+    def add(self, permit: Permit) -> None:
+        """Add a granted permit."""
+        ask = permit.ask
+        self._permits[ask.ask_id] = permit
+        if ask.revocable and ask.work_class is WorkClass.BATCH:
+            self._revocable[ask.ask_id] = permit
+        self.reclaim_at(permit, permit.reclaim_at)
+
+    def remove(self, ask_id: str) -> Permit | None:
+        """Take a permit out."""
+        self._revocable.pop(ask_id, None)
+        return self._permits.pop(ask_id, None)
+
+    def reclaim_at(self, permit: Permit, at: float) -> None:
+        """Set when a permit is reclaimed."""
+        permit.reclaim_at = at
+        self._sequence += 1
+        heapq.heappush(self._reclaims, (at, self._sequence, permit))
+
+    def revocable(self) -> Iterator[Permit]:
+        """Give the permits that may be revoked, the youngest first."""
+        return reversed(self._revocable.values())
+
+    def revoked(self, permit: Permit) -> None:
+        """Note that a permit is on its way back."""
+        self._revocable.pop(permit.ask.ask_id, None)
+
+    def overdue(self, now: float) -> list[Permit]:
+        """Give the permits that are to be reclaimed now."""
+        due: dict[str, Permit] = {}
+        while self._reclaims and self._reclaims[0][0] <= now:
+            at, _, permit = heapq.heappop(self._reclaims)
+            standing = self._permits.get(permit.ask.ask_id) is permit
+            if standing and permit.reclaim_at == at:
+                due[permit.ask.ask_id] = permit
+        return list(due.values())
+
+
+__all__ = ["PermitBook"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -0,0 +1,112 @@
+"""Settings of the admission to one cell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class PacingSettings:
+    """How batch prefill is paced by what online work observes.
+
+    :param first_token_s: online first tokens are to come within this
+    :param gap_s: gaps between online tokens are to stay within this
+    :param miss_share: share of observations that may miss their target
+    :param interval_s: seconds between two changes of the pace
+    :param start_tokens_per_s: batch prefill tokens a second on an engine
+    """
+
+    first_token_s: float = 0.75
+    gap_s: float = 0.047
+    miss_share: float = 0.04
+    interval_s: float = 0.25
+    start_tokens_per_s: float = 8_000.0
+    min_tokens_per_s: float = 250.0
+    max_tokens_per_s: float = 40_000.0
+    increase_tokens_per_s: float = 400.0
+    decrease_factor: float = 0.7
+    memory: float = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class HealthSettings:
+    """When an engine counts as slow or failing.
+
+    :param slow_ratio: times its peers' median at which an engine is slow
+    :param well_ratio: times its peers' median at which it is well again
+    :param out_share: share of its slots below which only probes go to it
+    :param failures: failures in a row that take an engine out
+    """
+
+    slow_ratio: float = 2.0
+    well_ratio: float = 1.4
+    interval_s: float = 0.1
+    decrease_factor: float = 0.4
+    increase_step: float = 0.2
+    out_share: float = 0.05
+    probe_interval_s: float = 0.5
+    max_probe_interval_s: float = 4.0
+    samples: int = 9
+    sample_age_s: float = 3.0
+    failures: int = 3
+    first_hold_s: float = 0.5
+    max_hold_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """How the load of engines is weighed against one another.
+
+    :param block_tokens: prompt tokens that one prefix hash stands for
+    :param max_prefixes: prefix hashes remembered for an engine
+    :param occupancy_steps: what a full engine adds to an empty step
+    :param full_prefill_steps: what a full prefill adds to an empty step
+    :param zone_steps: what another zone counts for, in empty steps
+    """
+
+    block_tokens: int = 16
+    max_prefixes: int = 8_192
+    zone_steps: float = 0.05
+    occupancy_steps: float = 0.65
+    full_prefill_steps: float = 1.7
+
+
+@dataclass(frozen=True, slots=True)
+class CellSettings:
+    """Settings of one cell.
+
+    :param reserve_slots: slots of an engine that batch work leaves free
+    :param reserve_share: bound on the reserve as a share of the slots
+    :param batch_prefill_tokens: pending batch prefill beyond one item
+    :param fixed_share: share of slots for batch that can't be revoked
+    :param service_margin: share of the expected service time that must
+        fit before the deadline
+    :param release_grace_s: a permit is reclaimed so long after its deadline
+    :param holder_grace_s: permits of a lost holder are kept for this
+    :param revoke_grace_s: a revoked permit is reclaimed after this
+    :param settle_s: a new cell grants no batch work for this
+    """
+
+    reserve_slots: int = 4
+    reserve_share: float = 0.25
+    batch_prefill_tokens: int = 256
+    fixed_share: float = 0.25
+    max_queued_online: int = 1_024
+    max_queued_batch: int = 4_096
+    service_margin: float = 0.7
+    release_grace_s: float = 2.0
+    holder_grace_s: float = 2.0
+    revoke_grace_s: float = 2.0
+    settle_s: float = 0.5
+    max_retry_after_s: float = 5.0
+    pacing: PacingSettings = field(default_factory=PacingSettings)
+    health: HealthSettings = field(default_factory=HealthSettings)
+    routing: RoutingSettings = field(default_factory=RoutingSettings)
+
+
+__all__ = [
+    "CellSettings",
+    "HealthSettings",
+    "PacingSettings",
+    "RoutingSettings",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/cells.py
@@ -0,0 +1,106 @@
+"""Cells: the parts of a pool that one owner admits work to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+
+MAX_CELL_BACKENDS = 16
+SEPARATOR = "#"
+
+
+@dataclass(frozen=True, slots=True)
+class CellKey:
+    """Names one cell of a pool."""
+
+    pool: str
+    index: int
+
+    @property
+    def name(self) -> str:
+        """The name of the cell in messages between processes."""
+        return f"{self.pool}{SEPARATOR}{self.index}"
+
+
+@dataclass(frozen=True, slots=True)
+class CellLoad:
+    """What a cell's owner last said of it.
+
+    :param free_slots: slots that online work could have now
+    """
+
+    free_slots: int = 0
+    queued_online: int = 0
+    queued_batch: int = 0
+
+
+def parse(name: str) -> CellKey | None:
+    """Read the name of a cell; ``None`` where it is not one."""
+    pool, separator, index = name.rpartition(SEPARATOR)
+    if not separator or not (index.isascii() and index.isdigit()):
+        return None
+    return CellKey(pool, int(index))
+
+
+def cut(
+    backends: Iterable[str], most: int = MAX_CELL_BACKENDS
+) -> tuple[tuple[str, ...], ...]:
+    """Cut a pool's backend servers, by name, into cells of like size."""
+    names = sorted(set(backends))
+    count = -(-len(names) // most)
+    bounds = [len(names) * i // count for i in range(count + 1)]
+    return tuple(
+        tuple(names[low:high])
+        for low, high in zip(bounds, bounds[1:], strict=False)
+    )
+
+
+def owner(key: CellKey, members: Iterable[str]) -> str | None:
+    """Give the live member that admits work to a cell."""
+    return rendezvous.pick(key.name, members)
+
+
+def choose(
+    cells: Sequence[CellKey],
+    loads: Mapping[str, CellLoad],
+    near: Callable[[CellKey], bool],
+    draw: Callable[[int], int],
+) -> CellKey:
+    """Choose a cell by power of two choices over the last seen loads.
+
+    :param cells: at least one
+    :param near: whether a cell has engines in the holder's zone
+    :param draw: gives a random number below its argument
+    """
+    if len(cells) == 1:
+        return cells[0]
+    first = draw(len(cells))
+    second = (first + 1 + draw(len(cells) - 1)) % len(cells)
+    pair = (cells[first], cells[second])
+    return min(pair, key=lambda key: _pressure(key, loads, near))
+
+
+def _pressure(
+    key: CellKey,
+    loads: Mapping[str, CellLoad],
+    near: Callable[[CellKey], bool],
+) -> tuple[int, int, bool]:
+    load = loads.get(key.name, CellLoad())
+    queued = load.queued_online + load.queued_batch
+    return queued, -load.free_slots, not near(key)
+
+
+__all__ = [
+    "CellKey",
+    "CellLoad",
+    "MAX_CELL_BACKENDS",
+    "choose",
+    "cut",
+    "owner",
+    "parse",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/health.py
@@ -0,0 +1,255 @@
+"""Takes slow and failing engines of a cell out by degrees."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping, Sequence
+
+    from mulberrypass.policy.cell_settings import HealthSettings
+
+MIN_SLOW_SAMPLES = 3
+MIN_OVERDUE = 2
+FULL_SHARE = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class HealthState:
+    """What the dump shows of an engine's health.
+
+    :param share: share of its slots that new work may fill
+    """
+
+    share: float
+    failures: int
+    held_until: float
+
+
+@dataclass(slots=True)
+class _Sample:
+    at: float
+    value: float
+
+
+@dataclass(slots=True)
+class _Record:
+    first: deque[_Sample]
+    service: deque[_Sample]
+    share: float = FULL_SHARE
+    failures: int = 0
+    holds: int = 0
+    held_until: float = 0.0
+    probe_at: float = 0.0
+    probe_wait_s: float = 0.0
+    overdue: Sequence[float] = field(default_factory=tuple)
+
+    def clear(self) -> None:
+        self.first.clear()
+        self.service.clear()
+
+
+class HealthBoard:
+    """Scores the engines of one cell against the median of their peers."""
+
+    def __init__(self, settings: HealthSettings) -> None:
+        self._settings = settings
+        self._records: dict[str, _Record] = {}
+        self._next_at = 0.0
+
+    def set_engines(self, names: Collection[str]) -> None:
+        """Set the engines that may get new work."""
+        for name in tuple(self._records):
+            if name not in names:
+                del self._records[name]
+        for name in names:
+            if name not in self._records:
+                self._records[name] = self._new_record()
+        while len(self.reduced()) > self._most():
+            self._restore_best()
+
+    def share(self, name: str) -> float:
+        """Give the share of an engine's slots that new work may fill."""
+        record = self._records.get(name)
+        return record.share if record else 0.0
+
+    def reduced(self) -> list[str]:
+        """Name the engines that are taken out in part."""
+        return [n for n, r in self._records.items() if r.share < FULL_SHARE]
+
+    def cap(self, name: str, slots: int, now: float) -> int:
+        """Give the slots of an engine that may be filled now."""
+        record = self._records.get(name)
+        if record is None or now < record.held_until:
+            return 0
+        if record.share <= self._settings.out_share:
+            return 1 if now >= record.probe_at else 0
+        return max(1, int(slots * record.share))
+
+    def probe_due(self, name: str, now: float) -> bool:
+        """Whether a reduced engine is to get one piece of work now."""
+        record = self._records.get(name)
+        return (
+            record is not None
+            and record.share < FULL_SHARE
+            and now >= max(record.probe_at, record.held_until)
+        )
+
+    def probed(self, name: str, now: float) -> None:
+        """Note that a probe goes to a reduced engine."""
+        record = self._records[name]
+        first = self._settings.probe_interval_s
+        longest = self._settings.max_probe_interval_s
+        record.probe_wait_s = min(longest, max(first, record.probe_wait_s * 2))
+        record.probe_at = now + record.probe_wait_s
+
+    def first_token(self, name: str, value: float, now: float) -> None:
+        """Take in a first token's time, relative to what was expected."""
+        record = self._records.get(name)
+        if record is not None:
+            record.first.append(_Sample(now, value))
+
+    def service(self, name: str, value: float, now: float) -> None:
+        """Take in the time of a token, or of a plain service's call."""
+        record = self._records.get(name)
+        if record is not None:
+            record.failures = 0
+            record.service.append(_Sample(now, value))
+
+    def failed(self, name: str, now: float) -> None:
+        """Take in a failure; several in a row hold the engine back."""
+        record = self._records.get(name)
+        if record is None:
+            return
+        record.failures += 1
+        if record.failures < self._settings.failures:
+            return
+        if not self._make_room(name):
+            return
+        hold = self._settings.first_hold_s * 2.0**record.holds
+        record.held_until = now + min(hold, self._settings.max_hold_s)
+        record.holds += 1
+        record.failures = 0
+        record.probe_at = record.held_until
+        record.share = self._settings.out_share
+
+    def due(self, now: float) -> bool:
+        """Whether shares are to be evaluated again."""
+        return now >= self._next_at
+
+    def evaluate(
+        self, now: float, overdue: Mapping[str, Sequence[float]]
+    ) -> None:
+        """Change shares by the samples since the last change.
+
+        :param overdue: ages of work that has no first token yet, relative
+            to what was expected
+        """
+        self._next_at = now + self._settings.interval_s
+        oldest = now - self._settings.sample_age_s
+        for name, record in self._records.items():
+            record.overdue = overdue.get(name, ())
+            _drop_old(record.first, oldest)
+            _drop_old(record.service, oldest)
+        ratios = {name: self._ratio(name) for name in self._records}
+        order = sorted(
+            (n for n, r in ratios.items() if r is not None),
+            key=lambda n: -(ratios[n] or 0.0),
+        )
+        for name in order:
+            self._adjust(name, ratios[name] or 0.0)
+
+    def state(self) -> dict[str, HealthState]:
+        """Give what the dump shows."""
+        return {
+            name: HealthState(r.share, r.failures, r.held_until)
+            for name, r in self._records.items()
+        }
+
+    def _adjust(self, name: str, ratio: float) -> None:
+        record = self._records[name]
+        if ratio > self._settings.slow_ratio:
+            if record.share == FULL_SHARE and self._at_limit():
+                return
+            share = record.share * self._settings.decrease_factor
+            record.share = max(self._settings.out_share, share)
+            record.clear()
+        elif record.share < FULL_SHARE and ratio < self._settings.well_ratio:
+            share = record.share + self._settings.increase_step
+            record.clear()
+            self._raise_share(record, share)
+
+    def _raise_share(self, record: _Record, share: float) -> None:
+        record.share = min(FULL_SHARE, share)
+        record.probe_wait_s = 0.0
+        if record.share == FULL_SHARE:
+            record.holds = 0
+
+    def _ratio(self, name: str) -> float | None:
+        """Give how many times slower than its peers an engine is."""
+        record = self._records[name]
+        firsts = self._peers(name, "first")
+        services = self._peers(name, "service")
+        ratios = []
+        least = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
+        if firsts and len(record.first) >= least:
+            ratios.append(_median(record.first) / firsts)
+        if services and len(record.service) >= least:
+            ratios.append(_median(record.service) / services)
+        if firsts and len(record.overdue) >= min(MIN_OVERDUE, least):
+            late = median(record.overdue) / firsts
+            if late > self._settings.slow_ratio:
+                ratios.append(late)
+        return max(ratios) if ratios else None
+
+    def _peers(self, name: str, kind: str) -> float:
+        """Give the median of the other engines' medians; 0 if unknown."""
+        medians = [
+            _median(getattr(record, kind))
+            for other, record in self._records.items()
+            if other != name and getattr(record, kind)
+        ]
+        return median(medians) if medians else 0.0
+
+    def _make_room(self, name: str) -> bool:
+        if self._records[name].share < FULL_SHARE or not self._at_limit():
+            return True
+        return self._restore_best()
+
+    def _restore_best(self) -> bool:
+        """Put the least slow reduced engine back in whole."""
+        names = [n for n in self.reduced() if not self._records[n].holds]
+        if not names and len(self.reduced()) > self._most():
+            names = self.reduced()
+        if not names:
+            return False
+        best = max(names, key=lambda n: self._records[n].share)
+        self._records[best].held_until = 0.0
+        self._records[best].clear()
+        self._raise_share(self._records[best], FULL_SHARE)
+        return True
+
+    def _at_limit(self) -> bool:
+        return len(self.reduced()) >= self._most()
+
+    def _most(self) -> int:
+        return len(self._records) // 2
+
+    def _new_record(self) -> _Record:
+        samples = self._settings.samples
+        return _Record(deque(maxlen=samples), deque(maxlen=samples))
+
+
+def _drop_old(samples: deque[_Sample], oldest: float) -> None:
+    while samples and samples[0].at < oldest:
+        samples.popleft()
+
+
+def _median(samples: deque[_Sample]) -> float:
+    return median(sample.value for sample in samples)
+
+
+__all__ = ["HealthBoard", "HealthState"]
--- a/src/mulberrypass/policy/messages.py
+++ b/src/mulberrypass/policy/messages.py
@@ -54,6 +54,8 @@
     :param avoid: backend servers not to choose, for a retry or a hedge
     :param revocable: whether the permit may be taken back after a grant
     :param version: version that the backend server must have; empty for any
+    :param granted: backend server on which the work runs already; tells a
+        new owner of a permit in use, and gets no answer
     """
 
     ask_id: str
@@ -68,6 +70,7 @@
     avoid: tuple[str, ...] = ()
     revocable: bool = False
     version: str = ""
+    granted: str = ""
 
 
 @dataclass(frozen=True, slots=True)
