--- a/src/mulberrypass/policy/cells.py
+++ b/src/mulberrypass/policy/cells.py
@@ -52,6 +52,8 @@
 ) -> tuple[tuple[str, ...], ...]:
     """Cut a pool's backend servers, by name, into cells of like size."""
     names = sorted(set(backends))
+    if not names:
+        return ()
     count = -(-len(names) // most)
     bounds = [len(names) * i // count for i in range(count + 1)]
     return tuple(
--- /dev/null
+++ b/tests/peer/test_permit_codec.py
@@ -0,0 +1,84 @@
+"""Tests of the wire form of permit messages."""
+
+from __future__ import annotations
+
+import unittest
+
+import mulberrypass.peer.peer_pb2 as pb
+from mulberrypass.peer.permit_codec import (
+    decode_holder,
+    decode_loads,
+    decode_owner,
+    encode_holder,
+    encode_owner,
+    encode_owner_batch,
+)
+from mulberrypass.policy.cells import CellLoad
+from mulberrypass.policy.messages import (
+    FirstToken,
+    Grant,
+    HolderMessage,
+    OwnerMessage,
+    RefusalReason,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+    Revoke,
+    Withdraw,
+)
+from tests.policy.cell_cases import ask, batch
+
+FULL = batch(
+    "b",
+    prefix=(0, 2**64 - 1),
+    avoid=("core-0",),
+    version="r2",
+    granted="core-1",
+)
+FROM_HOLDER: tuple[HolderMessage, ...] = (
+    ask("a"),
+    FULL,
+    Withdraw("a"),
+    FirstToken("a", 0.25),
+    *(Release("a", outcome, 1.5, 12, 0.04) for outcome in ReleaseOutcome),
+)
+FROM_OWNER: tuple[OwnerMessage, ...] = (
+    Grant("a", "core-0"),
+    Revoke("a"),
+    *(Refuse("a", reason, 0.5) for reason in RefusalReason),
+)
+
+
+class PermitCodecTest(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        for sent in FROM_HOLDER:
+            with self.subTest(sent=sent):
+                data = encode_holder(sent).SerializeToString()
+                read = pb.HolderMessage.FromString(data)
+                holder = getattr(sent, "holder", "")
+                self.assertEqual(sent, decode_holder(read, holder))
+        for message in FROM_OWNER:
+            with self.subTest(sent=message):
+                data = encode_owner(message).SerializeToString()
+                got = decode_owner(pb.OwnerMessage.FromString(data))
+                self.assertEqual(message, got)
+
+    def test_loads(self) -> None:
+        loads = {"rackmind#0": CellLoad(1, 2, 3), "rackmind#1": CellLoad()}
+        self.assertEqual(loads, decode_loads(encode_owner_batch((), loads)))
+
+    def test_messages_of_a_later_release(self) -> None:
+        """Kinds and reasons that are not known here do no harm."""
+        self.assertIsNone(decode_holder(pb.HolderMessage(), "entry@a"))
+        self.assertIsNone(decode_owner(pb.OwnerMessage()))
+        refuse = pb.Refuse(ask_id="a", reason="later", retry_after_s=1.0)
+        got = decode_owner(pb.OwnerMessage(refuse=refuse))
+        self.assertEqual(Refuse("a", RefusalReason.QUEUE_FULL, 1.0), got)
+        release = pb.Release(ask_id="a", outcome="later")
+        read = decode_holder(pb.HolderMessage(release=release), "entry@a")
+        self.assertEqual(Release("a", ReleaseOutcome.CANCELLED), read)
+
+    def test_estimates_beyond_the_wire_are_cut(self) -> None:
+        sent = encode_holder(ask("a", prompt_tokens=2**40, output_tokens=-1))
+        self.assertEqual(2**32 - 1, sent.ask.prompt_tokens)
+        self.assertEqual(0, sent.ask.output_tokens)
--- /dev/null
+++ b/tests/policy/test_cells.py
@@ -0,0 +1,79 @@
+"""Tests of cells and their owners."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+import unittest
+
+from mulberrypass.policy.cells import (
+    CellKey,
+    CellLoad,
+    choose,
+    cut,
+    owner,
+    parse,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MEMBERS = [f"entry@{index}" for index in range(10)]
+KEYS = [CellKey("rackmind", index) for index in range(400)]
+
+
+def _draws(*values: int) -> Callable[[int], int]:
+    """Give a source of numbers that are known beforehand."""
+    left = iter(values)
+    return lambda _below: next(left)
+
+
+class CellsTest(unittest.TestCase):
+    def test_cut(self) -> None:
+        for count, sizes in ((0, []), (5, [5]), (16, [16]), (17, [8, 9])):
+            with self.subTest(count=count):
+                names = [f"core-{index:03}" for index in range(count)]
+                parts = cut(reversed(names))
+                self.assertEqual(sizes, [len(part) for part in parts])
+                self.assertEqual(names, [n for part in parts for n in part])
+
+    def test_name_is_read_back(self) -> None:
+        for key in (CellKey("rackmind", 0), CellKey("a#b", 12)):
+            self.assertEqual(key, parse(key.name))
+        for name in ("rackmind", "rackmind#", "rackmind#x", "r#-1"):
+            self.assertIsNone(parse(name))
+
+    def test_owner_moves_only_from_a_lost_member(self) -> None:
+        before = {key: owner(key, MEMBERS) for key in KEYS}
+        after = {key: owner(key, MEMBERS[1:]) for key in KEYS}
+        for key in KEYS:
+            if before[key] != MEMBERS[0]:
+                self.assertEqual(before[key], after[key])
+        counts = Counter(before.values())
+        self.assertEqual(set(MEMBERS), set(counts))
+        self.assertLess(max(counts.values()), 2 * len(KEYS) / len(MEMBERS))
+
+    def test_owner_of_no_members(self) -> None:
+        self.assertIsNone(owner(KEYS[0], []))
+
+    def test_choice_of_two(self) -> None:
+        left, right = CellKey("p", 0), CellKey("p", 1)
+        cases = {
+            "fewer queued": (CellLoad(0, 5), CellLoad(0, 1), right),
+            "more free": (CellLoad(9), CellLoad(3), left),
+            "zone": (CellLoad(3), CellLoad(3), right),
+            "unseen is taken": (CellLoad(0, 1), None, right),
+        }
+        for name, (one, other, expected) in cases.items():
+            with self.subTest(name):
+                loads = {left.name: one}
+                if other is not None:
+                    loads[right.name] = other
+                for start in (0, 1):
+                    got = choose(
+                        (left, right),
+                        loads,
+                        lambda key: key is right,
+                        _draws(start, 0),
+                    )
+                    self.assertEqual(expected, got)
--- /dev/null
+++ b/tests/policy/test_health.py
@@ -0,0 +1,94 @@
+"""Tests of engines that are taken out by degrees."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrypass.policy.cell_settings import HealthSettings
+from mulberrypass.policy.health import HealthBoard
+
+NAMES = tuple(f"core-{index}" for index in range(6))
+SETTINGS = HealthSettings()
+STEP_S = 0.1
+
+
+class HealthTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board = HealthBoard(SETTINGS)
+        self.board.set_engines(NAMES)
+        self.now = 0.0
+
+    def observe(self, times: dict[str, float], rounds: int = 1) -> None:
+        """Let each engine give its first tokens so many times slower."""
+        for _ in range(rounds):
+            self.now += STEP_S
+            for name in NAMES:
+                for _ in range(3):
+                    value = 0.015 * times.get(name, 1.0)
+                    self.board.first_token(name, value, self.now)
+            self.board.evaluate(self.now, {})
+
+    def test_slow_engines_go_within_a_second(self) -> None:
+        self.observe({"core-1": 10.0, "core-4": 10.0})
+        self.assertEqual(["core-1", "core-4"], self.board.reduced())
+        self.assertEqual(25, self.board.cap("core-1", 64, self.now))
+        self.observe({"core-1": 10.0, "core-4": 10.0}, rounds=9)
+        self.assertLessEqual(self.board.cap("core-1", 64, self.now), 1)
+        self.assertEqual(64, self.board.cap("core-0", 64, self.now))
+
+    def test_work_without_a_first_token_counts(self) -> None:
+        self.observe({})
+        self.now += STEP_S
+        self.board.evaluate(self.now, {"core-2": [0.3, 0.4]})
+        self.assertEqual(["core-2"], self.board.reduced())
+
+    def test_never_more_than_half(self) -> None:
+        slow = {name: 10.0 + index for index, name in enumerate(NAMES)}
+        slow["core-0"] = 1.0
+        self.observe(slow, rounds=30)
+        self.assertLessEqual(len(self.board.reduced()), 3)
+        for name in NAMES:
+            for _ in range(5):
+                self.board.failed(name, self.now)
+        self.assertEqual(3, len(self.board.reduced()))
+        self.board.set_engines(NAMES[:2])
+        self.assertLessEqual(len(self.board.reduced()), 1)
+
+    def test_engine_that_is_well_again_returns(self) -> None:
+        self.observe({"core-1": 10.0}, rounds=10)
+        self.assertTrue(self.board.probe_due("core-1", self.now + 5))
+        self.observe({}, rounds=8)
+        self.assertEqual([], self.board.reduced())
+
+    def test_slight_differences_are_left_alone(self) -> None:
+        times = {name: 1 + index / 6 for index, name in enumerate(NAMES)}
+        self.observe(times, rounds=20)
+        self.assertEqual([], self.board.reduced())
+
+    def test_failures_hold_longer_each_time(self) -> None:
+        held = []
+        for _ in range(3):
+            for _ in range(SETTINGS.failures):
+                self.board.failed("core-3", self.now)
+            until = self.board.state()["core-3"].held_until
+            self.assertEqual(0, self.board.cap("core-3", 64, until - 0.01))
+            self.assertEqual(1, self.board.cap("core-3", 64, until))
+            held.append(until - self.now)
+            self.now = until
+        self.assertEqual([0.5, 1.0, 2.0], held)
+
+    def test_success_ends_a_row_of_failures(self) -> None:
+        for _ in range(10):
+            self.board.failed("core-3", self.now)
+            self.board.failed("core-3", self.now)
+            self.board.service("core-3", 0.02, self.now)
+        self.assertEqual([], self.board.reduced())
+
+    def test_probes_to_a_slow_engine_get_rarer(self) -> None:
+        self.observe({"core-1": 10.0}, rounds=10)
+        for wait_s in (0.5, 1.0, 2.0, 4.0, 4.0):
+            self.board.probed("core-1", self.now)
+            early, due = self.now + wait_s - 0.01, self.now + wait_s + 0.01
+            self.assertFalse(self.board.probe_due("core-1", early))
+            self.assertTrue(self.board.probe_due("core-1", due))
+            self.now = due
