Run online requests: attempts, records and recovery

Requests take a permit, run as attempts that own their connections, and are retried, resumed or hedged only where it can do no harm. Recorded requests are durable before they run and end with one outcome.

Three faults were found by playing every fault at each of three writes (64 scripts, two services): a lost reply to a takeover left the request with a live holder that didn't run it; a lost reply to an intent made the holder try it until the deadline; a record that had gone was written for ever.

--- /dev/null
+++ b/src/mulberrypass/caller/addresses.py
@@ -0,0 +1,89 @@
+"""Tells callers which instances to use."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.caller.auth import customer_of
+from mulberrypass.policy.addresses import TTL_S, Candidate, choose
+from mulberrypass.runtime.http import Problem, json_answer
+from mulberrypass.runtime.ports import (
+    BATCH_PORT,
+    ENTRY_PORT,
+    ENTRY_STREAM_PORT,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.api import Membership
+    from mulberrypass.runtime.http import Reply, Request
+
+UNREADY_RETRY_S = 1.0
+
+
+class Addresses:
+    """Answers ``GET /v1/addresses``.
+
+    A request for a service gets the port for its kind of answers, so that
+    short calls and streams share no accept queue; ``use=jobs`` gets the
+    port for jobs.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: ConfigurationSource,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        self._wall = wall
+
+    def get(self, req: Request) -> Reply:
+        """Answer one caller."""
+        cfg = self._configuration.current()
+        shown = customer_of(cfg, req, self._wall())
+        if shown.is_error():
+            return shown.error
+        name = req.query.get("service", "")
+        service = cfg.services.get(name)
+        if service is None:
+            detail = f"no service {name!r}"
+            return Problem(HTTPStatus.NOT_FOUND, "no_such_service", detail)
+        if req.query.get("use") == "jobs":
+            return self._answer(req, "batch", BATCH_PORT, shown.ok.name)
+        port = ENTRY_STREAM_PORT if service.streams else ENTRY_PORT
+        return self._answer(req, "entry", port, shown.ok.name)
+
+    def _answer(
+        self, req: Request, program: str, port: int, customer: str
+    ) -> Reply:
+        candidates = [
+            Candidate(member.name, member.zone, member.address)
+            for member in self._membership.live(program)
+        ]
+        caller = req.query.get("caller", customer)
+        chosen = choose(candidates, req.query.get("zone", ""), caller)
+        if not chosen:
+            return Problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "no_instance",
+                "no instance can take requests now",
+                retry_after_s=UNREADY_RETRY_S,
+            )
+        return json_answer(
+            {
+                "ttl_s": TTL_S,
+                "addresses": [
+                    {"address": f"{c.address}:{port}", "zone": c.zone}
+                    for c in chosen
+                ],
+            }
+        )
+
+
+__all__ = ["Addresses"]
--- /dev/null
+++ b/src/mulberrypass/caller/auth.py
@@ -0,0 +1,83 @@
+"""Who a caller is, from the key that it shows."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from mulberrypass.policy.messages import Ran
+from mulberrypass.runtime.http import Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from mulberrypass.model.objects import (
+        Configuration,
+        Customer,
+        KeyDigest,
+        Operator,
+    )
+    from mulberrypass.runtime.http import Request
+
+BEARER = "bearer "
+
+
+def key_digest(key: str) -> str:
+    """Give the hexadecimal SHA-256 of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def customer_of(
+    cfg: Configuration, req: Request, wall_now: float
+) -> Result[Customer, Problem]:
+    """Find the customer whose key a request shows.
+
+    :param wall_now: Unix time in seconds, for keys that end
+    """
+    digest = _shown_digest(req)
+    for customer in cfg.customers.values():
+        if _matches(customer.keys, digest, wall_now):
+            return Ok(customer)
+    return Error(_unknown_key())
+
+
+def operator_of(
+    cfg: Configuration, req: Request, wall_now: float
+) -> Result[Operator, Problem]:
+    """Find the operator whose key a request shows."""
+    digest = _shown_digest(req)
+    for operator in cfg.operators.values():
+        if _matches(operator.keys, digest, wall_now):
+            return Ok(operator)
+    return Error(_unknown_key())
+
+
+def _shown_digest(req: Request) -> str:
+    header = req.headers.get("authorization", "")
+    if not header.lower().startswith(BEARER):
+        return ""
+    return key_digest(header[len(BEARER) :].strip())
+
+
+def _matches(keys: Iterable[KeyDigest], digest: str, wall_now: float) -> bool:
+    return any(
+        hmac.compare_digest(key.digest.lower(), digest)
+        and (key.not_after is None or wall_now <= key.not_after)
+        for key in keys
+    )
+
+
+def _unknown_key() -> Problem:
+    return Problem(
+        HTTPStatus.UNAUTHORIZED,
+        "unknown_key",
+        "Authorization must be Bearer with a key that is in force",
+        Ran.NO,
+    )
+
+
+__all__ = ["customer_of", "key_digest", "operator_of"]
--- /dev/null
+++ b/src/mulberrypass/caller/explain.py
@@ -0,0 +1,68 @@
+"""Tells an operator what would become of a request, and why."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+import time
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from mulberrypass.caller.auth import operator_of
+from mulberrypass.policy.canary import route_version
+from mulberrypass.runtime.dump import jsonable
+from mulberrypass.runtime.http import Problem, json_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.owner import OwnerTask
+    from mulberrypass.runtime.http import Reply, Request
+
+
+class Explain:
+    """Answers ``GET /debug/explain?service=&customer=&input=``."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationSource,
+        owner: OwnerTask,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._configuration = configuration
+        self._owner = owner
+        self._wall = wall
+
+    def get(self, req: Request) -> Reply:
+        """Answer one operator; sends nothing to a backend server."""
+        cfg = self._configuration.current()
+        shown = operator_of(cfg, req, self._wall())
+        if shown.is_error():
+            return shown.error
+        service = cfg.services.get(req.query.get("service", ""))
+        customer = cfg.customers.get(req.query.get("customer", ""))
+        if service is None or customer is None:
+            detail = "service and customer must name objects in force"
+            return Problem(HTTPStatus.NOT_FOUND, "no_such_object", detail)
+        label = req.query.get("input", "").encode()
+        route = route_version(
+            service, customer, xxhash.xxh3_64_intdigest(label)
+        )
+        pool = cfg.pools[service.pool]
+        document: dict[str, Any] = {
+            "generation": cfg.generation,
+            "service": service.name,
+            "customer": customer.name,
+            "may_call": not service.customers
+            or customer.name in service.customers,
+            "record": service.record.value,
+            "idempotent": service.idempotent,
+            "route": jsonable(route),
+            "pool": {"name": pool.name, "backends": list(pool.backends)},
+            "owned_here": self._owner.state(),
+        }
+        return json_answer(document)
+
+
+__all__ = ["Explain"]
--- /dev/null
+++ b/src/mulberrypass/caller/health.py
@@ -0,0 +1,67 @@
+"""Health, readiness and the state dump of a process over HTTP."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.caller.auth import operator_of
+from mulberrypass.runtime.http import Answer, Problem, Route, json_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.runtime.dump import StateDump
+    from mulberrypass.runtime.http import Reply, Request
+
+
+class Health:
+    """Answers for the state of one process.
+
+    :param ready: why the process isn't ready; empty where it is
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationSource,
+        dump: StateDump,
+        ready: Callable[[], str],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._configuration = configuration
+        self._dump = dump
+        self._ready = ready
+        self._wall = wall
+
+    def routes(self) -> tuple[Route, ...]:
+        """Give the routes that every program has."""
+        return (
+            Route("GET", "/healthz", self.healthz),
+            Route("GET", "/readyz", self.readyz),
+            Route("GET", "/debug/state", self.state),
+        )
+
+    def healthz(self, _req: Request) -> Reply:
+        """Say that the process answers."""
+        return json_answer({"status": "ok"})
+
+    def readyz(self, _req: Request) -> Reply:
+        """Say whether the process may be sent requests."""
+        reason = self._ready()
+        if reason:
+            return Problem(HTTPStatus.SERVICE_UNAVAILABLE, "not_ready", reason)
+        generation = self._configuration.current().generation
+        return json_answer({"status": "ready", "generation": generation})
+
+    def state(self, req: Request) -> Reply:
+        """Give the whole state to an operator."""
+        cfg = self._configuration.current()
+        shown = operator_of(cfg, req, self._wall())
+        if shown.is_error():
+            return shown.error
+        return Answer(self._dump.to_json())
+
+
+__all__ = ["Health"]
--- /dev/null
+++ b/src/mulberrypass/online/attempt.py
@@ -0,0 +1,206 @@
+"""One attempt of a request on one backend server, as a task."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.engine.api import (
+    EngineFailed,
+    Finished,
+    Generation,
+    ModelEngine,
+    Tokens,
+)
+from mulberrypass.policy.messages import (
+    FirstToken,
+    Ran,
+    Release,
+    ReleaseOutcome,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from expression import Result
+
+    from mulberrypass.engine.api import PlainService, StreamEvent
+    from mulberrypass.online.call import Call
+    from mulberrypass.peer.api import PermitClient
+
+MAX_RESUMES = 2
+GAP_QUANTILE = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """A plain service's whole answer."""
+
+    result: object
+
+
+AttemptEvent = Tokens | Finished | PlainAnswer | EngineFailed
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptNews:
+    """A message of an attempt to the request that it belongs to."""
+
+    ask_id: str
+    event: AttemptEvent
+
+
+class Attempt:
+    """Owns the connection of one attempt, and posts what it reads.
+
+    :param backend_id: the request's id at this backend server
+    :param post: takes the attempt's messages; the last has an ending event
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        ask_id: str,
+        backend: str,
+        backend_id: str,
+        client: ModelEngine | PlainService,
+        permits: PermitClient,
+        post: Callable[[AttemptNews], None],
+    ) -> None:
+        self.ask_id = ask_id
+        self.backend = backend
+        self.resumed = 0
+        self._call = call
+        self._backend_id = backend_id
+        self._client = client
+        self._permits = permits
+        self._post = post
+        self._cancelled = threading.Event()
+        self._started = time.monotonic()
+        self._gaps: list[float] = []
+        self._tokens = 0
+
+    def cancel(self) -> None:
+        """Stop the work on the backend server; blocks on its answer."""
+        self._cancelled.set()
+        if isinstance(self._client, ModelEngine):
+            self._client.cancel(self._backend_id)
+
+    def run(self) -> None:
+        """Run to the end; post every event, then release the permit."""
+        self._started = time.monotonic()
+        last: AttemptEvent | None = None
+        try:
+            for last in self._events():
+                self._post(AttemptNews(self.ask_id, last))
+        except Exception as exc:
+            last = EngineFailed(f"attempt failed: {exc!r}", Ran.MAYBE)
+            self._post(AttemptNews(self.ask_id, last))
+        finally:
+            self._release(last)
+
+    def _events(self) -> Iterator[AttemptEvent]:
+        if isinstance(self._client, ModelEngine):
+            yield from self._generate(self._client)
+            return
+        budget = self._call.deadline - time.monotonic()
+        answer = self._client.call(
+            self._backend_id, self._call.payload, budget
+        )
+        if answer.is_ok():
+            yield PlainAnswer(answer.ok)
+        else:
+            yield answer.error
+
+    def _generate(self, engine: ModelEngine) -> Iterator[AttemptEvent]:
+        stream = engine.generate(self._generation(), self._budget())
+        while True:
+            failed: EngineFailed | None = None
+            for event in self._read(stream):
+                if isinstance(event, EngineFailed):
+                    failed = event
+                    break
+                yield event
+            if failed is None:
+                break
+            if not self._may_resume(failed):
+                yield failed
+                break
+            self.resumed += 1
+            stream = engine.resume(
+                self._backend_id, self._tokens, self._budget()
+            )
+
+    def _may_resume(self, failed: EngineFailed) -> bool:
+        return (
+            failed.resumable
+            and self.resumed < MAX_RESUMES
+            and not self._cancelled.is_set()
+            and self._budget() > 0
+        )
+
+    def _read(
+        self, stream: Iterator[Result[StreamEvent, EngineFailed]]
+    ) -> Iterator[Tokens | Finished | EngineFailed]:
+        last_at = time.monotonic()
+        for result in stream:
+            if self._cancelled.is_set():
+                yield EngineFailed("cancelled", Ran.MAYBE)
+                return
+            if result.is_error():
+                yield result.error
+                return
+            event = result.ok
+            if isinstance(event, Tokens):
+                now = time.monotonic()
+                self._observe(event, now, last_at)
+                last_at = now
+            yield event
+
+    def _observe(self, event: Tokens, now: float, last_at: float) -> None:
+        if self._tokens == 0:
+            after_s = now - self._started
+            self._permits.tell(FirstToken(self.ask_id, after_s))
+        else:
+            self._gaps.append((now - last_at) / max(1, len(event.tokens)))
+        self._tokens += len(event.tokens)
+
+    def _generation(self) -> Generation:
+        service = self._call.service
+        route = self._call.route
+        return Generation(
+            request_id=self._backend_id,
+            model=service.model or "",
+            version=route.version if route else "",
+            adapter=route.adapter if route else None,
+            prompt=str(self._call.payload),
+            max_tokens=self._call.max_tokens,
+        )
+
+    def _budget(self) -> float:
+        return self._call.deadline - time.monotonic()
+
+    def _release(self, last: AttemptEvent | None) -> None:
+        match last:
+            case Finished() | PlainAnswer():
+                outcome = ReleaseOutcome.DONE
+            case _ if self._cancelled.is_set():
+                outcome = ReleaseOutcome.CANCELLED
+            case _:
+                outcome = ReleaseOutcome.FAILED
+        gaps = sorted(self._gaps)
+        gap_s = gaps[int(len(gaps) * GAP_QUANTILE)] if gaps else 0.0
+        self._permits.tell(
+            Release(
+                self.ask_id,
+                outcome,
+                service_s=time.monotonic() - self._started,
+                tokens=self._tokens,
+                gap_s=gap_s,
+            )
+        )
+
+
+__all__ = ["Attempt", "AttemptEvent", "AttemptNews", "PlainAnswer"]
--- /dev/null
+++ b/src/mulberrypass/online/course.py
@@ -0,0 +1,367 @@
+"""The course of one online request: permits, attempts, retries, hedges."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import itertools
+import queue
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.engine.api import EngineFailed, Finished, Tokens
+from mulberrypass.model.objects import BackendKind, ServiceKind
+from mulberrypass.online.attempt import Attempt, AttemptNews, PlainAnswer
+from mulberrypass.online.call import Completed, Shown
+from mulberrypass.online.refusals import (
+    caller_left,
+    expired,
+    from_engine,
+    from_refusal,
+    no_client,
+)
+from mulberrypass.policy.messages import (
+    Ask,
+    Grant,
+    Ran,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+    Withdraw,
+    WorkClass,
+)
+from mulberrypass.policy.prefix import prefix_hashes
+from mulberrypass.policy.retry import Failure, may_retry
+from mulberrypass.runtime.metrics import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+    from concurrent.futures import Executor, Future
+
+    from mulberrypass.engine.directory import Backends
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.online.call import Call, CallEvent, Failed, Outcome
+    from mulberrypass.online.shared import SharedPolicy
+    from mulberrypass.peer.api import PermitClient
+    from mulberrypass.runtime.metrics import Metrics
+
+DISCONNECT_POLL_S = 0.5
+PLAIN_CALL_TOKENS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class PermitNews:
+    """The answer to an ask of the request."""
+
+    ask_id: str
+    answer: Grant | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """What all requests of a process share.
+
+    :param member: name of this process; leads the ids of its asks
+    """
+
+    member: str
+    permits: PermitClient
+    backends: Backends
+    configuration: ConfigurationSource
+    executor: Executor
+    metrics: Metrics
+    policy: SharedPolicy
+    ask_numbers: Iterator[int]
+
+
+def new_ask_numbers() -> Iterator[int]:
+    """Give numbers that are unique in this process."""
+    return itertools.count(time.time_ns())
+
+
+class Course:
+    """Runs one request; used by one thread.
+
+    :param before_dispatch: called with the backend server before work goes
+        to it; an error ends the request as not run
+    :param gone: whether the caller has left
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        tools: Tools,
+        before_dispatch: Callable[[str], Failed | None],
+        gone: Callable[[], bool],
+    ) -> None:
+        self._call = call
+        self._tools = tools
+        self._before_dispatch = before_dispatch
+        self._gone = gone
+        self._mailbox: queue.Queue[AttemptNews | PermitNews] = queue.Queue()
+        self._attempts: dict[str, Attempt] = {}
+        self._asked: dict[str, Future[Grant | Refuse]] = {}
+        self._avoid: tuple[str, ...] = ()
+        self._tokens: list[str] = []
+        self._winner = ""
+        self._dispatched_at = time.monotonic()
+        self._hedged = False
+        self._maybe_ran = False
+
+    def events(self) -> Iterator[CallEvent]:
+        """Give the request's events; the last one is its outcome."""
+        self._tools.policy.earn()
+        self._ask()
+        try:
+            while True:
+                event = self._step()
+                if event is None:
+                    continue
+                yield event
+                if not isinstance(event, Shown):
+                    return
+        finally:
+            self._close()
+
+    def _step(self) -> CallEvent | None:
+        try:
+            news = self._mailbox.get(timeout=self._patience())
+        except queue.Empty:
+            return self._on_time()
+        match news:
+            case AttemptNews(ask_id=ask_id, event=event):
+                return self._on_attempt(ask_id, event)
+            case PermitNews(ask_id=ask_id, answer=answer):
+                return self._on_answer(ask_id, answer)
+
+    def _on_answer(
+        self, ask_id: str, answer: Grant | Refuse
+    ) -> CallEvent | None:
+        match answer:
+            case Grant():
+                return self._on_grant(ask_id, answer)
+            case Refuse():
+                return self._on_refusal(ask_id, answer)
+
+    def _patience(self) -> float:
+        left = self._call.deadline - time.monotonic()
+        hedge = self._hedge_due() - time.monotonic()
+        wait = min(left, DISCONNECT_POLL_S)
+        if self._may_hedge():
+            wait = min(wait, hedge)
+        return max(0.001, wait)
+
+    def _on_time(self) -> CallEvent | None:
+        if time.monotonic() >= self._call.deadline:
+            return expired(self._ran())
+        if self._gone():
+            return caller_left(self._ran())
+        if self._may_hedge() and time.monotonic() >= self._hedge_due():
+            self._hedge()
+        return None
+
+    # Permits
+
+    def _ask(self) -> None:
+        tools = self._tools
+        call = self._call
+        ask_id = f"{tools.member}/{next(tools.ask_numbers)}"
+        prompt = call.payload if isinstance(call.payload, str) else ""
+        words = len(prompt.split())
+        ask = Ask(
+            ask_id=ask_id,
+            holder=tools.member,
+            pool=call.service.pool,
+            customer=call.customer.name,
+            work_class=WorkClass.ONLINE,
+            budget_s=max(0.0, call.deadline - time.monotonic()),
+            prompt_tokens=words,
+            output_tokens=call.max_tokens or PLAIN_CALL_TOKENS,
+            prefix=prefix_hashes(prompt),
+            avoid=self._avoid,
+            version=call.route.version if call.route else "",
+        )
+        fut = tools.permits.ask(ask, _ignore)
+        self._asked[ask_id] = fut
+        fut.add_done_callback(
+            lambda done: self._mailbox.put(PermitNews(ask_id, done.result()))
+        )
+
+    def _on_grant(self, ask_id: str, grant: Grant) -> CallEvent | None:
+        self._asked.pop(ask_id, None)
+        if self._winner:
+            self._unused(ask_id)
+            return None
+        failed = self._before_dispatch(grant.backend)
+        if failed is not None:
+            self._unused(ask_id)
+            return failed
+        return self._dispatch(ask_id, grant.backend)
+
+    def _dispatch(self, ask_id: str, name: str) -> CallEvent | None:
+        tools = self._tools
+        backend = tools.configuration.current().backends.get(name)
+        if backend is None:
+            self._unused(ask_id)
+            return no_client(name)
+        client = (
+            tools.backends.engine(backend)
+            if backend.kind is BackendKind.ENGINE
+            else tools.backends.plain(backend)
+        )
+        attempt = Attempt(
+            self._call,
+            ask_id,
+            name,
+            f"{self._call.request_id}.{ask_id}",
+            client,
+            tools.permits,
+            self._mailbox.put,
+        )
+        if not self._attempts:
+            self._dispatched_at = time.monotonic()
+        self._attempts[ask_id] = attempt
+        self._avoid = (*self._avoid, name)
+        tools.metrics.count(Decision.ADMITTED)
+        tools.executor.submit(attempt.run)
+        return None
+
+    def _on_refusal(self, ask_id: str, refusal: Refuse) -> CallEvent | None:
+        self._asked.pop(ask_id, None)
+        if self._attempts or self._asked:
+            return None
+        return from_refusal(refusal, self._ran())
+
+    def _unused(self, ask_id: str) -> None:
+        self._tools.permits.tell(Release(ask_id, ReleaseOutcome.UNUSED))
+
+    # Attempts
+
+    def _on_attempt(
+        self,
+        ask_id: str,
+        event: Tokens | Finished | PlainAnswer | EngineFailed,
+    ) -> CallEvent | None:
+        attempt = self._attempts.get(ask_id)
+        if attempt is None or self._winner not in ("", ask_id):
+            return None
+        match event:
+            case Tokens():
+                self._choose(ask_id)
+                return self._on_tokens(event)
+            case Finished():
+                return self._on_finished(attempt, event)
+            case PlainAnswer(result=result):
+                self._choose(ask_id)
+                return self._complete(attempt, result, "stop", 0)
+            case EngineFailed():
+                return self._on_failure(ask_id, attempt, event)
+
+    def _choose(self, ask_id: str) -> None:
+        if self._winner:
+            return
+        self._winner = ask_id
+        self._tools.policy.observe(
+            self._call.service.name, time.monotonic() - self._dispatched_at
+        )
+        for other in [k for k in self._attempts if k != ask_id]:
+            self._cancel(other)
+
+    def _on_tokens(self, event: Tokens) -> CallEvent | None:
+        self._tokens.extend(event.tokens)
+        if not self._call.stream:
+            return None
+        return Shown(event.offset, event.tokens)
+
+    def _on_finished(
+        self, attempt: Attempt, event: Finished
+    ) -> CallEvent | None:
+        if attempt.resumed:
+            self._tools.metrics.count(Decision.RESUMED, attempt.resumed)
+        if event.completion_tokens != len(self._tokens):
+            self._tools.metrics.count(Decision.WRONG_ANSWER)
+            failure = EngineFailed("answer is not whole", Ran.MAYBE)
+            return self._on_failure(attempt.ask_id, attempt, failure)
+        text = " ".join(self._tokens)
+        return self._complete(
+            attempt, text, event.reason, event.completion_tokens
+        )
+
+    def _complete(
+        self, attempt: Attempt, output: object, reason: str, tokens: int
+    ) -> Outcome:
+        self._attempts.pop(attempt.ask_id, None)
+        return Completed(output, reason, tokens, attempt.backend)
+
+    def _on_failure(
+        self, ask_id: str, attempt: Attempt, failed: EngineFailed
+    ) -> CallEvent | None:
+        self._attempts.pop(ask_id, None)
+        if failed.ran is not Ran.NO:
+            self._maybe_ran = True
+        if self._attempts or self._asked:
+            return None
+        failure = Failure(
+            ran=failed.ran,
+            permanent=failed.permanent,
+            shown=bool(self._tokens) and self._call.stream,
+            idempotent=self._call.service.idempotent,
+            left_s=self._call.deadline - time.monotonic(),
+        )
+        if not (may_retry(failure) and self._tools.policy.take_retry()):
+            return from_engine(failed, self._ran())
+        self._tools.metrics.count(Decision.RETRIED)
+        self._winner = ""
+        self._tokens.clear()
+        self._ask()
+        return None
+
+    # Hedging
+
+    def _may_hedge(self) -> bool:
+        service = self._call.service
+        return (
+            service.idempotent
+            and service.hedge
+            and not self._hedged
+            and not self._winner
+            and len(self._attempts) == 1
+            and service.kind in (ServiceKind.MODEL, ServiceKind.PLAIN)
+        )
+
+    def _hedge_due(self) -> float:
+        return self._dispatched_at + self._tools.policy.hedge_after_s(
+            self._call.service.name
+        )
+
+    def _hedge(self) -> None:
+        self._hedged = True
+        if not self._tools.policy.take_retry():
+            return
+        self._tools.metrics.count(Decision.HEDGED)
+        self._ask()
+
+    # Ends
+
+    def _ran(self) -> Ran:
+        at_risk = self._maybe_ran or bool(self._attempts)
+        return Ran.MAYBE if at_risk else Ran.NO
+
+    def _cancel(self, ask_id: str) -> None:
+        attempt = self._attempts.pop(ask_id)
+        self._tools.executor.submit(attempt.cancel)
+
+    def _close(self) -> None:
+        for ask_id, fut in list(self._asked.items()):
+            if fut.done():
+                self._unused(ask_id)
+            else:
+                self._tools.permits.tell(Withdraw(ask_id))
+        for ask_id in list(self._attempts):
+            self._cancel(ask_id)
+
+
+def _ignore() -> None:
+    """Online permits are not revocable."""
+
+
+__all__ = ["Course", "PermitNews", "Tools", "new_ask_numbers"]
--- /dev/null
+++ b/src/mulberrypass/online/refusals.py
@@ -0,0 +1,90 @@
+"""Turns refusals of owners and failures of engines into outcomes."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from mulberrypass.online.call import Failed
+from mulberrypass.policy.messages import Ran, RefusalReason
+
+if TYPE_CHECKING:
+    from mulberrypass.engine.api import EngineFailed
+    from mulberrypass.policy.messages import Refuse
+
+NO_BACKEND_RETRY_S = 1.0
+
+_STATUS = {
+    RefusalReason.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.QUEUE_FULL: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.CUSTOMER_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalReason.NO_BACKEND: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.NOT_OWNER: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.DRAINING: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+_DETAIL = {
+    RefusalReason.DEADLINE: "the deadline can't be met at the present load",
+    RefusalReason.QUEUE_FULL: "the queue of the service is full",
+    RefusalReason.CUSTOMER_LIMIT: "the customer's quota is used up",
+    RefusalReason.NO_BACKEND: "no backend server can take the request",
+    RefusalReason.NOT_OWNER: "the owner of the engines is changing",
+    RefusalReason.DRAINING: "the instance is being stopped",
+}
+
+
+def from_refusal(refusal: Refuse, ran: Ran) -> Failed:
+    """Give the outcome for work that was not admitted."""
+    return Failed(
+        _STATUS[refusal.reason],
+        refusal.reason.value,
+        _DETAIL[refusal.reason],
+        ran,
+        refusal.retry_after_s,
+    )
+
+
+def from_engine(failed: EngineFailed, ran: Ran) -> Failed:
+    """Give the outcome for work that failed on a backend server."""
+    if failed.permanent:
+        status = HTTPStatus.UNPROCESSABLE_ENTITY
+        return Failed(status, "rejected", failed.reason, Ran.YES)
+    status = HTTPStatus.BAD_GATEWAY
+    return Failed(status, "backend_failed", failed.reason, ran)
+
+
+def expired(ran: Ran) -> Failed:
+    """Give the outcome for work whose deadline has passed."""
+    return Failed(
+        HTTPStatus.GATEWAY_TIMEOUT,
+        "timeout",
+        "the request's deadline has passed",
+        ran,
+    )
+
+
+def caller_left(ran: Ran) -> Failed:
+    """Give the outcome for work whose caller is gone."""
+    return Failed(
+        HTTPStatus.REQUEST_TIMEOUT, "caller_left", "the caller left", ran
+    )
+
+
+def no_client(backend: str) -> Failed:
+    """Give the outcome where a backend server is no longer configured."""
+    return Failed(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "no_backend",
+        f"backend server {backend!r} has left the configuration",
+        Ran.NO,
+        NO_BACKEND_RETRY_S,
+    )
+
+
+__all__ = [
+    "caller_left",
+    "expired",
+    "from_engine",
+    "from_refusal",
+    "no_client",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/shares.py
@@ -0,0 +1,71 @@
+"""How many threads of one port a customer and a service may hold."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ShareSettings:
+    """Bounds within one port of one process.
+
+    :param threads: threads of the port
+    :param customer_part: part of them that one customer may hold
+    :param service_part: part of them that one service may hold
+    :param stream_part: part of them that all streams together may hold
+    """
+
+    threads: int
+    customer_part: float = 0.6
+    service_part: float = 0.75
+    stream_part: float = 0.5
+
+
+class Shares:
+    """Counts who holds the threads; not safe between threads."""
+
+    def __init__(self, settings: ShareSettings) -> None:
+        threads = settings.threads
+        self._customer_limit = _part(threads, settings.customer_part)
+        self._service_limit = _part(threads, settings.service_part)
+        self._stream_limit = _part(threads, settings.stream_part)
+        self._customers: Counter[str] = Counter()
+        self._services: Counter[str] = Counter()
+        self._streams = 0
+
+    def take(self, customer: str, service: str, stream: bool) -> bool:
+        """Count a thread as held, unless a bound would be passed."""
+        within = (
+            self._customers[customer] < self._customer_limit
+            and self._services[service] < self._service_limit
+            and (not stream or self._streams < self._stream_limit)
+        )
+        if within:
+            self._customers[customer] += 1
+            self._services[service] += 1
+            self._streams += stream
+        return within
+
+    def give_back(self, customer: str, service: str, stream: bool) -> None:
+        """Count a thread as free."""
+        self._customers[customer] -= 1
+        self._services[service] -= 1
+        self._streams -= stream
+        for counts, name in (
+            (self._customers, customer),
+            (self._services, service),
+        ):
+            if counts[name] <= 0:
+                del counts[name]
+
+    def held(self) -> dict[str, int]:
+        """Give the threads that each customer holds."""
+        return dict(self._customers)
+
+
+def _part(threads: int, part: float) -> int:
+    return max(1, int(threads * part))
+
+
+__all__ = ["ShareSettings", "Shares"]
--- /dev/null
+++ b/tests/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP interface towards callers."""
--- /dev/null
+++ b/tests/online/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the course of online requests."""
--- /dev/null
+++ b/tests/online/test_recorded.py
@@ -0,0 +1,260 @@
+"""Tests of recorded requests under lost replies, outages and crashes."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+import itertools
+from typing import TYPE_CHECKING
+import unittest
+
+from mulberrypass.online.call import Completed, Failed
+from mulberrypass.online.course import Tools, new_ask_numbers
+from mulberrypass.online.recorded import RecordedRuns
+from mulberrypass.online.records import Records, RecordState
+from mulberrypass.online.recovery import LOST_AFTER_S, Sweeper
+from mulberrypass.online.shared import SharedPolicy
+from mulberrypass.peer.api import Member, Membership
+from mulberrypass.policy.messages import Ran, RefusalReason, Refuse
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_faults import CallFault, Faults
+from mulberrypass.testing.platform_memory import MemoryTable
+from mulberrypass.testing.platform_state import FakePlatform
+from tests.online.fakes import (
+    BOOKING,
+    DOCK,
+    FakeBackends,
+    FixedConfiguration,
+    ScriptedPermits,
+    a_call,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.online.call import CallEvent
+
+SLIP = replace(DOCK, hedge=False)
+DEADLINE_AT = 1e12
+
+
+class FixedMembership(Membership):
+    """Members that the test sets."""
+
+    def __init__(self, *members: Member) -> None:
+        self.known = members
+
+    def members(self, program: str) -> tuple[Member, ...]:
+        return self.known
+
+    def live(self, program: str) -> tuple[Member, ...]:
+        return self.known
+
+    def leaving_backends(self) -> frozenset[str]:
+        return frozenset()
+
+    def report_leaving_backend(self, backend: str) -> None:
+        raise NotImplementedError
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        raise NotImplementedError
+
+
+class Instance:
+    """The recorded requests of one instance, on a shared platform."""
+
+    def __init__(
+        self,
+        name: str,
+        platform: FakePlatform,
+        backends: FakeBackends,
+        incarnation: int = 1,
+        permits: ScriptedPermits | None = None,
+    ) -> None:
+        self.me = Member(name, "entry", "z", "127.0.0.1", incarnation)
+        self.executor = ThreadPoolExecutor(4)
+        self.configuration = FixedConfiguration()
+        self.records = Records(MemoryTable(platform), name, incarnation)
+        tools = Tools(
+            member=name,
+            permits=permits or ScriptedPermits(),
+            backends=backends,  # type: ignore[arg-type]
+            configuration=self.configuration,
+            executor=self.executor,
+            metrics=Metrics("test"),
+            policy=SharedPolicy(),
+            ask_numbers=new_ask_numbers(),
+        )
+        runners = ThreadPoolExecutor(4)
+        self.runners = runners
+        self.runs = RecordedRuns(
+            tools, self.records, runners, 4, sleep=lambda _s: None
+        )
+
+    def sweeper(self, *known: Member) -> Sweeper:
+        return Sweeper(
+            self.me,
+            FixedMembership(*known),
+            self.configuration,
+            self.records,
+            self.runs,
+        )
+
+    def settle(self) -> None:
+        """Wait for everything that runs."""
+        self.runners.shutdown()
+        self.executor.shutdown()
+
+
+def last(events: list[CallEvent]) -> Completed | Failed:
+    end = events[-1]
+    assert isinstance(end, Completed | Failed)
+    return end
+
+
+class RecordedRunsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = FakePlatform(sleep=lambda _s: None)
+        self.backends = FakeBackends()
+
+    def instance(self, name: str, incarnation: int = 1) -> Instance:
+        return Instance(name, self.platform, self.backends, incarnation)
+
+    def started(self) -> int:
+        engines = self.backends.engines.values()
+        plains = self.backends.plains.values()
+        on_engines = sum(len(engine.started) for engine in engines)
+        return on_engines + sum(len(plain.started) for plain in plains)
+
+    def test_resend_to_another_instance_gets_the_same_outcome(self) -> None:
+        one, two = self.instance("entry@1"), self.instance("entry@2")
+        first = last(list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        again = last(list(two.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        self.assertEqual(first, again)
+        assert isinstance(first, Completed)
+        self.assertTrue(first.recorded)
+        self.assertEqual(1, self.started())
+
+    def test_changed_request_under_a_key_is_refused(self) -> None:
+        one = self.instance("entry@1")
+        list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT))
+        changed = replace(a_call(SLIP, "r-1"), payload="another")
+        outcome = last(list(one.runs.events(changed, DEADLINE_AT)))
+        assert isinstance(outcome, Failed)
+        self.assertEqual((409, Ran.NO), (outcome.status, outcome.ran))
+
+    def test_store_down_refuses_as_not_run(self) -> None:
+        one = self.instance("entry@1")
+        self.platform.set_faults(Faults(outage=True))
+        outcome = last(list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        assert isinstance(outcome, Failed)
+        self.assertEqual((503, Ran.NO), (outcome.status, outcome.ran))
+        self.assertEqual(0, self.started())
+
+    def test_refused_request_leaves_no_record(self) -> None:
+        refuse = Refuse("", RefusalReason.DEADLINE, 0.1)
+        permits = ScriptedPermits(refuse)
+        one = Instance("entry@1", self.platform, self.backends, 1, permits)
+        outcome = last(list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        assert isinstance(outcome, Failed)
+        self.assertEqual(Ran.NO, outcome.ran)
+        self.assertEqual((), self.platform.all_rows("request"))
+        self.assertEqual((), self.platform.all_rows("pending"))
+        again = last(list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        self.assertIsInstance(again, Completed)
+
+    def test_faults_of_each_write(self) -> None:
+        """Whatever two writes meet, the outcome is one, and durable."""
+        faults = (
+            CallFault.PASS,
+            CallFault.LOSE_REPLY,
+            CallFault.LOSE_REQUEST,
+            CallFault.REFUSE,
+        )
+        services = (("slip", SLIP), ("booking", BOOKING))
+        for script in itertools.product(faults, repeat=3):
+            for name, service in services:
+                with self.subTest(script=script, service=name):
+                    self.setUp()
+                    self._one_faulty_run(script, service is BOOKING)
+
+    def _one_faulty_run(
+        self, script: tuple[CallFault, ...], once: bool
+    ) -> None:
+        permits = ScriptedPermits(*["p-1"] * 9) if once else None
+        one = Instance("entry@1", self.platform, self.backends, 1, permits)
+        two = Instance("entry@2", self.platform, self.backends)
+        self.platform.script_writes(script)
+        service = BOOKING if once else SLIP
+        call = a_call(service, "r-1")
+        told = last(list(one.runs.events(call, DEADLINE_AT)))
+        one.settle()
+        if isinstance(told, Failed) and told.ran is Ran.NO:
+            self.assertEqual(0, self.started())
+            return
+        sweeper = two.sweeper(two.me)
+        for turn in range(len(script) + 2):
+            sweeper.sweep(turn * LOST_AFTER_S)
+        two.settle()
+        if script[0] is CallFault.LOSE_REQUEST:
+            self.assertEqual((), self.platform.all_rows("pending"))
+            self.assertEqual(0, self.started())
+            return
+        (row,) = self.platform.all_rows("request")
+        self.assertEqual("done", row.row["state"])
+        self.assertEqual((), self.platform.all_rows("pending"))
+        if isinstance(told, Completed) and told.recorded:
+            self.assertEqual(told.output, row.row["outcome"]["output"])
+        if once:
+            self.assertLessEqual(self.started(), 1)
+
+    def test_accepted_without_a_reply_is_run_by_its_own_instance(self) -> None:
+        one = self.instance("entry@1")
+        self.platform.script_writes([CallFault.LOSE_REPLY])
+        told = last(list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT)))
+        assert isinstance(told, Failed)
+        self.assertEqual(Ran.MAYBE, told.ran)
+        self.assertEqual(1, one.sweeper(one.me).sweep(0.0))
+        one.settle()
+        (row,) = self.platform.all_rows("request")
+        self.assertEqual("done", row.row["state"])
+        self.assertEqual(frozenset(), one.runs.unsure())
+
+    def test_instance_lost_after_the_acknowledgement(self) -> None:
+        one, two = self.instance("entry@1"), self.instance("entry@2")
+        call = a_call(SLIP, "r-1")
+        self.assertTrue(one.records.accept(call, DEADLINE_AT).is_ok())
+        sweeper = two.sweeper(two.me)
+        self.assertEqual(0, sweeper.sweep(0.0))
+        self.assertEqual(1, sweeper.sweep(LOST_AFTER_S))
+        two.settle()
+        found = two.records.read("r-1").ok
+        assert found is not None
+        self.assertEqual(RecordState.DONE, found.state)
+        self.assertIsInstance(found.outcome, Completed)
+
+    def test_live_holder_keeps_its_request(self) -> None:
+        one, two = self.instance("entry@1"), self.instance("entry@2")
+        one.records.accept(a_call(SLIP, "r-1"), DEADLINE_AT)
+        restarted = replace(one.me, incarnation=2)
+        for known, taken in ((one.me, 0), (restarted, 1)):
+            with self.subTest(incarnation=known.incarnation):
+                sweeper = two.sweeper(two.me, known)
+                sweeper.sweep(0.0)
+                self.assertEqual(taken, sweeper.sweep(LOST_AFTER_S))
+
+    def test_started_call_that_may_run_once_is_indeterminate(self) -> None:
+        one, two = self.instance("entry@1"), self.instance("entry@2")
+        accepted = one.records.accept(a_call(BOOKING, "r-1"), DEADLINE_AT)
+        started = one.records.start(accepted.ok)
+        sweeper = two.sweeper(two.me)
+        sweeper.sweep(0.0)
+        sweeper.sweep(LOST_AFTER_S)
+        two.settle()
+        found = two.records.read("r-1").ok
+        assert found is not None
+        assert isinstance(found.outcome, Failed)
+        self.assertEqual("indeterminate", found.outcome.code)
+        self.assertEqual(0, self.started())
+        late = one.records.finish(started.ok, Completed({}, "stop", 0, "p-1"))
+        self.assertTrue(late.is_error(), "a paused holder is fenced")
