Add experiments on modelled engines under a virtual clock

Cause: the parameters of admission need a quick frontier, tail against batch throughput, before daemons run end to end.

Change: mulberry-bench model runs the admission cell and three baselines against the step model; engine prefix hashes now come from policy/prefix.py.

--- /dev/null
+++ b/src/mulberrypass/bench/model_experiments.py
@@ -0,0 +1,301 @@
+"""Experiments on modelled engines under a virtual clock."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass, field, replace
+from functools import partial
+import heapq
+from typing import TYPE_CHECKING
+
+from mulberrypass.bench.model_fleet import ModelFleet, Scenario, Slowdown
+from mulberrypass.bench.model_policies import (
+    CellPolicy,
+    LeastOutstanding,
+    NoPriority,
+    RoundRobin,
+)
+from mulberrypass.bench.results import (
+    ExperimentResult,
+    at_least,
+    at_most,
+    ratio,
+    row,
+)
+from mulberrypass.bench.workload import (
+    ONLINE_SIZES,
+    Sizes,
+    capacity,
+    poisson,
+)
+from mulberrypass.policy.cell_settings import CellSettings, PacingSettings
+from mulberrypass.testing.engine_step import EngineShape
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from mulberrypass.bench.model_fleet import Measured
+    from mulberrypass.bench.model_policies import Fleet, Policy
+    from mulberrypass.bench.results import Row, Target
+    from mulberrypass.bench.workload import Arrival
+
+WORKERS = 4
+ENGINES = 5
+SLOWED_ENGINES = 6
+LOADS = (1 / 3, 3 / 4)
+CUSTOMERS = ("firm-a", "firm-b", "firm-c")
+FIRST_TOKEN_TARGET_MS = 750.0
+GAP_TARGET_MS = 47.0
+RESERVES = (4, 8, 12, 16, 20, 24, 32)
+UNPACED = PacingSettings(
+    start_tokens_per_s=40_000.0, min_tokens_per_s=40_000.0
+)
+BASELINES: dict[str, Callable[[Fleet], Policy]] = {
+    "round robin": RoundRobin,
+    "least outstanding": LeastOutstanding,
+    "no priority": NoPriority,
+}
+SYSTEM = "mulberrypass"
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One policy in one scenario."""
+
+    label: str
+    scenario: Scenario
+    policy: str = SYSTEM
+    settings: CellSettings = field(default_factory=CellSettings)
+
+    def run(self) -> tuple[Row, Measured]:
+        """Run it on this process."""
+        policy = BASELINES.get(
+            self.policy, partial(CellPolicy, settings=self.settings)
+        )
+        measured = ModelFleet(self.scenario, policy).run()
+        shown = row(self.label, measured.online, measured.batch_tokens_per_s)
+        return shown, measured
+
+
+def _run_row(trial: Trial) -> Row:
+    return trial.run()[0]
+
+
+def _run_all(trials: Sequence[Trial]) -> dict[str, Row]:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        return {r.label: r for r in pool.map(_run_row, trials)}
+
+
+def _online(
+    load: float,
+    seconds: float,
+    seed: int,
+    engines: int = ENGINES,
+    customers: Sequence[str] = CUSTOMERS,
+    start: float = 0.0,
+) -> tuple[Arrival, ...]:
+    """Give online arrivals at a share of the engines' capacity."""
+    rate = capacity(EngineShape(), ONLINE_SIZES) * engines * load
+    each = (
+        poisson(
+            rate / len(customers), seconds, ONLINE_SIZES, name, seed, start
+        )
+        for name in customers
+    )
+    return _merged(*each)
+
+
+def _merged(*streams: Iterable[Arrival]) -> tuple[Arrival, ...]:
+    return tuple(heapq.merge(*streams, key=lambda arrival: arrival.at))
+
+
+def batch_harm(seed: int, seconds: float) -> ExperimentResult:
+    """Batch always waiting beside online work: its harm to the tail."""
+    trials = []
+    for load in LOADS:
+        base = Scenario(seconds, _online(load, seconds, seed), seed=seed)
+        busy = replace(base, batch=True)
+        trials.append(Trial(_name(load, "no batch"), base))
+        for name in (*BASELINES, SYSTEM):
+            trials.append(Trial(_name(load, name), busy, name))
+    rows = _run_all(trials)
+    targets = [t for load in LOADS for t in _harm_targets(load, rows)]
+    parameters = asdict(CellSettings())
+    return ExperimentResult(
+        "batch-harm",
+        "model",
+        seed,
+        seconds,
+        [*rows.values()],
+        targets,
+        parameters,
+    )
+
+
+def _name(load: float, label: str) -> str:
+    return f"{load:.2f} {label}"
+
+
+def _harm_targets(load: float, rows: dict[str, Row]) -> list[Target]:
+    ours = rows[_name(load, SYSTEM)]
+    idle = rows[_name(load, "no batch")]
+    unprotected = rows[_name(load, "least outstanding")]
+    none = rows[_name(load, "no priority")]
+    tail = ours.first.p99_ms
+    batch = ratio(ours.batch_tokens_per_s, unprotected.batch_tokens_per_s)
+    return [
+        at_most(
+            _name(load, "p95 first token, ms"),
+            ours.first.p95_ms,
+            FIRST_TOKEN_TARGET_MS,
+        ),
+        at_most(_name(load, "p95 gap, ms"), ours.gap.p95_ms, GAP_TARGET_MS),
+        at_most(
+            _name(load, "p99 first token over no batch"),
+            ratio(tail, idle.first.p99_ms),
+            1.5,
+        ),
+        at_least(
+            _name(load, "p99 of no priority over ours"),
+            ratio(none.first.p99_ms, tail),
+            8.0,
+        ),
+        at_least(_name(load, "batch over least outstanding"), batch, 0.9),
+    ]
+
+
+def frontier(seed: int, seconds: float) -> ExperimentResult:
+    """The tail against batch throughput, over settings of the cell."""
+    trials = []
+    for load in LOADS:
+        base = Scenario(seconds, _online(load, seconds, seed), seed=seed)
+        busy = replace(base, batch=True)
+        trials.append(Trial(_name(load, "no batch"), base))
+        for reserve in RESERVES:
+            unpaced = CellSettings(
+                reserve_slots=reserve, reserve_share=0.9, pacing=UNPACED
+            )
+            paced = replace(unpaced, pacing=PacingSettings())
+            for label, settings in (("unpaced", unpaced), ("paced", paced)):
+                label = _name(load, f"reserve {reserve} {label}")
+                trials.append(Trial(label, busy, SYSTEM, settings))
+    rows = [*_run_all(trials).values()]
+    return ExperimentResult("frontier", "model", seed, seconds, rows, ())
+
+
+def burst(seed: int, seconds: float) -> ExperimentResult:
+    """Online work from nothing to full in one step, batch in every slot."""
+    start = seconds / 2
+    online = _online(1.0, seconds / 2, seed, start=start)
+    base = Scenario(seconds, online, seed=seed, measured=100)
+    busy = replace(base, batch=True)
+    trials = [Trial("no batch", base)]
+    trials += [Trial(name, busy, name) for name in (*BASELINES, SYSTEM)]
+    rows = _run_all(trials)
+    tail = ratio(rows[SYSTEM].first.p99_ms, rows["no batch"].first.p99_ms)
+    targets = [at_most("p99 of the first 100 over no batch", tail, 1.25)]
+    return ExperimentResult(
+        "burst", "model", seed, seconds, [*rows.values()], targets
+    )
+
+
+def stragglers(seed: int, seconds: float) -> ExperimentResult:
+    """Short calls among calls of 50 times the length."""
+    short = _online(1 / 3, seconds, seed)
+    mean = ONLINE_SIZES.mean
+    longer = 50 * mean.output_tokens
+    sizes = Sizes(mean.prompt_tokens, mean.prompt_tokens, longer, longer)
+    long = poisson(1.0, seconds, sizes, "straggler", seed)
+    base = Scenario(seconds, short, seed=seed, customers=CUSTOMERS)
+    mixed = replace(base, online=_merged(short, long), deadline_s=300.0)
+    trials = [Trial("no stragglers", base)]
+    trials += [Trial(name, mixed, name) for name in (*BASELINES, SYSTEM)]
+    rows = _run_all(trials)
+    tail = ratio(rows[SYSTEM].first.p99_ms, rows["no stragglers"].first.p99_ms)
+    targets = [at_most("p99 first token over no stragglers", tail, 1.2)]
+    return ExperimentResult(
+        "stragglers", "model", seed, seconds, [*rows.values()], targets
+    )
+
+
+def slow_engines(seed: int, seconds: float) -> ExperimentResult:
+    """Two of six engines ten times slower for a while, unannounced."""
+    online = _online(0.4, seconds, seed, SLOWED_ENGINES)
+    base = Scenario(seconds, online, engines=SLOWED_ENGINES, seed=seed)
+    slow = Slowdown((1, 4), 10.0, seconds / 4, seconds / 4 + 10.0)
+    slowed = replace(base, slowdown=slow)
+    trials = [Trial("healthy", base)]
+    trials += [Trial(name, slowed, name) for name in (*BASELINES, SYSTEM)]
+    rows = _run_all(trials)
+    ours = rows[SYSTEM].first.p99_ms
+    targets = [
+        at_most(
+            "p99 first token over healthy",
+            ratio(ours, rows["healthy"].first.p99_ms),
+            1.5,
+        )
+    ]
+    for name in BASELINES:
+        better = ratio(rows[name].first.p99_ms, ours)
+        targets.append(at_least(f"p99 of {name} over ours", better, 3.0))
+    return ExperimentResult(
+        "slow-engines", "model", seed, seconds, [*rows.values()], targets
+    )
+
+
+def flood(seed: int, seconds: float) -> ExperimentResult:
+    """One customer sends 20 times its share."""
+    others = _online(0.3, seconds, seed)
+    share = _online(0.1, seconds, seed, customers=("flood",))
+    flooding = _online(2.0, seconds, seed, customers=("flood",))
+    base = Scenario(
+        seconds,
+        _merged(others, share),
+        seed=seed,
+        customers=CUSTOMERS,
+        deadline_s=5.0,
+    )
+    flooded = replace(base, online=_merged(others, flooding))
+    trials = [Trial("its share", base)]
+    trials += [Trial(name, flooded, name) for name in (*BASELINES, SYSTEM)]
+    rows = _run_all(trials)
+    tail = ratio(rows[SYSTEM].first.p99_ms, rows["its share"].first.p99_ms)
+    targets = [at_most("the others' p99 over its share", tail, 1.15)]
+    return ExperimentResult(
+        "flood", "model", seed, seconds, [*rows.values()], targets
+    )
+
+
+def overload(seed: int, seconds: float) -> ExperimentResult:
+    """Online work at twice the capacity, due within two seconds."""
+    deadline_s = 4.0
+    online = _online(2.0, seconds, seed)
+    scenario = Scenario(seconds, online, seed=seed, deadline_s=deadline_s)
+    trials = [Trial(name, scenario, name) for name in (*BASELINES, SYSTEM)]
+    rows = _run_all(trials)
+    _, measured = trials[-1].run()
+    measured_s = seconds - scenario.warm_s
+    most = capacity(EngineShape(), ONLINE_SIZES) * ENGINES * measured_s
+    good = rows[SYSTEM].done - rows[SYSTEM].failed
+    refusal_ms = measured.refusal.total.summary().p99_ms
+    targets = [
+        at_least("goodput over capacity", ratio(good, most), 0.95),
+        at_most("p99 time to a refusal, ms", refusal_ms, 50.0),
+    ]
+    return ExperimentResult(
+        "overload", "model", seed, seconds, [*rows.values()], targets
+    )
+
+
+MODEL_EXPERIMENTS: dict[str, Callable[[int, float], ExperimentResult]] = {
+    "batch-harm": batch_harm,
+    "frontier": frontier,
+    "burst": burst,
+    "stragglers": stragglers,
+    "slow-engines": slow_engines,
+    "flood": flood,
+    "overload": overload,
+}
+
+
+__all__ = ["MODEL_EXPERIMENTS"]
--- /dev/null
+++ b/src/mulberrypass/bench/results.py
@@ -0,0 +1,162 @@
+"""Results of experiments: rows, targets, JSON and a table."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+import enum
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping, Sequence
+
+    from mulberrypass.bench.recorder import Recorder, Summary
+
+
+class Bound(enum.StrEnum):
+    """Which side of a target is met."""
+
+    AT_MOST = "<="
+    AT_LEAST = ">="
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What one policy showed in one run.
+
+    :param first: from the intended send time to the first token
+    :param gap: between tokens
+    :param total: from the intended send time to the end
+    """
+
+    label: str
+    first: Summary
+    gap: Summary
+    total: Summary
+    done: int
+    refused: int
+    failed: int
+    batch_tokens_per_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One figure against the target that was set for it."""
+
+    name: str
+    measured: float
+    bound: Bound
+    wanted: float
+
+    @property
+    def met(self) -> bool:
+        """Whether the target is met."""
+        if self.bound is Bound.AT_MOST:
+            return self.measured <= self.wanted
+        return self.measured >= self.wanted
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentResult:
+    """All that one experiment showed.
+
+    :param kind: ``model`` or ``processes``
+    """
+
+    experiment: str
+    kind: str
+    seed: int
+    seconds: float
+    rows: Sequence[Row]
+    targets: Sequence[Target]
+    parameters: Mapping[str, Any] = field(default_factory=dict)
+    notes: Sequence[str] = ()
+
+    def to_json(self) -> str:
+        """Give the result as a JSON document."""
+        doc = asdict(self)
+        for written, target in zip(doc["targets"], self.targets, strict=True):
+            written["met"] = target.met
+        return json.dumps(doc, indent=1) + "\n"
+
+    def save(self, directory: str) -> Path:
+        """Write the result to a file that is named after it."""
+        path = Path(directory) / f"{self.kind}-{self.experiment}.json"
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(self.to_json())
+        return path
+
+    def table(self) -> str:
+        """Give the result as text."""
+        return "\n".join(self._lines()) + "\n"
+
+    def _lines(self) -> Iterator[str]:
+        yield f"{self.experiment} ({self.kind}), seed {self.seed}"
+        yield _HEAD
+        for row in self.rows:
+            yield (
+                f"{row.label:30}"
+                f"{row.first.p50_ms:9.1f}{row.first.p95_ms:9.1f}"
+                f"{row.first.p99_ms:9.1f}{row.gap.p95_ms:8.1f}"
+                f"{row.total.p99_ms:10.1f}{row.done:7}"
+                f"{row.refused:8}{row.failed:7}"
+                f"{row.batch_tokens_per_s:9.0f}"
+            )
+        for target in self.targets:
+            mark = "met" if target.met else "MISSED"
+            yield (
+                f"{mark:7}{target.name}: {target.measured:.3f} "
+                f"(wanted {target.bound.value} {target.wanted:g})"
+            )
+        yield from self.notes
+
+
+_HEAD = (
+    f"{'times in ms':30}{'first50':>9}{'first95':>9}{'first99':>9}"
+    f"{'gap95':>8}{'total99':>10}{'done':>7}{'refused':>8}"
+    f"{'failed':>7}{'batch/s':>9}"
+)
+
+
+def row(
+    label: str, recorder: Recorder, batch_tokens_per_s: float = 0.0
+) -> Row:
+    """Give the row of one run."""
+    return Row(
+        label,
+        recorder.first.summary(),
+        recorder.gap.summary(),
+        recorder.total.summary(),
+        recorder.done,
+        recorder.refused,
+        recorder.failed,
+        round(batch_tokens_per_s, 1),
+    )
+
+
+def at_most(name: str, measured: float, wanted: float) -> Target:
+    """Give a target that a figure must not exceed."""
+    return Target(name, round(measured, 4), Bound.AT_MOST, wanted)
+
+
+def at_least(name: str, measured: float, wanted: float) -> Target:
+    """Give a target that a figure must reach."""
+    return Target(name, round(measured, 4), Bound.AT_LEAST, wanted)
+
+
+def ratio(measured: float, base: float) -> float:
+    """Give how many times the base a figure is; infinite over nothing."""
+    return measured / base if base else float("inf")
+
+
+__all__ = [
+    "Bound",
+    "ExperimentResult",
+    "Row",
+    "Target",
+    "at_least",
+    "at_most",
+    "ratio",
+    "row",
+]
--- a/src/mulberrypass/testing/engine_http.py
+++ b/src/mulberrypass/testing/engine_http.py
@@ -9,8 +9,8 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from mulberrypass.engine.prefix import prefix_blocks, prefix_scope
 from mulberrypass.policy.messages import Ran
+from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.http import (
     HttpServer,
     Problem,
@@ -189,12 +189,11 @@
 
     def _new_run(self, body: CompletionBody, prompt_tokens: int) -> Run:
         count = output_tokens(body.prompt, body.max_tokens)
-        scope = prefix_scope(body.version, body.adapter)
         sequence = Sequence(
             body.request_id,
             prompt_tokens,
             count,
-            prefix_blocks(body.prompt, scope),
+            prefix_hashes(body.prompt),
         )
         reason = "stop" if count < body.max_tokens else "length"
         return Run(sequence, body.prompt, body.seed, reason)
--- a/src/mulberrypass/testing/engine_step.py
+++ b/src/mulberrypass/testing/engine_step.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.engine.prefix import BLOCK_WORDS
+from mulberrypass.policy.prefix import BLOCK_WORDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/tests/bench/test_model.py
@@ -0,0 +1,107 @@
+"""Tests of the model of a fleet and of what it measures."""
+
+from __future__ import annotations
+
+from functools import partial
+import json
+import unittest
+
+from mulberrypass.bench.model_fleet import ModelFleet, Scenario, Slowdown
+from mulberrypass.bench.model_policies import (
+    CellPolicy,
+    LeastOutstanding,
+    NoPriority,
+    RoundRobin,
+)
+from mulberrypass.bench.recorder import Recorder
+from mulberrypass.bench.results import (
+    ExperimentResult,
+    at_least,
+    at_most,
+    row,
+)
+from mulberrypass.bench.workload import (
+    ONLINE_SIZES,
+    Arrival,
+    Size,
+    Sizes,
+    capacity,
+    poisson,
+)
+from mulberrypass.testing.engine_step import EngineShape
+
+POLICIES = (RoundRobin, LeastOutstanding, NoPriority, CellPolicy)
+
+
+class WorkloadTest(unittest.TestCase):
+    def test_arrivals_follow_seed_and_rate(self) -> None:
+        draw = partial(poisson, 50.0, 100.0, ONLINE_SIZES, "a")
+        arrivals = list(draw(7))
+        self.assertEqual(arrivals, list(draw(7)))
+        self.assertNotEqual(arrivals, list(draw(8)))
+        self.assertAlmostEqual(5_000, len(arrivals), delta=300)
+        self.assertTrue(all(0 < a.at < 100 for a in arrivals))
+
+    def test_capacity_is_what_the_engine_carries(self) -> None:
+        sizes = Sizes(100, 100, 50, 50)
+        rate = capacity(EngineShape(), sizes)
+        for share, carried in ((0.9, True), (1.3, False)):
+            with self.subTest(share=share):
+                online = tuple(poisson(rate * share, 40.0, sizes, "a", 1))
+                scenario = Scenario(40.0, online, engines=1)
+                measured = ModelFleet(scenario, RoundRobin).run()
+                tail_ms = measured.online.first.summary().p99_ms
+                self.assertEqual(carried, tail_ms < 1_000)
+
+
+class ModelFleetTest(unittest.TestCase):
+    def test_one_request_costs_what_the_step_model_says(self) -> None:
+        online = (Arrival(1.0, Size(100, 3), "a"),)
+        scenario = Scenario(9.0, online, warm_s=0.0, engines=1)
+        measured = ModelFleet(scenario, RoundRobin).run()
+        first = measured.online.first.summary().max_ms
+        # Two network trips, one step with prefill; then two steps.
+        self.assertAlmostEqual(3.0 + 20.15, first, delta=0.1)
+        total = measured.online.total.summary().max_ms
+        self.assertAlmostEqual(3.0 + 20.15 + 2 * 15.15, total, delta=0.1)
+
+    def test_every_policy_finishes_online_work(self) -> None:
+        online = tuple(poisson(20.0, 5.0, ONLINE_SIZES, "a", 3))
+        for policy in POLICIES:
+            with self.subTest(policy=policy.__name__):
+                scenario = Scenario(60.0, online, True, warm_s=0.0)
+                measured = ModelFleet(scenario, policy).run()
+                self.assertEqual(len(online), measured.online.done)
+                self.assertGreater(measured.batch_done, 0)
+
+    def test_slowed_engines_are_seen_in_the_tail(self) -> None:
+        online = tuple(poisson(60.0, 10.0, ONLINE_SIZES, "a", 3))
+        tails = []
+        for factor in (1.0, 10.0):
+            slowdown = Slowdown((0,), factor, 0.0, 10.0)
+            scenario = Scenario(30.0, online, slowdown=slowdown, engines=2)
+            measured = ModelFleet(scenario, RoundRobin).run()
+            tails.append(measured.online.first.summary().p99_ms)
+        self.assertGreater(tails[1], 3 * tails[0])
+
+
+class ResultsTest(unittest.TestCase):
+    def test_targets_and_table(self) -> None:
+        recorder = Recorder()
+        for ms in range(1, 101):
+            recorder.first.record(ms / 1_000)
+        targets = (
+            at_most("a", 1.0, 1.0),
+            at_most("b", 1.1, 1.0),
+            at_least("c", 0.9, 0.9),
+            at_least("d", float("nan"), 0.9),
+        )
+        result = ExperimentResult(
+            "x", "model", 1, 2.0, [row("r", recorder)], targets
+        )
+        doc = json.loads(result.to_json())
+        met = [target["met"] for target in doc["targets"]]
+        self.assertEqual([True, False, True, False], met)
+        first = doc["rows"][0]["first"]
+        self.assertAlmostEqual(99.0, first["p99_ms"], delta=0.2)
+        self.assertEqual(2, result.table().count("MISSED"))
