--- a/src/mulberrypass/configuration/store.py
+++ b/src/mulberrypass/configuration/store.py
@@ -134,11 +134,8 @@
     def head(self) -> Result[Head, StoreDown]:
         """Read the head row."""
         match self._table.read(rows.TABLE, rows.HEAD_KEY):
-            case Result(tag="ok", ok=None):
-                return Ok(Head(0, None))
-            case Result(tag="ok", ok=api.Row() as row):
-                found = rows.HeadRow.model_validate(row.row)
-                return Ok(Head(row.version, found))
+            case Result(tag="ok", ok=row):
+                return Ok(_head(row))
             case Result(error=exc):
                 return Error(StoreDown(_reason(exc)))
 
@@ -200,12 +197,30 @@
                 return _outcome(sub, row)
             case Result(tag="error", error=exc):
                 return Error(StoreDown(_reason(exc)))
-        match self.head():
+        match self._latest_head():
             case Result(tag="ok", ok=head):
                 return self._submit_on(head, sub)
             case Result(error=down):
                 return Error(down)
 
+    def _latest_head(self) -> Result[Head, StoreDown]:
+        return self._read_latest(rows.HEAD_KEY).map(_head)
+
+    def _read_latest(self, key: str) -> Result[api.Row | None, StoreDown]:
+        """Read a row by a transaction, so that it can't be stale."""
+        check = api.Check(rows.TABLE, key, api.Absent())
+        reason = ""
+        for attempt in range(ATTEMPTS):
+            match self._table.transact((check,)):
+                case Result(tag="ok"):
+                    return Ok(None)
+                case Result(error=api.Conflict(found=found)):
+                    return Ok(found)
+                case Result(error=exc):
+                    reason = _reason(exc)
+            self._pause(attempt)
+        return Error(StoreDown(reason))
+
     def _submit_on(
         self, head: Head, sub: Submission
     ) -> Result[Accepted, SubmitError]:
@@ -213,7 +228,7 @@
             snapshot = encode(sub.cfg, head.generation)
             return Ok(Accepted(snapshot, unchanged=True))
         if head.generation != sub.base:
-            return self._overtaken(head.generation, sub.base)
+            return self._settle(sub, maybe=False)
         match self.configuration(head):
             case Result(tag="ok", ok=current):
                 return self._publish(head, current, sub)
@@ -273,19 +288,13 @@
         self, sub: Submission, maybe: bool
     ) -> Result[Accepted, SubmitError]:
         """Tell whether a conflict is with another submission or our own."""
-        key = rows.submit_key(sub.submit_id)
-        check = api.Check(rows.TABLE, key, api.Absent())
-        reason = ""
-        for attempt in range(ATTEMPTS):
-            match self._table.transact((check,)):
-                case Result(tag="ok"):
-                    return self._overtaken_now(sub)
-                case Result(error=api.Conflict(found=api.Row() as row)):
-                    return _outcome(sub, row)
-                case Result(error=exc):
-                    reason = _reason(exc)
-            self._pause(attempt)
-        return Error(StoreDown(reason, maybe_accepted=maybe))
+        match self._read_latest(rows.submit_key(sub.submit_id)):
+            case Result(tag="ok", ok=None):
+                return self._overtaken_now(sub)
+            case Result(tag="ok", ok=api.Row() as row):
+                return _outcome(sub, row)
+            case Result(error=down):
+                return Error(StoreDown(down.reason, maybe_accepted=maybe))
 
     def _overtaken_now(self, sub: Submission) -> Result[Accepted, SubmitError]:
         match self.head():
@@ -309,6 +318,12 @@
             self._sleep(RETRY_S * 2**attempt)
 
 
+def _head(row: api.Row | None) -> Head:
+    if row is None:
+        return Head(0, None)
+    return Head(row.version, rows.HeadRow.model_validate(row.row))
+
+
 def _publishing(
     head: Head, row: rows.HeadRow, history: rows.HistoryRow
 ) -> tuple[api.Op, ...]:
--- a/src/mulberrypass/policy/generation.py
+++ b/src/mulberrypass/policy/generation.py
@@ -53,8 +53,8 @@
 ) -> NextSource:
     """Choose where to fetch a newer configuration from.
 
-    Members are asked before the object store, so that the reads of the
-    store do not grow with the fleet.
+    Members are asked before the object store where they hold as much, so
+    that the reads of the store do not grow with the fleet.
 
     :param head: the highest generation that the head row has shown
     :param hints: generation that each member has said it holds, without
@@ -63,17 +63,15 @@
         was last read
     :param draw: uniform random number from 0 to 1
     """
-    newest = max([head, *hints.values()])
-    if newest <= in_force:
-        return UpToDate()
-    holders = sorted(
-        member for member, generation in hints.items() if generation == newest
-    )
-    if holders:
-        return FromPeer(_pick(holders, draw), newest)
-    if head > in_force and not store_failed:
+    hinted = max(hints.values(), default=0)
+    if head > max(in_force, hinted) and not store_failed:
         return FromStore(head)
-    return Unreachable(newest)
+    if hinted > in_force:
+        holders = sorted(m for m, held in hints.items() if held == hinted)
+        return FromPeer(_pick(holders, draw), hinted)
+    if head > in_force:
+        return Unreachable(head)
+    return UpToDate()
 
 
 def applies(in_force: int, offered: int) -> bool:
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -62,17 +62,23 @@
                 self.fail(exc)
 
     def test_each_write_lost(self) -> None:
-        """The writes are the snapshot's and the head's, then repeats."""
+        """The writes read the head, put the snapshot and put the head."""
         cases: tuple[tuple[str, Iterable[CallFault], bool], ...] = (
             ("none", (), True),
-            ("snapshot's reply", (LOST_REPLY,), True),
-            ("snapshot's request", (LOST_REQUEST,), True),
-            ("head's reply", (PASS, LOST_REPLY), True),
-            ("head's request", (PASS, LOST_REQUEST), True),
-            ("head's twice", (PASS, LOST_REPLY, LOST_REPLY), True),
-            ("settling's reply", (PASS, LOST_REPLY, PASS, LOST_REPLY), True),
-            ("head refused", (PASS, *[REFUSED] * 4), False),
-            ("snapshot refused", [REFUSED] * 4, False),
+            ("reading's reply", (LOST_REPLY,), True),
+            ("snapshot's reply", (PASS, LOST_REPLY), True),
+            ("snapshot's request", (PASS, LOST_REQUEST), True),
+            ("head's reply", (PASS, PASS, LOST_REPLY), True),
+            ("head's request", (PASS, PASS, LOST_REQUEST), True),
+            ("head's twice", (PASS, PASS, LOST_REPLY, LOST_REPLY), True),
+            (
+                "settling's reply",
+                (PASS, PASS, LOST_REPLY, PASS, LOST_REPLY),
+                True,
+            ),
+            ("reading refused", [REFUSED] * 4, False),
+            ("snapshot refused", (PASS, *[REFUSED] * 4), False),
+            ("head refused", (PASS, PASS, *[REFUSED] * 4), False),
         )
         for name, script, published in cases:
             with self.subTest(name):
@@ -88,7 +94,7 @@
                 self.assertEqual(int(published), self.generation())
 
     def test_unknown_outcome_is_said_and_settled_by_repeating(self) -> None:
-        self.platform.script_writes([PASS, LOST_REPLY, *[REFUSED] * 3])
+        self.platform.script_writes([PASS, PASS, LOST_REPLY, *[REFUSED] * 3])
         first = self.submit(make_set("a"), 0, "1")
         assert isinstance(first, s.StoreDown)
         self.assertTrue(first.maybe_accepted)
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -45,7 +45,8 @@
 HOST = "127.0.50.2"
 START = 1_780_000_000.0
 BOOT = "791b825266061d2038706c11cb29f74fb2c6514e5520e56bbfa46085725264e6"
-LOST = [CallFault.PASS, CallFault.LOSE_REPLY, *[CallFault.REFUSE] * 3]
+PASS = CallFault.PASS
+LOST = [PASS, PASS, CallFault.LOSE_REPLY, *[CallFault.REFUSE] * 3]
 
 
 @dataclass(frozen=True)
--- a/tests/policy/test_generation.py
+++ b/tests/policy/test_generation.py
@@ -32,6 +32,7 @@
             ("newer hint", 5, 5, {"a": 7}, False, FromPeer("a", 7)),
             ("both", 5, 7, {"a": 7}, False, FromPeer("a", 7)),
             ("head is newer", 5, 8, {"a": 7}, False, FromStore(8)),
+            ("head out of reach", 5, 8, {"a": 7}, True, FromPeer("a", 7)),
             ("newest hint", 5, 0, {"a": 6, "b": 7}, True, FromPeer("b", 7)),
         )
         for name, in_force, head, hints, failed, expected in cases:
