--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 import queue
 import random
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from expression import Error
 
@@ -31,11 +30,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from concurrent.futures import Executor
 
     from expression import Result
 
     from mulberrypass.jobs.reading import JobReader
-    from mulberrypass.jobs.runs import ItemRuns
     from mulberrypass.jobs.store import HolderStore
     from mulberrypass.policy.items import Outcome, RunResult
     from mulberrypass.policy.job_commands import Command, Fleet
@@ -45,7 +44,6 @@
 
 LOG = get_logger(__name__)
 TICK_S = 0.05
-STALE_S = 1.0
 RETRY_BASE_S = 0.1
 MAX_RETRY_S = 2.0
 RETRY_DOUBLINGS = 10
@@ -111,6 +109,16 @@
 )
 
 
+class Runs(Protocol):
+    """Starts and stops runs of items."""
+
+    def start(self, command: StartItem) -> None:
+        """Start a run."""
+
+    def stop(self, number: int) -> None:
+        """Stop a run; its end is posted all the same."""
+
+
 class RetryPause:
     """Waits between tries at the platform, with jitter; ends at a stop."""
 
@@ -135,6 +143,8 @@
 
     :param fleet: what is known of the processes beside this one
     :param stop: set when writes that wait for the platform are given up
+    :param writer: runs the writes, one after the other
+    :param poller: runs the polls
     """
 
     def __init__(
@@ -145,6 +155,9 @@
         fleet: Callable[[], Fleet],
         metrics: Metrics,
         stop: threading.Event,
+        writer: Executor,
+        poller: Executor,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._holder = holder
         self._store = store
@@ -153,19 +166,23 @@
         self._metrics = metrics
         self._stop = stop
         self._events: queue.SimpleQueue[_Event] = queue.SimpleQueue()
-        self._writer = ThreadPoolExecutor(1, "job-writer")
-        self._poller = ThreadPoolExecutor(1, "job-poller")
+        self._writer = writer
+        self._poller = poller
+        self._clock = clock
         self._thread = threading.Thread(
             target=self._loop, name="job-runner", daemon=True
         )
-        self._runs: ItemRuns | None = None
-        self._cancelled: set[str] = set()
-        self._beat = time.monotonic()
+        self._runs: Runs | None = None
+        self._open: set[str] = set()
+        self._draining = False
         self._idle = threading.Event()
 
-    def start(self, runs: ItemRuns) -> None:
-        """Start to hold lots."""
+    def attach(self, runs: Runs) -> None:
+        """Take what starts and stops items."""
         self._runs = runs
+
+    def start(self) -> None:
+        """Start the thread of this task."""
         self._thread.start()
 
     def run_ended(self, run: int, result: RunResult) -> None:
@@ -179,16 +196,25 @@
     def may_start(self, key: LotKey) -> bool:
         """Tell whether an item may be sent now, on any thread.
 
-        Nothing is sent while this task hasn't run for long, as after a
-        pause of the process: a job may have been cancelled meanwhile.
+        Nothing is sent by an old poll, as after a pause of the process: a
+        job may have been cancelled meanwhile.
         """
-        fresh = time.monotonic() - self._beat < STALE_S
-        return fresh and key.job not in self._cancelled
+        fresh = self._clock() < self._holder.start_until
+        return fresh and key.job in self._open
 
     def state(self) -> HolderState:
         """Give what a dump shows."""
         return self._holder.state()
 
+    @property
+    def drained(self) -> bool:
+        """Whether a drain was asked for and all lots were handed back."""
+        return self._idle.is_set()
+
+    def begin_drain(self) -> None:
+        """Start nothing more, and hand lots back; on any thread."""
+        self._events.put(_Drain())
+
     def drain(self, grace_s: float) -> bool:
         """Finish or hand back all lots.
 
@@ -196,7 +222,7 @@
         :returns: whether nothing was left behind
         """
         deadline = time.monotonic() + grace_s
-        self._events.put(_Drain())
+        self.begin_drain()
         if not self._idle.wait(grace_s / 2):
             self._events.put(_StopIdempotent())
         left_s = max(0.0, deadline - time.monotonic())
@@ -207,36 +233,32 @@
         self._poller.shutdown(wait=False, cancel_futures=True)
         return whole
 
+    def step(self) -> None:
+        """Take all events, and decide by the time."""
+        while not self._events.empty():
+            self._take(self._events.get(), self._clock())
+        self._holder.tick(self._fleet(), self._clock())
+        self._carry_out()
+        if self._draining and self._holder.idle:
+            self._idle.set()
+
     def _loop(self) -> None:
-        draining = False
         while not self._stop.is_set():
             try:
-                event: _Event | None = self._events.get(timeout=TICK_S)
+                event = self._events.get(timeout=TICK_S)
+                self._take(event, self._clock())
             except queue.Empty:
-                event = None
-            while event is not None:
-                draining = draining or isinstance(event, _Drain)
-                self._take(event, time.monotonic())
-                event = None if self._events.empty() else self._events.get()
-            self._tick()
-            if draining and self._holder.idle:
-                self._idle.set()
-
-    def _tick(self) -> None:
-        now = time.monotonic()
-        self._holder.tick(self._fleet(), now)
-        self._carry_out()
-        if not self._holder.blocked:
-            self._beat = now
+                pass
+            self.step()
 
     def _take(self, event: _Event, now: float) -> None:
         match event:
             case _Ended(run=run, result=result):
                 self._count(self._holder.run_ended(run, result, now))
             case _Polled(board=None):
-                self._holder.poll_failed(now)
+                self._holder.poll_failed()
             case _Polled(board=Board() as board):
-                self._note_cancelled(board)
+                self._note_open(board)
                 self._holder.polled(board, now)
             case _LeaseAnswered(lease=lease):
                 self._leased(lease, now)
@@ -249,16 +271,17 @@
                     self._fenced(key)
                 self._holder.flushed()
             case _Cancelled(job=job):
-                self._cancelled.add(job)
+                self._open.discard(job)
                 self._holder.cancel(job)
             case _Drain():
+                self._draining = True
                 self._holder.drain()
             case _StopIdempotent():
                 self._holder.stop_idempotent()
         self._carry_out()
 
-    def _note_cancelled(self, board: Board) -> None:
-        self._cancelled = {job.job for job in board.jobs if job.cancelled}
+    def _note_open(self, board: Board) -> None:
+        self._open = {job.job for job in board.jobs if not job.cancelled}
 
     def _leased(self, lease: Result[LotGrant, NotLeased], now: float) -> None:
         if lease.is_error():
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 import threading
 import time
@@ -72,7 +73,14 @@
         store = HolderStore(own, peers.table, reader, writer, wall)
         holder = LotHolder(own, settings, self._terms)
         self._runner = JobRunner(
-            holder, store, reader, self._fleet, metrics, stop
+            holder,
+            store,
+            reader,
+            self._fleet,
+            metrics,
+            stop,
+            ThreadPoolExecutor(1, "job-writer"),
+            ThreadPoolExecutor(1, "job-poller"),
         )
         self._runs = ItemRuns(
             own,
@@ -84,6 +92,7 @@
             self._runner.run_ended,
             settings.window,
         )
+        self._runner.attach(self._runs)
         desk = JobDesk(
             peers.table,
             peers.objects,
@@ -107,7 +116,7 @@
 
     def start(self) -> None:
         """Start to run lots."""
-        self._runner.start(self._runs)
+        self._runner.start()
 
     def stop(self, grace_s: float) -> bool:
         """Finish or hand back all lots; whether nothing was left behind."""
--- a/src/mulberrypass/policy/job_commands.py
+++ b/src/mulberrypass/policy/job_commands.py
@@ -27,6 +27,7 @@
     :param poll_s: time between readings of the open jobs
     :param idle_poll_s: the same for a process that draws no lots
     :param takeover_s: time for which a holder must be gone
+    :param board_age_s: age of a poll beyond which nothing starts by it
     :param pause_s: gap between ticks after which a poll must come first
     """
 
@@ -40,6 +41,7 @@
     poll_s: float = 1.0
     idle_poll_s: float = 5.0
     takeover_s: float = 2.0
+    board_age_s: float = 2.0
     pause_s: float = 1.0
 
 
--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/job_holder.py
@@ -16,6 +16,7 @@
     StopRun,
 )
 from mulberrypass.policy.job_draw import LotDraw
+from mulberrypass.policy.job_polls import PollSchedule
 from mulberrypass.policy.lots import LotState
 
 if TYPE_CHECKING:
@@ -53,17 +54,14 @@
         self._terms_of = terms_of
         self._commands: list[Command] = []
         self._lots: dict[LotKey, LotState] = {}
-        self._runs: dict[int, LotKey] = {}
+        self._runs: dict[int, LotState] = {}
         self._suspect_runs: set[int] = set()
         self._next_run = 0
         self._fleet = Fleet({}, (), 0, {})
         self._cancelled: set[str] = set()
         self._flushing: Flush | None = None
-        self._polling = False
-        self._poll_stale = False
+        self._polls = PollSchedule(settings)
         self._blocked = True
-        self._next_poll = 0.0
-        self._last_tick: float | None = None
         self._draining = False
 
     @property
@@ -72,9 +70,9 @@
         return not self._lots and not self._runs and self._draw.leasing is None
 
     @property
-    def blocked(self) -> bool:
-        """Whether nothing starts until a poll is answered."""
-        return self._blocked
+    def start_until(self) -> float:
+        """Time from which nothing may start without another poll."""
+        return self._polls.start_until
 
     def state(self) -> HolderState:
         """Give what a dump shows."""
@@ -96,7 +94,6 @@
     def tick(self, fleet: Fleet, now: float) -> None:
         """Decide by the time; called often."""
         self._fleet = fleet
-        self._note_pause(now)
         self._poll(now)
         self._lease(now)
         self._ask_intents()
@@ -107,18 +104,21 @@
     def polled(self, board: Board, now: float) -> None:
         """Take the open jobs and held lots that a poll gave."""
         self._draw.note_board(board, self._fleet, tuple(self._lots), now)
-        self._poll_answered(now)
+        self._polls.answered(good=True)
         for job in board.jobs:
             if job.cancelled:
                 self.cancel(job.job)
         open_jobs = {job.job for job in board.jobs}
-        self._cancelled &= open_jobs | {key.job for key in self._lots}
+        for key in tuple(self._lots):
+            if key.job not in open_jobs:
+                self.fenced(key)
+        self._cancelled &= open_jobs
         if self._may_draw():
             self._commands.extend(self._draw.to_close())
 
-    def poll_failed(self, now: float) -> None:
+    def poll_failed(self) -> None:
         """Note that the platform gave no answer to a poll."""
-        self._poll_answered(now)
+        self._polls.answered(good=False)
 
     def cancel(self, job: str) -> None:
         """Stop all work of a cancelled job."""
@@ -174,10 +174,9 @@
         self, run: int, result: RunResult, now: float
     ) -> Outcome | None:
         """Note the end of a run; its item's outcome, if this settled it."""
-        key = self._runs.pop(run)
+        lot = self._runs.pop(run)
         self._suspect_runs.discard(run)
-        lot = self._lots.get(key)
-        if lot is None:
+        if self._lots.get(lot.key) is not lot:
             return None
         item = lot.running[run].item
         outcome = lot.end(run, result, now)
@@ -198,30 +197,11 @@
     def _stop(self, runs: Iterable[int]) -> None:
         self._commands.extend(StopRun(run) for run in runs)
 
-    def _note_pause(self, now: float) -> None:
-        last, self._last_tick = self._last_tick, now
-        if last is not None and now - last > self._settings.pause_s:
-            self._blocked = True
-            self._poll_stale = self._polling
-            self._next_poll = now
-
     def _poll(self, now: float) -> None:
-        if self._polling or now < self._next_poll:
-            return
-        self._polling = True
         busy = bool(self._lots) or self._may_draw()
-        settings = self._settings
-        pause = settings.poll_s if busy else settings.idle_poll_s
-        self._next_poll = now + pause
-        self._commands.append(Poll())
-
-    def _poll_answered(self, now: float) -> None:
-        self._polling = False
-        if self._poll_stale:
-            self._poll_stale = False
-            self._next_poll = now
-            return
-        self._blocked = False
+        if self._polls.due(busy, now):
+            self._commands.append(Poll())
+        self._blocked = self._polls.blocked(now)
 
     def _may_draw(self) -> bool:
         if self._draining:
@@ -283,7 +263,7 @@
         chosen = lot.next_item(now, free)
         if chosen is None:
             return False
-        running = lot.start(self._new_run(lot.key), chosen, now)
+        running = lot.start(self._new_run(lot), chosen, now)
         if running.suspect:
             self._suspect_runs.add(running.run)
         self._commands.append(
@@ -298,9 +278,9 @@
         )
         return True
 
-    def _new_run(self, key: LotKey) -> int:
+    def _new_run(self, lot: LotState) -> int:
         self._next_run += 1
-        self._runs[self._next_run] = key
+        self._runs[self._next_run] = lot
         return self._next_run
 
     def _run_stragglers_again(self, now: float) -> None:
@@ -318,7 +298,7 @@
                     self._run_twice(lot, straggler.item, now)
 
     def _run_twice(self, lot: LotState, item: int, now: float) -> None:
-        run = self._new_run(lot.key)
+        run = self._new_run(lot)
         lot.start_twin(run, item, now)
         self._commands.append(StartItem(run, lot.key, item, lot.terms))
 
--- /dev/null
+++ b/src/mulberrypass/policy/job_polls.py
@@ -0,0 +1,66 @@
+"""Decides when a holder polls, and how long it may start work by a poll."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mulberrypass.policy.job_commands import HolderSettings
+
+
+class PollSchedule:
+    """Bounds the time for which a holder doesn't hear of a cancelled job.
+
+    Work starts by a poll that was asked for a short time ago, so that a
+    paused process or a slow store delays work and not a cancellation. Only
+    while polls fail does work start without one.
+    """
+
+    def __init__(self, settings: HolderSettings) -> None:
+        self._settings = settings
+        self._asked: float | None = None
+        self._next = float("-inf")
+        self._last_tick: float | None = None
+        self._resumed = float("-inf")
+        self._outage = False
+        self.start_until = float("-inf")
+
+    def blocked(self, now: float) -> bool:
+        """Tell whether nothing may start before a poll is answered."""
+        return now >= self.start_until
+
+    def due(self, busy: bool, now: float) -> bool:
+        """Note a tick; whether to poll now.
+
+        :param busy: whether this process holds or draws lots
+        """
+        settings = self._settings
+        last, self._last_tick = self._last_tick, now
+        if last is not None and now - last > settings.pause_s:
+            self._resumed = now
+            self._outage = False
+            self._next = now
+        if self._outage:
+            self.start_until = now + settings.pause_s
+        if self._asked is not None or now < self._next:
+            return False
+        self._asked = now
+        self._next = now + (settings.poll_s if busy else settings.idle_poll_s)
+        return True
+
+    def answered(self, good: bool) -> None:
+        """Note the answer of the poll that was asked for.
+
+        :param good: ``False`` where the platform gave none
+        """
+        asked, self._asked = self._asked, None
+        if asked is None:
+            return
+        if good:
+            self._outage = False
+            self.start_until = asked + self._settings.board_age_s
+        else:
+            self._outage = asked >= self._resumed
+
+
+__all__ = ["PollSchedule"]
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -21,7 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-SETTINGS = HolderSettings(window=32, poll_s=0.05, takeover_s=0.1)
+SETTINGS = HolderSettings(
+    window=32, poll_s=0.05, takeover_s=0.1, idle_poll_s=0.05
+)
 WAIT_S = 30.0
 
 
