--- /dev/null
+++ b/src/mulberrypass/programs/wiring.py
@@ -0,0 +1,186 @@
+"""Wires the parts that every program on an instance has."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from mulberrypass.configuration.follower import (
+    ConfigurationFollower,
+    FollowerPorts,
+)
+from mulberrypass.configuration.store import ConfigurationStore
+from mulberrypass.peer.configuration import ConfigurationPeers
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.peer.membership import GossipMembership, MembershipSettings
+from mulberrypass.peer.server import PeerServer
+from mulberrypass.platform.committer import Committer
+from mulberrypass.platform.metered import (
+    MeteredObjects,
+    MeteredTable,
+    PlatformBudget,
+)
+from mulberrypass.platform.settled import SettledTable
+from mulberrypass.platform.settled_objects import SettledObjects
+from mulberrypass.policy.budget import FleetBudget
+from mulberrypass.runtime.dump import StateDump
+from mulberrypass.runtime.logs import configure
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.runtime.ports import PEER_PORTS
+
+if TYPE_CHECKING:
+    from mulberrypass.peer.api import Member
+    from mulberrypass.peer.server import PermitsHandler
+    from mulberrypass.platform.client import PlatformClients
+    from mulberrypass.programs.daemon import DaemonSettings
+
+ASKED_PEERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Common:
+    """The parts that every program on an instance has.
+
+    :param table: settles lost replies, and commits writes in groups
+    """
+
+    cfg: DaemonSettings
+    me: Member
+    metrics: Metrics
+    dump: StateDump
+    loop: LoopThread
+    platform: PlatformClients
+    budget: PlatformBudget
+    table: Committer
+    objects: SettledObjects
+    store: ConfigurationStore
+    membership: GossipMembership
+    follower: ConfigurationFollower
+    peers: ConfigurationPeers
+
+    def serve(self, permits: PermitsHandler | None = None) -> PeerServer:
+        """Make the server towards peers."""
+        return PeerServer(
+            self.cfg.peer_key.get_secret_value(),
+            self.membership,
+            self.peers,
+            permits,
+        )
+
+    def start(self, server: PeerServer) -> None:
+        """Start the common parts, the server towards peers first."""
+        port = PEER_PORTS[self.me.program]
+        self.loop.start()
+        self.loop.submit(server.start(str(self.cfg.address), port)).result()
+        self.table.start()
+        self.membership.start()
+        self.follower.start()
+
+    def stop(self, server: PeerServer) -> None:
+        """Stop the common parts."""
+        self.follower.stop()
+        self.membership.stop()
+        self.table.stop()
+        self.loop.submit(server.stop()).result()
+        self.loop.stop()
+        self.platform.close()
+
+
+def open_common(program: str, cfg: DaemonSettings) -> Common:
+    """Make the common parts of a program; none is started.
+
+    :param program: ``entry``, ``batch`` or ``control``
+    """
+    me = cfg.member(program)
+    configure(f"mulberry-{program}", me.name, cfg.log_format, cfg.log_level)
+    logging.getLogger("waitress").setLevel(logging.ERROR)
+    metrics = Metrics(program, cfg.statsd_address, cfg.statsd_port)
+    key = cfg.peer_key.get_secret_value()
+    loop = LoopThread()
+    platform = cfg.open_platform()
+    fleet = FleetBudget(cfg.fleet_writes_per_s, cfg.fleet_reads_per_s)
+    budget = PlatformBudget(program, fleet)
+    settled = SettledTable(
+        MeteredTable(platform.table, budget),
+        f"{me.name}/{me.incarnation}",
+        metrics=metrics,
+    )
+    table = Committer(settled, metrics)
+    objects = SettledObjects(
+        MeteredObjects(platform.objects, budget), metrics=metrics
+    )
+    store = ConfigurationStore(settled, objects)
+    peers = ConfigurationPeers(
+        loop,
+        key,
+        lambda name: _address_of(membership, name),
+        lambda: follower.snapshot(),
+    )
+    follower = ConfigurationFollower(
+        FollowerPorts(store, peers.fetch_from, lambda: _to_ask(membership)),
+        metrics,
+        random.Random(),
+    )
+    membership = GossipMembership(
+        me,
+        loop,
+        platform.instances,
+        key,
+        MembershipSettings(seeds=tuple(str(seed) for seed in cfg.seeds)),
+        metrics,
+        lambda member, generation: follower.hint(member.name, generation),
+        lambda: follower.current().generation,
+    )
+    membership.subscribe(
+        lambda: budget.set_live(len(membership.live(program)))
+    )
+    dump = StateDump()
+    dump.install_signal()
+    dump.register("member", lambda: me)
+    dump.register("metrics", metrics.snapshot)
+    dump.register("configuration", follower.state)
+    dump.register("membership", membership.state)
+    dump.register("budget", budget.state)
+    dump.register("committer", table.state)
+    return Common(
+        cfg=cfg,
+        me=me,
+        metrics=metrics,
+        dump=dump,
+        loop=loop,
+        platform=platform,
+        budget=budget,
+        table=table,
+        objects=objects,
+        store=store,
+        membership=membership,
+        follower=follower,
+        peers=peers,
+    )
+
+
+def _all(membership: GossipMembership) -> list[Member]:
+    return [
+        member
+        for program in PEER_PORTS
+        for member in membership.members(program)
+    ]
+
+
+def _address_of(
+    membership: GossipMembership, name: str
+) -> tuple[str, int] | None:
+    for member in _all(membership):
+        if member.name == name:
+            return member.address, PEER_PORTS[member.program]
+    return None
+
+
+def _to_ask(membership: GossipMembership) -> tuple[str, ...]:
+    names = [member.name for member in _all(membership)]
+    return tuple(random.sample(names, min(ASKED_PEERS, len(names))))
+
+
+__all__ = ["Common", "open_common"]
