Add the batch program, and let a throttled poll not pass for an outage

Cause: jobs had no process around them, and a poll that the platform's budget refused would have let work start without one. Change: programs/batch.py wires jobs, membership, configuration, permits and the callers' port, and hands lots back on SIGTERM; only a poll without any answer counts as an outage; a version that the platform's client did not learn is read back; a fault in one step is logged and the next one goes on.

--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -13,9 +13,9 @@
 
 from mulberrypass.jobs.store import NotLeased
 from mulberrypass.jobs.writer import GaveUp
+from mulberrypass.platform.api import Throttled, Unavailable
 from mulberrypass.policy.items import ItemState
 from mulberrypass.policy.job_commands import (
-    Board,
     CloseJob,
     Flush,
     LeaseNext,
@@ -36,8 +36,9 @@
 
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.store import HolderStore
+    from mulberrypass.platform.api import ReadError
     from mulberrypass.policy.items import Outcome, RunResult
-    from mulberrypass.policy.job_commands import Command, Fleet
+    from mulberrypass.policy.job_commands import Board, Command, Fleet
     from mulberrypass.policy.job_holder import HolderState, LotHolder
     from mulberrypass.policy.lots import LotGrant, LotKey
     from mulberrypass.runtime.metrics import Metrics
@@ -63,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Polled:
-    board: Board | None
+    board: Result[Board, ReadError]
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,21 +246,24 @@
     def _loop(self) -> None:
         while not self._stop.is_set():
             try:
-                event = self._events.get(timeout=TICK_S)
-                self._take(event, self._clock())
-            except queue.Empty:
-                pass
-            self.step()
+                self._wait_and_step()
+            except Exception:
+                LOG.exception("step failed")
+
+    def _wait_and_step(self) -> None:
+        try:
+            event = self._events.get(timeout=TICK_S)
+            self._take(event, self._clock())
+        except queue.Empty:
+            pass
+        self.step()
 
     def _take(self, event: _Event, now: float) -> None:
         match event:
             case _Ended(run=run, result=result):
                 self._count(self._holder.run_ended(run, result, now))
-            case _Polled(board=None):
-                self._holder.poll_failed()
-            case _Polled(board=Board() as board):
-                self._note_open(board)
-                self._holder.polled(board, now)
+            case _Polled(board=board):
+                self._polled(board, now)
             case _LeaseAnswered(lease=lease):
                 self._leased(lease, now)
             case _IntentsAnswered(key=key, durable=True):
@@ -280,8 +284,14 @@
                 self._holder.stop_idempotent()
         self._carry_out()
 
-    def _note_open(self, board: Board) -> None:
-        self._open = {job.job for job in board.jobs if not job.cancelled}
+    def _polled(self, board: Result[Board, ReadError], now: float) -> None:
+        if board.is_error():
+            away = isinstance(board.error, Unavailable)
+            self._holder.poll_failed(away)
+            return
+        jobs = board.ok.jobs
+        self._open = {job.job for job in jobs if not job.cancelled}
+        self._holder.polled(board.ok, now)
 
     def _leased(self, lease: Result[LotGrant, NotLeased], now: float) -> None:
         if lease.is_error():
@@ -329,10 +339,9 @@
                 self._writer.submit(self._write, command)
 
     def _poll(self) -> None:
-        board: Board | None = None
+        board: Result[Board, ReadError] = Error(Throttled(0.0))
         try:
-            read = self._reader.board()
-            board = read.ok if read.is_ok() else None
+            board = self._reader.board()
         except Exception:
             LOG.exception("poll failed")
         self._events.put(_Polled(board))
--- a/src/mulberrypass/jobs/store.py
+++ b/src/mulberrypass/jobs/store.py
@@ -34,6 +34,7 @@
     Always,
     Check,
     Committed,
+    Conflict,
     Delete,
     Put,
     VersionIs,
@@ -49,6 +50,7 @@
     from mulberrypass.platform.api import (
         Condition,
         Op,
+        Row,
         Table,
     )
     from mulberrypass.policy.job_commands import Flush, LotFlush
@@ -151,8 +153,7 @@
         done = self._writer.write(ops)
         if isinstance(done, Committed):
             return True
-        found = done.found
-        if done.index == 0 and found and found.row["nonce"] == nonce:
+        if done.index == 0 and _made_by(done.found, nonce):
             return self._still_held(key, held)
         self._held.pop(key, None)
         return False
@@ -234,7 +235,7 @@
                 Check(TABLE, open_key(key.job), is_open),
             )
         )
-        if done.is_ok():
+        if done.is_ok() and done.ok.versions[0]:
             return done.ok.versions[0]
         return self._written(key, row.nonce)
 
@@ -243,7 +244,7 @@
         found = self._reader.row(lot_key(key))
         if found.is_error() or found.ok is None:
             return None
-        return found.ok.version if found.ok.row["nonce"] == nonce else None
+        return found.ok.version if _made_by(found.ok, nonce) else None
 
     def _load(
         self,
@@ -308,12 +309,12 @@
             if part.ended or part.released:
                 ops.append(Delete(TABLE, held_key(part.key), Always()))
         done = self._writer.write(tuple(ops))
-        if isinstance(done, Committed):
+        if isinstance(done, Committed) and all(done.versions[: len(parts)]):
             for index, part in enumerate(parts):
                 written = done.versions[index]
                 self._note_written(part.key, rows[part.key], written)
             return None
-        if done.found is None or done.found.row["nonce"] != nonce:
+        if isinstance(done, Conflict) and not _made_by(done.found, nonce):
             return parts[done.index].key
         return self._settle(parts, rows, nonce)
 
@@ -328,7 +329,7 @@
             if part.ended or part.released:
                 continue
             row = self._writer.read_row(lot_key(part.key))
-            if row is None or row.row["nonce"] != nonce:
+            if row is None or not _made_by(row, nonce):
                 self._held.pop(part.key)
                 continue
             self._note_written(part.key, rows[part.key], row.version)
@@ -371,4 +372,8 @@
             self._held.pop(key, None)
 
 
+def _made_by(row: Row | None, nonce: str) -> bool:
+    return row is not None and row.row["nonce"] == nonce
+
+
 __all__ = ["HolderStore", "NotLeased"]
--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/job_holder.py
@@ -104,7 +104,7 @@
     def polled(self, board: Board, now: float) -> None:
         """Take the open jobs and held lots that a poll gave."""
         self._draw.note_board(board, self._fleet, tuple(self._lots), now)
-        self._polls.answered(good=True)
+        self._polls.answered()
         for job in board.jobs:
             if job.cancelled:
                 self.cancel(job.job)
@@ -116,9 +116,12 @@
         if self._may_draw():
             self._commands.extend(self._draw.to_close())
 
-    def poll_failed(self) -> None:
-        """Note that the platform gave no answer to a poll."""
-        self._polls.answered(good=False)
+    def poll_failed(self, away: bool) -> None:
+        """Note that a poll failed.
+
+        :param away: whether the platform gave no answer at all
+        """
+        self._polls.failed(away)
 
     def cancel(self, job: str) -> None:
         """Stop all work of a cancelled job."""
--- a/src/mulberrypass/policy/job_polls.py
+++ b/src/mulberrypass/policy/job_polls.py
@@ -48,19 +48,21 @@
         self._next = now + (settings.poll_s if busy else settings.idle_poll_s)
         return True
 
-    def answered(self, good: bool) -> None:
-        """Note the answer of the poll that was asked for.
-
-        :param good: ``False`` where the platform gave none
-        """
+    def answered(self) -> None:
+        """Note that the poll that was asked for was answered."""
         asked, self._asked = self._asked, None
-        if asked is None:
-            return
-        if good:
+        if asked is not None:
             self._outage = False
             self.start_until = asked + self._settings.board_age_s
-        else:
-            self._outage = asked >= self._resumed
+
+    def failed(self, away: bool) -> None:
+        """Note that the poll that was asked for failed.
+
+        :param away: whether the platform gave no answer at all
+        """
+        asked, self._asked = self._asked, None
+        if asked is not None:
+            self._outage = away and asked >= self._resumed
 
 
 __all__ = ["PollSchedule"]
--- /dev/null
+++ b/src/mulberrypass/programs/batch.py
@@ -0,0 +1,178 @@
+"""``mulberry-batch``: accepts jobs and runs their items in lots."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+
+from pydantic import Field
+
+from mulberrypass.caller.health import Health
+from mulberrypass.engine.directory import Backends
+from mulberrypass.jobs.service import JobPeers, JobService
+from mulberrypass.peer.holder import PermitLink
+from mulberrypass.platform.metered import MeteredObjects, MeteredTable
+from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.programs.daemon import DaemonSettings
+from mulberrypass.programs.wiring import open_common
+from mulberrypass.runtime.http import HttpServer, WsgiApp
+from mulberrypass.runtime.lifecycle import StopSignal
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.runtime.ports import BATCH_PORT
+from mulberrypass.runtime.settings import Port, load
+
+PROGRAM = "mulberry-batch"
+LOG = get_logger(__name__)
+
+
+class BatchSettings(DaemonSettings):
+    """What the batch program is told."""
+
+    port: Port = Field(
+        default=BATCH_PORT, description="port for callers who have jobs"
+    )
+    threads: int = Field(
+        default=16, ge=2, le=512, description="callers answered at once"
+    )
+    max_manifest_bytes: int = Field(
+        default=536_870_912, ge=1_024, description="bound on one manifest"
+    )
+    lot_items: int = Field(
+        default=4_000, ge=1, le=20_000, description="items of one lot"
+    )
+    window: int = Field(
+        default=192, ge=1, le=2_000, description="items in flight"
+    )
+    flush_outcomes: int = Field(
+        default=2_000, ge=1, description="outcomes that are flushed together"
+    )
+    flush_age_s: float = Field(
+        default=60.0, gt=0.0, description="age at which fewer are flushed"
+    )
+    effect_flush_age_s: float = Field(
+        default=5.0,
+        gt=0.0,
+        description="the same for items of services that are not idempotent",
+    )
+    takeover_s: float = Field(
+        default=2.0,
+        ge=0.0,
+        description="seconds for which a holder must be gone",
+    )
+    drain_linger_s: float = Field(
+        default=12.0,
+        ge=0.0,
+        description="seconds that a planned stop goes on answering, since "
+        "callers keep an address for a while",
+    )
+
+    def holder(self) -> HolderSettings:
+        """Give the bounds of the holder of lots."""
+        return HolderSettings(
+            window=self.window,
+            flush_outcomes=self.flush_outcomes,
+            flush_age_s=self.flush_age_s,
+            effect_flush_age_s=self.effect_flush_age_s,
+            takeover_s=self.takeover_s,
+        )
+
+
+class BatchProcess:
+    """The parts of one batch process, wired together."""
+
+    def __init__(self, cfg: BatchSettings) -> None:
+        common = open_common("batch", cfg)
+        self._cfg = cfg
+        self._common = common
+        self._draining = False
+        self._server = common.serve()
+        self._backends = Backends()
+        common.follower.subscribe(self._backends.apply)
+        self._permits = PermitLink(
+            common.me,
+            common.loop,
+            common.membership,
+            common.follower,
+            None,
+            cfg.peer_key.get_secret_value(),
+            metrics=common.metrics,
+        )
+        self._jobs = JobService(
+            common.me,
+            JobPeers(
+                MeteredTable(common.platform.table, common.budget),
+                MeteredObjects(common.platform.objects, common.budget),
+                common.follower,
+                common.membership,
+                self._permits,
+                self._backends,
+            ),
+            cfg.holder(),
+            common.metrics,
+            cfg.lot_items,
+        )
+        common.dump.register("jobs", self._jobs.state)
+        common.dump.register("permits", self._permits.state)
+        health = Health(common.follower, common.dump, self._not_ready)
+        self._http = HttpServer(
+            WsgiApp((*self._jobs.routes(), *health.routes())),
+            str(cfg.address),
+            cfg.port,
+            cfg.threads,
+            cfg.max_manifest_bytes,
+        )
+
+    def _not_ready(self) -> str:
+        if self._draining:
+            return "the process is being stopped"
+        if not self._common.follower.ready:
+            return "the configuration is not known"
+        if self._common.follower.current().generation == 0:
+            return "no configuration is published"
+        return ""
+
+    def start(self) -> None:
+        """Start all parts, those that face callers last."""
+        self._common.start(self._server)
+        self._permits.start()
+        self._jobs.start()
+        self._http.start()
+        LOG.info("serving", address=str(self._cfg.address))
+
+    def stop(self) -> bool:
+        """Stop as planned: finish or hand back lots, cut off no request.
+
+        :returns: whether everything in flight came to its end
+        """
+        cfg = self._cfg
+        began = time.monotonic()
+        LOG.info("draining", linger_s=cfg.drain_linger_s)
+        self._draining = True
+        self._common.membership.leave()
+        whole = self._jobs.stop(cfg.grace_s)
+        used_s = time.monotonic() - began
+        time.sleep(max(0.0, cfg.drain_linger_s - used_s))
+        left_s = cfg.grace_s - (time.monotonic() - began)
+        whole &= self._http.stop(max(0.0, left_s))
+        self._permits.stop()
+        self._common.stop(self._server)
+        self._backends.close()
+        LOG.info("stopped", whole=whole)
+        return whole
+
+
+def main() -> None:
+    """Serve callers and run lots until a stop signal."""
+    cfg = load(PROGRAM, BatchSettings, sys.argv[1:], os.environ)
+    stop = StopSignal()
+    stop.install()
+    process = BatchProcess(cfg)
+    process.start()
+    stop.wait()
+    whole = process.stop()
+    sys.stdout.flush()
+    os._exit(0 if whole else 1)
+
+
+__all__ = ["BatchProcess", "BatchSettings", "main"]
