Halve the messages for a permit and choose engines in one pass

Owners now answer only asks and empty batches; first tokens and releases wait up to 10 ms for company unless the owner said that asks wait for slots; the choice is one pass over the engines with their health applied at ticks; medians are computed once. The owner ticks fast only while asks wait.

--- a/src/mulberrypass/peer/local.py
+++ b/src/mulberrypass/peer/local.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.permit_session import OwnerSession
+from mulberrypass.peer.permit_session import OwnerSession, answered
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -46,8 +46,10 @@
     def send(self, messages: Iterable[HolderMessage]) -> None:
         """Put messages into the owner's inbox."""
         if self._session is not None:
-            self._task.receive(self._session, messages)
-            self.awaiting()
+            batch = list(messages)
+            self._task.receive(self._session, batch)
+            if answered(batch):
+                self.awaiting()
 
     def _deliver(self, reply: OwnerReply) -> None:
         self._loop.call(self.replied, reply)
--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from concurrent.futures import Future
-from dataclasses import replace
 import queue
 import threading
 import time
@@ -117,8 +116,9 @@
     def receive(
         self, session: HolderSession, messages: Iterable[HolderMessage]
     ) -> None:
-        """Take in a holder's messages; each call gets at least one reply.
+        """Take in a holder's messages.
 
+        Asks get a reply each time, and so does a call without messages.
         An ask names its cell in the place of its pool.
         """
         self._inbox.put(Received(session, tuple(messages)))
@@ -165,6 +165,8 @@
             self._refresh(now)
         if now >= self._tick_at:
             self._tick(now)
+        if any(cell.queueing for cell in self._cells):
+            self._tick_at = min(self._tick_at, now + BUSY_TICK_S)
         if not going:
             self._decide(self._cells.close())
         self._flush()
@@ -208,11 +210,12 @@
         messages: tuple[HolderMessage, ...],
         now: float,
     ) -> None:
-        self._out.setdefault(session.holder, [])
-        self._tick_at = min(self._tick_at, now + BUSY_TICK_S)
+        if not messages:
+            self._out.setdefault(session.holder, [])
         for message in messages:
             if isinstance(message, Ask):
-                self._on_ask(replace(message, holder=session.holder), now)
+                self._out.setdefault(session.holder, [])
+                self._on_ask(message, now)
                 continue
             for cell in self._cells:
                 if cell.knows(message.ask_id):
@@ -226,7 +229,7 @@
             refuse = Refuse(ask.ask_id, RefusalReason.NOT_OWNER, 0.0)
             self._out.setdefault(ask.holder, []).append(refuse)
             return
-        self._decide(cell.handle(replace(ask, pool=key.pool), now))
+        self._decide(cell.handle(ask, now))
         if ask.ask_id in cell.queued(ask.work_class):
             self._counts[Decision.QUEUED] += 1
 
@@ -245,12 +248,9 @@
             self._decide(cell.holder_gone(session.holder, now))
 
     def _tick(self, now: float) -> None:
-        busy = False
         for cell in self._cells:
             self._decide(cell.tick(now))
-            load = cell.load()
-            busy = busy or load.queued_online + load.queued_batch > 0
-        self._tick_at = now + (BUSY_TICK_S if busy else IDLE_TICK_S)
+        self._tick_at = now + IDLE_TICK_S
 
     def _refresh_soon(self, now: float) -> None:
         """Refresh now, or when enough time is over since the last time."""
@@ -290,7 +290,7 @@
         out, self._out = self._out, {}
         if not out:
             return
-        loads = self._cells.shared_loads()
+        loads = self._cells.loads()
         for holder, messages in out.items():
             session = self._sessions.get(holder)
             if session is not None:
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -33,7 +33,6 @@
         self._membership = membership
         self._settings = settings
         self._cells: dict[CellKey, Cell] = {}
-        self._shared: set[CellKey] = set()
         self._live: tuple[str, ...] = ()
         self._owners: dict[CellKey, str | None] = {}
         self.loaded: dict[str, frozenset[str]] = {}
@@ -84,9 +83,9 @@
         for key in tuple(self._cells):
             yield from self._give_up(key)
 
-    def shared_loads(self) -> dict[str, CellLoad]:
-        """Give the loads of cells in pools of several, by name."""
-        return {key.name: self._cells[key].load() for key in self._shared}
+    def loads(self) -> dict[str, CellLoad]:
+        """Give the loads of all cells, by name."""
+        return {key.name: cell.load() for key, cell in self._cells.items()}
 
     def state(self) -> dict[str, Any]:
         """Give queues, permits and engines' scores of each cell."""
@@ -107,9 +106,6 @@
         if cell is None:
             LOG.info("cell taken up", cell=key.name)
             cell = self._cells[key] = Cell(self._settings, now)
-        self._shared.discard(key)
-        if count > 1:
-            self._shared.add(key)
         return cell.configure(
             [cfg.backends[name] for name in names if name in cfg.backends],
             cfg.customers,
@@ -123,7 +119,6 @@
 
     def _give_up(self, key: CellKey) -> list[CellDecision]:
         LOG.info("cell given up", cell=key.name)
-        self._shared.discard(key)
         return self._cells.pop(key).close()
 
     def _zones(self, sessions: Mapping[str, object]) -> dict[str, str]:
--- a/src/mulberrypass/peer/permit_outbox.py
+++ b/src/mulberrypass/peer/permit_outbox.py
@@ -13,37 +13,54 @@
 LOG = get_logger(__name__)
 T = TypeVar("T")
 FLUSH_INTERVAL_S = 0.002
+LAZY_S = 0.01
 
 
 class Outbox(Generic[T]):
     """Messages that wait to be sent; used on the loop's thread only.
 
-    What is put on a stream that was quiet goes at once; on a busy stream,
-    messages are sent together at the flush interval.
+    Urgent messages go at once on a stream that was quiet, and together
+    with others at the flush interval on a busy one. Messages that are not
+    urgent wait for company.
     """
 
-    def __init__(self, interval_s: float = FLUSH_INTERVAL_S) -> None:
-        self._interval_s = interval_s
+    def __init__(self) -> None:
         self._messages: list[T] = []
         self._ready = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
+        self._sent_at = 0.0
 
-    def put(self, messages: Iterable[T]) -> None:
+    def put(self, messages: Iterable[T], urgent: bool = True) -> None:
         """Add messages; an empty batch is sent too."""
         self._messages.extend(messages)
-        self._ready.set()
+        if urgent:
+            self._ready.set()
+        elif self._timer is None and not self._ready.is_set():
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(LAZY_S, self._ready.set)
 
     async def run(self, send: Callable[[list[T]], Awaitable[None]]) -> None:
         """Send what is put until the stream ends or the task does."""
+        loop = asyncio.get_running_loop()
         while True:
             await self._ready.wait()
-            self._ready.clear()
-            batch, self._messages = self._messages, []
+            rest_s = self._sent_at + FLUSH_INTERVAL_S - loop.time()
+            if rest_s > 0:
+                await asyncio.sleep(rest_s)
             try:
-                await send(batch)
+                await send(self._take())
             except Exception as exc:
                 LOG.info("stream ended in sending", error=repr(exc))
                 return
-            await asyncio.sleep(self._interval_s)
+            self._sent_at = loop.time()
 
+    def _take(self) -> list[T]:
+        self._ready.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        batch, self._messages = self._messages, []
+        return batch
 
-__all__ = ["FLUSH_INTERVAL_S", "Outbox"]
+
+__all__ = ["FLUSH_INTERVAL_S", "LAZY_S", "Outbox"]
--- a/src/mulberrypass/peer/permit_session.py
+++ b/src/mulberrypass/peer/permit_session.py
@@ -18,6 +18,7 @@
 from mulberrypass.peer.permit_inbox import OwnerReply
 from mulberrypass.peer.permit_outbox import Outbox
 from mulberrypass.peer.server import KEY_HEADER
+from mulberrypass.policy.messages import Ask
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
     """A connection to one owner; used on the peer loop only.
 
     :ivar silent_since: since when an answer is awaited, else ``None``
+    :ivar pressed: whether asks wait for slots at the owner
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.silent_since: float | None = None
         self.sent_at = 0.0
         self.open = False
+        self.pressed = False
 
     @abstractmethod
     def start(self) -> None:
@@ -99,6 +102,10 @@
     def replied(self, reply: OwnerReply) -> None:
         """Take in a reply."""
         self.silent_since = None
+        self.pressed = any(
+            load.queued_online or load.queued_batch or not load.free_slots
+            for load in reply.loads.values()
+        )
         self.on_reply(self, reply)
 
 
@@ -139,8 +146,10 @@
     def send(self, messages: Iterable[HolderMessage]) -> None:
         """Send messages, if the stream is open."""
         if self.open:
-            self._outbox.put(messages)
-            self.awaiting()
+            batch = list(messages)
+            self._outbox.put(batch, self.pressed or answered(batch))
+            if answered(batch):
+                self.awaiting()
 
     async def _run(self) -> None:
         wait_s = FIRST_RETRY_S
@@ -191,6 +200,11 @@
         )
 
 
+def answered(batch: list[HolderMessage]) -> bool:
+    """Whether an owner answers to messages."""
+    return not batch or any(isinstance(m, Ask) for m in batch)
+
+
 def _encode(messages: list[HolderMessage]) -> pb.HolderBatch:
     return pb.HolderBatch(messages=[encode_holder(m) for m in messages])
 
@@ -201,4 +215,4 @@
     return OwnerReply(messages, decode_loads(batch))
 
 
-__all__ = ["OwnerSession", "StreamSession"]
+__all__ = ["OwnerSession", "StreamSession", "answered"]
--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -84,6 +84,7 @@
         """
         self._ledger.set_engines(backends, leaving, loaded or {})
         self.health.set_engines(self._ledger.usable())
+        self._dispatcher.apply_health(now)
         weights = {name: c.weight for name, c in customers.items()}
         for queue in self._dispatcher.queues:
             queue.set_weights(weights)
@@ -122,6 +123,7 @@
         self.pace.tick(now)
         if self.health.due(now):
             self.health.evaluate(now, self._ledger.overdue(now))
+        self._dispatcher.apply_health(now)
         return self._run(now)
 
     def close(self) -> list[CellDecision]:
@@ -142,6 +144,11 @@
         else:
             engine.prefixes.forget(block)
 
+    @property
+    def queueing(self) -> bool:
+        """Whether any ask waits."""
+        return any(len(queue) for queue in self._dispatcher.queues)
+
     def load(self) -> CellLoad:
         """Give what holders choose a cell by."""
         free = sum(
@@ -266,6 +273,7 @@
                 self._learn(permit, message, now)
             case ReleaseOutcome.FAILED:
                 self.health.failed(permit.backend, now)
+                self._dispatcher.apply_health(now)
 
     def _learn(self, permit: Permit, message: Release, now: float) -> None:
         if not permit.batch:
--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator, Iterator, Mapping
 
-    from mulberrypass.policy.cell_engines import Permit
+    from mulberrypass.policy.cell_engines import Engine, Permit
     from mulberrypass.policy.cell_ledger import Ledger
     from mulberrypass.policy.cell_pacing import BatchPace
     from mulberrypass.policy.cell_settings import CellSettings
@@ -46,7 +46,7 @@
         self._health = health
         self._pace = pace
         self._batch_from = batch_from
-        self._router = Router(settings, health)
+        self._router = Router(settings)
         self.zones: Mapping[str, str] = {}
         self.online = FairQueue()
         self.batch = FairQueue()
@@ -76,8 +76,9 @@
         """Count in work that runs by a former owner's permit."""
         engine = self._ledger.engines.get(ask.granted)
         if engine is not None:
-            choice = self._router.choice(ask, engine, "", now)
-            self._admit(replace(ask, granted=""), choice, now)
+            choice = self._router.weigh(ask, engine)
+            ask = replace(ask, granted="")
+            self._admit(ask, choice, now + ask.budget_s, now)
 
     def may_run(self, customer: str, work_class: WorkClass) -> bool:
         """Whether a customer is below its limit."""
@@ -99,12 +100,11 @@
         while found is not None:
             queued, choice = found
             queue.serve(queued)
-            budget_s = queued.deadline - now
-            ask = replace(queued.ask, budget_s=budget_s)
-            self._admit(ask, choice, now)
+            ask = queued.ask
+            self._admit(ask, choice, queued.deadline, now)
             grant = Grant(ask.ask_id, choice.engine.backend.name)
             yield CellDecision(ask.holder, grant)
-            found = self._next(work_class, full, now)
+            found = self._next(work_class, full, now) if queue else None
         return bool(full)
 
     def _next(
@@ -115,15 +115,12 @@
         :param full: lanes without room; those found are added
         """
         queue = self.queue(work_class)
-        choose = self._router.online
-        if work_class is WorkClass.BATCH:
-            choose = self._router.batch
         engines = self._ledger.engines.values()
         for queued in queue.scan(lambda c: self.may_run(c, work_class)):
             if queued.lane in full:
                 continue
             zone = self.zones.get(queued.ask.holder, "")
-            choice = choose(queued.ask, engines, zone, now)
+            choice = self._router.choose(queued.ask, engines, zone, now)
             if choice is not None:
                 return queued, choice
             full.add(queued.lane)
@@ -131,13 +128,28 @@
                 break
         return None
 
-    def _admit(self, ask: Ask, choice: Choice, now: float) -> None:
-        permit = self._ledger.admit(ask, choice, now)
-        if choice.probe:
+    def apply_health(self, now: float) -> None:
+        """Let engines' slots follow their health."""
+        for engine in self._ledger.engines.values():
+            self._apply_health(engine, now)
+
+    def _apply_health(self, engine: Engine, now: float) -> None:
+        name, slots = engine.backend.name, engine.backend.slots
+        engine.cap = self._health.cap(name, slots, now)
+        engine.share = self._health.share(name)
+        engine.probe = self._health.probe_due(name, now)
+
+    def _admit(
+        self, ask: Ask, choice: Choice, deadline: float, now: float
+    ) -> None:
+        permit = self._ledger.admit(ask, choice, deadline, now)
+        engine = choice.engine
+        if engine.probe:
             self._health.probed(permit.backend, now)
+            self._apply_health(engine, now)
         if permit.batch:
             rest = self._pace.interval_s(permit.uncached_tokens)
-            choice.engine.batch_ready_at = now + rest
+            engine.batch_ready_at = now + rest
 
     def _revoke(self, now: float) -> Iterator[CellDecision]:
         """Take back batch permits for online asks that found no slot."""
@@ -148,7 +160,7 @@
         for permit in tuple(permits.revocable()):
             if need <= 0:
                 return
-            if not self._worth_revoking(permit, now):
+            if not self._worth_revoking(permit):
                 continue
             need -= 1
             engines[permit.backend].revoke(permit)
@@ -158,13 +170,11 @@
             ask = permit.ask
             yield CellDecision(ask.holder, Revoke(ask.ask_id))
 
-    def _worth_revoking(self, permit: Permit, now: float) -> bool:
+    def _worth_revoking(self, permit: Permit) -> bool:
         """Whether online work may use the slot once it is free."""
         engine = self._ledger.engines[permit.backend]
-        slots = engine.backend.slots
-        cap = self._health.cap(permit.backend, slots, now)
         after = engine.running - engine.revoked - 1
-        return not engine.leaving and after < cap
+        return not engine.leaving and after < engine.cap
 
     def _waiting_online(self) -> int:
         limits = self._ledger.limits
--- a/src/mulberrypass/policy/cell_engines.py
+++ b/src/mulberrypass/policy/cell_engines.py
@@ -86,6 +86,9 @@
 
     :param fixed: running batch work that can't be revoked
     :param prefill_tokens: prompt tokens whose first token is awaited
+    :param cap: slots that its health allows to be filled now
+    :param share: share of its slots that its health allows
+    :param probe: whether it is to get one piece of work as a trial
     :param batch_ready_at: when the pace allows the next batch prefill
     :param loaded: versions that it has; ``None`` where that is unknown
     """
@@ -93,6 +96,9 @@
     backend: Backend
     prefixes: PrefixTable
     leaving: bool = False
+    cap: int = 0
+    share: float = 1.0
+    probe: bool = False
     running: int = 0
     batch: int = 0
     fixed: int = 0
--- a/src/mulberrypass/policy/cell_ledger.py
+++ b/src/mulberrypass/policy/cell_ledger.py
@@ -59,13 +59,11 @@
         """Whether any engine may ever take an ask."""
         return any(engine.serves(ask) for engine in self.engines.values())
 
-    def admit(self, ask: Ask, choice: Choice, now: float) -> Permit:
-        """Count work in that starts now.
-
-        :param ask: with the budget that is left now
-        """
+    def admit(
+        self, ask: Ask, choice: Choice, deadline: float, now: float
+    ) -> Permit:
+        """Count work in that starts now."""
         engine = choice.engine
-        deadline = now + max(0.0, ask.budget_s)
         permit = Permit(
             ask=ask,
             backend=engine.backend.name,
--- a/src/mulberrypass/policy/health.py
+++ b/src/mulberrypass/policy/health.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from statistics import median
 from typing import TYPE_CHECKING
 
+from mulberrypass.policy.health_samples import Peers, Samples
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
 
@@ -29,16 +30,10 @@
     held_until: float
 
 
-@dataclass(slots=True)
-class _Sample:
-    at: float
-    value: float
-
-
 @dataclass(slots=True)
 class _Record:
-    first: deque[_Sample]
-    service: deque[_Sample]
+    first: Samples
+    service: Samples
     share: float = FULL_SHARE
     failures: int = 0
     holds: int = 0
@@ -110,14 +105,14 @@
         """Take in a first token's time, relative to what was expected."""
         record = self._records.get(name)
         if record is not None:
-            record.first.append(_Sample(now, value))
+            record.first.add(now, value)
 
     def service(self, name: str, value: float, now: float) -> None:
         """Take in the time of a token, or of a plain service's call."""
         record = self._records.get(name)
         if record is not None:
             record.failures = 0
-            record.service.append(_Sample(now, value))
+            record.service.add(now, value)
 
     def failed(self, name: str, now: float) -> None:
         """Take in a failure; several in a row hold the engine back."""
@@ -152,9 +147,14 @@
         oldest = now - self._settings.sample_age_s
         for name, record in self._records.items():
             record.overdue = overdue.get(name, ())
-            _drop_old(record.first, oldest)
-            _drop_old(record.service, oldest)
-        ratios = {name: self._ratio(name) for name in self._records}
+            record.first.drop_old(oldest)
+            record.service.drop_old(oldest)
+        firsts = Peers.of(r.first for r in self._records.values())
+        services = Peers.of(r.service for r in self._records.values())
+        ratios = {
+            name: self._ratio(record, firsts, services)
+            for name, record in self._records.items()
+        }
         order = sorted(
             (n for n, r in ratios.items() if r is not None),
             key=lambda n: -(ratios[n] or 0.0),
@@ -188,32 +188,24 @@
         if record.share == FULL_SHARE:
             record.holds = 0
 
-    def _ratio(self, name: str) -> float | None:
+    def _ratio(
+        self, record: _Record, firsts: Peers, services: Peers
+    ) -> float | None:
         """Give how many times slower than its peers an engine is."""
-        record = self._records[name]
-        firsts = self._peers(name, "first")
-        services = self._peers(name, "service")
         ratios = []
         least = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
-        if firsts and len(record.first) >= least:
-            ratios.append(_median(record.first) / firsts)
-        if services and len(record.service) >= least:
-            ratios.append(_median(record.service) / services)
-        if firsts and len(record.overdue) >= min(MIN_OVERDUE, least):
-            late = median(record.overdue) / firsts
+        usual = firsts.without(record.first)
+        if usual and len(record.first) >= least:
+            ratios.append(record.first.median() / usual)
+        if usual and len(record.overdue) >= min(MIN_OVERDUE, least):
+            late = median(record.overdue) / usual
             if late > self._settings.slow_ratio:
                 ratios.append(late)
+        usual = services.without(record.service)
+        if usual and len(record.service) >= least:
+            ratios.append(record.service.median() / usual)
         return max(ratios) if ratios else None
 
-    def _peers(self, name: str, kind: str) -> float:
-        """Give the median of the other engines' medians; 0 if unknown."""
-        medians = [
-            _median(getattr(record, kind))
-            for other, record in self._records.items()
-            if other != name and getattr(record, kind)
-        ]
-        return median(medians) if medians else 0.0
-
     def _make_room(self, name: str) -> bool:
         if self._records[name].share < FULL_SHARE or not self._at_limit():
             return True
@@ -240,16 +232,7 @@
 
     def _new_record(self) -> _Record:
         samples = self._settings.samples
-        return _Record(deque(maxlen=samples), deque(maxlen=samples))
-
-
-def _drop_old(samples: deque[_Sample], oldest: float) -> None:
-    while samples and samples[0].at < oldest:
-        samples.popleft()
-
-
-def _median(samples: deque[_Sample]) -> float:
-    return median(sample.value for sample in samples)
+        return _Record(Samples(samples), Samples(samples))
 
 
 __all__ = ["HealthBoard", "HealthState"]
--- /dev/null
+++ b/src/mulberrypass/policy/health_samples.py
@@ -0,0 +1,72 @@
+"""Recent samples of an engine's latency, and the median of its peers."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class Samples:
+    """The last samples of one engine, none of them old."""
+
+    def __init__(self, most: int) -> None:
+        self._samples: deque[tuple[float, float]] = deque(maxlen=most)
+        self._median: float | None = None
+
+    def __len__(self) -> int:
+        """Count the samples."""
+        return len(self._samples)
+
+    def add(self, at: float, value: float) -> None:
+        """Add a sample."""
+        self._samples.append((at, value))
+        self._median = None
+
+    def drop_old(self, oldest: float) -> None:
+        """Drop the samples from before a time."""
+        while self._samples and self._samples[0][0] < oldest:
+            self._samples.popleft()
+            self._median = None
+
+    def clear(self) -> None:
+        """Drop all samples."""
+        self._samples.clear()
+        self._median = None
+
+    def median(self) -> float:
+        """Give the median; there must be a sample."""
+        if self._median is None:
+            self._median = median(value for _, value in self._samples)
+        return self._median
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """The medians of the engines that have samples, in order."""
+
+    medians: tuple[float, ...]
+
+    @classmethod
+    def of(cls, engines: Iterable[Samples]) -> Peers:
+        """Take the medians of all engines."""
+        return cls(tuple(sorted(e.median() for e in engines if len(e))))
+
+    def without(self, own: Samples) -> float:
+        """Give the median of the other engines' medians; 0 if unknown."""
+        others = list(self.medians)
+        if len(own):
+            others.remove(own.median())
+        if not others:
+            return 0.0
+        middle = len(others) // 2
+        if len(others) % 2:
+            return others[middle]
+        return (others[middle - 1] + others[middle]) / 2
+
+
+__all__ = ["Peers", "Samples"]
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from mulberrypass.policy.messages import WorkClass
@@ -15,7 +16,6 @@
         CellSettings,
         RoutingSettings,
     )
-    from mulberrypass.policy.health import HealthBoard
     from mulberrypass.policy.messages import Ask
 
 MIN_SHARE = 0.05
@@ -27,73 +27,67 @@
 
     :param expected_steps: expected time of the first token, in empty steps
     :param score: what is least at the chosen engine
-    :param probe: whether it tries an engine that is taken out in part
     """
 
     engine: Engine
     uncached_tokens: int
     expected_steps: float
     score: float
-    probe: bool
 
 
 class Router:
     """Weighs pending prefill, running work, cached prefixes and health."""
 
-    def __init__(self, settings: CellSettings, health: HealthBoard) -> None:
+    def __init__(self, settings: CellSettings) -> None:
         self._settings = settings
-        self._health = health
 
-    def online(
+    def choose(
         self, ask: Ask, engines: Iterable[Engine], zone: str, now: float
     ) -> Choice | None:
-        """Choose an engine with a free slot; ``None`` where none is."""
-        return self._least(
-            ask,
-            (e for e in engines if self.online_room(e, ask, now)),
-            zone,
-            now,
-        )
-
-    def batch(
-        self, ask: Ask, engines: Iterable[Engine], zone: str, now: float
-    ) -> Choice | None:
-        """Choose an engine that may take batch work now."""
-        return self._least(
-            ask,
-            (e for e in engines if self.batch_room(e, ask, now)),
-            zone,
-            now,
-        )
+        """Choose an engine that may take an ask now.
+
+        :param zone: the holder's zone
+        """
+        online = ask.work_class is WorkClass.ONLINE
+        best = None
+        least = (True, inf, 0)
+        for engine in engines:
+            slot = (
+                engine.running < engine.cap
+                if online
+                else self.batch_slot(engine, now)
+            )
+            if not slot or not self._accepts(engine, ask, online):
+                continue
+            uncached = self._uncached(engine, ask)
+            steps = expected_steps(engine, uncached, self._settings.routing)
+            score = self._score(engine, steps, zone)
+            rank = (not engine.probe, score, engine.chosen)
+            if rank < least:
+                least = rank
+                best = Choice(engine, uncached, steps, score)
+        return best
+
+    def weigh(self, ask: Ask, engine: Engine) -> Choice:
+        """Weigh an engine on which the work runs already."""
+        uncached = self._uncached(engine, ask)
+        steps = expected_steps(engine, uncached, self._settings.routing)
+        return Choice(engine, uncached, steps, steps)
 
     def has_slot(
         self, engine: Engine, work_class: WorkClass, now: float
     ) -> bool:
         """Whether an engine may take any work of a class now."""
-        cap = 0 if engine.leaving else self._cap(engine, now)
         if work_class is WorkClass.ONLINE:
-            return engine.running < cap
-        if now < engine.batch_ready_at:
-            return False
-        return engine.running < self._batch_cap(engine, cap)
+            return engine.running < engine.cap
+        return self.batch_slot(engine, now)
 
-    def online_room(self, engine: Engine, ask: Ask, now: float) -> bool:
-        """Whether an engine has a slot for an online ask."""
-        if not engine.serves(ask) or not engine.fits(ask):
+    def batch_slot(self, engine: Engine, now: float) -> bool:
+        """Whether an engine has a slot for batch work now."""
+        if now < engine.batch_ready_at:
             return False
-        return engine.running < self._cap(engine, now)
-
-    def batch_room(self, engine: Engine, ask: Ask, now: float) -> bool:
-        """Whether an engine may take a batch ask now."""
-        if not engine.serves(ask) or not engine.fits(ask):
-            return False
-        if not self.has_slot(engine, WorkClass.BATCH, now):
-            return False
-        if not ask.revocable and engine.fixed >= self.fixed_most(engine):
-            return False
-        pending = engine.batch_prefill_tokens
-        most = self._settings.batch_prefill_tokens
-        return pending == 0 or pending + ask.prompt_tokens <= most
+        most = max(engine.cap - self.reserve(engine), min(engine.cap, 1))
+        return engine.running < most
 
     def reserve(self, engine: Engine) -> int:
         """Give the slots that batch work leaves free."""
@@ -104,37 +98,30 @@
         """Give the slots for batch work that can't be revoked."""
         return max(1, int(engine.backend.slots * self._settings.fixed_share))
 
-    def choice(
-        self, ask: Ask, engine: Engine, zone: str, now: float
-    ) -> Choice:
-        """Weigh one engine for a piece of work."""
-        cfg = self._settings.routing
+    def _accepts(self, engine: Engine, ask: Ask, online: bool) -> bool:
+        """Whether an engine with a free slot may take this ask."""
+        if not engine.serves(ask) or not engine.fits(ask):
+            return False
+        if online:
+            return True
+        if not ask.revocable and engine.fixed >= self.fixed_most(engine):
+            return False
+        pending = engine.batch_prefill_tokens
+        most = self._settings.batch_prefill_tokens
+        return pending == 0 or pending + ask.prompt_tokens <= most
+
+    def _uncached(self, engine: Engine, ask: Ask) -> int:
+        if not ask.prefix:
+            return ask.prompt_tokens
         blocks = engine.prefixes.leading(ask.prefix)
-        cached = min(ask.prompt_tokens, blocks * cfg.block_tokens)
-        uncached = ask.prompt_tokens - cached
-        steps = expected_steps(engine, uncached, cfg)
-        share = max(MIN_SHARE, self._health.share(engine.backend.name))
-        score = steps / share
-        if zone and zone != engine.backend.zone:
-            score += cfg.zone_steps
-        probe = self._health.probe_due(engine.backend.name, now)
-        return Choice(engine, uncached, steps, score, probe)
+        cached = blocks * self._settings.routing.block_tokens
+        return max(0, ask.prompt_tokens - cached)
 
-    def _least(
-        self, ask: Ask, engines: Iterable[Engine], zone: str, now: float
-    ) -> Choice | None:
-        choices = (self.choice(ask, engine, zone, now) for engine in engines)
-        return min(
-            choices,
-            key=lambda c: (not c.probe, c.score, c.engine.chosen),
-            default=None,
-        )
-
-    def _batch_cap(self, engine: Engine, cap: int) -> int:
-        return max(cap - self.reserve(engine), min(cap, 1))
-
-    def _cap(self, engine: Engine, now: float) -> int:
-        return self._health.cap(engine.backend.name, engine.backend.slots, now)
+    def _score(self, engine: Engine, steps: float, zone: str) -> float:
+        score = steps / max(MIN_SHARE, engine.share)
+        if zone and zone != engine.backend.zone:
+            score += self._settings.routing.zone_steps
+        return score
 
 
 def expected_steps(
