Hand engines' late reports to the owner of their cell as hints

The owner counts its own grants, which is newer than any report; what it can't know is which versions are loaded, which prefixes are cached and whether an engine is leaving. Only the owner of a cell reads its engines' reports, once a second, so reads don't grow with instances. A leaving engine is told to all members. The demo waits until every instance is named, since the list is a few seconds late.

--- a/scripts/demo_session.py
+++ b/scripts/demo_session.py
@@ -353,6 +353,14 @@
                     lambda a=address, p=port: ready(a, p),  # type: ignore[misc]
                     START_TIMEOUT_S,
                 )
+        wait_until(
+            "every instance to be named",
+            lambda: all(
+                len(address_for(service, use)) == len(INSTANCES)
+                for service, use in (("dock", ""), ("manifest", "jobs"))
+            ),
+            START_TIMEOUT_S,
+        )
         say("A caller asks which address to use, and sends online requests")
         online(table)
         say("A caller sends recorded and non-idempotent requests twice")
--- /dev/null
+++ b/src/mulberrypass/engine/watch.py
@@ -0,0 +1,134 @@
+"""Reads the reports of the engines whose cells this process owns."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+import threading
+from typing import TYPE_CHECKING
+
+from mulberrypass.model.objects import Backend, BackendKind
+from mulberrypass.policy import cells
+from mulberrypass.policy.cells import CellKey
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mulberrypass.engine.directory import Backends
+    from mulberrypass.model.source import ConfigurationSource
+    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.owner import OwnerTask
+
+LOG = get_logger(__name__)
+WATCH_S = 1.0
+WATCHERS = 4
+OWNER_PROGRAM = "entry"
+
+
+@dataclass(frozen=True, slots=True)
+class Watched:
+    """What the last reports said, for the dump.
+
+    :param cache_sequence: last cache event seen of each engine
+    :param silent: engines that gave no report
+    """
+
+    cache_sequence: dict[str, int]
+    silent: tuple[str, ...]
+
+
+class EngineWatch:
+    """Hands engines' late reports to the owner task as hints.
+
+    Load figures in them are not used: the owner's own count of what it has
+    granted is newer. What it can't know itself is which versions are
+    loaded, which prefixes are cached and whether the engine is leaving.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        membership: Membership,
+        configuration: ConfigurationSource,
+        backends: Backends,
+        owner: OwnerTask,
+    ) -> None:
+        self._me = me
+        self._membership = membership
+        self._configuration = configuration
+        self._backends = backends
+        self._owner = owner
+        self._sequence: dict[str, int] = {}
+        self._silent: set[str] = set()
+        self._stop = threading.Event()
+        self._pool = ThreadPoolExecutor(WATCHERS, "engine-watch")
+        self._thread = threading.Thread(
+            target=self._run, name="engine-watch", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stop.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def state(self) -> Watched:
+        """Give what the last reports said."""
+        return Watched(dict(self._sequence), tuple(sorted(self._silent)))
+
+    def _run(self) -> None:
+        while not self._stop.wait(WATCH_S):
+            engines = list(self.owned())
+            futs = [self._pool.submit(self.look, each) for each in engines]
+            for fut in futs:
+                exc = fut.exception()
+                if exc is not None:
+                    LOG.error("an engine's report was lost", error=str(exc))
+
+    def owned(self) -> Iterator[Backend]:
+        """Give the engines whose cells this process owns."""
+        cfg = self._configuration.current()
+        live = [m.name for m in self._membership.live(OWNER_PROGRAM)]
+        for pool in cfg.pools.values():
+            for index, names in enumerate(cells.cut(pool.backends)):
+                if cells.owner(CellKey(pool.name, index), live) != (
+                    self._me.name
+                ):
+                    continue
+                for name in names:
+                    backend = cfg.backends.get(name)
+                    if backend and backend.kind is BackendKind.ENGINE:
+                        yield backend
+
+    def look(self, backend: Backend) -> None:
+        """Read one engine's reports."""
+        engine = self._backends.engine(backend)
+        report = engine.load()
+        if report.is_error():
+            self._silent.add(backend.name)
+            return
+        self._silent.discard(backend.name)
+        if report.ok.leaving:
+            self._membership.report_leaving_backend(backend.name)
+        if report.ok.versions:
+            self._owner.report_loaded(
+                backend.name, frozenset(report.ok.versions)
+            )
+        self._look_at_cache(backend)
+
+    def _look_at_cache(self, backend: Backend) -> None:
+        engine = self._backends.engine(backend)
+        after = self._sequence.get(backend.name, 0)
+        events = engine.cache_events(after)
+        if events.is_error():
+            return
+        for event in events.ok:
+            self._owner.cache_hint(backend.name, event.stored, event.block)
+            self._sequence[backend.name] = event.sequence
+
+
+__all__ = ["EngineWatch", "Watched"]
--- a/src/mulberrypass/programs/entry.py
+++ b/src/mulberrypass/programs/entry.py
@@ -15,6 +15,7 @@
 from mulberrypass.caller.online import OnlineCalls, PortShares
 from mulberrypass.caller.online_body import MAX_BODY_BYTES
 from mulberrypass.engine.directory import Backends
+from mulberrypass.engine.watch import EngineWatch
 from mulberrypass.online.course import Tools, new_ask_numbers
 from mulberrypass.online.recorded import RecordedRuns
 from mulberrypass.online.records import Records
@@ -72,6 +73,13 @@
         self._owner = OwnerTask(
             common.me, common.membership, common.follower, common.metrics
         )
+        self._watch = EngineWatch(
+            common.me,
+            common.membership,
+            common.follower,
+            self._backends,
+            self._owner,
+        )
         self._permits = PermitLink(
             common.me,
             common.loop,
@@ -119,6 +127,7 @@
         dump = common.dump
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
+        dump.register("engines", self._watch.state)
         dump.register("recorded", self._runs.state)
         dump.register("retries", policy.state)
 
@@ -164,6 +173,7 @@
         """Start all parts, those that face callers last."""
         self._common.start(self._server)
         self._owner.start()
+        self._watch.start()
         self._permits.start()
         self._sweeper.start()
         self._short.start()
@@ -188,6 +198,7 @@
             time.sleep(RUN_POLL_S)
         whole &= self._runs.in_flight == 0
         self._runs.stop()
+        self._watch.stop()
         self._permits.stop()
         self._owner.stop()
         self._common.stop(self._server)
