Add membership by heartbeats to hashed neighbours

Cause: owners, addresses and configuration need to know who is alive, with no second coordination service and no all-to-all traffic.

--- /dev/null
+++ b/src/mulberrypass/peer/membership_calls.py
@@ -0,0 +1,112 @@
+"""Heartbeat calls on one long-lived channel for each peer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from mulberrypass.peer.peer_grpc import PeerStub
+from mulberrypass.peer.server import KEY_HEADER
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    import ssl
+
+    from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
+    from mulberrypass.policy.membership_messages import Contact
+
+CALL_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a channel leads."""
+
+    address: str
+    port: int
+
+
+@dataclass(slots=True)
+class CallCounters:
+    """Calls made, and the size of their messages."""
+
+    calls: int = 0
+    failures: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
+class HeartbeatCalls:
+    """Makes heartbeat calls; to be used on the peer loop only.
+
+    :param port_of: peer port of a program
+    """
+
+    def __init__(
+        self,
+        key: str,
+        port_of: Callable[[str], int],
+        timeout_s: float,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._metadata = {KEY_HEADER: key}
+        self._port_of = port_of
+        self._timeout_s = timeout_s
+        self._tls = tls
+        self._channels: dict[Place, Channel] = {}
+        self.counters = CallCounters()
+
+    async def call(
+        self, contact: Contact, req: HeartbeatRequest, timeouts: float = 1.0
+    ) -> HeartbeatReply | None:
+        """Send a heartbeat.
+
+        :param timeouts: how many timeouts to wait for the reply
+        :returns: the reply, or ``None`` where none came in time
+        """
+        place = Place(contact.address, self._port_of(contact.program))
+        channel = self._channel(place)
+        self.counters.calls += 1
+        self.counters.bytes_sent += req.ByteSize()
+        try:
+            async with asyncio.timeout(self._timeout_s * timeouts):
+                stub = PeerStub(channel)
+                reply = await stub.Heartbeat(req, metadata=self._metadata)
+        except CALL_ERRORS:
+            self.counters.failures += 1
+            self._drop(place, channel)
+            return None
+        self.counters.bytes_received += reply.ByteSize()
+        return reply
+
+    def keep(self, contacts: Iterable[Contact]) -> None:
+        """Close channels to all places but those of the contacts."""
+        kept = {
+            Place(contact.address, self._port_of(contact.program))
+            for contact in contacts
+        }
+        for place in self._channels.keys() - kept:
+            self._channels.pop(place).close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep(())
+
+    def _channel(self, place: Place) -> Channel:
+        channel = self._channels.get(place)
+        if channel is None:
+            channel = Channel(place.address, place.port, ssl=self._tls)
+            self._channels[place] = channel
+        return channel
+
+    def _drop(self, place: Place, channel: Channel) -> None:
+        if self._channels.get(place) is channel:
+            del self._channels[place]
+        channel.close()
+
+
+__all__ = ["CallCounters", "HeartbeatCalls"]
--- /dev/null
+++ b/src/mulberrypass/peer/membership_list.py
@@ -0,0 +1,78 @@
+"""The thread that reads the platform's list of machines."""
+
+from __future__ import annotations
+
+import random
+import threading
+from typing import TYPE_CHECKING
+
+from mulberrypass.platform.api import Unavailable
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.platform.api import InstanceList, Listed
+
+LOG = get_logger(__name__)
+MIN_JITTER = 0.8
+MAX_JITTER = 1.2
+
+
+class ListReader:
+    """Reads the list again and again, and hands it on.
+
+    :param spacing_s: gives the seconds until the next read
+    :param take: called with each list on this reader's thread
+    """
+
+    def __init__(
+        self,
+        instances: InstanceList,
+        spacing_s: Callable[[], float],
+        take: Callable[[tuple[Listed, ...]], None],
+        rng: random.Random,
+    ) -> None:
+        self._instances = instances
+        self._spacing_s = spacing_s
+        self._take = take
+        self._rng = rng
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="membership-list", daemon=True
+        )
+        self.error = "not read yet"
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Let the thread end; does not wait for it."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            self._read()
+            jitter = self._rng.uniform(MIN_JITTER, MAX_JITTER)
+            self._stop.wait(self._spacing_s() * jitter)
+
+    def _read(self) -> None:
+        try:
+            result = self._instances.listed()
+        except Exception as exc:
+            LOG.exception("list was not read")
+            self.error = repr(exc)
+            return
+        if result.is_ok():
+            self.error = ""
+            self._take(result.ok)
+            return
+        match result.error:
+            case Unavailable(reason=reason):
+                self.error = reason
+            case _:
+                self.error = "over the rate"
+
+
+__all__ = ["ListReader"]
