Keep batch prefill off the engines that online work needs

Batch prefill is now pending on at most 0.6 of a cell's engines and never where online prefill is pending; the reserve is 12 slots and at most a quarter; the pace follows the mean of the answers' gaps.

--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -218,6 +218,7 @@
         least = self._service.expected_s(work) if online else 0.0
         least *= self.settings.service_margin
         wait = self._wait_s(ask) if online else 0.0
+        wait *= self.settings.wait_margin
         if ask.budget_s <= 0 or wait + least > ask.budget_s:
             self._refuse(ask, RefusalReason.DEADLINE, wait)
             return
--- a/src/mulberrypass/policy/cell_pacing.py
+++ b/src/mulberrypass/policy/cell_pacing.py
@@ -15,16 +15,19 @@
         self._settings = settings
         self._seen = 0.0
         self._missed = 0.0
+        self._gap_s = 0.0
         self._next_at = 0.0
         self.tokens_per_s = settings.start_tokens_per_s
 
     def first_token(self, after_s: float) -> None:
         """Take in an online first token."""
-        self._observe(after_s > self._settings.first_token_s)
+        self._seen += 1
+        self._missed += after_s > self._settings.first_token_s
 
     def gap(self, gap_s: float) -> None:
         """Take in the 95th percentile gap of an online answer."""
-        self._observe(gap_s > self._settings.gap_s)
+        memory = self._settings.gap_memory
+        self._gap_s = self._gap_s * memory + gap_s * (1 - memory)
 
     def interval_s(self, prompt_tokens: int) -> float:
         """Give the seconds that an engine rests after a batch prefill."""
@@ -35,7 +38,9 @@
         if now < self._next_at:
             return
         self._next_at = now + self._settings.interval_s
-        if self._missed > self._seen * self._settings.miss_share:
+        late = self._missed > self._seen * self._settings.miss_share
+        if late or self._gap_s > self._settings.gap_s:
+            self._gap_s *= self._settings.gap_memory
             self._change(self.tokens_per_s * self._settings.decrease_factor)
         else:
             step = self._settings.increase_tokens_per_s
@@ -48,9 +53,5 @@
         highest = self._settings.max_tokens_per_s
         self.tokens_per_s = min(highest, max(lowest, tokens_per_s))
 
-    def _observe(self, missed: bool) -> None:
-        self._seen += 1
-        self._missed += missed
-
 
 __all__ = ["BatchPace"]
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -11,21 +11,24 @@
 
     :param first_token_s: online first tokens are to come within this
     :param gap_s: gaps between online tokens are to stay within this
-    :param miss_share: share of observations that may miss their target
+    :param miss_share: share of first tokens that may miss their target
     :param interval_s: seconds between two changes of the pace
     :param start_tokens_per_s: batch prefill tokens a second on an engine
+    :param memory: share of the observations kept over an interval
+    :param gap_memory: share of the mean gap kept over an answer
     """
 
     first_token_s: float = 0.75
     gap_s: float = 0.047
-    miss_share: float = 0.04
+    miss_share: float = 0.05
     interval_s: float = 0.25
-    start_tokens_per_s: float = 8_000.0
+    start_tokens_per_s: float = 20_000.0
     min_tokens_per_s: float = 250.0
     max_tokens_per_s: float = 40_000.0
-    increase_tokens_per_s: float = 400.0
-    decrease_factor: float = 0.7
+    increase_tokens_per_s: float = 1_000.0
+    decrease_factor: float = 0.85
     memory: float = 0.8
+    gap_memory: float = 0.95
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,22 +81,27 @@
     :param reserve_slots: slots of an engine that batch work leaves free
     :param reserve_share: bound on the reserve as a share of the slots
     :param batch_prefill_tokens: pending batch prefill beyond one item
+    :param batch_prefill_share: share of the engines on which batch prefill
+        may be pending, so that online work finds others
     :param fixed_share: share of slots for batch that can't be revoked
     :param service_margin: multiple of the expected service time that must
         fit before the deadline
+    :param wait_margin: multiple of the estimated wait that must fit too
     :param release_grace_s: a permit is reclaimed so long after its deadline
     :param holder_grace_s: permits of a lost holder are kept for this
     :param revoke_grace_s: a revoked permit is reclaimed after this
     :param settle_s: a new cell grants no batch work for this
     """
 
-    reserve_slots: int = 4
+    reserve_slots: int = 12
     reserve_share: float = 0.25
     batch_prefill_tokens: int = 256
+    batch_prefill_share: float = 0.6
     fixed_share: float = 0.25
     max_queued_online: int = 1_024
     max_queued_batch: int = 4_096
     service_margin: float = 1.25
+    wait_margin: float = 1.5
     release_grace_s: float = 2.0
     holder_grace_s: float = 2.0
     revoke_grace_s: float = 2.0
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -6,10 +6,11 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.objects import BackendKind
 from mulberrypass.policy.messages import WorkClass
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from mulberrypass.policy.cell_engines import Engine
     from mulberrypass.policy.cell_settings import (
@@ -42,13 +43,15 @@
         self._settings = settings
 
     def choose(
-        self, ask: Ask, engines: Iterable[Engine], zone: str, now: float
+        self, ask: Ask, engines: Collection[Engine], zone: str, now: float
     ) -> Choice | None:
         """Choose an engine that may take an ask now.
 
         :param zone: the holder's zone
         """
         online = ask.work_class is WorkClass.ONLINE
+        if not online and not self.batch_open(ask, engines):
+            return None
         best = None
         least = (True, inf, 0)
         for engine in engines:
@@ -68,6 +71,14 @@
                 best = Choice(engine, uncached, steps, score)
         return best
 
+    def batch_open(self, ask: Ask, engines: Collection[Engine]) -> bool:
+        """Whether batch prefill may be pending on one engine more."""
+        if not ask.prompt_tokens:
+            return True
+        most = int(len(engines) * self._settings.batch_prefill_share)
+        pending = sum(e.batch_prefill_tokens > 0 for e in engines)
+        return pending < max(1, most)
+
     def weigh(self, ask: Ask, engine: Engine) -> Choice:
         """Weigh an engine on which the work runs already."""
         uncached = self._uncached(engine, ask)
@@ -104,6 +115,8 @@
             return False
         if online:
             return True
+        if engine.prefill_tokens > engine.batch_prefill_tokens:
+            return False
         if not ask.revocable and engine.fixed >= self.fixed_most(engine):
             return False
         pending = engine.batch_prefill_tokens
@@ -111,6 +124,8 @@
         return pending == 0 or pending + ask.prompt_tokens <= most
 
     def _uncached(self, engine: Engine, ask: Ask) -> int:
+        if engine.backend.kind is BackendKind.PLAIN:
+            return 0
         if not ask.prefix:
             return ask.prompt_tokens
         blocks = engine.prefixes.leading(ask.prefix)
