Let a customer over its share leave the reserve free for others

Online work of a customer that runs more than its weighted share among the active customers now leaves the reserve of each engine free; a customer alone may still use all slots.

--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from mulberrypass.policy.messages import Grant, Revoke, WorkClass
@@ -30,6 +30,18 @@
     message: OwnerMessage
 
 
+@dataclass(slots=True)
+class _Full:
+    """What was found to have no room.
+
+    :param lanes: lanes whose asks find no slot at all
+    :param waits: whether an eligible ask waits for room
+    """
+
+    lanes: set[Lane] = field(default_factory=set)
+    waits: bool = False
+
+
 class Dispatcher:
     """Serves online asks first, then batch asks, each class in fair order."""
 
@@ -95,7 +107,7 @@
             for engine in engines
         ):
             return any(self.may_run(c, work_class) for c in queue.customers)
-        full: set[Lane] = set()
+        full = _Full()
         found = self._next(work_class, full, now)
         while found is not None:
             queued, choice = found
@@ -105,29 +117,58 @@
             grant = Grant(ask.ask_id, choice.engine.backend.name)
             yield CellDecision(ask.holder, grant)
             found = self._next(work_class, full, now) if queue else None
-        return bool(full)
+        return full.waits
 
     def _next(
-        self, work_class: WorkClass, full: set[Lane], now: float
+        self, work_class: WorkClass, full: _Full, now: float
     ) -> tuple[Queued, Choice] | None:
         """Find the first ask that an engine has room for.
 
-        :param full: lanes without room; those found are added
+        :param full: is added to
         """
         queue = self.queue(work_class)
-        engines = self._ledger.engines.values()
         for queued in queue.scan(lambda c: self.may_run(c, work_class)):
-            if queued.lane in full:
+            if queued.lane in full.lanes:
                 continue
-            zone = self.zones.get(queued.ask.holder, "")
-            choice = self._router.choose(queued.ask, engines, zone, now)
+            choice = self._choose(queued.ask, now)
             if choice is not None:
                 return queued, choice
-            full.add(queued.lane)
-            if len(full) >= queue.lanes:
+            full.waits = True
+            if not self._leaves_reserve(queued.ask):
+                full.lanes.add(queued.lane)
+            if len(full.lanes) >= queue.lanes:
                 break
         return None
 
+    def _choose(self, ask: Ask, now: float) -> Choice | None:
+        """Choose an engine for an ask, from the reserve if need be."""
+        engines = self._ledger.engines.values()
+        zone = self.zones.get(ask.holder, "")
+        choice = self._router.choose(ask, engines, zone, now)
+        if choice is None or not self._router.in_reserve(choice.engine):
+            return choice
+        if not self._leaves_reserve(ask):
+            return choice
+        return self._router.choose(ask, engines, zone, now, leave_reserve=True)
+
+    def _leaves_reserve(self, ask: Ask) -> bool:
+        """Whether online work is over its customer's share of the slots.
+
+        Shares are among the customers with online work; one alone may
+        have all.
+        """
+        if ask.work_class is WorkClass.BATCH:
+            return False
+        customer = ask.customer
+        running = self._ledger.limits.online
+        active = running.keys() | self.online.customers
+        if len(active) == 1:
+            return False
+        weights = sum(self.online.weight(name) for name in active)
+        slots = sum(e.cap for e in self._ledger.engines.values())
+        fair = slots * self.online.weight(customer) / weights
+        return running[customer] >= fair
+
     def apply_health(self, now: float) -> None:
         """Let engines' slots follow their health."""
         for engine in self._ledger.engines.values():
--- a/src/mulberrypass/policy/cell_limits.py
+++ b/src/mulberrypass/policy/cell_limits.py
@@ -27,6 +27,11 @@
         }
         self._buckets: dict[str, TokenBucket] = {}
 
+    @property
+    def online(self) -> Counter[str]:
+        """Running online work of each customer."""
+        return self._running[WorkClass.ONLINE]
+
     def configure(
         self,
         customers: Mapping[str, Customer],
--- a/src/mulberrypass/policy/queueing.py
+++ b/src/mulberrypass/policy/queueing.py
@@ -150,6 +150,11 @@
         others = min(self.work, len(self._backlog) * self._mean_work())
         return min(self.work, max(fair, others))
 
+    def weight(self, customer: str) -> float:
+        """Give a customer's weight."""
+        share = self._shares.get(customer)
+        return share.weight if share else 1.0
+
     def work_of(self, customer: str) -> float:
         """Give the work that a customer has queued."""
         share = self._backlog.get(customer)
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -43,11 +43,17 @@
         self._settings = settings
 
     def choose(
-        self, ask: Ask, engines: Collection[Engine], zone: str, now: float
+        self,
+        ask: Ask,
+        engines: Collection[Engine],
+        zone: str,
+        now: float,
+        leave_reserve: bool = False,
     ) -> Choice | None:
         """Choose an engine that may take an ask now.
 
         :param zone: the holder's zone
+        :param leave_reserve: whether online work leaves the reserve free
         """
         online = ask.work_class is WorkClass.ONLINE
         if not online and not self.batch_open(ask, engines):
@@ -55,12 +61,11 @@
         best = None
         least = (True, inf, 0)
         for engine in engines:
-            slot = (
-                engine.running < engine.cap
-                if online
-                else self.batch_slot(engine, now)
-            )
-            if not slot or not self._accepts(engine, ask, online):
+            if not self.has_slot(engine, ask.work_class, now):
+                continue
+            if leave_reserve and self.in_reserve(engine):
+                continue
+            if not self._accepts(engine, ask, online):
                 continue
             uncached = self._uncached(engine, ask)
             steps = expected_steps(engine, uncached, self._settings.routing)
@@ -97,8 +102,12 @@
         """Whether an engine has a slot for batch work now."""
         if now < engine.batch_ready_at:
             return False
+        return not self.in_reserve(engine)
+
+    def in_reserve(self, engine: Engine) -> bool:
+        """Whether only slots of the reserve are free."""
         most = max(engine.cap - self.reserve(engine), min(engine.cap, 1))
-        return engine.running < most
+        return engine.running >= most
 
     def reserve(self, engine: Engine) -> int:
         """Give the slots that batch work leaves free."""
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -245,6 +245,19 @@
         last = max(order.index(f"{name}-2") for name in "ew")
         self.assertLess(last, 11)
 
+    def test_work_over_its_share_leaves_the_reserve(self) -> None:
+        for others, most in ((0, 16), (1, 12)):
+            with self.subTest(others=others):
+                made = cell([engine("core-0", 16)])
+                for index in range(others):
+                    made.handle(ask(f"e-{index}", customer="east"), 0.0)
+                for index in range(20):
+                    made.handle(ask(f"n-{index}"), 0.0)
+                self.assertEqual(most, len(made.permits))
+        for index in range(4):
+            got = made.handle(ask(f"next-{index}", customer="east"), 0.0)
+            self.assertEqual([(f"next-{index}", "core-0")], granted(got))
+
     def test_shares_follow_weights(self) -> None:
         customers = {
             "north": Customer("north", (), weight=3.0),
