Place versions on engines under a fenced lease, and wire control whole

Cause: nothing ordered engines to load what the objects route to, and control knew no other member. Change: pure rules of which engine gets which version by share, memory and what is loaded already; a lease row for each pool whose epoch is the fencing number, taken only after the row has stood unchanged for the whole lease by the taker's own clock; orders paced by the weight store, spaced by more than the lease for engines that ignore fencing numbers, and read back. Control uses the common wiring, runs the placement, and shows it in its status. A check refuses two models of a pool with one name of a version, since engines know versions by name. Backends may state memory for weights.

--- a/src/mulberrypass/model/document.py
+++ b/src/mulberrypass/model/document.py
@@ -254,6 +254,7 @@
     prefill_tokens: Positive = 512
     fencing: objects.Fencing = objects.Fencing.REFUSED
     role: objects.Role = objects.Role.BOTH
+    weights_bytes: Annotated[int, Field(ge=0)] = 0
 
     def to_object(self) -> objects.Backend:
         """Give the backend server."""
@@ -267,6 +268,7 @@
             prefill_tokens=self.prefill_tokens,
             fencing=self.fencing,
             role=self.role,
+            weights_bytes=self.weights_bytes,
         )
 
 
--- a/src/mulberrypass/model/objects.py
+++ b/src/mulberrypass/model/objects.py
@@ -129,6 +129,7 @@
     :param slots: sequences or calls that it runs at once
     :param kv_tokens: tokens that its KV memory holds
     :param prefill_tokens: prompt tokens that one engine step takes in
+    :param weights_bytes: memory for weights; 0 where it is not limited
     """
 
     name: str
@@ -140,6 +141,7 @@
     prefill_tokens: int = 512
     fencing: Fencing = Fencing.REFUSED
     role: Role = Role.BOTH
+    weights_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/model/rules.py
+++ b/src/mulberrypass/model/rules.py
@@ -27,6 +27,7 @@
     yield from _check_unique_addresses(objects)
     yield from _check_unique_keys(objects)
     yield from _check_pools(objects)
+    yield from _check_models_of_pools(objects)
     for placed, backend in objects.of(d.BackendDocument):
         yield from _check_backend(placed, backend)
     for placed, quota in objects.of(d.QuotaDocument):
@@ -97,6 +98,26 @@
             seen.add(name)
 
 
+def _check_models_of_pools(objects: ObjectSet) -> Iterator[Fault]:
+    """Engines know versions by name, so a pool can't have a name twice."""
+    models: dict[str, str] = {}
+    names: dict[str, set[str]] = defaultdict(set)
+    for _, version in objects.of(d.VersionDocument):
+        names[version.model].add(version.name)
+    for placed, service in objects.of(d.ServiceDocument):
+        if service.model is None:
+            continue
+        other = models.setdefault(service.pool, service.model)
+        shared = names[other] & names[service.model]
+        if other != service.model and shared:
+            problem = (
+                f'pool "{service.pool}" serves model "{other}" too, and both '
+                f"models have versions {quoted(shared)}"
+            )
+            remedy = "name them differently, or use another pool"
+            yield placed.fault("model", problem, remedy)
+
+
 def _check_backend(
     placed: Placed, backend: d.BackendDocument
 ) -> Iterator[Fault]:
--- /dev/null
+++ b/src/mulberrypass/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out the placement of versions on engines."""
--- /dev/null
+++ b/src/mulberrypass/policy/orders.py
@@ -0,0 +1,148 @@
+"""Who may send orders to a pool's engines, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from mulberrypass.model.objects import Fencing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LEASE_S = 15.0
+RENEW_S = 5.0
+SEND_MARGIN_S = 3.0
+SPACING_S = LEASE_S + 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSeen:
+    """A lease row, and since when it has stood unchanged.
+
+    Only this process's own clock is used, so that clocks need not agree.
+
+    :param version: version of the row; 0 where there is none
+    :param epoch: the fencing number; it rises with each change of holder
+    :param seen_at: when this version of the row was first read
+    """
+
+    holder: str
+    epoch: int
+    version: int
+    seen_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The lease as its holder knows it.
+
+    :param since: when the write that took it was begun
+    :param renewed_at: when the last write that took effect was begun
+    """
+
+    epoch: int
+    version: int
+    since: float
+    renewed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLease:
+    """Write the row with the next epoch, if it is unchanged."""
+
+    epoch: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLease:
+    """Write the row with the same epoch, if it is unchanged."""
+
+    epoch: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveLease:
+    """Do nothing."""
+
+
+LeaseAction = TakeLease | RenewLease | LeaveLease
+
+
+def preferred(pool: str, members: Iterable[str]) -> str:
+    """Give the member that should place a pool; empty where there is none.
+
+    This only saves work: two members that disagree meet at the lease.
+    """
+
+    def score(member: str) -> int:
+        return xxhash.xxh64_intdigest(f"{pool}/{member}".encode())
+
+    return max(sorted(members), key=score, default="")
+
+
+def lease_action(
+    me: str, seen: LeaseSeen, held: Held | None, now: float
+) -> LeaseAction:
+    """Say what to do about a lease that this process wants.
+
+    A lease lapses when its row has stood unchanged for longer than the
+    lease; the row of this process's own earlier life lapses likewise,
+    since an order of that life may still be on its way.
+    """
+    if held is not None and held.version == seen.version:
+        if now - held.renewed_at >= RENEW_S:
+            return RenewLease(held.epoch, held.version)
+        return LeaveLease()
+    if seen.version and now - seen.seen_at <= LEASE_S:
+        return LeaveLease()
+    return TakeLease(seen.epoch + 1, seen.version)
+
+
+def is_valid(held: Held | None, now: float) -> bool:
+    """Say whether the holder may still act on its lease."""
+    return held is not None and now - held.renewed_at < LEASE_S - SEND_MARGIN_S
+
+
+def may_order(
+    held: Held | None,
+    fencing: Fencing,
+    last_order_at: float | None,
+    now: float,
+) -> bool:
+    """Say whether an order may be sent to an engine now.
+
+    An engine that ignores fencing numbers gets an order only when the
+    last holder's orders must have ended, and orders so far apart that each
+    has been read back in between.
+
+    :param last_order_at: when this process last sent the engine an order
+    """
+    if held is None or not is_valid(held, now):
+        return False
+    if fencing is Fencing.REFUSED:
+        return True
+    first_at = held.since + SPACING_S
+    if last_order_at is not None:
+        first_at = max(first_at, last_order_at + SPACING_S)
+    return now >= first_at
+
+
+__all__ = [
+    "Held",
+    "LEASE_S",
+    "LeaseAction",
+    "LeaseSeen",
+    "LeaveLease",
+    "RenewLease",
+    "SPACING_S",
+    "TakeLease",
+    "is_valid",
+    "lease_action",
+    "may_order",
+    "preferred",
+]
--- /dev/null
+++ b/src/mulberrypass/policy/placement.py
@@ -0,0 +1,342 @@
+"""Which versions and adapters each engine of a pool is to have loaded."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+import math
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from mulberrypass.model.objects import Role, version_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from mulberrypass.model.objects import Configuration, Pool, Version
+
+MIN_COPIES = 2
+HEADROOM = 1.5
+SHRINK_MARGIN = 1.25
+LOADING_SHARE = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """One version that a pool's services send requests to.
+
+    :param share: its share of the pool's requests
+    """
+
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    share: float = 1.0
+    size_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What is known of one engine.
+
+    :param usable: whether it counts for the target: it is not leaving, and
+        not silent for long
+    :param fresh: whether it has just answered
+    :param loaded: versions that its last report says can serve
+    :param ordered: versions that were ordered and are not loaded yet
+    :param adapters: adapters last ordered, by version
+    :param ordered_role: the role last ordered; ``None`` where unknown
+    :param weights_bytes: memory for weights; 0 where it is not limited
+    """
+
+    name: str
+    usable: bool = True
+    fresh: bool = True
+    loaded: frozenset[str] = frozenset()
+    ordered: frozenset[str] = frozenset()
+    adapters: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    role: Role = Role.BOTH
+    ordered_role: Role | None = None
+    weights_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load a version, and its adapters, on an engine."""
+
+    engine: str
+    wanted: Wanted
+
+
+@dataclass(frozen=True, slots=True)
+class Unload:
+    """Drop a version from an engine."""
+
+    engine: str
+    model: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetRole:
+    """Give an engine its role."""
+
+    engine: str
+    role: Role
+
+
+Step = Load | Unload | SetRole
+
+
+@dataclass(frozen=True, slots=True)
+class PoolTarget:
+    """Which engines are to have which versions.
+
+    :param engines: versions, by engine
+    """
+
+    wanted: Mapping[str, Wanted]
+    engines: Mapping[str, frozenset[str]]
+
+    def engines_of(self, version: str) -> frozenset[str]:
+        """Give the engines that are to have a version."""
+        return frozenset(
+            name for name, goal in self.engines.items() if version in goal
+        )
+
+
+def wanted_versions(
+    cfg: Configuration, pool: Pool, demand: Mapping[str, float]
+) -> tuple[Wanted, ...]:
+    """Give the versions that services route to in a pool.
+
+    A route of weight 0 has its version loaded ahead of its use.
+
+    :param demand: requests a second of services; 1 where none is given
+    """
+    shares: dict[str, float] = defaultdict(float)
+    adapters: dict[str, set[str]] = defaultdict(set)
+    for service in cfg.services.values():
+        if service.pool != pool.name or service.model is None:
+            continue
+        total = sum(route.weight for route in service.routes) or 1.0
+        rate = demand.get(service.name, 1.0)
+        for route in service.routes:
+            key = version_key(service.model, route.version)
+            shares[key] += rate * route.weight / total
+            if route.adapter is not None:
+                adapters[key].add(route.adapter)
+    everything = sum(shares.values()) or 1.0
+    return tuple(
+        Wanted(
+            model=cfg.versions[key].model,
+            version=cfg.versions[key].name,
+            adapters=tuple(sorted(adapters[key])),
+            share=shares[key] / everything,
+            size_bytes=cfg.versions[key].size_bytes,
+        )
+        for key in sorted(shares)
+    )
+
+
+def known_versions(
+    cfg: Configuration, wanted: Iterable[Wanted]
+) -> dict[str, Version]:
+    """Give the versions of the models that a pool serves, by name.
+
+    The engines of a pool know versions by name alone.
+    """
+    models = {version.model for version in wanted}
+    return {
+        version.name: version
+        for version in cfg.versions.values()
+        if version.model in models
+    }
+
+
+def weights_of(cfg: Configuration, wanted: Wanted) -> str:
+    """Give the weight store's key of a version."""
+    key = version_key(wanted.model, wanted.version)
+    return cfg.versions[key].weights
+
+
+def place(
+    wanted: Iterable[Wanted], engines: Iterable[EngineView]
+) -> PoolTarget:
+    """Choose engines for each version, the same ones on each instance.
+
+    Where the memory of all engines holds every version, each gets them
+    all. Else a version gets engines by its share, first those that have
+    it, so that a small change of demand moves nothing.
+    """
+    versions = {version.version: version for version in wanted}
+    usable = [engine for engine in engines if engine.usable]
+    room = {e.name: e.weights_bytes or math.inf for e in usable}
+    goals: dict[str, set[str]] = {engine.name: set() for engine in usable}
+    least = _least_copies(len(usable), len(versions))
+    everything = sum(version.size_bytes for version in versions.values())
+    all_fit = all(everything <= free for free in room.values())
+    ordered = sorted(versions.values(), key=_by_share)
+    for version in ordered:
+        _assign(version, least, usable, goals, room)
+    for version in ordered:
+        copies = len(usable) if all_fit else _copies(version, least, usable)
+        _assign(version, copies, usable, goals, room)
+    frozen = {name: frozenset(goal) for name, goal in goals.items()}
+    return PoolTarget(versions, frozen)
+
+
+def _assign(
+    wanted: Wanted,
+    copies: int,
+    engines: list[EngineView],
+    goals: dict[str, set[str]],
+    room: dict[str, float],
+) -> None:
+    """Raise the number of engines that are to have a version."""
+    version = wanted.version
+    copies -= sum(version in goal for goal in goals.values())
+    for engine in sorted(engines, key=lambda e: _preference(wanted, e)):
+        if copies <= 0:
+            return
+        fits = room[engine.name] >= wanted.size_bytes
+        if fits and version not in goals[engine.name]:
+            goals[engine.name].add(version)
+            room[engine.name] -= wanted.size_bytes
+            copies -= 1
+
+
+def next_steps(
+    target: PoolTarget,
+    engines: Iterable[EngineView],
+    known: Mapping[str, Version],
+    settled: bool,
+    may_drop: bool,
+) -> tuple[Step, ...]:
+    """Give the steps that may be taken now, at most one for an engine.
+
+    A version that is wanted is dropped from an engine only while all
+    engines that are to have it have it; one that is not wanted goes when
+    the target is settled. Few engines of a pool load at once.
+
+    :param known: versions of the configuration, by name; others that are
+        loaded are left alone, and their size is not known
+    :param settled: whether the target has stood for so long that no
+        request is still routed by an older one
+    :param may_drop: whether no order of an earlier holder of the lease can
+        take effect any more, and reports show those that did
+    """
+    usable = [engine for engine in engines if engine.usable]
+    fresh = [engine for engine in usable if engine.fresh]
+    holders = {
+        version: frozenset(e.name for e in fresh if version in e.loaded)
+        for version in target.wanted
+    }
+    complete = frozenset(
+        version
+        for version, names in holders.items()
+        if target.engines_of(version) <= names
+    )
+    loading = sum(1 for engine in usable if engine.ordered)
+    allowed = max(1, int(len(usable) * LOADING_SHARE)) - loading
+    steps: list[Step] = []
+    for engine in fresh:
+        if engine.ordered:
+            continue
+        step = _step(target, engine, known, complete, settled)
+        if isinstance(step, Load) and step.wanted.version not in engine.loaded:
+            if allowed <= 0:
+                continue
+            allowed -= 1
+        if isinstance(step, Unload) and not may_drop:
+            continue
+        if step is not None:
+            steps.append(step)
+    return tuple(steps)
+
+
+def _step(
+    target: PoolTarget,
+    engine: EngineView,
+    known: Mapping[str, Version],
+    complete: frozenset[str],
+    settled: bool,
+) -> Step | None:
+    if engine.ordered_role is not engine.role:
+        return SetRole(engine.name, engine.role)
+    goal = target.engines.get(engine.name, frozenset())
+    for version in sorted(goal & engine.loaded):
+        wanted = target.wanted[version]
+        if wanted.adapters != engine.adapters.get(version, ()):
+            return Load(engine.name, wanted)
+    missing = sorted(goal - engine.loaded)
+    for version in missing:
+        if _has_room(engine, known, target.wanted[version]):
+            return Load(engine.name, target.wanted[version])
+    for version in sorted((engine.loaded - goal) & known.keys()):
+        if version in target.wanted:
+            droppable = version in complete
+        else:
+            droppable = settled and (bool(missing) or len(complete) > 0)
+        if droppable:
+            return Unload(engine.name, known[version].model, version)
+    return None
+
+
+def _has_room(
+    engine: EngineView, known: Mapping[str, Version], wanted: Wanted
+) -> bool:
+    if not engine.weights_bytes:
+        return True
+    used = sum(
+        known[version].size_bytes
+        for version in engine.loaded
+        if version in known
+    )
+    return used + wanted.size_bytes <= engine.weights_bytes
+
+
+def _least_copies(engines: int, versions: int) -> int:
+    """Give how many engines even a version of a small share gets."""
+    each = engines // max(1, versions)
+    return max(1, min(MIN_COPIES, each // 2))
+
+
+def _copies(wanted: Wanted, least: int, engines: list[EngineView]) -> int:
+    """Give how many engines need a version; more where more have it."""
+    needed = math.ceil(wanted.share * len(engines) * HEADROOM)
+    copies = min(len(engines), max(least, needed))
+    held = sum(1 for engine in engines if _has(engine, wanted))
+    if copies < held <= math.ceil(copies * SHRINK_MARGIN):
+        return held
+    return copies
+
+
+def _has(engine: EngineView, wanted: Wanted) -> bool:
+    return wanted.version in engine.loaded | engine.ordered
+
+
+def _by_share(wanted: Wanted) -> tuple[float, str]:
+    return -wanted.share, wanted.version
+
+
+def _preference(wanted: Wanted, engine: EngineView) -> tuple[bool, int]:
+    label = f"{wanted.model}/{wanted.version}/{engine.name}".encode()
+    return not _has(engine, wanted), xxhash.xxh64_intdigest(label)
+
+
+__all__ = [
+    "EngineView",
+    "Load",
+    "PoolTarget",
+    "SetRole",
+    "Step",
+    "Unload",
+    "Wanted",
+    "known_versions",
+    "next_steps",
+    "place",
+    "wanted_versions",
+    "weights_of",
+]
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -2,42 +2,33 @@
 
 from __future__ import annotations
 
-import logging
 import os
-import random
 import sys
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 from pydantic import Field
 
 from mulberrypass.caller.health import Health
-from mulberrypass.configuration.follower import (
-    ConfigurationFollower,
-    FollowerPorts,
-)
-from mulberrypass.configuration.store import ConfigurationStore
-from mulberrypass.operator.alone import AloneMembership, SilentHeartbeats
+from mulberrypass.engine.directory import Backends
 from mulberrypass.operator.app import OperatorApp, OperatorParts
 from mulberrypass.operator.auth import OperatorAuth
 from mulberrypass.operator.changes import ConfigurationChanges
 from mulberrypass.operator.explain import ExplainProxy
 from mulberrypass.operator.fleet import Fleet
-from mulberrypass.peer.configuration import ConfigurationPeers
-from mulberrypass.peer.loop import LoopThread
-from mulberrypass.peer.server import PeerServer
+from mulberrypass.placement.runner import PlacementPorts, PlacementRunner
 from mulberrypass.programs.daemon import DaemonSettings
-from mulberrypass.runtime.dump import StateDump
+from mulberrypass.programs.wiring import open_common
 from mulberrypass.runtime.http import HttpServer, WsgiApp
 from mulberrypass.runtime.lifecycle import StopSignal
-from mulberrypass.runtime.logs import configure, get_logger
-from mulberrypass.runtime.metrics import Metrics
-from mulberrypass.runtime.ports import CONTROL_PEER_PORT, CONTROL_PORT
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.runtime.ports import CONTROL_PORT
 from mulberrypass.runtime.settings import Port, load
 
+if TYPE_CHECKING:
+    from mulberrypass.programs.wiring import Common
+
 PROGRAM = "mulberry-control"
 MAX_BODY_BYTES = 64 * 1_048_576
-THREADS = 8
-STOP_GRACE_S = 10.0
 LOG = get_logger(__name__)
 
 Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
@@ -47,8 +38,8 @@
     """What the control program is told."""
 
     port: Port = Field(default=CONTROL_PORT, description="port for operators")
-    peer_port: Port = Field(
-        default=CONTROL_PEER_PORT, description="port for peers"
+    threads: int = Field(
+        default=8, ge=2, description="operators answered at once"
     )
     bootstrap_key_digest: Digest = Field(
         default="",
@@ -57,75 +48,90 @@
     )
 
 
+class ControlProcess:
+    """The parts of one control process, wired together."""
+
+    def __init__(self, cfg: ControlSettings) -> None:
+        common = open_common("control", cfg)
+        self._cfg = cfg
+        self._common = common
+        self._backends = Backends()
+        common.follower.subscribe(self._backends.apply)
+        self._placement = PlacementRunner(
+            PlacementPorts(
+                common.follower,
+                common.membership,
+                common.table,
+                common.platform.weights,
+                self._backends.engine,
+                common.metrics,
+            ),
+            common.me,
+        )
+        common.dump.register("placement", self._placement.state)
+        self._server = common.serve()
+        self._http = HttpServer(
+            self._app(common, cfg),
+            str(cfg.address),
+            cfg.port,
+            cfg.threads,
+            MAX_BODY_BYTES,
+        )
+
+    def start(self) -> None:
+        """Start all parts, the border towards operators last."""
+        self._common.start(self._server)
+        self._placement.start()
+        self._http.start()
+        LOG.info(
+            "serving", address=str(self._cfg.address), port=self._http.port
+        )
+
+    def stop(self) -> None:
+        """Finish what operators have asked for, then stop."""
+        self._placement.stop()
+        self._http.stop(self._cfg.grace_s)
+        self._common.stop(self._server)
+        self._backends.close()
+
+    def _app(self, common: Common, cfg: ControlSettings) -> WsgiApp:
+        changes = ConfigurationChanges(common.store, common.follower)
+        follower = common.follower
+        operators = OperatorApp(
+            OperatorParts(
+                OperatorAuth(follower, common.store, cfg.bootstrap_key_digest),
+                changes,
+                common.store,
+                Fleet(
+                    common.me,
+                    common.membership,
+                    changes,
+                    lambda: follower.current().generation,
+                ),
+                ExplainProxy(common.membership),
+                {
+                    "placement": self._placement.state,
+                    "decisions of this process": common.metrics.snapshot,
+                },
+            )
+        )
+        health = Health(follower, common.dump, self._not_ready)
+        return WsgiApp([*operators.routes(), *health.routes()])
+
+    def _not_ready(self) -> str:
+        ready = self._common.follower.ready
+        return "" if ready else "the configuration is not known yet"
+
+
 def main() -> None:
     """Serve operators until a stop signal."""
     cfg = load(PROGRAM, ControlSettings, sys.argv[1:], os.environ)
-    own = cfg.member("control")
-    configure(PROGRAM, own.name, cfg.log_format, cfg.log_level)
-    logging.getLogger("waitress").setLevel(logging.ERROR)
-    metrics = Metrics("control", cfg.statsd_address, cfg.statsd_port)
-    dump = StateDump()
-    dump.install_signal()
-    loop = LoopThread()
-    platform = cfg.open_platform()
-    store = ConfigurationStore(platform.table, platform.objects)
-    membership = AloneMembership()
-    peers = ConfigurationPeers(
-        loop,
-        cfg.peer_key.get_secret_value(),
-        lambda _member: None,
-        lambda: follower.snapshot(),
-    )
-    follower = ConfigurationFollower(
-        FollowerPorts(store, peers.fetch_from, tuple),
-        metrics,
-        random.Random(),
-    )
-    server = PeerServer(
-        cfg.peer_key.get_secret_value(), SilentHeartbeats(), peers
-    )
-    changes = ConfigurationChanges(store, follower)
-    operators = OperatorApp(
-        OperatorParts(
-            OperatorAuth(follower, store, cfg.bootstrap_key_digest),
-            changes,
-            store,
-            Fleet(
-                own,
-                membership,
-                changes,
-                lambda: follower.current().generation,
-            ),
-            ExplainProxy(membership),
-            {"metrics": metrics.snapshot},
-        )
-    )
-    health = Health(
-        follower,
-        dump,
-        lambda: "" if follower.ready else "the configuration is not known",
-    )
-    dump.register("configuration", follower.state)
-    dump.register("metrics", metrics.snapshot)
-    http = HttpServer(
-        WsgiApp([*operators.routes(), *health.routes()]),
-        str(cfg.address),
-        cfg.port,
-        THREADS,
-        MAX_BODY_BYTES,
-    )
     stop = StopSignal()
     stop.install()
-    loop.start()
-    loop.submit(server.start(str(cfg.address), cfg.peer_port)).result()
-    follower.start()
-    http.start()
-    LOG.info("serving", address=str(cfg.address), port=http.port)
+    process = ControlProcess(cfg)
+    process.start()
     stop.wait()
-    http.stop(STOP_GRACE_S)
-    follower.stop()
-    loop.submit(server.stop()).result()
-    loop.stop()
+    process.stop()
 
 
-__all__ = ["ControlSettings", "main"]
+__all__ = ["ControlProcess", "ControlSettings", "main"]
--- a/tests/model/test_check.py
+++ b/tests/model/test_check.py
@@ -247,6 +247,18 @@
         'service "Dock!", field "name": "Dock!" is not a name; write up to '
         "63 lower-case letters, digits, dots, hyphens or underscores",
     ),
+    (
+        "two models of a pool with one name of a version",
+        [
+            *GOOD,
+            {"kind": "model", "name": "other"},
+            GOOD[1] | {"model": "other"},
+            GOOD[6] | {"name": "late", "model": "other"},
+        ],
+        'service "late", field "model": pool "engines" serves model '
+        '"rackmind" too, and both models have versions "r1"; name them '
+        "differently, or use another pool",
+    ),
     (
         "kind",
         [*GOOD, {"kind": "modle", "name": "x"}],
--- /dev/null
+++ b/tests/policy/test_orders.py
@@ -0,0 +1,87 @@
+"""Who may send orders, and when."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrypass.model.objects import Fencing
+from mulberrypass.policy.orders import (
+    LEASE_S,
+    SPACING_S,
+    Held,
+    LeaseAction,
+    LeaseSeen,
+    LeaveLease,
+    RenewLease,
+    TakeLease,
+    lease_action,
+    may_order,
+    preferred,
+)
+
+FREE = LeaseSeen("", 0, 0, 0.0)
+THEIRS = LeaseSeen("you/1", 4, 9, 100.0)
+MINE = LeaseSeen("me/1", 5, 10, 100.0)
+HELD = Held(5, 10, 90.0, 100.0)
+
+
+class LeaseActionTest(unittest.TestCase):
+    """A lease is taken only after its row has stood for its whole time."""
+
+    def test_actions(self) -> None:
+        lapsed = 100.0 + LEASE_S + 0.1
+        cases: tuple[
+            tuple[str, LeaseSeen, Held | None, float, LeaseAction], ...
+        ] = (
+            ("no row", FREE, None, 0.0, TakeLease(1, 0)),
+            ("theirs", THEIRS, None, 100.0 + LEASE_S, LeaveLease()),
+            ("theirs, lapsed", THEIRS, None, lapsed, TakeLease(5, 9)),
+            ("mine, fresh", MINE, HELD, 102.0, LeaveLease()),
+            ("mine, to renew", MINE, HELD, 105.0, RenewLease(5, 10)),
+            ("mine, late", MINE, HELD, lapsed, RenewLease(5, 10)),
+            ("mine, of another life", MINE, None, 105.0, LeaveLease()),
+            ("taken from me", THEIRS, HELD, 105.0, LeaveLease()),
+        )
+        for name, seen, held, now, expected in cases:
+            with self.subTest(name):
+                found = lease_action("me/1", seen, held, now)
+                self.assertEqual(expected, found)
+
+
+class MayOrderTest(unittest.TestCase):
+    """Engines that ignore fencing numbers are given time."""
+
+    def test_orders(self) -> None:
+        refused, ignored = Fencing.REFUSED, Fencing.IGNORED
+        old = Held(5, 10, 90.0 - SPACING_S, 100.0)
+        cases = (
+            ("no lease", None, refused, None, 101.0, False),
+            ("fresh", HELD, refused, None, 101.0, True),
+            ("at once again", HELD, refused, 101.0, 101.0, True),
+            ("about to lapse", HELD, refused, None, 112.0, False),
+            ("ignoring, lease is new", HELD, ignored, None, 101.0, False),
+            ("ignoring, lease is old", old, ignored, None, 101.0, True),
+            ("ignoring, just ordered", old, ignored, 95.0, 101.0, False),
+            ("ignoring, spaced", old, ignored, 84.9, 101.0, True),
+        )
+        for name, held, fencing, last, now, expected in cases:
+            with self.subTest(name):
+                found = may_order(held, fencing, last, now)
+                self.assertEqual(expected, found)
+
+
+class PreferredTest(unittest.TestCase):
+    """One member of all is preferred, whatever their order."""
+
+    def test_preferred(self) -> None:
+        members = [f"control@i-{n}" for n in range(9)]
+        pools = [f"p{n}" for n in range(90)]
+        chosen = [preferred(pool, members) for pool in pools]
+        again = [preferred(pool, reversed(members)) for pool in pools]
+        self.assertEqual(chosen, again)
+        self.assertEqual(set(members), set(chosen))
+        self.assertEqual("", preferred("p", ()))
+
+
+if __name__ == "__main__":
+    unittest.main()
