--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -173,6 +173,7 @@
     async def _rounds(self) -> None:
         while True:
             self._view.set_generation(self._own_generation())
+            self._publish()
             contacts = self._view.start_round(self._now())
             self._calls.keep((*contacts, *self._calling))
             for contact in contacts:
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -16,6 +16,7 @@
 )
 from mulberrypass.policy.membership_news import NewsQueue, Rotation
 from mulberrypass.policy.membership_ring import neighbours
+from mulberrypass.policy.membership_roster import Roster
 
 if TYPE_CHECKING:
     import random
@@ -23,9 +24,7 @@
     from mulberrypass.platform.api import Listed
 
 MAX_CLAIMS = 8
-URGENT = frozenset(
-    {MemberState.SUSPECT, MemberState.LEAVING, MemberState.DEAD}
-)
+REFUTABLE = frozenset({MemberState.SUSPECT, MemberState.DEAD})
 
 
 class MembershipView:
@@ -43,62 +42,43 @@
         self, me: Member, settings: ViewSettings, rng: random.Random
     ) -> None:
         self.me = me
+        self.joined = False
         self.superseded = False
         self.suspicions = 0
         self.deaths = 0
         self._settings = settings
         self._rng = rng
-        self._others: dict[str, Member] = {}
-        self._since: dict[str, float] = {}
-        self._doubted: dict[str, float] = {}
+        self._roster = Roster()
         self._news = NewsQueue()
         self._rotation = Rotation(rng)
         self._backends = LeavingBackends()
-        self._claims: dict[str, int] = {}
         self._listing = Listing()
+        self._claims: dict[str, None] = {}
         self._neighbours: tuple[str, ...] | None = None
         self._round = 0
+        self._round_at: float | None = None
         self._asks_until = settings.asking_rounds
         self._eager_until = float("-inf")
-        self._round_at: float | None = None
-        self._joined = False
         self._changed = True
         self._urgent = False
         self._newest = me
 
-    @property
-    def joined(self) -> bool:
-        """Whether any other member has answered."""
-        return self._joined
-
     def known(self) -> tuple[Member, ...]:
         """Give all members that are not dead, this one included.
 
         A member on a machine that is listed as leaving is leaving.
         """
-        others = (
-            member
-            for member in self._others.values()
-            if member.state is not MemberState.DEAD
-        )
-        return tuple(map(self._with_list, (self.me, *others)))
+        known = (self.me, *self._roster.living())
+        return tuple(map(self._with_list, known))
 
     def dead(self) -> tuple[Member, ...]:
         """Give the dead that are remembered."""
-        return tuple(
-            member
-            for member in self._others.values()
-            if member.state is MemberState.DEAD
-        )
+        return self._roster.dead()
 
     def neighbours(self) -> tuple[str, ...]:
         """Give the names of those that get heartbeats."""
         if self._neighbours is None:
-            living = (
-                name
-                for name, member in self._others.items()
-                if member.state is not MemberState.DEAD
-            )
+            living = (member.name for member in self._roster.living())
             count = self._settings.neighbours
             self._neighbours = neighbours(self.me.name, living, count)
         return self._neighbours
@@ -112,7 +92,10 @@
         return self._newest
 
     def take_changed(self) -> bool:
-        """Tell once whether members or backend servers have changed."""
+        """Tell once whether members or backend servers have changed.
+
+        A member's newer generation is no change.
+        """
         changed, self._changed = self._changed, False
         return changed
 
@@ -135,11 +118,19 @@
         """Mark this member as leaving; that is never taken back."""
         if self.me.state is not MemberState.LEAVING:
             self.me = replace(self.me, state=MemberState.LEAVING)
-            self._spread_me()
+            self._note_change(True)
 
     def report_backend(self, backend: str, now: float) -> None:
         """Say that a backend server is leaving."""
-        self._backends_changed(self._backends.report(backend, now))
+        self._note_change(self._backends.report(backend, now))
+
+    def take_list(self, listed: tuple[Listed, ...], now: float) -> None:
+        """Take the platform's list."""
+        self._changed |= self._listing.take(listed)
+        states = {
+            e.name: e.state for e in listed if e.kind is ListedKind.BACKEND
+        }
+        self._note_change(self._backends.take_list(states, now))
 
     def start_round(self, now: float) -> tuple[Contact, ...]:
         """Give the places to send heartbeats to.
@@ -147,17 +138,15 @@
         A member that was paused distrusts its own silence: it starts all
         suspicions over.
         """
-        paused = self._pause_s(now) > self._settings.suspect_s / 2
+        if self._was_paused(now):
+            self._roster.restart_doubts(now)
         self._round_at = now
-        if paused:
-            self._doubted = dict.fromkeys(self._doubted, now)
+        self._round += 1
         self._bury(now)
         self._forget(now)
         names = dict.fromkeys((*self.neighbours(), *self._claims))
         contacts = [self._contact(name) for name in names]
-        self._round += 1
-        eager = not contacts or now < self._eager_until
-        if eager:
+        if not contacts or now < self._eager_until:
             contacts += self._strangers(self._settings.neighbours)
         elif self._round % self._settings.contact_rounds == 0:
             contacts += self._strangers(1)
@@ -167,7 +156,7 @@
         """Give the heartbeat to a member.
 
         A member that has just started tells of nobody, and so is told of
-        all, until the replies name no more that it did not know.
+        all, until replies name no member that it did not know.
         """
         if self._round <= self._asks_until:
             return Message(self.me)
@@ -179,18 +168,18 @@
         What is wrongly believed of the receiver always comes first, so
         that it can refute it.
         """
-        settings = self._settings
-        names = dict.fromkeys(
-            (
-                name,
-                self._newest.name,
-                *self._news.take(settings.news, len(self._others)),
-                *self._rotation.take(settings.repeated, self._others),
-            )
+        settings, size = self._settings, len(self._roster)
+        names = (
+            name,
+            self._newest.name,
+            *self._news.take(settings.news, size),
+            *self._rotation.take(settings.repeated, self._roster),
+        )
+        members = map(self._roster.get, dict.fromkeys(names))
+        marks = self._backends.take_marks(settings.news, size)
+        return Message(
+            self.me, tuple(m for m in members if m is not None), marks
         )
-        members = tuple(self._others[n] for n in names if n in self._others)
-        marks = self._backends.take_marks(settings.news, len(self._others))
-        return Message(self.me, members, marks)
 
     def receive(self, message: Message, now: float) -> None:
         """Take a heartbeat or a reply to one."""
@@ -198,13 +187,13 @@
         if sender.name == self.me.name:
             return
         self._merge(sender, now)
-        self._heard(sender)
+        self._hear_from(sender)
         for member in message.members:
             if member.name == self.me.name:
                 self._hear_of_me(member)
             else:
                 self._merge(member, now)
-        self._backends_changed(self._backends.merge(message.backends, now))
+        self._note_change(self._backends.merge(message.backends, now))
 
     def reply(self, message: Message, now: float) -> Message:
         """Take a heartbeat and give the reply to it.
@@ -214,210 +203,199 @@
         self.receive(message, now)
         if message.members:
             return self.message_for(message.sender.name)
-        members = tuple(self._others.values())
-        return Message(self.me, members, self._backends.all_marks())
+        return Message(self.me, self._roster.all(), self._backends.all_marks())
 
     def receive_reply(self, message: Message, now: float) -> None:
         """Take the reply to a heartbeat."""
-        known = len(self._others)
+        before = len(self._roster)
         self.receive(message, now)
-        if len(self._others) > known + self._settings.news:
+        learned = len(self._roster) > before
+        if learned and self._round <= self._settings.young_rounds:
             self._asks_until = self._round + 1
-        self._joined = True
+        self.joined = True
 
     def helpers(self, name: str) -> tuple[Contact, ...]:
-        """Give members to ask for a probe of one that did not answer."""
+        """Give members to ask for a probe of one that did not answer.
+
+        Members on its machine or on ours would fail with it or with us.
+        """
+        target = self._roster.get(name)
+        shunned = {self.me.address, target.address if target else ""}
         able = [
             member.name
-            for member in self._others.values()
-            if member.state is MemberState.ALIVE and member.name != name
+            for member in self._roster.living()
+            if member.state is MemberState.ALIVE
+            and member.address not in shunned
         ]
         count = min(self._settings.helpers, len(able))
         return tuple(map(self._contact, self._rng.sample(able, count)))
 
-    def suspect(self, name: str, incarnation: int, now: float) -> bool:
+    def suspect(self, name: str, incarnation: int, now: float) -> None:
         """Doubt a member that neither we nor helpers could reach.
 
         :param incarnation: the one that was tried
-        :returns: whether that is a new suspicion
         """
-        member = self._others.get(name)
+        member = self._roster.get(name)
         if member is None or member.incarnation != incarnation:
-            return False
-        if self._pause_s(now) > self._settings.suspect_s / 2:
-            return False
+            return
+        if self._was_paused(now):
+            return
         match member.state:
             case MemberState.ALIVE:
                 suspected = replace(member, state=MemberState.SUSPECT)
                 self._merge(suspected, now)
-                return True
             case MemberState.LEAVING:
                 self._claims.pop(name, None)
-                self._doubted.setdefault(name, now)
-        return False
-
-    def take_list(self, listed: tuple[Listed, ...], now: float) -> None:
-        """Take the platform's list."""
-        self._changed |= self._listing.take(listed)
-        states = {
-            e.name: e.state for e in listed if e.kind is ListedKind.BACKEND
-        }
-        self._backends_changed(self._backends.take_list(states, now))
+                self._roster.doubt(name, now)
 
     def contact_of(self, name: str) -> Contact | None:
         """Give the place of a member that is not dead."""
-        member = self._others.get(name)
+        member = self._roster.get(name)
         if member is None or member.state is MemberState.DEAD:
             return None
         return self._contact(name)
 
     def incarnation_of(self, name: str) -> int:
         """Give the incarnation known of a member; 0 where there is none."""
-        member = self._others.get(name)
+        member = self._roster.get(name)
         return member.incarnation if member is not None else 0
 
     def _merge(self, member: Member, now: float) -> None:
-        old = self._others.get(member.name)
+        """Take what is said of another member."""
+        old = self._roster.get(member.name)
         if old is None:
             self._store(member, now)
             if member.state is not MemberState.DEAD:
-                self._spread(member)
+                self._news.add(member.name)
             return
-        rank = (member.incarnation, member.state)
-        old_rank = (old.incarnation, old.state)
-        if rank > old_rank and self._is_unproven(member):
-            self._claim(member)
-        elif rank > old_rank:
-            self._note_revival(member, old, now)
-            self.suspicions += member.state is MemberState.SUSPECT
-            self.deaths += member.state is MemberState.DEAD
-            generation = member.generation
-            if member.incarnation == old.incarnation:
-                generation = max(generation, old.generation)
-            newer = replace(member, generation=generation)
-            self._store(newer, now)
-            self._spread(newer)
+        if (member.incarnation, member.state) > (old.incarnation, old.state):
+            if self._is_unproven(member, old):
+                self._claim(member.name)
+            else:
+                self._replace(old, member, now)
         elif member.incarnation == old.incarnation:
-            if member.generation > old.generation:
-                newer = replace(old, generation=member.generation)
-                self._others[member.name] = newer
-                self._note_generation(newer)
-                self._changed = True
-
-    def _note_revival(self, new: Member, old: Member, now: float) -> None:
-        """Look for others beyond a partition that seems to have ended."""
-        refuted = new.incarnation == old.incarnation + 1
-        if old.state is MemberState.DEAD and refuted:
-            rounds = self._settings.contact_rounds
-            self._eager_until = now + rounds * self._settings.heartbeat_s
+            self._take_generation(old, member.generation)
 
-    def _is_unproven(self, member: Member) -> bool:
-        """Tell whether a death is claimed of a member not yet doubted.
+    def _is_unproven(self, said: Member, old: Member) -> bool:
+        """Tell whether a death is said of a member not yet doubted.
 
         After a partition each side believes the other dead. Such a claim
         is tried by a heartbeat of our own.
         """
-        old = self._others[member.name]
-        dead = member.state is MemberState.DEAD
-        same = member.incarnation == old.incarnation
-        return dead and same and member.name not in self._doubted
+        dead = said.state is MemberState.DEAD
+        same = said.incarnation == old.incarnation
+        return dead and same and not self._roster.is_doubted(said.name)
 
-    def _claim(self, member: Member) -> None:
+    def _claim(self, name: str) -> None:
         if len(self._claims) < MAX_CLAIMS:
-            self._claims[member.name] = member.incarnation
+            self._claims[name] = None
+
+    def _replace(self, old: Member, said: Member, now: float) -> None:
+        generation = said.generation
+        if said.incarnation == old.incarnation:
+            generation = max(generation, old.generation)
+        self._store(replace(said, generation=generation), now)
+        self._news.add(said.name)
+        self._urgent |= said.state is not MemberState.ALIVE
+        self.suspicions += said.state is MemberState.SUSPECT
+        self.deaths += said.state is MemberState.DEAD
+        refuted = said.incarnation == old.incarnation + 1
+        if old.state is MemberState.DEAD and refuted:
+            self._look_around(now)
 
-    def _heard(self, sender: Member) -> None:
-        """Drop doubts of a member that has spoken for itself."""
-        known = self._others[sender.name]
-        if known.incarnation == sender.incarnation:
-            self._claims.pop(sender.name, None)
-            if known.state is MemberState.LEAVING:
-                self._doubted.pop(sender.name, None)
+    def _look_around(self, now: float) -> None:
+        """Contact many others: a partition seems to have ended."""
+        rounds = self._settings.contact_rounds
+        self._eager_until = now + rounds * self._settings.heartbeat_s
 
     def _store(self, member: Member, now: float) -> None:
-        self._others[member.name] = member
-        self._since[member.name] = now
-        self._neighbours = None
-        self._changed = True
-        if member.state is MemberState.SUSPECT:
-            self._doubted[member.name] = now
-        else:
-            self._doubted.pop(member.name, None)
+        self._roster.store(member, now)
         self._claims.pop(member.name, None)
-        if member.state is MemberState.DEAD:
-            self._drop_newest(member.name)
-        self._note_generation(member)
-
-    def _spread(self, member: Member) -> None:
-        self._news.add(member.name)
-        self._urgent |= member.state in URGENT
-
-    def _spread_me(self) -> None:
-        self._urgent = True
+        self._neighbours = None
         self._changed = True
-
-    def _drop_newest(self, name: str) -> None:
-        if self._newest.name == name:
-            self._newest = max(self.known(), key=lambda m: m.generation)
+        if member.state is not MemberState.DEAD:
+            self._note_generation(member)
+        elif self._newest.name == member.name:
+            known = (self.me, *self._roster.living())
+            self._newest = max(known, key=lambda m: m.generation)
+
+    def _take_generation(self, old: Member, generation: int) -> None:
+        if generation <= old.generation:
+            return
+        newer = replace(old, generation=generation)
+        self._roster.refresh(newer)
+        self._news.add(old.name, urgent=False)
+        if old.state is not MemberState.DEAD:
+            self._note_generation(newer)
 
     def _note_generation(self, member: Member) -> None:
-        if member.state is MemberState.DEAD:
-            return
         if member.generation > self._newest.generation:
             self._newest = member
             self._urgent = True
 
-    def _backends_changed(self, changed: bool) -> None:
+    def _note_change(self, changed: bool) -> None:
         self._urgent |= changed
         self._changed |= changed
 
+    def _hear_from(self, sender: Member) -> None:
+        """Drop doubts of a member that has spoken for itself."""
+        if self.incarnation_of(sender.name) != sender.incarnation:
+            return
+        self._claims.pop(sender.name, None)
+        if sender.state is MemberState.LEAVING:
+            self._roster.trust(sender.name)
+
     def _hear_of_me(self, said: Member) -> None:
-        """Refute what is said of this member, where it is wrong."""
+        """Refute what is said of this member, where it is wrong.
+
+        A living member of this name at another address is a later start.
+        """
         mine = (self.me.incarnation, self.me.state)
         if (said.incarnation, said.state) <= mine:
             return
-        if said.address != self.me.address:
-            self.superseded = True
-            return
-        self.me = replace(self.me, incarnation=said.incarnation + 1)
-        self._spread_me()
+        moved = said.address != self.me.address
+        self.superseded = moved and said.state not in REFUTABLE
+        if not self.superseded:
+            self.me = replace(self.me, incarnation=said.incarnation + 1)
+            self._note_change(True)
 
     def _bury(self, now: float) -> None:
         """Turn suspicions that nobody refuted into deaths."""
-        suspect_s = self._settings.suspect_s
-        for name, since in tuple(self._doubted.items()):
-            if now - since >= suspect_s:
-                dead = replace(self._others[name], state=MemberState.DEAD)
-                self._merge(dead, now)
+        before = now - self._settings.suspect_s
+        for member in self._roster.doubted_since(before):
+            self._merge(replace(member, state=MemberState.DEAD), now)
 
     def _forget(self, now: float) -> None:
         """Drop the dead whose machine is listed no more."""
-        for member in self.dead():
+        for member in self._roster.dead():
             name = member.name
-            age_s = now - self._since[name]
-            if self._listing.is_listed(name) or age_s < self._settings.dead_s:
+            recent = self._roster.age_s(name, now) < self._settings.dead_s
+            if recent or self._listing.is_listed(name):
                 continue
-            del self._others[name]
-            del self._since[name]
+            self._roster.remove(name)
             self._news.discard(name)
             self._listing.forget(name)
 
-    def _pause_s(self, now: float) -> float:
-        """Give how much later than due a round starts."""
+    def _was_paused(self, now: float) -> bool:
+        """Tell whether the next round is much later than due."""
         if self._round_at is None:
-            return 0.0
-        return now - self._round_at - self._settings.heartbeat_s
+            return False
+        late_s = now - self._round_at - self._settings.heartbeat_s
+        return late_s > self._settings.suspect_s / 2
 
     def _contact(self, name: str) -> Contact:
-        member = self._others[name]
+        member = self._roster.get(name)
+        if member is None:
+            raise KeyError(name)
         return Contact(name, member.program, member.address)
 
     def _strangers(self, count: int) -> list[Contact]:
         """Give machines where a member may be that is not known alive."""
-        names = {(m.program, m.address): m.name for m in self.dead()}
+        names = {(m.program, m.address): m.name for m in self._roster.dead()}
         places = self._listing.places(self._settings.programs)
-        known = {(m.program, m.address) for m in self.known()}
-        able = sorted((places | names.keys()) - known)
+        living = (self.me, *self._roster.living())
+        taken = {(m.program, m.address) for m in living}
+        able = sorted((places | names.keys()) - taken)
         chosen = self._rng.sample(able, min(count, len(able)))
         return [Contact(names.get(p, ""), *p) for p in chosen]
 
--- a/src/mulberrypass/policy/membership_messages.py
+++ b/src/mulberrypass/policy/membership_messages.py
@@ -21,6 +21,8 @@
     :param news: entries of news in a message
     :param repeated: older entries in a message, which repair lost news
     :param asking_rounds: first rounds, in which a member asks for all
+    :param young_rounds: rounds in which it goes on to ask while it learns
+        of more members
     :param contact_rounds: rounds between tries to reach a listed machine
         that no live member is known on
     :param dead_s: the dead are remembered for so long
@@ -33,6 +35,7 @@
     news: int = 8
     repeated: int = 4
     asking_rounds: int = 3
+    young_rounds: int = 20
     contact_rounds: int = 5
     dead_s: float = 120.0
     programs: tuple[str, ...] = ("entry", "batch", "control")
--- a/src/mulberrypass/policy/membership_news.py
+++ b/src/mulberrypass/policy/membership_news.py
@@ -14,21 +14,27 @@
 
 
 class NewsQueue:
-    """Names of which there is news, those sent least often first."""
+    """Names of which there is news: urgent ones, then those sent least."""
 
     def __init__(self) -> None:
-        self._sends: dict[str, int] = {}
+        self._urgent: dict[str, int] = {}
+        self._other: dict[str, int] = {}
 
     def __len__(self) -> int:
-        return len(self._sends)
+        return len(self._urgent) + len(self._other)
 
-    def add(self, name: str) -> None:
+    def add(self, name: str, urgent: bool = True) -> None:
         """Start to send a name, or start over."""
-        self._sends[name] = 0
+        if urgent:
+            self._other.pop(name, None)
+            self._urgent[name] = 0
+        elif name not in self._urgent:
+            self._other[name] = 0
 
     def discard(self, name: str) -> None:
         """Send a name no more."""
-        self._sends.pop(name, None)
+        self._urgent.pop(name, None)
+        self._other.pop(name, None)
 
     def take(self, count: int, members: int) -> tuple[str, ...]:
         """Give names for one message.
@@ -36,17 +42,21 @@
         :param members: size of the fleet, which bounds how often a name
             is sent
         """
-        if not self._sends:
-            return ()
-        most = max(
-            MIN_SENDS, math.ceil(SENDS_PER_DOUBLING * math.log2(members + 1))
-        )
-        chosen = sorted(self._sends, key=self._sends.__getitem__)[:count]
-        for name in chosen:
-            self._sends[name] += 1
-            if self._sends[name] >= most:
-                del self._sends[name]
-        return tuple(chosen)
+        doublings = math.log2(members + 1)
+        most = max(MIN_SENDS, math.ceil(SENDS_PER_DOUBLING * doublings))
+        first = _take(self._urgent, count, most)
+        return first + _take(self._other, count - len(first), most)
+
+
+def _take(sends: dict[str, int], count: int, most: int) -> tuple[str, ...]:
+    if not sends or count <= 0:
+        return ()
+    chosen = sorted(sends, key=sends.__getitem__)[:count]
+    for name in chosen:
+        sends[name] += 1
+        if sends[name] >= most:
+            del sends[name]
+    return tuple(chosen)
 
 
 class Rotation:
