Judge a new version side by side, and let it go on by evidence

Cause: versions are to change gradually, and stop by themselves where the new one is worse. Change: a pure judgement of failed and slow requests of two versions in the same time, by the log likelihood ratio, which holds for few requests and however often it is asked for; routes for a stage by share and customer group; the old version keeps a route, so that it stays loaded. Conclusion: evidence ends a stage; time alone never does.

--- /dev/null
+++ b/tests/policy/test_canary.py
@@ -0,0 +1,106 @@
+"""Choice of a version for each request, and judging a new one."""
+
+from __future__ import annotations
+
+from collections import Counter
+import unittest
+
+from mulberrypass.model.objects import Customer, Route, Service, ServiceKind
+from mulberrypass.policy.canary import (
+    Advance,
+    Stage,
+    Stay,
+    Stop,
+    Verdict,
+    VersionFigures,
+    judge,
+    route_version,
+    routes_at,
+)
+from tests.policy.canary_trial import BEHAVIOURS, bring_in
+
+ANYONE = Customer("firm", ())
+PILOT = Customer("pilot-firm", (), group="pilot")
+HASHES = [number * 0x9E3779B97F4A7C15 % 2**64 for number in range(4_000)]
+
+
+def choose(routes: tuple[Route, ...], customer: Customer) -> list[str]:
+    """Give the version of each request."""
+    service = Service("s", ServiceKind.MODEL, "p", "m", routes)
+    chosen = [route_version(service, customer, h) for h in HASHES]
+    return ["" if route is None else route.version for route in chosen]
+
+
+class RouteVersionTest(unittest.TestCase):
+    """Requests follow weights and groups, and stay where they were."""
+
+    def test_weights(self) -> None:
+        counts = Counter(choose((Route("r1", 9), Route("r2", 1)), ANYONE))
+        self.assertAlmostEqual(0.1, counts["r2"] / len(HASHES), delta=0.02)
+
+    def test_groups(self) -> None:
+        routes = (Route("r1", 1), Route("r2", 1, ("pilot",)))
+        self.assertEqual({"r1"}, set(choose(routes, ANYONE)))
+        self.assertEqual({"r1", "r2"}, set(choose(routes, PILOT)))
+        only_pilot = (Route("r2", 1, ("pilot",)),)
+        self.assertEqual({""}, set(choose(only_pilot, ANYONE)))
+
+    def test_weight_0_gets_nothing(self) -> None:
+        routes = (Route("r1", 0), Route("r2", 1))
+        self.assertEqual({"r2"}, set(choose(routes, ANYONE)))
+
+    def test_a_raised_weight_moves_requests_one_way(self) -> None:
+        before = choose((Route("r1", 95), Route("r2", 5)), ANYONE)
+        after = choose((Route("r1", 75), Route("r2", 25)), ANYONE)
+        moved = Counter(zip(before, after, strict=True))
+        self.assertEqual(0, moved["r2", "r1"])
+        self.assertGreater(moved["r1", "r2"], 0)
+
+    def test_stages(self) -> None:
+        old, new = Route("r1"), Route("r2", adapter="x")
+        cases = (
+            (Stage(0.05, ("pilot",)), ANYONE, {"r1"}),
+            (Stage(0.05, ("pilot",)), PILOT, {"r1", "r2"}),
+            (Stage(1.0, ("pilot",)), ANYONE, {"r1"}),
+            (Stage(1.0, ("pilot",)), PILOT, {"r2"}),
+            (Stage(0.25), ANYONE, {"r1", "r2"}),
+            (Stage(1.0), ANYONE, {"r2"}),
+        )
+        for stage, customer, expected in cases:
+            with self.subTest(stage=stage, customer=customer.name):
+                routes = routes_at(stage, old, new)
+                self.assertEqual(expected, set(choose(routes, customer)))
+                self.assertEqual(["r1", "r2"], [r.version for r in routes])
+
+
+class JudgeTest(unittest.TestCase):
+    """A worse version is stopped, and a good one goes on by evidence."""
+
+    def test_verdicts(self) -> None:
+        old = VersionFigures(10_000, 50, 500)
+        cases: tuple[tuple[str, VersionFigures, type[Verdict]], ...] = (
+            ("nothing yet", VersionFigures(0, 0, 0), Stay),
+            ("too few", VersionFigures(100, 0, 5), Stay),
+            ("as good", VersionFigures(1_000, 5, 50), Advance),
+            ("better", VersionFigures(1_000, 0, 10), Advance),
+            ("somewhat worse", VersionFigures(1_000, 12, 60), Stay),
+            ("fails", VersionFigures(200, 8, 10), Stop),
+            ("all fail at once", VersionFigures(5, 5, 0), Stop),
+            ("slow", VersionFigures(300, 1, 60), Stop),
+        )
+        for name, new, expected in cases:
+            with self.subTest(name):
+                self.assertIsInstance(judge(old, new), expected)
+
+    def test_drawn_versions(self) -> None:
+        good, *worse = BEHAVIOURS
+        runs = [bring_in(seed, good, 20.0, False) for seed in range(60)]
+        self.assertLessEqual(sum(run.stopped for run in runs), 1)
+        for new in worse:
+            with self.subTest(new.name):
+                runs = [bring_in(seed, new, 20.0, False) for seed in range(60)]
+                self.assertLessEqual(sum(run.full for run in runs), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
