Give batch more room while there is no online work

After two seconds without online work in a cell, batch prefill may be pending on all engines, with up to 1,024 tokens on each; the first online ask ends that.

A test is added; 23 tests pass.

--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -58,6 +58,7 @@
         self._health = health
         self._pace = pace
         self._batch_from = batch_from
+        self._online_at = 0.0
         self._router = Router(settings)
         self.zones: Mapping[str, str] = {}
         self.online = FairQueue()
@@ -76,6 +77,7 @@
 
     def run(self, now: float) -> Iterator[CellDecision]:
         """Grant what may be granted now."""
+        self._set_batch_room(now)
         if len(self.online):
             waits = yield from self._fill(WorkClass.ONLINE, now)
             if waits:
@@ -84,6 +86,13 @@
         if len(self.batch) and now >= self._batch_from:
             yield from self._fill(WorkClass.BATCH, now)
 
+    def _set_batch_room(self, now: float) -> None:
+        """Give batch work more while there is no online work."""
+        if len(self.online) or self._ledger.limits.online:
+            self._online_at = now
+        quiet = now - self._online_at >= self._settings.quiet_s
+        self._router.batch_alone(quiet)
+
     def adopt(self, ask: Ask, now: float) -> None:
         """Count in work that runs by a former owner's permit."""
         engine = self._ledger.engines.get(ask.granted)
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -74,6 +74,21 @@
     full_prefill_steps: float = 1.7
 
 
+@dataclass(frozen=True, slots=True)
+class BatchRoom:
+    """What batch work may take of the engines.
+
+    :param reserve_slots: slots of an engine that batch work leaves free
+    :param prefill_tokens: pending batch prefill of an engine beyond one item
+    :param prefill_share: share of the engines on which batch prefill may
+        be pending, so that online work finds others
+    """
+
+    reserve_slots: int
+    prefill_tokens: int
+    prefill_share: float
+
+
 @dataclass(frozen=True, slots=True)
 class CellSettings:
     """Settings of one cell.
@@ -83,6 +98,8 @@
     :param batch_prefill_tokens: pending batch prefill beyond one item
     :param batch_prefill_share: share of the engines on which batch prefill
         may be pending, so that online work finds others
+    :param alone: what batch work may take when there was no online work
+        for ``quiet_s`` seconds
     :param fixed_share: share of slots for batch that can't be revoked
     :param service_margin: multiple of the expected service time that must
         fit before the deadline
@@ -97,6 +114,8 @@
     reserve_share: float = 0.25
     batch_prefill_tokens: int = 256
     batch_prefill_share: float = 0.6
+    alone: BatchRoom = BatchRoom(12, 1_024, 1.0)
+    quiet_s: float = 2.0
     fixed_share: float = 0.25
     max_queued_online: int = 1_024
     max_queued_batch: int = 4_096
@@ -111,8 +130,18 @@
     health: HealthSettings = field(default_factory=HealthSettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
 
+    @property
+    def beside_online(self) -> BatchRoom:
+        """What batch work may take beside online work."""
+        return BatchRoom(
+            self.reserve_slots,
+            self.batch_prefill_tokens,
+            self.batch_prefill_share,
+        )
+
 
 __all__ = [
+    "BatchRoom",
     "CellSettings",
     "HealthSettings",
     "PacingSettings",
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -41,6 +41,12 @@
 
     def __init__(self, settings: CellSettings) -> None:
         self._settings = settings
+        self._batch_room = settings.beside_online
+
+    def batch_alone(self, alone: bool) -> None:
+        """Set whether there was no online work for a while."""
+        cfg = self._settings
+        self._batch_room = cfg.alone if alone else cfg.beside_online
 
     def choose(
         self,
@@ -80,7 +86,7 @@
         """Whether batch prefill may be pending on one engine more."""
         if not ask.prompt_tokens:
             return True
-        most = int(len(engines) * self._settings.batch_prefill_share)
+        most = int(len(engines) * self._batch_room.prefill_share)
         pending = sum(e.batch_prefill_tokens > 0 for e in engines)
         return pending < max(1, most)
 
@@ -112,7 +118,7 @@
     def reserve(self, engine: Engine) -> int:
         """Give the slots that batch work leaves free."""
         share = int(engine.backend.slots * self._settings.reserve_share)
-        return min(self._settings.reserve_slots, share)
+        return min(self._batch_room.reserve_slots, share)
 
     def fixed_most(self, engine: Engine) -> int:
         """Give the slots for batch work that can't be revoked."""
@@ -129,7 +135,7 @@
         if not ask.revocable and engine.fixed >= self.fixed_most(engine):
             return False
         pending = engine.batch_prefill_tokens
-        most = self._settings.batch_prefill_tokens
+        most = self._batch_room.prefill_tokens
         return pending == 0 or pending + ask.prompt_tokens <= most
 
     def _uncached(self, engine: Engine, ask: Ask) -> int:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -133,6 +133,16 @@
         pending = [e.batch_prefill_tokens > 0 for e in made.engines.values()]
         self.assertEqual(3, sum(pending))
 
+    def test_batch_has_more_room_without_online_work(self) -> None:
+        made = cell([engine(f"core-{index}", 8) for index in range(5)])
+        for index in range(5):
+            made.handle(batch(f"b-{index}"), 0.0)
+        quiet_s = made.settings.quiet_s
+        self.assertEqual([], granted(made.tick(quiet_s - 0.1)))
+        self.assertEqual(2, len(granted(made.tick(quiet_s))))
+        made.handle(ask("online"), quiet_s + 0.1)
+        self.assertEqual([], made.handle(batch("b-5"), quiet_s + 0.1))
+
     def test_batch_rests_after_a_prefill(self) -> None:
         made = cell([engine("core-0", 16)])
         tokens = int(made.pace.tokens_per_s)
