--- /dev/null
+++ b/tests/policy/test_hedging.py
@@ -0,0 +1,52 @@
+"""Tests of the wait before a hedge."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mulberrypass.policy.hedging import (
+    MIN_HEDGE_S,
+    MIN_SAMPLES,
+    START_S,
+    HedgeTimer,
+)
+
+
+class HedgeTimerTest(unittest.TestCase):
+    def test_wait_follows_each_service(self) -> None:
+        timer = HedgeTimer()
+        rng = random.Random(7)
+        for _ in range(3_000):
+            timer.observe("dock", rng.uniform(0.0, 0.1))
+            timer.observe("slips", rng.uniform(0.0, 1.0))
+        for service, p95_s in (("dock", 0.095), ("slips", 0.95)):
+            with self.subTest(service=service):
+                wait_s = timer.after_s(service)
+                self.assertGreater(wait_s, 0.8 * p95_s)
+                self.assertLess(wait_s, 1.25 * p95_s)
+
+    def test_few_are_hedged_when_all_is_well(self) -> None:
+        timer = HedgeTimer()
+        rng = random.Random(8)
+        late = 0
+        for index in range(5_000):
+            latency_s = rng.expovariate(20.0)
+            late += index >= 1_000 and latency_s > timer.after_s("dock")
+            timer.observe("dock", latency_s)
+        self.assertLess(late / 4_000, 0.08)
+
+    def test_wait_before_enough_is_known(self) -> None:
+        timer = HedgeTimer()
+        for _ in range(MIN_SAMPLES - 1):
+            timer.observe("dock", 0.05)
+        self.assertEqual(START_S, timer.after_s("dock"))
+        timer.observe("dock", 0.05)
+        self.assertLess(timer.after_s("dock"), 0.1)
+        self.assertEqual(START_S, timer.after_s("never seen"))
+
+    def test_wait_has_a_floor(self) -> None:
+        timer = HedgeTimer()
+        for _ in range(500):
+            timer.observe("dock", 0.0001)
+        self.assertEqual(MIN_HEDGE_S, timer.after_s("dock"))
