Add experiments over real processes to mulberry-bench

Change: mulberry-bench run starts platform, engines and instances on loopback, publishes objects, sends from four processes, checks every answer, and compares with direct baselines. The test peer now reads the whole request. The engine stand-in has light totals and a short switch interval.

No experiment is recorded yet: the machine was loaded by other work.

--- /dev/null
+++ b/src/mulberrypass/bench/cluster.py
@@ -0,0 +1,316 @@
+"""A whole fleet of processes on loopback, for one experiment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+import hashlib
+import json
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from mulberrypass.bench.http_call import call, wait_until
+from mulberrypass.bench.launcher import Launcher
+from mulberrypass.runtime.ports import (
+    BATCH_PORT,
+    CONTROL_PORT,
+    ENGINE_PORT,
+    ENTRY_PORT,
+    ENTRY_STREAM_PORT,
+    PLATFORM_PORT,
+)
+
+if TYPE_CHECKING:
+    import signal
+
+    from mulberrypass.bench.http_call import HttpAnswer
+
+PLATFORM = "127.0.20.1"
+PEER_KEY = "bench-peer-key"
+OPERATOR_KEY = "bench-operator-key"
+ZONES = ("duluth-bay", "sarnia-hall", "erie-vault")
+START_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 60.0
+ATTEMPT_MARK = "."
+ONLINE_SERVICE = "dock"
+BATCH_SERVICE = "manifest"
+BATCH_CUSTOMER = "night"
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterShape:
+    """How many of each there are.
+
+    :param customers: who may send online requests
+    :param batch: whether the batch program runs on each instance
+    """
+
+    engines: int = 3
+    instances: int = 4
+    customers: tuple[str, ...] = ("firm-a", "firm-b", "firm-c")
+    batch: bool = False
+    kv_tokens: int = 131_072
+    slots: int = 64
+
+
+class Cluster:
+    """Platform, engines and instances; use as a context manager."""
+
+    def __init__(self, shape: ClusterShape) -> None:
+        self.shape = shape
+        self._launcher = Launcher(
+            {
+                "MULBERRY_PEER_KEY": PEER_KEY,
+                "MULBERRY_OPERATOR_KEY": OPERATOR_KEY,
+                "MULBERRY_PLATFORM_ADDRESS": PLATFORM,
+                "MULBERRY_LOG_LEVEL": "warning",
+            }
+        )
+        self.engines = tuple(
+            f"127.0.21.{n}:{ENGINE_PORT}" for n in range(1, shape.engines + 1)
+        )
+        self.instances = tuple(
+            f"127.0.22.{n}" for n in range(1, shape.instances + 1)
+        )
+
+    def __enter__(self) -> Cluster:
+        """Start everything, and wait until callers can be served."""
+        try:
+            self.start_engines()
+            self.start_system()
+        except BaseException:
+            self._launcher.stop_all()
+            raise
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """End everything."""
+        self._launcher.stop_all()
+
+    @property
+    def logs(self) -> str:
+        """The directory of the logs."""
+        return str(self._launcher.logs)
+
+    def start_engines(self) -> None:
+        """Start a process for each engine."""
+        for number, address in enumerate(self.engines, start=1):
+            self._launcher.start(
+                f"engine-{number}",
+                "mulberry-fake-engine",
+                f"--addresses={address}",
+                f"--slots={self.shape.slots}",
+                f"--kv-tokens={self.shape.kv_tokens}",
+                "--threads=320",
+            )
+        for address in self.engines:
+            _wait_ok(address, "/v1/load")
+
+    def start_system(self) -> None:
+        """Start the platform and all instances, and publish the objects."""
+        platform = f"{PLATFORM}:{PLATFORM_PORT}"
+        self._launcher.start(
+            "platform",
+            "mulberry-fake-platform",
+            f"--address={PLATFORM}",
+            "--list-lag-s=0.5",
+        )
+        _wait_ok(platform, "/instances")
+        body = json.dumps({"entries": self._listed()}).encode()
+        call("PUT", platform, "/admin/instances", body)
+        for number in range(1, len(self.instances) + 1):
+            self.start_instance(number)
+        self._submit()
+        for address in self.instances:
+            _wait_ok(f"{address}:{ENTRY_PORT}", "/readyz")
+            if self.shape.batch:
+                _wait_ok(f"{address}:{BATCH_PORT}", "/readyz")
+
+    def start_instance(self, number: int) -> None:
+        """Start the programs of one instance; the first has control."""
+        flags = (
+            f"--instance=i-{number}",
+            f"--zone={_zone(number)}",
+            f"--address={self.instances[number - 1]}",
+        )
+        self._launcher.start(f"entry-{number}", "mulberry-entry", *flags)
+        if self.shape.batch:
+            self._launcher.start(f"batch-{number}", "mulberry-batch", *flags)
+        if number == 1:
+            digest = _digest(OPERATOR_KEY)
+            bootstrap = f"--bootstrap-key-digest={digest}"
+            self._launcher.start(
+                "control-1", "mulberry-control", *flags, bootstrap
+            )
+
+    def send_signal(self, program: str, signum: signal.Signals) -> None:
+        """Send a signal to a program, as in ``entry-2``."""
+        self._launcher.send_signal(program, signum)
+
+    def wait(self, program: str, timeout_s: float) -> int | None:
+        """Wait for a program to end; its status, if it has ended."""
+        return self._launcher.wait(program, timeout_s)
+
+    def ended(self) -> list[str]:
+        """Name the programs that have ended."""
+        return self._launcher.ended()
+
+    def fault(self, engine: int, **faults: Any) -> None:
+        """Turn on faults of an engine, counted from 0."""
+        body = json.dumps(faults).encode()
+        call("PUT", self.engines[engine], "/admin/faults", body)
+
+    def finished_tokens(self) -> int:
+        """Count the tokens of all runs that came to their end."""
+        return sum(
+            int(self._totals(engine)["finished_tokens"])
+            for engine in self.engines
+        )
+
+    def seeds(self) -> tuple[str, ...]:
+        """Give the addresses that callers ask first."""
+        return tuple(
+            f"{address}:{ENTRY_STREAM_PORT}" for address in self.instances
+        )
+
+    def submit_job(self, lines: list[str], key: str) -> HttpAnswer:
+        """Hand in a batch job."""
+        path = f"/v1/jobs?service={BATCH_SERVICE}&due=3600"
+        headers = bearer(BATCH_CUSTOMER) | {"Idempotency-Key": key}
+        address = f"{self.instances[0]}:{BATCH_PORT}"
+        return call("POST", address, path, "\n".join(lines).encode(), headers)
+
+    def cancel_job(self, job_id: str) -> HttpAnswer:
+        """Cancel a batch job."""
+        path = f"/v1/jobs/{job_id}/cancel"
+        address = f"{self.instances[0]}:{BATCH_PORT}"
+        return call("POST", address, path, b"", bearer(BATCH_CUSTOMER))
+
+    def wait_idle(self) -> None:
+        """Wait until no engine runs anything."""
+        for engine in self.engines:
+            idle = partial(self._idle, engine)
+            wait_until(f"{engine} to be idle", idle, IDLE_TIMEOUT_S)
+
+    def run_ids(self) -> frozenset[str]:
+        """Give the ids of all requests that an engine has started."""
+        return frozenset(
+            request_id.partition(ATTEMPT_MARK)[0]
+            for engine in self.engines
+            for request_id in call("GET", engine, "/admin/runs").json()["runs"]
+        )
+
+    def _idle(self, engine: str) -> bool:
+        totals = self._totals(engine)
+        return int(totals["running"]) + int(totals["waiting"]) == 0
+
+    def _totals(self, engine: str) -> Any:
+        return call("GET", engine, "/admin/totals").json()
+
+    def _listed(self) -> list[dict[str, str]]:
+        return [
+            {
+                "name": f"i-{number}",
+                "kind": "instance",
+                "zone": _zone(number),
+                "address": address,
+                "state": "live",
+            }
+            for number, address in enumerate(self.instances, start=1)
+        ]
+
+    def _submit(self) -> None:
+        control = f"{self.instances[0]}:{CONTROL_PORT}"
+        _wait_ok(control, "/healthz")
+        path = self._launcher.logs / "objects.yaml"
+        path.write_text(yaml.safe_dump_all(self._objects(), sort_keys=False))
+        self._launcher.call(
+            "mulberryctl", "submit", str(path), f"--control=http://{control}"
+        )
+
+    def _objects(self) -> list[dict[str, Any]]:
+        names = (*self.shape.customers, BATCH_CUSTOMER)
+        backends = [
+            {
+                "kind": "backend",
+                "name": f"engine-{number}",
+                "type": "engine",
+                "zone": _zone(number),
+                "address": address,
+                "slots": self.shape.slots,
+                "kv_tokens": self.shape.kv_tokens,
+            }
+            for number, address in enumerate(self.engines, start=1)
+        ]
+        pool = [backend["name"] for backend in backends]
+        return [
+            *backends,
+            {"kind": "pool", "name": "racks", "backends": pool},
+            {"kind": "model", "name": "rackmind"},
+            {
+                "kind": "version",
+                "name": "r1",
+                "model": "rackmind",
+                "weights": "rackmind/r1",
+                "size_bytes": 16_000_000_000,
+            },
+            *(_keyed("customer", name, customer_key(name)) for name in names),
+            _keyed("operator", "dba", OPERATOR_KEY),
+            _service(ONLINE_SERVICE, streams=True),
+            _service(BATCH_SERVICE, streams=False),
+        ]
+
+
+def customer_key(name: str) -> str:
+    """Give the key of a customer of the bench."""
+    return f"{name}-key"
+
+
+def bearer(customer: str) -> dict[str, str]:
+    """Give the headers of a customer's calls."""
+    return {"Authorization": f"Bearer {customer_key(customer)}"}
+
+
+def _service(name: str, streams: bool) -> dict[str, Any]:
+    return {
+        "kind": "service",
+        "name": name,
+        "pool": "racks",
+        "model": "rackmind",
+        "streams": streams,
+        "record": "none",
+        "timeout_ms": 60_000,
+        "max_output_tokens": 8_192,
+        "routes": [{"version": "r1"}],
+    }
+
+
+def _keyed(kind: str, name: str, key: str) -> dict[str, Any]:
+    return {"kind": kind, "name": name, "keys": [{"digest": _digest(key)}]}
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _zone(number: int) -> str:
+    return ZONES[(number - 1) % len(ZONES)]
+
+
+def _wait_ok(address: str, path: str) -> None:
+    wait_until(
+        f"{address}{path}",
+        lambda: call("GET", address, path).status == 200,
+        START_TIMEOUT_S,
+    )
+
+
+__all__ = [
+    "BATCH_CUSTOMER",
+    "Cluster",
+    "ClusterShape",
+    "ONLINE_SERVICE",
+    "bearer",
+    "customer_key",
+]
--- a/src/mulberrypass/bench/model_experiments.py
+++ b/src/mulberrypass/bench/model_experiments.py
@@ -276,7 +276,7 @@
     _, measured = trials[-1].run()
     measured_s = seconds - scenario.warm_s
     most = capacity(EngineShape(), ONLINE_SIZES) * ENGINES * measured_s
-    good = rows[SYSTEM].done - rows[SYSTEM].failed
+    good = rows[SYSTEM].done - rows[SYSTEM].late
     refusal_ms = measured.refusal.total.summary().p99_ms
     targets = [
         at_least("goodput over capacity", ratio(good, most), 0.95),
--- a/src/mulberrypass/bench/model_fleet.py
+++ b/src/mulberrypass/bench/model_fleet.py
@@ -214,7 +214,7 @@
                 tokens = 0 if late else work.size.output_tokens
                 self._online.finish(now - work.arrived, tokens)
                 if late:
-                    self._online.fail()
+                    self._online.late()
             return
         if now >= self._scenario.warm_s:
             self._batch_done += 1
--- a/src/mulberrypass/bench/recorder.py
+++ b/src/mulberrypass/bench/recorder.py
@@ -71,6 +71,7 @@
         self.tokens = 0
         self.refused = 0
         self.failed = 0
+        self.failed_late = 0
 
     def finish(self, total_s: float, tokens: int) -> None:
         """Count an answer that came whole."""
@@ -84,6 +85,11 @@
         with self._lock:
             self.refused += 1
 
+    def late(self) -> None:
+        """Count a whole answer that came after its deadline."""
+        with self._lock:
+            self.failed_late += 1
+
     def fail(self) -> None:
         """Count an answer that did not come whole."""
         with self._lock:
--- a/src/mulberrypass/bench/results.py
+++ b/src/mulberrypass/bench/results.py
@@ -37,6 +37,7 @@
     done: int
     refused: int
     failed: int
+    late: int
     batch_tokens_per_s: float = 0.0
 
 
@@ -100,7 +101,7 @@
                 f"{row.first.p50_ms:9.1f}{row.first.p95_ms:9.1f}"
                 f"{row.first.p99_ms:9.1f}{row.gap.p95_ms:8.1f}"
                 f"{row.total.p99_ms:10.1f}{row.done:7}"
-                f"{row.refused:8}{row.failed:7}"
+                f"{row.refused:8}{row.failed:7}{row.late:6}"
                 f"{row.batch_tokens_per_s:9.0f}"
             )
         for target in self.targets:
@@ -115,7 +116,7 @@
 _HEAD = (
     f"{'times in ms':30}{'first50':>9}{'first95':>9}{'first99':>9}"
     f"{'gap95':>8}{'total99':>10}{'done':>7}{'refused':>8}"
-    f"{'failed':>7}{'batch/s':>9}"
+    f"{'failed':>7}{'late':>6}{'batch/s':>9}"
 )
 
 
@@ -131,6 +132,7 @@
         recorder.done,
         recorder.refused,
         recorder.failed,
+        recorder.failed_late,
         round(batch_tokens_per_s, 1),
     )
 
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -200,7 +200,7 @@
             connection gave no answer
         :raises WireError: where it fails
         """
-        conn = self._take()
+        conn = self.take_idle()
         pooled = conn is not None
         exchange = Exchange(self, conn or self._connect(deadline))
         try:
@@ -236,7 +236,8 @@
         for _, conn in idle:
             conn.close()
 
-    def _take(self) -> http.client.HTTPConnection | None:
+    def take_idle(self) -> http.client.HTTPConnection | None:
+        """Take an idle connection that is still open, if there is one."""
         while True:
             with self._lock:
                 if not self._idle:
--- a/src/mulberrypass/programs/bench.py
+++ b/src/mulberrypass/programs/bench.py
@@ -7,6 +7,10 @@
 import fire
 
 from mulberrypass.bench.model_experiments import MODEL_EXPERIMENTS
+from mulberrypass.bench.process_experiments import (
+    PROCESS_EXPERIMENTS,
+    run_experiment,
+)
 
 RESULTS = "bench/results"
 
@@ -17,7 +21,26 @@
     def list(self) -> str:
         """Name all experiments."""
         model = ", ".join(MODEL_EXPERIMENTS)
-        return f"model: {model}"
+        run = ", ".join(PROCESS_EXPERIMENTS)
+        return f"run: {run}\nmodel: {model}"
+
+    def run(
+        self,
+        name: str,
+        seed: int = 1,
+        seconds: float | None = None,
+        results: str = RESULTS,
+    ) -> str:
+        """Run an experiment over real processes and stand-ins.
+
+        :param seconds: seconds of load in each of its runs
+        :param results: directory that the result is written to
+        """
+        if name not in PROCESS_EXPERIMENTS:
+            sys.exit(f'mulberry-bench: no experiment "{name}"')
+        result = run_experiment(name, seed, seconds)
+        path = result.save(results)
+        return f"{result.table()}written to {path}"
 
     def model(
         self,
--- a/src/mulberrypass/programs/fake_engine.py
+++ b/src/mulberrypass/programs/fake_engine.py
@@ -18,6 +18,7 @@
 from mulberrypass.testing.plain_http import FakePlainService, PlainOptions
 
 PROGRAM = "mulberry-fake-engine"
+SWITCH_INTERVAL_S = 0.000_5
 LOG = get_logger(__name__)
 
 
@@ -84,6 +85,7 @@
     cfg = settings.load(PROGRAM, FakeEngineSettings, sys.argv[1:], os.environ)
     logs.configure(PROGRAM, cfg.addresses, cfg.log_format, cfg.log_level)
     logging.getLogger("waitress").setLevel(logging.CRITICAL)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     stop = StopSignal()
     stop.install()
     for address in cfg.addresses.split(","):
--- a/src/mulberrypass/testing/engine_http.py
+++ b/src/mulberrypass/testing/engine_http.py
@@ -153,6 +153,7 @@
             Route("PUT", "/admin/faults", self._set_faults),
             Route("GET", "/admin/faults", lambda _req: self._faults.show()),
             Route("GET", "/admin/runs", self._count_runs),
+            Route("GET", "/admin/totals", self._show_totals),
         )
 
     def _complete(self, req: Request) -> Reply:
@@ -290,8 +291,16 @@
 
     def _count_runs(self, _req: Request) -> Reply:
         counts = {k: asdict(c) for k, c in self.runs.counts_now().items()}
-        leaving = list(self.runs.leaving_starts)
-        return json_answer({"runs": counts, "leaving_starts": leaving})
+        return json_answer(
+            {
+                "runs": counts,
+                "started": sum(c["started"] for c in counts.values()),
+                "leaving_starts": list(self.runs.leaving_starts),
+            }
+        )
+
+    def _show_totals(self, _req: Request) -> Reply:
+        return json_answer(asdict(self.runs.totals()))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/testing/engine_runs.py
+++ b/src/mulberrypass/testing/engine_runs.py
@@ -74,6 +74,21 @@
     cancelled: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Totals:
+    """What an engine has done since it was started.
+
+    :param tokens: tokens generated, also for runs that were cancelled
+    :param finished_tokens: tokens of runs that came to their end
+    """
+
+    finished: int
+    tokens: int
+    finished_tokens: int
+    running: int
+    waiting: int
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """What the engine looked like at a time of its own clock."""
@@ -107,6 +122,9 @@
         self._crashed_until = 0.0
         self._purge_at = 0.0
         self._stopping = False
+        self._finished = 0
+        self._tokens = 0
+        self._finished_tokens = 0
         self.counts: dict[str, RunCount] = {}
         self.leaving_starts: list[str] = []
         self._thread = threading.Thread(
@@ -193,6 +211,17 @@
         with self._lock:
             return dict(self.counts)
 
+    def totals(self) -> Totals:
+        """Give what the engine has done so far."""
+        with self._lock:
+            return Totals(
+                self._finished,
+                self._tokens,
+                self._finished_tokens,
+                self._model.running,
+                self._model.waiting,
+            )
+
     def pause(self, seconds: float) -> None:
         """Make no step for a while."""
         self._paused_until = time.monotonic() + seconds
@@ -243,11 +272,15 @@
             self._note_time()
 
     def _advance(self) -> None:
-        for sequence in self._model.end():
+        advanced = self._model.end()
+        self._tokens += len(advanced)
+        for sequence in advanced:
             run = self._runs.get(sequence.request_id)
             if run is None:
                 continue
             if sequence.finished:
+                self._finished += 1
+                self._finished_tokens += sequence.output_tokens
                 self._count(sequence.request_id).finished += 1
                 self._finish(run, run.end_reason)
                 continue
@@ -294,4 +327,5 @@
     "Run",
     "RunCount",
     "Runs",
+    "Totals",
 ]
--- a/src/mulberrypass/testing/plain_http.py
+++ b/src/mulberrypass/testing/plain_http.py
@@ -142,7 +142,14 @@
 
     def _count_runs(self, _req: Request) -> Reply:
         with self._lock:
-            return json_answer({"runs": self.counts, "leaving_starts": []})
+            started = sum(c["started"] for c in self.counts.values())
+            return json_answer(
+                {
+                    "runs": self.counts,
+                    "started": started,
+                    "leaving_starts": [],
+                }
+            )
 
 
 def _cut() -> Iterator[bytes]:
--- a/tests/engine/test_model_client.py
+++ b/tests/engine/test_model_client.py
@@ -234,8 +234,11 @@
 
         def serve() -> None:
             conn, _ = listener.accept()
-            with conn:
-                conn.recv(65_536)
+            with conn, conn.makefile("rb") as sent:
+                # A close with unread bytes would reset the connection.
+                sent.readline()
+                length = http.client.parse_headers(sent)["Content-Length"]
+                sent.read(int(length))
                 conn.sendall(payload)
 
         thread = threading.Thread(target=serve)
