--- /dev/null
+++ b/tests/policy/test_jobs.py
@@ -0,0 +1,214 @@
+"""Which process runs which lots, and what is known of a job."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import unittest
+
+from mulberrypass.policy.job_commands import (
+    Board,
+    Fleet,
+    FlushAges,
+    HolderSettings,
+    LeaseNext,
+    Poll,
+    TakeOver,
+)
+from mulberrypass.policy.job_holder import LotHolder
+from mulberrypass.policy.job_polls import PollSchedule
+from mulberrypass.policy.jobs import (
+    HeldLot,
+    Holder,
+    JobState,
+    LotCounts,
+    OpenJob,
+    active_holders,
+    draw_order,
+    orphaned,
+    view,
+)
+from mulberrypass.policy.lots import LotKey, LotTerms
+
+OWN = Holder("batch@a", 5)
+JOB = OpenJob("j-1", "x", "s", 100.0, 1.0, 3, 1)
+
+
+class TestView(unittest.TestCase):
+    """The counts add up in every state."""
+
+    def test_counts(self) -> None:
+        lots = [LotCounts(done=3, failed=1), LotCounts(indeterminate=1)]
+        table = (
+            (JobState.RUNNING, False, 0, 5, 10.0),
+            (JobState.CANCELLED, False, 0, 5, None),
+            (JobState.CANCELLED, True, 5, 0, 0.0),
+        )
+        for state, settled, cancelled, pending, remaining in table:
+            with self.subTest(state=state, settled=settled):
+                shown = view(state, 10, lots, settled, 10.0)
+                self.assertEqual(cancelled, shown.cancelled)
+                self.assertEqual(pending, shown.pending)
+                self.assertEqual(remaining, shown.remaining_s)
+                self.assertEqual(
+                    (3, 1, 1), (shown.done, shown.failed, shown.indeterminate)
+                )
+
+
+class TestDraw(unittest.TestCase):
+    """Lots are drawn fairly over customers, then by due time."""
+
+    def test_active_holders(self) -> None:
+        names = [f"batch@{n}" for n in range(10)]
+        chosen = active_holders(names, 600, 192)
+        self.assertEqual(4, len(chosen))
+        self.assertEqual(chosen, active_holders(names[::-1], 600, 192))
+        left = active_holders([n for n in names if n != chosen[1]], 600, 192)
+        self.assertEqual(3, len(set(chosen) & set(left)))
+        self.assertEqual(1, len(active_holders(names, 0, 192)))
+
+    def test_order(self) -> None:
+        many = [replace(JOB, job=f"j-x{n}", due=float(n)) for n in range(3)]
+        other = replace(JOB, job="j-y", customer="y", due=50.0)
+        held = [
+            HeldLot(LotKey("j-x0", n), "x", "batch@b", 1) for n in range(2)
+        ]
+        table: tuple[
+            tuple[
+                str,
+                list[OpenJob],
+                list[HeldLot],
+                dict[str, float],
+                list[str],
+            ],
+            ...,
+        ] = (
+            ("by due time", many, [], {}, ["j-x0", "j-x1", "j-x2"]),
+            (
+                "no customer goes behind another's jobs",
+                [*many, other],
+                [],
+                {},
+                ["j-x0", "j-y", "j-x1", "j-x2"],
+            ),
+            (
+                "lots that run count",
+                [*many, other],
+                held,
+                {},
+                ["j-y", "j-x0", "j-x1", "j-x2"],
+            ),
+            (
+                "by weight",
+                [*many, other],
+                held,
+                {"x": 10.0},
+                ["j-x0", "j-x1", "j-x2", "j-y"],
+            ),
+        )
+        for name, jobs, running, weights, expected in table:
+            with self.subTest(name):
+                order = draw_order(jobs, running, weights)
+                self.assertEqual(expected, [job.job for job in order])
+
+    def test_orphaned(self) -> None:
+        key = LotKey("j-1", 0)
+        live = {"batch@a": 5, "batch@b": 7}
+        table = (
+            ("live", "batch@b", 7, (), False),
+            ("an older incarnation", "batch@b", 6, (), True),
+            ("gone", "batch@c", 1, (), True),
+            ("own and held", "batch@a", 5, (key,), False),
+            ("own, and forgotten", "batch@a", 5, (), True),
+        )
+        for name, holder, incarnation, keys, lost in table:
+            with self.subTest(name):
+                held = HeldLot(key, "x", holder, incarnation)
+                found = orphaned([held], live, OWN, keys)
+                self.assertEqual(lost, bool(found))
+
+
+class TestFlushAges(unittest.TestCase):
+    """Flushes by age don't grow with the holders."""
+
+    def test_ages(self) -> None:
+        ages = FlushAges(5.0, 60.0, 2.0)
+        for holders, expected in ((1, 5.0), (40, 20.0), (500, 60.0)):
+            with self.subTest(holders=holders):
+                self.assertEqual(expected, ages.age_s(holders))
+
+
+class TestPollSchedule(unittest.TestCase):
+    """Nothing starts by an old poll, but in an outage."""
+
+    def setUp(self) -> None:
+        """Answer a first poll that was asked for at 0."""
+        self.polls = PollSchedule(HolderSettings())
+        self.assertTrue(self.polls.due(busy=True, now=0.0))
+        self.assertTrue(self.polls.blocked(0.0))
+        self.polls.answered()
+
+    def test_slow_answer(self) -> None:
+        self.assertTrue(self.polls.due(busy=True, now=1.0))
+        for now, blocked in ((1.9, False), (2.0, True)):
+            self.polls.due(busy=True, now=now)
+            self.assertEqual(blocked, self.polls.blocked(now))
+        self.polls.answered()
+        self.assertFalse(self.polls.blocked(2.9))
+
+    def test_failures(self) -> None:
+        for away, blocked in ((True, False), (False, True)):
+            with self.subTest(away=away):
+                self.setUp()
+                self.polls.due(busy=True, now=1.0)
+                self.polls.failed(away)
+                for now in (1.5, 2.0, 2.5):
+                    self.polls.due(busy=True, now=now)
+                self.assertEqual(blocked, self.polls.blocked(2.5))
+
+    def test_pause(self) -> None:
+        self.polls.due(busy=True, now=1.0)
+        self.polls.due(busy=True, now=9.0)
+        self.polls.failed(away=True)
+        self.polls.due(busy=True, now=9.1)
+        self.assertTrue(self.polls.blocked(9.1))
+        self.polls.failed(away=True)
+        self.polls.due(busy=True, now=9.2)
+        self.assertFalse(self.polls.blocked(9.2))
+
+
+class TestLotHolder(unittest.TestCase):
+    """A holder leaves a live member's lots alone."""
+
+    def commands(self, live: dict[str, int], until: float) -> list[object]:
+        """Give the commands of a holder that sees another's lot."""
+        holder = LotHolder(
+            OWN,
+            HolderSettings(takeover_s=2.0),
+            lambda job: LotTerms(job.customer, job.service, True, 3, job.due),
+        )
+        held = HeldLot(LotKey("j-1", 0), "x", "batch@b", 1)
+        fleet = Fleet(live, ("batch@a",), 10, {})
+        now = 0.0
+        found: list[object] = []
+        while now <= until:
+            holder.tick(fleet, now)
+            for command in holder.take_commands():
+                found.append(command)
+                if isinstance(command, Poll):
+                    holder.polled(Board((JOB,), (held,)), now)
+                if isinstance(command, LeaseNext):
+                    holder.not_leased(True, now)
+            now += 0.5
+        return found
+
+    def test_takeover(self) -> None:
+        table = (
+            ("live", {"batch@a": 5, "batch@b": 1}, 4.0, False),
+            ("gone too short a time", {"batch@a": 5}, 1.0, False),
+            ("gone", {"batch@a": 5}, 4.0, True),
+        )
+        for name, live, until, taken in table:
+            with self.subTest(name):
+                commands = self.commands(live, until)
+                found = any(isinstance(c, TakeOver) for c in commands)
+                self.assertEqual(taken, found)
