--- a/src/mulberrypass/bench/slope_permits.py
+++ b/src/mulberrypass/bench/slope_permits.py
@@ -1,7 +1,7 @@
 """Measures what a permit costs its holder and its owner.
 
-Owner and holder run in one process with a loop each, so that the processor
-time of each side is that of its own threads.
+``slope_permits owner`` runs an owner; ``slope_permits holder``, in another
+process, asks it for permits at rising rates and writes the results.
 """
 
 from __future__ import annotations
@@ -9,12 +9,14 @@
 from collections import Counter, deque
 from dataclasses import asdict, dataclass, field
 import json
+import os
 from pathlib import Path
 import threading
 import time
 from typing import TYPE_CHECKING, Any
 
 import fire
+from grpclib.client import Channel
 
 from mulberrypass.model.objects import (
     Backend,
@@ -27,8 +29,10 @@
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.owner import OwnerTask, PermitStreams
+from mulberrypass.peer.peer_grpc import PeerStub
 import mulberrypass.peer.peer_pb2 as pb
 from mulberrypass.peer.server import (
+    KEY_HEADER,
     ConfigurationHandler,
     HeartbeatHandler,
     PeerServer,
@@ -42,8 +46,10 @@
     ReleaseOutcome,
     WorkClass,
 )
+from mulberrypass.runtime.lifecycle import StopSignal
 from mulberrypass.runtime.logs import configure
 from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.runtime.ports import ENTRY_PEER_PORT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,14 +60,16 @@
 RATES_PER_S = (0, 100, 500, 1_000, 2_000)
 ENGINES = 16
 SLOTS = 64
+FIRST_S = 0.03
 HOLD_S = 0.1
 STEP_S = 0.002
 WAIT_S = 10.0
+SETTLE_S = 2.0
 FRAME_BYTES = 14
 KEY = "slope-permits"
 POOL = "rackmind"
-OWNER = Member("entry@owner", "entry", "zone-a", "127.0.0.1", 1)
-HOLDER = Member("entry@holder", "entry", "zone-b", "127.0.0.1", 1)
+ADDRESS = "127.0.0.1"
+HOLDER = Member("entry@holder", "entry", "zone-b", ADDRESS, 1)
 RESULTS = Path("bench/results/slope-permits.json")
 
 
@@ -91,8 +99,11 @@
 
 
 class _Members(Membership):
+    def __init__(self, address: str) -> None:
+        self._owner = Member("entry@owner", "entry", "zone-a", address, 1)
+
     def members(self, program: str) -> tuple[Member, ...]:
-        return (OWNER,) if program == OWNER.program else ()
+        return (self._owner,) if program == "entry" else ()
 
     def live(self, program: str) -> tuple[Member, ...]:
         return self.members(program)
@@ -133,9 +144,15 @@
         return pb.HeartbeatReply()
 
 
-class _NoConfigurations(ConfigurationHandler):
+class _Figures(ConfigurationHandler):
+    """Gives the owner's processor time and traffic so far."""
+
+    def __init__(self, counts: Counter[str]) -> None:
+        self._counts = counts
+
     async def fetch(self, req: pb.FetchRequest) -> pb.FetchReply:
-        return pb.FetchReply()
+        figures = dict(self._counts) | {"cpu_s": time.process_time()}
+        return pb.FetchReply(snapshot=json.dumps(figures).encode())
 
 
 class _CountedStream:
@@ -180,6 +197,7 @@
     duration_s: float
     latencies_ms: list[float] = field(default_factory=list)
     refused: int = 0
+    prefilling: deque[tuple[float, str]] = field(default_factory=deque)
     running: deque[tuple[float, str]] = field(default_factory=deque)
 
     def go(self) -> None:
@@ -191,10 +209,10 @@
             for index in range(asked, due):
                 self._ask(index, now)
             asked = max(asked, due)
-            self._release(now)
+            self._use(now)
             time.sleep(STEP_S)
         time.sleep(HOLD_S)
-        self._release(time.monotonic() + HOLD_S)
+        self._use(time.monotonic() + HOLD_S)
 
     def _ask(self, index: int, now: float) -> None:
         online = index % 2 == 0
@@ -220,40 +238,33 @@
             self.refused += 1
             return
         self.latencies_ms.append((now - asked) * 1_000)
-        self.running.append((now, answer.ask_id))
+        self.prefilling.append((now, answer.ask_id))
 
-    def _release(self, now: float) -> None:
+    def _use(self, now: float) -> None:
+        while self.prefilling and self.prefilling[0][0] + FIRST_S <= now:
+            at, ask_id = self.prefilling.popleft()
+            self.running.append((at, ask_id))
+            self.link.tell(FirstToken(ask_id, FIRST_S))
         while self.running and self.running[0][0] + HOLD_S <= now:
             _, ask_id = self.running.popleft()
-            self.link.tell(FirstToken(ask_id, 0.03))
             outcome = ReleaseOutcome.DONE
             self.link.tell(Release(ask_id, outcome, HOLD_S, 128, 0.02))
 
 
-class _Bench:
-    """An owner and a holder that are connected by a socket."""
+class _Holder:
+    """A holder that is connected to an owner in another process."""
 
-    def __init__(self) -> None:
-        members, objects = _Members(), _Objects()
-        self.owner_loop = LoopThread("owner-loop")
-        self.holder_loop = LoopThread("holder-loop")
-        self.owner_loop.start()
-        self.holder_loop.start()
-        self.owner = OwnerTask(OWNER, members, objects, Metrics("owner"))
-        self.owner.start()
-        self.streams = _CountedStreams(PermitStreams(self.owner))
-        self.server = PeerServer(
-            KEY, _NoHeartbeats(), _NoConfigurations(), self.streams
-        )
-        starting = self.server.start(OWNER.address, 0)
-        self.owner_loop.submit(starting).result(WAIT_S)
-        inner: Any = self.server._server
-        port = inner._server.sockets[0].getsockname()[1]
+    def __init__(self, address: str, port: int) -> None:
+        members = _Members(address)
+        self._peer = members.members("entry")[0]
+        self._port = port
+        self.loop = LoopThread("holder-loop")
+        self.loop.start()
         self.link = PermitLink(
             HOLDER,
-            self.holder_loop,
+            self.loop,
             members,
-            objects,
+            _Objects(),
             None,
             KEY,
             metrics=Metrics("holder"),
@@ -263,28 +274,27 @@
 
     def measure(self, rate_per_s: int, duration_s: float) -> Slope:
         """Run at a rate, and give what it cost."""
-        self.streams.counts.clear()
-        owner, holder = self._owner_s(), self._holder_s()
+        before, holder = self._owner_figures(), _thread_s("holder-loop")
         run = _Run(self.link, rate_per_s, duration_s)
         run.go()
-        owner, holder = self._owner_s() - owner, self._holder_s() - holder
+        holder = _thread_s("holder-loop") - holder
+        after = self._owner_figures()
+        used = {name: after[name] - before.get(name, 0) for name in after}
         permits = len(run.latencies_ms)
         each = max(1, permits)
-        counts = self.streams.counts
+        messages = used["messages"] / max(1, used["batches"])
         latencies = sorted(run.latencies_ms) or [0.0]
         return Slope(
             rate_per_s=rate_per_s,
             permits=permits,
             refused=run.refused,
-            owner_us=round(owner / each * 1e6, 1) if permits else 0.0,
+            owner_us=round(used["cpu_s"] / each * 1e6, 1) if permits else 0.0,
             holder_us=round(holder / each * 1e6, 1) if permits else 0.0,
-            owner_share=round(owner / duration_s, 4),
+            owner_share=round(used["cpu_s"] / duration_s, 4),
             holder_share=round(holder / duration_s, 4),
-            batches=round(counts["batches"] / each, 3),
-            messages_in_batch=round(
-                counts["messages"] / max(1, counts["batches"]), 2
-            ),
-            wire_bytes=round(counts["bytes"] / each, 1),
+            batches=round(used["batches"] / each, 3),
+            messages_in_batch=round(messages, 2),
+            wire_bytes=round(used["bytes"] / each, 1),
             grant_p50_ms=round(latencies[len(latencies) // 2], 2),
             grant_p99_ms=round(latencies[len(latencies) * 99 // 100], 2),
         )
@@ -292,16 +302,22 @@
     def stop(self) -> None:
         """End all parts."""
         self.link.stop()
-        self.owner.stop()
-        self.owner_loop.submit(self.server.stop()).result(WAIT_S)
-        self.owner_loop.stop()
-        self.holder_loop.stop()
+        self.loop.stop()
 
-    def _owner_s(self) -> float:
-        return _thread_s("cell-owner") + _thread_s("owner-loop")
+    def _owner_figures(self) -> dict[str, float]:
+        fetching = self.loop.submit(self._fetch())
+        figures: dict[str, float] = json.loads(fetching.result(WAIT_S))
+        return figures
 
-    def _holder_s(self) -> float:
-        return _thread_s("holder-loop")
+    async def _fetch(self) -> bytes:
+        channel = Channel(self._peer.address, self._port)
+        try:
+            reply = await PeerStub(channel).FetchConfiguration(
+                pb.FetchRequest(), metadata={KEY_HEADER: KEY}
+            )
+            return bytes(reply.snapshot)
+        finally:
+            channel.close()
 
 
 def _thread_s(name: str) -> float:
@@ -313,25 +329,56 @@
     )
 
 
-def run(duration_s: float = 8.0, results: str = str(RESULTS)) -> None:
-    """Measure at each rate, print a table and write the results.
-
+def run_owner(address: str = ADDRESS, port: int = ENTRY_PEER_PORT) -> None:
+    """Own all cells until the process is told to stop."""
+    configure("bench", "entry@owner", "console", "warning")
+    stop = StopSignal()
+    stop.install()
+    members = _Members(address)
+    loop = LoopThread("owner-loop")
+    loop.start()
+    owner = OwnerTask(
+        members.members("entry")[0], members, _Objects(), Metrics("owner")
+    )
+    owner.start()
+    streams = _CountedStreams(PermitStreams(owner))
+    figures = _Figures(streams.counts)
+    server = PeerServer(KEY, _NoHeartbeats(), figures, streams)
+    loop.submit(server.start(address, port)).result(WAIT_S)
+    stop.wait()
+    owner.stop()
+    loop.submit(server.stop()).result(WAIT_S)
+    loop.stop()
+
+
+def run_holder(
+    address: str = ADDRESS,
+    port: int = ENTRY_PEER_PORT,
+    duration_s: float = 8.0,
+    results: str = str(RESULTS),
+) -> None:
+    """Measure at each rate, print the figures and write the results.
+
+    :param address: IP number of the owner
     :param duration_s: seconds for each rate
     :param results: path of the file that is written
     """
     configure("bench", HOLDER.name, "console", "warning")
-    bench = _Bench()
-    bench.measure(RATES_PER_S[-1], 1.0)
-    slopes = [bench.measure(rate, duration_s) for rate in RATES_PER_S]
-    bench.stop()
-    for slope in slopes:
-        print(json.dumps(asdict(slope)))
+    holder = _Holder(address, port)
+    holder.measure(RATES_PER_S[-1], SETTLE_S)
+    slopes = []
+    for rate in RATES_PER_S:
+        time.sleep(SETTLE_S)
+        slopes.append(holder.measure(rate, duration_s))
+        print(json.dumps(asdict(slopes[-1])), flush=True)
+    holder.stop()
     document = {
-        "command": "python -m mulberrypass.bench.slope_permits",
+        "command": "python -m mulberrypass.bench.slope_permits holder",
         "duration_s": duration_s,
         "engines": ENGINES,
         "slots": SLOTS,
         "hold_s": HOLD_S,
+        "load_average": os.getloadavg()[0],
         "slopes": [asdict(slope) for slope in slopes],
     }
     path = Path(results)
@@ -340,6 +387,6 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(run)
+    fire.Fire({"owner": run_owner, "holder": run_holder})
 
-__all__ = ["Slope", "run"]
+__all__ = ["Slope", "run_holder", "run_owner"]
