--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -9,11 +9,13 @@
 from typing import TYPE_CHECKING, Any
 import unittest
 
+from mulberrypass.engine.api import EngineFailed
 from mulberrypass.jobs.service import JobPeers, JobService
 from mulberrypass.policy.job_commands import HolderSettings
 from mulberrypass.policy.messages import Ran
 from mulberrypass.runtime.http import WsgiApp
 from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_faults import Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
 from tests.jobs import fakes
@@ -177,6 +179,88 @@
         self.assertEqual(list(range(300)), items)
 
 
+class TestFailures(ServiceTestCase):
+    """Cancel, outage, poison and non-idempotent items."""
+
+    def test_cancel(self) -> None:
+        self.backends.gate.clear()
+        self.backends.held = {f"crate {n}" for n in range(500)}
+        job = self.a.submit(manifest(500))
+        wait(lambda: sum(self.backends.runs.values()) >= 32)
+        status, _ = self.b.call("POST", f"/v1/jobs/{job}/cancel")
+        self.assertEqual(200, status)
+        wait(lambda: self.ended(self.a, job))
+        shown = self.b.show(job)
+        self.assertEqual("cancelled", shown["state"])
+        self.assertEqual(500, sum(shown["counts"].values()))
+        self.assertEqual(0, shown["counts"]["pending"])
+        states = [line["state"] for line in self.a.results(job)]
+        self.assertEqual(
+            shown["counts"]["cancelled"], states.count("cancelled")
+        )
+        self.assertEqual(200, self.b.call("POST", f"/v1/jobs/{job}/cancel")[0])
+        self.assertLess(sum(self.backends.runs.values()), 500)
+
+    def test_outage(self) -> None:
+        self.backends.gate.clear()
+        self.backends.held = {"crate 0"}
+        job = self.a.submit(manifest(200))
+        wait(lambda: sum(self.backends.runs.values()) >= 32)
+        self.platform.set_faults(Faults(outage=True))
+        self.backends.gate.set()
+        wait(lambda: sum(self.backends.runs.values()) >= 100)
+        status, _ = self.a.call(
+            "POST", "/v1/jobs", "service=rackmind", manifest(1), key="k2"
+        )
+        self.assertEqual(503, status)
+        self.platform.set_faults(Faults())
+        wait(lambda: self.ended(self.b, job))
+        self.assertEqual(200, self.b.show(job)["counts"]["done"])
+
+    def test_items_that_can_never_be_done(self) -> None:
+        self.backends.broken = {
+            "crate 5": EngineFailed("status 500", Ran.MAYBE, status=500),
+            "crate 7": EngineFailed("cut", Ran.MAYBE),
+        }
+        self.backends.broken["crate 3"] = EngineFailed(
+            "poisoned", Ran.YES, status=422, permanent=True
+        )
+        job = self.a.submit(manifest(20))
+        wait(lambda: self.ended(self.a, job))
+        self.assertEqual(3, self.a.show(job)["counts"]["failed"])
+        results = self.a.results(job)
+        attempts = [results[n]["attempts"] for n in (3, 5, 7)]
+        self.assertEqual([1, 3, 3], attempts)
+        runs = [self.backends.runs[f"crate {n}"] for n in (3, 5, 7, 8)]
+        self.assertEqual([1, 3, 4, 1], runs)
+
+    def test_non_idempotent(self) -> None:
+        self.backends.broken = {
+            "crate 1": EngineFailed("cut", Ran.MAYBE),
+            "crate 2": EngineFailed("refused", Ran.YES, status=500),
+        }
+        job = self.a.submit(manifest(250), "booking")
+        wait(lambda: self.ended(self.a, job))
+        counts = self.a.show(job)["counts"]
+        self.assertEqual(
+            (248, 1, 1),
+            (counts["done"], counts["failed"], counts["indeterminate"]),
+        )
+        self.assertEqual({1}, set(self.backends.runs.values()))
+
+    def test_handed_back(self) -> None:
+        self.backends.gate.clear()
+        self.backends.held = {f"crate {n}" for n in range(60)}
+        job = self.a.submit(manifest(300), "booking")
+        wait(lambda: sum(self.backends.runs.values()) >= 20)
+        self.backends.gate.set()
+        self.assertTrue(self.a.service.stop(WAIT_S))
+        self.membership.all.remove(self.a.member)
+        wait(lambda: self.ended(self.b, job))
+        self.assertEqual(300, self.b.show(job)["counts"]["done"])
+        self.assertEqual({1}, set(self.backends.runs.values()))
+
+
 class TestBorder(ServiceTestCase):
     """Bad requests get their own clear errors."""
 
