--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -9,6 +9,7 @@
 from pydantic import Field
 
 from mulberrypass.caller.health import Health
+from mulberrypass.configuration.retention import Retention
 from mulberrypass.engine.directory import Backends
 from mulberrypass.operator.app import OperatorApp, OperatorParts
 from mulberrypass.operator.auth import OperatorAuth
@@ -16,6 +17,7 @@
 from mulberrypass.operator.explain import ExplainProxy
 from mulberrypass.operator.fleet import Fleet
 from mulberrypass.placement.runner import PlacementPorts, PlacementRunner
+from mulberrypass.policy.orders import preferred
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.wiring import open_common
 from mulberrypass.runtime.http import HttpServer, WsgiApp
@@ -29,6 +31,7 @@
 
 PROGRAM = "mulberry-control"
 MAX_BODY_BYTES = 64 * 1_048_576
+RETENTION = "retention of configurations"
 LOG = get_logger(__name__)
 
 Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
@@ -69,6 +72,9 @@
             common.me,
         )
         common.dump.register("placement", self._placement.state)
+        self._retention = Retention(
+            common.table, common.objects, self._keeps_configurations
+        )
         self._server = common.serve()
         self._http = HttpServer(
             self._app(common, cfg),
@@ -82,6 +88,7 @@
         """Start all parts, the border towards operators last."""
         self._common.start(self._server)
         self._placement.start()
+        self._retention.start()
         self._http.start()
         LOG.info(
             "serving", address=str(self._cfg.address), port=self._http.port
@@ -90,6 +97,7 @@
     def stop(self) -> None:
         """Finish what operators have asked for, then stop."""
         self._placement.stop()
+        self._retention.stop()
         self._http.stop(self._cfg.grace_s)
         self._common.stop(self._server)
         self._backends.close()
@@ -118,6 +126,12 @@
         health = Health(follower, common.dump, self._not_ready)
         return WsgiApp([*operators.routes(), *health.routes()])
 
+    def _keeps_configurations(self) -> bool:
+        common = self._common
+        live = [member.name for member in common.membership.live("control")]
+        members = {*live, common.me.name}
+        return preferred(RETENTION, members) == common.me.name
+
     def _not_ready(self) -> str:
         ready = self._common.follower.ready
         return "" if ready else "the configuration is not known yet"
