Show in the status what an operator reads in the morning

Cause: the status showed members and counts, and not what failed at night or what is left to do. The stand-in of the membership is gone from the product; placement and orders use the common rendezvous hashing. Conclusion: the pools shown are those that the asked control process places; the others are shown by their own process.

--- a/src/mulberrypass/configuration/store.py
+++ b/src/mulberrypass/configuration/store.py
@@ -137,7 +137,7 @@
             case Result(tag="ok", ok=row):
                 return Ok(_head(row))
             case Result(error=exc):
-                return Error(StoreDown(_reason(exc)))
+                return Error(StoreDown(reason_of(exc)))
 
     def history(
         self, limit: int = MAX_HISTORY
@@ -155,7 +155,7 @@
                     )
                 )
             case Result(error=exc):
-                return Error(StoreDown(_reason(exc)))
+                return Error(StoreDown(reason_of(exc)))
 
     def snapshot(
         self, generation: int, digest: str
@@ -165,7 +165,7 @@
             case Result(tag="ok", ok=data):
                 return Ok(Snapshot(generation, digest, data))
             case Result(error=api.Unavailable() | api.Throttled() as exc):
-                return Error(StoreDown(_reason(exc)))
+                return Error(StoreDown(reason_of(exc)))
             case _:
                 reason = "its snapshot is not in the object store"
                 return Error(NoSuchGeneration(generation, reason))
@@ -196,7 +196,7 @@
             case Result(tag="ok", ok=api.Row() as row):
                 return _outcome(sub, row)
             case Result(tag="error", error=exc):
-                return Error(StoreDown(_reason(exc)))
+                return Error(StoreDown(reason_of(exc)))
         match self._latest_head():
             case Result(tag="ok", ok=head):
                 return self._submit_on(head, sub)
@@ -217,7 +217,7 @@
                 case Result(error=api.Conflict(found=found)):
                     return Ok(found)
                 case Result(error=exc):
-                    reason = _reason(exc)
+                    reason = reason_of(exc)
             self._pause(attempt)
         return Error(StoreDown(reason))
 
@@ -263,7 +263,7 @@
                 case Result(tag="ok") | Result(error=api.Exists()):
                     return None
                 case Result(error=exc):
-                    reason = _reason(exc)
+                    reason = reason_of(exc)
             self._pause(attempt)
         return StoreDown(reason)
 
@@ -279,7 +279,7 @@
                 case Result(error=api.Conflict()):
                     return self._settle(sub, maybe)
                 case Result(error=exc):
-                    reason = _reason(exc)
+                    reason = reason_of(exc)
                     maybe = maybe or _maybe_applied(exc)
             self._pause(attempt)
         return Error(StoreDown(reason, maybe_accepted=maybe))
@@ -358,7 +358,8 @@
     return Ok(Accepted(snapshot, repeated=True))
 
 
-def _reason(exc: api.ObjectError | api.TableError) -> str:
+def reason_of(exc: api.ObjectError | api.TableError) -> str:
+    """Say why the platform did not do what it was asked."""
     match exc:
         case api.Unavailable(reason=reason):
             return f"the platform gave no answer: {reason}"
@@ -383,4 +384,5 @@
     "Submission",
     "SubmitError",
     "SubmitIdReused",
+    "reason_of",
 ]
--- a/src/mulberrypass/operator/app.py
+++ b/src/mulberrypass/operator/app.py
@@ -19,7 +19,7 @@
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from mulberrypass.configuration.store import ConfigurationStore
     from mulberrypass.model.fault import Fault
@@ -31,6 +31,7 @@
     )
     from mulberrypass.operator.explain import ExplainProxy
     from mulberrypass.operator.fleet import Fleet
+    from mulberrypass.operator.status import Status
     from mulberrypass.runtime.http import Reply, Request
 
 LOG = get_logger(__name__)
@@ -40,17 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorParts:
-    """What the interface answers from.
-
-    :param status: further parts of the status, by name
-    """
+    """What the interface answers from."""
 
     auth: OperatorAuth
     changes: ConfigurationChanges
     store: ConfigurationStore
     fleet: Fleet
     explain: ExplainProxy
-    status: Mapping[str, Callable[[], Any]]
+    status: Status
 
 
 class OperatorApp:
@@ -193,11 +191,7 @@
         return json_answer(jsonable(self._parts.fleet.holds(int(at_least))))
 
     def _status(self, _req: Request, _operator: str) -> Reply:
-        holds = self._parts.fleet.holds()
-        status = {"fleet": jsonable(holds)}
-        for name, part in self._parts.status.items():
-            status[name] = jsonable(part())
-        return json_answer(status)
+        return json_answer(jsonable(self._parts.status.report()))
 
     def _explain(self, req: Request, _operator: str) -> Reply:
         return self._parts.explain.explain(req)
--- /dev/null
+++ b/src/mulberrypass/operator/night.py
@@ -0,0 +1,138 @@
+"""What became of the jobs of the last day."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import time
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from mulberrypass.configuration.store import reason_of
+from mulberrypass.jobs.rows import JobRow, customer_prefix
+from mulberrypass.policy.jobs import view
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from mulberrypass.jobs.reading import JobReader
+    from mulberrypass.model.source import ConfigurationSource
+
+SINCE_S = 86_400.0
+MAX_JOBS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class NightJob:
+    """One job, with the counts of its items.
+
+    :param late: whether it is, or was, open after its due time
+    """
+
+    job: str
+    customer: str
+    service: str
+    state: str
+    items: int
+    done: int
+    failed: int
+    indeterminate: int
+    pending: int
+    late: bool
+
+    @property
+    def needs_attention(self) -> bool:
+        """Whether somebody should look at it."""
+        return bool(self.failed or self.indeterminate or self.late)
+
+
+@dataclass(frozen=True, slots=True)
+class NightState:
+    """The jobs of the last day.
+
+    :param jobs: how many there were
+    :param read: how many of them were read, the newest first
+    :param attention: those with failed or indeterminate items, or late
+    :param error: why not all is known; empty where it is
+    """
+
+    jobs: int
+    read: int
+    attention: tuple[NightJob, ...]
+    error: str = ""
+
+
+class JobNight:
+    """Reads the jobs of the last day, when it is asked to.
+
+    :param wall: gives Unix time in seconds
+    """
+
+    def __init__(
+        self,
+        reader: JobReader,
+        configuration: ConfigurationSource,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._reader = reader
+        self._configuration = configuration
+        self._wall = wall
+
+    def state(self) -> NightState:
+        """Sum up the jobs of the last day."""
+        errors: list[str] = []
+        recent = sorted(self._recent(errors), reverse=True)
+        found = [
+            job
+            for _, name in recent[:MAX_JOBS]
+            if (job := self._read(name, errors)) is not None
+        ]
+        attention = tuple(job for job in found if job.needs_attention)
+        error = errors[0] if errors else ""
+        return NightState(len(recent), len(found), attention, error)
+
+    def _recent(self, errors: list[str]) -> Iterator[tuple[float, str]]:
+        since = self._wall() - SINCE_S
+        for customer in sorted(self._configuration.current().customers):
+            prefix = customer_prefix(customer)
+            match self._reader.scan(prefix):
+                case Result(tag="ok", ok=listed):
+                    for row in listed:
+                        created = float(row.row["created"])
+                        if created >= since:
+                            yield created, row.key.removeprefix(prefix)
+                case Result(error=exc):
+                    errors.append(f"jobs of {customer}: {reason_of(exc)}")
+
+    def _read(self, name: str, errors: list[str]) -> NightJob | None:
+        match self._reader.job(name):
+            case Result(tag="ok", ok=JobRow() as row):
+                return self._count(row, errors)
+            case Result(error=exc):
+                errors.append(f"job {name}: {reason_of(exc)}")
+        return None
+
+    def _count(self, row: JobRow, errors: list[str]) -> NightJob | None:
+        lots = self._reader.lots(row.job)
+        if lots.is_error():
+            errors.append(f"lots of {row.job}: {reason_of(lots.error)}")
+            return None
+        until = row.ended or self._wall()
+        counts = [lot.counts for lot in lots.ok.values()]
+        ended = row.ended is not None
+        shown = view(row.state, row.items, counts, ended, 0.0)
+        return NightJob(
+            job=row.job,
+            customer=row.customer,
+            service=row.service,
+            state=shown.state.value,
+            items=row.items,
+            done=shown.done,
+            failed=shown.failed,
+            indeterminate=shown.indeterminate,
+            pending=shown.pending,
+            late=until > row.due,
+        )
+
+
+__all__ = ["JobNight", "NightJob", "NightState"]
--- a/src/mulberrypass/operator/text.py
+++ b/src/mulberrypass/operator/text.py
@@ -139,13 +139,19 @@
 
 
 def status_lines(answer: dict[str, Any]) -> Iterator[str]:
-    """Give the status of the fleet, part by part."""
+    """Give what there is to look at, then the fleet and its jobs."""
+    for line in answer["attention"]:
+        yield f"! {line}"
+    if not answer["attention"]:
+        yield "nothing needs attention"
     yield from generation_lines(answer["fleet"])
-    for name, part in sorted(answer.items()):
-        if name != "fleet":
-            yield f"{name}:"
-            text = json.dumps(part, indent=1, sort_keys=True)
-            yield from (f"  {line}" for line in text.splitlines())
+    if not answer["jobs"]["error"]:
+        yield f"{counted(answer['jobs']['jobs'], 'job')} in the last day"
+    for name, pool in sorted(answer["placement"].items()):
+        yield f'pool "{name}", placed by this control process:'
+        for engine, state in sorted(pool["engines"].items()):
+            loaded = " ".join(state["loaded"]) or "nothing"
+            yield f"  {engine:<28} {loaded}"
 
 
 def error_lines(exc: ClientError) -> Iterator[str]:
--- a/src/mulberrypass/policy/orders.py
+++ b/src/mulberrypass/policy/orders.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from mulberrypass.model.objects import Fencing
+from mulberrypass.policy.rendezvous import pick
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -79,10 +78,7 @@
     This only saves work: two members that disagree meet at the lease.
     """
 
-    def score(member: str) -> int:
-        return xxhash.xxh64_intdigest(f"{pool}/{member}".encode())
-
-    return max(sorted(members), key=score, default="")
+    return pick(pool, members) or ""
 
 
 def lease_action(
--- a/src/mulberrypass/policy/placement.py
+++ b/src/mulberrypass/policy/placement.py
@@ -7,9 +7,8 @@
 import math
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from mulberrypass.model.objects import Role, version_key
+from mulberrypass.policy.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -322,8 +321,8 @@
 
 
 def _preference(wanted: Wanted, engine: EngineView) -> tuple[bool, int]:
-    label = f"{wanted.model}/{wanted.version}/{engine.name}".encode()
-    return not _has(engine, wanted), xxhash.xxh64_intdigest(label)
+    key = version_key(wanted.model, wanted.version)
+    return not _has(engine, wanted), weight(key, engine.name)
 
 
 __all__ = [
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -11,11 +11,14 @@
 from mulberrypass.caller.health import Health
 from mulberrypass.configuration.retention import Retention
 from mulberrypass.engine.directory import Backends
+from mulberrypass.jobs.reading import JobReader
 from mulberrypass.operator.app import OperatorApp, OperatorParts
 from mulberrypass.operator.auth import OperatorAuth
 from mulberrypass.operator.changes import ConfigurationChanges
 from mulberrypass.operator.explain import ExplainProxy
 from mulberrypass.operator.fleet import Fleet
+from mulberrypass.operator.night import JobNight
+from mulberrypass.operator.status import Status
 from mulberrypass.placement.runner import PlacementPorts, PlacementRunner
 from mulberrypass.policy.orders import preferred
 from mulberrypass.programs.daemon import DaemonSettings
@@ -105,22 +108,26 @@
     def _app(self, common: Common, cfg: ControlSettings) -> WsgiApp:
         changes = ConfigurationChanges(common.store, common.follower)
         follower = common.follower
+        fleet = Fleet(
+            common.me,
+            common.membership,
+            changes,
+            lambda: follower.current().generation,
+        )
+        jobs = JobNight(JobReader(common.table, common.objects), follower)
         operators = OperatorApp(
             OperatorParts(
                 OperatorAuth(follower, common.store, cfg.bootstrap_key_digest),
                 changes,
                 common.store,
-                Fleet(
-                    common.me,
-                    common.membership,
-                    changes,
-                    lambda: follower.current().generation,
-                ),
+                fleet,
                 ExplainProxy(common.membership),
-                {
-                    "placement": self._placement.state,
-                    "decisions of this process": common.metrics.snapshot,
-                },
+                Status(
+                    fleet,
+                    jobs.state,
+                    self._placement.state,
+                    common.metrics.snapshot,
+                ),
             )
         )
         health = Health(follower, common.dump, self._not_ready)
--- a/src/mulberrypass/operator/alone.py
+++ b/tests/operator/alone.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.peer.api import Membership
-from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
-from mulberrypass.peer.server import HeartbeatHandler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,12 +37,4 @@
         """Call nothing, since nothing changes."""
 
 
-class SilentHeartbeats(HeartbeatHandler):
-    """Answers heartbeats without news."""
-
-    async def heartbeat(self, req: HeartbeatRequest) -> HeartbeatReply:
-        """Answer without news."""
-        return HeartbeatReply()
-
-
-__all__ = ["AloneMembership", "SilentHeartbeats"]
+__all__ = ["AloneMembership"]
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -24,8 +24,20 @@
     PeerSilent,
 )
 from mulberrypass.configuration.store import ConfigurationStore
+from mulberrypass.jobs.reading import JobReader
+from mulberrypass.jobs.rows import TABLE as JOBS_TABLE
+from mulberrypass.jobs.rows import (
+    Chunk,
+    JobRow,
+    LotPhase,
+    LotRow,
+    customer_prefix,
+    job_key,
+    job_to_row,
+    lot_key,
+    lot_to_row,
+)
 from mulberrypass.model.snapshot import Snapshot
-from mulberrypass.operator.alone import AloneMembership
 from mulberrypass.operator.app import OperatorApp, OperatorParts
 from mulberrypass.operator.auth import OperatorAuth
 from mulberrypass.operator.changes import ConfigurationChanges
@@ -33,18 +45,32 @@
 from mulberrypass.operator.commands import Commands, Terminal
 from mulberrypass.operator.explain import ExplainProxy
 from mulberrypass.operator.fleet import Fleet
+from mulberrypass.operator.night import JobNight
+from mulberrypass.operator.status import Status
 from mulberrypass.peer.api import Member
+from mulberrypass.placement.engines import EngineState, PoolState
+from mulberrypass.platform.api import Always, Put
+from mulberrypass.policy.jobs import JobState
+from mulberrypass.policy.lots import LotKey
 from mulberrypass.programs.ctl import Mulberryctl, run
 from mulberrypass.runtime.http import HttpServer, WsgiApp
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
+from tests.operator.alone import AloneMembership
 
 GOLDEN = Path(__file__).parents[1] / "golden" / "operator"
 HOST = "127.0.50.2"
 START = 1_780_000_000.0
 BOOT = "791b825266061d2038706c11cb29f74fb2c6514e5520e56bbfa46085725264e6"
+PLACED = {
+    "racks": PoolState(
+        epoch=3,
+        steps=("load r2 of rackmind on engine-1",),
+        engines={"engine-1": EngineState(("r1",), (), ("r1", "r2"), "")},
+    )
+}
 PASS = CallFault.PASS
 LOST = [PASS, PASS, CallFault.LOSE_REPLY, *[CallFault.REFUSE] * 3]
 
@@ -69,7 +95,12 @@
     """The next submission takes effect and no answer of it arrives."""
 
 
-Step = Run | Outage | LoseReply
+@dataclass(frozen=True)
+class Night:
+    """Jobs run: one well, one with items that could not be done."""
+
+
+Step = Run | Outage | LoseReply | Night
 
 SESSIONS: dict[str, tuple[Step, ...]] = {
     "first-day": (
@@ -109,6 +140,14 @@
         Run("ann", "submit first.yaml --base 1 --submit-id s-7"),
         Run("ann", "history --limit 1"),
     ),
+    "morning": (
+        Run("boot", "submit night.yaml"),
+        Run("ann", "status"),
+        Night(),
+        Run("ann", "status"),
+        Outage(True),
+        Run("ann", "status"),
+    ),
     "json": (
         Run("boot", "submit first.yaml"),
         Run("ann", "check faulty.yaml --json"),
@@ -162,20 +201,62 @@
         peers = AloneMembership(
             (Member("entry@i-2", "entry", "erie-vault", HOST, 1),)
         )
+        fleet = Fleet(
+            own,
+            peers,
+            changes,
+            lambda: self.follower.current().generation,
+        )
         return OperatorParts(
             OperatorAuth(self.follower, store, BOOT, lambda: self.now),
             changes,
             store,
-            Fleet(
-                own,
-                peers,
-                changes,
-                lambda: self.follower.current().generation,
-            ),
+            fleet,
             ExplainProxy(AloneMembership()),
-            {},
+            Status(
+                fleet,
+                JobNight(
+                    JobReader(
+                        MemoryTable(self.platform),
+                        MemoryObjects(self.platform),
+                    ),
+                    self.follower,
+                    lambda: self.now,
+                ).state,
+                lambda: PLACED,
+                dict,
+            ),
         )
 
+    def run_night(self) -> None:
+        """Write what two jobs leave behind."""
+        for number, failed in enumerate((0, 2), 1):
+            created, due = START - 9_000.0, START - 3_600.0 * failed
+            job = JobRow(
+                f"job-{number}",
+                "firm-a",
+                f"key-{number}",
+                "",
+                "manifest",
+                due=due,
+                created=created,
+                items=100,
+                lots=(),
+                state=JobState.DONE,
+                ended=START - 5_000.0,
+            )
+            chunk = Chunk("c", 0, 100, 99 - failed, failed, 1 if failed else 0)
+            lot = LotRow(1, "batch@i-1", 1, LotPhase.DONE, "n", (chunk,))
+            listed = customer_prefix("firm-a") + job.job
+            rows = {
+                job_key(job.job): job_to_row(job),
+                listed: {"created": created},
+                lot_key(LotKey(job.job, 0)): lot_to_row(lot),
+            }
+            for key, row in rows.items():
+                put = Put(JOBS_TABLE, key, row, Always())
+                self.assertTrue(self.platform.transact((put,)).is_ok())
+
     def tick(self, seconds: float) -> None:
         """Let time pass, and the control process do what is due."""
         self.now += seconds
@@ -221,6 +302,9 @@
                 case Outage(down=down):
                     self.platform.set_faults(Faults(outage=down))
                     shown.append(f"# platform {'down' if down else 'up'}\n")
+                case Night():
+                    self.run_night()
+                    shown.append("# a night with two jobs\n")
                 case LoseReply():
                     self.platform.script_writes(LOST)
                     shown.append("# the next answer is lost\n")
