--- /dev/null
+++ b/src/mulberrypass/bench/slope_jobs.py
@@ -0,0 +1,308 @@
+"""Cost of jobs for each 1,000 items, by the size of a job.
+
+Run as ``python -m mulberrypass.bench.slope_jobs``. The job service runs in
+this process over the platform stand-in in memory, with permits that are
+granted at once, and engine stand-ins in a process of their own. The cost of
+permits is measured by ``slope_permits``.
+"""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from dataclasses import asdict, dataclass
+import io
+import json
+from pathlib import Path
+import resource
+import socket
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import fire
+
+from mulberrypass.bench.launcher import Launcher
+from mulberrypass.caller.auth import key_digest
+from mulberrypass.engine.directory import Backends
+from mulberrypass.jobs.service import JobPeers, JobService
+from mulberrypass.model.objects import (
+    Backend,
+    BackendKind,
+    Configuration,
+    Customer,
+    KeyDigest,
+    Pool,
+    Route,
+    Service,
+    ServiceKind,
+)
+from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.peer.api import Member, Membership, PermitClient
+from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.policy.messages import Grant
+from mulberrypass.runtime.http import WsgiApp
+from mulberrypass.runtime.logs import configure
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
+from mulberrypass.testing.platform_state import FakePlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from mulberrypass.policy.messages import (
+        Ask,
+        FirstToken,
+        Refuse,
+        Release,
+        Withdraw,
+    )
+
+DEFAULT_OUT = "bench/results/slope-jobs.json"
+DEFAULT_SIZES = (4_000, 8_000, 16_000)
+ENGINES = ("127.0.42.1:8000", "127.0.42.2:8000")
+KEY = "bench-key"
+WAIT_S = 600.0
+START_S = 10.0
+POLL_S = 0.05
+WORDS = 24
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """Figures of one job.
+
+    :param cpu_ms: processor time for each item, of this process
+    :param writes: platform writes for each 1,000 items, submission included
+    :param reads: platform reads for each 1,000 items
+    :param result_bytes: bytes kept for each item's outcome
+    """
+
+    items: int
+    seconds: float
+    submit_s: float
+    submit_cpu_ms: float
+    cpu_ms: float
+    writes: float
+    reads: float
+    result_bytes: float
+    peak_rss_mb: float
+
+
+class _Configuration(ConfigurationSource):
+    def __init__(self, digest: str) -> None:
+        backends = {
+            f"engine-{n}": Backend(
+                f"engine-{n}", BackendKind.ENGINE, "z", address, 64
+            )
+            for n, address in enumerate(ENGINES)
+        }
+        service = Service(
+            "manifest",
+            ServiceKind.MODEL,
+            "engines",
+            model="rackmind",
+            routes=(Route("r1"),),
+        )
+        self._configuration = Configuration(
+            generation=1,
+            services={"manifest": service},
+            pools={"engines": Pool("engines", tuple(backends))},
+            backends=backends,
+            customers={"firm": Customer("firm", (KeyDigest(digest),))},
+        )
+
+    def current(self) -> Configuration:
+        return self._configuration
+
+    def subscribe(self, changed: Callable[[Configuration], None]) -> None:
+        pass
+
+
+class _Alone(Membership):
+    def __init__(self, me: Member) -> None:
+        self._me = me
+
+    def members(self, program: str) -> tuple[Member, ...]:
+        return (self._me,)
+
+    def live(self, program: str) -> tuple[Member, ...]:
+        return (self._me,)
+
+    def leaving_backends(self) -> frozenset[str]:
+        return frozenset()
+
+    def report_leaving_backend(self, backend: str) -> None:
+        pass
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        pass
+
+
+class _GrantAll(PermitClient):
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._asked = 0
+
+    def ask(
+        self, ask: Ask, on_revoke: Callable[[], None]
+    ) -> Future[Grant | Refuse]:
+        with self._lock:
+            self._asked += 1
+            engine = self._asked % len(ENGINES)
+        fut: Future[Grant | Refuse] = Future()
+        fut.set_result(Grant(ask.ask_id, f"engine-{engine}"))
+        return fut
+
+    def tell(self, message: Withdraw | FirstToken | Release) -> None:
+        pass
+
+
+class _Bench:
+    def __init__(self, window: int, flush_outcomes: int) -> None:
+        self.platform = FakePlatform()
+        self.backends = Backends()
+        me = Member("batch@bench", "batch", "z", "127.0.42.10", 1)
+        self.jobs = JobService(
+            me,
+            JobPeers(
+                MemoryTable(self.platform),
+                MemoryObjects(self.platform),
+                _Configuration(key_digest(KEY)),
+                _Alone(me),
+                _GrantAll(),
+                self.backends,
+            ),
+            HolderSettings(window=window, flush_outcomes=flush_outcomes),
+            Metrics("batch"),
+        )
+        self.app = WsgiApp(self.jobs.routes())
+        self.jobs.start()
+
+    def call(self, method: str, path: str, body: bytes = b"") -> Any:
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": "service=manifest",
+            "HTTP_AUTHORIZATION": f"Bearer {KEY}",
+            "HTTP_IDEMPOTENCY_KEY": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            "CONTENT_LENGTH": str(len(body)),
+        }
+        return json.loads(b"".join(self.app(environ, lambda *_args: None)))
+
+    def measure(self, items: int, tokens: int) -> Measured:
+        body = _manifest(items, tokens)
+        before = self.platform.counters()
+        began, cpu = time.monotonic(), time.process_time()
+        job = self.call("POST", "/v1/jobs", body)["job_id"]
+        submitted, submit_cpu = time.monotonic(), time.process_time()
+        self._wait_for(job)
+        seconds = time.monotonic() - began
+        used = time.process_time() - submit_cpu
+        after = self.platform.counters()
+        thousands = items / 1_000
+        return Measured(
+            items=items,
+            seconds=round(seconds, 2),
+            submit_s=round(submitted - began, 3),
+            submit_cpu_ms=round((submit_cpu - cpu) / items * 1_000, 4),
+            cpu_ms=round(used / items * 1_000, 3),
+            writes=round((after.writes - before.writes) / thousands, 3),
+            reads=round((after.reads - before.reads) / thousands, 3),
+            result_bytes=round(self._result_bytes(job) / items, 1),
+            peak_rss_mb=round(_peak_rss_mb(), 1),
+        )
+
+    def _wait_for(self, job: str) -> None:
+        pause = threading.Event()
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            row = self.platform.rows.read("jobs", f"job/{job}")
+            if row is not None and row.row["ended"] is not None:
+                return
+            pause.wait(POLL_S)
+        raise TimeoutError(f"job {job} did not end")
+
+    def _result_bytes(self, job: str) -> int:
+        keys = {
+            chunk["key"]
+            for row in self.platform.all_rows("jobs")
+            if row.key.startswith(f"lot/{job}/")
+            for chunk in row.row["chunks"]
+        }
+        return sum(len(self.platform.get_object(key).ok) for key in keys)
+
+    def close(self) -> None:
+        self.jobs.stop(WAIT_S)
+        self.backends.close()
+
+
+def _manifest(items: int, tokens: int) -> bytes:
+    words = " ".join(f"w{n}" for n in range(WORDS))
+    lines = (
+        json.dumps({"input": f"crate {n} {words}", "max_tokens": tokens})
+        for n in range(items)
+    )
+    return "\n".join(lines).encode()
+
+
+def _peak_rss_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
+
+
+def _await_engines() -> None:
+    deadline = time.monotonic() + START_S
+    for address in ENGINES:
+        host, port = address.rsplit(":", 1)
+        while True:
+            try:
+                socket.create_connection((host, int(port)), 1.0).close()
+                break
+            except OSError:
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(POLL_S)
+
+
+def measure(
+    sizes: Sequence[int] = DEFAULT_SIZES,
+    window: int = 192,
+    flush_outcomes: int = 2_000,
+    tokens: int = 32,
+    out: str = DEFAULT_OUT,
+) -> None:
+    """Measure jobs of several sizes, and write the figures as JSON."""
+    configure("mulberry-bench", "bench", "json", "error")
+    launcher = Launcher({})
+    launcher.start(
+        "engines",
+        "mulberry-fake-engine",
+        *("--addresses", ",".join(ENGINES)),
+        *("--time-scale", "0.05"),
+    )
+    try:
+        _await_engines()
+        bench = _Bench(window, flush_outcomes)
+        figures = [bench.measure(size, tokens) for size in sizes]
+        bench.close()
+    finally:
+        launcher.stop_all()
+    doc = {
+        "command": "python -m mulberrypass.bench.slope_jobs",
+        "window": window,
+        "flush_outcomes": flush_outcomes,
+        "tokens": tokens,
+        "sizes": [asdict(figure) for figure in figures],
+    }
+    path = Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(doc, indent=1) + "\n")
+    sys.stdout.write(json.dumps(doc, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
+
+
+__all__ = ["Measured", "measure"]
