--- a/src/mulberrypass/model/rules.py
+++ b/src/mulberrypass/model/rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model import document as d
@@ -21,6 +22,18 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _Index:
+    """What services are checked against, looked up once for all of them.
+
+    :param groups: names of customers, by group
+    """
+
+    backends: dict[str, d.BackendDocument]
+    pools: dict[str, d.PoolDocument]
+    groups: dict[str, list[str]]
+
+
 def check_rules(objects: ObjectSet) -> Iterator[Fault]:
     """Give the faults of all rules that are not about references."""
     yield from _check_unique_names(objects)
@@ -32,8 +45,20 @@
         yield from _check_backend(placed, backend)
     for placed, quota in objects.of(d.QuotaDocument):
         yield from _check_quota(placed, quota)
+    index = _index(objects)
     for placed, service in objects.of(d.ServiceDocument):
-        yield from _check_service(objects, placed, service)
+        yield from _check_service(index, placed, service)
+
+
+def _index(objects: ObjectSet) -> _Index:
+    groups: dict[str, list[str]] = defaultdict(list)
+    for _, customer in objects.of(d.CustomerDocument):
+        groups[customer.group].append(customer.name)
+    return _Index(
+        {b.name: b for _, b in objects.of(d.BackendDocument)},
+        {p.name: p for _, p in objects.of(d.PoolDocument)},
+        dict(groups),
+    )
 
 
 def _check_unique_names(objects: ObjectSet) -> Iterator[Fault]:
@@ -149,16 +174,16 @@
 
 
 def _check_service(
-    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+    index: _Index, placed: Placed, service: d.ServiceDocument
 ) -> Iterator[Fault]:
     yield from _check_repeats(placed, service)
     yield from _check_times(placed, service)
-    yield from _check_pool_kind(objects, placed, service)
+    yield from _check_pool_kind(index, placed, service)
     match service.type:
         case ServiceKind.PLAIN:
             yield from _check_plain(placed, service)
         case ServiceKind.MODEL:
-            yield from _check_model(objects, placed, service)
+            yield from _check_model(index, placed, service)
 
 
 def _check_repeats(
@@ -189,15 +214,17 @@
 
 
 def _check_pool_kind(
-    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+    index: _Index, placed: Placed, service: d.ServiceDocument
 ) -> Iterator[Fault]:
     needed = KIND_OF_BACKEND[service.type]
-    backends = {b.name: b for _, b in objects.of(d.BackendDocument)}
-    pools = {p.name: p for _, p in objects.of(d.PoolDocument)}
-    pool = pools.get(service.pool)
+    pool = index.pools.get(service.pool)
     if pool is None:
         return
-    members = [backends[name] for name in pool.backends if name in backends]
+    members = [
+        index.backends[name]
+        for name in pool.backends
+        if name in index.backends
+    ]
     wrong = [b.name for b in members if b.type is not needed]
     if wrong:
         problem = (
@@ -235,7 +262,7 @@
 
 
 def _check_model(
-    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+    index: _Index, placed: Placed, service: d.ServiceDocument
 ) -> Iterator[Fault]:
     if service.model is None:
         problem = "a model service needs one"
@@ -244,48 +271,50 @@
         remedy = "add a route with a version"
         yield placed.fault("routes", "there is no route", remedy)
         return
-    yield from _check_route_names(objects, placed, service)
-    yield from _check_route_totals(objects, placed, service)
+    yield from _check_route_names(index, placed, service)
+    yield from _check_route_totals(index, placed, service)
 
 
 def _check_route_names(
-    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+    index: _Index, placed: Placed, service: d.ServiceDocument
 ) -> Iterator[Fault]:
-    groups = {c.group for _, c in objects.of(d.CustomerDocument)}
+    groups = index.groups.keys()
     seen: set[tuple[str, str | None, tuple[str, ...]]] = set()
-    for index, route in enumerate(service.routes):
+    for number, route in enumerate(service.routes):
         key = (route.version, route.adapter, route.groups)
         if key in seen:
             problem = f'version "{route.version}" is routed to twice'
             remedy = "join the two and add their weights"
-            yield placed.fault(f"routes.{index}", problem, remedy)
+            yield placed.fault(f"routes.{number}", problem, remedy)
         seen.add(key)
         for group in route.groups:
             if group not in groups:
-                field = f"routes.{index}.groups"
+                field = f"routes.{number}.groups"
                 problem = f'no customer is in group "{group}"'
                 remedy = f"the groups are {quoted(groups - {''})}"
                 yield placed.fault(field, problem, remedy)
 
 
 def _check_route_totals(
-    objects: ObjectSet, placed: Placed, service: d.ServiceDocument
+    index: _Index, placed: Placed, service: d.ServiceDocument
 ) -> Iterator[Fault]:
     if sum(route.weight for route in service.routes) <= 0:
         problem = "the weights add up to 0"
         remedy = "give at least one route a weight above 0"
         yield placed.fault("routes", problem, remedy)
         return
-    left_out: dict[str, list[str]] = defaultdict(list)
-    for _, customer in objects.of(d.CustomerDocument):
-        allowed = not service.customers or customer.name in service.customers
-        if allowed and not _has_route(service, customer.group):
-            left_out[customer.group].append(customer.name)
-    for group, names in sorted(left_out.items()):
-        whose = f'group "{group}"' if group else "no group"
-        problem = f"no route is for customers of {whose}: {quoted(names)}"
-        remedy = "add a route for all groups, with a weight above 0"
-        yield placed.fault("routes", problem, remedy)
+    for group, customers in sorted(index.groups.items()):
+        if _has_route(service, group):
+            continue
+        callers = service.customers or customers
+        left_out = sorted(set(customers).intersection(callers))
+        if left_out:
+            whose = f'group "{group}"' if group else "no group"
+            problem = (
+                f"no route is for customers of {whose}: {quoted(left_out)}"
+            )
+            remedy = "add a route for all groups, with a weight above 0"
+            yield placed.fault("routes", problem, remedy)
 
 
 def _has_route(service: d.ServiceDocument, group: str) -> bool:
