Remove jobs whose results were kept for their time

Cause: results had no end, and one object could hold outcomes of two customers' jobs. Change: the end of a job writes when it expires, by the service's result_ttl_s; each process removes the expired jobs that hash to it, the row that says so last; a flush puts one object for each job. The end of jobs has a module of its own. Objects that a fenced flush left behind are named by no row and stay: the object store has no list to find them by.

--- a/src/mulberrypass/jobs/desk.py
+++ b/src/mulberrypass/jobs/desk.py
@@ -190,9 +190,12 @@
         found = self._reader.job(job)
         if found.is_error():
             return Error(_store_down(found.error))
-        if found.ok is None or found.ok.customer != customer:
+        job_row = found.ok
+        if job_row is None or job_row.customer != customer:
             return Error(NoSuchJob())
-        return Ok(found.ok)
+        if job_row.expires is not None and job_row.expires <= self._wall():
+            return Error(NoSuchJob())
+        return Ok(job_row)
 
     def jobs_of(self, customer: str) -> Result[tuple[str, ...], StoreDown]:
         """Give the ids of a customer's jobs."""
--- /dev/null
+++ b/src/mulberrypass/jobs/endings.py
@@ -0,0 +1,89 @@
+"""The end of jobs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from mulberrypass.jobs.rows import (
+    TABLE,
+    LotPhase,
+    expiry_key,
+    job_from_row,
+    job_key,
+    job_to_row,
+    open_key,
+)
+from mulberrypass.platform.api import Always, Delete, Put, VersionIs
+from mulberrypass.policy.jobs import JobState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.jobs.reading import JobReader
+    from mulberrypass.jobs.rows import LotRow
+    from mulberrypass.platform.api import Condition, Row, Table
+    from mulberrypass.policy.jobs import OpenJob
+
+
+class JobEndings:
+    """Marks jobs as ended; a mark that fails is made by a later poll.
+
+    :param wall: Unix time in seconds
+    :param kept_s: seconds for which a service's results are kept
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        reader: JobReader,
+        wall: Callable[[], float],
+        kept_s: Callable[[str], float],
+    ) -> None:
+        self._table = table
+        self._reader = reader
+        self._wall = wall
+        self._kept_s = kept_s
+
+    def close(self, open_job: OpenJob) -> None:
+        """Close a cancelled job of which no lot is held."""
+        found = self._reader.row(job_key(open_job.job))
+        if found.is_error() or found.ok is None:
+            return
+        gone = VersionIs(open_job.version)
+        self._end(found.ok, JobState.CANCELLED, gone)
+
+    def end_if_done(self, job: str, lots: dict[int, LotRow]) -> None:
+        """End a job of which every lot is done.
+
+        :param lots: the lots that were leased at least once
+        """
+        if any(lot.phase is not LotPhase.DONE for lot in lots.values()):
+            return
+        found = self._reader.row(job_key(job))
+        if found.is_error() or found.ok is None:
+            return
+        row = found.ok.row
+        if row["ended"] is not None or len(lots) < len(row["lots"]):
+            return
+        state = JobState(row["state"])
+        if state is JobState.RUNNING:
+            state = JobState.DONE
+        self._end(found.ok, state, Always())
+
+    def _end(self, job: Row, state: JobState, is_open: Condition) -> None:
+        row = job_from_row(job.row)
+        now = self._wall()
+        expires = now + self._kept_s(row.service)
+        ended = replace(row, state=state, ended=now, expires=expires)
+        listed = expiry_key(row.job, expires)
+        self._table.transact(
+            (
+                Put(TABLE, job.key, job_to_row(ended), VersionIs(job.version)),
+                Delete(TABLE, open_key(row.job), is_open),
+                Put(TABLE, listed, {}, Always()),
+            )
+        )
+
+
+__all__ = ["JobEndings"]
--- a/src/mulberrypass/jobs/rows.py
+++ b/src/mulberrypass/jobs/rows.py
@@ -19,6 +19,7 @@
 TABLE = "jobs"
 OPEN_PREFIX = "open/"
 HELD_PREFIX = "held/"
+EXPIRY_PREFIX = "expiry/"
 
 
 class LotPhase(enum.StrEnum):
@@ -47,6 +48,7 @@
 
     :param due: Unix time in seconds
     :param ended: Unix time at which nothing was left to do, or ``None``
+    :param expires: Unix time from which its results aren't kept
     """
 
     job: str
@@ -60,6 +62,7 @@
     lots: tuple[ManifestLot, ...]
     state: JobState = JobState.RUNNING
     ended: float | None = None
+    expires: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +148,16 @@
     return f"{intent_prefix(key)}{epoch:06}/{sequence:06}"
 
 
+def expiry_key(job: str, expires: float) -> str:
+    """Give the key of the row that says when a job expires."""
+    return f"{EXPIRY_PREFIX}{int(expires):012}/{job}"
+
+
+def outcomes_key(job: str, nonce: str) -> str:
+    """Give the key of the object that holds one flush of a job."""
+    return f"outcomes/{job}/{nonce}"
+
+
 def manifest_key(job: str, lot: int, digest: str) -> str:
     """Give the key of the object that holds a lot's items."""
     return f"manifest/{job}/{lot:06}-{digest}"
@@ -257,6 +270,7 @@
 
 __all__ = [
     "Chunk",
+    "EXPIRY_PREFIX",
     "HELD_PREFIX",
     "JobRow",
     "LotPhase",
@@ -266,6 +280,7 @@
     "TABLE",
     "chunk_of",
     "customer_prefix",
+    "expiry_key",
     "held_from_row",
     "held_key",
     "held_to_row",
@@ -283,5 +298,6 @@
     "open_key",
     "open_to_row",
     "outcome_document",
+    "outcomes_key",
     "outcomes_to_lines",
 ]
--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -34,6 +34,7 @@
 
     from expression import Result
 
+    from mulberrypass.jobs.endings import JobEndings
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.store import HolderStore
     from mulberrypass.platform.api import ReadError
@@ -152,6 +153,7 @@
         self,
         holder: LotHolder,
         store: HolderStore,
+        endings: JobEndings,
         reader: JobReader,
         fleet: Callable[[], Fleet],
         metrics: Metrics,
@@ -162,6 +164,7 @@
     ) -> None:
         self._holder = holder
         self._store = store
+        self._endings = endings
         self._reader = reader
         self._fleet = fleet
         self._metrics = metrics
@@ -370,7 +373,7 @@
             case Flush():
                 return _Flushed(self._store.flush(command))
             case CloseJob(job=job):
-                self._store.close(job)
+                self._endings.close(job)
         return None
 
 
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -10,6 +10,8 @@
 
 from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.jobs.desk import JobDesk
+from mulberrypass.jobs.endings import JobEndings
+from mulberrypass.jobs.expiry import ExpirySweeper
 from mulberrypass.jobs.manifest import LOT_ITEMS
 from mulberrypass.jobs.reading import JobReader
 from mulberrypass.jobs.results import JobResults
@@ -35,6 +37,7 @@
     from mulberrypass.runtime.metrics import Metrics
 
 PROGRAM = "batch"
+DEFAULT_KEPT_S = 604_800.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,11 +73,13 @@
         pause = RetryPause(stop, member.incarnation)
         reader = JobReader(peers.table, peers.objects)
         writer = PatientWriter(own, peers.table, peers.objects, pause)
-        store = HolderStore(own, peers.table, reader, writer, wall)
+        endings = JobEndings(peers.table, reader, wall, self._kept_s)
+        store = HolderStore(own, peers.table, reader, writer, endings)
         holder = LotHolder(own, settings, self._terms)
         self._runner = JobRunner(
             holder,
             store,
+            endings,
             reader,
             self._fleet,
             metrics,
@@ -101,6 +106,14 @@
             RetryPause(threading.Event(), member.incarnation),
             lot_items,
         )
+        self._expiry = ExpirySweeper(
+            member.name,
+            peers.table,
+            peers.objects,
+            reader,
+            lambda: [m.name for m in peers.membership.live(PROGRAM)],
+            wall,
+        )
         self._routes = JobRoutes(
             peers.configuration,
             desk,
@@ -117,9 +130,11 @@
     def start(self) -> None:
         """Start to run lots."""
         self._runner.start()
+        self._expiry.start()
 
     def stop(self, grace_s: float) -> bool:
         """Finish or hand back all lots; whether nothing was left behind."""
+        self._expiry.stop()
         whole = self._runner.drain(grace_s)
         self._runs.close()
         return whole
@@ -128,6 +143,11 @@
         """Give what a dump shows."""
         return self._runner.state()
 
+    def _kept_s(self, service: str) -> float:
+        cfg = self._peers.configuration.current()
+        found = cfg.services.get(service)
+        return DEFAULT_KEPT_S if found is None else found.result_ttl_s
+
     def _terms(self, job: OpenJob) -> LotTerms | None:
         cfg = self._peers.configuration.current()
         service = cfg.services.get(job.service)
--- a/src/mulberrypass/jobs/store.py
+++ b/src/mulberrypass/jobs/store.py
@@ -1,4 +1,4 @@
-"""Writes of one holder: leases, intents, flushes and the end of jobs."""
+"""Writes of one holder: leases, intents and flushes."""
 
 from __future__ import annotations
 
@@ -22,11 +22,11 @@
     held_key,
     held_to_row,
     intent_key,
-    job_key,
     lot_from_row,
     lot_key,
     lot_to_row,
     open_key,
+    outcomes_key,
     outcomes_to_lines,
 )
 from mulberrypass.platform.api import (
@@ -39,12 +39,10 @@
     Put,
     VersionIs,
 )
-from mulberrypass.policy.jobs import JobState
 from mulberrypass.policy.lots import LotGrant, LotKey
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from mulberrypass.jobs.endings import JobEndings
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.writer import PatientWriter
     from mulberrypass.platform.api import (
@@ -85,8 +83,6 @@
     Every write of a lot is conditional on the version of its row that this
     process wrote last, so that a holder whose lot was taken is fenced. A
     write without an answer is repeated, and settled by its nonce.
-
-    :param wall: Unix time in seconds
     """
 
     def __init__(
@@ -95,13 +91,13 @@
         table: Table,
         reader: JobReader,
         writer: PatientWriter,
-        wall: Callable[[], float],
+        endings: JobEndings,
     ) -> None:
         self._own = own
         self._table = table
         self._reader = reader
         self._writer = writer
-        self._wall = wall
+        self._endings = endings
         self._held: dict[LotKey, _Held] = {}
 
     def input(self, key: LotKey, item: int) -> bytes | None:
@@ -127,7 +123,7 @@
             if number not in lots.ok or lots.ok[number].phase is LotPhase.FREE
         ]
         if not free:
-            self._end_if_done(open_job.job, lots.ok)
+            self._endings.end_if_done(open_job.job, lots.ok)
             return Error(NotLeased(True))
         return self._lease(open_job, free[skip % len(free)], None)
 
@@ -177,27 +173,9 @@
         for job in sorted(ended):
             lots = self._reader.lots(job)
             if lots.is_ok():
-                self._end_if_done(job, lots.ok)
+                self._endings.end_if_done(job, lots.ok)
         return tuple(fenced)
 
-    def close(self, open_job: OpenJob) -> None:
-        """Close a cancelled job of which no lot is held."""
-        found = self._reader.row(job_key(open_job.job))
-        if found.is_error() or found.ok is None:
-            return
-        ended = {**found.ok.row, "ended": self._wall()}
-        seen = VersionIs(found.ok.version)
-        self._table.transact(
-            (
-                Put(TABLE, job_key(open_job.job), ended, seen),
-                Delete(
-                    TABLE,
-                    open_key(open_job.job),
-                    VersionIs(open_job.version),
-                ),
-            )
-        )
-
     def _lease(
         self, open_job: OpenJob, number: int, lost: HeldLot | None
     ) -> Result[LotGrant, NotLeased]:
@@ -276,21 +254,23 @@
     def _new_rows(
         self, parts: list[LotFlush], nonce: str
     ) -> dict[LotKey, LotRow]:
-        chunk_key = f"outcomes/{nonce}"
-        lines: list[bytes] = []
+        lines: dict[str, list[bytes]] = {}
         rows: dict[LotKey, LotRow] = {}
         for part in parts:
             held = self._held[part.key]
             chunks = held.row.chunks
             if part.outcomes:
-                chunk = chunk_of(chunk_key, len(lines), part.outcomes)
+                kept = lines.setdefault(part.key.job, [])
+                name = outcomes_key(part.key.job, nonce)
+                chunk = chunk_of(name, len(kept), part.outcomes)
                 chunks = (*chunks, chunk)
-                lines.extend(outcomes_to_lines(part.outcomes))
+                kept.extend(outcomes_to_lines(part.outcomes))
             rows[part.key] = flushed_row(
                 held.row, part, chunks, held.intended, nonce
             )
-        if lines:
-            self._writer.put_object(chunk_key, b"\n".join(lines))
+        for job, kept in lines.items():
+            data = b"\n".join(kept)
+            self._writer.put_object(outcomes_key(job, nonce), data)
         return rows
 
     def _commit(
@@ -346,27 +326,6 @@
         self._held.pop(key, None)
         return False
 
-    def _end_if_done(self, job: str, lots: dict[int, LotRow]) -> None:
-        if any(lot.phase is not LotPhase.DONE for lot in lots.values()):
-            return
-        found = self._reader.row(job_key(job))
-        if found.is_error() or found.ok is None:
-            return
-        row = found.ok.row
-        if row["ended"] is not None or len(lots) < len(row["lots"]):
-            return
-        state = JobState(row["state"])
-        if state is JobState.RUNNING:
-            state = JobState.DONE
-        ended = {**row, "state": state.value, "ended": self._wall()}
-        seen = VersionIs(found.ok.version)
-        self._table.transact(
-            (
-                Put(TABLE, job_key(job), ended, seen),
-                Delete(TABLE, open_key(job), Always()),
-            )
-        )
-
     def _forget(self, keys: list[LotKey]) -> None:
         for key in keys:
             self._held.pop(key, None)
--- /dev/null
+++ b/tests/jobs/test_expiry.py
@@ -0,0 +1,62 @@
+"""Results are kept for their time, and then removed whole."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrypass.jobs.expiry import ExpirySweeper
+from mulberrypass.jobs.reading import JobReader
+from mulberrypass.testing.platform_faults import CallFault
+from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
+from tests.jobs.world import World
+
+EXPIRED = 10_000.0
+
+
+class TestExpirySweeper(unittest.TestCase):
+    """What a crash leaves is removed by the next sweep."""
+
+    def setUp(self) -> None:
+        """Run a world of jobs to its end."""
+        self.world = World(4)
+        self.world.run()
+        self.platform = self.world.platform
+        self.assertTrue(self.platform.object_keys())
+
+    def sweeper(self, wall: float, own: str = "a") -> ExpirySweeper:
+        """Make a sweeper of one of two processes."""
+        table = MemoryTable(self.platform)
+        objects = MemoryObjects(self.platform)
+        return ExpirySweeper(
+            own,
+            table,
+            objects,
+            JobReader(table, objects),
+            lambda: ("a", "b"),
+            lambda: wall,
+        )
+
+    def rows(self) -> list[str]:
+        """Give the keys of all rows of jobs."""
+        return [row.key for row in self.platform.all_rows("jobs")]
+
+    def test_not_yet(self) -> None:
+        before = (self.rows(), self.platform.object_keys())
+        self.assertEqual(0, self.sweeper(self.world.now).sweep())
+        self.assertEqual(before, (self.rows(), self.platform.object_keys()))
+
+    def test_removed_by_those_that_they_hash_to(self) -> None:
+        jobs = len([key for key in self.rows() if key.startswith("job/")])
+        removed = [self.sweeper(EXPIRED, own).sweep() for own in ("a", "b")]
+        self.assertEqual(jobs, sum(removed))
+        self.assertEqual([], self.rows())
+
+    def test_crash_at_each_write(self) -> None:
+        for failing in range(40):
+            with self.subTest(failing=failing):
+                self.setUp()
+                faults = [CallFault.PASS] * failing + [CallFault.REFUSE]
+                self.platform.script_writes(faults)
+                for own in ("a", "b", "a", "b"):
+                    self.sweeper(EXPIRED, own).sweep()
+                self.assertEqual([], self.rows())
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -14,6 +14,7 @@
 from expression import Error, Result
 
 from mulberrypass.jobs.desk import JobDesk, KeyTaken, Submission, job_id
+from mulberrypass.jobs.endings import JobEndings
 from mulberrypass.jobs.reading import JobReader
 from mulberrypass.jobs.rows import HELD_PREFIX, OPEN_PREFIX
 from mulberrypass.jobs.runner import JobRunner
@@ -471,7 +472,10 @@
         objects = FaultyObjects(self, name)
         reader = JobReader(table, objects)
         writer = PatientWriter(own, table, objects, self._pause)
-        store = HolderStore(own, table, reader, writer, lambda: self.now)
+        endings = JobEndings(
+            table, reader, lambda: self.now, lambda _service: 100.0
+        )
+        store = HolderStore(own, table, reader, writer, endings)
         desk = JobDesk(
             table, objects, reader, lambda: self.now, self._pause, LOT_ITEMS
         )
@@ -479,6 +483,7 @@
         runner = JobRunner(
             LotHolder(own, SETTINGS, _terms),
             store,
+            endings,
             reader,
             self._fleet,
             self.metrics,
