Space orders that fail, and drop versions whose object is gone

Cause: an engine that refused orders was asked each second, and a version whose object had been removed stayed in an engine's memory for ever. Change: a failed order doubles the wait before the next one, up to 64 s; a loaded version that the configuration no longer names is dropped like one that no service routes to, where the pool serves one model. Conclusion: an engine without the orders interface costs an order a minute.

--- a/src/mulberrypass/placement/engines.py
+++ b/src/mulberrypass/placement/engines.py
@@ -16,6 +16,8 @@
 REPORT_LAG_S = 6.0
 LOAD_TIMEOUT_S = 600.0
 SILENT_S = 60.0
+RETRY_S = 2.0
+MAX_RETRY_S = 64.0
 
 
 @dataclass(slots=True)
@@ -28,6 +30,8 @@
         shown yet
     :param dropped: when a version was ordered out that a late report may
         still show
+    :param failures: orders that have failed in a row
+    :param retry_at: no order is sent before
     :param fetch_at: when the weight store lets a fetch start, by version
     """
 
@@ -40,12 +44,15 @@
     fetch_at: dict[str, float] = field(default_factory=dict)
     role: Role | None = None
     last_order_at: float | None = None
+    failures: int = 0
+    retry_at: float = 0.0
     error: str = ""
 
     def hear(self, report: LoadReport | None, error: str, now: float) -> None:
         """Take a report, or the reason why there is none."""
         self.fresh = report is not None
-        self.error = error
+        if error or not self.failures:
+            self.error = error
         if report is not None:
             self.report, self.known_at = report, now
         loaded = frozenset() if report is None else frozenset(report.versions)
@@ -60,6 +67,17 @@
             if now - at < REPORT_LAG_S
         }
 
+    def order_failed(self, reason: str, now: float) -> None:
+        """Wait longer before each next order while orders fail."""
+        wait_s = min(MAX_RETRY_S, RETRY_S * 2**self.failures)
+        self.failures += 1
+        self.retry_at = now + wait_s
+        self.error = reason
+
+    def order_taken(self) -> None:
+        """Hear that the engine took an order."""
+        self.failures = 0
+
     def forget_orders(self) -> None:
         """Know nothing of orders, since another holder may have sent some."""
         self.ordered.clear()
--- a/src/mulberrypass/placement/pool.py
+++ b/src/mulberrypass/placement/pool.py
@@ -36,7 +36,6 @@
 
 LOG = get_logger(__name__)
 SETTLE_S = 60.0
-RETRY_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +177,8 @@
         self, cfg: Configuration, backend: Backend, step: placement.Step
     ) -> None:
         memory = self._memory[backend.name]
+        if self._ports.clock() < memory.retry_at:
+            return
         if isinstance(step, placement.Load):
             if not self._may_fetch(cfg, memory, step.wanted):
                 return
@@ -193,13 +194,14 @@
             case Result(tag="ok"):
                 self._ports.metrics.count(Decision.ORDER_SENT)
                 LOG.info("order sent", backend=backend.name, order=order)
+                memory.order_taken()
                 _remember(memory, step, now)
             case Result(error=StaleFence(highest=highest)):
                 self._ports.metrics.count(Decision.ORDER_FENCED)
                 LOG.warning("order fenced off", backend=backend.name)
                 self._lease.fenced(highest)
             case Result(error=EngineFailed(reason=reason)):
-                memory.error = reason
+                memory.order_failed(reason, now)
                 LOG.warning(
                     "order failed", backend=backend.name, reason=reason
                 )
--- a/src/mulberrypass/policy/placement.py
+++ b/src/mulberrypass/policy/placement.py
@@ -219,8 +219,8 @@
     engines that are to have it have it; one that is not wanted goes when
     the target is settled. Few engines of a pool load at once.
 
-    :param known: versions of the configuration, by name; others that are
-        loaded are left alone, and their size is not known
+    :param known: versions of the configuration, by name; one that is loaded
+        and not among them has been removed, and its size is not known
     :param settled: whether the target has stood for so long that no
         request is still routed by an older one
     :param may_drop: whether no order of an earlier holder of the lease can
@@ -273,16 +273,27 @@
     for version in missing:
         if _has_room(engine, known, target.wanted[version]):
             return Load(engine.name, target.wanted[version])
-    for version in sorted((engine.loaded - goal) & known.keys()):
+    for version in sorted(engine.loaded - goal):
+        model = _model_of(target, known, version)
         if version in target.wanted:
             droppable = version in complete
         else:
             droppable = settled and (bool(missing) or len(complete) > 0)
-        if droppable:
-            return Unload(engine.name, known[version].model, version)
+        if droppable and model is not None:
+            return Unload(engine.name, model, version)
     return None
 
 
+def _model_of(
+    target: PoolTarget, known: Mapping[str, Version], version: str
+) -> str | None:
+    """Give a version's model, also where its object has been removed."""
+    if version in known:
+        return known[version].model
+    models = {wanted.model for wanted in target.wanted.values()}
+    return models.pop() if len(models) == 1 else None
+
+
 def _has_room(
     engine: EngineView, known: Mapping[str, Version], wanted: Wanted
 ) -> bool:
--- a/tests/placement/test_pool.py
+++ b/tests/placement/test_pool.py
@@ -105,6 +105,17 @@
         self.run_for(2 * LEASE_S)
         self.assertEqual(8, self.world.engines["e1"].orders[0][1])
 
+    def test_failed_orders_are_spaced_more_and_more(self) -> None:
+        failing = self.world.engines["e1"]
+        failing.broken = True
+        self.run_for(130.0)
+        sent = [at for at, _, _ in failing.orders]
+        self.assertEqual([1.0, 3.0, 7.0, 15.0, 31.0, 63.0, 127.0], sent)
+        self.assertEqual([ROLE, LOAD], self.orders("e2"))
+        failing.broken = False
+        self.run_for(90.0)
+        self.assertEqual([ROLE, LOAD], self.orders()[-2:])
+
     def test_no_lease_is_kept_where_nothing_is_to_do(self) -> None:
         self.run_for(120.0)
         writes = self.world.platform.counters().writes
--- a/tests/placement/test_search.py
+++ b/tests/placement/test_search.py
@@ -99,6 +99,7 @@
         self.fencing = fencing
         self.ready_at: dict[str, float] = {"r1": 0.0}
         self.highest = 0
+        self.broken = False
         self.orders: list[tuple[float, int, engine_api.Order]] = []
         self.reports: list[tuple[float, tuple[str, ...]]] = [(0.0, ("r1",))]
 
@@ -134,6 +135,8 @@
             return Error(engine_api.StaleFence(self.highest))
         self.highest = max(self.highest, fence)
         self.orders.append((sent_at, fence, order))
+        if self.broken:
+            return Error(engine_api.EngineFailed("no such path", Ran.NO))
         match order:
             case engine_api.LoadOrder(version=version):
                 self.ready_at.setdefault(version, self.world.now + LOAD_S)
