--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,11 +19,11 @@
   "$@" >"$run/$name.log" 2>&1 &
   pids+=($!)
   echo "$name $!" >>"$run/pids"
+  disown $!
 }
 
 finish() {
   kill -KILL "${pids[@]}" 2>/dev/null
-  wait 2>/dev/null
   if [ "$verdict" -eq 0 ]; then
     rm -rf "$run"
   else
