--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -24,6 +24,7 @@
     request_of,
 )
 from mulberrypass.peer.server import HeartbeatHandler
+from mulberrypass.policy.budget import TokenBucket
 from mulberrypass.policy.membership import MembershipView
 from mulberrypass.policy.membership_messages import Contact
 from mulberrypass.runtime.logs import get_logger
@@ -94,6 +95,11 @@
             instances, self._list_spacing_s, self._hand_list, self._rng
         )
         self._wake = asyncio.Event()
+        self._early = TokenBucket(
+            self._now(),
+            settings.early_per_s,
+            settings.early_rounds / settings.early_per_s,
+        )
         self._tasks: set[asyncio.Task[Any]] = set()
         self._calling: set[Contact] = set()
         self._subscribers: list[Callable[[], None]] = []
@@ -175,7 +181,7 @@
             self._view.set_generation(self._own_generation())
             self._publish()
             contacts = self._view.start_round(self._now())
-            self._calls.keep((*contacts, *self._calling))
+            self._calls.keep(contacts)
             for contact in contacts:
                 if contact not in self._calling:
                     self._spawn(self._heartbeat(contact))
@@ -183,16 +189,27 @@
             await self._pause()
 
     async def _pause(self) -> None:
-        """Wait for the next round, which urgent news brings forward."""
+        """Wait for the next round, which urgent news brings forward.
+
+        Only so many rounds are brought forward: in an overloaded fleet
+        false suspicions must not make more load.
+        """
         gap_s = self._settings.gap_s
         await asyncio.sleep(gap_s)
         jitter = self._rng.uniform(MIN_JITTER, MAX_JITTER)
         rest_s = self._settings.view.heartbeat_s * jitter - gap_s
+        rest_s = max(0.0, rest_s)
+        wait_s = self._early.next_s(self._now())
+        if wait_s >= rest_s:
+            await asyncio.sleep(rest_s)
+            return
+        await asyncio.sleep(wait_s)
         try:
-            async with asyncio.timeout(max(0.0, rest_s)):
+            async with asyncio.timeout(rest_s - wait_s):
                 await self._wake.wait()
         except TimeoutError:
-            pass
+            return
+        self._early.take(self._now(), rest_s)
         self._wake.clear()
 
     async def _heartbeat(self, contact: Contact) -> None:
--- a/src/mulberrypass/peer/membership_calls.py
+++ b/src/mulberrypass/peer/membership_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -58,6 +59,8 @@
         self._timeout_s = timeout_s
         self._tls = tls
         self._channels: dict[Place, Channel] = {}
+        self._in_use: Counter[Place] = Counter()
+        self._closed = False
         self.counters = CallCounters()
 
     async def call(
@@ -68,33 +71,51 @@
         :param timeouts: how many timeouts to wait for the reply
         :returns: the reply, or ``None`` where none came in time
         """
+        if self._closed:
+            return None
         place = Place(contact.address, self._port_of(contact.program))
-        channel = self._channel(place)
         self.counters.calls += 1
         self.counters.bytes_sent += req.ByteSize()
+        self._in_use[place] += 1
         try:
-            async with asyncio.timeout(self._timeout_s * timeouts):
-                stub = PeerStub(channel)
-                reply = await stub.Heartbeat(req, metadata=self._metadata)
-        except CALL_ERRORS:
+            reply = await self._call(place, req, self._timeout_s * timeouts)
+        finally:
+            self._in_use[place] -= 1
+        if reply is None:
             self.counters.failures += 1
-            self._drop(place, channel)
-            return None
-        self.counters.bytes_received += reply.ByteSize()
+        else:
+            self.counters.bytes_received += reply.ByteSize()
         return reply
 
     def keep(self, contacts: Iterable[Contact]) -> None:
-        """Close channels to all places but those of the contacts."""
+        """Close idle channels to all places but those of the contacts."""
         kept = {
             Place(contact.address, self._port_of(contact.program))
             for contact in contacts
         }
         for place in self._channels.keys() - kept:
-            self._channels.pop(place).close()
+            if not self._in_use[place]:
+                self._channels.pop(place).close()
+        self._in_use = +self._in_use
 
     def close(self) -> None:
-        """Close all channels."""
-        self.keep(())
+        """Close all channels and make no more calls."""
+        self._closed = True
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _call(
+        self, place: Place, req: HeartbeatRequest, timeout_s: float
+    ) -> HeartbeatReply | None:
+        channel = self._channel(place)
+        try:
+            async with asyncio.timeout(timeout_s):
+                stub = PeerStub(channel)
+                return await stub.Heartbeat(req, metadata=self._metadata)
+        except CALL_ERRORS:
+            self._drop(place, channel)
+            return None
 
     def _channel(self, place: Place) -> Channel:
         channel = self._channels.get(place)
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -57,6 +57,7 @@
         self._neighbours: tuple[str, ...] | None = None
         self._round = 0
         self._round_at: float | None = None
+        self._late_s = 0.0
         self._asks_until = settings.asking_rounds
         self._eager_until = float("-inf")
         self._changed = True
@@ -69,7 +70,7 @@
         A member on a machine that is listed as leaving is leaving.
         """
         known = (self.me, *self._roster.living())
-        return tuple(map(self._with_list, known))
+        return tuple(map(self._listing.adjust, known))
 
     def dead(self) -> tuple[Member, ...]:
         """Give the dead that are remembered."""
@@ -138,7 +139,8 @@
         A member that was paused distrusts its own silence: it starts all
         suspicions over.
         """
-        if self._was_paused(now):
+        self._late_s = self._lateness_s(now)
+        if self._late_s > self._settings.suspect_s / 2:
             self._roster.restart_doubts(now)
         self._round_at = now
         self._round += 1
@@ -233,12 +235,15 @@
     def suspect(self, name: str, incarnation: int, now: float) -> None:
         """Doubt a member that neither we nor helpers could reach.
 
+        While our own rounds are late, the fault may be ours.
+
         :param incarnation: the one that was tried
         """
         member = self._roster.get(name)
         if member is None or member.incarnation != incarnation:
             return
-        if self._was_paused(now):
+        late_s = max(self._late_s, self._lateness_s(now))
+        if late_s > self._settings.heartbeat_s / 2:
             return
         match member.state:
             case MemberState.ALIVE:
@@ -376,12 +381,11 @@
             self._news.discard(name)
             self._listing.forget(name)
 
-    def _was_paused(self, now: float) -> bool:
-        """Tell whether the next round is much later than due."""
+    def _lateness_s(self, now: float) -> float:
+        """Give how much later than due the next round would be now."""
         if self._round_at is None:
-            return False
-        late_s = now - self._round_at - self._settings.heartbeat_s
-        return late_s > self._settings.suspect_s / 2
+            return 0.0
+        return now - self._round_at - self._settings.heartbeat_s
 
     def _contact(self, name: str) -> Contact:
         member = self._roster.get(name)
@@ -391,19 +395,12 @@
 
     def _strangers(self, count: int) -> list[Contact]:
         """Give machines where a member may be that is not known alive."""
-        names = {(m.program, m.address): m.name for m in self._roster.dead()}
-        places = self._listing.places(self._settings.programs)
-        living = (self.me, *self._roster.living())
-        taken = {(m.program, m.address) for m in living}
-        able = sorted((places | names.keys()) - taken)
-        chosen = self._rng.sample(able, min(count, len(able)))
-        return [Contact(names.get(p, ""), *p) for p in chosen]
-
-    def _with_list(self, member: Member) -> Member:
-        if not self._listing.is_leaving(member.name):
-            return member
-        leaving = max(member.state, MemberState.LEAVING)
-        return replace(member, state=leaving)
+        able = self._listing.strangers(
+            self._settings.programs,
+            (self.me, *self._roster.living()),
+            self._roster.dead(),
+        )
+        return self._rng.sample(able, min(count, len(able)))
 
 
 __all__ = ["MembershipView"]
--- a/src/mulberrypass/policy/membership_listing.py
+++ b/src/mulberrypass/policy/membership_listing.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import itertools
 from typing import TYPE_CHECKING
 
+from mulberrypass.peer.api import Member, MemberState
 from mulberrypass.platform.api import ListedKind, ListedState
+from mulberrypass.policy.membership_messages import Contact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,9 +48,12 @@
                 self._leaving.discard(entry.name)
         return before != self._leaving
 
-    def is_leaving(self, member: str) -> bool:
-        """Tell whether a member's machine is leaving."""
-        return _instance(member) in self._leaving
+    def adjust(self, member: Member) -> Member:
+        """Give a member as leaving where its machine is."""
+        if _instance(member.name) not in self._leaving:
+            return member
+        leaving = max(member.state, MemberState.LEAVING)
+        return replace(member, state=leaving)
 
     def is_listed(self, member: str) -> bool:
         """Tell whether a member's machine is listed at all."""
@@ -57,10 +63,19 @@
         """Drop the leaving mark of a machine that is gone."""
         self._leaving.discard(_instance(member))
 
-    def places(self, programs: Iterable[str]) -> set[tuple[str, str]]:
-        """Give each program and address where a member may be."""
+    def strangers(
+        self,
+        programs: Iterable[str],
+        living: Iterable[Member],
+        dead: Iterable[Member],
+    ) -> list[Contact]:
+        """Give each place where a member may be that is not known alive."""
         addresses = tuple(self._addresses.values()) or self._seeds
-        return set(itertools.product(programs, addresses))
+        places = dict.fromkeys(itertools.product(programs, addresses), "")
+        places.update(((m.program, m.address), m.name) for m in dead)
+        for member in living:
+            places.pop((member.program, member.address), None)
+        return [Contact(n, *place) for place, n in sorted(places.items())]
 
 
 def _instance(member: str) -> str:
