Explain a request by the owners of its pool

Cause: the explanation came from any one entry process, which knows the queues of its own cells only. Change: control works out the cells of the service's pool and their owners, asks the owners, and joins their answers; the command shows the route, the pool, who admits to each cell, and what each owner knows. Control marks itself as leaving when it stops. Conclusion: over real processes the entry process still answers with a fault of its own, since its answer holds an enumeration that JSON can't carry; that is reported to the file's owner.

--- a/src/mulberrypass/operator/commands.py
+++ b/src/mulberrypass/operator/commands.py
@@ -144,7 +144,7 @@
     def explain(self, query: dict[str, str]) -> None:
         """Show which backend server a request would get, and why."""
         path = f"/v1/explain?{urlencode(query)}"
-        self._write(self._ask(self._client.get(path)), _json_lines)
+        self._write(self._ask(self._client.get(path)), text.explain_lines)
 
     def dump(self) -> None:
         """Show a process's whole state."""
--- a/src/mulberrypass/operator/explain.py
+++ b/src/mulberrypass/operator/explain.py
@@ -1,60 +1,133 @@
-"""Asks an entry process which backend server a request would get."""
+"""Asks the owners of a pool which backend server a request would get."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
-from typing import TYPE_CHECKING
+import json
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
-from mulberrypass.runtime.http import Answer, Problem
+from expression import Error, Ok, Result
+
+from mulberrypass.policy.cells import CellKey, cut, owner
+from mulberrypass.runtime.http import Problem, json_answer
 from mulberrypass.runtime.ports import ENTRY_PORT
 
 if TYPE_CHECKING:
+    from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import Membership
     from mulberrypass.runtime.http import Reply, Request
 
 TIMEOUT_S = 5.0
 MAX_ANSWER_BYTES = 1_048_576
-MAX_ENTRIES_ASKED = 3
+MAX_ENTRIES_ASKED = 8
+OWNED = "owned_here"
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """An entry process gave no explanation.
+
+    :param status: HTTP status; 0 where there was no answer
+    """
+
+    member: str
+    status: int
+    document: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """A part of a pool, and the entry process that admits work to it."""
+
+    cell: str
+    backends: tuple[str, ...]
+    owner: str
 
 
 class ExplainProxy:
-    """Hands an operator's question to an entry process."""
+    """Joins what the owners of a service's pool explain."""
 
     def __init__(
-        self, membership: Membership, entry_port: int = ENTRY_PORT
+        self,
+        membership: Membership,
+        configuration: ConfigurationSource,
+        entry_port: int = ENTRY_PORT,
     ) -> None:
         self._membership = membership
+        self._configuration = configuration
         self._entry_port = entry_port
 
     def explain(self, req: Request) -> Reply:
-        """Ask entry processes in turn until one answers."""
-        reason = "no entry process is known to be alive"
-        for member in self._membership.live("entry")[:MAX_ENTRIES_ASKED]:
-            try:
-                return self._ask(member.address, req)
-            except (OSError, HTTPException) as exc:
-                reason = f"{member.name} gives no answer: {exc}"
-        return Problem(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            "no_entry",
-            reason,
-            retry_after_s=1.0,
-        )
-
-    def _ask(self, address: str, req: Request) -> Reply:
+        """Ask the owners; any entry process where there is none."""
+        addresses = {m.name: m.address for m in self._membership.live("entry")}
+        cells = self._cells(req.query.get("service", ""), addresses)
+        asked = list(dict.fromkeys(cell.owner for cell in cells))
+        asked = (asked or sorted(addresses))[:MAX_ENTRIES_ASKED]
+        base: dict[str, Any] = {}
+        owners: dict[str, Any] = {}
+        refused: Silent | None = None
+        for member in asked:
+            match self._ask(member, addresses[member], req):
+                case Result(tag="ok", ok=found):
+                    owners[member] = found.pop(OWNED, None)
+                    base = base or found
+                case Result(error=silent):
+                    owners[member] = silent.document
+                    refused = refused or silent
+        if not base:
+            return _refusal(refused)
+        parts = [
+            {"cell": c.cell, "backends": c.backends, "owner": c.owner}
+            for c in cells
+        ]
+        return json_answer(base | {"cells": parts, "owners": owners})
+
+    def _cells(self, service: str, addresses: dict[str, str]) -> list[Cell]:
+        cfg = self._configuration.current()
+        found = cfg.services.get(service)
+        if found is None or not addresses:
+            return []
+        backends = cfg.pools[found.pool].backends
+        keys = (CellKey(found.pool, i) for i in range(len(backends)))
+        return [
+            Cell(key.name, names, owner(key, addresses) or "")
+            for key, names in zip(keys, cut(backends), strict=False)
+        ]
+
+    def _ask(
+        self, member: str, address: str, req: Request
+    ) -> Result[dict[str, Any], Silent]:
         conn = HTTPConnection(address, self._entry_port, timeout=TIMEOUT_S)
+        key = req.headers.get("authorization", "")
+        target = f"/debug/explain?{urlencode(req.query)}"
         try:
-            target = f"/debug/explain?{urlencode(req.query)}"
-            key = req.headers.get("authorization", "")
             conn.request("GET", target, headers={"Authorization": key})
             resp = conn.getresponse()
-            body = resp.read(MAX_ANSWER_BYTES)
-            kind = resp.getheader("Content-Type", "application/json")
-            return Answer(body, resp.status, kind)
+            document: dict[str, Any] = json.loads(resp.read(MAX_ANSWER_BYTES))
+        except (OSError, HTTPException, ValueError) as exc:
+            reason = f"{member} gives no answer: {exc}"
+            return Error(Silent(member, 0, {"detail": reason}))
         finally:
             conn.close()
+        if resp.status != HTTPStatus.OK:
+            return Error(Silent(member, resp.status, document))
+        return Ok(document)
+
+
+def _refusal(refused: Silent | None) -> Problem:
+    """Say why no entry process explained anything."""
+    detail = "no entry process is known to be alive"
+    if refused is not None:
+        detail = str(refused.document.get("detail", refused.document))
+        if refused.status == HTTPStatus.NOT_FOUND:
+            code = str(refused.document.get("code", "not_found"))
+            return Problem(HTTPStatus.NOT_FOUND, code, detail)
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE, "no_entry", detail, retry_after_s=1.0
+    )
 
 
 __all__ = ["ExplainProxy"]
--- a/src/mulberrypass/operator/text.py
+++ b/src/mulberrypass/operator/text.py
@@ -154,6 +154,23 @@
             yield f"  {engine:<28} {loaded}"
 
 
+def explain_lines(answer: dict[str, Any]) -> Iterator[str]:
+    """Say what would become of a request, as a query planner does."""
+    yield (
+        f'service "{answer["service"]}", customer "{answer["customer"]}", '
+        f"generation {answer['generation']}"
+    )
+    yield f"  route: {_flow(answer['route'])}"
+    yield f"  pool: {_flow(answer['pool'])}"
+    for cell in answer["cells"]:
+        names = ", ".join(cell["backends"])
+        yield f"  {cell['cell']} ({names}) is admitted to by {cell['owner']}"
+    for owner, state in sorted(answer["owners"].items()):
+        yield f"  {owner}:"
+        shown = json.dumps(state, indent=1, sort_keys=True)
+        yield from (f"    {line}" for line in shown.splitlines())
+
+
 def error_lines(exc: ClientError) -> Iterator[str]:
     """Say why a command came to nothing."""
     match exc:
@@ -210,6 +227,7 @@
     "document_lines",
     "doubt_lines",
     "error_lines",
+    "explain_lines",
     "generation_lines",
     "history_lines",
     "plan_lines",
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -99,6 +99,7 @@
 
     def stop(self) -> None:
         """Finish what operators have asked for, then stop."""
+        self._common.membership.leave()
         self._placement.stop()
         self._retention.stop()
         self._http.stop(self._cfg.grace_s)
@@ -121,7 +122,7 @@
                 changes,
                 common.store,
                 fleet,
-                ExplainProxy(common.membership),
+                ExplainProxy(common.membership, follower),
                 Status(
                     fleet,
                     jobs.state,
--- a/src/mulberrypass/programs/ctl.py
+++ b/src/mulberrypass/programs/ctl.py
@@ -90,13 +90,13 @@
         """Show who published what, newest first."""
         self._commands().history(int(limit))
 
-    def explain(
-        self, service: str, customer: str = "", prompt: str = ""
-    ) -> None:
-        """Show which backend server a request would get, and why."""
-        query = {"service": service, "customer": customer, "prompt": prompt}
-        asked = {name: str(value) for name, value in query.items() if value}
-        self._commands().explain(asked)
+    def explain(self, service: str, customer: str, input: str = "") -> None:
+        """Show which backend servers a request would get, and why.
+
+        :param input: what the request would ask, for its version
+        """
+        query = {"service": service, "customer": customer, "input": input}
+        self._commands().explain({k: str(v) for k, v in query.items()})
 
     def dump(self) -> None:
         """Show the whole state of the process at --control."""
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -53,7 +53,15 @@
 from mulberrypass.policy.jobs import JobState
 from mulberrypass.policy.lots import LotKey
 from mulberrypass.programs.ctl import Mulberryctl, run
-from mulberrypass.runtime.http import HttpServer, WsgiApp
+from mulberrypass.runtime.http import (
+    HttpServer,
+    Problem,
+    Reply,
+    Request,
+    Route,
+    WsgiApp,
+    json_answer,
+)
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
@@ -115,6 +123,8 @@
         Run("ann", "show service slip"),
         Run("ann", "show gadget"),
         Run("ann", "generation"),
+        Run("ann", "explain dock firm-a"),
+        Run("ann", "explain slip firm-a"),
     ),
     "conflict": (
         Run("boot", "submit first.yaml"),
@@ -162,6 +172,22 @@
     return Error(PeerSilent("no peer"))
 
 
+def explain(req: Request) -> Reply:
+    """Answer as an entry process does."""
+    if req.query["service"] != "dock":
+        return Problem(404, "no_such_object", "no such service")
+    return json_answer(
+        {
+            "generation": 1,
+            "service": "dock",
+            "customer": req.query["customer"],
+            "route": {"version": "r1", "weight": 1.0},
+            "pool": {"name": "racks", "backends": ["engine-1"]},
+            "owned_here": {"racks#0": {"queued": 0, "scores": [1.0]}},
+        }
+    )
+
+
 class SessionTest(unittest.TestCase):
     """Each session reads as its golden file does."""
 
@@ -186,6 +212,16 @@
             random.Random(1),
             lambda: self.now,
         )
+        entry = HttpServer(
+            WsgiApp([Route("GET", "/debug/explain", explain)]),
+            HOST,
+            0,
+            1,
+            1_000_000,
+        )
+        entry.start()
+        self.addCleanup(entry.stop, 0.0)
+        self.entry_port = entry.port
         parts = self.make_parts(store)
         server = HttpServer(
             WsgiApp(OperatorApp(parts).routes()), HOST, 0, 1, 1_000_000
@@ -212,7 +248,7 @@
             changes,
             store,
             fleet,
-            ExplainProxy(AloneMembership()),
+            ExplainProxy(peers, self.follower, self.entry_port),
             Status(
                 fleet,
                 JobNight(
