Find and mend asks that an owner dropped and nobody sent again

A seeded search of faults over real sockets (three owners of two cells, four holders, cut streams, paused owners, changes of members) left asks waiting until their deadline: an ask that named another holder than its own process was dropped by the owner at the next look at the members, and the holder did not ask again. The holder now puts its own name on its asks, and an ask without an answer is sent again under its old id, after 1 s if online and 15 s if batch; a duplicate has no second effect.

The search is a test now. The wait for a state moved to the fakes, as both tests use it.

--- a/src/mulberrypass/peer/holder.py
+++ b/src/mulberrypass/peer/holder.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from concurrent.futures import Future
+from dataclasses import replace
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -61,6 +62,7 @@
         port: Callable[[Member], int] = _entry_port,
         tls: ssl.SSLContext | None = None,
     ) -> None:
+        self._me = me.name
         self._loop = loop
         self._membership = membership
         self._configuration = configuration
@@ -91,6 +93,8 @@
     ) -> Future[Grant | Refuse]:
         """Ask for a permit; the future never fails."""
         answer: Future[Grant | Refuse] = Future()
+        if ask.holder != self._me:
+            ask = replace(ask, holder=self._me)
         now = self._clock()
         deadline = now + ask.budget_s
         self._post(PermitEntry(ask, answer, on_revoke, now, deadline))
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -127,11 +127,15 @@
         entry.cell = key
         if self._answers(key):
             entry.owner = self._routes.owner(key)
-            message = entry.message(self._clock())
-            self._sessions.send(entry.owner, message)
+            self._tell(entry)
         else:
             self._fail_open(entry)
 
+    def _tell(self, entry: PermitEntry) -> None:
+        """Send an ask to its owner, or tell of the permit in use."""
+        entry.sent_at = self._clock()
+        self._sessions.send(entry.owner, entry.message(entry.sent_at))
+
     def _answers(self, key: CellKey) -> bool:
         """Whether a cell has an owner that is not silent for long."""
         session = self._sessions.get(self._routes.owner(key))
@@ -154,8 +158,7 @@
         entry.owner = entry.owner or self._routes.owner(entry.cell)
         self._sessions.send(entry.owner, Withdraw(entry.ask.ask_id))
         self._run(entry, backend)
-        message = entry.message(self._clock())
-        self._sessions.send(entry.owner, message)
+        self._tell(entry)
         return True
 
     def _run(self, entry: PermitEntry, backend: str) -> None:
@@ -219,8 +222,7 @@
             self._sessions.send(session.owner, unused)
         elif entry.backend != backend:
             self._sessions.send(session.owner, unused)
-            message = entry.message(self._clock())
-            self._sessions.send(session.owner, message)
+            self._tell(entry)
 
     def _on_refuse(self, entry: PermitEntry, refuse: Refuse) -> None:
         """Pass a refusal on, but for those of members that own not."""
@@ -243,10 +245,9 @@
 
     def _on_open(self, session: OwnerSession) -> None:
         """Tell an owner of all asks and permits that are its own."""
-        now = self._clock()
         for entry in self._entries.values():
             if entry.owner == session.owner:
-                self._sessions.send(session.owner, entry.message(now))
+                self._tell(entry)
         self._sessions.flush()
 
     def reroute(self) -> None:
@@ -270,8 +271,7 @@
         if owner and owner != entry.owner:
             self._sessions.send(entry.owner, Withdraw(entry.ask.ask_id))
             entry.owner = owner
-            message = entry.message(self._clock())
-            self._sessions.send(owner, message)
+            self._tell(entry)
 
     def _reroute_running(self, entry: PermitEntry) -> None:
         key = self._routes.cell_of(entry.ask.pool, entry.backend)
@@ -281,8 +281,7 @@
         if owner and (owner != entry.owner or key != entry.cell):
             entry.cell = key
             entry.owner = owner
-            message = entry.message(self._clock())
-            self._sessions.send(owner, message)
+            self._tell(entry)
 
     def _tick(self) -> None:
         """Look after asks that wait, while there are any."""
@@ -309,6 +308,8 @@
             return
         elif not entry.owner:
             self._route(entry)
+        elif now - entry.sent_at > entry.resend_s:
+            self._tell(entry)
 
     def _given_up(self, entry: PermitEntry, now: float) -> bool:
         """Whether an ask has waited too long for any owner to answer."""
--- a/src/mulberrypass/peer/permit_entry.py
+++ b/src/mulberrypass/peer/permit_entry.py
@@ -15,6 +15,9 @@
     from mulberrypass.policy.cells import CellKey
     from mulberrypass.policy.messages import Ask, Grant, Refuse
 
+ONLINE_RESEND_S = 1.0
+BATCH_RESEND_S = 15.0
+
 
 class EntryState(enum.Enum):
     """How far an ask has come."""
@@ -30,6 +33,7 @@
     :param since: when the ask was made
     :param cell: the cell that it was sent to
     :param owner: the member that it was sent to; empty while there is none
+    :param sent_at: when the ask was last sent
     :param refused_at: when it was first refused by a member that owns not
     :param local: whether it runs by the holder's own share
     """
@@ -42,6 +46,7 @@
     state: EntryState = EntryState.WAITING
     cell: CellKey | None = None
     owner: str = ""
+    sent_at: float = 0.0
     refused_at: float | None = None
     backend: str = ""
     local: bool = False
@@ -53,6 +58,11 @@
         """Whether the work is online work."""
         return self.ask.work_class is WorkClass.ONLINE
 
+    @property
+    def resend_s(self) -> float:
+        """Seconds after which an ask without an answer is sent again."""
+        return ONLINE_RESEND_S if self.online else BATCH_RESEND_S
+
     @property
     def waiting(self) -> bool:
         """Whether there is no answer yet."""
--- a/tests/peer/permit_fakes.py
+++ b/tests/peer/permit_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.objects import Configuration, Pool
@@ -27,6 +28,7 @@
 
 KEY = "peer-test-key"
 WAIT_S = 10.0
+POLL_S = 0.005
 
 
 def member(name: str, address: str = "127.0.30.1") -> Member:
@@ -183,3 +185,12 @@
     )
     made.start()
     return made
+
+
+def until(reached: Callable[[], bool]) -> None:
+    """Wait for a state that must come; the bound only ends a hang."""
+    deadline = time.monotonic() + WAIT_S
+    while not reached():
+        if time.monotonic() > deadline:
+            raise AssertionError("the state was not reached")
+        time.sleep(POLL_S)
--- a/tests/peer/test_holder.py
+++ b/tests/peer/test_holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING
 import unittest
 
@@ -26,12 +25,11 @@
     FakeMembership,
     link,
     member,
+    until,
 )
 from tests.policy.cell_cases import ask, batch, engine
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from mulberrypass.peer.holder import PermitLink
     from mulberrypass.policy.messages import Ask
 
@@ -39,22 +37,12 @@
 ENTRY_B = member("entry@b", "127.0.30.2")
 BATCH = member("batch@c", "127.0.30.3")
 CELL = cells.CellKey("rackmind", 0)
-POLL_S = 0.005
 
 
 def _nothing() -> None:
     return None
 
 
-def _until(reached: Callable[[], bool]) -> None:
-    """Wait for a state that must come; the bound only ends a hang."""
-    deadline = time.monotonic() + WAIT_S
-    while not reached():
-        if time.monotonic() > deadline:
-            raise AssertionError("the state was not reached")
-        time.sleep(POLL_S)
-
-
 class HolderCase(unittest.TestCase):
     """One owner and one other entry, two engines of two slots."""
 
@@ -118,13 +106,13 @@
                 self.assertEqual(1, self.permits(self.first))
                 holder.tell(FirstToken(name, 0.1))
                 holder.tell(Release(name, ReleaseOutcome.DONE, 0.2, 10))
-                _until(lambda: self.permits(self.first) == 0)
+                until(lambda: self.permits(self.first) == 0)
 
     def test_queued_ask_is_granted_on_release(self) -> None:
         for index in range(4):
             self.grant(ask(f"run-{index}"))
         waiting = self.link.ask(ask("wait"), _nothing)
-        _until(lambda: self.queued(self.first, "online") == 1)
+        until(lambda: self.queued(self.first, "online") == 1)
         self.assertFalse(waiting.done())
         self.link.tell(Release("run-0", ReleaseOutcome.DONE, 0.2, 10))
         self.assertIsInstance(waiting.result(WAIT_S), Grant)
@@ -133,10 +121,10 @@
         for index in range(4):
             self.grant(ask(f"run-{index}"))
         waiting = self.link.ask(ask("wait"), _nothing)
-        _until(lambda: self.queued(self.first, "online") == 1)
+        until(lambda: self.queued(self.first, "online") == 1)
         self.link.tell(Withdraw("wait"))
         self.assertIsInstance(waiting.result(WAIT_S), Refuse)
-        _until(lambda: self.queued(self.first, "online") == 0)
+        until(lambda: self.queued(self.first, "online") == 0)
 
     def test_online_revokes_batch(self) -> None:
         revoked = threading.Event()
@@ -160,11 +148,11 @@
         for index in range(4):
             self.grant(ask(f"run-{index}"))
         waiting = self.link.ask(ask("wait"), _nothing)
-        _until(lambda: self.queued(self.first, "online") == 1)
+        until(lambda: self.queued(self.first, "online") == 1)
         self.membership.set(self.second.me)
-        _until(lambda: self.permits(self.second) == 4)
-        _until(lambda: self.queued(self.second, "online") == 1)
-        _until(lambda: self.permits(self.first) == 0)
+        until(lambda: self.permits(self.second) == 4)
+        until(lambda: self.queued(self.second, "online") == 1)
+        until(lambda: self.permits(self.first) == 0)
         self.link.tell(Release("run-0", ReleaseOutcome.DONE, 0.2, 10))
         self.assertIsInstance(waiting.result(WAIT_S), Grant)
 
@@ -193,12 +181,12 @@
         for index in range(4):
             self.grant(batch(f"run-{index}", prompt_tokens=0))
         waiting = self.link.ask(batch("wait"), _nothing)
-        _until(lambda: self.queued(self.first, "batch") == 1)
+        until(lambda: self.queued(self.first, "batch") == 1)
         port = self.ports[self.first.me.name]
         self.first.cut()
-        _until(lambda: self.queued(self.first, "batch") == 0)
+        until(lambda: self.queued(self.first, "batch") == 0)
         self.first.start_server(self.ports, port)
-        _until(lambda: self.queued(self.first, "batch") == 1)
+        until(lambda: self.queued(self.first, "batch") == 1)
         self.assertEqual(4, self.permits(self.first))
         self.link.tell(Release("run-0", ReleaseOutcome.DONE, 0.2, 10))
         self.assertIsInstance(waiting.result(WAIT_S), Grant)
@@ -212,12 +200,12 @@
             self.assertEqual(1, sum(self.link.state()["local"].values()))
         finally:
             resume.set()
-        _until(lambda: self.permits(self.first) == 2)
+        until(lambda: self.permits(self.first) == 2)
         after = self.grant(ask("after"))
         self.assertNotIn("open_2", after.ask_id)
         for name in ("before", "open", "after"):
             self.link.tell(Release(name, ReleaseOutcome.DONE, 0.2, 10))
-        _until(lambda: self.permits(self.first) == 0)
+        until(lambda: self.permits(self.first) == 0)
         self.assertEqual({}, self.link.state()["local"])
 
     def test_member_that_owns_not_is_asked_again_elsewhere(self) -> None:
@@ -232,7 +220,7 @@
     def test_leaving_backend_gets_nothing_new(self) -> None:
         both = (self.first.me, self.second.me)
         self.membership.set(*both, leaving=("core-0",))
-        _until(lambda: self.leaving(self.first) == {"core-0"})
+        until(lambda: self.leaving(self.first) == {"core-0"})
         for index in range(2):
             got = self.grant(ask(f"run-{index}"))
             self.assertEqual("core-1", got.backend)
--- /dev/null
+++ b/tests/peer/test_permit_faults.py
@@ -0,0 +1,134 @@
+"""Seeded faults between holders and owners over real sockets."""
+
+from __future__ import annotations
+
+import os
+import random
+import threading
+from typing import TYPE_CHECKING
+import unittest
+
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.policy.messages import (
+    FirstToken,
+    Grant,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+)
+from tests.peer.permit_fakes import (
+    WAIT_S,
+    Entry,
+    FakeConfiguration,
+    FakeMembership,
+    link,
+    member,
+    until,
+)
+from tests.policy.cell_cases import ask, batch, engine
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from mulberrypass.peer.holder import PermitLink
+
+SEEDS = int(os.environ.get("MULBERRY_TEST_FAULT_SEEDS", "2"))
+STEPS = 12
+ASKS = 25
+MEMBERS = [
+    member(f"entry@{name}", f"127.0.30.{10 + index}")
+    for index, name in enumerate("abc")
+]
+
+
+class FaultWorld:
+    """Three owners of two cells, and four holders."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.ports: dict[str, int] = {}
+        self.membership = FakeMembership(*MEMBERS)
+        backends = [engine(f"core-{index:02}", 2) for index in range(20)]
+        self.cfg = FakeConfiguration("rackmind", backends)
+        self.entries = [
+            Entry(m, self.membership, self.cfg, self.ports) for m in MEMBERS
+        ]
+        self.loop = LoopThread()
+        self.loop.start()
+        self.batch = link(
+            member("batch@x"), self.loop, self.membership, self.cfg, self.ports
+        )
+        self.holders = [*(e.link for e in self.entries), self.batch]
+        self.resume = threading.Event()
+        self.answers: list[Future[Grant | Refuse]] = []
+
+    def step(self) -> None:
+        """Let one fault happen, and ask for permits meanwhile."""
+        entry = self.rng.choice(self.entries)
+        fault = self.rng.choice(("cut", "pause", "members", "none"))
+        self.resume.set()
+        match fault:
+            case "cut":
+                entry.cut()
+            case "pause":
+                self.resume = threading.Event()
+                entry.pause(self.resume)
+            case "members":
+                count = self.rng.randint(1, len(MEMBERS))
+                self.membership.set(*self.rng.sample(MEMBERS, count))
+        for _ in range(ASKS):
+            self.ask(self.rng.choice(self.holders))
+        if fault == "cut":
+            entry.start_server(self.ports, self.ports[entry.me.name])
+
+    def ask(self, holder: PermitLink) -> None:
+        """Ask for a permit, and release it as soon as it is granted."""
+        make = self.rng.choice((ask, batch))
+        made = make(f"ask-{len(self.answers)}", budget_s=60.0)
+        answer = holder.ask(made, lambda: None)
+        answer.add_done_callback(lambda fut: self.use(holder, fut.result()))
+        self.answers.append(answer)
+
+    def use(self, holder: PermitLink, answer: Grant | Refuse) -> None:
+        """Release a permit."""
+        if isinstance(answer, Grant):
+            holder.tell(FirstToken(answer.ask_id, 0.01))
+            done = ReleaseOutcome.DONE
+            holder.tell(Release(answer.ask_id, done, 0.02, 10))
+
+    def is_idle(self) -> bool:
+        """Whether no owner counts a permit in use."""
+        return not any(
+            cell["permits"]
+            for entry in self.entries
+            for cell in entry.owner.state()["cells"].values()
+        )
+
+    def stop(self) -> None:
+        """End all parts."""
+        self.resume.set()
+        self.batch.stop()
+        for entry in self.entries:
+            entry.stop()
+        self.loop.stop()
+
+
+class PermitFaultsTest(unittest.TestCase):
+    def test_every_ask_is_granted_and_nothing_is_left(self) -> None:
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                world = FaultWorld(seed)
+                try:
+                    for _ in range(STEPS):
+                        world.step()
+                    world.resume.set()
+                    world.membership.set(*MEMBERS)
+                    for answer in world.answers:
+                        self.assertIsInstance(answer.result(WAIT_S), Grant)
+                    until(world.is_idle)
+                    for holder in world.holders:
+                        state = holder.state()
+                        self.assertEqual({}, state["local"])
+                        self.assertEqual({}, state["asks"])
+                finally:
+                    world.stop()
