--- a/src/mulberrypass/configuration/follower.py
+++ b/src/mulberrypass/configuration/follower.py
@@ -63,12 +63,14 @@
     """What a follower knows, for the dump of a process's state.
 
     :param head: the highest generation that the head row has shown
+    :param unreadable: a generation that only a newer release can read
     :param store_failures: reads of the head row that failed in a row
     """
 
     generation: int
     digest: str
     head: int
+    unreadable: int
     ready: bool
     store_failures: int
     hints: dict[str, int]
@@ -117,6 +119,7 @@
         self._hints: dict[str, int] = {}
         self._store_failures = 0
         self._snapshot_failed = False
+        self._unreadable = 0
         self._peers_answered = False
         self._stale_offers = 0
         self._poll_at: float | None = None
@@ -177,6 +180,7 @@
             generation=current.generation,
             digest=current.digest,
             head=self._head,
+            unreadable=self._unreadable,
             ready=self.ready,
             store_failures=self._store_failures,
             hints=dict(self._hints),
@@ -211,6 +215,10 @@
 
     def _take(self, message: _Message) -> None:
         match message:
+            case _Hint(generation=generation) if (
+                generation <= self._unreadable
+            ):
+                pass
             case _Hint(member=member, generation=generation):
                 known = self._hints.get(member, 0)
                 self._hints[member] = max(known, generation)
@@ -223,7 +231,7 @@
         match self._ports.store.head():
             case Result(tag="ok", ok=head):
                 self._store_failures = 0
-                self._snapshot_failed = False
+                self._snapshot_failed = head.generation == self._unreadable
                 if head.row is not None and head.generation > self._head:
                     self._head = head.generation
                     self._head_digest = head.row.digest
@@ -295,6 +303,8 @@
                 self._put_in_force(cfg, snapshot)
                 return True
             case Result(error=bad):
+                if bad.whole:
+                    self._unreadable = snapshot.generation
                 LOG.error(
                     "a snapshot is refused",
                     generation=snapshot.generation,
--- a/src/mulberrypass/configuration/store.py
+++ b/src/mulberrypass/configuration/store.py
@@ -190,6 +190,8 @@
 
         A reply that is lost is settled by submitting the same conditions
         again: either the write takes effect now, or its own row is found.
+        Where the snapshot in force is lost, the history names every object
+        of the new set as added.
         """
         before = self._table.read(rows.TABLE, rows.submit_key(sub.submit_id))
         match before:
@@ -232,6 +234,8 @@
         match self.configuration(head):
             case Result(tag="ok", ok=current):
                 return self._publish(head, current, sub)
+            case Result(error=NoSuchGeneration()):
+                return self._publish(head, Configuration(), sub)
             case Result(error=exc):
                 return Error(StoreDown(exc.reason))
 
--- a/src/mulberrypass/model/snapshot.py
+++ b/src/mulberrypass/model/snapshot.py
@@ -54,9 +54,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BadSnapshot:
-    """Bytes that are not the snapshot which they should be."""
+    """Bytes that are not the snapshot which they should be.
+
+    :param whole: whether the bytes are those that were published, and only
+        a newer release can read them
+    """
 
     reason: str
+    whole: bool = False
 
 
 def from_documents(documents: Iterable[Document]) -> objects.Configuration:
@@ -104,7 +109,7 @@
         parsed = _Canonical.model_validate_json(content)
     except ValidationError as exc:
         first = exc.errors(include_url=False, include_input=False)[0]
-        return Error(BadSnapshot(f"can't be read: {first['msg']}"))
+        return Error(BadSnapshot(f"can't be read: {first['msg']}", True))
     fields = {kind: getattr(parsed, kind) for kind in KINDS}
     return Ok(
         objects.Configuration(
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
 import random
 import unittest
+import zlib
 
 from expression import Error, Ok, Result
 from structlog.testing import capture_logs
@@ -15,7 +18,7 @@
 )
 from mulberrypass.configuration.store import ConfigurationStore, Submission
 from mulberrypass.model.objects import Configuration
-from mulberrypass.model.snapshot import Snapshot
+from mulberrypass.model.snapshot import Snapshot, encode
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
@@ -39,6 +42,7 @@
         )
         self.peers: dict[str, Snapshot] = {}
         self.members: tuple[str, ...] = ()
+        self.fetches = 0
         self.follower = self.make_follower()
 
     def make_follower(self) -> ConfigurationFollower:
@@ -52,6 +56,7 @@
         self, member: str, at_least: int
     ) -> Result[Snapshot, PeerSilent]:
         """Answer as a peer does."""
+        self.fetches += 1
         snapshot = self.peers.get(member)
         if snapshot is None or snapshot.generation < at_least:
             return Error(PeerSilent("nothing"))
@@ -145,6 +150,24 @@
         self.assertEqual(2, self.generation())
         self.assertEqual(1, self.follower.state().stale_offers)
 
+    def test_what_a_newer_release_published_is_fetched_once(self) -> None:
+        self.publish("a")
+        self.step()
+        content = json.dumps({"format": 99}).encode()
+        newer = Snapshot(
+            2, hashlib.sha256(content).hexdigest(), zlib.compress(content)
+        )
+        self.peers["p1"] = newer
+        for _ in range(3):
+            self.follower.hint("p1", 2)
+            self.step()
+        self.assertEqual(1, self.generation())
+        self.assertEqual(1, self.fetches)
+        self.peers["p1"] = encode(make_set("b"), 3)
+        self.follower.hint("p1", 3)
+        self.step()
+        self.assertEqual(3, self.generation())
+
     def test_a_wrong_digest_is_refused(self) -> None:
         good = self.publish("a")
         bad = Snapshot(2, good.digest[::-1], good.data)
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -126,6 +126,14 @@
         changes = [(c.key, c.action) for c in entry.changes]
         self.assertEqual([("b", "removed"), ("c", "added")], changes)
 
+    def test_a_lost_snapshot_can_be_replaced(self) -> None:
+        self.submit(make_set("a"), 0, "1")
+        for key in self.platform.object_keys():
+            self.platform.delete_object(key)
+        answer = self.submit(make_set("a", "b"), 1, "2")
+        assert isinstance(answer, s.Accepted), answer
+        self.assertEqual(2, self.generation())
+
     def test_outage(self) -> None:
         self.platform.set_faults(Faults(outage=True))
         answer = self.submit(make_set("a"), 0, "1")
