Let batch admission catch up on its pace within 20 ms

The pace set the next batch prefill of an engine from the moment of the grant, so an owner that wakes every few milliseconds granted one item an engine at each wake, however small. It now counts from when the pace allowed it, at most 20 ms back. Over real processes small items gained nothing measurable: the holder's own rate bounds them.

--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -21,6 +21,8 @@
     from mulberrypass.policy.queueing import Lane, Queued
     from mulberrypass.policy.routing import Choice
 
+PACE_BURST_S = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class CellDecision:
@@ -199,7 +201,8 @@
             self._apply_health(engine, now)
         if permit.batch:
             rest = self._pace.interval_s(permit.uncached_tokens)
-            engine.batch_ready_at = now + rest
+            since = max(engine.batch_ready_at, now - PACE_BURST_S)
+            engine.batch_ready_at = since + rest
 
     def _revoke(self, now: float) -> Iterator[CellDecision]:
         """Take back batch permits for online asks that found no slot."""
