Remove recorded outcomes once they were kept for their time

Services state how long results are kept, but nothing removed records of requests. A test holds an outcome to the end of its time and finds it gone two hours later.

--- a/src/mulberrypass/online/records.py
+++ b/src/mulberrypass/online/records.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict, dataclass, replace
 import enum
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 from expression import Error, Ok, Result
@@ -23,13 +24,16 @@
 from mulberrypass.policy.messages import Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from mulberrypass.online.call import Call, Outcome
     from mulberrypass.platform.api import Table, TableError
 
 REQUESTS = "request"
 PENDING = "pending"
+EXPIRY = "request_expiry"
+EXPIRY_BUCKET_S = 3_600
+REMOVED_AT_ONCE = 50
 
 
 class RecordState(enum.StrEnum):
@@ -48,6 +52,7 @@
     :param holder: member that runs the request
     :param incarnation: incarnation of the holder
     :param deadline_at: Unix time in seconds
+    :param keep_s: how long the outcome is kept
     """
 
     request_id: str
@@ -59,6 +64,7 @@
     holder: str
     incarnation: int
     deadline_at: float
+    keep_s: int
     state: RecordState = RecordState.ACCEPTED
     outcome: Outcome | None = None
     takeovers: int = 0
@@ -100,10 +106,17 @@
 class Records:
     """Reads and writes records; safe on any thread."""
 
-    def __init__(self, table: Table, member: str, incarnation: int) -> None:
+    def __init__(
+        self,
+        table: Table,
+        member: str,
+        incarnation: int,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         self._table = table
         self._member = member
         self._incarnation = incarnation
+        self._wall = wall
 
     def accept(
         self, call: Call, deadline_at: float
@@ -121,6 +134,7 @@
             holder=self._member,
             incarnation=self._incarnation,
             deadline_at=deadline_at,
+            keep_s=call.service.result_ttl_s,
         )
         pending = Put(PENDING, call.request_id, self._claim(), Absent())
         return self._write(record, Absent(), pending)
@@ -136,7 +150,9 @@
         """Commit the outcome; ``Standing`` where another one stands."""
         done = replace(record, state=RecordState.DONE, outcome=outcome)
         settled = Delete(PENDING, record.request_id, Always())
-        return self._write(done, VersionIs(record.version), settled)
+        until = int(self._wall()) + record.keep_s
+        kept = Put(EXPIRY, _expiry_key(until, record.request_id), {}, Always())
+        return self._write(done, VersionIs(record.version), settled, kept)
 
     def withdraw(self, record: Record) -> Result[None, RecordError]:
         """Remove the record of a request that did not run."""
@@ -190,6 +206,30 @@
                 yield row.key, holder, int(row.row.get("incarnation", 0))
             after = result.ok.next_after
 
+    def remove_expired(self) -> int:
+        """Remove outcomes that were kept for their time.
+
+        :returns: how many were removed; fewer where the platform fails
+        """
+        ended = f"{int(self._wall()) // EXPIRY_BUCKET_S:012d}"
+        removed = 0
+        while True:
+            found = self._table.scan(EXPIRY, "", "", REMOVED_AT_ONCE)
+            if found.is_error():
+                return removed
+            keys = [row.key for row in found.ok.rows if row.key < ended]
+            if not keys or not self._remove(keys):
+                return removed
+            removed += len(keys)
+
+    def _remove(self, keys: list[str]) -> bool:
+        ops: list[Delete] = []
+        for key in keys:
+            request_id = key.partition("/")[2]
+            ops.append(Delete(REQUESTS, request_id, Always()))
+            ops.append(Delete(EXPIRY, key, Always()))
+        return self._table.transact(tuple(ops)).is_ok()
+
     def _claim(self) -> dict[str, Any]:
         return {"holder": self._member, "incarnation": self._incarnation}
 
@@ -206,6 +246,11 @@
         return Ok(replace(record, version=result.ok.versions[0]))
 
 
+def _expiry_key(until: int, request_id: str) -> str:
+    """Name the hour after which an outcome is no longer kept."""
+    return f"{until // EXPIRY_BUCKET_S + 1:012d}/{request_id}"
+
+
 def row_from(record: Record) -> dict[str, Any]:
     """Give the stored form of a record."""
     row = asdict(record)
@@ -258,6 +303,7 @@
 
 
 __all__ = [
+    "EXPIRY",
     "Gone",
     "PENDING",
     "REQUESTS",
--- a/src/mulberrypass/online/recovery.py
+++ b/src/mulberrypass/online/recovery.py
@@ -23,6 +23,7 @@
 SWEEP_S = 2.0
 LOST_AFTER_S = 4.0
 UNSURE_S = 60.0
+EXPIRE_S = 300.0
 
 
 class Sweeper:
@@ -46,6 +47,7 @@
         self._runs = runs
         self._lost_since: dict[str, float] = {}
         self._unsure_since: dict[str, float] = {}
+        self._expire_at = 0.0
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="sweeper", daemon=True
@@ -61,8 +63,10 @@
 
     def _run(self) -> None:
         while not self._stop.wait(SWEEP_S):
+            now = time.monotonic()
             try:
-                self.sweep(time.monotonic())
+                self.sweep(now)
+                self.remove_expired(now)
             except Exception:
                 LOG.exception("sweep failed")
 
@@ -112,6 +116,17 @@
         ]
         return sum(self._take_over(request_id) for request_id in ripe)
 
+    def remove_expired(self, now: float) -> int:
+        """Remove outcomes kept for their time, now and then.
+
+        :param now: monotonic time in seconds
+        """
+        live = [m.name for m in self._membership.live(self._me.program)]
+        if now < self._expire_at or not is_sweeper(self._me.name, live):
+            return 0
+        self._expire_at = now + EXPIRE_S
+        return self._records.remove_expired()
+
     def _take_over(self, request_id: str) -> bool:
         if self._runs.full():
             return False
--- a/tests/online/test_recorded.py
+++ b/tests/online/test_recorded.py
@@ -4,14 +4,16 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
+from functools import partial
 import itertools
+import time
 from typing import TYPE_CHECKING
 import unittest
 
 from mulberrypass.online.call import Completed, Failed
 from mulberrypass.online.course import Tools, new_ask_numbers
 from mulberrypass.online.recorded import RecordedRuns
-from mulberrypass.online.records import Records, RecordState
+from mulberrypass.online.records import EXPIRY, Records, RecordState
 from mulberrypass.online.recovery import LOST_AFTER_S, Sweeper
 from mulberrypass.online.shared import SharedPolicy
 from mulberrypass.peer.api import Member, Membership
@@ -243,6 +245,24 @@
                 sweeper.sweep(0.0)
                 self.assertEqual(taken, sweeper.sweep(LOST_AFTER_S))
 
+    def test_outcome_is_kept_for_its_time_and_then_removed(self) -> None:
+        one = self.instance("entry@1")
+        list(one.runs.events(a_call(SLIP, "r-1"), DEADLINE_AT))
+        hour = 3_600
+        kept = SLIP.result_ttl_s
+        for later, left in ((kept - 1, 1), (kept + 2 * hour, 0)):
+            with self.subTest(later=later):
+                wall = time.time() + later
+                records = Records(
+                    MemoryTable(self.platform),
+                    "entry@2",
+                    1,
+                    partial(float, wall),
+                )
+                self.assertEqual(1 - left, records.remove_expired())
+                self.assertEqual(left, len(self.platform.all_rows("request")))
+        self.assertEqual((), self.platform.all_rows(EXPIRY))
+
     def test_started_call_that_may_run_once_is_indeterminate(self) -> None:
         one, two = self.instance("entry@1"), self.instance("entry@2")
         accepted = one.records.accept(a_call(BOOKING, "r-1"), DEADLINE_AT)
