Count a straggler's time from when its work is sent

Change: the time counts from the sending, and an item with an outcome has no stragglers. The dump shows each run, its backend server and its age, which is how this was found.

--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 import queue
-import random
 import threading
 import time
 from typing import TYPE_CHECKING, Protocol
@@ -46,9 +45,6 @@
 
 LOG = get_logger(__name__)
 TICK_S = 0.05
-RETRY_BASE_S = 0.1
-MAX_RETRY_S = 2.0
-RETRY_DOUBLINGS = 10
 
 DECISIONS = {
     ItemState.DONE: Decision.ITEM_DONE,
@@ -57,6 +53,11 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    run: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Ended:
     run: int
@@ -100,7 +101,8 @@
 
 
 _Event = (
-    _Ended
+    _Sent
+    | _Ended
     | _Polled
     | _LeaseAnswered
     | _IntentsAnswered
@@ -121,25 +123,6 @@
         """Stop a run; its end is posted all the same."""
 
 
-class RetryPause:
-    """Waits between tries at the platform, with jitter; ends at a stop."""
-
-    def __init__(self, stop: threading.Event, seed: int) -> None:
-        self._stop = stop
-        self._random = random.Random(seed)
-
-    def __call__(self, attempt: int, asked_s: float) -> None:
-        """Wait before another try.
-
-        :raises GaveUp: where the process stops meanwhile
-        """
-        doublings = min(attempt - 1, RETRY_DOUBLINGS)
-        longest = min(MAX_RETRY_S, RETRY_BASE_S * 2**doublings)
-        wait_s = max(asked_s, self._random.uniform(0, longest))
-        if self._stop.wait(wait_s):
-            raise GaveUp
-
-
 class JobRunner:
     """Owns the holder's state; other threads post events to it.
 
@@ -189,6 +172,10 @@
         """Start the thread of this task."""
         self._thread.start()
 
+    def run_sent(self, run: int) -> None:
+        """Take news that a run's work is sent, on any thread."""
+        self._events.put(_Sent(run))
+
     def run_ended(self, run: int, result: RunResult) -> None:
         """Take the end of a run, on any thread."""
         self._events.put(_Ended(run, result))
@@ -263,6 +250,8 @@
 
     def _take(self, event: _Event, now: float) -> None:
         match event:
+            case _Sent(run=run):
+                self._holder.run_sent(run, now)
             case _Ended(run=run, result=result):
                 self._count(self._holder.run_ended(run, result, now))
             case _Polled(board=board):
@@ -390,4 +379,4 @@
             return None
 
 
-__all__ = ["JobRunner", "RetryPause"]
+__all__ = ["JobRunner"]
--- a/src/mulberrypass/jobs/runs.py
+++ b/src/mulberrypass/jobs/runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 import threading
 import time
 from typing import TYPE_CHECKING, Protocol
@@ -14,7 +14,7 @@
 from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
 from mulberrypass.model.objects import BackendKind, ServiceKind
 from mulberrypass.policy.canary import route_version
-from mulberrypass.policy.items import Broken, Stopped
+from mulberrypass.policy.items import Broken, Completed, Stopped
 from mulberrypass.policy.messages import Ran
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.logs import get_logger
@@ -53,6 +53,22 @@
     stopped: bool = False
     crowded: bool = False
     backend: str = ""
+    started: float = field(default_factory=time.monotonic)
+
+
+@dataclass(frozen=True, slots=True)
+class RunState:
+    """What a dump shows of a run.
+
+    :param backend: empty while it waits for a permit
+    """
+
+    run: int
+    job: str
+    item: int
+    backend: str
+    stopped: bool
+    age_s: float
 
 
 class ItemRuns:
@@ -60,6 +76,7 @@
 
     :param line: gives the line of an item of a held lot
     :param may_start: whether an item of a lot may be sent now
+    :param sent: told each run whose work is about to be sent
     :param post: takes each run's number and result, on the run's thread
     :param threads: runs at once
     """
@@ -72,6 +89,7 @@
         permits: PermitClient,
         line: Callable[[LotKey, int], bytes | None],
         may_start: Callable[[LotKey], bool],
+        sent: Callable[[int], None],
         post: Callable[[int, RunResult], None],
         threads: int,
     ) -> None:
@@ -83,6 +101,7 @@
         self._permits = permits
         self._line = line
         self._may_start = may_start
+        self._sent = sent
         self._post = post
         self._lock = threading.Lock()
         self._live: dict[int, _Live] = {}
@@ -106,6 +125,24 @@
         if run is not None:
             run.stop()
 
+    def state(self) -> tuple[RunState, ...]:
+        """Give what a dump shows, the oldest runs first."""
+        now = time.monotonic()
+        with self._lock:
+            lives = list(self._live.values())
+        runs = [
+            RunState(
+                live.command.run,
+                live.command.key.job,
+                live.command.item,
+                live.backend,
+                live.stopped,
+                round(now - live.started, 3),
+            )
+            for live in lives
+        ]
+        return tuple(sorted(runs, key=lambda run: -run.age_s))
+
     def close(self) -> None:
         """Let the threads end."""
         self._pool.shutdown(wait=False, cancel_futures=True)
@@ -115,6 +152,13 @@
         result: RunResult = Broken("the run failed", Ran.MAYBE)
         try:
             result = self._run(command)
+            if not isinstance(result, Completed):
+                LOG.debug(
+                    "run ended",
+                    job=command.key.job,
+                    item=command.item,
+                    result=repr(result),
+                )
         except Exception:
             LOG.exception("run failed", job=command.key.job, item=command.item)
         finally:
@@ -194,6 +238,7 @@
         self._cancels.submit(call)
 
     def _placed(self, command: StartItem, backend: str) -> None:
+        self._sent(command.run)
         with self._lock:
             own = self._live[command.run]
             own.backend = backend
@@ -223,4 +268,4 @@
         return None if backend is None else self._clients.plain(backend)
 
 
-__all__ = ["EngineClients", "ItemRuns"]
+__all__ = ["EngineClients", "ItemRuns", "RunState"]
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -15,10 +15,10 @@
 from mulberrypass.jobs.manifest import LOT_ITEMS
 from mulberrypass.jobs.reading import JobReader
 from mulberrypass.jobs.results import JobResults
-from mulberrypass.jobs.runner import JobRunner, RetryPause
+from mulberrypass.jobs.runner import JobRunner
 from mulberrypass.jobs.runs import ItemRuns
 from mulberrypass.jobs.store import HolderStore
-from mulberrypass.jobs.writer import PatientWriter
+from mulberrypass.jobs.writer import PatientWriter, RetryPause
 from mulberrypass.policy.job_commands import Fleet, HolderSettings
 from mulberrypass.policy.job_holder import LotHolder
 from mulberrypass.policy.jobs import Holder
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.jobs.runs import EngineClients
+    from mulberrypass.jobs.runs import EngineClients, RunState
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import Member, Membership, PermitClient
     from mulberrypass.platform.api import Objects, Table
@@ -94,6 +94,7 @@
             peers.permits,
             store.input,
             self._runner.may_start,
+            self._runner.run_sent,
             self._runner.run_ended,
             settings.window,
         )
@@ -143,6 +144,10 @@
         """Give what a dump shows."""
         return self._runner.state()
 
+    def runs(self) -> tuple[RunState, ...]:
+        """Give what a dump shows of the runs that go on."""
+        return self._runs.state()
+
     def _kept_s(self, service: str) -> float:
         cfg = self._peers.configuration.current()
         found = cfg.services.get(service)
--- a/src/mulberrypass/jobs/writer.py
+++ b/src/mulberrypass/jobs/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from typing import TYPE_CHECKING
 
 from mulberrypass.jobs.rows import TABLE
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import threading
 
     from mulberrypass.platform.api import (
         ObjectError,
@@ -27,11 +29,34 @@
     )
     from mulberrypass.policy.jobs import Holder
 
+RETRY_BASE_S = 0.1
+MAX_RETRY_S = 2.0
+RETRY_DOUBLINGS = 10
+
 
 class GaveUp(Exception):  # noqa: N818
     """The process stops before the platform has answered."""
 
 
+class RetryPause:
+    """Waits between tries at the platform, with jitter; ends at a stop."""
+
+    def __init__(self, stop: threading.Event, seed: int) -> None:
+        self._stop = stop
+        self._random = random.Random(seed)
+
+    def __call__(self, attempt: int, asked_s: float) -> None:
+        """Wait before another try.
+
+        :raises GaveUp: where the process stops meanwhile
+        """
+        doublings = min(attempt - 1, RETRY_DOUBLINGS)
+        longest = min(MAX_RETRY_S, RETRY_BASE_S * 2**doublings)
+        wait_s = max(asked_s, self._random.uniform(0, longest))
+        if self._stop.wait(wait_s):
+            raise GaveUp
+
+
 class PatientWriter:
     """Repeats each call until the platform answers it.
 
@@ -94,4 +119,4 @@
         self._pause(attempt, asked_s)
 
 
-__all__ = ["GaveUp", "PatientWriter"]
+__all__ = ["GaveUp", "PatientWriter", "RetryPause"]
--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/job_holder.py
@@ -173,6 +173,12 @@
             if part.ended or part.released:
                 del self._lots[part.key]
 
+    def run_sent(self, run: int, now: float) -> None:
+        """Note that a run's work is sent to a backend server."""
+        lot = self._runs.get(run)
+        if lot is not None and self._lots.get(lot.key) is lot:
+            lot.sent(run, now)
+
     def run_ended(
         self, run: int, result: RunResult, now: float
     ) -> Outcome | None:
@@ -266,7 +272,7 @@
         chosen = lot.next_item(now, free)
         if chosen is None:
             return False
-        running = lot.start(self._new_run(lot), chosen, now)
+        running = lot.start(self._new_run(lot), chosen)
         if running.suspect:
             self._suspect_runs.add(running.run)
         self._commands.append(
@@ -298,11 +304,11 @@
                 if len(self._runs) >= self._settings.window:
                     return
                 if not straggler.suspect:
-                    self._run_twice(lot, straggler.item, now)
+                    self._run_twice(lot, straggler.item)
 
-    def _run_twice(self, lot: LotState, item: int, now: float) -> None:
+    def _run_twice(self, lot: LotState, item: int) -> None:
         run = self._new_run(lot)
-        lot.start_twin(run, item, now)
+        lot.start_twin(run, item)
         self._commands.append(StartItem(run, lot.key, item, lot.terms))
 
     def _flush(self, now: float) -> None:
--- a/src/mulberrypass/policy/lots.py
+++ b/src/mulberrypass/policy/lots.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 import heapq
 import statistics
 from typing import TYPE_CHECKING
@@ -73,12 +73,13 @@
     """One run of an item.
 
     :param suspect: whether it runs apart from other suspects
+    :param sent: when it was sent to a backend server, or ``None``
     """
 
     run: int
     item: int
-    started: float
     suspect: bool = False
+    sent: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,15 +169,19 @@
         item = queue.popleft()
         return Next(item, self._records.get(item, ItemRecord()))
 
-    def start(self, run: int, chosen: Next, now: float) -> Running:
-        """Note that a run of an item starts."""
-        running = Running(run, chosen.item, now, chosen.record.suspect)
+    def start(self, run: int, chosen: Next) -> Running:
+        """Note that a run of an item starts to ask for a permit."""
+        running = Running(run, chosen.item, chosen.record.suspect)
         self.running[run] = running
         return running
 
-    def start_twin(self, run: int, item: int, now: float) -> None:
+    def start_twin(self, run: int, item: int) -> None:
         """Note that an item is run a second time beside its first run."""
-        self.running[run] = Running(run, item, now)
+        self.running[run] = Running(run, item)
+
+    def sent(self, run: int, now: float) -> None:
+        """Note that a run's work is sent to a backend server."""
+        self.running[run] = replace(self.running[run], sent=now)
 
     def end(self, run: int, result: RunResult, now: float) -> Outcome | None:
         """Note the end of a run; the item's outcome if this run settled it."""
@@ -196,7 +201,8 @@
         match verdict:
             case Settle(outcome=outcome):
                 self._settle(outcome, now)
-                self._durations.append(now - running.started)
+                if running.sent is not None:
+                    self._durations.append(now - running.sent)
                 return outcome
             case Again(record=again):
                 self._requeue(item, again, now)
@@ -261,7 +267,10 @@
         return tuple(
             r
             for r in self.running.values()
-            if now - r.started > limit and len(self.twins(r.item)) == 1
+            if r.sent is not None
+            and now - r.sent > limit
+            and r.item not in self._settled
+            and len(self.twins(r.item)) == 1
         )
 
     def _take_over(self, now: float) -> None:
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -118,6 +118,7 @@
             cfg.lot_items,
         )
         common.dump.register("jobs", self._jobs.state)
+        common.dump.register("runs", self._jobs.runs)
         common.dump.register("permits", self._permits.state)
         health = Health(common.follower, common.dump, self._not_ready)
         self._http = HttpServer(
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -378,6 +378,7 @@
         if not process.runner.may_start(command.key):
             process.runner.run_ended(run, Stopped(Ran.NO))
             return
+        process.runner.run_sent(run)
         key = (process.name, process.incarnation, run)
         engine = self.random.randrange(2)
         self.active[key] = EngineRun(process, command, engine)
--- a/tests/policy/test_lots.py
+++ b/tests/policy/test_lots.py
@@ -33,7 +33,8 @@
     """Start the next item; its number."""
     chosen = state.next_item(now, suspects_free=True)
     assert chosen is not None
-    state.start(run, chosen, now)
+    state.start(run, chosen)
+    state.sent(run, now)
     return chosen.item
 
 
@@ -48,7 +49,7 @@
     def test_first_outcome_stands(self) -> None:
         state = lot(count=1)
         item = start(state, 1)
-        state.start_twin(2, item, 1.0)
+        state.start_twin(2, item)
         self.assertIsNotNone(state.end(2, Completed("second"), 2.0))
         self.assertIsNone(state.end(1, Completed("first"), 3.0))
         self.assertEqual(["second"], [o.output for o in state.take_flush()])
@@ -57,7 +58,7 @@
     def test_a_failed_twin_leaves_the_other_running(self) -> None:
         state = lot(count=1)
         item = start(state, 1)
-        state.start_twin(2, item, 1.0)
+        state.start_twin(2, item)
         self.assertIsNone(state.end(2, Broken("500", Ran.MAYBE), 2.0))
         self.assertEqual((0, (1,)), (state.pending, state.twins(item)))
 
@@ -126,3 +127,25 @@
                 for run in range(5):
                     state.end(run, Completed("x"), 10.0)
                 self.assertEqual(expected, len(state.stragglers(now)))
+
+    def test_no_straggler(self) -> None:
+        table = (
+            ("its item is settled", True, True),
+            ("it waits for a permit", False, False),
+        )
+        for name, sent, twin_ends in table:
+            with self.subTest(name):
+                state = lot(count=6)
+                for run in range(5):
+                    start(state, run)
+                    state.end(run, Completed("x"), 10.0)
+                chosen = state.next_item(0.0, suspects_free=True)
+                assert chosen is not None
+                state.start(9, chosen)
+                if sent:
+                    state.sent(9, 10.0)
+                if twin_ends:
+                    self.assertEqual(1, len(state.stragglers(100.0)))
+                    state.start_twin(10, chosen.item)
+                    state.end(10, Completed("x"), 100.0)
+                self.assertEqual((), state.stragglers(200.0))
