Revoke batch work ahead of a burst of online work

When online work comes after a quiet time, batch work without a first token is now revoked at once, and for a second each online grant that leaves less than half of an engine's reserve free revokes two batch permits there.

Revocation is a module of its own.

--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -5,7 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cell_dispatch import CellDecision, Dispatcher
+from mulberrypass.policy.cell_decisions import CellDecision
+from mulberrypass.policy.cell_dispatch import Dispatcher
 from mulberrypass.policy.cell_ledger import Ledger
 from mulberrypass.policy.cell_pacing import BatchPace
 from mulberrypass.policy.cell_settings import CellSettings
--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -3,35 +3,30 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from math import inf
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.messages import Grant, Revoke, WorkClass
+from mulberrypass.policy.cell_decisions import CellDecision
+from mulberrypass.policy.cell_revoke import Revoker
+from mulberrypass.policy.messages import Grant, WorkClass
 from mulberrypass.policy.queueing import FairQueue
 from mulberrypass.policy.routing import Router
 
 if TYPE_CHECKING:
     from collections.abc import Generator, Iterator, Mapping
 
-    from mulberrypass.policy.cell_engines import Engine, Permit
+    from mulberrypass.policy.cell_engines import Engine
     from mulberrypass.policy.cell_ledger import Ledger
     from mulberrypass.policy.cell_pacing import BatchPace
     from mulberrypass.policy.cell_settings import CellSettings
     from mulberrypass.policy.health import HealthBoard
-    from mulberrypass.policy.messages import Ask, OwnerMessage
+    from mulberrypass.policy.messages import Ask
     from mulberrypass.policy.queueing import Lane, Queued
     from mulberrypass.policy.routing import Choice
 
 PACE_BURST_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class CellDecision:
-    """A message that the owner of a cell sends to a holder."""
-
-    holder: str
-    message: OwnerMessage
-
-
 @dataclass(slots=True)
 class _Full:
     """What was found to have no room.
@@ -61,7 +56,9 @@
         self._pace = pace
         self._batch_from = batch_from
         self._online_at = 0.0
+        self._burst_at = -inf
         self._router = Router(settings)
+        self._revoker = Revoker(settings, ledger)
         self.zones: Mapping[str, str] = {}
         self.online = FairQueue()
         self.batch = FairQueue()
@@ -79,21 +76,41 @@
 
     def run(self, now: float) -> Iterator[CellDecision]:
         """Grant what may be granted now."""
-        self._set_batch_room(now)
+        if self._set_batch_room(now):
+            yield from self._revoker.for_burst(now)
         if len(self.online):
             waits = yield from self._fill(WorkClass.ONLINE, now)
             if waits:
-                yield from self._revoke(now)
+                asks = self._waiting_online()
+                yield from self._revoker.for_waiting(asks, now)
                 return
         if len(self.batch) and now >= self._batch_from:
             yield from self._fill(WorkClass.BATCH, now)
 
-    def _set_batch_room(self, now: float) -> None:
-        """Give batch work more while there is no online work."""
-        if len(self.online) or self._ledger.limits.online:
+    def _set_batch_room(self, now: float) -> bool:
+        """Give batch work more while there is no online work.
+
+        :returns: whether online work has come after a quiet time
+        """
+        if self._ledger.limits.online:
             self._online_at = now
         quiet = now - self._online_at >= self._settings.quiet_s
-        self._router.batch_alone(quiet)
+        burst = quiet and len(self.online) > 0
+        if burst:
+            self._burst_at = now
+        if len(self.online):
+            self._online_at = now
+        self._router.batch_alone(quiet and not burst)
+        return burst
+
+    def _refill(self, engine: Engine, now: float) -> Iterator[CellDecision]:
+        """Keep slots free for the online asks that follow in a burst."""
+        if now - self._burst_at > self._settings.burst_s:
+            return
+        free = engine.cap - engine.running + engine.revoked
+        least = self._router.reserve(engine) * self._settings.refill_share
+        if free < least and engine.batch:
+            yield from self._revoker.refill(engine, now)
 
     def adopt(self, ask: Ask, now: float) -> None:
         """Count in work that runs by a former owner's permit."""
@@ -127,6 +144,8 @@
             self._admit(ask, choice, queued.deadline, now)
             grant = Grant(ask.ask_id, choice.engine.backend.name)
             yield CellDecision(ask.holder, grant)
+            if work_class is WorkClass.ONLINE:
+                yield from self._refill(choice.engine, now)
             found = self._next(work_class, full, now) if queue else None
         return full.waits
 
@@ -204,31 +223,6 @@
             since = max(engine.batch_ready_at, now - PACE_BURST_S)
             engine.batch_ready_at = since + rest
 
-    def _revoke(self, now: float) -> Iterator[CellDecision]:
-        """Take back batch permits for online asks that found no slot."""
-        engines = self._ledger.engines
-        permits = self._ledger.permits
-        need = self._waiting_online()
-        need -= sum(engine.revoked for engine in engines.values())
-        for permit in tuple(permits.revocable()):
-            if need <= 0:
-                return
-            if not self._worth_revoking(permit):
-                continue
-            need -= 1
-            engines[permit.backend].revoke(permit)
-            permits.revoked(permit)
-            at = now + self._settings.revoke_grace_s
-            permits.reclaim_at(permit, min(permit.reclaim_at, at))
-            ask = permit.ask
-            yield CellDecision(ask.holder, Revoke(ask.ask_id))
-
-    def _worth_revoking(self, permit: Permit) -> bool:
-        """Whether online work may use the slot once it is free."""
-        engine = self._ledger.engines[permit.backend]
-        after = engine.running - engine.revoked - 1
-        return not engine.leaving and after < engine.cap
-
     def _waiting_online(self) -> int:
         limits = self._ledger.limits
         rooms = (
@@ -238,4 +232,4 @@
         return int(sum(rooms))
 
 
-__all__ = ["CellDecision", "Dispatcher"]
+__all__ = ["Dispatcher"]
--- /dev/null
+++ b/src/mulberrypass/policy/cell_revoke.py
@@ -0,0 +1,73 @@
+"""Takes batch permits back for online work, the youngest first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.policy.cell_decisions import CellDecision
+from mulberrypass.policy.messages import Revoke
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from mulberrypass.policy.cell_engines import Engine, Permit
+    from mulberrypass.policy.cell_ledger import Ledger
+    from mulberrypass.policy.cell_settings import CellSettings
+
+REFILL_PERMITS = 2
+
+
+class Revoker:
+    """Chooses the batch permits that are taken back."""
+
+    def __init__(self, settings: CellSettings, ledger: Ledger) -> None:
+        self._settings = settings
+        self._ledger = ledger
+
+    def for_waiting(self, asks: int, now: float) -> Iterator[CellDecision]:
+        """Free a slot for each online ask that found none."""
+        engines = self._ledger.engines.values()
+        need = asks - sum(engine.revoked for engine in engines)
+        yield from self._revoke(self._usable, need, now)
+
+    def for_burst(self, now: float) -> Iterator[CellDecision]:
+        """Take back batch work whose prefill online work would wait for."""
+        need = len(self._ledger.permits)
+        yield from self._revoke(_is_prefilling, need, now)
+
+    def refill(self, engine: Engine, now: float) -> Iterator[CellDecision]:
+        """Free slots of an engine for the online asks that may follow."""
+        name = engine.backend.name
+        yield from self._revoke(
+            lambda permit: permit.backend == name, REFILL_PERMITS, now
+        )
+
+    def _revoke(
+        self, wanted: Callable[[Permit], bool], most: int, now: float
+    ) -> Iterator[CellDecision]:
+        permits = self._ledger.permits
+        for permit in tuple(permits.revocable()):
+            if most <= 0:
+                return
+            if not wanted(permit):
+                continue
+            most -= 1
+            self._ledger.engines[permit.backend].revoke(permit)
+            permits.revoked(permit)
+            at = now + self._settings.revoke_grace_s
+            permits.reclaim_at(permit, min(permit.reclaim_at, at))
+            ask = permit.ask
+            yield CellDecision(ask.holder, Revoke(ask.ask_id))
+
+    def _usable(self, permit: Permit) -> bool:
+        """Whether online work may use the slot once it is free."""
+        engine = self._ledger.engines[permit.backend]
+        after = engine.running - engine.revoked - 1
+        return not engine.leaving and after < engine.cap
+
+
+def _is_prefilling(permit: Permit) -> bool:
+    return permit.prefilling and permit.uncached_tokens > 0
+
+
+__all__ = ["Revoker"]
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -100,6 +100,8 @@
         may be pending, so that online work finds others
     :param alone: what batch work may take when there was no online work
         for ``quiet_s`` seconds
+    :param burst_s: how long after a quiet time online grants that leave
+        less than ``refill_share`` of the reserve free revoke batch work
     :param fixed_share: share of slots for batch that can't be revoked
     :param service_margin: multiple of the expected service time that must
         fit before the deadline
@@ -114,8 +116,10 @@
     reserve_share: float = 0.25
     batch_prefill_tokens: int = 256
     batch_prefill_share: float = 0.6
-    alone: BatchRoom = BatchRoom(12, 1_024, 1.0)
+    alone: BatchRoom = BatchRoom(4, 1_024, 1.0)
     quiet_s: float = 2.0
+    burst_s: float = 1.0
+    refill_share: float = 0.5
     fixed_share: float = 0.25
     max_queued_online: int = 1_024
     max_queued_batch: int = 4_096
