--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -274,10 +274,10 @@
                 self._news.add(member.name)
             return
         if (member.incarnation, member.state) > (old.incarnation, old.state):
-            if self._is_unproven(member, old):
-                self._claim(member.name)
-            else:
+            if not self._is_unproven(member, old):
                 self._replace(old, member, now)
+            elif len(self._claims) < MAX_CLAIMS:
+                self._claims[member.name] = None
         elif member.incarnation == old.incarnation:
             self._take_generation(old, member.generation)
 
@@ -291,10 +291,6 @@
         same = said.incarnation == old.incarnation
         return dead and same and not self._roster.is_doubted(said.name)
 
-    def _claim(self, name: str) -> None:
-        if len(self._claims) < MAX_CLAIMS:
-            self._claims[name] = None
-
     def _replace(self, old: Member, said: Member, now: float) -> None:
         generation = said.generation
         if said.incarnation == old.incarnation:
@@ -306,12 +302,9 @@
         self.deaths += said.state is MemberState.DEAD
         refuted = said.incarnation == old.incarnation + 1
         if old.state is MemberState.DEAD and refuted:
-            self._look_around(now)
-
-    def _look_around(self, now: float) -> None:
-        """Contact many others: a partition seems to have ended."""
-        rounds = self._settings.contact_rounds
-        self._eager_until = now + rounds * self._settings.heartbeat_s
+            # A partition seems to have ended: find the others beyond it.
+            rounds = self._settings.contact_rounds
+            self._eager_until = now + rounds * self._settings.heartbeat_s
 
     def _store(self, member: Member, now: float) -> None:
         self._roster.store(member, now)
