--- a/src/mulberrypass/operator/fleet.py
+++ b/src/mulberrypass/operator/fleet.py
@@ -14,6 +14,8 @@
     from mulberrypass.operator.changes import ConfigurationChanges
     from mulberrypass.peer.api import Member, Membership
 
+COUNTED_STATES = frozenset({"alive", "suspect"})
+
 
 @dataclass(frozen=True, slots=True)
 class MemberHolds:
@@ -71,7 +73,7 @@
         current = self._changes.current()
         newest = max(current.cfg.generation, at_least)
         members = self.members()
-        counted = [m for m in members if m.state in _COUNTED]
+        counted = [m for m in members if m.state in COUNTED_STATES]
         missing = tuple(m for m in counted if m.generation < newest)
         instances = {m.instance for m in counted}
         late = {m.instance for m in missing}
@@ -95,9 +97,6 @@
         return tuple(found[name] for name in sorted(found))
 
 
-_COUNTED = frozenset({"alive", "suspect"})
-
-
 def _holds(member: Member, generation: int) -> MemberHolds:
     return MemberHolds(
         name=member.name,
