Let each holder use few cells of a large pool

Each holder now has four usual cells of a pool, picked by rendezvous hashing of its name; batch work stays there while an owner answers, online work looks at all cells when it would wait.

--- a/src/mulberrypass/peer/holder.py
+++ b/src/mulberrypass/peer/holder.py
@@ -69,7 +69,7 @@
         self._clock = clock
         self._agent = PermitAgent(
             loop.loop,
-            CellRoutes(me.zone, membership, configuration),
+            CellRoutes(me, membership, configuration),
             OwnerSessions(me, loop, membership, local, key, clock, port, tls),
             clock,
             metrics or Metrics(me.program),
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -120,7 +120,7 @@
     def _route(self, entry: PermitEntry) -> None:
         """Send an ask to the owner of a cell, or go on without one."""
         ask = entry.ask
-        key = self._routes.choose(ask.pool, self._answers)
+        key = self._routes.choose(ask.pool, self._answers, entry.online)
         if key is None:
             self._refuse(entry, RefusalReason.NO_BACKEND)
             return
--- a/src/mulberrypass/peer/permit_routes.py
+++ b/src/mulberrypass/peer/permit_routes.py
@@ -5,14 +5,14 @@
 import random
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cells import CellKey, choose, cut, owner
+from mulberrypass.policy.cells import CellKey, choose, cut, owner, usual
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from mulberrypass.model.objects import Backend, Configuration
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Membership
+    from mulberrypass.peer.api import Member, Membership
     from mulberrypass.policy.cells import CellLoad
 
 OWNER_PROGRAM = "entry"
@@ -23,17 +23,19 @@
 
     def __init__(
         self,
-        zone: str,
+        me: Member,
         membership: Membership,
         configuration: ConfigurationSource,
         rng: random.Random | None = None,
     ) -> None:
-        self._zone = zone
+        self._holder = me.name
+        self._zone = me.zone
         self._membership = membership
         self._configuration = configuration
         self._rng = rng or random.Random()
         self._cfg: Configuration | None = None
         self._parts: dict[str, tuple[tuple[str, ...], ...]] = {}
+        self._usual: dict[str, tuple[CellKey, ...]] = {}
         self._owners: dict[CellKey, str] = {}
         self._live: list[str] | None = None
         self.loads: dict[str, CellLoad] = {}
@@ -75,20 +77,37 @@
         self._live = None
 
     def choose(
-        self, pool: str, answers: Callable[[CellKey], bool]
+        self, pool: str, answers: Callable[[CellKey], bool], online: bool
     ) -> CellKey | None:
-        """Choose a cell of a pool.
+        """Choose one of the few cells that this holder uses of a pool.
 
         :param answers: whether the owner of a cell answers; others are
             chosen only where none does
+        :param online: whether to look further when work would wait there
         """
+        few = tuple(filter(answers, self._usual_cells(pool)))
+        found = self._choose(few)
+        if found is not None and not (online and self._pressed(found)):
+            return found
         keys = self.cells(pool)
-        if len(keys) > 1:
-            keys = tuple(filter(answers, keys)) or keys
+        wide = self._choose(tuple(filter(answers, keys))) or found
+        return wide or self._choose(keys)
+
+    def _choose(self, keys: tuple[CellKey, ...]) -> CellKey | None:
         if not keys:
             return None
         return choose(keys, self.loads, self._near, self._rng.randrange)
 
+    def _pressed(self, key: CellKey) -> bool:
+        load = self.loads.get(key.name)
+        return load is not None and load.pressed
+
+    def _usual_cells(self, pool: str) -> tuple[CellKey, ...]:
+        self._cut(pool)
+        if pool not in self._usual:
+            self._usual[pool] = usual(self.cells(pool), self._holder)
+        return self._usual[pool]
+
     def cell_of(self, pool: str, backend: str) -> CellKey | None:
         """Give the cell that a backend server is in now."""
         for index, names in enumerate(self._cut(pool)):
@@ -102,6 +121,7 @@
         if cfg is not self._cfg:
             self._cfg = cfg
             self._parts.clear()
+            self._usual.clear()
         if pool not in self._parts:
             found = cfg.pools.get(pool)
             self._parts[pool] = cut(found.backends) if found else ()
--- a/src/mulberrypass/policy/cells.py
+++ b/src/mulberrypass/policy/cells.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
 MAX_CELL_BACKENDS = 16
+USUAL_CELLS = 4
 SEPARATOR = "#"
 
 
@@ -38,6 +39,11 @@
     queued_online: int = 0
     queued_batch: int = 0
 
+    @property
+    def pressed(self) -> bool:
+        """Whether online work may have to wait."""
+        return self.queued_online > 0 or self.free_slots == 0
+
 
 def parse(name: str) -> CellKey | None:
     """Read the name of a cell; ``None`` where it is not one."""
@@ -67,6 +73,20 @@
     return rendezvous.pick(key.name, members)
 
 
+def usual(
+    cells: Sequence[CellKey], holder: str, most: int = USUAL_CELLS
+) -> tuple[CellKey, ...]:
+    """Give the few cells that a holder uses while they have room.
+
+    Each holder has others, so that a cell is usual to few holders and the
+    streams between holders and owners stay few.
+    """
+    if len(cells) <= most:
+        return tuple(cells)
+    ranked = sorted(cells, key=lambda key: rendezvous.weight(key.name, holder))
+    return tuple(ranked[-most:])
+
+
 def choose(
     cells: Sequence[CellKey],
     loads: Mapping[str, CellLoad],
@@ -101,8 +121,10 @@
     "CellKey",
     "CellLoad",
     "MAX_CELL_BACKENDS",
+    "USUAL_CELLS",
     "choose",
     "cut",
     "owner",
     "parse",
+    "usual",
 ]
--- a/tests/policy/test_cells.py
+++ b/tests/policy/test_cells.py
@@ -13,6 +13,7 @@
     cut,
     owner,
     parse,
+    usual,
 )
 
 if TYPE_CHECKING:
@@ -53,6 +54,16 @@
         self.assertEqual(set(MEMBERS), set(counts))
         self.assertLess(max(counts.values()), 2 * len(KEYS) / len(MEMBERS))
 
+    def test_usual_cells_are_few_and_spread(self) -> None:
+        counts: Counter[CellKey] = Counter()
+        for index in range(800):
+            few = usual(KEYS[:38], f"entry@{index}")
+            self.assertEqual(4, len(set(few)))
+            counts.update(few)
+        self.assertEqual(38, len(counts))
+        self.assertLess(max(counts.values()), 1.5 * 800 * 4 / 38)
+        self.assertEqual(tuple(KEYS[:3]), usual(KEYS[:3], "entry@0"))
+
     def test_owner_of_no_members(self) -> None:
         self.assertIsNone(owner(KEYS[0], []))
 
