Give the states of owner and holder as JSON values

The dump turns data classes into JSON itself, but the explanation of a request puts the owner's state into an answer as it is, and the health of engines and the loads of cells are data classes: over real processes the entry answered with a fault of its own.

--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -17,6 +17,7 @@
     Revoke,
     Withdraw,
 )
+from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
@@ -324,7 +325,7 @@
             "asks": dict(Counter(e.state.value for e in entries)),
             "local": self._share.running(),
             "owners": self._sessions.state(),
-            "loads": dict(self._routes.loads),
+            "loads": jsonable(self._routes.loads),
         }
 
 
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -7,6 +7,7 @@
 from mulberrypass.policy.admission import Cell
 from mulberrypass.policy.cells import CellKey, cut, owner
 from mulberrypass.policy.messages import WorkClass
+from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
         return {key.name: cell.load() for key, cell in self._cells.items()}
 
     def state(self) -> dict[str, Any]:
-        """Give queues, permits and engines' scores of each cell."""
+        """Give queues, permits and scores of each cell as JSON values."""
         return {
             key.name: _cell_state(cell) for key, cell in self._cells.items()
         }
@@ -150,7 +151,7 @@
             }
             for name, engine in list(cell.engines.items())
         },
-        "health": cell.health.state(),
+        "health": jsonable(cell.health.state()),
     }
 
 
--- a/tests/peer/test_holder.py
+++ b/tests/peer/test_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import threading
 from typing import TYPE_CHECKING
 import unittest
@@ -137,6 +138,12 @@
         self.link.tell(Release("batch-3", ReleaseOutcome.CANCELLED))
         self.assertIsInstance(waiting.result(WAIT_S), Grant)
 
+    def test_states_are_json(self) -> None:
+        self.grant(ask("runs"))
+        for part in (self.first.owner, self.first.link, self.link):
+            state = part.state()
+            self.assertEqual(state, json.loads(json.dumps(state)))
+
     def test_unknown_pool_is_refused(self) -> None:
         got = self.answer(ask("lost", pool="nowhere"))
         assert isinstance(got, Refuse)
