Wait with takeovers until the other processes are known

Cause: in one of two trials without faults a process that had just started took over the lot of another that it did not know yet, and 335 of 1,500 non-idempotent items became indeterminate for nothing. Change: no takeover in the first 10 s of a process, and a holder of non-idempotent items must be gone for 10 s instead of 2 s.

--- a/src/mulberrypass/policy/job_commands.py
+++ b/src/mulberrypass/policy/job_commands.py
@@ -43,6 +43,10 @@
     :param poll_s: time between readings of the open jobs
     :param idle_poll_s: the same for a process that draws no lots
     :param takeover_s: time for which a holder must be gone
+    :param effect_takeover_s: the same for lots of non-idempotent items,
+        of which a takeover makes some indeterminate
+    :param settle_s: time after the start without takeovers, in which this
+        process gets to know the others
     :param board_age_s: age of a poll beyond which nothing starts by it
     :param pause_s: gap between ticks after which a poll must come first
     """
@@ -57,6 +61,8 @@
     poll_s: float = 1.0
     idle_poll_s: float = 5.0
     takeover_s: float = 2.0
+    effect_takeover_s: float = 10.0
+    settle_s: float = 10.0
     board_age_s: float = 2.0
     pause_s: float = 1.0
 
--- a/src/mulberrypass/policy/job_draw.py
+++ b/src/mulberrypass/policy/job_draw.py
@@ -39,6 +39,7 @@
         self._exhausted: dict[str, float] = {}
         self._missing: dict[LotKey, float] = {}
         self._after = 0.0
+        self._began: float | None = None
         self.board = Board((), ())
         self.leasing: OpenJob | None = None
 
@@ -54,6 +55,8 @@
         :param keys: lots that this process holds
         """
         self.board = board
+        if self._began is None:
+            self._began = now
         open_jobs = {job.job for job in board.jobs}
         self._exhausted = {
             job: until
@@ -134,12 +137,15 @@
     def _take_over(
         self, keys: Collection[LotKey], place: int, now: float
     ) -> TakeOver | None:
+        settle_s = self._settings.settle_s
+        if self._began is None or now - self._began < settle_s:
+            return None
         jobs = {job.job: job for job in self.board.jobs}
         ready = sorted(
             key
             for key, since in self._missing.items()
-            if now - since >= self._settings.takeover_s
-            and key.job in jobs
+            if key.job in jobs
+            and now - since >= self._patience_s(jobs[key.job])
             and key not in keys
         )
         if not ready:
@@ -149,6 +155,12 @@
         self._missing.pop(key)
         return TakeOver(jobs[key.job], lot)
 
+    def _patience_s(self, job: OpenJob) -> float:
+        terms = self._terms_of(job)
+        if terms is None or terms.idempotent or job.cancelled:
+            return self._settings.takeover_s
+        return self._settings.effect_takeover_s
+
     def _lease(
         self,
         fleet: Fleet,
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -63,6 +63,11 @@
         ge=0.0,
         description="seconds for which a holder must be gone",
     )
+    effect_takeover_s: float = Field(
+        default=10.0,
+        ge=0.0,
+        description="the same for lots of services that are not idempotent",
+    )
     drain_linger_s: float = Field(
         default=12.0,
         ge=0.0,
@@ -80,6 +85,7 @@
             flush_ages=replace(usual.flush_ages, max_s=self.flush_age_s),
             effect_flush_ages=replace(effects, max_s=self.effect_flush_age_s),
             takeover_s=self.takeover_s,
+            effect_takeover_s=self.effect_takeover_s,
         )
 
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -24,7 +24,12 @@
     from collections.abc import Callable
 
 SETTINGS = HolderSettings(
-    window=32, poll_s=0.05, takeover_s=0.1, idle_poll_s=0.05
+    window=32,
+    poll_s=0.05,
+    idle_poll_s=0.05,
+    takeover_s=0.1,
+    effect_takeover_s=0.1,
+    settle_s=0.0,
 )
 WAIT_S = 30.0
 
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -64,6 +64,8 @@
     poll_s=0.4,
     idle_poll_s=0.4,
     takeover_s=0.5,
+    effect_takeover_s=0.5,
+    settle_s=0.5,
 )
 NAMES = ("a", "b", "c")
 LOT_ITEMS = 4
--- a/tests/policy/test_jobs.py
+++ b/tests/policy/test_jobs.py
@@ -179,12 +179,16 @@
 class TestLotHolder(unittest.TestCase):
     """A holder leaves a live member's lots alone."""
 
-    def commands(self, live: dict[str, int], until: float) -> list[object]:
+    def commands(
+        self, live: dict[str, int], until: float, idempotent: bool
+    ) -> list[object]:
         """Give the commands of a holder that sees another's lot."""
         holder = LotHolder(
             OWN,
-            HolderSettings(takeover_s=2.0),
-            lambda job: LotTerms(job.customer, job.service, True, 3, job.due),
+            HolderSettings(),
+            lambda job: LotTerms(
+                job.customer, job.service, idempotent, 3, job.due
+            ),
         )
         held = HeldLot(LotKey("j-1", 0), "x", "batch@b", 1)
         fleet = Fleet(live, ("batch@a",), 10, {})
@@ -202,13 +206,16 @@
         return found
 
     def test_takeover(self) -> None:
-        table = (
-            ("live", {"batch@a": 5, "batch@b": 1}, 4.0, False),
-            ("gone too short a time", {"batch@a": 5}, 1.0, False),
-            ("gone", {"batch@a": 5}, 4.0, True),
+        table: tuple[tuple[str, dict[str, int], float, bool, bool], ...] = (
+            ("live", {"batch@b": 1}, 20.0, True, False),
+            ("not known yet", {}, 9.0, True, False),
+            ("gone", {}, 11.0, True, True),
+            ("gone, costly", {}, 9.5, False, False),
+            ("gone, costly, for long", {}, 12.0, False, True),
         )
-        for name, live, until, taken in table:
+        for name, live, until, idempotent, taken in table:
             with self.subTest(name):
-                commands = self.commands(live, until)
+                members = {"batch@a": 5, **live}
+                commands = self.commands(members, until, idempotent)
                 found = any(isinstance(c, TakeOver) for c in commands)
                 self.assertEqual(taken, found)
