--- a/src/mulberrypass/bench/cluster.py
+++ b/src/mulberrypass/bench/cluster.py
@@ -156,6 +156,10 @@
         """Name the programs that have ended."""
         return self._launcher.ended()
 
+    def processor_s(self, program: str) -> float:
+        """Give the processor time that a program has used."""
+        return self._launcher.processor_s(program)
+
     def fault(self, engine: int, **faults: Any) -> None:
         """Turn on faults of an engine, counted from 0."""
         body = json.dumps(faults).encode()
--- a/src/mulberrypass/bench/entry_sender.py
+++ b/src/mulberrypass/bench/entry_sender.py
@@ -106,7 +106,7 @@
             pool.close()
 
     def _try(self, address: str, req: Outgoing) -> tuple[Answered, bool]:
-        answered = Answered()
+        answered = Answered(address=address)
         if req.left_s <= 0:
             answered.error = "deadline before it was sent"
             return answered, False
--- a/src/mulberrypass/bench/launcher.py
+++ b/src/mulberrypass/bench/launcher.py
@@ -15,6 +15,8 @@
     from collections.abc import Mapping
 
 STOP_TIMEOUT_S = 10.0
+USER_TICKS = 11
+SYSTEM_TICKS = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,14 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def processor_s(self, name: str) -> float:
+        """Give the processor time that a program has used."""
+        pid = self._started[name].process.pid
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     def ended(self) -> list[str]:
         """Name the programs that have ended."""
         return [
--- a/src/mulberrypass/bench/open_loop.py
+++ b/src/mulberrypass/bench/open_loop.py
@@ -48,6 +48,7 @@
     :param refused: whether nothing ran, by the refusal's own word
     :param error: what went wrong; empty where the answer is whole
     :param backend_id: the request's id in the system, where it is known
+    :param address: the instance that answered, or was to
     """
 
     tokens: tuple[str, ...] = ()
@@ -55,6 +56,7 @@
     refused: bool = False
     error: str = ""
     backend_id: str = ""
+    address: str = ""
 
     def add(self, tokens: Sequence[str]) -> None:
         """Take in tokens that have just come."""
@@ -92,6 +94,7 @@
     tokens: int = 0
     wrong: bool = False
     backend_id: str = ""
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +177,20 @@
         )
         return max(0.0, self.finished_tokens - online) / self.window_s
 
+    def good_per_s(self) -> float:
+        """Give the answers a second that ended within their deadline.
+
+        Counted by when they ended, so that neither what was queued before
+        the window nor what drains after it counts.
+        """
+        start = self.plan.warm_s
+        good = sum(
+            start <= sample.at + sample.total_s < start + self.window_s
+            for sample in self.samples
+            if not sample.kind and sample.total_s <= self.plan.deadline_s
+        )
+        return good / self.window_s
+
     def wrong(self) -> int:
         """Count answers that are not those the engines must give."""
         return sum(sample.wrong for sample in self.samples)
@@ -237,6 +254,7 @@
         tokens=len(answered.tokens),
         wrong=not kind and not whole,
         backend_id=answered.backend_id,
+        address=answered.address,
     )
 
 
--- a/src/mulberrypass/programs/bench.py
+++ b/src/mulberrypass/programs/bench.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import fire
 
+from mulberrypass.bench import (
+    slope_jobs,
+    slope_membership,
+    slope_permits,
+    slope_platform,
+    slope_tokens,
+)
 from mulberrypass.bench.model_experiments import MODEL_EXPERIMENTS
 from mulberrypass.bench.process_experiments import (
     PROCESS_EXPERIMENTS,
@@ -13,11 +21,26 @@
 )
 
 RESULTS = "bench/results"
+EXIT_STOPPED = 143
+
+
+class Slopes:
+    """Measures how the cost of a part grows with its load."""
+
+    jobs = staticmethod(slope_jobs.measure)
+    membership = staticmethod(slope_membership.run)
+    permits_holder = staticmethod(slope_permits.run_holder)
+    permits_owner = staticmethod(slope_permits.run_owner)
+    platform = staticmethod(slope_platform.run)
+    tokens = staticmethod(slope_tokens.measure)
 
 
 class Bench:
     """Runs experiments, and records what they show."""
 
+    def __init__(self) -> None:
+        self.slope = Slopes()
+
     def list(self) -> str:
         """Name all experiments."""
         model = ", ".join(MODEL_EXPERIMENTS)
@@ -62,7 +85,8 @@
 
 
 def main() -> None:
-    """Run the command line."""
+    """Run the command line; a stop signal ends what was started too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_STOPPED))
     fire.Fire(Bench, name="mulberry-bench")
 
 
