Let small batch items share an engine up to its pending prefill

Once batch prefill was pending on as many engines as it may be, no engine took another item, however small, until a first token was reported: a round trip of two processes for each item and engine. Engines that have batch prefill pending now take more, up to the bound on pending tokens that the settings state.

--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -62,8 +62,7 @@
         :param leave_reserve: whether online work leaves the reserve free
         """
         online = ask.work_class is WorkClass.ONLINE
-        if not online and not self.batch_open(ask, engines):
-            return None
+        further = online or self.batch_open(ask, engines)
         best = None
         least = (True, inf, 0)
         for engine in engines:
@@ -71,6 +70,8 @@
                 continue
             if leave_reserve and self.in_reserve(engine):
                 continue
+            if not further and not engine.batch_prefill_tokens:
+                continue
             if not self._accepts(engine, ask, online):
                 continue
             uncached = self._uncached(engine, ask)
