Mend explain over real processes, and two slips of the wiring

explain failed with 500 since the owner's state isn't JSON by itself; the follower took four names for the size of the fleet when it spaced its polls; the configuration's store was retried at two layers. explain now answers from real processes.

--- a/src/mulberrypass/caller/explain.py
+++ b/src/mulberrypass/caller/explain.py
@@ -60,7 +60,7 @@
             "idempotent": service.idempotent,
             "route": jsonable(route),
             "pool": {"name": pool.name, "backends": list(pool.backends)},
-            "owned_here": self._owner.state(),
+            "owned_here": jsonable(self._owner.state()),
         }
         return json_answer(document)
 
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -36,8 +36,6 @@
     from mulberrypass.platform.client import PlatformClients
     from mulberrypass.programs.daemon import DaemonSettings
 
-ASKED_PEERS = 4
-
 
 @dataclass(frozen=True, slots=True)
 class Common:
@@ -102,16 +100,16 @@
     platform = cfg.open_platform()
     fleet = FleetBudget(cfg.fleet_writes_per_s, cfg.fleet_reads_per_s)
     budget = PlatformBudget(program, fleet)
+    metered = MeteredTable(platform.table, budget)
+    metered_objects = MeteredObjects(platform.objects, budget)
     settled = SettledTable(
-        MeteredTable(platform.table, budget),
+        metered,
         f"{me.name}/{me.incarnation}",
         metrics=metrics,
     )
     table = Committer(settled, metrics)
-    objects = SettledObjects(
-        MeteredObjects(platform.objects, budget), metrics=metrics
-    )
-    store = ConfigurationStore(settled, objects)
+    objects = SettledObjects(metered_objects, metrics=metrics)
+    store = ConfigurationStore(metered, metered_objects)
     peers = ConfigurationPeers(
         loop,
         key,
@@ -119,7 +117,7 @@
         lambda: follower.snapshot(),
     )
     follower = ConfigurationFollower(
-        FollowerPorts(store, peers.fetch_from, lambda: _to_ask(membership)),
+        FollowerPorts(store, peers.fetch_from, lambda: _names(membership)),
         metrics,
         random.Random(),
     )
@@ -178,9 +176,8 @@
     return None
 
 
-def _to_ask(membership: GossipMembership) -> tuple[str, ...]:
-    names = [member.name for member in _all(membership)]
-    return tuple(random.sample(names, min(ASKED_PEERS, len(names))))
+def _names(membership: GossipMembership) -> tuple[str, ...]:
+    return tuple(member.name for member in _all(membership))
 
 
 __all__ = ["Common", "open_common"]
