--- /dev/null
+++ b/tests/policy/test_queueing.py
@@ -0,0 +1,105 @@
+"""Tests of the fair queue."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mulberrypass.policy.messages import Ask
+from mulberrypass.policy.queueing import (
+    FairQueue,
+    Queued,
+    lane_of,
+    work_of,
+)
+from tests.policy.cell_cases import ask
+
+
+def _queued(made: Ask, deadline: float, sequence: int) -> Queued:
+    work = work_of(made.prompt_tokens, made.output_tokens)
+    return Queued(made, work, deadline, deadline, sequence, lane_of(made))
+
+
+def _all(_customer: str) -> bool:
+    return True
+
+
+class FairQueueTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue = FairQueue()
+        self.sequence = 0
+
+    def add(self, name: str, deadline: float = 9.0, **fields: object) -> None:
+        self.sequence += 1
+        made = ask(name, **fields)
+        self.queue.add(_queued(made, deadline, self.sequence))
+
+    def serve(self, count: int) -> list[str]:
+        served = []
+        for _ in range(count):
+            head = next(self.queue.scan(_all))
+            self.queue.serve(head)
+            served.append(head.ask.ask_id)
+        return served
+
+    def test_earliest_deadline_inside_a_customer(self) -> None:
+        for name, deadline in (("late", 9.0), ("soon", 1.0), ("mid", 5.0)):
+            self.add(name, deadline)
+        self.assertEqual(["soon", "mid", "late"], self.serve(3))
+
+    def test_idle_customer_gains_no_credit(self) -> None:
+        for index in range(40):
+            self.add(f"n-{index}")
+        self.serve(20)
+        for index in range(10):
+            self.add(f"e-{index}", customer="east")
+        served = self.serve(10)
+        self.assertIn(sum(n.startswith("e") for n in served), (5, 6))
+
+    def test_charge_follows_the_work_really_done(self) -> None:
+        for index in range(10):
+            self.add(f"n-{index}")
+            self.add(f"e-{index}", customer="east")
+        self.serve(2)
+        self.queue.settle("north", 3 * work_of(32, 32))
+        self.assertEqual(3, sum(n.startswith("e") for n in self.serve(3)))
+
+    def test_lanes_do_not_hold_each_other_up(self) -> None:
+        self.add("needs-r2", 1.0, version="r2")
+        self.add("any", 5.0)
+        heads = [head.ask.ask_id for head in self.queue.scan(_all)]
+        self.assertEqual(["needs-r2", "any"], heads)
+
+    def test_blocked_customer_is_passed_over(self) -> None:
+        self.add("n")
+        self.add("e", customer="east")
+        heads = self.queue.scan(lambda name: name != "north")
+        self.assertEqual(["e"], [head.ask.ask_id for head in heads])
+
+    def test_expired_asks_leave_by_time(self) -> None:
+        self.add("late", 9.0)
+        self.add("soon", 1.0)
+        self.assertEqual([], self.queue.expired(0.5))
+        gone = [queued.ask.ask_id for queued in self.queue.expired(1.0)]
+        self.assertEqual(["soon"], gone)
+
+    def test_accounts_match_what_waits(self) -> None:
+        rng = random.Random(3)
+        for index in range(400):
+            names = sorted(q.ask.ask_id for q in self.queue)
+            if names and rng.random() < 0.45:
+                self.queue.remove(rng.choice(names))
+            else:
+                customer = rng.choice(("north", "east", "west"))
+                tokens = rng.randrange(500)
+                self.add(f"a-{index}", customer=customer, output_tokens=tokens)
+            waiting = list(self.queue)
+            work = {c: 0.0 for c in ("north", "east", "west")}
+            for queued in waiting:
+                work[queued.ask.customer] += queued.work
+            for customer, expected in work.items():
+                got = self.queue.work_of(customer)
+                self.assertAlmostEqual(expected, got, places=6)
+            self.assertEqual(len(waiting), len(self.queue))
+            total = sum(work.values())
+            self.assertAlmostEqual(total, self.queue.work, places=6)
