--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -218,14 +218,18 @@
         self._calling.add(contact)
         try:
             reached = await self._exchange(contact)
-            if not reached and contact.name:
+            if not reached and self._is_doubtful(contact):
                 reached = await self._reached_by_any(contact)
         finally:
             self._calling.discard(contact)
-        if not reached and contact.name:
+        if not reached and self._is_doubtful(contact):
             self._view.suspect(contact.name, tried, self._now())
             self._after_message()
 
+    def _is_doubtful(self, contact: Contact) -> bool:
+        """Tell whether a missing reply is worth to be looked into."""
+        return bool(contact.name) and not self._view.is_late(self._now())
+
     async def _reached_by_any(self, contact: Contact) -> bool:
         helpers = self._view.helpers(contact.name)
         probes = (self._probe(helper, contact.name) for helper in helpers)
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -147,7 +147,8 @@
         self._bury(now)
         self._forget(now)
         names = dict.fromkeys((*self.neighbours(), *self._claims))
-        contacts = [self._contact(name) for name in names]
+        found = map(self.contact_of, names)
+        contacts = [contact for contact in found if contact is not None]
         if not contacts or now < self._eager_until:
             contacts += self._strangers(self._settings.neighbours)
         elif self._round % self._settings.contact_rounds == 0:
@@ -224,26 +225,23 @@
         target = self._roster.get(name)
         shunned = {self.me.address, target.address if target else ""}
         able = [
-            member.name
+            member
             for member in self._roster.living()
             if member.state is MemberState.ALIVE
             and member.address not in shunned
         ]
         count = min(self._settings.helpers, len(able))
-        return tuple(map(self._contact, self._rng.sample(able, count)))
+        return tuple(map(_contact, self._rng.sample(able, count)))
 
     def suspect(self, name: str, incarnation: int, now: float) -> None:
         """Doubt a member that neither we nor helpers could reach.
 
-        While our own rounds are late, the fault may be ours.
-
         :param incarnation: the one that was tried
         """
         member = self._roster.get(name)
         if member is None or member.incarnation != incarnation:
             return
-        late_s = max(self._late_s, self._lateness_s(now))
-        if late_s > self._settings.heartbeat_s / 2:
+        if self.is_late(now):
             return
         match member.state:
             case MemberState.ALIVE:
@@ -253,12 +251,20 @@
                 self._claims.pop(name, None)
                 self._roster.doubt(name, now)
 
+    def is_late(self, now: float) -> bool:
+        """Tell whether our own rounds are late.
+
+        A missing reply may be our own fault then, and proves nothing.
+        """
+        late_s = max(self._late_s, self._lateness_s(now))
+        return late_s > self._settings.heartbeat_s / 2
+
     def contact_of(self, name: str) -> Contact | None:
         """Give the place of a member that is not dead."""
         member = self._roster.get(name)
         if member is None or member.state is MemberState.DEAD:
             return None
-        return self._contact(name)
+        return _contact(member)
 
     def incarnation_of(self, name: str) -> int:
         """Give the incarnation known of a member; 0 where there is none."""
@@ -380,12 +386,6 @@
             return 0.0
         return now - self._round_at - self._settings.heartbeat_s
 
-    def _contact(self, name: str) -> Contact:
-        member = self._roster.get(name)
-        if member is None:
-            raise KeyError(name)
-        return Contact(name, member.program, member.address)
-
     def _strangers(self, count: int) -> list[Contact]:
         """Give machines where a member may be that is not known alive."""
         able = self._listing.strangers(
@@ -396,4 +396,8 @@
         return self._rng.sample(able, min(count, len(able)))
 
 
+def _contact(member: Member) -> Contact:
+    return Contact(member.name, member.program, member.address)
+
+
 __all__ = ["MembershipView"]
