Wait in the demo until the fleet is known, and end ctl with its reader

The demo submitted before the control program had read the late list, and so showed one instance of one; it now waits for all three. mulberryctl with a reader that stops early (head) ended in a traceback, now quietly.

--- a/scripts/demo_session.py
+++ b/scripts/demo_session.py
@@ -128,6 +128,16 @@
     call("PUT", PLATFORM, "/admin/instances", body)
 
 
+def all_known() -> bool:
+    """Whether the control program knows every instance."""
+    headers = {
+        "Authorization": f"Bearer {os.environ['MULBERRY_OPERATOR_KEY']}"
+    }
+    address = f"{INSTANCES[0]}:7300"
+    reply = call("GET", address, "/v1/generation", headers=headers)
+    return bool(reply.json().get("instances") == len(INSTANCES))
+
+
 def submit_objects(table: Table) -> None:
     """Submit the objects of examples/demo as an operator."""
     files = sorted(str(path) for path in Path("examples/demo").glob("*.yaml"))
@@ -155,7 +165,8 @@
     """Ask any instance which addresses to use."""
     path = f"/v1/addresses?service={service}&zone={ZONES[0]}&use={use}"
     reply = call("GET", f"{INSTANCES[1]}:7100", path, headers=CUSTOMER)
-    return [entry["address"] for entry in reply.json()["addresses"]]
+    entries = reply.json().get("addresses", [])
+    return [entry["address"] for entry in entries]
 
 
 def online(table: Table) -> None:
@@ -344,6 +355,7 @@
             ),
             START_TIMEOUT_S,
         )
+        wait_until("members", all_known, START_TIMEOUT_S)
         say("An operator submits the objects of examples/demo")
         submit_objects(table)
         for address in INSTANCES:
--- a/src/mulberrypass/programs/ctl.py
+++ b/src/mulberrypass/programs/ctl.py
@@ -135,6 +135,9 @@
     except CommandFailed as exc:
         sys.stderr.write("\n".join(exc.lines) + "\n")
         return EXIT_REFUSED
+    except BrokenPipeError:
+        # The reader has seen enough; keep the interpreter from flushing.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     except (UsageError, ValueError) as exc:
         sys.stderr.write(f"{PROGRAM}: {exc}\n")
         return EXIT_USAGE
