Speak TLS between processes, and don't blame engines for bad input

Settings name certificate files; they are checked whole at the start. Each side of a peer connection shows a certificate of the site's authority.

An input that an engine rejects for good was released as a failure of the engine, so three such inputs in a row took a healthy engine out. It now counts neither way; a test holds online attempts to it.

--- a/src/mulberrypass/jobs/run.py
+++ b/src/mulberrypass/jobs/run.py
@@ -309,9 +309,9 @@
     match result:
         case Completed():
             return ReleaseOutcome.DONE
-        case Broken():
+        case Broken(permanent=False):
             return ReleaseOutcome.FAILED
-        case Stopped():
+        case Stopped() | Broken():
             return ReleaseOutcome.CANCELLED
 
 
--- a/src/mulberrypass/online/attempt.py
+++ b/src/mulberrypass/online/attempt.py
@@ -186,6 +186,9 @@
         match last:
             case Finished() | PlainAnswer():
                 outcome = ReleaseOutcome.DONE
+            case EngineFailed(permanent=True):
+                # The input is at fault: no mark against the backend server.
+                outcome = ReleaseOutcome.CANCELLED
             case _ if self._cancelled.is_set():
                 outcome = ReleaseOutcome.CANCELLED
             case _:
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -98,7 +98,7 @@
         self._common = common
         self._draining = False
         self._server = common.serve()
-        self._backends = Backends()
+        self._backends = Backends(cfg.engine_tls())
         common.follower.subscribe(self._backends.apply)
         self._permits = PermitLink(
             common.me,
@@ -108,6 +108,7 @@
             None,
             cfg.peer_key.get_secret_value(),
             metrics=common.metrics,
+            tls=common.peer_tls,
         )
         self._jobs = JobService(
             common.me,
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -61,7 +61,7 @@
         common = open_common("control", cfg)
         self._cfg = cfg
         self._common = common
-        self._backends = Backends()
+        self._backends = Backends(cfg.engine_tls())
         common.follower.subscribe(self._backends.apply)
         self._placement = PlacementRunner(
             PlacementPorts(
--- a/src/mulberrypass/programs/daemon.py
+++ b/src/mulberrypass/programs/daemon.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import time
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated, Self
 
-from pydantic import Field, IPvAnyAddress, SecretStr
+from pydantic import (
+    Field,
+    FilePath,
+    IPvAnyAddress,
+    SecretStr,
+    model_validator,
+)
 
 from mulberrypass.peer.api import Member
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import PlatformClients, open_platform
 from mulberrypass.runtime.ports import PLATFORM_PORT
 from mulberrypass.runtime.settings import ProgramSettings
+from mulberrypass.runtime.tls import TlsFiles, check, http_client
+
+if TYPE_CHECKING:
+    import ssl
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
@@ -56,6 +66,46 @@
         description="platform reads a second for the whole fleet",
     )
 
+    tls_cert: FilePath | None = Field(
+        default=None, description="PEM file of this instance's certificate"
+    )
+    tls_key: FilePath | None = Field(
+        default=None, description="PEM file of the certificate's private key"
+    )
+    tls_ca: FilePath | None = Field(
+        default=None,
+        description="PEM file of the certificates that others' lead to",
+    )
+    tls_platform: bool = Field(
+        default=False, description="speak TLS to the platform"
+    )
+    tls_engines: bool = Field(
+        default=False, description="speak TLS to backend servers"
+    )
+
+    @model_validator(mode="after")
+    def _tls_is_whole(self) -> Self:
+        named = [self.tls_cert, self.tls_key, self.tls_ca]
+        if any(named) and not all(named):
+            raise ValueError("--tls-cert, --tls-key and --tls-ca go together")
+        if (self.tls_platform or self.tls_engines) and not all(named):
+            raise ValueError("TLS needs --tls-cert, --tls-key and --tls-ca")
+        files = self.tls_files()
+        if files is not None:
+            check(files)
+        return self
+
+    def tls_files(self) -> TlsFiles | None:
+        """Give the files of this instance's identity, if it has one."""
+        if not (self.tls_cert and self.tls_key and self.tls_ca):
+            return None
+        return TlsFiles(self.tls_cert, self.tls_key, self.tls_ca)
+
+    def engine_tls(self) -> ssl.SSLContext | None:
+        """Make the context towards backend servers, if TLS is asked for."""
+        files = self.tls_files()
+        return http_client(files) if files and self.tls_engines else None
+
     def member(self, program: str) -> Member:
         """Give this process as a new incarnation of its member."""
         return Member(
@@ -68,11 +118,14 @@
 
     def open_platform(self) -> PlatformClients:
         """Make the clients of the platform."""
+        files = self.tls_files()
+        tls = http_client(files) if files and self.tls_platform else None
         return open_platform(
             Endpoint(
                 str(self.platform_address),
                 self.platform_port,
                 self.platform_key.get_secret_value(),
+                tls,
             )
         )
 
--- a/src/mulberrypass/programs/entry.py
+++ b/src/mulberrypass/programs/entry.py
@@ -67,7 +67,7 @@
         self._cfg = cfg
         self._common = common
         self._draining = False
-        self._backends = Backends()
+        self._backends = Backends(cfg.engine_tls())
         common.follower.subscribe(self._backends.apply)
         key = cfg.peer_key.get_secret_value()
         self._owner = OwnerTask(
@@ -88,6 +88,7 @@
             self._owner,
             key,
             metrics=common.metrics,
+            tls=common.peer_tls,
         )
         self._server = common.serve(PermitStreams(self._owner))
         at_once = cfg.short_threads + cfg.stream_threads + cfg.recorded_limit
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -29,8 +29,11 @@
 from mulberrypass.runtime.logs import configure
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.runtime.ports import PEER_PORTS
+from mulberrypass.runtime.tls import peer_client, peer_server
 
 if TYPE_CHECKING:
+    import ssl
+
     from mulberrypass.peer.api import Member
     from mulberrypass.peer.server import PermitsHandler
     from mulberrypass.platform.client import PlatformClients
@@ -42,6 +45,7 @@
     """The parts that every program on an instance has.
 
     :param table: settles lost replies, and commits writes in groups
+    :param peer_tls: makes connections to peers TLS
     """
 
     cfg: DaemonSettings
@@ -57,6 +61,7 @@
     membership: GossipMembership
     follower: ConfigurationFollower
     peers: ConfigurationPeers
+    peer_tls: ssl.SSLContext | None
 
     def serve(self, permits: PermitsHandler | None = None) -> PeerServer:
         """Make the server towards peers."""
@@ -71,7 +76,10 @@
         """Start the common parts, the server towards peers first."""
         port = PEER_PORTS[self.me.program]
         self.loop.start()
-        self.loop.submit(server.start(str(self.cfg.address), port)).result()
+        files = self.cfg.tls_files()
+        tls = peer_server(files) if files else None
+        listening = server.start(str(self.cfg.address), port, tls)
+        self.loop.submit(listening).result()
         self.table.start()
         self.membership.start()
         self.follower.start()
@@ -96,6 +104,8 @@
     logging.getLogger("waitress").setLevel(logging.ERROR)
     metrics = Metrics(program, cfg.statsd_address, cfg.statsd_port)
     key = cfg.peer_key.get_secret_value()
+    files = cfg.tls_files()
+    peer_tls = peer_client(files) if files else None
     loop = LoopThread()
     platform = cfg.open_platform()
     fleet = FleetBudget(cfg.fleet_writes_per_s, cfg.fleet_reads_per_s)
@@ -115,6 +125,7 @@
         key,
         lambda name: _address_of(membership, name),
         lambda: follower.snapshot(),
+        peer_tls,
     )
     follower = ConfigurationFollower(
         FollowerPorts(store, peers.fetch_from, lambda: _names(membership)),
@@ -130,6 +141,7 @@
         metrics,
         lambda member, generation: follower.hint(member.name, generation),
         lambda: follower.current().generation,
+        tls=peer_tls,
     )
     membership.subscribe(
         lambda: budget.set_live(len(membership.live(program)))
@@ -156,6 +168,7 @@
         membership=membership,
         follower=follower,
         peers=peers,
+        peer_tls=peer_tls,
     )
 
 
--- a/tests/online/test_course.py
+++ b/tests/online/test_course.py
@@ -113,6 +113,13 @@
                         self.assertEqual(status, outcome.status)
                         self.assertEqual(ran, outcome.ran)
 
+    def test_rejected_input_is_no_mark_against_the_engine(self) -> None:
+        permanent = EngineFailed("poison", Ran.YES, permanent=True)
+        self.backends.engines["e-1"] = ScriptedEngine([[permanent]])
+        self.outcome(a_call())
+        (release,) = self.permits.releases()
+        self.assertEqual(ReleaseOutcome.CANCELLED, release.outcome)
+
     def test_ran_is_maybe_once_any_attempt_may_have_run(self) -> None:
         engine = ScriptedEngine([[BROKEN]])
         self.backends.engines["e-1"] = engine
--- /dev/null
+++ b/tests/runtime/test_tls.py
@@ -0,0 +1,172 @@
+"""Tests of TLS between processes and of its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+from pathlib import Path
+import ssl
+import tempfile
+from typing import TYPE_CHECKING, Any, TypeVar
+import unittest
+
+from grpclib.client import Channel
+from grpclib.exceptions import StreamTerminatedError
+import trustme
+
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.peer.peer_grpc import PeerStub
+from mulberrypass.peer.peer_pb2 import (
+    FetchReply,
+    FetchRequest,
+    HeartbeatReply,
+    HeartbeatRequest,
+)
+from mulberrypass.peer.server import (
+    KEY_HEADER,
+    ConfigurationHandler,
+    HeartbeatHandler,
+    PeerServer,
+)
+from mulberrypass.programs.daemon import DaemonSettings
+from mulberrypass.runtime.settings import load
+from mulberrypass.runtime.tls import TlsFiles, peer_client, peer_server
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+T = TypeVar("T")
+HOST = "127.0.9.1"
+PORT = 7_312
+TIMEOUT_S = 10.0
+
+
+class Silent(HeartbeatHandler, ConfigurationHandler):
+    """Answers with nothing."""
+
+    async def heartbeat(self, req: HeartbeatRequest) -> HeartbeatReply:
+        return HeartbeatReply()
+
+    async def fetch(self, req: FetchRequest) -> FetchReply:
+        return FetchReply(generation=7)
+
+
+class Identity:
+    """Files of one certificate, in a directory that is removed."""
+
+    def __init__(self, test: unittest.TestCase, ca: trustme.CA) -> None:
+        kept = tempfile.TemporaryDirectory()
+        test.addCleanup(kept.cleanup)
+        root = Path(kept.name)
+        cert = ca.issue_cert(HOST)
+        cert.private_key_pem.write_to_path(root / "key.pem")
+        cert.cert_chain_pems[0].write_to_path(root / "cert.pem")
+        ca.cert_pem.write_to_path(root / "ca.pem")
+        self.files = TlsFiles(
+            root / "cert.pem", root / "key.pem", root / "ca.pem"
+        )
+
+
+class PeerTlsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ca = trustme.CA()
+        self.own = Identity(self, self.ca)
+        self.loop = LoopThread()
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+        silent = Silent()
+        self.server = PeerServer("key", silent, silent)
+        context = peer_server(self.own.files)
+        self.run_soon(self.server.start(HOST, PORT, context))
+        self.addCleanup(lambda: self.run_soon(self.server.stop()))
+
+    def run_soon(self, work: Coroutine[Any, Any, T]) -> T:
+        return self.loop.submit(work).result(TIMEOUT_S)
+
+    async def fetch(self, context: ssl.SSLContext | None) -> int:
+        channel = Channel(HOST, PORT, ssl=context)
+        try:
+            reply = await asyncio.wait_for(
+                PeerStub(channel).FetchConfiguration(
+                    FetchRequest(), metadata={KEY_HEADER: "key"}
+                ),
+                TIMEOUT_S / 2,
+            )
+            return int(reply.generation)
+        finally:
+            channel.close()
+
+    def test_peers_of_one_authority_are_heard(self) -> None:
+        other = Identity(self, self.ca)
+        context = peer_client(other.files)
+        self.assertEqual(7, self.run_soon(self.fetch(context)))
+
+    def test_others_are_not_heard(self) -> None:
+        stranger = Identity(self, trustme.CA())
+        rows = {
+            "another authority": peer_client(stranger.files),
+            "no TLS": None,
+        }
+        for name, context in rows.items():
+            with (
+                self.subTest(name=name),
+                self.assertRaises((OSError, StreamTerminatedError)),
+            ):
+                self.run_soon(self.fetch(context))
+
+
+class TlsSettingsTest(unittest.TestCase):
+    """Wrong settings end the program with one line and status 2."""
+
+    FLAGS = (
+        "--instance=i-1",
+        "--zone=z",
+        "--address=127.0.0.1",
+        "--platform-address=127.0.0.1",
+        "--peer-key=a-long-key",
+    )
+
+    def refused(self, *flags: str) -> str:
+        err = io.StringIO()
+        with (
+            contextlib.redirect_stderr(err),
+            self.assertRaises(SystemExit) as ended,
+        ):
+            names = tuple(flag.partition("=")[0] for flag in flags)
+            rest = [f for f in self.FLAGS if not f.startswith(names)]
+            load("mulberry-x", DaemonSettings, (*rest, *flags), {})
+        self.assertEqual(2, ended.exception.code)
+        return err.getvalue().strip()
+
+    def test_wrong_settings_are_one_line(self) -> None:
+        own = Identity(self, trustme.CA()).files
+        cert = f"--tls-cert={own.cert}"
+        whole = (cert, f"--tls-key={own.ca}", f"--tls-ca={own.ca}")
+        rows: tuple[tuple[str, tuple[str, ...]], ...] = (
+            ("go together", (cert,)),
+            ("TLS needs", ("--tls-platform=true",)),
+            ("--tls-cert", ("--tls-cert=/none",)),
+            ("can't be used", whole),
+            ("--grace-s", ("--grace-s=-1",)),
+            ("--instance", ("--instance=No Name",)),
+            ("--peer-key", ("--peer-key=short",)),
+        )
+        for expected, flags in rows:
+            with self.subTest(flags=flags):
+                line = self.refused(*flags)
+                self.assertIn(expected, line)
+                self.assertEqual(1, len(line.splitlines()))
+                self.assertNotIn("Traceback", line)
+
+    def test_whole_settings_are_taken(self) -> None:
+        own = Identity(self, trustme.CA()).files
+        flags = (
+            f"--tls-cert={own.cert}",
+            f"--tls-key={own.key}",
+            f"--tls-ca={own.ca}",
+            "--tls-engines=true",
+        )
+        cfg = load("mulberry-x", DaemonSettings, (*self.FLAGS, *flags), {})
+        self.assertEqual(own, cfg.tls_files())
+        self.assertIsNotNone(cfg.engine_tls())
