Hold lots in two processes at least, and see a restart at once

Change: two holders at least, and a lot whose holder has a higher incarnation is taken over at once.

--- a/src/mulberrypass/policy/job_draw.py
+++ b/src/mulberrypass/policy/job_draw.py
@@ -10,14 +10,19 @@
     LeaseNext,
     TakeOver,
 )
-from mulberrypass.policy.jobs import active_holders, draw_order, orphaned
+from mulberrypass.policy.jobs import (
+    active_holders,
+    draw_order,
+    orphaned,
+    surely_gone,
+)
 from mulberrypass.policy.lots import LotKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from mulberrypass.policy.job_commands import Fleet, HolderSettings
-    from mulberrypass.policy.jobs import Holder, OpenJob
+    from mulberrypass.policy.jobs import HeldLot, Holder, OpenJob
     from mulberrypass.policy.lots import LotTerms
 
 EXHAUSTED_S = 5.0
@@ -100,10 +105,12 @@
             return None
         place = self._active(fleet).index(self._own.name)
         command: LeaseNext | TakeOver | None
-        command = self._take_over(keys, place, now)
+        command = self._take_over(fleet, keys, place, now)
         if command is None:
             command = self._lease(fleet, served, place, now)
-        if command is not None:
+        if command is None:
+            self._after = now + LEASE_RETRY_S
+        else:
             self.leasing = command.job
         return command
 
@@ -135,25 +142,38 @@
         return active_holders(fleet.drawing, fleet.slots, window)
 
     def _take_over(
-        self, keys: Collection[LotKey], place: int, now: float
+        self,
+        fleet: Fleet,
+        keys: Collection[LotKey],
+        place: int,
+        now: float,
     ) -> TakeOver | None:
-        settle_s = self._settings.settle_s
-        if self._began is None or now - self._began < settle_s:
-            return None
-        jobs = {job.job: job for job in self.board.jobs}
-        ready = sorted(
-            key
-            for key, since in self._missing.items()
-            if key.job in jobs
-            and now - since >= self._patience_s(jobs[key.job])
-            and key not in keys
-        )
+        ready = [
+            lot
+            for lot in self.board.held
+            if lot.key not in keys and self._ripe(lot, fleet, now)
+        ]
         if not ready:
             return None
-        key = ready[place % len(ready)]
-        lot = next(lot for lot in self.board.held if lot.key == key)
-        self._missing.pop(key)
-        return TakeOver(jobs[key.job], lot)
+        lot = ready[place % len(ready)]
+        self._missing.pop(lot.key)
+        job = self._find(lot.key.job)
+        return None if job is None else TakeOver(job, lot)
+
+    def _find(self, job: str) -> OpenJob | None:
+        return next((o for o in self.board.jobs if o.job == job), None)
+
+    def _ripe(self, lot: HeldLot, fleet: Fleet, now: float) -> bool:
+        since = self._missing.get(lot.key)
+        if since is None or self._began is None:
+            return False
+        job = self._find(lot.key.job)
+        if job is None:
+            return False
+        if surely_gone(lot, fleet.live):
+            return True
+        settled = now - self._began >= self._settings.settle_s
+        return settled and now - since >= self._patience_s(job)
 
     def _patience_s(self, job: OpenJob) -> float:
         terms = self._terms_of(job)
--- a/src/mulberrypass/policy/jobs.py
+++ b/src/mulberrypass/policy/jobs.py
@@ -16,6 +16,7 @@
 
 DRAWING = "drawing"
 MIN_WEIGHT = 1e-9
+MIN_HOLDERS = 2
 
 
 class JobState(enum.StrEnum):
@@ -139,7 +140,7 @@
     :param slots: what all backend servers run at once
     :param window: items that one process has in flight
     """
-    count = max(1, math.ceil(slots / max(1, window)))
+    count = max(MIN_HOLDERS, math.ceil(slots / max(1, window)))
     ranked = sorted(members, key=lambda name: (weight(DRAWING, name), name))
     return tuple(ranked[-count:])
 
@@ -171,6 +172,11 @@
     return job.due, job.created, job.job
 
 
+def surely_gone(lot: HeldLot, live: Mapping[str, int]) -> bool:
+    """Tell whether a lot's holder was started again since."""
+    return live.get(lot.holder, -1) > lot.incarnation
+
+
 def orphaned(
     held: Iterable[HeldLot],
     live: Mapping[str, int],
@@ -204,5 +210,6 @@
     "active_holders",
     "draw_order",
     "orphaned",
+    "surely_gone",
     "view",
 ]
