--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -267,7 +267,7 @@
             self._count()
             for changed in self._subscribers:
                 self._guard(changed)
-        newest = self._view.newest()
+        newest = self._view.newest
         if newest.generation > self._own_generation():
             self._guard(self._on_generation, newest, newest.generation)
         if self._view.take_urgent():
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -35,6 +35,8 @@
     and death. The platform's list shows whom to contact and who is to
     leave; it neither kills nor revives a member.
 
+    ``newest`` is a member that has the highest generation known.
+
     :param me: this member, with the incarnation of this start
     """
 
@@ -62,7 +64,7 @@
         self._eager_until = float("-inf")
         self._changed = True
         self._urgent = False
-        self._newest = me
+        self.newest = me
 
     def known(self) -> tuple[Member, ...]:
         """Give all members that are not dead, this one included.
@@ -88,10 +90,6 @@
         """Give backend servers that are leaving."""
         return self._backends.leaving()
 
-    def newest(self) -> Member:
-        """Give a member that has the highest generation known."""
-        return self._newest
-
     def take_changed(self) -> bool:
         """Tell once whether members or backend servers have changed.
 
@@ -174,7 +172,7 @@
         settings, size = self._settings, len(self._roster)
         names = (
             name,
-            self._newest.name,
+            self.newest.name,
             *self._news.take(settings.news, size),
             *self._rotation.take(settings.repeated, self._roster),
         )
@@ -245,8 +243,7 @@
             return
         match member.state:
             case MemberState.ALIVE:
-                suspected = replace(member, state=MemberState.SUSPECT)
-                self._merge(suspected, now)
+                self._merge(replace(member, state=MemberState.SUSPECT), now)
             case MemberState.LEAVING:
                 self._claims.pop(name, None)
                 self._roster.doubt(name, now)
@@ -319,9 +316,9 @@
         self._changed = True
         if member.state is not MemberState.DEAD:
             self._note_generation(member)
-        elif self._newest.name == member.name:
+        elif self.newest.name == member.name:
             known = (self.me, *self._roster.living())
-            self._newest = max(known, key=lambda m: m.generation)
+            self.newest = max(known, key=lambda m: m.generation)
 
     def _take_generation(self, old: Member, generation: int) -> None:
         if generation <= old.generation:
@@ -333,8 +330,8 @@
             self._note_generation(newer)
 
     def _note_generation(self, member: Member) -> None:
-        if member.generation > self._newest.generation:
-            self._newest = member
+        if member.generation > self.newest.generation:
+            self.newest = member
             self._urgent = True
 
     def _note_change(self, changed: bool) -> None:
@@ -371,8 +368,7 @@
 
     def _forget(self, now: float) -> None:
         """Drop the dead whose machine is listed no more."""
-        for member in self._roster.dead():
-            name = member.name
+        for name in (member.name for member in self._roster.dead()):
             recent = self._roster.age_s(name, now) < self._settings.dead_s
             if recent or self._listing.is_listed(name):
                 continue
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -105,12 +105,12 @@
         self.hear(_member(2, state=LEAVING, generation=6))
         found = [m for m in self.view.known() if m.name == "entry@i2"]
         self.assertEqual([7], [m.generation for m in found])
-        self.assertEqual("entry@i2", self.view.newest().name)
+        self.assertEqual("entry@i2", self.view.newest.name)
 
     def test_the_newest_is_not_a_dead_one(self) -> None:
         self.hear(_member(2, generation=7), _member(3, generation=4))
         self.hear(_member(2, state=SUSPECT), _member(2, state=DEAD))
-        self.assertEqual("entry@i3", self.view.newest().name)
+        self.assertEqual("entry@i3", self.view.newest.name)
 
 
 class SaidOfMeTest(ViewCase):
@@ -192,6 +192,20 @@
             self.view.start_round(now)
         self.assertEqual((5, DEAD), self.state_of(2))
 
+    def test_a_late_member_suspects_nobody(self) -> None:
+        for round_at, failed_at, after in (
+            (1.0, 1.5, SUSPECT),
+            (1.4, 2.4, SUSPECT),
+            (1.4, 3.0, ALIVE),
+            (1.6, 1.7, ALIVE),
+        ):
+            with self.subTest(round_at=round_at, failed_at=failed_at):
+                self.view = self.make(_member(2))
+                self.view.start_round(0.0)
+                self.view.start_round(round_at)
+                self.view.suspect("entry@i2", 5, failed_at)
+                self.assertEqual((5, after), self.state_of(2))
+
     def test_a_leaving_member_dies_when_it_stops_to_answer(self) -> None:
         for answers, after in ((True, (5, LEAVING)), (False, (5, DEAD))):
             with self.subTest(answers=answers):
