Keep a flooding customer's prefill from the others' first tokens

Others waited behind the prefill of a customer at 20 times its share, although it left them slots. Its work now goes only where pending prefill stays within 256 tokens. A bound of 512 didn't help; one item at a time and fewer slots gained 0.03 at most.

--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -174,11 +174,8 @@
         """Choose an engine for an ask, from the reserve if need be."""
         engines = self._ledger.engines.values()
         zone = self.zones.get(ask.holder, "")
-        choice = self._router.choose(ask, engines, zone, now)
-        if choice is None or not self._router.in_reserve(choice.engine):
-            return choice
         if not self._leaves_reserve(ask):
-            return choice
+            return self._router.choose(ask, engines, zone, now)
         return self._router.choose(ask, engines, zone, now, leave_reserve=True)
 
     def _leaves_reserve(self, ask: Ask) -> bool:
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -98,6 +98,8 @@
     :param batch_prefill_tokens: pending batch prefill beyond one item
     :param batch_prefill_share: share of the engines on which batch prefill
         may be pending, so that online work finds others
+    :param over_share_prefill_tokens: pending prefill of an engine beyond
+        one request that a customer over its share may bring it to
     :param alone: what batch work may take when there was no online work
         for ``quiet_s`` seconds
     :param burst_s: how long after a quiet time online grants that leave
@@ -116,6 +118,7 @@
     reserve_share: float = 0.25
     batch_prefill_tokens: int = 256
     batch_prefill_share: float = 0.6
+    over_share_prefill_tokens: int = 256
     alone: BatchRoom = BatchRoom(4, 1_024, 1.0)
     quiet_s: float = 2.0
     burst_s: float = 1.0
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/routing.py
@@ -59,7 +59,8 @@
         """Choose an engine that may take an ask now.
 
         :param zone: the holder's zone
-        :param leave_reserve: whether online work leaves the reserve free
+        :param leave_reserve: whether online work leaves the reserve free,
+            and pending prefill low, for customers below their share
         """
         online = ask.work_class is WorkClass.ONLINE
         further = online or self.batch_open(ask, engines)
@@ -68,7 +69,7 @@
         for engine in engines:
             if not self.has_slot(engine, ask.work_class, now):
                 continue
-            if leave_reserve and self.in_reserve(engine):
+            if leave_reserve and not self._spares(engine, ask):
                 continue
             if not further and not engine.batch_prefill_tokens:
                 continue
@@ -111,6 +112,14 @@
             return False
         return not self.in_reserve(engine)
 
+    def _spares(self, engine: Engine, ask: Ask) -> bool:
+        """Whether work over its customer's share leaves others room."""
+        if self.in_reserve(engine):
+            return False
+        pending = engine.prefill_tokens
+        most = self._settings.over_share_prefill_tokens
+        return pending == 0 or pending + ask.prompt_tokens <= most
+
     def in_reserve(self, engine: Engine) -> bool:
         """Whether only slots of the reserve are free."""
         most = max(engine.cap - self.reserve(engine), min(engine.cap, 1))
