Count dropped second outcomes, and sum the fleet up once a configuration

Cause: a straggler's second answer was dropped uncounted, and the holder summed all slots and weights twenty times a second. Change: the metric dropped.duplicate counts the first; the second is done when the configuration changes.

--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -13,7 +13,7 @@
 from mulberrypass.jobs.store import NotLeased
 from mulberrypass.jobs.writer import GaveUp
 from mulberrypass.platform.api import Throttled, Unavailable
-from mulberrypass.policy.items import ItemState
+from mulberrypass.policy.items import Completed, ItemState
 from mulberrypass.policy.job_commands import (
     CloseJob,
     Flush,
@@ -253,7 +253,8 @@
             case _Sent(run=run):
                 self._holder.run_sent(run, now)
             case _Ended(run=run, result=result):
-                self._count(self._holder.run_ended(run, result, now))
+                outcome = self._holder.run_ended(run, result, now)
+                self._count(outcome, result)
             case _Polled(board=board):
                 self._polled(board, now)
             case _LeaseAnswered(lease=lease):
@@ -308,9 +309,11 @@
         LOG.warning("lot was taken by another", job=key.job, lot=key.lot)
         self._holder.fenced(key)
 
-    def _count(self, outcome: Outcome | None) -> None:
+    def _count(self, outcome: Outcome | None, result: RunResult) -> None:
         if outcome is not None:
             self._metrics.count(DECISIONS[outcome.state])
+        elif isinstance(result, Completed):
+            self._metrics.count(Decision.DROPPED_DUPLICATE)
 
     def _carry_out(self) -> None:
         for command in self._holder.take_commands():
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable
 
     from mulberrypass.jobs.runs import EngineClients, RunState
+    from mulberrypass.model.objects import Configuration
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import Member, Membership, PermitClient
     from mulberrypass.platform.api import Objects, Table
@@ -68,6 +69,9 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._peers = peers
+        self._counted: Configuration | None = None
+        self._slots = 0
+        self._weights: dict[str, float] = {}
         own = Holder(member.name, member.incarnation)
         stop = threading.Event()
         pause = RetryPause(stop, member.incarnation)
@@ -168,18 +172,16 @@
 
     def _fleet(self) -> Fleet:
         cfg = self._peers.configuration.current()
+        if cfg is not self._counted:
+            self._counted = cfg
+            self._slots = sum(b.slots for b in cfg.backends.values())
+            self._weights = {c.name: c.weight for c in cfg.customers.values()}
         membership = self._peers.membership
         return Fleet(
-            live={
-                member.name: member.incarnation
-                for member in membership.members(PROGRAM)
-            },
+            live={m.name: m.incarnation for m in membership.members(PROGRAM)},
             drawing=tuple(m.name for m in membership.live(PROGRAM)),
-            slots=sum(backend.slots for backend in cfg.backends.values()),
-            weights={
-                customer.name: customer.weight
-                for customer in cfg.customers.values()
-            },
+            slots=self._slots,
+            weights=self._weights,
         )
 
 
