Show cancel, an outage and a leaving engine in the demo

Three promises more are tried on real processes: nothing of a cancelled job starts 2 s after the cancel, lookups go on while the store is down and recorded slips are refused as not run, and an engine that leaves gets nothing new within 4 s.

--- a/scripts/demo_session.py
+++ b/scripts/demo_session.py
@@ -27,6 +27,8 @@
 START_TIMEOUT_S = 30.0
 JOB_TIMEOUT_S = 60.0
 POLL_S = 0.2
+CANCEL_S = 2.0
+LEAVE_S = 4.0
 
 
 class DemoError(Exception):
@@ -306,6 +308,95 @@
     )
 
 
+def cancel(table: Table) -> None:
+    """Cancel a job, and see that nothing of it starts afterwards."""
+    address = address_for("manifest", "jobs")[0]
+    lines = [
+        json.dumps({"input": f"crate {n} len=200", "max_tokens": 200})
+        for n in range(ITEMS * 4)
+    ]
+    path = "/v1/jobs?service=manifest&due=3600"
+    headers = CUSTOMER | {"Idempotency-Key": "night-2"}
+    body = "\n".join(lines).encode()
+    reply = call("POST", address, path, body, headers)
+    job_id = reply.json()["job_id"]
+    wait_until(
+        "the job to start",
+        lambda: starts_of(job_id) > 0,
+        JOB_TIMEOUT_S,
+    )
+    call("POST", address, f"/v1/jobs/{job_id}/cancel", b"", CUSTOMER)
+    time.sleep(CANCEL_S)
+    before = starts_of(job_id)
+    time.sleep(CANCEL_S)
+    after = starts_of(job_id)
+    status = call("GET", address, f"/v1/jobs/{job_id}", headers=CUSTOMER)
+    table.check(
+        "a cancelled job stops",
+        before == after < ITEMS * 4,
+        f"{before} starts 2 s after the cancel, {after} later, "
+        f"state {status.json()['state']}",
+    )
+
+
+def starts_of(job_id: str) -> int:
+    """Count the runs of a job that the engines have started."""
+    return sum(
+        counts["started"]
+        for engine in ENGINES
+        for request_id, counts in call("GET", engine, "/admin/runs")
+        .json()["runs"]
+        .items()
+        if request_id.startswith(job_id)
+    )
+
+
+def outage(table: Table) -> None:
+    """Take the platform away for a while."""
+    faults = json.dumps({"outage": True}).encode()
+    call("PUT", PLATFORM, "/admin/faults", faults)
+    body = json.dumps({"input": "where is box 19", "max_tokens": 4}).encode()
+    lookups = [
+        call("POST", a, "/v1/services/dock/requests", body, CUSTOMER).status
+        for a in address_for("dock")
+    ]
+    slip = call(
+        "POST",
+        address_for("slip")[0],
+        "/v1/services/slip/requests",
+        body,
+        CUSTOMER | {"Idempotency-Key": "slip-10"},
+    )
+    call("PUT", PLATFORM, "/admin/faults", json.dumps({}).encode())
+    table.check(
+        "lookups go on while the store is down; slips are not run",
+        set(lookups) == {200} and slip.json().get("ran") == "no",
+        f"lookups {lookups}, slip {slip.status} ran {slip.json().get('ran')}",
+    )
+
+
+def leave(table: Table) -> None:
+    """Let an engine leave, and send requests."""
+    leaving = ENGINES[1]
+    faults = json.dumps({"leaving": True}).encode()
+    call("PUT", leaving, "/admin/faults", faults)
+    time.sleep(LEAVE_S)
+    before = runs(leaving)
+    body = json.dumps({"input": "where is box 20", "max_tokens": 4}).encode()
+    address = address_for("dock")[0]
+    answers = Counter(
+        call(
+            "POST", address, "/v1/services/dock/requests", body, CUSTOMER
+        ).status
+        for _ in range(20)
+    )
+    table.check(
+        "a leaving backend server gets nothing new",
+        runs(leaving) == before and answers == {200: 20},
+        f"{runs(leaving) - before} new runs there, answers {dict(answers)}",
+    )
+
+
 def stop(table: Table, pids: dict[str, int]) -> None:
     """Stop an entry process while it answers."""
     streams = [a for a in address_for("dock") if alive(a)]
@@ -380,6 +471,12 @@
         once_only(table)
         say(f"A caller submits a job of {ITEMS} items; its instance is lost")
         job(table, pids)
+        say("A caller cancels a job")
+        cancel(table)
+        say("The platform's store is down")
+        outage(table)
+        say("An engine leaves")
+        leave(table)
         say("An instance is stopped while it streams an answer")
         stop(table, pids)
     except DemoError as exc:
