--- a/src/mulberrypass/policy/job_commands.py
+++ b/src/mulberrypass/policy/job_commands.py
@@ -20,7 +20,7 @@
     :param fleet_per_s: flushes a second that all holders make by age
     """
 
-    min_s: float = 5.0
+    min_s: float = 10.0
     max_s: float = 60.0
     fleet_per_s: float = 3.3
 
