--- a/src/mulberrypass/bench/slope_membership.py
+++ b/src/mulberrypass/bench/slope_membership.py
@@ -231,6 +231,15 @@
     :param written: bytes written to sockets so far
     """
     fleet = _Fleet(size, seed)
+    try:
+        return _measure(fleet, size, window_s, written)
+    finally:
+        fleet.stop()
+
+
+def _measure(
+    fleet: _Fleet, size: int, window_s: float, written: list[int]
+) -> Measured:
     fleet.start()
     join_s = fleet.seconds_until(
         lambda member: len(member.live("entry")) == size
@@ -250,7 +259,6 @@
     handling_s = sum(b.handling_s - a.handling_s for a, b in pairs)
     suspicions = max(b.suspicions - a.suspicions for a, b in pairs)
     spread_s = _spread(fleet)
-    fleet.stop()
     each = size * took_s
     return Measured(
         members=size,
@@ -280,9 +288,23 @@
     """
     sizes = (members,) if isinstance(members, int) else members
     written = _count_written_bytes()
-    measured = [
-        asdict(measure(size, window_s, seed, written)) for size in sizes
-    ]
+    measured: list[dict[str, Any]] = []
+    for size in sizes:
+        measured.append(_measure_or_fail(size, window_s, seed, written))
+        _write(measured, seed, out)
+
+
+def _measure_or_fail(
+    size: int, window_s: float, seed: int, written: list[int]
+) -> dict[str, Any]:
+    """Measure one size; a fleet that one loop can't carry is said so."""
+    try:
+        return asdict(measure(size, window_s, seed, written))
+    except TimeoutError as exc:
+        return {"members": size, "failed": str(exc)}
+
+
+def _write(measured: list[dict[str, Any]], seed: int, out: str) -> None:
     doc = {
         "command": "python -m mulberrypass.bench.slope_membership",
         "seed": seed,
@@ -290,10 +312,10 @@
         "neighbours": MembershipSettings().view.neighbours,
         "sizes": measured,
     }
-    text = json.dumps(doc, indent=1)
-    sys.stdout.write(text + "\n")
+    text = json.dumps(doc, indent=1) + "\n"
+    sys.stdout.write(text)
     if out:
-        pathlib.Path(out).write_text(text + "\n")
+        pathlib.Path(out).write_text(text)
 
 
 if __name__ == "__main__":
