Add the two support modules that the membership tests import

Cause: the commits of the membership tests left out their support modules, the simulated fleet and the peers over sockets, so that a fresh clone could not import them. Change: both files are added as the tests have used them.

--- /dev/null
+++ b/tests/peer/membership_peers.py
@@ -0,0 +1,161 @@
+"""Members over real sockets within one process."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from mulberrypass.peer import peer_pb2 as pb
+from mulberrypass.peer.api import Member, MemberState
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.peer.membership import GossipMembership
+from mulberrypass.peer.membership_state import MembershipSettings
+from mulberrypass.peer.server import ConfigurationHandler, PeerServer
+from mulberrypass.platform.api import Listed, ListedKind, ListedState
+from mulberrypass.policy.membership_messages import ViewSettings
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.testing.platform_memory import MemoryInstanceList
+from mulberrypass.testing.platform_state import FakePlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import unittest
+
+KEY = "peer-key"
+DEADLINE_S = 60.0
+CLOSE_S = 0.05
+FREE_PORT_ADDRESS = "127.0.11.1"
+SETTINGS = MembershipSettings(
+    view=ViewSettings(heartbeat_s=0.05, suspect_s=0.5, programs=("entry",)),
+    timeout_s=0.5,
+    gap_s=0.02,
+    list_s=0.05,
+)
+
+
+class NoConfiguration(ConfigurationHandler):
+    """Has no configuration to give."""
+
+    async def fetch(self, req: pb.FetchRequest) -> pb.FetchReply:
+        """Give none."""
+        return pb.FetchReply()
+
+
+class Peer:
+    """One member with its server."""
+
+    def __init__(
+        self,
+        fleet: Peers,
+        address: str,
+        incarnation: int,
+        key: str,
+        settings: MembershipSettings,
+    ) -> None:
+        name = f"entry@{address}"
+        me = Member(name, "entry", "z", address, incarnation)
+        self.address = address
+        self.name = name
+        self.generation = 0
+        self.heard: list[tuple[str, int]] = []
+        self.metrics = Metrics("entry")
+        self.running = True
+        self._loop = fleet.loop
+        self._fleet = fleet
+        self.membership = GossipMembership(
+            me,
+            fleet.loop,
+            MemoryInstanceList(fleet.platform),
+            key,
+            settings,
+            self.metrics,
+            self._hear,
+            lambda: self.generation,
+            lambda _program: fleet.port,
+            rng=random.Random(incarnation),
+        )
+        self.server = PeerServer(key, self.membership, NoConfiguration())
+
+    def _hear(self, member: Member, generation: int) -> None:
+        self.heard.append((member.name, generation))
+        self._fleet.notify()
+
+    def start(self) -> None:
+        """Serve and send heartbeats."""
+        served = self.server.start(self.address, self._fleet.port)
+        self._loop.submit(served).result(DEADLINE_S)
+        self.membership.start()
+
+    def stop(self) -> None:
+        """Stop as if killed: nobody is told."""
+        if self.running:
+            self.running = False
+            self.membership.stop()
+            self._loop.submit(self.server.stop()).result(DEADLINE_S)
+
+    def believes(self) -> dict[str, MemberState]:
+        """Give the state of each member that this one knows not dead."""
+        return {m.name: m.state for m in self.membership.members("entry")}
+
+
+class Peers:
+    """Members on one loop and one platform stand-in."""
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.case = case
+        self.loop = LoopThread()
+        self.loop.start()
+        case.addCleanup(self._stop_loop)
+        self.platform = FakePlatform()
+        with socket.create_server((FREE_PORT_ADDRESS, 0)) as free:
+            self.port = free.getsockname()[1]
+        self.changed = threading.Condition()
+
+    def start(
+        self,
+        address: str,
+        incarnation: int = 1,
+        key: str = KEY,
+        settings: MembershipSettings = SETTINGS,
+    ) -> Peer:
+        """Start a member."""
+        peer = Peer(self, address, incarnation, key, settings)
+        self.case.addCleanup(peer.stop)
+        peer.membership.subscribe(self.notify)
+        peer.start()
+        return peer
+
+    def list_live(self, *addresses: str) -> None:
+        """Let the platform list machines as live."""
+        self.platform.set_listed(
+            Listed(
+                address,
+                ListedKind.INSTANCE,
+                "z",
+                address,
+                ListedState.LIVE,
+            )
+            for address in addresses
+        )
+
+    def wait_for(self, holds: Callable[[], bool]) -> None:
+        """Wait until a condition holds after a change of any member."""
+        with self.changed:
+            self.case.assertTrue(self.changed.wait_for(holds, DEADLINE_S))
+
+    def _stop_loop(self) -> None:
+        """Stop the loop after it has seen the ends of connections."""
+        self.loop.submit(asyncio.sleep(CLOSE_S)).result(DEADLINE_S)
+        self.loop.stop()
+        self.loop.loop.close()
+
+    def notify(self) -> None:
+        """Say that something changed."""
+        with self.changed:
+            self.changed.notify_all()
+
+
+__all__ = ["KEY", "Peer", "Peers", "SETTINGS"]
--- /dev/null
+++ b/tests/policy/membership_fleet.py
@@ -0,0 +1,192 @@
+"""A fleet of membership views on a simulated network and clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+import heapq
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+from mulberrypass.peer.api import Member, MemberState
+from mulberrypass.platform.api import Listed, ListedKind, ListedState
+from mulberrypass.policy.membership import MembershipView
+from mulberrypass.policy.membership_messages import Contact, ViewSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SETTINGS = ViewSettings(programs=("entry",))
+TIMEOUT_S = 1.0
+MIN_GAP_S = 0.2
+
+
+@dataclass(eq=False, slots=True)
+class Node:
+    """One simulated member."""
+
+    view: MembershipView
+    address: str
+    up: bool = True
+    paused: bool = False
+    side: int = 0
+    round_at: float = 0.0
+    waiting: list[Callable[[], None]] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """The member's name."""
+        return self.view.me.name
+
+    @property
+    def runs(self) -> bool:
+        """Whether the member can do anything now."""
+        return self.up and not self.paused
+
+
+def states_in(view: MembershipView) -> dict[str, MemberState]:
+    """Give what a view believes of each member."""
+    everyone = (*view.known(), *view.dead())
+    return {member.name: member.state for member in everyone}
+
+
+class Fleet:
+    """Members that exchange heartbeats over a lossy network.
+
+    :param loss: probability that a message is lost, each way
+    """
+
+    def __init__(self, size: int, seed: int, loss: float = 0.0) -> None:
+        self.now = 0.0
+        self.loss = loss
+        self.rng = random.Random(seed)
+        self.nodes: dict[str, Node] = {}
+        self.listed: tuple[Listed, ...] = ()
+        self.exchanges = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        for number in range(size):
+            self.start(number)
+        self.publish_list()
+
+    def start(self, number: int) -> Node:
+        """Start a member, or start it again."""
+        address = f"127.0.10.{number + 1}"
+        incarnation = int(self.now * 1_000) + 1
+        me = Member(
+            f"entry@i{number:03}", "entry", "z", address, incarnation
+        )
+        view = MembershipView(me, SETTINGS, self.rng)
+        view.take_list(self.listed, self.now)
+        node = Node(view, address)
+        self.nodes[address] = node
+        self._at(self.now + self.rng.random(), lambda: self._round(node))
+        return node
+
+    def publish_list(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Let all members read a list of all members that are up."""
+        self.listed = tuple(
+            Listed(
+                node.name.partition("@")[2],
+                ListedKind.INSTANCE,
+                "z",
+                node.address,
+                ListedState.LEAVING
+                if node.name in leaving
+                else ListedState.LIVE,
+            )
+            for node in self.nodes.values()
+            if node.up
+        )
+        for node in self.nodes.values():
+            node.view.take_list(self.listed, self.now)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+        self.now = until
+
+    def resume(self, node: Node) -> None:
+        """End a pause: what was due is done now."""
+        node.paused = False
+        waiting, node.waiting = node.waiting, []
+        for event in waiting:
+            event()
+
+    def beliefs(self, of: str) -> set[MemberState | None]:
+        """Give what all that run believe of a member."""
+        return {
+            states_in(node.view).get(of)
+            for node in self.running()
+            if node.name != of
+        }
+
+    def running(self) -> list[Node]:
+        """Give the members that run."""
+        return [node for node in self.nodes.values() if node.runs]
+
+    def _at(self, when: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), event))
+
+    def _round(self, node: Node) -> None:
+        if not node.up:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self._round(node))
+            return
+        node.round_at = self.now
+        for contact in node.view.start_round(self.now):
+            self._heartbeat(node, contact)
+        interval_s = SETTINGS.heartbeat_s * self.rng.uniform(0.9, 1.1)
+        gap_s = MIN_GAP_S if node.view.take_urgent() else interval_s
+        self._at(self.now + gap_s, lambda: self._round(node))
+
+    def _heartbeat(self, node: Node, contact: Contact) -> None:
+        tried = node.view.incarnation_of(contact.name)
+        if self._exchange(node, contact):
+            return
+        if not contact.name:
+            return
+        ok = self._exchange(node, contact) or any(
+            self._probe(node, helper, contact)
+            for helper in node.view.helpers(contact.name)
+        )
+        if not ok:
+            self._later(
+                node,
+                lambda: node.view.suspect(contact.name, tried, self.now),
+            )
+
+    def _later(self, node: Node, event: Callable[[], object]) -> None:
+        def due() -> None:
+            if node.paused:
+                node.waiting.append(due)
+            else:
+                event()
+
+        self._at(self.now + 2 * TIMEOUT_S, due)
+
+    def _probe(self, node: Node, helper: Contact, target: Contact) -> bool:
+        there = self.nodes[helper.address]
+        reached = self._exchange(node, helper)
+        return reached and self._exchange(there, target)
+
+    def _exchange(self, node: Node, contact: Contact) -> bool:
+        self.exchanges += 1
+        there = self.nodes.get(contact.address)
+        message = node.view.heartbeat_for(contact.name)
+        if there is None or not there.runs or there.side != node.side:
+            return False
+        if self.rng.random() < self.loss:
+            return False
+        reply = there.view.reply(message, self.now)
+        if self.rng.random() < self.loss:
+            return False
+        node.view.receive_reply(reply, self.now)
+        return True
+
+
+__all__ = ["Fleet", "Node", "SETTINGS", "states_in"]
