--- a/src/mulberrypass/bench/capacity.py
+++ b/src/mulberrypass/bench/capacity.py
@@ -10,8 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-RESULTS = Path("bench/results")
-PAGE = Path("docs/CAPACITY.md")
+ROOT = Path(__file__).parents[3]
+RESULTS = ROOT / "bench" / "results"
+PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN = "<!-- figures: begin -->"
 END = "<!-- figures: end -->"
 DAY_S = 86_400
--- a/src/mulberrypass/programs/bench.py
+++ b/src/mulberrypass/programs/bench.py
@@ -8,12 +8,14 @@
 import fire
 
 from mulberrypass.bench import (
+    capacity,
     slope_jobs,
     slope_membership,
     slope_permits,
     slope_platform,
     slope_tokens,
 )
+from mulberrypass.bench.batch_faults import batch_faults
 from mulberrypass.bench.model_experiments import MODEL_EXPERIMENTS
 from mulberrypass.bench.process_experiments import (
     PROCESS_EXPERIMENTS,
@@ -45,7 +47,7 @@
         """Name all experiments."""
         model = ", ".join(MODEL_EXPERIMENTS)
         run = ", ".join(PROCESS_EXPERIMENTS)
-        return f"run: {run}\nmodel: {model}"
+        return f"run: {run}\nmodel: {model}\nfaults: jobs under faults"
 
     def run(
         self,
@@ -65,6 +67,22 @@
         path = result.save(results)
         return f"{result.table()}written to {path}"
 
+    def faults(
+        self, seed: int = 1, items: int = 10_000, results: str = RESULTS
+    ) -> str:
+        """Run jobs under kills, an outage of the store and lost replies.
+
+        :param items: items of the job that may be run again
+        """
+        result = batch_faults(seed, items)
+        path = result.save(results)
+        return f"{result.table()}written to {path}"
+
+    def capacity(self) -> str:
+        """Work the figures of docs/CAPACITY.md out anew."""
+        capacity.write()
+        return f"written to {capacity.PAGE}"
+
     def model(
         self,
         name: str,
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -59,6 +59,7 @@
     loop: LoopThread
     platform: PlatformClients
     budget: PlatformBudget
+    settled: SettledTable
     table: Committer
     objects: SettledObjects
     store: ConfigurationStore
@@ -93,6 +94,7 @@
         self.follower.stop()
         self.membership.stop()
         self.table.stop()
+        self.settled.remove_receipts()
         self.loop.submit(server.stop()).result()
         self.loop.stop()
         self.platform.close()
@@ -119,7 +121,7 @@
     metered_objects = MeteredObjects(platform.objects, budget)
     settled = SettledTable(
         metered,
-        f"{me.name}/{me.incarnation}",
+        me.name,
         metrics=metrics,
     )
     table = Committer(settled, metrics)
@@ -167,6 +169,7 @@
         loop=loop,
         platform=platform,
         budget=budget,
+        settled=settled,
         table=table,
         objects=objects,
         store=store,
--- a/tests/policy/membership_fleet.py
+++ b/tests/policy/membership_fleet.py
@@ -73,9 +73,7 @@
         """Start a member, or start it again."""
         address = f"127.0.10.{number + 1}"
         incarnation = int(self.now * 1_000) + 1
-        me = Member(
-            f"entry@i{number:03}", "entry", "z", address, incarnation
-        )
+        me = Member(f"entry@i{number:03}", "entry", "z", address, incarnation)
         view = MembershipView(me, SETTINGS, self.rng)
         view.take_list(self.listed, self.now)
         node = Node(view, address)
