Flush outcomes sooner for a minute after a holder was lost

What a killed holder had not flushed is run again: up to 10 s of its work. While members are being lost, another loss is likely, so outcomes are flushed after 1 s for the next minute; in quiet times writes stay as they are.

--- a/src/mulberrypass/policy/job_commands.py
+++ b/src/mulberrypass/policy/job_commands.py
@@ -38,6 +38,8 @@
     :param flush_outcomes: outcomes that are flushed together
     :param flush_ages: age at which fewer are flushed
     :param effect_flush_ages: the same for non-idempotent items
+    :param unrest_flush_ages: the same for ``unrest_s`` seconds after a
+        member was lost, since what is not flushed is run again
     :param max_outcomes: outcomes in memory beyond which nothing starts
     :param max_suspects: suspects that run at once
     :param poll_s: time between readings of the open jobs
@@ -56,6 +58,8 @@
     flush_outcomes: int = 2_000
     flush_ages: FlushAges = FlushAges()
     effect_flush_ages: FlushAges = FlushAges(1.0, 30.0, 10.0)
+    unrest_flush_ages: FlushAges = FlushAges(1.0, 60.0, 20.0)
+    unrest_s: float = 60.0
     max_outcomes: int = 20_000
     max_suspects: int = 4
     poll_s: float = 1.0
--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/job_holder.py
@@ -17,6 +17,7 @@
 )
 from mulberrypass.policy.job_draw import LotDraw
 from mulberrypass.policy.job_polls import PollSchedule
+from mulberrypass.policy.job_unrest import Unrest
 from mulberrypass.policy.lots import LotState
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self._suspect_runs: set[int] = set()
         self._next_run = 0
         self._fleet = Fleet({}, (), 0, {})
+        self._unrest = Unrest(settings.unrest_s)
         self._cancelled: set[str] = set()
         self._flushing: Flush | None = None
         self._polls = PollSchedule(settings)
@@ -94,6 +96,7 @@
     def tick(self, fleet: Fleet, now: float) -> None:
         """Decide by the time; called often."""
         self._fleet = fleet
+        self._unrest.note(fleet.live, now)
         self._poll(now)
         self._lease(now)
         self._ask_intents()
@@ -334,6 +337,8 @@
         ages = self._settings.flush_ages
         if not lot.terms.idempotent:
             ages = self._settings.effect_flush_ages
+        elif self._unrest.lasts(now):
+            ages = self._settings.unrest_flush_ages
         age_s = ages.age_s(self._draw.holders(self._fleet))
         return bool(lot.unflushed) and now - lot.unflushed_since >= age_s
 
--- a/tests/policy/test_jobs.py
+++ b/tests/policy/test_jobs.py
@@ -16,6 +16,7 @@
 )
 from mulberrypass.policy.job_holder import LotHolder
 from mulberrypass.policy.job_polls import PollSchedule
+from mulberrypass.policy.job_unrest import Unrest
 from mulberrypass.policy.jobs import (
     HeldLot,
     Holder,
@@ -138,6 +139,27 @@
                 self.assertEqual(expected, ages.age_s(holders))
 
 
+class TestUnrest(unittest.TestCase):
+    """Losses and restarts count, arrivals don't."""
+
+    def test_changes_of_members(self) -> None:
+        known = {"batch@a": 1, "batch@b": 1}
+        rows = (
+            (known, False),
+            (known | {"batch@c": 1}, False),
+            (known | {"batch@b": 2}, True),
+            ({"batch@a": 1}, True),
+        )
+        for live, lasts in rows:
+            with self.subTest(live=live):
+                unrest = Unrest(60.0)
+                unrest.note(known, 0.0)
+                unrest.note(live, 1.0)
+                unrest.note(live, 2.0)
+                self.assertEqual(lasts, unrest.lasts(60.9))
+                self.assertFalse(unrest.lasts(61.0))
+
+
 class TestPollSchedule(unittest.TestCase):
     """Nothing starts by an old poll, but in an outage."""
 
