Refuse connections at once on a planned stop, and split big modules

A closed server went on taking connections for up to a second and then reset them; callers saw 'maybe' where a refused connection says 'not run'. The listening socket is now shut down first, and requests that come on kept connections are finished too. Two tests bring it about: a stream ends whole while new connections are refused, and a stop that cuts off says so.

--- a/src/mulberrypass/caller/online.py
+++ b/src/mulberrypass/caller/online.py
@@ -22,6 +22,7 @@
 from mulberrypass.policy.shares import Shares, ShareSettings
 from mulberrypass.runtime.http import (
     Answer,
+    ClosingChunks,
     Problem,
     Streamed,
     json_answer,
@@ -118,7 +119,9 @@
             shares.give_back(call)
             raise
         if isinstance(reply, Streamed):
-            chunks = _HeldChunks(reply.chunks, lambda: shares.give_back(call))
+            chunks = ClosingChunks(
+                reply.chunks, lambda: shares.give_back(call)
+            )
             return replace(reply, chunks=chunks)
         shares.give_back(call)
         return reply
@@ -242,38 +245,6 @@
         return json_answer(document)
 
 
-class _HeldChunks:
-    """Chunks of a stream; gives its thread back when it is closed.
-
-    A generator would not do: one that is closed before its first chunk
-    runs no ``finally``.
-    """
-
-    def __init__(
-        self, chunks: Iterator[bytes], give_back: Callable[[], None]
-    ) -> None:
-        self._chunks = chunks
-        self._give_back = give_back
-        self._closed = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        return next(self._chunks)
-
-    def close(self) -> None:
-        if self._closed:
-            return
-        self._closed = True
-        try:
-            close = getattr(self._chunks, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._give_back()
-
-
 def problem_of(failed: Failed, request_id: str) -> Problem:
     """Give the problem answer for a failed request."""
     return Problem(
--- a/src/mulberrypass/online/recorded.py
+++ b/src/mulberrypass/online/recorded.py
@@ -11,6 +11,7 @@
 
 from mulberrypass.online.call import Completed, Failed, Shown
 from mulberrypass.online.course import Course
+from mulberrypass.online.intent import Intent
 from mulberrypass.online.records import (
     Gone,
     Record,
@@ -19,6 +20,11 @@
     StoreFailed,
     payload_digest,
 )
+from mulberrypass.online.refusals import (
+    STORE_RETRY_S,
+    indeterminate,
+    own_fault,
+)
 from mulberrypass.policy.messages import Ran
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
@@ -32,7 +38,6 @@
     from mulberrypass.online.records import RecordError, Records
 
 LOG = get_logger(__name__)
-STORE_RETRY_S = 1.0
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
 STANDING_POLL_S = 0.25
@@ -148,7 +153,7 @@
         self.forget(call.request_id)
         if record.state is RecordState.STARTED:
             if not call.service.idempotent:
-                outcome = _indeterminate()
+                outcome = indeterminate()
                 self._executor.submit(self._end, taken.ok, outcome)
                 return True
         self._executor.submit(self._run_to_end, call, taken.ok)
@@ -160,9 +165,9 @@
         self, call: Call, record: Record, mailbox: queue.Queue[CallEvent]
     ) -> None:
         """Run once; a caller is told of a refusal, and may try again."""
-        intent = _Intent(self._records, record, call.service.idempotent)
+        intent = Intent(self._records, record, call.service.idempotent)
         course = Course(call, self._tools, intent.write, _never)
-        outcome: Outcome = _fault()
+        outcome: Outcome = own_fault()
         try:
             for event in course.events():
                 if isinstance(event, Shown):
@@ -176,7 +181,7 @@
     def _run_to_end(self, call: Call, record: Record) -> None:
         """Run until the outcome is final or the deadline has passed."""
         backoff_s = FIRST_BACKOFF_S
-        intent = _Intent(self._records, record, call.service.idempotent)
+        intent = Intent(self._records, record, call.service.idempotent)
         while True:
             outcome = self._attempt(call, intent)
             left = call.deadline - time.monotonic()
@@ -186,7 +191,7 @@
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
         self._end(intent.record, outcome)
 
-    def _attempt(self, call: Call, intent: _Intent) -> Outcome:
+    def _attempt(self, call: Call, intent: Intent) -> Outcome:
         course = Course(call, self._tools, intent.write, _never)
         try:
             for event in course.events():
@@ -194,7 +199,7 @@
                     return event
         except Exception:
             LOG.exception("run failed", request_id=call.request_id)
-        return _fault()
+        return own_fault()
 
     def _settle(
         self,
@@ -326,38 +331,6 @@
             return len(self._running) >= self._limit
 
 
-class _Intent:
-    """Writes that a non-idempotent request may run from now on, once."""
-
-    def __init__(
-        self, records: Records, record: Record, idempotent: bool
-    ) -> None:
-        self.record = record
-        self._records = records
-        self._idempotent = idempotent
-
-    def write(self, _backend: str) -> Failed | None:
-        if self._idempotent or self.record.state is RecordState.STARTED:
-            return None
-        started = self._records.start(self.record)
-        if started.is_ok():
-            self.record = started.ok
-            return None
-        match started.error:
-            case Standing(record=record) if self._is_own(record):
-                self.record = record
-                return None
-            case StoreFailed():
-                return _start_not_durable()
-            case _:
-                return _fenced()
-
-    def _is_own(self, record: Record) -> bool:
-        """Whether the record is our own write whose reply was lost."""
-        started = record.state is RecordState.STARTED
-        return started and self._records.holds(record)
-
-
 def _until_outcome(mailbox: queue.Queue[CallEvent]) -> Iterator[CallEvent]:
     while True:
         event = mailbox.get()
@@ -402,43 +375,6 @@
     )
 
 
-def _start_not_durable() -> Failed:
-    return Failed(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        "store_unavailable",
-        "the request's start can't be made durable now",
-        Ran.NO,
-        STORE_RETRY_S,
-    )
-
-
-def _fenced() -> Failed:
-    return Failed(
-        HTTPStatus.CONFLICT,
-        "fenced",
-        "another instance has taken the request over",
-        Ran.MAYBE,
-    )
-
-
-def _indeterminate() -> Failed:
-    return Failed(
-        HTTPStatus.BAD_GATEWAY,
-        "indeterminate",
-        "the instance was lost while the request may have run",
-        Ran.MAYBE,
-    )
-
-
-def _fault() -> Failed:
-    return Failed(
-        HTTPStatus.INTERNAL_SERVER_ERROR,
-        "internal",
-        "the system met a fault of its own",
-        Ran.MAYBE,
-    )
-
-
 def _never() -> bool:
     return False
 
--- a/src/mulberrypass/online/refusals.py
+++ b/src/mulberrypass/online/refusals.py
@@ -13,6 +13,7 @@
     from mulberrypass.policy.messages import Refuse
 
 NO_BACKEND_RETRY_S = 1.0
+STORE_RETRY_S = 1.0
 
 _STATUS = {
     RefusalReason.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -81,10 +82,56 @@
     )
 
 
+def start_not_durable() -> Failed:
+    """Give the outcome where a start can't be noted durably."""
+    return Failed(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "store_unavailable",
+        "the request's start can't be made durable now",
+        Ran.NO,
+        STORE_RETRY_S,
+    )
+
+
+def fenced() -> Failed:
+    """Give the outcome where another instance holds the request."""
+    return Failed(
+        HTTPStatus.CONFLICT,
+        "fenced",
+        "another instance has taken the request over",
+        Ran.MAYBE,
+    )
+
+
+def indeterminate() -> Failed:
+    """Give the outcome of a lost request that may have run."""
+    return Failed(
+        HTTPStatus.BAD_GATEWAY,
+        "indeterminate",
+        "the instance was lost while the request may have run",
+        Ran.MAYBE,
+    )
+
+
+def own_fault() -> Failed:
+    """Give the outcome where the system itself failed."""
+    return Failed(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        "internal",
+        "the system met a fault of its own",
+        Ran.MAYBE,
+    )
+
+
 __all__ = [
+    "STORE_RETRY_S",
     "caller_left",
     "expired",
+    "fenced",
     "from_engine",
     "from_refusal",
+    "indeterminate",
     "no_client",
+    "own_fault",
+    "start_not_durable",
 ]
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -16,9 +16,9 @@
 from mulberrypass.platform.metered import MeteredObjects, MeteredTable
 from mulberrypass.policy.job_commands import HolderSettings
 from mulberrypass.programs.daemon import DaemonSettings
+from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
 from mulberrypass.runtime.http import HttpServer, WsgiApp
-from mulberrypass.runtime.lifecycle import StopSignal
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import BATCH_PORT
 from mulberrypass.runtime.settings import Port, load
@@ -89,7 +89,7 @@
         )
 
 
-class BatchProcess:
+class BatchProcess(Process):
     """The parts of one batch process, wired together."""
 
     def __init__(self, cfg: BatchSettings) -> None:
@@ -139,11 +139,7 @@
     def _not_ready(self) -> str:
         if self._draining:
             return "the process is being stopped"
-        if not self._common.follower.ready:
-            return "the configuration is not known"
-        if self._common.follower.current().generation == 0:
-            return "no configuration is published"
-        return ""
+        return self._common.not_ready()
 
     def start(self) -> None:
         """Start all parts, those that face callers last."""
@@ -178,14 +174,7 @@
 def main() -> None:
     """Serve callers and run lots until a stop signal."""
     cfg = load(PROGRAM, BatchSettings, sys.argv[1:], os.environ)
-    stop = StopSignal()
-    stop.install()
-    process = BatchProcess(cfg)
-    process.start()
-    stop.wait()
-    whole = process.stop()
-    sys.stdout.flush()
-    os._exit(0 if whole else 1)
+    run(lambda: BatchProcess(cfg))
 
 
 __all__ = ["BatchProcess", "BatchSettings", "main"]
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -22,9 +22,9 @@
 from mulberrypass.placement.runner import PlacementPorts, PlacementRunner
 from mulberrypass.policy.orders import preferred
 from mulberrypass.programs.daemon import DaemonSettings
+from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
 from mulberrypass.runtime.http import HttpServer, WsgiApp
-from mulberrypass.runtime.lifecycle import StopSignal
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import CONTROL_PORT
 from mulberrypass.runtime.settings import Port, load
@@ -54,7 +54,7 @@
     )
 
 
-class ControlProcess:
+class ControlProcess(Process):
     """The parts of one control process, wired together."""
 
     def __init__(self, cfg: ControlSettings) -> None:
@@ -97,14 +97,15 @@
             "serving", address=str(self._cfg.address), port=self._http.port
         )
 
-    def stop(self) -> None:
+    def stop(self) -> bool:
         """Finish what operators have asked for, then stop."""
         self._common.membership.leave()
         self._placement.stop()
         self._retention.stop()
-        self._http.stop(self._cfg.grace_s)
+        whole = self._http.stop(self._cfg.grace_s)
         self._common.stop(self._server)
         self._backends.close()
+        return whole
 
     def _app(self, common: Common, cfg: ControlSettings) -> WsgiApp:
         changes = ConfigurationChanges(common.store, common.follower)
@@ -148,12 +149,7 @@
 def main() -> None:
     """Serve operators until a stop signal."""
     cfg = load(PROGRAM, ControlSettings, sys.argv[1:], os.environ)
-    stop = StopSignal()
-    stop.install()
-    process = ControlProcess(cfg)
-    process.start()
-    stop.wait()
-    process.stop()
+    run(lambda: ControlProcess(cfg))
 
 
 __all__ = ["ControlProcess", "ControlSettings", "main"]
--- a/src/mulberrypass/programs/entry.py
+++ b/src/mulberrypass/programs/entry.py
@@ -26,9 +26,9 @@
 from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.policy.shares import ShareSettings
 from mulberrypass.programs.daemon import DaemonSettings
+from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
 from mulberrypass.runtime.http import HttpServer, Route, WsgiApp
-from mulberrypass.runtime.lifecycle import StopSignal
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import ENTRY_PORT, ENTRY_STREAM_PORT
 from mulberrypass.runtime.settings import load
@@ -59,7 +59,7 @@
     )
 
 
-class EntryProcess:
+class EntryProcess(Process):
     """The parts of one entry process, wired together."""
 
     def __init__(self, cfg: EntrySettings) -> None:
@@ -164,11 +164,7 @@
     def _not_ready(self) -> str:
         if self._draining:
             return "the process is being stopped"
-        if not self._common.follower.ready:
-            return "the configuration is not known"
-        if self._common.follower.current().generation == 0:
-            return "no configuration is published"
-        return ""
+        return self._common.not_ready()
 
     def start(self) -> None:
         """Start all parts, those that face callers last."""
@@ -211,14 +207,7 @@
 def main() -> None:
     """Serve callers until a stop signal."""
     cfg = load(PROGRAM, EntrySettings, sys.argv[1:], os.environ)
-    stop = StopSignal()
-    stop.install()
-    process = EntryProcess(cfg)
-    process.start()
-    stop.wait()
-    whole = process.stop()
-    sys.stdout.flush()
-    os._exit(0 if whole else 1)
+    run(lambda: EntryProcess(cfg))
 
 
 __all__ = ["EntryProcess", "EntrySettings", "main"]
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -77,6 +77,14 @@
             permits,
         )
 
+    def not_ready(self) -> str:
+        """Say why callers can't be served yet; empty where they can."""
+        if not self.follower.ready:
+            return "the configuration is not known"
+        if self.follower.current().generation == 0:
+            return "no configuration is published"
+        return ""
+
     def start(self, server: PeerServer) -> None:
         """Start the common parts, the server towards peers first."""
         port = PEER_PORTS[self.me.program]
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass, field
 from http import HTTPStatus
 import json
 import re
+import socket
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -206,17 +208,21 @@
         if isinstance(reply, Answer):
             headers.append(("Content-Length", str(len(reply.body))))
             start_response(status, headers)
-            return _Tracked(iter((reply.body,)), self._done)
+            return ClosingChunks(iter((reply.body,)), self._done)
         start_response(status, headers)
-        return _Tracked(reply.chunks, self._done)
+        return ClosingChunks(reply.chunks, self._done)
 
     def _done(self) -> None:
         with self._lock:
             self._in_flight -= 1
 
 
-class _Tracked:
-    """Chunks of an answer; says when the answer is over, exactly once."""
+class ClosingChunks:
+    """Chunks of an answer; calls back when it is over, exactly once.
+
+    A generator would not do: one that is closed before its first chunk
+    runs no ``finally``.
+    """
 
     def __init__(
         self, chunks: Iterator[bytes], done: Callable[[], None]
@@ -226,9 +232,13 @@
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
-        return self._chunks
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._chunks)
 
     def close(self) -> None:
+        """Close the chunks, then call back."""
         if self._closed:
             return
         self._closed = True
@@ -328,16 +338,31 @@
         :returns: whether nothing was cut off
         """
         deadline = time.monotonic() + grace_s
-        while self._app.in_flight and time.monotonic() < deadline:
-            time.sleep(DRAIN_POLL_S)
-        whole = self._app.in_flight == 0
+        self._refuse_connections()
+        self._drain(deadline)
+        # Answers reach their sockets, and connections that were kept open
+        # may bring one request more.
         time.sleep(FLUSH_S)
+        whole = self._drain(deadline)
         self._server.close()
         return whole
 
+    def _refuse_connections(self) -> None:
+        """Stop to listen at once; closing alone takes a poll's time."""
+        listening = self._server.socket
+        if listening is not None:
+            with contextlib.suppress(OSError):
+                listening.shutdown(socket.SHUT_RDWR)
+
+    def _drain(self, deadline: float) -> bool:
+        while self._app.in_flight and time.monotonic() < deadline:
+            time.sleep(DRAIN_POLL_S)
+        return self._app.in_flight == 0
+
 
 __all__ = [
     "Answer",
+    "ClosingChunks",
     "HttpServer",
     "JSON_TYPE",
     "PROBLEM_TYPE",
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 import http.client
 import json
+import socket
+import threading
+import time
 from typing import TYPE_CHECKING
 import unittest
 
@@ -18,8 +22,12 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from mulberrypass.runtime.http import Reply, Request
 
+TIMEOUT_S = 10.0
+
 
 def _echo(req: Request) -> Reply:
     return json_answer({"name": req.params["name"], "query": req.query})
@@ -89,3 +97,62 @@
     def test_large_body_is_refused(self) -> None:
         status, _ = self.get("GET", "/echo/x", b"x" * 2_000)
         self.assertEqual(413, status)
+
+
+class PlannedStopTest(unittest.TestCase):
+    """A planned stop takes nothing new and cuts nothing off."""
+
+    def test_stream_ends_whole_and_new_connections_are_refused(self) -> None:
+        begun, go_on = threading.Event(), threading.Event()
+
+        def chunks() -> Iterator[bytes]:
+            yield b"first"
+            begun.set()
+            go_on.wait(TIMEOUT_S)
+            yield b"last"
+
+        def stream(_req: Request) -> Reply:
+            return Streamed(chunks(), "text/plain")
+
+        app = WsgiApp((Route("GET", "/", stream),))
+        server = HttpServer(app, "127.0.0.1", 0, 2, 1_000)
+        server.start()
+        conn = http.client.HTTPConnection("127.0.0.1", server.port)
+        self.addCleanup(conn.close)
+        conn.request("GET", "/")
+        resp = conn.getresponse()
+        self.assertTrue(begun.wait(TIMEOUT_S))
+        with ThreadPoolExecutor(1) as pool:
+            stopped = pool.submit(server.stop, TIMEOUT_S)
+            self.refused_soon(server.port)
+            go_on.set()
+            self.assertTrue(stopped.result(TIMEOUT_S))
+        self.assertEqual(b"firstlast", resp.read())
+
+    def refused_soon(self, port: int) -> None:
+        """Wait until the port takes no connection any more."""
+        end = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < end:
+            try:
+                socket.create_connection(("127.0.0.1", port)).close()
+            except ConnectionRefusedError:
+                return
+        self.fail("the port still takes connections")
+
+    def test_stop_that_cuts_off_says_so(self) -> None:
+        hold = threading.Event()
+        self.addCleanup(hold.set)
+
+        def wait(_req: Request) -> Reply:
+            hold.wait(TIMEOUT_S)
+            return json_answer({})
+
+        app = WsgiApp((Route("GET", "/", wait),))
+        server = HttpServer(app, "127.0.0.1", 0, 2, 1_000)
+        server.start()
+        conn = http.client.HTTPConnection("127.0.0.1", server.port)
+        self.addCleanup(conn.close)
+        conn.request("GET", "/")
+        while app.in_flight == 0:
+            time.sleep(0.001)
+        self.assertFalse(server.stop(grace_s=0.0))
