--- a/src/mulberrypass/online/course.py
+++ b/src/mulberrypass/online/course.py
@@ -303,6 +303,8 @@
             self._maybe_ran = True
         if self._attempts or self._asked:
             return None
+        if time.monotonic() >= self._call.deadline:
+            return expired(self._ran())
         failure = Failure(
             ran=failed.ran,
             permanent=failed.permanent,
--- a/tests/online/test_course.py
+++ b/tests/online/test_course.py
@@ -175,6 +175,16 @@
         self.assertEqual(("timeout", Ran.MAYBE), (outcome.code, outcome.ran))
         self.assertEqual(slow.started, slow.cancelled)
 
+    def test_stream_that_fails_at_its_deadline_has_timed_out(self) -> None:
+        engine = ScriptedEngine([[Tokens(0, ("a",)), BROKEN]], delay_s=0.05)
+        self.backends.engines["e-1"] = engine
+        call = replace(a_call(stream=True), deadline=time.monotonic() + 0.01)
+        course = Course(call, self.tools(), _no_record, _stays)
+        course._patience = lambda: 5.0  # type: ignore[method-assign]
+        outcome = list(course.events())[-1]
+        assert isinstance(outcome, Failed)
+        self.assertEqual(("timeout", Ran.MAYBE), (outcome.code, outcome.ran))
+
     def test_retry_budget_is_bounded(self) -> None:
         tools = self.tools()
         engine = ScriptedEngine([[BROKEN] for _ in range(200)])
