Move committing, settling and metering out of the platform's adapter

Cause: platform/ held decisions (group commit, settling of lost replies, budgets) and imported policy and runtime, so it could not become the adapter of a second platform. They are a package of their own, storage/, now. The circle between peer/owner and peer/permit_streams goes too: the owner only re-exported the class.

--- a/src/mulberrypass/bench/slope_platform.py
+++ b/src/mulberrypass/bench/slope_platform.py
@@ -22,10 +22,10 @@
 from mulberrypass.platform.api import Absent, Put
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import open_platform
-from mulberrypass.platform.committer import Committer
-from mulberrypass.platform.metered import MeteredTable, PlatformBudget
-from mulberrypass.platform.settled import SettledTable
 from mulberrypass.runtime.ports import PLATFORM_PORT
+from mulberrypass.storage.committer import Committer
+from mulberrypass.storage.metered import MeteredTable, PlatformBudget
+from mulberrypass.storage.settled import SettledTable
 
 if TYPE_CHECKING:
     from mulberrypass.platform.client import PlatformClients
--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -22,7 +22,6 @@
     Refresh,
     Stop,
 )
-from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.policy.cell_settings import CellSettings
 from mulberrypass.policy.cells import parse
 from mulberrypass.policy.messages import (
@@ -300,4 +299,4 @@
         self._counts.clear()
 
 
-__all__ = ["OwnerTask", "PermitStreams"]
+__all__ = ["OwnerTask"]
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -13,7 +13,6 @@
 from mulberrypass.engine.directory import Backends
 from mulberrypass.jobs.service import JobPeers, JobService
 from mulberrypass.peer.holder import PermitLink
-from mulberrypass.platform.metered import MeteredObjects, MeteredTable
 from mulberrypass.policy.job_commands import HolderSettings
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
@@ -22,6 +21,7 @@
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import BATCH_PORT
 from mulberrypass.runtime.settings import Port, load
+from mulberrypass.storage.metered import MeteredObjects, MeteredTable
 
 PROGRAM = "mulberry-batch"
 LOG = get_logger(__name__)
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -17,20 +17,20 @@
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership, MembershipSettings
 from mulberrypass.peer.server import PeerServer
-from mulberrypass.platform.committer import Committer
-from mulberrypass.platform.metered import (
-    MeteredObjects,
-    MeteredTable,
-    PlatformBudget,
-)
-from mulberrypass.platform.settled import SettledTable
-from mulberrypass.platform.settled_objects import SettledObjects
 from mulberrypass.policy.budget import FleetBudget
 from mulberrypass.runtime.dump import StateDump
 from mulberrypass.runtime.logs import configure
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.runtime.ports import PEER_PORTS
 from mulberrypass.runtime.tls import peer_client, peer_server
+from mulberrypass.storage.committer import Committer
+from mulberrypass.storage.metered import (
+    MeteredObjects,
+    MeteredTable,
+    PlatformBudget,
+)
+from mulberrypass.storage.settled import SettledTable
+from mulberrypass.storage.settled_objects import SettledObjects
 
 if TYPE_CHECKING:
     import ssl
--- /dev/null
+++ b/src/mulberrypass/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Group commits, lost replies and budgets of the platform store."""
--- a/src/mulberrypass/platform/settled_objects.py
+++ b/src/mulberrypass/storage/settled_objects.py
@@ -15,8 +15,8 @@
     Throttled,
     Unavailable,
 )
-from mulberrypass.platform.settled import SettlePolicy
 from mulberrypass.runtime.metrics import Decision
+from mulberrypass.storage.settled import SettlePolicy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/platform/test_committer.py
+++ b/tests/storage/test_committer.py
@@ -17,14 +17,14 @@
     Put,
     Throttled,
 )
-from mulberrypass.platform.committer import Committer
-from mulberrypass.platform.metered import (
+from mulberrypass.policy.budget import FleetBudget
+from mulberrypass.storage.committer import Committer
+from mulberrypass.storage.metered import (
     MeteredObjects,
     MeteredTable,
     PlatformBudget,
 )
-from mulberrypass.platform.settled import SettledTable
-from mulberrypass.policy.budget import FleetBudget
+from mulberrypass.storage.settled import SettledTable
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
--- a/tests/platform/test_settled.py
+++ b/tests/storage/test_settled.py
@@ -25,8 +25,8 @@
     Unavailable,
     VersionIs,
 )
-from mulberrypass.platform.settled import RECEIPT_TABLE, SettledTable
-from mulberrypass.platform.settled_objects import SettledObjects
+from mulberrypass.storage.settled import RECEIPT_TABLE, SettledTable
+from mulberrypass.storage.settled_objects import SettledObjects
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
