--- a/src/mulberrypass/bench/slope_permits.py
+++ b/src/mulberrypass/bench/slope_permits.py
@@ -29,9 +29,9 @@
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.owner import OwnerTask
-from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.peer.peer_grpc import PeerStub
 import mulberrypass.peer.peer_pb2 as pb
+from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.peer.server import (
     KEY_HEADER,
     ConfigurationHandler,
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 from collections import deque
+import contextlib
 from dataclasses import dataclass
 import http.client
 import json
 import select
+import socket
 import threading
 import time
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.policy.messages import Ran
+from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
-    import socket
+    from collections.abc import Mapping
+    from email.message import Message
     import ssl
 
 CONNECT_TIMEOUT_S = 1.0
@@ -25,6 +29,7 @@
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
 UNPROCESSABLE = 422
+JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 class WireError(Exception):
@@ -84,17 +89,41 @@
         assert self._resp is not None
         return self._resp.status
 
+    @property
+    def head(self) -> Message:
+        """Headers of the answer."""
+        assert self._resp is not None
+        return self._resp.headers
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the body still to come, where that is known."""
+        assert self._resp is not None
+        return self._resp.length
+
+    def shut_down(self) -> None:
+        """End the connection under whatever waits on it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def send(
-        self, method: str, path: str, body: bytes | None, deadline: Deadline
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        deadline: Deadline,
+        headers: Mapping[str, str] | None = None,
     ) -> None:
         """Send the request, and read the head of the answer.
 
+        :param headers: in place of those of a JSON body
         :raises WireError: where either fails
         """
-        headers = {} if body is None else {"Content-Type": "application/json"}
+        if headers is None:
+            headers = {} if body is None else JSON_HEADERS
         try:
             self._sock.settimeout(deadline.left_s())
-            self._conn.request(method, path, body, headers)
+            self._conn.request(method, path, body, dict(headers))
             self._sock.settimeout(deadline.left_s())
             self._resp = self._conn.getresponse()
         except TimeoutError:
@@ -218,6 +247,14 @@
             raise
         return exchange
 
+    def open(self, deadline: Deadline) -> Exchange:
+        """Give an exchange on an idle connection, or on a new one.
+
+        :raises WireError: where there is none to be had; nothing ran
+        """
+        conn = self.take_idle()
+        return Exchange(self, conn or self._connect(deadline))
+
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Take back a connection whose answer was read whole."""
         now = time.monotonic()
@@ -261,6 +298,7 @@
             )
         try:
             conn.connect()
+            keep_alive(conn.sock)
         except OSError as exc:
             conn.close()
             reason = f"no connection: {type(exc).__name__}"
--- /dev/null
+++ b/src/mulberrypass/model/routes.py
@@ -0,0 +1,143 @@
+"""The routes in force and the engines that are registered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class RouteKind(enum.StrEnum):
+    """What may be done with the requests of a route."""
+
+    STREAM = "stream"
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """One service that a route sends requests to.
+
+    :param weight: share relative to the route's other services
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRoute:
+    """Requests of one host under one path prefix.
+
+    :param timeout_s: an answer, or a failure, is due within this
+    :param target_s: time to the first byte for which callers pay in full
+    :param priority: 0 is the most urgent
+    :param max_attempts: engines that one request may be sent to
+    :param resumable: whether a stream may go on at another engine
+    :param quota_tokens: tokens of unfinished batch items; 0 for no limit
+    :param due_s: batch results are due so long after the first send
+    :param retention_s: batch items may be given up after this
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[ServiceShare, ...]
+    timeout_s: float = 30.0
+    target_s: float = 1.0
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    quota_tokens: int = 0
+    due_s: float = 60.0
+    retention_s: float = 3600.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
+    def leads_to(self, service: str) -> bool:
+        """Whether the route may send requests to a service."""
+        return any(share.service == service for share in self.services)
+
+
+@dataclass(frozen=True, slots=True)
+class RelayService:
+    """A service that engines register for.
+
+    :param max_connections: connections that one engine accepts
+    :param kv_tokens: tokens that one engine's memory holds; 0 if unknown
+    """
+
+    name: str
+    max_connections: int = 0
+    kv_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """One whole published set of routes.
+
+    :param version: rises with each published set; 0 is empty
+    """
+
+    version: int = 0
+    routes: tuple[RelayRoute, ...] = ()
+    services: Mapping[str, RelayService] = field(default_factory=dict)
+    max_body_bytes: int = 4_194_304
+    max_header_bytes: int = 16_384
+    idle_timeout_s: float = 60.0
+
+    def find(self, host: str, path: str) -> RelayRoute | None:
+        """Give the route of a host with the longest prefix of a path."""
+        found = [
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.prefix)
+        ]
+        return max(found, key=lambda r: len(r.prefix), default=None)
+
+    def batch_routes(self, host: str) -> tuple[RelayRoute, ...]:
+        """Give the routes of a host that take batch jobs."""
+        return tuple(
+            route
+            for route in self.routes
+            if route.host == host and route.kind is RouteKind.BATCH
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredEngine:
+    """One engine as it registered itself.
+
+    :param name: names one start of an engine
+    :param address: IP number and port
+    :param cold_left_s: how much longer it is slow after its start
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    cold_left_s: float = 0.0
+
+
+__all__ = [
+    "RegisteredEngine",
+    "RelayRoute",
+    "RelayService",
+    "RouteKind",
+    "RouteTable",
+    "ServiceShare",
+]
--- a/src/mulberrypass/platform/caller.py
+++ b/src/mulberrypass/platform/caller.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok
 
 from mulberrypass.platform.api import Unavailable
+from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -139,6 +140,7 @@
         except OSError as exc:
             conn.close()
             return Error(Unavailable(f"no connection: {exc!r}", False))
+        keep_alive(conn.sock)
         conn.sock.settimeout(end.read_timeout_s)
         return Ok(conn)
 
--- /dev/null
+++ b/src/mulberrypass/platform/desired.py
@@ -0,0 +1,188 @@
+"""The operator's desired state and the engines' entries, as documents."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_pascal
+
+from mulberrypass.model.routes import (
+    RegisteredEngine,
+    RelayRoute,
+    RelayService,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+from mulberrypass.relay.followers import DocumentError
+
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+ENGINE_TABLE = "servers"
+READY = "ready"
+DRAINING = "draining"
+MS = 1_000.0
+
+KINDS = {
+    "streaming": RouteKind.STREAM,
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "batch": RouteKind.BATCH,
+}
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", alias_generator=to_pascal)
+
+
+M = TypeVar("M", bound=_Model)
+
+
+class _Share(_Model):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Model):
+    name: str
+    host: str
+    prefix: str
+    route_type: str = "idempotent"
+    service: str | None = None
+    backends: list[_Share] = Field(default_factory=list)
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1_000
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    # Tokens of waiting batch items here; of waiting calls on an engine.
+    cap: int = 0
+    target_completion_ms: float = 60_000
+    retention_s: float = 3_600
+
+
+class _Engine(_Model):
+    kv_capacity_tokens: int = 0
+
+
+class _Service(_Model):
+    name: str
+    max_conns: int = 0
+    engine: _Engine = _Engine()
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_timeout_ms: float = 60_000
+
+
+class _Desired(_Model):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Entry(_Model):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = Field(default=1, ge=1)
+    state: str
+    cold_left_ms: float = 0
+
+
+def read_desired(data: bytes) -> RouteTable:
+    """Read a desired state.
+
+    :raises DocumentError: where a field is missing or of another type
+    """
+    found = _validate(_Desired, data)
+    services = {
+        service.name: RelayService(
+            service.name, service.max_conns, service.engine.kv_capacity_tokens
+        )
+        for service in found.services
+    }
+    return RouteTable(
+        version=found.version,
+        routes=tuple(map(_route, found.routes)),
+        services=services,
+        max_body_bytes=found.limits.max_body_bytes,
+        max_header_bytes=found.limits.max_header_bytes,
+        idle_timeout_s=found.limits.idle_timeout_ms / MS,
+    )
+
+
+def read_engine(name: str, data: bytes) -> RegisteredEngine:
+    """Read an engine's entry.
+
+    :raises DocumentError: where it names no engine to use
+    """
+    found = _validate(_Entry, data)
+    if found.state not in (READY, DRAINING):
+        raise DocumentError(f"State: {found.state!r} is not known")
+    host, _, port = found.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise DocumentError(f"Address: {found.address!r} has no port")
+    return RegisteredEngine(
+        name=name,
+        service=found.service,
+        address=found.address,
+        zone=found.zone,
+        slots=found.slots,
+        leaving=found.state == DRAINING,
+        cold_left_s=found.cold_left_ms / MS,
+    )
+
+
+def _route(found: _Route) -> RelayRoute:
+    kind = KINDS.get(found.route_type)
+    if kind is None:
+        raise DocumentError(
+            f"route {found.name!r}: RouteType: {found.route_type!r}"
+        )
+    shares = tuple(
+        ServiceShare(share.service, share.weight) for share in found.backends
+    )
+    if found.service is not None:
+        shares = (ServiceShare(found.service, 1.0),)
+    return RelayRoute(
+        name=found.name,
+        host=found.host.lower(),
+        prefix=found.prefix,
+        kind=kind,
+        services=shares,
+        timeout_s=found.timeout_ms / MS,
+        target_s=found.target_latency_ms / MS,
+        priority=found.priority,
+        max_attempts=max(1, found.max_attempts),
+        resumable=found.resumable,
+        quota_tokens=found.cap,
+        due_s=found.target_completion_ms / MS,
+        retention_s=found.retention_s,
+    )
+
+
+def _validate(model: type[M], data: bytes) -> M:
+    try:
+        doc: Any = json.loads(data)
+        return model.model_validate(doc)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        field = ".".join(map(str, first["loc"]))
+        raise DocumentError(f"{field}: {first['msg']}")
+    except (ValueError, RecursionError) as exc:
+        raise DocumentError(f"not JSON: {exc}")
+
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_TABLE",
+    "ENGINE_TABLE",
+    "read_desired",
+    "read_engine",
+]
--- /dev/null
+++ b/src/mulberrypass/platform/engines.py
@@ -0,0 +1,109 @@
+"""Requests to the site's engines over pooled connections."""
+
+from __future__ import annotations
+
+import contextlib
+from http import HTTPStatus
+import threading
+from typing import TYPE_CHECKING
+
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import ConnectionPool, WireError
+from mulberrypass.platform import headers as names
+from mulberrypass.policy.messages import Ran
+from mulberrypass.relay.api import EngineAnswer, EngineCalls, EngineHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.wire import Deadline, Exchange
+    from mulberrypass.model.routes import RegisteredEngine
+    from mulberrypass.relay.api import RelayRequest
+
+READ_BYTES = 65_536
+OTHER_ANSWER = EngineFailed("an answer to another request", Ran.MAYBE)
+
+
+class SiteEngines(EngineCalls):
+    """Sends requests to engines, one at a time on a connection."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def keep(self, engines: frozenset[str]) -> None:
+        """Close idle connections to engines that are gone, by name."""
+        with self._lock:
+            gone = [name for name in self._pools if name not in engines]
+            pools = [self._pools.pop(name) for name in gone]
+        for pool in pools:
+            pool.close()
+
+    def send(
+        self,
+        engine: RegisteredEngine,
+        req: RelayRequest,
+        deadline: Deadline,
+        on_open: Callable[[Callable[[], None]], None],
+    ) -> EngineAnswer:
+        """Send a request; see ``EngineCalls``."""
+        pool = self._pool(engine)
+        exchange = pool.open(deadline)
+        on_open(exchange.shut_down)
+        headers = names.to_engine(req, engine.name, deadline.left_s())
+        try:
+            exchange.send(req.method, req.target, req.body, deadline, headers)
+            return SiteAnswer(exchange, req)
+        except WireError:
+            exchange.close()
+            raise
+
+    def _pool(self, engine: RegisteredEngine) -> ConnectionPool:
+        with self._lock:
+            pool = self._pools.get(engine.name)
+            if pool is None or pool.address != engine.address:
+                pool = ConnectionPool(engine.address)
+                self._pools[engine.name] = pool
+            return pool
+
+
+class SiteAnswer(EngineAnswer):
+    """One engine's answer, checked to be that of the request."""
+
+    def __init__(self, exchange: Exchange, req: RelayRequest) -> None:
+        self._exchange = exchange
+        head = exchange.head
+        found = head.get(names.REQUEST_ID)
+        not_run = head.get(names.NOT_RUN) is not None
+        moved = exchange.status == HTTPStatus.MISDIRECTED_REQUEST
+        if found != req.request_id and not (
+            found is None and (not_run or moved)
+        ):
+            raise WireError(OTHER_ANSWER)
+        self.head = EngineHead(
+            status=exchange.status,
+            headers=names.kept(tuple(head.items())),
+            not_run=not_run or moved,
+            moved=moved,
+            length=exchange.length,
+            load=names.read_load(head.get(names.SERVER_LOAD)),
+        )
+
+    def read_some(self, deadline: Deadline) -> bytes:
+        """Read what has come; see ``EngineAnswer``."""
+        part = self._exchange.read_some(READ_BYTES, deadline)
+        if not part and self._exchange.length:
+            raise WireError(EngineFailed("cut", Ran.MAYBE, resumable=True))
+        return part
+
+    def finish(self) -> None:
+        """Keep the connection if the answer is whole, else close it."""
+        self._exchange.finish()
+
+    def abort(self) -> None:
+        """End the connection; safe on any thread."""
+        with contextlib.suppress(OSError):
+            self._exchange.shut_down()
+
+
+__all__ = ["SiteAnswer", "SiteEngines"]
--- /dev/null
+++ b/src/mulberrypass/programs/site.py
@@ -0,0 +1,273 @@
+"""``mulberry-site``: all of the system on an instance of the users' site."""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+import random
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.peer.api import Member
+from mulberrypass.peer.configuration import ConfigurationPeers
+from mulberrypass.peer.holder import PermitLink
+from mulberrypass.peer.loop import LoopThread
+from mulberrypass.peer.membership import GossipMembership
+from mulberrypass.peer.membership_state import MembershipSettings
+from mulberrypass.peer.owner import OwnerTask
+from mulberrypass.peer.permit_streams import PermitStreams
+from mulberrypass.peer.server import PeerServer
+from mulberrypass.platform import desired
+from mulberrypass.platform.engines import SiteEngines
+from mulberrypass.platform.ingress import DirectoryApp, FrontApp, ReadyApp
+from mulberrypass.platform.row_client import SiteRows
+from mulberrypass.platform.site import (
+    SETTINGS_VARIABLE,
+    SiteError,
+    read_site,
+)
+from mulberrypass.policy.membership_messages import ViewSettings
+from mulberrypass.programs.session import Process, run
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.followers import EngineReader, RouteReader
+from mulberrypass.relay.forward import Forwarder, RelayTools
+from mulberrypass.relay.placing import Placer
+from mulberrypass.relay.watch import CallWatch
+from mulberrypass.runtime.dump import StateDump
+from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.logs import configure, get_logger
+from mulberrypass.runtime.metrics import Metrics
+from mulberrypass.storage.follow import TableFollower
+from mulberrypass.storage.instances import RowInstances
+
+if TYPE_CHECKING:
+    from mulberrypass.platform.site import Listener, Site
+    from mulberrypass.runtime.http import ServedApp
+
+PROGRAM = "entry"
+LOG = get_logger(__name__)
+# Threads that read an event wait for those that compute at most so long.
+SWITCH_INTERVAL_S = 0.0005
+FRONT_THREADS = 96
+SIDE_THREADS = 2
+MAX_BODY_BYTES = 8_388_608
+# Some callers keep an answer with addresses three times as long.
+TTL_S = 1.0
+KEPT_TIMES = 3
+# Answers reach their sockets, and processes stop, within this.
+LAST_S = 0.7
+REGISTER_RETRY_S = 0.5
+MEMBERSHIP = MembershipSettings(
+    view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
+    timeout_s=0.5,
+    list_s=3.0,
+)
+
+
+class SiteProcess(Process):
+    """The parts of one instance, wired together."""
+
+    def __init__(self, site: Site) -> None:
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        configure("mulberry-site", site.name, "json", "info", sys.stdout)
+        logging.getLogger("waitress").setLevel(logging.ERROR)
+        self._site = site
+        self._draining = False
+        self._stopped = threading.Event()
+        self._metrics = Metrics(PROGRAM)
+        self._me = Member(
+            name=f"{PROGRAM}@{site.name}",
+            program=PROGRAM,
+            zone=site.zone,
+            address=site.address,
+            incarnation=time.time_ns() // 1_000,
+        )
+        self._rows = SiteRows(site.store)
+        self._instances = RowInstances(self._rows)
+        self._directory = Directory()
+        self._routes = RouteReader(
+            self._directory, desired.CONFIG_KEY, desired.read_desired
+        )
+        self._engine_rows = EngineReader(self._directory, desired.read_engine)
+        self._followers = (
+            TableFollower(self._rows, desired.CONFIG_TABLE, self._routes),
+            TableFollower(self._rows, desired.ENGINE_TABLE, self._engine_rows),
+        )
+        # Peers are told apart from strangers by what all of a site share.
+        key = f"peers-of-{site.store.host}:{site.store.port}"
+        self._loop = LoopThread()
+        self._peers = ConfigurationPeers(
+            self._loop, key, self._address_of, self._routes.snapshot
+        )
+        self._membership = GossipMembership(
+            self._me,
+            self._loop,
+            self._instances,
+            key,
+            MEMBERSHIP,
+            self._metrics,
+            self._on_version,
+            lambda: self._directory.routes().version,
+            port_of=lambda _program: site.peer_port,
+            rng=random.Random(),
+        )
+        self._owner = OwnerTask(
+            self._me, self._membership, self._directory, self._metrics
+        )
+        self._permits = PermitLink(
+            self._me,
+            self._loop,
+            self._membership,
+            self._directory,
+            self._owner,
+            key,
+            metrics=self._metrics,
+            port=lambda _member: site.peer_port,
+        )
+        self._peer_server = PeerServer(
+            key, self._membership, self._peers, PermitStreams(self._owner)
+        )
+        self._engines = SiteEngines()
+        self._directory.subscribe(
+            lambda _cfg: self._engines.keep(self._directory.engine_names())
+        )
+        self._watch = CallWatch()
+        placer = Placer(self._me.name, self._permits, self._directory)
+        tools = RelayTools(self._directory, placer, self._engines, self._watch)
+        self._front = self._server(
+            FrontApp(Forwarder(tools), lambda _req: None),
+            site.front,
+            FRONT_THREADS,
+        )
+        self._sides = [
+            self._server(ReadyApp(self._not_ready), site.ready, SIDE_THREADS)
+        ]
+        if site.directory is not None:
+            directory = DirectoryApp(self._addresses, TTL_S)
+            self._sides.append(
+                self._server(directory, site.directory, SIDE_THREADS)
+            )
+        self._dump = self._open_dump()
+
+    def _server(
+        self, app: ServedApp, at: Listener, threads: int
+    ) -> HttpServer:
+        return HttpServer(app, at.host, at.port, threads, MAX_BODY_BYTES)
+
+    def _open_dump(self) -> StateDump:
+        dump = StateDump()
+        dump.install_signal()
+        dump.register("member", lambda: self._me)
+        dump.register("routes", self._directory.state)
+        dump.register("lapsed_engines", self._engine_rows.state)
+        dump.register("membership", self._membership.state)
+        dump.register("owner", self._owner.state)
+        dump.register("permits", self._permits.state)
+        dump.register("followers", lambda: [f.state for f in self._followers])
+        return dump
+
+    def start(self) -> None:
+        """Start all parts, those that face callers last."""
+        site = self._site
+        self._loop.start()
+        listening = self._peer_server.start(site.address, site.peer_port)
+        self._loop.submit(listening).result()
+        for follower in self._followers:
+            follower.start()
+        threading.Thread(
+            target=self._register, name="register", daemon=True
+        ).start()
+        self._membership.start()
+        self._owner.start()
+        self._permits.start()
+        self._watch.start()
+        for side in self._sides:
+            side.start()
+        self._front.start()
+        LOG.info("started", address=site.address, zone=site.zone)
+
+    def stop(self) -> bool:
+        """Stop as planned: cut off no request.
+
+        :returns: whether everything in flight came to its end
+        """
+        site = self._site
+        end = time.monotonic() + site.grace_s - LAST_S
+        LOG.info("stopping", grace_s=site.grace_s)
+        self._draining = True
+        self._stopped.set()
+        self._front.close_kept()
+        self._membership.leave()
+        kept = threading.Thread(target=self._unregister, daemon=True)
+        kept.start()
+        time.sleep(min(KEPT_TIMES * TTL_S, site.grace_s / KEPT_TIMES))
+        whole = self._front.stop(max(0.0, end - time.monotonic()))
+        LOG.info("stopped", whole=whole)
+        return whole
+
+    def _register(self) -> None:
+        """Write this instance's row, until that is done."""
+        site = self._site
+        while not self._stopped.is_set():
+            done = self._instances.register(site.name, site.zone, site.address)
+            if done.is_ok():
+                return
+            self._stopped.wait(REGISTER_RETRY_S)
+
+    def _unregister(self) -> None:
+        self._instances.remove(self._site.name)
+
+    def _not_ready(self) -> str:
+        if self._draining:
+            return "the process is being stopped"
+        if self._directory.routes().version == 0:
+            return "no configuration is known"
+        return ""
+
+    def _addresses(self, zone: str) -> tuple[str, ...]:
+        """Give the addresses of live instances, those of a zone first."""
+        port = self._site.front.port
+        live = list(self._membership.live(PROGRAM))
+        random.shuffle(live)
+        live.sort(key=lambda member: member.zone != zone)
+        return tuple(f"{member.address}:{port}" for member in live)
+
+    def _address_of(self, name: str) -> tuple[str, int] | None:
+        for member in self._membership.members(PROGRAM):
+            if member.name == name:
+                return member.address, self._site.peer_port
+        return None
+
+    def _on_version(self, member: Member, version: int) -> None:
+        """Fetch routes from a peer that has newer ones."""
+        threading.Thread(
+            target=self._fetch_routes, args=(member.name, version)
+        ).start()
+
+    def _fetch_routes(self, name: str, version: int) -> None:
+        if self._directory.routes().version >= version:
+            return
+        fetched = self._peers.fetch_from(name, version)
+        if fetched.is_ok():
+            self._routes.apply(fetched.ok.data)
+
+
+def main() -> None:
+    """Serve the site until a stop signal."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        sys.exit(f"mulberry-site: {SETTINGS_VARIABLE} is not set")
+    try:
+        site = read_site(Path(path))
+    except SiteError as exc:
+        sys.exit(f"mulberry-site: {exc}")
+    run(lambda: SiteProcess(site))
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["SiteProcess", "main"]
--- /dev/null
+++ b/src/mulberrypass/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Passes callers' requests on to engines, byte for byte."""
--- /dev/null
+++ b/src/mulberrypass/relay/directory.py
@@ -0,0 +1,159 @@
+"""The routes in force and the engines in use in this process."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.model.objects import (
+    Backend,
+    BackendKind,
+    Configuration,
+    Pool,
+)
+from mulberrypass.model.routes import RouteTable
+from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from mulberrypass.model.routes import RegisteredEngine
+
+LOG = get_logger(__name__)
+
+
+class Directory(ConfigurationSource):
+    """Holds the newest routes and the registered engines.
+
+    The routes never go back. Owners of pools see a configuration with a
+    pool for each service, of the engines that may get new work.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._routes = RouteTable()
+        self._engines: dict[str, RegisteredEngine] = {}
+        self._current = Configuration()
+        self._generation = 0
+        self._subscribers: list[Callable[[Configuration], None]] = []
+        self._applied_at = clock()
+
+    def routes(self) -> RouteTable:
+        """Give the routes in force; version 0 before the first."""
+        return self._routes
+
+    def engine(self, name: str) -> RegisteredEngine | None:
+        """Give an engine that may get new work."""
+        found = self._engines.get(name)
+        return found if found is not None and not found.leaving else None
+
+    def engine_names(self) -> frozenset[str]:
+        """Name all engines that are registered."""
+        return frozenset(self._engines)
+
+    def current(self) -> Configuration:
+        """Give the pools of engines that may get new work."""
+        return self._current
+
+    def subscribe(self, changed: Callable[[Configuration], None]) -> None:
+        """Call after each change, on the thread that brought it."""
+        self._subscribers.append(changed)
+
+    def apply_routes(self, table: RouteTable) -> bool:
+        """Put routes in force, unless they are older.
+
+        :returns: whether they were newer
+        """
+        with self._lock:
+            if table.version <= self._routes.version:
+                return False
+            self._routes = table
+            self._applied_at = self._clock()
+        LOG.info(
+            "configuration in force",
+            version=table.version,
+            routes=len(table.routes),
+        )
+        self._publish()
+        return True
+
+    def set_engines(self, engines: Iterable[RegisteredEngine]) -> None:
+        """Set all engines that are registered."""
+        with self._lock:
+            before = self._engines
+            self._engines = {engine.name: engine for engine in engines}
+            self._log(before, self._engines)
+        self._publish()
+
+    def state(self) -> dict[str, Any]:
+        """Give routes and engines for a dump."""
+        table = self._routes
+        return {
+            "version": table.version,
+            "age_s": round(self._clock() - self._applied_at, 3),
+            "routes": [route.name for route in table.routes],
+            "engines": {
+                name: "leaving" if engine.leaving else "ready"
+                for name, engine in self._engines.items()
+            },
+        }
+
+    def _log(
+        self,
+        before: dict[str, RegisteredEngine],
+        after: dict[str, RegisteredEngine],
+    ) -> None:
+        for name in before.keys() - after.keys():
+            LOG.info("engine gone", engine=name)
+        for name, engine in after.items():
+            known = before.get(name)
+            if known is None or known.leaving != engine.leaving:
+                LOG.info(
+                    "engine leaving" if engine.leaving else "engine ready",
+                    engine=name,
+                    address=engine.address,
+                    service=engine.service,
+                )
+
+    def _publish(self) -> None:
+        with self._lock:
+            self._generation += 1
+            self._current = self._configuration()
+            current = self._current
+        for changed in self._subscribers:
+            changed(current)
+
+    def _configuration(self) -> Configuration:
+        services = self._routes.services
+        usable = [
+            engine
+            for engine in self._engines.values()
+            if not engine.leaving and engine.service in services
+        ]
+        backends = {
+            engine.name: Backend(
+                name=engine.name,
+                kind=BackendKind.ENGINE,
+                zone=engine.zone,
+                address=engine.address,
+                slots=engine.slots,
+                kv_tokens=services[engine.service].kv_tokens,
+            )
+            for engine in usable
+        }
+        pools = {
+            name: Pool(
+                name,
+                tuple(e.name for e in usable if e.service == name),
+            )
+            for name in services
+        }
+        return Configuration(
+            generation=self._generation, pools=pools, backends=backends
+        )
+
+
+__all__ = ["Directory"]
--- /dev/null
+++ b/src/mulberrypass/relay/events.py
@@ -0,0 +1,82 @@
+"""Server-sent events, taken apart without changing a byte."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# A longer event is no event of an engine.
+MAX_EVENT_BYTES = 1_048_576
+
+
+class BadEventError(Exception):
+    """The bytes are no events."""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One whole event.
+
+    :param raw: its bytes, the empty line included
+    :param number: its id; ``None`` where it has none
+    :param data: its data, lines joined by line feeds
+    """
+
+    raw: bytes
+    number: int | None
+    data: bytes
+
+
+class EventSplitter:
+    """Cuts a byte stream into events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def pending(self) -> bool:
+        """Whether part of an event has come."""
+        return bool(self._rest.strip())
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take in bytes, and give the events that are whole now.
+
+        :raises BadEventError: where an event is too long
+        """
+        buffer = self._rest + data
+        events = []
+        while True:
+            end = _end_of_event(buffer)
+            if end < 0:
+                break
+            events.append(_event(buffer[:end]))
+            buffer = buffer[end:]
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise BadEventError("an event is too long")
+        self._rest = buffer
+        return events
+
+
+def _end_of_event(buffer: bytes) -> int:
+    """Give the length of the first event; -1 where it is not whole."""
+    ends = [
+        found + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (found := buffer.find(mark)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _event(raw: bytes) -> Event:
+    number = None
+    data = []
+    for line in raw.splitlines():
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"id" and value.strip().isdigit():
+            number = int(value)
+        elif name == b"data":
+            data.append(value)
+    return Event(raw, number, b"\n".join(data))
+
+
+__all__ = ["BadEventError", "Event", "EventSplitter"]
--- /dev/null
+++ b/src/mulberrypass/relay/followers.py
@@ -0,0 +1,200 @@
+"""Brings the rows of routes and engines into the directory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import hashlib
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.model.snapshot import Snapshot
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.storage.follow import TableReader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.model.routes import RegisteredEngine, RouteTable
+    from mulberrypass.relay.directory import Directory
+    from mulberrypass.storage.rows import StoredRow
+
+LOG = get_logger(__name__)
+# Engines whose entries lapsed with the store are back within two seconds.
+RETURN_S = 2.0
+
+
+class DocumentError(Exception):
+    """A row that can't be read; the message says why."""
+
+
+class RouteReader(TableReader):
+    """Puts the published routes in force.
+
+    :param key: key of the row that holds them
+    :param decode: reads the row
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        key: str,
+        decode: Callable[[bytes], RouteTable],
+    ) -> None:
+        self._directory = directory
+        self._key = key
+        self._decode = decode
+        self._lock = threading.Lock()
+        self._snapshot: Snapshot | None = None
+
+    def whole(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all rows that there are."""
+        self.changed(rows)
+
+    def changed(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the rows that have changed."""
+        for row in rows:
+            if row.at.key == self._key and not row.removed:
+                self.apply(row.value)
+
+    def apply(self, data: bytes) -> None:
+        """Put a published document in force, unless it is older."""
+        try:
+            table = self._decode(data)
+        except DocumentError as exc:
+            LOG.error("configuration can't be used", reason=str(exc))
+            return
+        with self._lock:
+            if self._directory.apply_routes(table):
+                digest = hashlib.sha256(data).hexdigest()
+                self._snapshot = Snapshot(table.version, digest, data)
+
+    def snapshot(self) -> Snapshot | None:
+        """Give the document in force, for peers."""
+        return self._snapshot
+
+
+@dataclass(slots=True)
+class _Entry:
+    """An engine's entry.
+
+    :param missing_until: when a lapsed entry counts as gone
+    """
+
+    engine: RegisteredEngine
+    missing_until: float | None = None
+
+
+class EngineReader(TableReader):
+    """Keeps the engines of the directory in step with their entries.
+
+    Entries that lapse while the store is away are kept until a while after
+    its return, as their engines may live.
+
+    :param decode: reads an entry
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        decode: Callable[[str, bytes], RegisteredEngine],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._directory = directory
+        self._decode = decode
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._entries: dict[str, _Entry] = {}
+        self._lost = False
+        self._returned_at: float | None = None
+        self._timer: threading.Timer | None = None
+
+    def whole(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all entries that there are."""
+        present = {row.at.key for row in rows}
+        with self._lock:
+            for name in self._entries.keys() - present:
+                self._drop(name)
+        self.changed(rows)
+
+    def changed(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the entries that have changed."""
+        with self._lock:
+            for row in rows:
+                if row.removed:
+                    self._drop(row.at.key)
+                else:
+                    self._put(row)
+            self._publish()
+
+    def reachable(self, yes: bool) -> None:
+        """Note that the store was lost or is back."""
+        with self._lock:
+            self._lost = not yes
+            self._returned_at = self._clock() if yes else None
+
+    def sweep(self) -> None:
+        """Drop lapsed entries that have not come back in time."""
+        now = self._clock()
+        with self._lock:
+            late = [
+                name
+                for name, entry in self._entries.items()
+                if entry.missing_until is not None
+                and entry.missing_until <= now
+            ]
+            for name in late:
+                del self._entries[name]
+            if late:
+                self._publish()
+
+    def state(self) -> dict[str, Any]:
+        """Give lapsed entries for a dump."""
+        now = self._clock()
+        return {
+            name: round(entry.missing_until - now, 3)
+            for name, entry in list(self._entries.items())
+            if entry.missing_until is not None
+        }
+
+    def _put(self, row: StoredRow) -> None:
+        name = row.at.key
+        try:
+            engine = self._decode(name, row.value)
+        except DocumentError as exc:
+            LOG.warning("entry names no engine", engine=name, why=str(exc))
+            self._entries.pop(name, None)
+            return
+        self._entries[name] = _Entry(engine)
+
+    def _drop(self, name: str) -> None:
+        entry = self._entries.get(name)
+        if entry is None:
+            return
+        until = self._kept_until()
+        if until is None:
+            del self._entries[name]
+        elif entry.missing_until is None:
+            entry.missing_until = until
+            self._sweep_at(until)
+
+    def _kept_until(self) -> float | None:
+        if self._returned_at is None:
+            return None
+        until = self._returned_at + RETURN_S
+        return until if self._clock() < until else None
+
+    def _sweep_at(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = threading.Timer(max(0.0, at - self._clock()), self.sweep)
+        self._timer.daemon = True
+        self._timer.start()
+
+    def _publish(self) -> None:
+        self._directory.set_engines(
+            entry.engine for entry in self._entries.values()
+        )
+
+
+__all__ = ["DocumentError", "EngineReader", "RouteReader"]
--- /dev/null
+++ b/src/mulberrypass/relay/placing.py
@@ -0,0 +1,225 @@
+"""Permits for requests, from the ask to the release."""
+
+from __future__ import annotations
+
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass, field
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from mulberrypass.policy.messages import (
+    Ask,
+    FirstToken,
+    Grant,
+    RefusalReason,
+    Refuse,
+    Release,
+    ReleaseOutcome,
+    Withdraw,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from mulberrypass.model.routes import RegisteredEngine, RelayRoute
+    from mulberrypass.peer.api import PermitClient
+    from mulberrypass.policy.messages import WorkClass
+    from mulberrypass.relay.directory import Directory
+
+# The caller's leaving is looked for while an ask waits.
+POLL_S = 0.05
+HASH_RANGE = 2**64
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What one piece of work needs of an engine.
+
+    :param find: gives the route in force for it, at any moment
+    :param spread: decides among the services of a route
+    :param deadline: monotonic time by which it must have ended
+    """
+
+    find: Callable[[], RelayRoute | None]
+    spread: str
+    customer: str
+    work_class: WorkClass
+    deadline: float
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...] = ()
+    revocable: bool = False
+
+
+class NoRouteError(Exception):
+    """No route leads to any service."""
+
+
+class NotPlacedError(Exception):
+    """No engine is to be had.
+
+    :param reason: stable name of the reason
+    """
+
+    def __init__(self, reason: str, retry_after_s: float = 0.0) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(slots=True, eq=False)
+class Placement:
+    """A permit in use; released exactly once.
+
+    :param queued_s: how long the ask waited
+    """
+
+    permits: PermitClient
+    ask_id: str
+    engine: RegisteredEngine
+    queued_s: float
+    sent_at: float = field(default_factory=time.monotonic)
+    first_at: float | None = None
+    released: bool = False
+    revoked: Callable[[], bool] = lambda: False
+
+    def first(self) -> None:
+        """Note that the first event has come."""
+        if self.first_at is None:
+            self.first_at = time.monotonic()
+            after_s = self.first_at - self.sent_at
+            self.permits.tell(FirstToken(self.ask_id, after_s))
+
+    def release(self, outcome: ReleaseOutcome, tokens: int = 0) -> None:
+        """Give the permit back."""
+        if self.released:
+            return
+        self.released = True
+        service_s = time.monotonic() - self.sent_at
+        self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
+
+
+class Placer:
+    """Asks owners for permits on behalf of requests. Safe on any thread."""
+
+    def __init__(
+        self, member: str, permits: PermitClient, directory: Directory
+    ) -> None:
+        self._member = member
+        self._permits = permits
+        self._directory = directory
+        self._numbers: Iterator[int] = itertools.count(time.time_ns())
+
+    def place(
+        self,
+        need: Need,
+        avoid: tuple[str, ...],
+        over: Callable[[], bool],
+        on_revoke: Callable[[], None] | None = None,
+    ) -> Placement:
+        """Wait for a permit whose engine may get the work now.
+
+        :param avoid: engines not to choose
+        :param over: whether the work has no use any more
+        :raises NoRouteError: where no route takes the work any more
+        :raises NotPlacedError: where no engine is to be had in time
+        """
+        since = time.monotonic()
+        while True:
+            route = need.find()
+            if route is None or not route.services:
+                raise NoRouteError
+            service = choose_service(route, need.spread)
+            ask = self._ask(need, service, avoid)
+            answer = self._answer(ask, need, over, on_revoke)
+            match answer:
+                case Refuse(reason=reason, retry_after_s=retry_after_s):
+                    raise NotPlacedError(reason.value, retry_after_s)
+                case Grant(backend=backend):
+                    engine = self._usable(need, service, backend)
+                    if engine is not None:
+                        queued_s = time.monotonic() - since
+                        return Placement(
+                            self._permits, ask.ask_id, engine, queued_s
+                        )
+                    self._unused(ask.ask_id)
+                    avoid = (*avoid, backend)
+
+    def _ask(self, need: Need, service: str, avoid: tuple[str, ...]) -> Ask:
+        return Ask(
+            ask_id=f"{self._member}/{next(self._numbers)}",
+            holder=self._member,
+            pool=service,
+            customer=need.customer,
+            work_class=need.work_class,
+            budget_s=max(0.0, need.deadline - time.monotonic()),
+            prompt_tokens=need.prompt_tokens,
+            output_tokens=need.output_tokens,
+            prefix=need.prefix,
+            avoid=avoid,
+            revocable=need.revocable,
+        )
+
+    def _answer(
+        self,
+        ask: Ask,
+        need: Need,
+        over: Callable[[], bool],
+        on_revoke: Callable[[], None] | None,
+    ) -> Grant | Refuse:
+        fut = self._permits.ask(ask, on_revoke or _ignore)
+        while True:
+            try:
+                return fut.result(POLL_S)
+            except FutureTimeoutError:
+                pass
+            late = time.monotonic() >= need.deadline
+            if not late and not over():
+                continue
+            self._permits.tell(Withdraw(ask.ask_id))
+            if fut.done() and isinstance(fut.result(), Grant):
+                self._unused(ask.ask_id)
+            reason = RefusalReason.DEADLINE.value if late else "left"
+            raise NotPlacedError(reason)
+
+    def _usable(
+        self, need: Need, service: str, backend: str
+    ) -> RegisteredEngine | None:
+        """Give the granted engine if the work may go there now."""
+        route = need.find()
+        engine = self._directory.engine(backend)
+        if route is None or engine is None:
+            return None
+        allowed = route.leads_to(service) and engine.service == service
+        return engine if allowed else None
+
+    def _unused(self, ask_id: str) -> None:
+        self._permits.tell(Release(ask_id, ReleaseOutcome.UNUSED))
+
+
+def choose_service(route: RelayRoute, spread: str) -> str:
+    """Choose a route's service by weight, the same each time."""
+    total = sum(share.weight for share in route.services)
+    point = xxhash.xxh3_64_intdigest(spread.encode()) / HASH_RANGE * total
+    for share in route.services:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.services[-1].service
+
+
+def _ignore() -> None:
+    """Online permits are not revocable."""
+
+
+__all__ = [
+    "Need",
+    "NoRouteError",
+    "NotPlacedError",
+    "Placement",
+    "Placer",
+    "choose_service",
+]
--- /dev/null
+++ b/src/mulberrypass/relay/watch.py
@@ -0,0 +1,87 @@
+"""Ends calls whose caller has left, on one thread for the process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import threading
+from typing import TYPE_CHECKING
+
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOG = get_logger(__name__)
+# Callers may leave half a second before work for them must end.
+POLL_S = 0.05
+
+
+@dataclass(slots=True, eq=False)
+class Watched:
+    """One call that is in flight.
+
+    :param over: whether the call has no use any more
+    :param abort: ends the connection that it waits on
+    :param ended: whether it was ended here
+    """
+
+    over: Callable[[], bool]
+    abort: Callable[[], None]
+    ended: bool = False
+
+
+class CallWatch:
+    """Looks at all calls in flight, many times a second."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._calls: set[Watched] = set()
+        self._some = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._run, name="call-watch", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopped = True
+        self._some.set()
+
+    def add(self, call: Watched) -> None:
+        """Watch a call."""
+        with self._lock:
+            self._calls.add(call)
+            self._some.set()
+
+    def remove(self, call: Watched) -> None:
+        """Watch a call no longer."""
+        with self._lock:
+            self._calls.discard(call)
+            if not self._calls:
+                self._some.clear()
+
+    def _run(self) -> None:
+        pause = threading.Event()
+        while not self._stopped:
+            self._some.wait()
+            pause.wait(POLL_S)
+            with self._lock:
+                calls = tuple(self._calls)
+            for call in calls:
+                self._look(call)
+
+    def _look(self, call: Watched) -> None:
+        if call.ended or not call.over():
+            return
+        call.ended = True
+        try:
+            call.abort()
+        except Exception:
+            LOG.exception("a call could not be ended")
+
+
+__all__ = ["CallWatch", "Watched"]
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -10,10 +10,12 @@
 import socket
 import threading
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol, cast
 from urllib.parse import parse_qsl, unquote
 
+from waitress.channel import HTTPChannel
 import waitress.server
+from waitress.task import WSGITask
 
 from mulberrypass.runtime.logs import get_logger
 
@@ -250,6 +252,21 @@
             self._done()
 
 
+def _channel_class(closing: threading.Event) -> type[HTTPChannel]:
+    """Give a kind of connection that ends after an answer when told to."""
+
+    class ClosingTask(WSGITask):
+        def build_response_header(self) -> bytes:
+            if closing.is_set():
+                self.set_close_on_finish()
+            return bytes(super().build_response_header())
+
+    class ClosingChannel(HTTPChannel):
+        task_class = ClosingTask
+
+    return ClosingChannel
+
+
 def _compile(pattern: str) -> re.Pattern[str]:
     parts = re.split(r"\{(\w+)\}", pattern)
     regex = "".join(
@@ -284,6 +301,19 @@
     return False
 
 
+class ServedApp(Protocol):
+    """A WSGI application that counts what it has not answered yet."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have started and have not been answered whole."""
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+
+
 class HttpServer:
     """Serves an application on its own accept queue and thread pool.
 
@@ -294,7 +324,7 @@
 
     def __init__(
         self,
-        app: WsgiApp,
+        app: ServedApp,
         host: str,
         port: int,
         threads: int,
@@ -302,7 +332,8 @@
         idle_s: int = 60,
     ) -> None:
         self._app = app
-        self._server: Any = waitress.server.create_server(
+        self._closing = threading.Event()
+        self._server = cast("Any", waitress.server.create_server)(
             app,
             host=host,
             port=port,
@@ -318,6 +349,7 @@
             asyncore_use_poll=True,
             ident=None,
         )
+        self._server.channel_class = _channel_class(self._closing)
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
         )
@@ -331,6 +363,10 @@
         """Start to accept connections."""
         self._thread.start()
 
+    def close_kept(self) -> None:
+        """End each kept connection with its next answer, and say so."""
+        self._closing.set()
+
     def stop(self, grace_s: float) -> bool:
         """Finish what is in flight, then close.
 
--- a/src/mulberrypass/runtime/logs.py
+++ b/src/mulberrypass/runtime/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO
 
 import structlog
 
@@ -15,11 +15,18 @@
 REDACTED = "***"
 
 
-def configure(program: str, member: str, log_format: str, level: str) -> None:
+def configure(
+    program: str,
+    member: str,
+    log_format: str,
+    level: str,
+    stream: TextIO | None = None,
+) -> None:
     """Set the form and level of all logs of this process.
 
     :param member: name of this process in the fleet
     :param log_format: ``json`` or ``console``
+    :param stream: takes the lines; standard error where it is not given
     """
     renderer: Any = structlog.processors.JSONRenderer()
     if log_format == "console":
@@ -38,7 +45,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
     )
 
 
--- /dev/null
+++ b/src/mulberrypass/storage/follow.py
@@ -0,0 +1,218 @@
+"""Follows the rows of a table by its change feed."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.storage.rows import Lagged
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from mulberrypass.storage.rows import (
+        FeedError,
+        ReadFailure,
+        RowPage,
+        RowStore,
+        StoredRow,
+    )
+
+LOG = get_logger(__name__)
+WAIT_S = 4.0
+RETRY_S = 0.25
+STOP_TIMEOUT_S = 0.5
+
+
+class TableReader(ABC):
+    """What becomes of the rows; called on the follower's thread."""
+
+    @abstractmethod
+    def whole(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all rows that there are."""
+
+    @abstractmethod
+    def changed(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the rows that have changed since."""
+
+    def reachable(self, yes: bool) -> None:  # noqa: B027
+        """Note that the store was lost or is back."""
+
+
+@dataclass(slots=True)
+class FollowState:
+    """State of a follower for a dump.
+
+    :param version: newest version taken in; ``None`` before the first
+    :param error: why the last call failed; empty where it did not
+    """
+
+    table: str
+    version: int | None = None
+    error: str = "not read yet"
+    reads: int = 0
+    feeds: int = 0
+
+
+class TableFollower:
+    """Reads a table whole, then waits for changes, for ever.
+
+    Rows older than what was taken in are never handed on: an answer that
+    is behind, from a store that has just come back, is asked for again.
+
+    :param all_parts: whether to read other parts than the empty one
+    """
+
+    def __init__(
+        self,
+        rows: RowStore,
+        table: str,
+        reader: TableReader,
+        *,
+        all_parts: bool = False,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._rows = rows
+        self._reader = reader
+        self._all_parts = all_parts
+        self._clock = clock
+        self._stop = threading.Event()
+        self._reachable = True
+        self._newest_seen = 0
+        self.state = FollowState(table)
+        self.answered_at = clock()
+        self._thread = threading.Thread(
+            target=self._run, name=f"follow-{table}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Let the thread end; does not wait for a call in flight."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                went_well = self._step()
+            except Exception:
+                LOG.exception("follower failed", table=self.state.table)
+                went_well = False
+            if not went_well:
+                self._stop.wait(RETRY_S)
+
+    def _step(self) -> bool:
+        """Make one call; whether it brought an answer."""
+        if self.state.version is None:
+            return self._read_whole()
+        self.state.feeds += 1
+        fed = self._rows.feed(self.state.table, self.state.version, WAIT_S)
+        if fed.is_error():
+            return self._on_error(fed.error)
+        self._answered()
+        return self._take(fed.ok)
+
+    def _take(self, page: RowPage) -> bool:
+        assert self.state.version is not None
+        if page.version < self.state.version:
+            return False
+        last = self.state.version
+        newer = tuple(row for row in page.rows if row.version > last)
+        if newer:
+            self._reader.changed(newer)
+        self.state.version = page.version
+        if page.more:
+            self.state.version = max((r.version for r in newer), default=last)
+        return True
+
+    def _read_whole(self) -> bool:
+        self.state.reads += 1
+        result = self._scan_all()
+        if result.is_error():
+            return self._on_error(result.error)
+        found, version = result.ok
+        self._answered()
+        if version < self._newest_seen:
+            return False
+        self._reader.whole(found)
+        self.state.version = version
+        return True
+
+    def _on_error(self, error: FeedError) -> bool:
+        match error:
+            case Lagged():
+                LOG.info("history was dropped", table=self.state.table)
+                self._newest_seen = self.state.version or 0
+                self.state.version = None
+                return True
+            case Unavailable(reason=reason):
+                self.state.error = reason
+            case Throttled():
+                self.state.error = "over the rate"
+        if self._reachable:
+            self._reachable = False
+            LOG.warning(
+                "store lost", table=self.state.table, reason=self.state.error
+            )
+            self._reader.reachable(False)
+        return False
+
+    def _answered(self) -> None:
+        self.answered_at = self._clock()
+        self.state.error = ""
+        if not self._reachable:
+            self._reachable = True
+            LOG.info("store regained", table=self.state.table)
+            self._reader.reachable(True)
+
+    def _scan_all(
+        self,
+    ) -> Result[tuple[tuple[StoredRow, ...], int], ReadFailure]:
+        return scan_all(self._rows, self.state.table, self._all_parts)
+
+
+def scan_all(
+    rows: RowStore, table: str, all_parts: bool
+) -> Result[tuple[tuple[StoredRow, ...], int], ReadFailure]:
+    """Read all rows of a table, and the version from which to go on.
+
+    The version is that of the first page, so that a change made between
+    two pages comes again by the feed.
+
+    :param all_parts: whether to read other parts than the empty one
+    """
+    parts: tuple[str, ...] = ("",)
+    if all_parts:
+        listed = rows.parts(table)
+        if listed.is_error():
+            return Error(listed.error)
+        parts = listed.ok
+    found: list[StoredRow] = []
+    version: int | None = None
+    for part in parts or ("",):
+        first = ""
+        while True:
+            paged = rows.scan(table, part, first)
+            if paged.is_error():
+                return Error(paged.error)
+            page = paged.ok
+            version = page.version if version is None else version
+            found.extend(page.rows)
+            if not page.more or not page.rows:
+                break
+            first = page.rows[-1].at.key + "\0"
+    return Ok((tuple(found), version or 0))
+
+
+__all__ = ["FollowState", "TableFollower", "TableReader", "scan_all"]
--- /dev/null
+++ b/src/mulberrypass/storage/instances.py
@@ -0,0 +1,74 @@
+"""The list of our own instances, kept in the table service."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.platform.api import (
+    InstanceList,
+    Listed,
+    ListedKind,
+    ListedState,
+)
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.storage.follow import scan_all
+from mulberrypass.storage.rows import RowKey, Transaction
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from mulberrypass.platform.api import ReadError
+    from mulberrypass.storage.rows import RowsError, RowStore, StoredRow
+
+LOG = get_logger(__name__)
+TABLE = "instances"
+
+
+class RowInstances(InstanceList):
+    """One row for each instance, written when it starts."""
+
+    def __init__(self, rows: RowStore) -> None:
+        self._rows = rows
+
+    def listed(self) -> Result[tuple[Listed, ...], ReadError]:
+        """Read the list; rows that can't be read are left out."""
+        scanned = scan_all(self._rows, TABLE, all_parts=False)
+        if scanned.is_error():
+            return Error(scanned.error)
+        found, _version = scanned.ok
+        entries = map(_listed, found)
+        return Ok(tuple(entry for entry in entries if entry is not None))
+
+    def register(
+        self, name: str, zone: str, address: str
+    ) -> Result[int, RowsError]:
+        """Write an instance's row."""
+        doc = {"zone": zone, "address": address}
+        put = (RowKey(TABLE, "", name), json.dumps(doc).encode())
+        return self._rows.transact(Transaction(puts=(put,)))
+
+    def remove(self, name: str) -> Result[int, RowsError]:
+        """Remove the row of an instance that leaves."""
+        change = Transaction(removes=(RowKey(TABLE, "", name),))
+        return self._rows.transact(change)
+
+
+def _listed(row: StoredRow) -> Listed | None:
+    try:
+        doc = json.loads(row.value)
+        return Listed(
+            name=row.at.key,
+            kind=ListedKind.INSTANCE,
+            zone=str(doc["zone"]),
+            address=str(doc["address"]),
+            state=ListedState.LIVE,
+        )
+    except (ValueError, KeyError, TypeError):
+        LOG.warning("damaged row of an instance", instance=row.at.key)
+        return None
+
+
+__all__ = ["RowInstances", "TABLE"]
--- a/tests/peer/permit_fakes.py
+++ b/tests/peer/permit_fakes.py
@@ -11,8 +11,9 @@
 from mulberrypass.peer.api import Member, Membership
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
-from mulberrypass.peer.owner import OwnerTask, PermitStreams
+from mulberrypass.peer.owner import OwnerTask
 import mulberrypass.peer.peer_pb2 as pb
+from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.peer.server import (
     ConfigurationHandler,
     HeartbeatHandler,
