Keep batch jobs in the platform's table, and run their items by permits

A job is one transaction: head, manifest and the gate that lets acceptances pass one by one, so that the quota holds and a resend is the same job. Results take positions in the transaction that marks the item done; the head's version makes that happen once, also where an answer is lost or late. Any member answers from the table; the member that accepted runs the items, and another takes over when it is gone.

--- /dev/null
+++ b/src/mulberrypass/batches/desk.py
@@ -0,0 +1,122 @@
+"""What callers may ask about batch jobs, at any member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.batches.api import (
+    Accepted,
+    NoSuchJob,
+    OverQuota,
+    StoreLost,
+)
+from mulberrypass.model.routes import RouteKind
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from mulberrypass.batches.api import (
+        NewJob,
+        ResultPage,
+        VersionedHead,
+    )
+    from mulberrypass.batches.holder import JobHolder
+    from mulberrypass.batches.store import BatchStore
+    from mulberrypass.relay.directory import Directory
+
+LOG = get_logger(__name__)
+
+
+class BatchDesk:
+    """Takes, shows and ends jobs. Safe on any thread."""
+
+    def __init__(
+        self,
+        me: str,
+        store: BatchStore,
+        holder: JobHolder,
+        directory: Directory,
+    ) -> None:
+        self._me = me
+        self._store = store
+        self._holder = holder
+        self._directory = directory
+
+    def submit(
+        self, job: NewJob
+    ) -> Result[Accepted, OverQuota | NoSuchJob | StoreLost]:
+        """Take a job; it is kept from a success on."""
+        table = self._directory.routes()
+        if table.version == 0:
+            return Error(StoreLost("no configuration"))
+        route = table.find(job.host, job.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return Error(NoSuchJob())
+        taken = self._store.accept(job, route, self._me)
+        if taken.is_error():
+            LOG.info(
+                "job refused",
+                job=job.job_id,
+                items=len(job.items),
+                tokens=job.tokens,
+                why=repr(taken.error),
+            )
+            return Error(taken.error)
+        found = taken.ok
+        LOG.info(
+            "job accepted",
+            job=job.job_id,
+            route=route.name,
+            items=len(job.items),
+            tokens=job.tokens,
+            again=found.again,
+        )
+        if found.head is not None:
+            self._holder.accepted(found.head, job.items)
+        return Ok(found)
+
+    def results(
+        self, host: str, job_id: str, position: int
+    ) -> Result[ResultPage, NoSuchJob | StoreLost]:
+        """Read results from a position on."""
+        total = self._holder.total(job_id)
+        return self._store.results(host, job_id, position, total)
+
+    def body(
+        self, host: str, job_id: str, item_id: str
+    ) -> Result[bytes, NoSuchJob | StoreLost]:
+        """Give the body of an item that is not listed."""
+        read = self._store.read(host, job_id)
+        if read.is_error():
+            return Error(read.error)
+        head = read.ok.head
+        if head.ended:
+            return Error(NoSuchJob())
+        items = self._store.items(host, job_id)
+        if items.is_error():
+            return Error(items.error)
+        for index, item in enumerate(items.ok):
+            if item.item_id == item_id and index not in head.done:
+                return Ok(item.body)
+        return Error(NoSuchJob())
+
+    def end(
+        self, host: str, job_id: str
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """End a job for its caller."""
+        ended = self._store.end(host, job_id)
+        if ended.is_ok():
+            self._holder.see(ended.ok)
+            LOG.info(
+                "job ended by its caller",
+                job=job_id,
+                listed=ended.ok.head.results,
+                total=ended.ok.head.total,
+            )
+        return ended
+
+
+__all__ = ["BatchDesk"]
--- /dev/null
+++ b/src/mulberrypass/batches/run.py
@@ -0,0 +1,285 @@
+"""Runs one item, over several engines if need be, to its outcome."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.batches.api import ItemOutcome, ItemState
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import Deadline, WireError
+from mulberrypass.policy.messages import Ran, ReleaseOutcome, WorkClass
+from mulberrypass.relay.events import BadEventError, EventSplitter
+from mulberrypass.relay.placing import Need, NoRouteError, NotPlacedError
+from mulberrypass.relay.watch import Watched
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.batches.api import BatchItem, JobHead
+    from mulberrypass.model.routes import RelayRoute
+    from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.forward import RelayTools
+    from mulberrypass.relay.placing import Placement
+
+LOG = get_logger(__name__)
+# An ask of an item is renewed after this; its owner may be another by then.
+MAX_ASK_S = 20.0
+MAX_RUN_S = 120.0
+PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+# The route of a job may be missing for the moment of a change.
+ROUTE_GONE_S = 3.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """What there is of an item's output.
+
+    :param last: number of the last event; ``None`` before the first
+    :param failures: runs that ended with the engine's own error
+    """
+
+    pieces: list[str] = field(default_factory=list)
+    last: int | None = None
+    failures: int = 0
+    route_gone_since: float | None = None
+
+
+class ItemRun:
+    """One item on its way; used by one thread.
+
+    :param request: makes the request of an item
+    :param over: whether the item has no use any more
+    """
+
+    def __init__(
+        self,
+        tools: RelayTools,
+        head: JobHead,
+        index: int,
+        item: BatchItem,
+        request: Callable[[JobHead, BatchItem, int | None], RelayRequest],
+        over: Callable[[], bool],
+    ) -> None:
+        self._tools = tools
+        self._head = head
+        self._index = index
+        self._item = item
+        self._request = request
+        self._over = over
+        self._progress = Progress()
+        self._revoked = False
+        self._abort: Callable[[], None] | None = None
+        self._avoid: tuple[str, ...] = ()
+
+    def run(self) -> ItemOutcome | None:
+        """Run until there is an outcome, or the item has no use."""
+        pause_s = PAUSE_S
+        while not self._over():
+            if self._expired():
+                return self._abandon("expired")
+            try:
+                placement = self._place()
+            except NoRouteError:
+                if self._route_is_gone():
+                    return self._abandon("no route")
+                time.sleep(PAUSE_S)
+                continue
+            except NotPlacedError as exc:
+                time.sleep(max(PAUSE_S, min(MAX_PAUSE_S, exc.retry_after_s)))
+                continue
+            try:
+                self._attempt(placement)
+            except WireError as exc:
+                outcome = self._failed(placement, exc.failed)
+                if outcome is not None:
+                    return outcome
+                if not self._revoked:
+                    time.sleep(pause_s)
+                    pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                continue
+            return self._outcome(ItemState.COMPLETED, placement.engine.name)
+        return None
+
+    # Placing
+
+    def _place(self) -> Placement:
+        self._revoked = False
+        self._abort = None
+        req = self._request(self._head, self._item, None)
+        left = max(0, req.output_tokens - len(self._progress.pieces))
+        need = Need(
+            find=self._find,
+            spread=self._item.item_id,
+            customer=self._head.host,
+            work_class=WorkClass.BATCH,
+            deadline=time.monotonic() + MAX_ASK_S,
+            prompt_tokens=req.prompt_tokens + len(self._progress.pieces),
+            output_tokens=left,
+            prefix=req.prefix,
+            revocable=True,
+        )
+        return self._tools.placer.place(
+            need, self._avoid, self._over, self._on_revoke
+        )
+
+    def _find(self) -> RelayRoute | None:
+        table = self._tools.directory.routes()
+        return table.find(self._head.host, self._item.path)
+
+    def _route_is_gone(self) -> bool:
+        if self._tools.directory.routes().version == 0:
+            return False
+        now = time.monotonic()
+        if self._progress.route_gone_since is None:
+            self._progress.route_gone_since = now
+        return now - self._progress.route_gone_since > ROUTE_GONE_S
+
+    def _expired(self) -> bool:
+        return time.time() > self._head.first_s + self._head.retention_s
+
+    def _on_revoke(self) -> None:
+        self._revoked = True
+        abort = self._abort
+        if abort is not None:
+            abort()
+
+    # One attempt
+
+    def _attempt(self, placement: Placement) -> None:
+        """Run the item at an engine, and keep what it answers.
+
+        :raises WireError: where the output is not whole
+        """
+        self._progress.route_gone_since = None
+        watched: Watched | None = None
+        answer: EngineAnswer | None = None
+        outcome = ReleaseOutcome.FAILED
+        events = 0
+
+        def on_open(abort: Callable[[], None]) -> None:
+            nonlocal watched
+            self._abort = abort
+            watched = Watched(self._over, abort)
+            self._tools.watch.add(watched)
+            if self._revoked:
+                abort()
+
+        deadline = Deadline(time.monotonic() + MAX_RUN_S)
+        req = self._request(self._head, self._item, self._progress.last)
+        try:
+            answer = self._tools.engines.send(
+                placement.engine, req, deadline, on_open
+            )
+            self._check_head(answer, deadline)
+            for count in self._read(answer, deadline, placement):
+                events += count
+            outcome = ReleaseOutcome.DONE
+        except BadEventError as exc:
+            raise WireError(EngineFailed(str(exc), Ran.MAYBE))
+        finally:
+            if watched is not None:
+                self._tools.watch.remove(watched)
+            if answer is not None:
+                answer.finish()
+            if self._revoked or (watched is not None and watched.ended):
+                outcome = ReleaseOutcome.CANCELLED
+            placement.release(outcome, events)
+
+    def _check_head(self, answer: EngineAnswer, deadline: Deadline) -> None:
+        head = answer.head
+        if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
+            return
+        answer.read_some(deadline)
+        ran = Ran.NO if head.not_run else Ran.YES
+        raise WireError(
+            EngineFailed(f"status {head.status}", ran, status=head.status)
+        )
+
+    def _read(
+        self, answer: EngineAnswer, deadline: Deadline, placement: Placement
+    ) -> list[int]:
+        counts = []
+        splitter = EventSplitter()
+        while True:
+            data = answer.read_some(deadline)
+            if not data:
+                break
+            events = splitter.feed(data)
+            if events:
+                placement.first()
+            for event in events:
+                self._take(event.number, event.data)
+            counts.append(len(events))
+        if splitter.pending:
+            raise WireError(EngineFailed("cut in an event", Ran.YES))
+        return counts
+
+    def _take(self, number: int | None, data: bytes) -> None:
+        """Keep one event, if it is the one that must follow.
+
+        :raises WireError: where it is another
+        """
+        last = self._progress.last
+        if number is None or (last is not None and number != last + 1):
+            raise WireError(
+                EngineFailed(f"event {number} after {last}", Ran.YES)
+            )
+        self._progress.last = number
+        self._progress.pieces.append(data.decode("utf-8", "replace"))
+
+    # Ends
+
+    def _failed(
+        self, placement: Placement, failed: EngineFailed
+    ) -> ItemOutcome | None:
+        """Decide what follows a failure; an outcome ends the item."""
+        LOG.info(
+            "item attempt failed",
+            job=self._head.job_id,
+            item=self._item.item_id,
+            engine=placement.engine.name,
+            reason=failed.reason,
+            revoked=self._revoked,
+            events=len(self._progress.pieces),
+        )
+        if failed.status == HTTPStatus.UNPROCESSABLE_ENTITY:
+            return self._abandon("can't be done")
+        if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._progress.failures += 1
+            route = self._find()
+            most = route.max_attempts if route is not None else 1
+            if self._progress.failures >= most:
+                return self._abandon("failed at each run")
+        self._avoid = () if self._revoked else (placement.engine.name,)
+        return None
+
+    def _abandon(self, reason: str) -> ItemOutcome:
+        LOG.info(
+            "item given up",
+            job=self._head.job_id,
+            item=self._item.item_id,
+            reason=reason,
+            failures=self._progress.failures,
+        )
+        return ItemOutcome(
+            self._index, self._item.item_id, ItemState.ABANDONED
+        )
+
+    def _outcome(self, state: ItemState, engine: str) -> ItemOutcome:
+        LOG.info(
+            "item done",
+            job=self._head.job_id,
+            item=self._item.item_id,
+            engine=engine,
+            events=len(self._progress.pieces),
+        )
+        output = "\n".join(self._progress.pieces)
+        return ItemOutcome(self._index, self._item.item_id, state, output)
+
+
+__all__ = ["ItemRun"]
--- /dev/null
+++ b/src/mulberrypass/batches/store.py
@@ -0,0 +1,379 @@
+"""Batch jobs in the table service: each change is one transaction."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from mulberrypass.batches import codec
+from mulberrypass.batches.api import (
+    Accepted,
+    ItemOutcome,
+    JobHead,
+    NoSuchJob,
+    OverQuota,
+    ResultPage,
+    StoreLost,
+    VersionedHead,
+)
+from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.policy import batch_heads as policy
+from mulberrypass.runtime.logs import get_logger
+from mulberrypass.storage.rows import (
+    Expected,
+    RowsConflict,
+    Transaction,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from expression import Result
+
+    from mulberrypass.batches.api import BatchItem, NewJob
+    from mulberrypass.model.routes import RelayRoute
+    from mulberrypass.storage.rows import (
+        ReadFailure,
+        RowKey,
+        RowsError,
+        RowStore,
+        StoredRow,
+    )
+
+LOG = get_logger(__name__)
+# A transaction takes at most 1 MB, and base64 adds a third.
+MAX_CHANGE_BYTES = 600_000
+MAX_ROWS = 90
+MAX_CONFLICTS = 12
+MAX_LOST = 3
+LOST_PAUSE_S = 0.05
+
+
+class BatchStore:
+    """Reads and changes jobs. Safe on any thread."""
+
+    def __init__(
+        self,
+        rows: RowStore,
+        clock: Callable[[], float] = time.time,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._rows = rows
+        self._clock = clock
+        self._sleep = sleep
+
+    def accept(
+        self, job: NewJob, route: RelayRoute, holder: str
+    ) -> Result[Accepted, OverQuota | StoreLost]:
+        """Keep a job, unless it does not fit its route's quota.
+
+        The quota is counted as of the moment of the acceptance: the row
+        of the route's gate changes with each one.
+        """
+        maybe_done = False
+        for _ in range(MAX_CONFLICTS):
+            scanned = self._scan(codec.HEADS, job.host)
+            if scanned.is_error():
+                return Error(_lost(scanned.error, maybe_done))
+            rows = scanned.ok
+            if any(row.at.key == job.job_id for row in rows):
+                return Ok(Accepted(job.job_id, again=True))
+            heads = _heads(rows)
+            waiting = policy.waiting_tokens(heads, route.name)
+            if not policy.fits(waiting, job.tokens, route.quota_tokens):
+                # What may still take effect must not be called refused.
+                if maybe_done:
+                    return Error(StoreLost("over quota", True))
+                return Error(OverQuota(waiting))
+            done = self._write_new(job, route, holder, rows)
+            if done.is_ok():
+                return Ok(Accepted(job.job_id, head=done.ok))
+            match done.error:
+                case RowsConflict():
+                    continue
+                case Unavailable(reason=reason, maybe_applied=maybe):
+                    maybe_done = maybe_done or maybe
+                    LOG.warning("acceptance lost", id=job.job_id, why=reason)
+                    self._sleep(LOST_PAUSE_S)
+                case Throttled(retry_after_s=retry_after_s):
+                    self._sleep(retry_after_s)
+        return Error(StoreLost("too many conflicts", maybe_done))
+
+    def read(
+        self, host: str, job_id: str
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """Read a job's head."""
+        scanned = self._scan(codec.HEADS, host, job_id, job_id + "\0")
+        if scanned.is_error():
+            return Error(_lost(scanned.error))
+        for row in scanned.ok:
+            return Ok(VersionedHead(codec.decode_head(row), row.version))
+        return Error(NoSuchJob())
+
+    def results(
+        self, host: str, job_id: str, position: int, total: int | None
+    ) -> Result[ResultPage, NoSuchJob | StoreLost]:
+        """Read results from a position on.
+
+        :param total: the number of items, where it is known
+        """
+        if total is None:
+            read = self.read(host, job_id)
+            if read.is_error():
+                return Error(read.error)
+            total = read.ok.head.total
+            if position >= read.ok.head.results:
+                return Ok(ResultPage(total, ()))
+        first, end = codec.result_range(job_id, position)
+        paged = self._rows.scan(codec.RESULTS, host, first, end)
+        if paged.is_error():
+            return Error(_lost(paged.error))
+        outcomes = codec.decode_results(paged.ok.rows, position)
+        return Ok(ResultPage(total, tuple(outcomes)))
+
+    def items(
+        self, host: str, job_id: str
+    ) -> Result[tuple[BatchItem, ...], NoSuchJob | StoreLost]:
+        """Read a job's manifest."""
+        scanned = self._scan(codec.ITEMS, host, *codec.item_range(job_id))
+        if scanned.is_error():
+            return Error(_lost(scanned.error))
+        if not scanned.ok:
+            return Error(NoSuchJob())
+        return Ok(codec.decode_items(scanned.ok))
+
+    def end(
+        self, host: str, job_id: str
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """End a job for its caller; what is listed stays listed."""
+        return self._change(
+            host,
+            job_id,
+            lambda head: (
+                None if head.ended else (replace(head, ended=True), ())
+            ),
+        )
+
+    def list_outcomes(
+        self,
+        known: VersionedHead | None,
+        host: str,
+        job_id: str,
+        outcomes: tuple[ItemOutcome, ...],
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """List outcomes that are new, at the next positions.
+
+        :param known: the head as last seen, which saves a read
+        """
+
+        def change(
+            head: JobHead,
+        ) -> tuple[JobHead, tuple[ItemOutcome, ...]] | None:
+            changed, listed = policy.list_outcomes(head, outcomes)
+            return (changed, listed) if listed else None
+
+        return self._change(host, job_id, change, known)
+
+    def replace_head(
+        self,
+        host: str,
+        job_id: str,
+        change: Callable[[JobHead], JobHead | None],
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """Change a head; ``None`` from the change leaves it as it is."""
+
+        def whole(
+            head: JobHead,
+        ) -> tuple[JobHead, tuple[ItemOutcome, ...]] | None:
+            changed = change(head)
+            return None if changed is None else (changed, ())
+
+        return self._change(host, job_id, whole)
+
+    # One head's change
+
+    def _change(
+        self,
+        host: str,
+        job_id: str,
+        change: Callable[
+            [JobHead], tuple[JobHead, tuple[ItemOutcome, ...]] | None
+        ],
+        known: VersionedHead | None = None,
+    ) -> Result[VersionedHead, NoSuchJob | StoreLost]:
+        """Change a head and add results, whatever else changes it.
+
+        The condition on the head's version makes the change happen at
+        most once, also where an answer was lost or came late.
+        """
+        lost = 0
+        maybe_done = False
+        for _ in range(MAX_CONFLICTS):
+            if known is None:
+                read = self.read(host, job_id)
+                if read.is_error():
+                    return Error(_again(read.error, maybe_done))
+                known = read.ok
+            head = known.head
+            changed = change(head)
+            if changed is None:
+                return Ok(known)
+            done = self._write_change(known, *changed)
+            if done.is_ok():
+                return Ok(VersionedHead(changed[0], done.ok))
+            match done.error:
+                case RowsConflict(found=found):
+                    known = _found_head(found)
+                    continue
+                case Unavailable(reason=reason, maybe_applied=maybe):
+                    known = None
+                    lost += 1
+                    maybe_done = maybe_done or maybe
+                    LOG.warning("change of a job lost", id=job_id, why=reason)
+                    if lost >= MAX_LOST:
+                        return Error(StoreLost(reason, maybe_done))
+                    self._sleep(LOST_PAUSE_S)
+                case Throttled(retry_after_s=retry_after_s):
+                    self._sleep(retry_after_s)
+        return Error(StoreLost("too many conflicts", maybe_done))
+
+    def _write_change(
+        self,
+        known: VersionedHead,
+        head: JobHead,
+        listed: tuple[ItemOutcome, ...],
+    ) -> Result[int, RowsError]:
+        at = codec.head_key(head.host, head.job_id)
+        puts = [(at, codec.encode_head(head))]
+        for offset, outcome in enumerate(listed):
+            position = known.head.results + offset
+            puts += codec.result_rows(
+                head.host, head.job_id, position, outcome
+            )
+        expected = (Expected(at, known.version),)
+        return self._rows.transact(Transaction(expected, tuple(puts)))
+
+    # A new job
+
+    def _write_new(
+        self,
+        job: NewJob,
+        route: RelayRoute,
+        holder: str,
+        rows: tuple[StoredRow, ...],
+    ) -> Result[VersionedHead, RowsError]:
+        """Write head, manifest and gate together where they fit.
+
+        Pieces of a manifest too large for one transaction go before; they
+        mean nothing without a head.
+        """
+        head = JobHead(
+            job_id=job.job_id,
+            host=job.host,
+            route=route.name,
+            first_s=self._clock(),
+            due_s=route.due_s,
+            retention_s=route.retention_s,
+            tokens=tuple(item.tokens for item in job.items),
+            holder=holder,
+        )
+        pieces = codec.item_rows(job.host, job.job_id, job.items)
+        *before, last = _batches(pieces)
+        for puts in before:
+            done = self._rows.transact(Transaction(puts=tuple(puts)))
+            if done.is_error():
+                return Error(_not_applied(done.error))
+        gate = codec.gate_key(job.host, route.name)
+        version = next((r.version for r in rows if r.at == gate), 0)
+        at = codec.head_key(job.host, job.job_id)
+        written = self._rows.transact(
+            Transaction(
+                expected=(Expected(at, 0), Expected(gate, version)),
+                puts=(
+                    (at, codec.encode_head(head)),
+                    (gate, job.job_id.encode()),
+                    *last,
+                ),
+            )
+        )
+        return written.map(lambda found: VersionedHead(head, found))
+
+    def _scan(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[tuple[StoredRow, ...], ReadFailure]:
+        """Read all rows of a range, page by page."""
+        found: list[StoredRow] = []
+        while True:
+            paged = self._rows.scan(table, part, first, end)
+            if paged.is_error():
+                return Error(paged.error)
+            found.extend(paged.ok.rows)
+            if not paged.ok.more or not paged.ok.rows:
+                return Ok(tuple(found))
+            first = paged.ok.rows[-1].at.key + "\0"
+
+
+def _heads(rows: Iterable[StoredRow]) -> list[JobHead]:
+    return [
+        codec.decode_head(row)
+        for row in rows
+        if not row.at.key.startswith(codec.GATE_PREFIX)
+    ]
+
+
+def _batches(
+    pieces: list[tuple[RowKey, bytes]],
+) -> list[list[tuple[RowKey, bytes]]]:
+    """Split rows so that each part fits one transaction."""
+    batches: list[list[tuple[RowKey, bytes]]] = [[]]
+    size = 0
+    for piece in pieces:
+        if (
+            size + len(piece[1]) > MAX_CHANGE_BYTES
+            or len(batches[-1]) >= MAX_ROWS
+        ):
+            batches.append([])
+            size = 0
+        batches[-1].append(piece)
+        size += len(piece[1])
+    return batches
+
+
+def _found_head(found: tuple[StoredRow, ...]) -> VersionedHead | None:
+    for row in found:
+        if row.at.table == codec.HEADS and row.version:
+            return VersionedHead(codec.decode_head(row), row.version)
+    return None
+
+
+def _lost(error: ReadFailure, maybe_done: bool = False) -> StoreLost:
+    match error:
+        case Unavailable(reason=reason):
+            return StoreLost(reason, maybe_done)
+        case Throttled():
+            return StoreLost("over the rate", maybe_done)
+
+
+def _again(
+    error: NoSuchJob | StoreLost, maybe_done: bool
+) -> NoSuchJob | StoreLost:
+    match error:
+        case StoreLost(reason=reason):
+            return StoreLost(reason, maybe_done)
+        case NoSuchJob():
+            return error
+
+
+def _not_applied(error: RowsError) -> RowsError:
+    """Turn a failure to write what means nothing yet into a sure one."""
+    match error:
+        case Unavailable(reason=reason):
+            return Unavailable(reason, maybe_applied=False)
+        case _:
+            return error
+
+
+__all__ = ["BatchStore"]
--- /dev/null
+++ b/src/mulberrypass/platform/lots.py
@@ -0,0 +1,228 @@
+"""The site's calls about batch jobs, in the product's terms."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from http import HTTPStatus
+import json
+import re
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, unquote
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_pascal
+
+from mulberrypass.batches.api import (
+    BatchItem,
+    ItemState,
+    NewJob,
+    NoSuchJob,
+    OverQuota,
+    StoreLost,
+)
+from mulberrypass.model.routes import RouteKind
+from mulberrypass.platform.headers import (
+    LAST_EVENT_ID,
+    REQUEST_ID,
+    read_request,
+)
+from mulberrypass.platform.ingress import Reply, json_reply
+
+if TYPE_CHECKING:
+    from mulberrypass.batches.api import JobHead
+    from mulberrypass.batches.desk import BatchDesk
+    from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.relay.directory import Directory
+
+LOT_PATH = re.compile(r"/lots/([^/]+)")
+ITEM_PATH = re.compile(r"/items/([^/]+)")
+MAX_ITEMS = 200
+MAX_ANSWER_BYTES = 900_000
+RETRY_S = 0.3
+QUOTA_RETRY_S = 1.0
+ID_BYTES = 150
+BYTES_TYPE = "application/octet-stream"
+STATES = {
+    ItemState.COMPLETED: "completed",
+    ItemState.ABANDONED: "dead_lettered",
+}
+
+
+class _Item(BaseModel):
+    model_config = ConfigDict(extra="ignore", alias_generator=to_pascal)
+
+    id: str = Field(min_length=1, max_length=ID_BYTES)
+    path: str
+    headers: dict[str, str] = Field(default_factory=dict)
+    body: str = ""
+    tokens: int = Field(default=0, ge=0)
+
+
+class _Lot(BaseModel):
+    model_config = ConfigDict(extra="ignore", alias_generator=to_pascal)
+
+    items: list[_Item] = Field(max_length=MAX_ITEMS)
+
+
+class LotCalls:
+    """Answers calls about batch jobs."""
+
+    def __init__(self, desk: BatchDesk, directory: Directory) -> None:
+        self._desk = desk
+        self._directory = directory
+
+    def answer(self, req: RelayRequest) -> Reply | None:
+        """Answer a call, if it is about batch jobs."""
+        lot = LOT_PATH.fullmatch(req.path)
+        item = ITEM_PATH.fullmatch(req.path)
+        if lot and req.method == "GET":
+            return self._results(req, unquote(lot[1]))
+        if lot and req.method == "DELETE":
+            return self._end(req, unquote(lot[1]))
+        if item and req.method == "GET":
+            return self._body(req, unquote(item[1]))
+        route = self._directory.routes().find(req.host, req.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        if req.method != "POST":
+            return json_reply(
+                {"reason": "a batch job is handed in by POST"},
+                HTTPStatus.METHOD_NOT_ALLOWED,
+            )
+        return self._submit(req)
+
+    def _submit(self, req: RelayRequest) -> Reply:
+        try:
+            job = read_job(req)
+        except ValueError as exc:
+            doc = {"reason": str(exc)}
+            return json_reply(doc, HTTPStatus.BAD_REQUEST)
+        taken = self._desk.submit(job)
+        if taken.is_ok():
+            return json_reply({"Id": job.job_id}, HTTPStatus.ACCEPTED)
+        match taken.error:
+            case OverQuota(waiting_tokens=waiting):
+                refusal = {"reason": "quota", "waiting": waiting}
+                body = json.dumps(refusal).encode()
+                return Reply(HTTPStatus.TOO_MANY_REQUESTS, body, QUOTA_RETRY_S)
+            case NoSuchJob():
+                doc = {"reason": "no_route"}
+                return json_reply(doc, HTTPStatus.NOT_FOUND)
+            case StoreLost() as lost:
+                return _unsure(lost)
+
+    def _results(self, req: RelayRequest, job_id: str) -> Reply:
+        after = _position(req)
+        if after is None:
+            doc = {"reason": "After is not a position"}
+            return json_reply(doc, HTTPStatus.BAD_REQUEST)
+        read = self._desk.results(req.host, job_id, after)
+        if read.is_error():
+            return _failure(read.error)
+        results: list[dict[str, str]] = []
+        size = 0
+        for outcome in read.ok.outcomes:
+            size += len(outcome.output)
+            if results and size > MAX_ANSWER_BYTES:
+                break
+            results.append(
+                {
+                    "Id": outcome.item_id,
+                    "State": STATES[outcome.state],
+                    "Output": outcome.output,
+                }
+            )
+        return json_reply(
+            {
+                "Total": read.ok.total,
+                "Results": results,
+                "Next": after + len(results),
+            }
+        )
+
+    def _end(self, req: RelayRequest, job_id: str) -> Reply:
+        ended = self._desk.end(req.host, job_id)
+        if ended.is_error():
+            return _failure(ended.error)
+        return json_reply({})
+
+    def _body(self, req: RelayRequest, job_id: str) -> Reply:
+        query = parse_qs(req.target.partition("?")[2])
+        item_id = query.get("Id", [""])[0]
+        read = self._desk.body(req.host, job_id, item_id)
+        if read.is_error():
+            return _failure(read.error)
+        return Reply(HTTPStatus.OK, read.ok, content_type=BYTES_TYPE)
+
+
+def read_job(req: RelayRequest) -> NewJob:
+    """Read a batch job.
+
+    :raises ValueError: where it is none; the message says which field
+    """
+    if not req.request_id or len(req.request_id) > ID_BYTES:
+        raise ValueError("the request id is missing or too long")
+    if "/" in req.request_id:
+        raise ValueError("the request id holds a slash")
+    try:
+        lot = _Lot.model_validate_json(req.body)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        field = ".".join(map(str, first["loc"]))
+        raise ValueError(f"{field}: {first['msg']}")
+    items = tuple(map(_read_item, lot.items))
+    if len({item.item_id for item in items}) != len(items):
+        raise ValueError("two items have the same Id")
+    return NewJob(req.request_id, req.host, req.path, items)
+
+
+def item_request(
+    head: JobHead, item: BatchItem, after: int | None
+) -> RelayRequest:
+    """Make the request that runs an item.
+
+    :param after: number of the last event that is kept
+    """
+    headers = {name.lower(): value for name, value in item.headers}
+    headers["host"] = head.host
+    headers[REQUEST_ID.lower()] = item.item_id
+    if after is not None:
+        headers[LAST_EVENT_ID.lower()] = str(after)
+    return read_request("POST", item.path, headers, item.body)
+
+
+def _read_item(item: _Item) -> BatchItem:
+    try:
+        body = base64.b64decode(item.body, validate=True)
+    except binascii.Error:
+        raise ValueError(f"item {item.id}: Body is not base64")
+    headers = tuple(item.headers.items())
+    return BatchItem(item.id, item.path, headers, body, item.tokens)
+
+
+def _position(req: RelayRequest) -> int | None:
+    query = parse_qs(req.target.partition("?")[2])
+    text = query.get("After", ["0"])[0]
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _failure(error: NoSuchJob | StoreLost) -> Reply:
+    match error:
+        case NoSuchJob():
+            doc = {"reason": "no_such_job"}
+            return json_reply(doc, HTTPStatus.NOT_FOUND)
+        case StoreLost(reason=reason):
+            body = json.dumps({"reason": reason}).encode()
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE, body, RETRY_S)
+
+
+def _unsure(lost: StoreLost) -> Reply:
+    """Say 503, which promises that nothing runs, only where that is sure."""
+    body = json.dumps({"reason": lost.reason}).encode()
+    if lost.maybe_done:
+        return Reply(HTTPStatus.BAD_GATEWAY, body)
+    return Reply(HTTPStatus.SERVICE_UNAVAILABLE, body, RETRY_S)
+
+
+__all__ = ["LotCalls", "item_request", "read_job"]
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -11,6 +11,10 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.batches.codec import HEADS
+from mulberrypass.batches.desk import BatchDesk
+from mulberrypass.batches.holder import JobHolder, Members
+from mulberrypass.batches.store import BatchStore
 from mulberrypass.peer.api import Member
 from mulberrypass.peer.configuration import ConfigurationPeers
 from mulberrypass.peer.holder import PermitLink
@@ -23,6 +27,7 @@
 from mulberrypass.platform import desired
 from mulberrypass.platform.engines import SiteEngines
 from mulberrypass.platform.ingress import DirectoryApp, FrontApp, ReadyApp
+from mulberrypass.platform.lots import LotCalls, item_request
 from mulberrypass.platform.row_client import SiteRows
 from mulberrypass.platform.site import (
     SETTINGS_VARIABLE,
@@ -60,6 +65,7 @@
 # Answers reach their sockets, and processes stop, within this.
 LAST_S = 0.7
 REGISTER_RETRY_S = 0.5
+STOP_POLL_S = 0.05
 MEMBERSHIP = MembershipSettings(
     view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
     timeout_s=0.5,
@@ -92,7 +98,7 @@
             self._directory, desired.CONFIG_KEY, desired.read_desired
         )
         self._engine_rows = EngineReader(self._directory, desired.read_engine)
-        self._followers = (
+        self._followers: tuple[TableFollower, ...] = (
             TableFollower(self._rows, desired.CONFIG_TABLE, self._routes),
             TableFollower(self._rows, desired.ENGINE_TABLE, self._engine_rows),
         )
@@ -137,8 +143,18 @@
         self._watch = CallWatch()
         placer = Placer(self._me.name, self._permits, self._directory)
         tools = RelayTools(self._directory, placer, self._engines, self._watch)
+        store = BatchStore(self._rows)
+        self._holder = JobHolder(
+            self._me.name, store, tools, self._members, item_request
+        )
+        desk = BatchDesk(self._me.name, store, self._holder, self._directory)
+        lots = LotCalls(desk, self._directory)
+        self._followers = (
+            *self._followers,
+            TableFollower(self._rows, HEADS, self._holder, all_parts=True),
+        )
         self._front = self._server(
-            FrontApp(Forwarder(tools), lambda _req: None),
+            FrontApp(Forwarder(tools), lots.answer),
             site.front,
             FRONT_THREADS,
         )
@@ -164,6 +180,7 @@
         dump.register("routes", self._directory.state)
         dump.register("lapsed_engines", self._engine_rows.state)
         dump.register("membership", self._membership.state)
+        dump.register("jobs", self._holder.state)
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
         dump.register("followers", lambda: [f.state for f in self._followers])
@@ -184,6 +201,7 @@
         self._owner.start()
         self._permits.start()
         self._watch.start()
+        self._holder.start()
         for side in self._sides:
             side.start()
         self._front.start()
@@ -201,10 +219,12 @@
         self._stopped.set()
         self._front.close_kept()
         self._membership.leave()
-        kept = threading.Thread(target=self._unregister, daemon=True)
-        kept.start()
+        threading.Thread(target=self._unregister, daemon=True).start()
         time.sleep(min(KEPT_TIMES * TTL_S, site.grace_s / KEPT_TIMES))
         whole = self._front.stop(max(0.0, end - time.monotonic()))
+        while self._holder.busy and time.monotonic() < end:
+            time.sleep(STOP_POLL_S)
+        self._holder.stop()
         LOG.info("stopped", whole=whole)
         return whole
 
@@ -218,8 +238,17 @@
             self._stopped.wait(REGISTER_RETRY_S)
 
     def _unregister(self) -> None:
+        self._holder.leave()
         self._instances.remove(self._site.name)
 
+    def _members(self) -> Members:
+        live = self._membership.live(PROGRAM)
+        known = self._membership.members(PROGRAM)
+        return Members(
+            frozenset(member.name for member in live),
+            frozenset(member.name for member in known),
+        )
+
     def _not_ready(self) -> str:
         if self._draining:
             return "the process is being stopped"
