Let late online work wait behind what can be in time, judge engines by pace

Cause: with two engines left every queued request had missed its start and pushed the next ones over theirs; first tokens, which wait for much beside the engine, took well engines down to 1 to 3 of 8 slots; a deadline that passed in a stream counted as the engine's failure.

--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -13,6 +13,7 @@
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
+    CutError,
     Failed,
     NoRoute,
     Refused,
@@ -217,11 +218,19 @@
             return
         assert isinstance(first, AnswerHead)
         _start(start_response, first.status, first.headers, first.length)
-        for event in events:
+        for event in _uncut(events):
             assert isinstance(event, AnswerBody)
             yield event.data
 
 
+def _uncut(events: Iterator[RelayEvent]) -> Iterator[RelayEvent]:
+    """Let a cut end the connection, as the server does on socket errors."""
+    try:
+        yield from events
+    except CutError as exc:
+        raise ConnectionAbortedError(str(exc))
+
+
 def _reply(event: RelayEvent) -> Reply | None:
     """Give the answer to a request that no engine has answered."""
     match event:
--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -121,6 +121,7 @@
         for queue in self._dispatcher.queues:
             for queued in queue.expired(now):
                 self._refuse(queued.ask, RefusalReason.DEADLINE, 0.0)
+        self._dispatcher.online.postpone_late(now)
         for permit in self.permits.overdue(now):
             self._ledger.end(permit)
         self.pace.tick(now)
@@ -247,16 +248,18 @@
     ) -> Queued:
         """Place an ask in its customer's order.
 
-        Batch work goes by its latest start, and is given back after that.
-        Online work whose caller has come back goes first.
+        Work goes by its latest start. Batch work is given back after that;
+        online work waits on behind all that can be in time.
         """
         deadline = now + ask.budget_s
         order = deadline
         drop_at = deadline - least
         if ask.work_class is WorkClass.BATCH and ask.start_within_s > 0:
             order = drop_at = now + ask.start_within_s
-        elif self._early.came_back(ask, now):
-            order = now
+        elif ask.start_within_s > 0:
+            order = now + ask.start_within_s
+            if self.settings.patience_s > 0:
+                drop_at = min(drop_at, now + self.settings.patience_s)
         lane = lane_of(ask)
         return Queued(
             ask, work, deadline, drop_at, self._sequence, lane, order
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -40,6 +40,8 @@
     :param slow_ratio: times its peers' median at which an engine is slow
     :param well_ratio: times its peers' median at which it is well again
     :param out_share: share of its slots below which only probes go to it
+    :param first_weight: multiplies what first tokens say against peers; a
+        first token waits for much that is not the engine's pace
     :param failures: failures in a row that take an engine out
     """
 
@@ -48,6 +50,7 @@
     interval_s: float = 0.1
     decrease_factor: float = 0.4
     increase_step: float = 0.2
+    first_weight: float = 1.0
     out_share: float = 0.05
     probe_interval_s: float = 0.5
     max_probe_interval_s: float = 4.0
@@ -112,6 +115,8 @@
     :param service_margin: multiple of the expected service time that must
         fit before the deadline
     :param wait_margin: multiple of the estimated wait that must fit too
+    :param patience_s: online work that was not started within this is
+        refused; its caller leaves soon; 0 for no such limit
     :param release_grace_s: a permit is reclaimed so long after its deadline
     :param holder_grace_s: permits of a lost holder are kept for this
     :param revoke_grace_s: a revoked permit is reclaimed after this
@@ -132,6 +137,7 @@
     max_queued_batch: int = 4_096
     service_margin: float = 1.25
     wait_margin: float = 1.5
+    patience_s: float = 0.0
     release_grace_s: float = 2.0
     holder_grace_s: float = 2.0
     revoke_grace_s: float = 2.0
--- a/src/mulberrypass/policy/early_refusal.py
+++ b/src/mulberrypass/policy/early_refusal.py
@@ -3,7 +3,8 @@
 Answers pulses: for two seconds work comes at nearly twice the mean, then
 three seconds at a third of it. Served in order of arrival, a small excess
 makes everyone late; refused at once, a few come back in the valley and the
-rest are in time. Who comes back goes first, and is not refused again.
+rest are in time. Who comes back is queued before who comes first is, and
+what has become late all the same waits behind what can be in time.
 """
 
 from __future__ import annotations
@@ -25,6 +26,8 @@
     """Numbers of early refusal.
 
     :param window_s: arrivals are counted over this
+    :param fresh_share: share of the time to start that the wait may take
+        for who comes first; who comes back may use all of it
     :param return_share: share of the time left within which callers return
     :param spread: part of the return time over which returns are spread
     :param remembered: refused requests that are known when they come back
@@ -32,6 +35,7 @@
     """
 
     window_s: float = 0.5
+    fresh_share: float = 0.65
     return_share: float = 1 / 3
     spread: float = 0.25
     remembered: int = 10_000
@@ -66,9 +70,10 @@
         :param capacity_per_s: online work that can be started a second
         :returns: when to come back; ``None`` where it is to be queued
         """
-        if ask.start_within_s <= 0 or wait_s <= ask.start_within_s:
+        if ask.start_within_s <= 0:
             return None
-        if self.came_back(ask, now):
+        share = 1.0 if self.came_back(ask, now) else self._settings.fresh_share
+        if wait_s <= ask.start_within_s * share:
             return None
         self._remember(ask, now)
         latest = ask.budget_s * self._settings.return_share
--- a/src/mulberrypass/policy/health.py
+++ b/src/mulberrypass/policy/health.py
@@ -193,12 +193,13 @@
     ) -> float | None:
         """Give how many times slower than its peers an engine is."""
         ratios = []
+        weight = self._settings.first_weight
         least = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
         usual = firsts.without(record.first)
         if usual and len(record.first) >= least:
-            ratios.append(record.first.median() / usual)
+            ratios.append(record.first.median() / usual * weight)
         if usual and len(record.overdue) >= min(MIN_OVERDUE, least):
-            late = median(record.overdue) / usual
+            late = median(record.overdue) / usual * weight
             if late > self._settings.slow_ratio:
                 ratios.append(late)
         usual = services.without(record.service)
--- a/src/mulberrypass/policy/queueing.py
+++ b/src/mulberrypass/policy/queueing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 import heapq
 from typing import TYPE_CHECKING
 
@@ -12,6 +12,8 @@
     from mulberrypass.policy.messages import Ask
 
 PROMPT_TOKEN_WORK = 0.125
+# Longer than any deadline, so that late work goes behind all other.
+LATE_S = 3_600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +102,7 @@
         self._backlog: dict[str, _Share] = {}
         self._asks: dict[str, Queued] = {}
         self._drops: list[tuple[float, int, Queued]] = []
+        self._starts: list[tuple[float, int, Queued]] = []
         self._lanes: dict[Lane, int] = {}
         self._virtual = 0.0
         self.work = 0.0
@@ -178,6 +181,9 @@
         self._asks[queued.ask.ask_id] = queued
         entry = (queued.drop_at, queued.sequence, queued)
         heapq.heappush(self._drops, entry)
+        if queued.order is not None and queued.order < queued.deadline:
+            start = (queued.order, queued.sequence, queued)
+            heapq.heappush(self._starts, start)
 
     def remove(self, ask_id: str) -> Queued | None:
         """Take an ask out without serving it."""
@@ -200,6 +206,7 @@
         if not self._asks:
             self.work = 0.0
             self._drops.clear()
+            self._starts.clear()
         return queued
 
     def serve(self, queued: Queued) -> None:
@@ -241,6 +248,15 @@
                 late.append(queued)
         return late
 
+    def postpone_late(self, now: float) -> None:
+        """Put asks that can't be in time any more behind all others."""
+        while self._starts and self._starts[0][0] <= now:
+            _, _, queued = heapq.heappop(self._starts)
+            if queued.waiting:
+                moved = replace(queued, order=queued.deadline + LATE_S)
+                self.remove(queued.ask.ask_id)
+                self.add(moved)
+
     def longest(self) -> Queued | None:
         """Give the last ask of the customer with most work by weight."""
         if not self._backlog:
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -98,7 +98,8 @@
         min_tokens_per_s=1e5,
         max_tokens_per_s=1e6,
     ),
-    health=HealthSettings(max_hold_s=4.0),
+    patience_s=1.5,
+    health=HealthSettings(max_hold_s=4.0, first_weight=0.3),
     routing=RoutingSettings(block_tokens=100),
 )
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -282,12 +282,20 @@
         self._avoid = (*self._avoid, self._placement.engine.name)
         if failed.ran is Ran.NO:
             self._attempts -= 1
-        left = self._watched is not None and self._watched.ended
-        self._leave(
-            ReleaseOutcome.CANCELLED if left else ReleaseOutcome.FAILED
-        )
+        self._leave(self._blame(failed))
         return failed
 
+    def _blame(self, failed: EngineFailed) -> ReleaseOutcome:
+        """Say whether a failure speaks against the engine."""
+        assert self._placement is not None
+        left = self._watched is not None and self._watched.ended
+        late = time.monotonic() >= self._deadline.at
+        if left or (late and self._placement.first_at is not None):
+            return ReleaseOutcome.CANCELLED
+        if failed.status and failed.ran is Ran.NO:
+            return ReleaseOutcome.UNUSED
+        return ReleaseOutcome.FAILED
+
     def _may_go_on(self, failed: EngineFailed) -> bool:
         if self._gone() or time.monotonic() >= self._deadline.at:
             return False
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -347,6 +347,7 @@
             max_request_header_size=MAX_HEADER_BYTES,
             clear_untrusted_proxy_headers=True,
             asyncore_use_poll=True,
+            log_socket_errors=False,
             ident=None,
         )
         self._server.channel_class = _channel_class(self._closing)
