--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -12,7 +12,11 @@
 from mulberrypass.engine.wire import Deadline, WireError
 from mulberrypass.policy.batch_order import order_item
 from mulberrypass.policy.messages import Ran, ReleaseOutcome, WorkClass
-from mulberrypass.relay.events import BadEventError, EventSplitter
+from mulberrypass.relay.events import (
+    BadEventError,
+    EventOrder,
+    EventSplitter,
+)
 from mulberrypass.relay.placing import Need, NoRouteError, NotPlacedError
 from mulberrypass.relay.watch import Watched
 from mulberrypass.runtime.logs import get_logger
@@ -232,6 +236,7 @@
     ) -> list[int]:
         counts = []
         splitter = EventSplitter()
+        order = EventOrder(self._progress.last)
         while True:
             data = answer.read_some(deadline)
             if not data:
@@ -240,25 +245,16 @@
             if events:
                 placement.first()
             for event in events:
-                self._take(event.number, event.data)
+                order.take(event)
+                self._progress.last = order.last
+                self._progress.pieces.append(
+                    event.data.decode("utf-8", "replace")
+                )
             counts.append(len(events))
         if splitter.pending:
             raise WireError(EngineFailed("cut in an event", Ran.YES))
         return counts
 
-    def _take(self, number: int | None, data: bytes) -> None:
-        """Keep one event, if it is the one that must follow.
-
-        :raises WireError: where it is another
-        """
-        last = self._progress.last
-        if number is None or (last is not None and number != last + 1):
-            raise WireError(
-                EngineFailed(f"event {number} after {last}", Ran.YES)
-            )
-        self._progress.last = number
-        self._progress.pieces.append(data.decode("utf-8", "replace"))
-
     # Ends
 
     def _failed(
--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -150,6 +150,7 @@
 
 __all__ = [
     "DEADLINE_MS",
+    "EXPECT_INSTANCE",
     "LAST_EVENT_ID",
     "NOT_RUN",
     "REQUEST_ID",
--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -100,7 +100,7 @@
         req = _request(environ)
         reply = self._lots(req)
         if reply is not None:
-            return _whole(reply, start_response)
+            return whole(reply, start_response)
         gone = environ.get("waitress.client_disconnected", _never)
         events = self._relay.run(req, gone)
         return _chunks(events, start_response)
@@ -152,14 +152,14 @@
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
         if environ["PATH_INFO"] != "/resolve":
-            return _whole(Reply(HTTPStatus.NOT_FOUND), start_response)
+            return whole(Reply(HTTPStatus.NOT_FOUND), start_response)
         query = parse_qs(environ.get("QUERY_STRING", ""))
         found = self._addresses(query.get("Zone", [""])[0])
         if not found:
             reply = Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-            return _whole(reply, start_response)
+            return whole(reply, start_response)
         doc = {"Addresses": found[:MAX_ADDRESSES], "TtlS": self._ttl_s}
-        return _whole(json_reply(doc), start_response)
+        return whole(json_reply(doc), start_response)
 
 
 class ReadyApp(CallCounter):
@@ -177,10 +177,10 @@
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
         if environ["PATH_INFO"] != "/readyz":
-            return _whole(Reply(HTTPStatus.NOT_FOUND), start_response)
+            return whole(Reply(HTTPStatus.NOT_FOUND), start_response)
         reason = self._not_ready()
         status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
-        return _whole(json_reply({"reason": reason}, status), start_response)
+        return whole(json_reply({"reason": reason}, status), start_response)
 
 
 def _request(environ: dict[str, Any]) -> RelayRequest:
@@ -214,7 +214,7 @@
         first = next(events)
         reply = _reply(first)
         if reply is not None:
-            yield from _whole(reply, start_response)
+            yield from whole(reply, start_response)
             return
         assert isinstance(first, AnswerHead)
         _start(start_response, first.status, first.headers, first.length)
@@ -249,7 +249,8 @@
             return None
 
 
-def _whole(reply: Reply, start_response: Any) -> Iterator[bytes]:
+def whole(reply: Reply, start_response: Any) -> Iterator[bytes]:
+    """Answer a WSGI request with an answer of our own."""
     _start(start_response, reply.status, tuple(reply.headers), len(reply.body))
     return iter((reply.body,))
 
@@ -281,4 +282,5 @@
     "ReadyApp",
     "Reply",
     "json_reply",
+    "whole",
 ]
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -56,6 +56,26 @@
         return events
 
 
+class EventOrder:
+    """Checks that each event is the one that must follow.
+
+    :ivar last: number of the last event; ``None`` before the first
+    """
+
+    def __init__(self, last: int | None) -> None:
+        self.last = last
+
+    def take(self, event: Event) -> None:
+        """Take the next event.
+
+        :raises BadEventError: where it is another than must follow
+        """
+        number, last = event.number, self.last
+        if number is None or (last is not None and number != last + 1):
+            raise BadEventError(f"event {number} came after {last}")
+        self.last = number
+
+
 def _end_of_event(buffer: bytes) -> int:
     """Give the length of the first event; -1 where it is not whole."""
     ends = [
@@ -79,4 +99,4 @@
     return Event(raw, number, b"\n".join(data))
 
 
-__all__ = ["BadEventError", "Event", "EventSplitter"]
+__all__ = ["BadEventError", "Event", "EventOrder", "EventSplitter"]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -20,7 +20,11 @@
     Refused,
     Relay,
 )
-from mulberrypass.relay.events import BadEventError, EventSplitter
+from mulberrypass.relay.events import (
+    BadEventError,
+    EventOrder,
+    EventSplitter,
+)
 from mulberrypass.relay.placing import Need, NoRouteError, NotPlacedError
 from mulberrypass.relay.watch import Watched
 from mulberrypass.runtime.logs import get_logger
@@ -36,6 +40,7 @@
         RelayRequest,
     )
     from mulberrypass.relay.directory import Directory
+    from mulberrypass.relay.events import Event
     from mulberrypass.relay.placing import Placement, Placer
     from mulberrypass.relay.watch import CallWatch
 
@@ -213,7 +218,9 @@
             self._log_failure(exc.failed)
             return self._lost(exc.failed)
         except BadEventError as exc:
-            return self._lost(EngineFailed(str(exc), Ran.YES))
+            failed = EngineFailed(str(exc), Ran.YES)
+            self._log_failure(failed)
+            return self._lost(failed)
         self._log_done()
         self._leave(ReleaseOutcome.DONE)
         return None
@@ -232,6 +239,7 @@
         """Pass on whole events, so that a cut falls between two."""
         assert self._placement is not None
         splitter = EventSplitter()
+        order = EventOrder(self._shown)
         if not self._head_sent:
             self._head_sent = True
             yield AnswerHead(answer.head.status, answer.head.headers, None)
@@ -243,11 +251,13 @@
             if not events:
                 continue
             self._placement.first()
-            self._tokens += len(events)
-            for event in events:
-                if event.number is not None:
-                    self._shown = event.number
-            yield AnswerBody(b"".join(event.raw for event in events))
+            follows, bad = _in_order(events, order)
+            self._tokens += len(follows)
+            self._shown = order.last
+            if follows:
+                yield AnswerBody(b"".join(event.raw for event in follows))
+            if bad is not None:
+                raise bad
         if splitter.pending:
             raise WireError(EngineFailed("cut in an event", Ran.YES))
 
@@ -365,6 +375,18 @@
         )
 
 
+def _in_order(
+    events: list[Event], order: EventOrder
+) -> tuple[list[Event], BadEventError | None]:
+    """Give the events up to one that must not follow, and why not."""
+    for index, event in enumerate(events):
+        try:
+            order.take(event)
+        except BadEventError as exc:
+            return events[:index], exc
+    return events, None
+
+
 def _is_success(head: object) -> bool:
     status = getattr(head, "status", 0)
     return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
--- /dev/null
+++ b/tests/batches/cases.py
@@ -0,0 +1,69 @@
+"""Builders shared by the tests of batch jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mulberrypass.batches.api import (
+    BatchItem,
+    ItemOutcome,
+    ItemState,
+    JobHead,
+    NewJob,
+)
+from mulberrypass.model.routes import RelayRoute, RouteKind, ServiceShare
+
+HOST = "clerk.example"
+
+
+def route(**fields: Any) -> RelayRoute:
+    """Give a route for batch jobs."""
+    values: dict[str, Any] = {
+        "name": "crates",
+        "host": HOST,
+        "prefix": "/crates/",
+        "kind": RouteKind.BATCH,
+        "services": (ServiceShare("rackmind", 1.0),),
+        "max_attempts": 3,
+    }
+    return RelayRoute(**(values | fields))
+
+
+def item(number: int, **fields: Any) -> BatchItem:
+    """Give an item."""
+    values: dict[str, Any] = {
+        "item_id": f"item-{number}",
+        "path": f"/crates/{number}",
+        "headers": (("x-a", "b"),),
+        "body": b"\x00body",
+        "tokens": 100,
+    }
+    return BatchItem(**(values | fields))
+
+
+def job(name: str = "job-1", items: int = 3, **fields: Any) -> NewJob:
+    """Give a job."""
+    made = tuple(item(number, **fields) for number in range(items))
+    return NewJob(name, HOST, "/crates/a", made)
+
+
+def head(**fields: Any) -> JobHead:
+    """Give a head of a job of three items."""
+    values: dict[str, Any] = {
+        "job_id": "job-1",
+        "host": HOST,
+        "route": "crates",
+        "first_s": 1_000.0,
+        "due_s": 18.0,
+        "retention_s": 60.0,
+        "tokens": (100, 100, 100),
+        "holder": "entry@a",
+    }
+    return JobHead(**(values | fields))
+
+
+def outcome(index: int, output: str = "text") -> ItemOutcome:
+    """Give a completed item's outcome."""
+    return ItemOutcome(
+        index, f"item-{index}", ItemState.COMPLETED, f"{output}-{index}"
+    )
--- /dev/null
+++ b/tests/batches/test_store.py
@@ -0,0 +1,255 @@
+"""Tests of batch jobs in the table, with lost and late answers."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+import unittest
+
+from mulberrypass.batches.api import (
+    Accepted,
+    NoSuchJob,
+    OverQuota,
+    StoreLost,
+)
+from mulberrypass.batches.store import BatchStore
+from mulberrypass.testing.row_state import RowState
+from tests.batches.cases import HOST, head, job, outcome, route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from mulberrypass.storage.rows import RowsError, Transaction
+
+
+def store(rows: RowState) -> BatchStore:
+    """Give a store without pauses."""
+    return BatchStore(rows, clock=lambda: 1_000.0, sleep=lambda _s: None)
+
+
+class RacingRows(RowState):
+    """Lets a rival in between the count of a quota and the write."""
+
+    rival: Callable[[], object] | None = None
+
+    def transact(self, change: Transaction) -> Result[int, RowsError]:
+        """Apply the rival's change before the first one."""
+        rival, self.rival = self.rival, None
+        if rival is not None:
+            rival()
+        return RowState.transact(self, change)
+
+
+class AcceptTest(unittest.TestCase):
+    def test_keeps_all_of_a_job(self) -> None:
+        rows = RowState()
+        taken = store(rows).accept(job(), route(), "entry@a")
+        assert isinstance(taken.ok, Accepted)
+        self.assertFalse(taken.ok.again)
+        read = store(rows).read(HOST, "job-1").ok.head
+        self.assertEqual((100, 100, 100), read.tokens)
+        self.assertEqual("entry@a", read.holder)
+        items = store(rows).items(HOST, "job-1").ok
+        self.assertEqual(job().items, items)
+
+    def test_resend_is_the_same_job(self) -> None:
+        rows = RowState()
+        store(rows).accept(job(), route(), "entry@a")
+        again = store(rows).accept(job(), route(), "entry@b")
+        self.assertTrue(again.ok.again)
+        read = store(rows).read(HOST, "job-1").ok.head
+        self.assertEqual("entry@a", read.holder)
+
+    def test_large_manifest(self) -> None:
+        rows = RowState()
+        body = random.Random(1).randbytes(20_000)
+        large = job(items=60, body=body)
+        taken = store(rows).accept(large, route(), "entry@a")
+        self.assertTrue(taken.is_ok())
+        self.assertEqual(large.items, store(rows).items(HOST, "job-1").ok)
+
+    def test_quota_counts_what_waits(self) -> None:
+        rows = RowState()
+        limited = route(quota_tokens=500)
+        at = store(rows)
+        self.assertTrue(at.accept(job("one"), limited, "entry@a").is_ok())
+        refused = at.accept(job("two"), limited, "entry@a").error
+        self.assertEqual(OverQuota(300), refused)
+        at.list_outcomes(None, HOST, "one", (outcome(0),))
+        self.assertTrue(at.accept(job("two"), limited, "entry@a").is_ok())
+
+    def test_ended_job_leaves_its_quota(self) -> None:
+        rows = RowState()
+        limited = route(quota_tokens=300)
+        at = store(rows)
+        at.accept(job("one"), limited, "entry@a")
+        at.end(HOST, "one")
+        self.assertTrue(at.accept(job("two"), limited, "entry@a").is_ok())
+
+    def test_two_at_once_pass_the_gate_one_by_one(self) -> None:
+        limited = route(quota_tokens=400)
+        rows = RacingRows()
+        rows.rival = lambda: store(rows).accept(
+            job("rival"), limited, "entry@b"
+        )
+        refused = store(rows).accept(job("late"), limited, "entry@a")
+        self.assertEqual(OverQuota(300), refused.error)
+
+    def test_faults(self) -> None:
+        cases = {
+            "down": ({"down": True}, False),
+            "silent": ({"silent": True}, False),
+        }
+        for name, (faults, maybe) in cases.items():
+            with self.subTest(name):
+                rows = RowState()
+                for field, value in faults.items():
+                    setattr(rows.faults, field, value)
+                lost = store(rows).accept(job(), route(), "entry@a").error
+                assert isinstance(lost, StoreLost)
+                self.assertEqual(maybe, lost.maybe_done)
+
+    def test_lost_answer_is_found_out(self) -> None:
+        rows = RowState()
+        rows.faults.lose = 1
+        taken = store(rows).accept(job(), route(), "entry@a")
+        self.assertTrue(taken.is_ok())
+        self.assertEqual(1, rows.version)
+
+    def test_unknown_end_is_not_called_refused(self) -> None:
+        rows = RowState()
+        rows.faults.late = 99
+        lost = store(rows).accept(job(), route(), "entry@a").error
+        assert isinstance(lost, StoreLost)
+        self.assertTrue(lost.maybe_done)
+
+    def test_late_write_accepts_once(self) -> None:
+        rows = RowState()
+        rows.faults.late = 1
+        taken = store(rows).accept(job(), route(), "entry@a")
+        self.assertTrue(taken.is_ok())
+        version = rows.version
+        rows.deliver_late()
+        self.assertEqual(version, rows.version)
+
+
+class ResultsTest(unittest.TestCase):
+    def test_positions_stay(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        at.list_outcomes(None, HOST, "job-1", (outcome(2),))
+        first = at.results(HOST, "job-1", 0, None).ok
+        at.list_outcomes(None, HOST, "job-1", (outcome(0), outcome(1)))
+        page = at.results(HOST, "job-1", 0, None).ok
+        self.assertEqual(3, page.total)
+        self.assertEqual(first.outcomes[0], page.outcomes[0])
+        self.assertEqual([2, 0, 1], [found.index for found in page.outcomes])
+        rest = at.results(HOST, "job-1", 2, None).ok
+        self.assertEqual([1], [found.index for found in rest.outcomes])
+
+    def test_first_outcome_of_an_item_stands(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        at.list_outcomes(None, HOST, "job-1", (outcome(0, "first"),))
+        at.list_outcomes(None, HOST, "job-1", (outcome(0, "second"),))
+        page = at.results(HOST, "job-1", 0, None).ok
+        self.assertEqual(["first-0"], [o.output for o in page.outcomes])
+
+    def test_nothing_is_listed_of_an_ended_job(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        at.list_outcomes(None, HOST, "job-1", (outcome(0),))
+        at.end(HOST, "job-1")
+        at.list_outcomes(None, HOST, "job-1", (outcome(1),))
+        page = at.results(HOST, "job-1", 0, None).ok
+        self.assertEqual([0], [found.index for found in page.outcomes])
+
+    def test_long_output_goes_into_pieces(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        text = random.Random(2).randbytes(150_000).hex()
+        at.list_outcomes(None, HOST, "job-1", (outcome(0, text),))
+        page = at.results(HOST, "job-1", 0, None).ok
+        self.assertEqual(f"{text}-0", page.outcomes[0].output)
+
+    def test_no_such_job(self) -> None:
+        at = store(RowState())
+        self.assertEqual(NoSuchJob(), at.results(HOST, "job-9", 0, None).error)
+        self.assertEqual(NoSuchJob(), at.end(HOST, "job-9").error)
+
+
+class EndTest(unittest.TestCase):
+    def test_lost_answer(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        rows.faults.lose = 1
+        self.assertTrue(at.end(HOST, "job-1").ok.head.ended)
+        self.assertTrue(at.end(HOST, "job-1").ok.head.ended)
+
+    def test_store_down(self) -> None:
+        rows = RowState()
+        at = store(rows)
+        at.accept(job(), route(), "entry@a")
+        rows.faults.down = True
+        self.assertTrue(at.end(HOST, "job-1").is_error())
+
+
+class SearchTest(unittest.TestCase):
+    """Two holders, a canceller and a resending caller under faults."""
+
+    def test_random_histories(self) -> None:
+        for seed in range(150):
+            with self.subTest(seed=seed):
+                self._run(random.Random(seed))
+
+    def _run(self, rng: random.Random) -> None:
+        rows = RowState()
+        at = store(rows)
+        listed: dict[int, str] = {}
+        accepted = False
+        for step in range(30):
+            rows.faults.lose = rng.random() < 0.2
+            rows.faults.late = rng.random() < 0.2
+            rows.faults.down = rng.random() < 0.1
+            match rng.randrange(6):
+                case 0:
+                    taken = at.accept(job(items=4), route(), "entry@a")
+                    accepted |= taken.is_ok()
+                case 1 | 2 | 3:
+                    index = rng.randrange(4)
+                    done = outcome(index, f"run{step}")
+                    at.list_outcomes(None, HOST, "job-1", (done,))
+                case 4:
+                    rows.deliver_late()
+                case 5 if rng.random() < 0.1:
+                    at.end(HOST, "job-1")
+            rows.faults.lose = rows.faults.late = 0
+            rows.faults.down = False
+            self._check(at, listed, accepted)
+
+    def _check(
+        self, at: BatchStore, listed: dict[int, str], accepted: bool
+    ) -> None:
+        read = at.results(HOST, "job-1", 0, None)
+        if read.is_error():
+            self.assertFalse(accepted, "an accepted job is gone")
+            return
+        found = read.ok.outcomes
+        self.assertEqual(len(found), len({o.index for o in found}))
+        for position, text in listed.items():
+            self.assertEqual(text, found[position].output)
+        listed.update({i: o.output for i, o in enumerate(found)})
+
+
+class HeadTest(unittest.TestCase):
+    def test_waiting_tokens(self) -> None:
+        self.assertEqual(300, head().waiting_tokens)
+        self.assertEqual(200, head(done=frozenset({1})).waiting_tokens)
+        self.assertEqual(0, head(ended=True).waiting_tokens)
--- /dev/null
+++ b/tests/policy/test_batch_heads.py
@@ -0,0 +1,72 @@
+"""Tests of who runs a job, and of what is listed."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrypass.policy import batch_heads as policy
+from tests.batches.cases import head, outcome
+
+A, B, C = "entry@a", "entry@b", "entry@c"
+
+
+class NextHolderTest(unittest.TestCase):
+    def test_table(self) -> None:
+        cases = {
+            "well": (head(holder=A), {A, B}, {A, B}, False),
+            "gone": (head(holder=A), {B, C}, {B, C}, True),
+            "leaving": (head(holder=A), {B, C}, {A, B, C}, False),
+            "handed to nobody": (head(holder=""), {B}, {A, B}, True),
+            "all done": (
+                head(holder=A, done=frozenset({0, 1, 2})),
+                {B},
+                {B},
+                False,
+            ),
+            "ended": (head(holder=A, ended=True), {B}, {B}, False),
+        }
+        for name, (found, live, known, taken) in cases.items():
+            with self.subTest(name):
+                heir = policy.next_holder(found, live, known)
+                self.assertEqual(taken, heir is not None)
+                self.assertIn(heir, live | {None})
+
+    def test_all_members_choose_the_same(self) -> None:
+        found = head(holder="entry@gone")
+        heirs = {
+            policy.next_holder(found, order, ()) for order in ([A, B], [B, A])
+        }
+        self.assertEqual(1, len(heirs))
+
+
+class HandOverTest(unittest.TestCase):
+    def test_items_that_run_are_left_to_their_runner(self) -> None:
+        given = policy.hand_over(head(holder=A), frozenset({1}), A, {A, B})
+        self.assertEqual(B, given.holder)
+        self.assertEqual((0, 2), policy.runnable(given, {A, B}))
+
+    def test_they_are_taken_when_their_runner_is_gone(self) -> None:
+        given = policy.hand_over(head(holder=A), frozenset({1}), A, {A, B})
+        self.assertEqual((0, 1, 2), policy.runnable(given, {B}))
+
+    def test_the_last_member_hands_to_nobody(self) -> None:
+        given = policy.hand_over(head(holder=A), frozenset(), A, {A})
+        self.assertEqual("", given.holder)
+
+
+class ListOutcomesTest(unittest.TestCase):
+    def test_listed_once_in_order(self) -> None:
+        changed, listed = policy.list_outcomes(
+            head(done=frozenset({1}), results=1),
+            (outcome(2), outcome(1), outcome(2), outcome(0)),
+        )
+        self.assertEqual([2, 0], [found.index for found in listed])
+        self.assertEqual(3, changed.results)
+        self.assertFalse(changed.open)
+
+    def test_quota(self) -> None:
+        heads = [head(), head(job_id="b", route="other")]
+        self.assertEqual(300, policy.waiting_tokens(heads, "crates"))
+        self.assertTrue(policy.fits(300, 100, 400))
+        self.assertFalse(policy.fits(301, 100, 400))
+        self.assertTrue(policy.fits(10**9, 1, 0))
--- /dev/null
+++ b/tests/relay/fakes.py
@@ -0,0 +1,232 @@
+"""Stand-ins for what a request meets on its way."""
+
+from __future__ import annotations
+
+from collections import deque
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import WireError
+from mulberrypass.model.routes import (
+    RegisteredEngine,
+    RelayRoute,
+    RelayService,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+from mulberrypass.peer.api import PermitClient
+from mulberrypass.policy.messages import Grant, Ran, Refuse, Release
+from mulberrypass.relay.api import (
+    EngineAnswer,
+    EngineCalls,
+    EngineHead,
+    RelayRequest,
+)
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.forward import RelayTools
+from mulberrypass.relay.placing import Placer
+from mulberrypass.relay.watch import CallWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.wire import Deadline
+    from mulberrypass.policy.messages import (
+        Ask,
+        FirstToken,
+        RefusalReason,
+        Withdraw,
+    )
+
+HOST = "dock.example"
+NOT_RUN = EngineFailed("no connection", Ran.NO)
+CUT = EngineFailed("cut", Ran.MAYBE)
+
+
+def route(**fields: Any) -> RelayRoute:
+    """Give a route for streams."""
+    values: dict[str, Any] = {
+        "name": "lookup",
+        "host": HOST,
+        "prefix": "/lookup/",
+        "kind": RouteKind.STREAM,
+        "services": (ServiceShare("rackmind", 1.0),),
+        "timeout_s": 5.0,
+        "target_s": 0.3,
+        "max_attempts": 2,
+    }
+    return RelayRoute(**(values | fields))
+
+
+def table(*routes: RelayRoute, version: int = 1) -> RouteTable:
+    """Give routes with the services that they lead to."""
+    names = {s.service for r in routes for s in r.services}
+    services = {name: RelayService(name, event_tokens=6) for name in names}
+    return RouteTable(version, routes, services)
+
+
+def engine(name: str, **fields: Any) -> RegisteredEngine:
+    """Give a registered engine."""
+    values: dict[str, Any] = {
+        "service": "rackmind",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 8,
+    }
+    return RegisteredEngine(name, **(values | fields))
+
+
+def request(**fields: Any) -> RelayRequest:
+    """Give a request for a stream."""
+    values: dict[str, Any] = {
+        "request_id": "r1",
+        "method": "POST",
+        "host": HOST,
+        "target": "/lookup/1?q=2",
+        "headers": (("x-a", "b"),),
+        "body": b"body",
+        "wait_s": 5.0,
+        "prompt_tokens": 10,
+        "output_tokens": 20,
+    }
+    return RelayRequest(**(values | fields))
+
+
+def event(number: int) -> bytes:
+    """Give the bytes of an event."""
+    return f"id: {number}\ndata: {number}\n\n".encode()
+
+
+@dataclass(slots=True)
+class Script:
+    """What one call of an engine gives.
+
+    :param parts: bytes of the body; an ``EngineFailed`` ends it
+    """
+
+    status: int = 200
+    not_run: bool = False
+    parts: list[bytes | EngineFailed] = field(default_factory=list)
+    before: Callable[[], None] | None = None
+
+
+class ScriptedAnswer(EngineAnswer):
+    """Gives the parts of a script."""
+
+    def __init__(self, script: Script, log: list[str]) -> None:
+        headers = (("X-Stamp", "s"),)
+        self.head = EngineHead(
+            script.status, headers, script.not_run, False, None, None
+        )
+        self._parts = deque(script.parts)
+        self._log = log
+
+    def read_some(self, _deadline: Deadline) -> bytes:
+        """Give the next part."""
+        if not self._parts:
+            return b""
+        part = self._parts.popleft()
+        if isinstance(part, EngineFailed):
+            raise WireError(part)
+        return part
+
+    def finish(self) -> None:
+        """Note the end."""
+        self._log.append("finish")
+
+    def abort(self) -> None:
+        """Note the abort."""
+        self._log.append("abort")
+
+
+class ScriptedEngines(EngineCalls):
+    """Engines whose calls follow scripts, one after another."""
+
+    def __init__(self, *scripts: Script | EngineFailed) -> None:
+        self._scripts = deque(scripts)
+        self.sent: list[tuple[str, RelayRequest]] = []
+        self.log: list[str] = []
+
+    def send(
+        self,
+        engine: RegisteredEngine,
+        req: RelayRequest,
+        _deadline: Deadline,
+        on_open: Callable[[Callable[[], None]], None],
+    ) -> EngineAnswer:
+        """Follow the next script."""
+        self.sent.append((engine.name, req))
+        on_open(lambda: self.log.append("abort"))
+        script = self._scripts.popleft()
+        if isinstance(script, EngineFailed):
+            raise WireError(script)
+        if script.before is not None:
+            script.before()
+        return ScriptedAnswer(script, self.log)
+
+
+class ScriptedPermits(PermitClient):
+    """Grants the first engine that is not to be avoided."""
+
+    def __init__(self, *engines: str) -> None:
+        self._engines = engines
+        self.asks: list[Ask] = []
+        self.told: list[Withdraw | FirstToken | Release] = []
+        self.refusal: tuple[RefusalReason, float] | None = None
+        self.silent = False
+        self.on_ask: Callable[[], None] | None = None
+        self.revoke: Callable[[], None] | None = None
+
+    def ask(
+        self, ask: Ask, on_revoke: Callable[[], None]
+    ) -> Future[Grant | Refuse]:
+        """Answer at once, unless told to be silent."""
+        self.asks.append(ask)
+        self.revoke = on_revoke
+        if self.on_ask is not None:
+            self.on_ask()
+        answer: Future[Grant | Refuse] = Future()
+        free = [n for n in self._engines if n not in ask.avoid]
+        if self.silent:
+            return answer
+        if self.refusal is not None:
+            answer.set_result(Refuse(ask.ask_id, *self.refusal))
+        elif free:
+            answer.set_result(Grant(ask.ask_id, free[0]))
+        else:
+            reason = _no_backend()
+            answer.set_result(Refuse(ask.ask_id, reason, 1.0))
+        return answer
+
+    def tell(self, message: Withdraw | FirstToken | Release) -> None:
+        """Keep what was told."""
+        self.told.append(message)
+
+    @property
+    def released(self) -> list[str]:
+        """How permits were given back."""
+        return [
+            message.outcome.value
+            for message in self.told
+            if isinstance(message, Release)
+        ]
+
+
+def tools(
+    engines: EngineCalls, permits: PermitClient, *routes: RelayRoute
+) -> RelayTools:
+    """Give tools over a directory with two engines."""
+    directory = Directory()
+    directory.apply_routes(table(*(routes or (route(),))))
+    directory.set_engines([engine("e1"), engine("e2")])
+    placer = Placer("entry@a", permits, directory)
+    return RelayTools(directory, placer, engines, CallWatch())
+
+
+def _no_backend() -> RefusalReason:
+    from mulberrypass.policy.messages import RefusalReason
+
+    return RefusalReason.NO_BACKEND
--- /dev/null
+++ b/tests/relay/test_events.py
@@ -0,0 +1,49 @@
+"""Tests of taking event streams apart."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrypass.relay.events import (
+    MAX_EVENT_BYTES,
+    BadEventError,
+    EventSplitter,
+)
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n:note\n\n"
+
+
+class SplitTest(unittest.TestCase):
+    def test_any_cut_gives_the_same_events(self) -> None:
+        for size in range(1, len(STREAM) + 1):
+            with self.subTest(size):
+                splitter = EventSplitter()
+                events = []
+                for at in range(0, len(STREAM), size):
+                    events += splitter.feed(STREAM[at : at + size])
+                self.assertEqual(STREAM, b"".join(e.raw for e in events))
+                self.assertEqual([1, 2, None], [e.number for e in events])
+                self.assertEqual(
+                    [b"a", b"b\nc", b""], [e.data for e in events]
+                )
+                self.assertFalse(splitter.pending)
+
+    def test_part_of_an_event_is_pending(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: a\n")
+        self.assertTrue(splitter.pending)
+
+    def test_line_ends_of_both_kinds(self) -> None:
+        events = EventSplitter().feed(b"id: 4\r\ndata: x\r\n\r\n")
+        self.assertEqual([4], [e.number for e in events])
+        self.assertEqual(b"x", events[0].data)
+
+    def test_version_line_is_no_data(self) -> None:
+        raw = b"x-weight-versions: 3\nid: 4\ndata: x\n\n"
+        events = EventSplitter().feed(raw)
+        self.assertEqual(b"x", events[0].data)
+
+    def test_endless_event(self) -> None:
+        splitter = EventSplitter()
+        with self.assertRaises(BadEventError):
+            splitter.feed(b"x" * (MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/tests/relay/test_forward.py
@@ -0,0 +1,280 @@
+"""Tests of a request on its way to engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+import unittest
+
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.model.routes import RouteKind, ServiceShare
+from mulberrypass.policy.messages import Ran, RefusalReason
+from mulberrypass.relay.api import (
+    AnswerBody,
+    AnswerHead,
+    CutError,
+    Failed,
+    NoRoute,
+    Refused,
+)
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.forward import Forwarder, RelayTools
+from mulberrypass.relay.placing import Placer
+from mulberrypass.relay.watch import CallWatch
+from tests.relay.fakes import (
+    CUT,
+    NOT_RUN,
+    Script,
+    ScriptedEngines,
+    ScriptedPermits,
+    engine,
+    event,
+    request,
+    route,
+    table,
+    tools,
+)
+
+if TYPE_CHECKING:
+    from mulberrypass.relay.api import RelayEvent, RelayRequest
+
+RESUMABLE = route(resumable=True)
+WHOLE = [event(1) + event(2)[:4], event(2)[4:], event(3)]
+
+
+def run(
+    used: RelayTools, req: RelayRequest | None = None
+) -> tuple[list[RelayEvent], bool]:
+    """Give the events of a request, and whether it was cut."""
+    events: list[RelayEvent] = []
+    try:
+        events.extend(Forwarder(used).run(req or request(), lambda: False))
+    except CutError:
+        return events, True
+    return events, False
+
+
+def body(events: list[RelayEvent]) -> bytes:
+    """Give the body in events."""
+    return b"".join(e.data for e in events if isinstance(e, AnswerBody))
+
+
+class StreamTest(unittest.TestCase):
+    def test_whole(self) -> None:
+        engines = ScriptedEngines(Script(parts=list(WHOLE)))
+        permits = ScriptedPermits("e1", "e2")
+        events, cut = run(tools(engines, permits))
+        self.assertFalse(cut)
+        self.assertEqual(AnswerHead(200, (("X-Stamp", "s"),), None), events[0])
+        self.assertEqual(b"".join(WHOLE), body(events))
+        self.assertEqual(["done"], permits.released)
+
+    def test_failures(self) -> None:
+        full = Script(503, not_run=True)
+        server_error = Script(500, parts=[b"no"])
+        part = Script(parts=[event(1), CUT])
+        rest = Script(parts=[event(2), event(3)])
+        torn = Script(parts=[event(1), event(2)[:5]])
+        whole = Script(parts=list(WHOLE))
+        cases: dict[str, tuple[bool, list[Any], Any, bool, int]] = {
+            # name: (resumable, scripts, body or event, cut, sends)
+            "not run, then well": (False, [NOT_RUN, whole], "all", False, 2),
+            "full, then well": (False, [full, whole], "all", False, 2),
+            "both full": (False, [full, full], Refused, False, 2),
+            "no answer": (False, [CUT], Failed, False, 1),
+            "no answer, resumable": (True, [CUT, whole], "all", False, 2),
+            "cut": (False, [part], "first", True, 1),
+            "cut, resumable": (True, [part, rest], "all", False, 2),
+            "torn in an event": (True, [torn, rest], "all", False, 2),
+            "cut twice": (True, [part, Script(parts=[CUT])], "first", True, 2),
+            "error": (False, [server_error], "no", False, 1),
+            "error, resumable": (
+                True,
+                [server_error, whole],
+                "all",
+                False,
+                2,
+            ),
+        }
+        bodies = {
+            "all": b"".join(WHOLE),
+            "first": event(1),
+            "no": b"no",
+        }
+        for name, (resumable, scripts, wanted, cut, sends) in cases.items():
+            with self.subTest(name):
+                engines = ScriptedEngines(*scripts)
+                permits = ScriptedPermits("e1", "e2")
+                used = tools(engines, permits, route(resumable=resumable))
+                events, was_cut = run(used)
+                self.assertEqual(cut, was_cut)
+                self.assertEqual(sends, len(engines.sent))
+                if isinstance(wanted, str):
+                    self.assertEqual(bodies[wanted], body(events))
+                else:
+                    self.assertIsInstance(events[-1], wanted)
+                grants = [a for a in permits.asks]
+                self.assertLessEqual(len(permits.released), len(grants))
+
+    def test_goes_on_after_the_last_whole_event_elsewhere(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[event(1), event(2)[:3], CUT]),
+            Script(parts=[event(2), event(3)]),
+        )
+        run(tools(engines, ScriptedPermits("e1", "e2"), RESUMABLE))
+        self.assertEqual(["e1", "e2"], [name for name, _ in engines.sent])
+        self.assertEqual(
+            [None, 1], [req.after_event for _, req in engines.sent]
+        )
+
+    def test_events_that_do_not_follow_end_the_run(self) -> None:
+        cases = {
+            "gap": [event(1), event(3)],
+            "twice": [event(1), event(1)],
+            "back": [event(2), event(1)],
+        }
+        for name, parts in cases.items():
+            with self.subTest(name):
+                engines = ScriptedEngines(Script(parts=list(parts)))
+                permits = ScriptedPermits("e1")
+                events, cut = run(tools(engines, permits))
+                self.assertTrue(cut)
+                self.assertEqual(parts[0], body(events))
+
+    def test_resumed_run_must_go_on_at_the_next_event(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[event(1), CUT]), Script(parts=[event(3)])
+        )
+        events, cut = run(
+            tools(engines, ScriptedPermits("e1", "e2"), RESUMABLE)
+        )
+        self.assertTrue(cut)
+        self.assertEqual(event(1), body(events))
+
+
+class RefusalTest(unittest.TestCase):
+    def test_owner_refuses(self) -> None:
+        permits = ScriptedPermits("e1")
+        permits.refusal = (RefusalReason.LATE_START, 1.4)
+        events, _ = run(tools(ScriptedEngines(), permits))
+        self.assertEqual([Refused("late_start", 1.4)], events)
+
+    def test_what_may_have_run_is_never_refused(self) -> None:
+        permits = ScriptedPermits("e1")
+        used = tools(ScriptedEngines(CUT), permits, RESUMABLE)
+        events, _ = run(used)
+        self.assertIsInstance(events[-1], Failed)
+
+    def test_no_configuration(self) -> None:
+        permits = ScriptedPermits("e1")
+        directory = Directory()
+        placer = Placer("entry@a", permits, directory)
+        used = RelayTools(directory, placer, ScriptedEngines(), CallWatch())
+        events, _ = run(used)
+        self.assertIsInstance(events[0], Refused)
+
+    def test_no_route(self) -> None:
+        used = tools(ScriptedEngines(), ScriptedPermits("e1"))
+        for field in ({"host": "x.example"}, {"target": "/other/1"}):
+            with self.subTest(field):
+                events, _ = run(used, request(**field))
+                self.assertEqual([NoRoute()], events)
+
+    def test_deadline_while_queued(self) -> None:
+        permits = ScriptedPermits("e1")
+        permits.silent = True
+        events, _ = run(
+            tools(ScriptedEngines(), permits), request(wait_s=0.06)
+        )
+        self.assertEqual("deadline", getattr(events[0], "reason", ""))
+
+    def test_caller_leaves_while_queued(self) -> None:
+        permits = ScriptedPermits("e1")
+        permits.silent = True
+        used = tools(ScriptedEngines(), permits)
+        events = list(Forwarder(used).run(request(), lambda: True))
+        self.assertIsInstance(events[0], Refused)
+        self.assertEqual("Withdraw", type(permits.told[0]).__name__)
+
+
+class RoutingTest(unittest.TestCase):
+    def test_a_new_configuration_holds_when_the_permit_comes(self) -> None:
+        engines = ScriptedEngines(Script(parts=list(WHOLE)))
+        permits = ScriptedPermits("e1", "f1")
+        used = tools(engines, permits)
+        moved = route(services=(ServiceShare("other", 1.0),))
+
+        def move() -> None:
+            permits.on_ask = None
+            used.directory.apply_routes(table(moved, version=2))
+            used.directory.set_engines(
+                [engine("e1"), engine("f1", service="other")]
+            )
+
+        permits.on_ask = move
+        run(used)
+        self.assertEqual(["f1"], [name for name, _ in engines.sent])
+        self.assertEqual(["unused", "done"], permits.released)
+
+    def test_nothing_goes_to_an_engine_that_leaves(self) -> None:
+        engines = ScriptedEngines(Script(parts=list(WHOLE)))
+        permits = ScriptedPermits("e1", "e2")
+        used = tools(engines, permits)
+
+        def leave() -> None:
+            permits.on_ask = None
+            used.directory.set_engines(
+                [engine("e1", leaving=True), engine("e2")]
+            )
+
+        permits.on_ask = leave
+        run(used)
+        self.assertEqual(["e2"], [name for name, _ in engines.sent])
+
+    def test_route_is_dropped_while_queued(self) -> None:
+        permits = ScriptedPermits("e1")
+        used = tools(ScriptedEngines(), permits)
+        other = route(prefix="/other/")
+
+        def drop() -> None:
+            used.directory.apply_routes(table(other, version=2))
+
+        permits.on_ask = drop
+        events, _ = run(used)
+        self.assertEqual([NoRoute()], events)
+
+
+class WholeAnswerTest(unittest.TestCase):
+    CALL = route(kind=RouteKind.NON_IDEMPOTENT)
+    REPEATABLE = route(kind=RouteKind.IDEMPOTENT)
+
+    def test_cut_answer_is_not_passed_on(self) -> None:
+        engines = ScriptedEngines(Script(parts=[b"half", CUT]))
+        events, cut = run(
+            tools(engines, ScriptedPermits("e1", "e2"), self.CALL)
+        )
+        self.assertFalse(cut)
+        self.assertIsInstance(events[0], Failed)
+        self.assertEqual(1, len(engines.sent))
+
+    def test_idempotent_request_goes_again(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[b"half", CUT]), Script(parts=[b"whole"])
+        )
+        events, _ = run(
+            tools(engines, ScriptedPermits("e1", "e2"), self.REPEATABLE)
+        )
+        self.assertEqual(b"whole", body(events))
+
+    def test_failure_of_the_engine_is_passed_on_unchanged(self) -> None:
+        engines = ScriptedEngines(Script(404, parts=[b"none"]))
+        events, _ = run(tools(engines, ScriptedPermits("e1"), self.CALL))
+        self.assertEqual(AnswerHead(404, (("X-Stamp", "s"),), 4), events[0])
+
+    def test_deadline_in_the_call(self) -> None:
+        late = EngineFailed("deadline", Ran.MAYBE)
+        engines = ScriptedEngines(late)
+        events, _ = run(
+            tools(engines, ScriptedPermits("e1"), self.CALL),
+            request(wait_s=0.0001),
+        )
+        self.assertIsInstance(events[0], Failed | Refused)
