Judge no engine by work that a new owner took in

Cause: a new owner counted permits in use, whose first token had come under the former one, as work without a first token; their age grew past any peer's and three of six engines were cut to one slot for 5 s after each loss of an owner. The log now says when an engine is judged, by what.

--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -251,6 +251,7 @@
     def _tick(self, now: float) -> None:
         for cell in self._cells:
             self._decide(cell.tick(now))
+        self._cells.log_health()
         if now >= self._said_at + SAY_S:
             self._said_at = now
             self._cells.log_loads()
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -36,6 +36,7 @@
         self._cells: dict[CellKey, Cell] = {}
         self._live: tuple[str, ...] = ()
         self._owners: dict[CellKey, str | None] = {}
+        self._shares: dict[str, float] = {}
         self.loaded: dict[str, frozenset[str]] = {}
 
     def __iter__(self) -> Iterator[Cell]:
@@ -88,6 +89,25 @@
         """Give the loads of all cells, by name."""
         return {key.name: cell.load() for key, cell in self._cells.items()}
 
+    def log_health(self) -> None:
+        """Say which engines are judged otherwise than before."""
+        for cell in self._cells.values():
+            for name, state in cell.health.state().items():
+                before = self._shares.get(name, 1.0)
+                if state.share == before:
+                    continue
+                self._shares[name] = state.share
+                LOG.info(
+                    "engine judged slower"
+                    if state.share < before
+                    else "engine judged faster",
+                    engine=name,
+                    share=round(state.share, 2),
+                    ratio=round(state.ratio, 2),
+                    why=state.why,
+                    held=state.held_until > 0,
+                )
+
     def log_loads(self) -> None:
         """Say what each cell that is in use carries."""
         for key, cell in self._cells.items():
--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator, Iterator, Mapping
 
-    from mulberrypass.policy.cell_engines import Engine
+    from mulberrypass.policy.cell_engines import Engine, Permit
     from mulberrypass.policy.cell_ledger import Ledger
     from mulberrypass.policy.cell_pacing import BatchPace
     from mulberrypass.policy.cell_settings import CellSettings
@@ -118,7 +118,10 @@
         if engine is not None:
             choice = self._router.weigh(ask, engine)
             ask = replace(ask, granted="")
-            self._admit(ask, choice, now + ask.budget_s, now)
+            permit = self._admit(ask, choice, now + ask.budget_s, now)
+            if not ask.prompt_tokens:
+                # Its first token came under the former owner.
+                engine.first_token(permit)
 
     def may_run(self, customer: str, work_class: WorkClass) -> bool:
         """Whether a customer is below its limit."""
@@ -209,7 +212,7 @@
 
     def _admit(
         self, ask: Ask, choice: Choice, deadline: float, now: float
-    ) -> None:
+    ) -> Permit:
         permit = self._ledger.admit(ask, choice, deadline, now)
         engine = choice.engine
         if engine.probe:
@@ -219,6 +222,7 @@
             rest = self._pace.interval_s(permit.uncached_tokens)
             since = max(engine.batch_ready_at, now - PACE_BURST_S)
             engine.batch_ready_at = since + rest
+        return permit
 
     def _waiting_online(self) -> int:
         limits = self._ledger.limits
--- a/src/mulberrypass/policy/health.py
+++ b/src/mulberrypass/policy/health.py
@@ -23,11 +23,15 @@
     """What the dump shows of an engine's health.
 
     :param share: share of its slots that new work may fill
+    :param ratio: how many times slower than its peers it last was
+    :param why: what that ratio was seen in
     """
 
     share: float
     failures: int
     held_until: float
+    ratio: float = 0.0
+    why: str = ""
 
 
 @dataclass(slots=True)
@@ -40,6 +44,8 @@
     held_until: float = 0.0
     probe_at: float = 0.0
     probe_wait_s: float = 0.0
+    ratio: float = 0.0
+    why: str = ""
     overdue: Sequence[float] = field(default_factory=tuple)
 
     def clear(self) -> None:
@@ -165,12 +171,15 @@
     def state(self) -> dict[str, HealthState]:
         """Give what the dump shows."""
         return {
-            name: HealthState(r.share, r.failures, r.held_until)
+            name: HealthState(
+                r.share, r.failures, r.held_until, r.ratio, r.why
+            )
             for name, r in self._records.items()
         }
 
     def _adjust(self, name: str, ratio: float) -> None:
         record = self._records[name]
+        record.ratio = ratio
         if ratio > self._settings.slow_ratio:
             if record.share == FULL_SHARE and self._at_limit():
                 return
@@ -192,20 +201,24 @@
         self, record: _Record, firsts: Peers, services: Peers
     ) -> float | None:
         """Give how many times slower than its peers an engine is."""
-        ratios = []
+        ratios: list[tuple[float, str]] = []
         weight = self._settings.first_weight
         least = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
         usual = firsts.without(record.first)
         if usual and len(record.first) >= least:
-            ratios.append(record.first.median() / usual * weight)
+            ratio = record.first.median() / usual * weight
+            ratios.append((ratio, "first token"))
         if usual and len(record.overdue) >= min(MIN_OVERDUE, least):
             late = median(record.overdue) / usual * weight
             if late > self._settings.slow_ratio:
-                ratios.append(late)
+                ratios.append((late, "overdue"))
         usual = services.without(record.service)
         if usual and len(record.service) >= least:
-            ratios.append(record.service.median() / usual)
-        return max(ratios) if ratios else None
+            ratios.append((record.service.median() / usual, "pace"))
+        if not ratios:
+            return None
+        ratio, record.why = max(ratios)
+        return ratio
 
     def _make_room(self, name: str) -> bool:
         if self._records[name].share < FULL_SHARE or not self._at_limit():
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -345,3 +345,19 @@
             running = granted(got)[0][0]
             north += running.startswith("n")
         self.assertAlmostEqual(60, north, delta=1)
+
+
+class AdoptedWorkTest(unittest.TestCase):
+    def test_work_past_its_first_token_is_not_overdue(self) -> None:
+        """A new owner takes in permits that are in use already."""
+        made = cell([engine("core-0"), engine("core-1")], SETTINGS)
+        for number in range(4):
+            made.handle(
+                batch(f"b{number}", granted="core-0", prompt_tokens=0), 0.0
+            )
+        for number in range(4):
+            made.handle(ask(f"a{number}"), 0.1)
+            made.handle(FirstToken(f"a{number}", 0.05), 0.15)
+        for tick in range(30):
+            made.tick(0.2 + tick / 10)
+        self.assertEqual(4, made.engines["core-0"].cap)
