--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -13,6 +13,7 @@
 from mulberrypass.policy.cells import CellLoad
 from mulberrypass.policy.early_refusal import EarlyRefusal
 from mulberrypass.policy.health import HealthBoard
+from mulberrypass.policy.holder_pace import HolderPace
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -63,6 +64,7 @@
         )
         self._service = ServiceEstimate()
         self._early = EarlyRefusal(self.settings.early)
+        self._paces = HolderPace()
         self._sequence = 0
         self._out: list[CellDecision] = []
 
@@ -322,7 +324,8 @@
         elif message.tokens >= MIN_TOKENS_FOR_RATE:
             decode_s = message.service_s - permit.first_after_s
             token_s = decode_s / message.tokens
-            self.health.service(permit.backend, token_s, now)
+            pace = self._paces.relative(permit.ask.holder, token_s)
+            self.health.service(permit.backend, pace, now)
         work = work_of(permit.ask.prompt_tokens, message.tokens)
         queue = self.queued(permit.ask.work_class)
         queue.settle(permit.ask.customer, work - permit.work)
@@ -359,6 +362,7 @@
                     self._refuse(queued.ask, reason, RETRY_AFTER_S)
 
     def _lose_holder(self, holder: str, now: float) -> None:
+        self._paces.forget(holder)
         for queue in self._dispatcher.queues:
             for queued in queue:
                 if queued.ask.holder == holder:
@@ -379,6 +383,8 @@
         self._out.append(CellDecision(ask.holder, message))
 
     def _run(self, now: float) -> list[CellDecision]:
+        ahead = self._early.rate_per_s(now) * self.settings.ahead_s
+        self._dispatcher.kept_free = int(ahead)
         self._out.extend(self._dispatcher.run(now))
         return self._take_out()
 
--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/cell_dispatch.py
@@ -60,6 +60,7 @@
         self._router = Router(settings)
         self._revoker = Revoker(settings, ledger)
         self.zones: Mapping[str, str] = {}
+        self.kept_free = 0
         self.online = FairQueue()
         self.batch = FairQueue()
 
@@ -141,6 +142,8 @@
         full = _Full()
         found = self._next(work_class, full, now)
         while found is not None:
+            if work_class is WorkClass.BATCH and not self._leaves_free():
+                return full.waits
             queued, choice = found
             queue.serve(queued)
             ask = queued.ask
@@ -152,6 +155,19 @@
             found = self._next(work_class, full, now) if queue else None
         return full.waits
 
+    def _leaves_free(self) -> bool:
+        """Whether batch work may take one slot more.
+
+        Slots for the online work of the next moment stay free: work that
+        is taken back at once has only cost its prompt.
+        """
+        free = sum(
+            max(0, engine.cap - engine.running)
+            for engine in self._ledger.engines.values()
+            if not engine.leaving
+        )
+        return free > self.kept_free
+
     def _next(
         self, work_class: WorkClass, full: _Full, now: float
     ) -> tuple[Queued, Choice] | None:
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/cell_settings.py
@@ -115,6 +115,8 @@
     :param service_margin: multiple of the expected service time that must
         fit before the deadline
     :param wait_margin: multiple of the estimated wait that must fit too
+    :param ahead_s: batch work leaves as many slots free as online work
+        takes within this at its present rate
     :param patience_s: online work that was not started within this is
         refused; its caller leaves soon; 0 for no such limit
     :param release_grace_s: a permit is reclaimed so long after its deadline
@@ -138,6 +140,7 @@
     service_margin: float = 1.25
     wait_margin: float = 1.5
     patience_s: float = 0.0
+    ahead_s: float = 0.0
     release_grace_s: float = 2.0
     holder_grace_s: float = 2.0
     revoke_grace_s: float = 2.0
--- a/src/mulberrypass/policy/early_refusal.py
+++ b/src/mulberrypass/policy/early_refusal.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from mulberrypass.policy.arrivals import ArrivalRate
+
 if TYPE_CHECKING:
     from mulberrypass.policy.messages import Ask
 
@@ -47,14 +49,12 @@
 
     def __init__(self, settings: EarlyRefusalSettings) -> None:
         self._settings = settings
-        self._arrivals: deque[float] = deque()
+        self._arrivals = ArrivalRate(settings.window_s)
         self._refused: OrderedDict[int, float] = OrderedDict()
 
     def arrived(self, now: float) -> None:
         """Count an arrival."""
-        self._arrivals.append(now)
-        while self._arrivals[0] < now - self._settings.window_s:
-            self._arrivals.popleft()
+        self._arrivals.add(now)
 
     def came_back(self, ask: Ask, now: float) -> bool:
         """Whether an ask's request was refused before."""
@@ -77,12 +77,13 @@
             return None
         self._remember(ask, now)
         latest = ask.budget_s * self._settings.return_share
-        pressed = self._rate() >= capacity_per_s
+        pressed = self.rate_per_s(now) >= capacity_per_s
         at = latest if pressed else min(latest, wait_s)
         return at * (1.0 - self._settings.spread * _draw(ask))
 
-    def _rate(self) -> float:
-        return len(self._arrivals) / self._settings.window_s
+    def rate_per_s(self, now: float) -> float:
+        """Give the online arrivals a second."""
+        return self._arrivals.per_s(now)
 
     def _remember(self, ask: Ask, now: float) -> None:
         if not ask.subject:
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -99,7 +99,8 @@
         max_tokens_per_s=1e6,
     ),
     patience_s=1.5,
-    health=HealthSettings(max_hold_s=4.0, first_weight=0.3),
+    ahead_s=0.1,
+    health=HealthSettings(max_hold_s=4.0, first_weight=0.3, slow_ratio=2.5),
     routing=RoutingSettings(block_tokens=100),
 )
 
--- a/tests/policy/test_health.py
+++ b/tests/policy/test_health.py
@@ -6,6 +6,7 @@
 
 from mulberrypass.policy.cell_settings import HealthSettings
 from mulberrypass.policy.health import HealthBoard
+from mulberrypass.policy.holder_pace import HolderPace
 
 NAMES = tuple(f"core-{index}" for index in range(6))
 SETTINGS = HealthSettings()
@@ -92,3 +93,20 @@
             self.assertFalse(self.board.probe_due("core-1", early))
             self.assertTrue(self.board.probe_due("core-1", due))
             self.now = due
+
+
+class HolderPaceTest(unittest.TestCase):
+    def test_a_slow_holder_speaks_against_no_engine(self) -> None:
+        pace = HolderPace()
+        for _ in range(5):
+            pace.relative("entry@a", 0.004)
+        self.assertAlmostEqual(1.0, pace.relative("entry@a", 0.004))
+        for _ in range(12):
+            pace.relative("entry@b", 0.02)
+        self.assertAlmostEqual(1.0, pace.relative("entry@b", 0.02))
+
+    def test_a_slow_engine_stands_out(self) -> None:
+        pace = HolderPace()
+        for _ in range(8):
+            pace.relative("entry@a", 0.004)
+        self.assertAlmostEqual(5.0, pace.relative("entry@a", 0.02))
