Believe what a leaving member still runs for a while only

Cause: an item that a leaving member still ran was left to it while it was known; it had started again under the same name, so the item was left for ever. A job that came to a member that was leaving already was not handed on. What is still run counts until the leaver's kill time, and a leaving member hands on what comes later too. Ruled out: lost writes, a store that was away (each hand-over was written).

--- a/src/mulberrypass/batches/api.py
+++ b/src/mulberrypass/batches/api.py
@@ -73,6 +73,7 @@
     :param holder: member that runs its items
     :param busy: items that another member, which leaves, still runs
     :param busy_by: that member
+    :param busy_until: Unix time after which it has ended at the latest
     """
 
     job_id: str
@@ -88,6 +89,7 @@
     holder: str = ""
     busy: frozenset[int] = frozenset()
     busy_by: str = ""
+    busy_until: float = 0.0
 
     @property
     def total(self) -> int:
--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -61,6 +61,7 @@
         "holder": head.holder,
         "busy": sorted(head.busy),
         "busy_by": head.busy_by,
+        "busy_until": head.busy_until,
     }
     return json.dumps(doc, separators=(",", ":")).encode()
 
@@ -86,6 +87,7 @@
             holder=str(doc["holder"]),
             busy=frozenset(map(int, doc["busy"])),
             busy_by=str(doc["busy_by"]),
+            busy_until=float(doc["busy_until"]),
         )
     except (ValueError, KeyError, TypeError) as exc:
         raise DamagedError(f"{row.at}: {exc!r}")
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -96,6 +96,7 @@
         self._held: dict[str, HeldJob] = {}
         self._missing: dict[str, float] = {}
         self._leaving = False
+        self._gone_at = 0.0
         self._stopped = False
         self._started_at = time.monotonic()
         self._wake = threading.Event()
@@ -148,32 +149,16 @@
                 continue
             self.see(VersionedHead(head, row.version))
 
-    def leave(self) -> None:
-        """Hand all jobs over; items that run go on here."""
-        self._leaving = True
-        members = self._members()
-        for job in self._jobs():
-            running = frozenset(job.running)
-            live = members.live
+    def leave(self, grace_s: float) -> None:
+        """Hand all jobs over, those that come later too.
 
-            def change(
-                head: JobHead,
-                running: frozenset[int] = running,
-                live: frozenset[str] = live,
-            ) -> JobHead | None:
-                if not head.open or head.holder != self._me:
-                    return None
-                return policy.hand_over(head, running, self._me, live)
+        Items that run go on here.
 
-            done = self._store.replace_head(
-                job.head.host, job.head.job_id, change
-            )
-            LOG.info(
-                "job handed over",
-                job=job.head.job_id,
-                done=done.is_ok(),
-                running=sorted(running),
-            )
+        :param grace_s: seconds until this process has ended
+        """
+        self._gone_at = time.time() + grace_s
+        self._leaving = True
+        self._wake.set()
 
     def stop(self) -> None:
         """End the items that still run; their outcomes are not lost."""
@@ -227,16 +212,49 @@
             self._wake.wait(TICK_S)
             self._wake.clear()
             try:
-                self._take_over()
-                self._start_items()
+                if self._leaving:
+                    self._hand_over()
+                else:
+                    self._take_over()
+                    self._start_items()
                 self._start_commits()
             except Exception:
                 LOG.exception("job holder failed")
 
+    def _hand_over(self) -> None:
+        """Give the jobs that this member holds to others."""
+        live = self._members().live
+        for job in self._jobs():
+            if not job.head.open or job.head.holder != self._me:
+                continue
+            running = frozenset(job.running)
+
+            def change(
+                head: JobHead, running: frozenset[int] = running
+            ) -> JobHead | None:
+                if not head.open or head.holder != self._me:
+                    return None
+                return policy.hand_over(
+                    head, running, self._me, live, self._gone_at
+                )
+
+            done = self._store.replace_head(
+                job.head.host, job.head.job_id, change
+            )
+            LOG.info(
+                "job handed over",
+                job=job.head.job_id,
+                done=done.is_ok(),
+                heir=done.ok.head.holder if done.is_ok() else "",
+                running=sorted(running),
+            )
+            if done.is_ok():
+                self.see(done.ok)
+
     def _take_over(self) -> None:
         """Take jobs whose holder is gone, if they fall to this member."""
         now = time.monotonic()
-        if self._leaving or now - self._started_at < SETTLE_S:
+        if now - self._started_at < SETTLE_S:
             return
         members = self._members()
         with self._lock:
@@ -268,13 +286,12 @@
             self.see(done.ok)
 
     def _start_items(self) -> None:
-        if self._leaving:
-            return
         known = self._members().known
+        now = time.time()
         for job in sorted(self._jobs(), key=_due):
             if job.head.holder != self._me or not self._load_items(job):
                 continue
-            for index in policy.runnable(job.head, known):
+            for index in policy.runnable(job.head, known, now):
                 with self._lock:
                     if index in job.running or index in job.finished:
                         continue
--- a/src/mulberrypass/policy/batch_heads.py
+++ b/src/mulberrypass/policy/batch_heads.py
@@ -68,12 +68,25 @@
 
 
 def hand_over(
-    head: JobHead, running: frozenset[int], me: str, live: Collection[str]
+    head: JobHead,
+    running: frozenset[int],
+    me: str,
+    live: Collection[str],
+    until: float,
 ) -> JobHead:
-    """Give a job to another member while some items still run here."""
+    """Give a job to another member while some items still run here.
+
+    :param until: Unix time at which this member has ended at the latest
+    """
     others = [name for name in live if name != me]
     heir = rendezvous.pick(head.job_id, others) or ""
-    return replace(head, holder=heir, busy=running - head.done, busy_by=me)
+    return replace(
+        head,
+        holder=heir,
+        busy=running - head.done,
+        busy_by=me,
+        busy_until=until,
+    )
 
 
 def claim(head: JobHead, me: str) -> JobHead:
@@ -81,11 +94,20 @@
     return replace(head, holder=me)
 
 
-def runnable(head: JobHead, known: Collection[str]) -> tuple[int, ...]:
-    """Give the items that the holder is to run, in their order."""
+def runnable(
+    head: JobHead, known: Collection[str], now: float
+) -> tuple[int, ...]:
+    """Give the items that the holder is to run, in their order.
+
+    A member that left and started again has the name that it had, so what
+    it said to run still is believed for a while only.
+
+    :param now: Unix time
+    """
     if not head.open:
         return ()
-    elsewhere = head.busy if head.busy_by in known else frozenset()
+    busy = head.busy_by in known and now < head.busy_until
+    elsewhere = head.busy if busy else frozenset()
     return tuple(
         index
         for index in range(head.total)
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -255,6 +255,7 @@
         self._stopped.set()
         self._front.close_kept()
         self._membership.leave()
+        self._holder.leave(site.grace_s)
         threading.Thread(target=self._unregister, daemon=True).start()
         time.sleep(min(KEPT_TIMES * TTL_S, site.grace_s / KEPT_TIMES))
         whole = self._front.stop(max(0.0, end - time.monotonic()))
@@ -274,7 +275,6 @@
             self._stopped.wait(REGISTER_RETRY_S)
 
     def _unregister(self) -> None:
-        self._holder.leave()
         self._instances.remove(self._site.name)
 
     def _members(self) -> Members:
--- a/tests/policy/test_batch_heads.py
+++ b/tests/policy/test_batch_heads.py
@@ -7,6 +7,7 @@
 from mulberrypass.policy import batch_heads as policy
 from tests.batches.cases import head, outcome
 
+GONE = 1_010.0
 A, B, C = "entry@a", "entry@b", "entry@c"
 
 
@@ -41,16 +42,27 @@
 
 class HandOverTest(unittest.TestCase):
     def test_items_that_run_are_left_to_their_runner(self) -> None:
-        given = policy.hand_over(head(holder=A), frozenset({1}), A, {A, B})
+        given = policy.hand_over(
+            head(holder=A), frozenset({1}), A, {A, B}, GONE
+        )
         self.assertEqual(B, given.holder)
-        self.assertEqual((0, 2), policy.runnable(given, {A, B}))
+        self.assertEqual((0, 2), policy.runnable(given, {A, B}, GONE - 1))
 
     def test_they_are_taken_when_their_runner_is_gone(self) -> None:
-        given = policy.hand_over(head(holder=A), frozenset({1}), A, {A, B})
-        self.assertEqual((0, 1, 2), policy.runnable(given, {B}))
+        given = policy.hand_over(
+            head(holder=A), frozenset({1}), A, {A, B}, GONE
+        )
+        self.assertEqual((0, 1, 2), policy.runnable(given, {B}, GONE - 1))
+
+    def test_a_runner_that_started_again_runs_them_no_more(self) -> None:
+        """Seen on the bench: mix, seed 719080042388, of lcrc-shelf."""
+        given = policy.hand_over(
+            head(holder=A), frozenset({1}), A, {A, B}, GONE
+        )
+        self.assertEqual((0, 1, 2), policy.runnable(given, {A, B}, GONE + 1))
 
     def test_the_last_member_hands_to_nobody(self) -> None:
-        given = policy.hand_over(head(holder=A), frozenset(), A, {A})
+        given = policy.hand_over(head(holder=A), frozenset(), A, {A}, GONE)
         self.assertEqual("", given.holder)
 
 
