Let job heads gather before each member reads them

Members now pause 0.2 to 1 s after a change, by their number, so that all together read heads about 100 times a second; a cancel is seen in 3 s.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -72,6 +72,10 @@
 # Answers reach their sockets, and processes stop, within this.
 LAST_S = 0.7
 REGISTER_RETRY_S = 0.5
+# Members wake for each change of a job; a cancel is to be seen in 3 s.
+HEAD_READS_PER_S = 100.0
+MIN_HEADS_SPACING_S = 0.2
+MAX_HEADS_SPACING_S = 1.0
 STOP_POLL_S = 0.05
 MEMBERSHIP = MembershipSettings(
     view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
@@ -187,7 +191,13 @@
         lots = LotCalls(desk, self._directory)
         self._followers = (
             *self._followers,
-            TableFollower(self._rows, HEADS, self._holder, all_parts=True),
+            TableFollower(
+                self._rows,
+                HEADS,
+                self._holder,
+                all_parts=True,
+                spacing_s=self._heads_spacing_s,
+            ),
         )
         self._front = self._server(
             FrontApp(Forwarder(tools), lots.answer),
@@ -277,6 +287,12 @@
     def _unregister(self) -> None:
         self._instances.remove(self._site.name)
 
+    def _heads_spacing_s(self) -> float:
+        """Let all members together read heads so often a second."""
+        members = len(self._membership.members(PROGRAM))
+        spacing = members / HEAD_READS_PER_S
+        return min(MAX_HEADS_SPACING_S, max(MIN_HEADS_SPACING_S, spacing))
+
     def _members(self) -> Members:
         live = self._membership.live(PROGRAM)
         known = self._membership.members(PROGRAM)
--- a/src/mulberrypass/storage/follow.py
+++ b/src/mulberrypass/storage/follow.py
@@ -70,6 +70,8 @@
     is behind, from a store that has just come back, is asked for again.
 
     :param all_parts: whether to read other parts than the empty one
+    :param spacing_s: gives the pause after a change, in which further
+        changes gather
     """
 
     def __init__(
@@ -79,11 +81,13 @@
         reader: TableReader,
         *,
         all_parts: bool = False,
+        spacing_s: Callable[[], float] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._rows = rows
         self._reader = reader
         self._all_parts = all_parts
+        self._spacing_s = spacing_s
         self._clock = clock
         self._stop = threading.Event()
         self._reachable = True
@@ -131,6 +135,8 @@
         newer = tuple(row for row in page.rows if row.version > last)
         if newer:
             self._reader.changed(newer)
+            if self._spacing_s is not None:
+                self._stop.wait(self._spacing_s())
         self.state.version = page.version
         if page.more:
             self.state.version = max((r.version for r in newer), default=last)
