Log on a thread of its own, and count the same events for metrics

Cause: a log line was written by the thread that logged, so a full pipe stalled requests; metrics were statsd counters only. Counters and histograms are made from the same events, shown on port 9464.

--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -162,6 +162,32 @@
         return whole(json_reply(doc), start_response)
 
 
+class TextApp(CallCounter):
+    """Shows one text at one path.
+
+    :param read: gives the text
+    """
+
+    def __init__(
+        self, path: str, content_type: str, read: Callable[[], bytes]
+    ) -> None:
+        super().__init__()
+        self._path = path
+        self._content_type = content_type
+        self._read = read
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        if environ["PATH_INFO"] != self._path:
+            return whole(Reply(HTTPStatus.NOT_FOUND), start_response)
+        reply = Reply(
+            HTTPStatus.OK, self._read(), content_type=self._content_type
+        )
+        return whole(reply, start_response)
+
+
 class ReadyApp(CallCounter):
     """Tells the platform whether requesters are served.
 
@@ -281,6 +307,7 @@
     "FrontApp",
     "ReadyApp",
     "Reply",
+    "TextApp",
     "json_reply",
     "whole",
 ]
--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -53,7 +53,6 @@
     ready: Listener
     directory: Listener | None
     peer_port: int
-    metrics_port: int
     store: Listener
     contact_s: float
     grace_s: float
@@ -138,7 +137,6 @@
         ready=listener(found.listen.ready),
         directory=listener(directory) if directory else None,
         peer_port=found.internal_ports[0],
-        metrics_port=found.internal_ports[0] + 1,
         store=listener(found.platform.address),
         contact_s=bounds.contact_ms / 1_000,
         grace_s=bounds.grace_s,
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -26,11 +26,17 @@
 from mulberrypass.peer.server import PeerServer
 from mulberrypass.platform import desired
 from mulberrypass.platform.engines import SiteEngines
-from mulberrypass.platform.ingress import DirectoryApp, FrontApp, ReadyApp
+from mulberrypass.platform.ingress import (
+    DirectoryApp,
+    FrontApp,
+    ReadyApp,
+    TextApp,
+)
 from mulberrypass.platform.lots import LotCalls, item_request
 from mulberrypass.platform.row_client import SiteRows
 from mulberrypass.platform.site import (
     SETTINGS_VARIABLE,
+    Listener,
     SiteError,
     read_site,
 )
@@ -50,13 +56,15 @@
 from mulberrypass.relay.watch import CallWatch
 from mulberrypass.runtime.dump import StateDump
 from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.log_lines import LineWriter
+from mulberrypass.runtime.log_metrics import CONTENT_TYPE, EventMetrics
 from mulberrypass.runtime.logs import configure, get_logger
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.storage.follow import TableFollower
 from mulberrypass.storage.instances import RowInstances
 
 if TYPE_CHECKING:
-    from mulberrypass.platform.site import Listener, Site
+    from mulberrypass.platform.site import Site
     from mulberrypass.runtime.http import ServedApp
 
 PROGRAM = "entry"
@@ -65,6 +73,9 @@
 SWITCH_INTERVAL_S = 0.0005
 FRONT_THREADS = 96
 SIDE_THREADS = 2
+# As the deploy file says.
+METRICS_PORT = 9_464
+METRICS_PATH = "/metrics"
 MAX_BODY_BYTES = 8_388_608
 # Some callers keep an answer with addresses three times as long.
 TTL_S = 1.0
@@ -114,7 +125,16 @@
 
     def __init__(self, site: Site) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
-        configure("mulberry-site", site.name, "json", "info", sys.stdout)
+        self._lines = LineWriter(sys.stdout)
+        self._events = EventMetrics()
+        configure(
+            "mulberry-site",
+            site.name,
+            "json",
+            "info",
+            self._lines,
+            self._events,
+        )
         logging.getLogger("waitress").setLevel(logging.ERROR)
         self._site = site
         self._draining = False
@@ -212,6 +232,14 @@
             self._sides.append(
                 self._server(directory, site.directory, SIDE_THREADS)
             )
+        self._sides.append(
+            self._server(
+                TextApp(METRICS_PATH, CONTENT_TYPE, self._events.text),
+                Listener(site.address, METRICS_PORT),
+                SIDE_THREADS,
+            )
+        )
+        self._open_gauges()
         self._dump = self._open_dump()
 
     def _server(
@@ -219,6 +247,47 @@
     ) -> HttpServer:
         return HttpServer(app, at.host, at.port, threads, MAX_BODY_BYTES)
 
+    def _open_gauges(self) -> None:
+        show = self._events.gauge
+        directory = self._directory
+        show(
+            "configuration_version",
+            "version of the configuration in force",
+            lambda: float(directory.routes().version),
+        )
+        show(
+            "configuration_age_seconds",
+            "seconds since that version was put in force",
+            lambda: float(directory.state()["age_s"]),
+        )
+        show(
+            "engines",
+            "engines that may get new work",
+            lambda: float(len(directory.current().backends)),
+        )
+        show(
+            "members",
+            "members that are known to live",
+            lambda: float(len(self._membership.live(PROGRAM))),
+        )
+        show(
+            "store_silent_seconds",
+            "seconds since the store last answered a feed",
+            lambda: (
+                time.monotonic() - max(f.answered_at for f in self._followers)
+            ),
+        )
+        show(
+            "jobs_held",
+            "batch jobs that this member runs",
+            lambda: float(len(self._holder.state())),
+        )
+        show(
+            "log_lines_dropped",
+            "log lines that were dropped",
+            lambda: float(self._lines.dropped),
+        )
+
     def _open_dump(self) -> StateDump:
         dump = StateDump()
         dump.install_signal()
@@ -273,6 +342,7 @@
             time.sleep(STOP_POLL_S)
         self._holder.stop()
         LOG.info("stopped", whole=whole)
+        self._lines.stop()
         return whole
 
     def _register(self) -> None:
--- a/src/mulberrypass/runtime/logs.py
+++ b/src/mulberrypass/runtime/logs.py
@@ -4,13 +4,18 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
+from mulberrypass.runtime.log_lines import line_factory
+
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
 
+    from mulberrypass.runtime.log_lines import LineWriter
+    from mulberrypass.runtime.log_metrics import EventMetrics
+
 SECRET_FIELDS = frozenset({"key", "authorization", "secret", "token"})
 REDACTED = "***"
 
@@ -20,21 +25,28 @@
     member: str,
     log_format: str,
     level: str,
-    stream: TextIO | None = None,
+    writer: LineWriter | None = None,
+    metrics: EventMetrics | None = None,
 ) -> None:
     """Set the form and level of all logs of this process.
 
     :param member: name of this process in the fleet
     :param log_format: ``json`` or ``console``
-    :param stream: takes the lines; standard error where it is not given
+    :param writer: takes the lines; standard error where it is not given
+    :param metrics: counts the events
     """
     renderer: Any = structlog.processors.JSONRenderer()
     if log_format == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     names = {"program": program, "member": member}
+    counting = [metrics.processor] if metrics is not None else []
+    factory: Any = structlog.PrintLoggerFactory(file=sys.stderr)
+    if writer is not None:
+        factory = line_factory(writer)
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
+            *counting,
             lambda _logger, _method, event: names | dict(event),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -45,7 +57,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=factory,
     )
 
 
--- /dev/null
+++ b/tests/runtime/test_logs.py
@@ -0,0 +1,79 @@
+"""Tests of logs that never block, and of the metrics made from them."""
+
+from __future__ import annotations
+
+import io
+import threading
+import unittest
+
+from mulberrypass.runtime.log_lines import LineWriter
+from mulberrypass.runtime.log_metrics import EventMetrics
+
+WAIT_S = 30.0
+
+
+class FullPipe(io.StringIO):
+    """A stream that takes nothing until it is drained."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.drained = threading.Event()
+
+    def write(self, text: str) -> int:
+        """Block until the pipe is drained."""
+        self.drained.wait(WAIT_S)
+        return super().write(text)
+
+
+class FullPipeTest(unittest.TestCase):
+    def test_a_full_pipe_holds_nobody_up(self) -> None:
+        pipe = FullPipe()
+        writer = LineWriter(pipe, most=100)
+        for number in range(5_000):
+            writer.msg(str(number))
+        self.assertFalse(pipe.drained.is_set())
+        self.assertGreater(writer.dropped, 0)
+        pipe.drained.set()
+        writer.stop()
+        self.assertIn("log lines dropped", pipe.getvalue())
+        self.assertIn(str(writer.dropped), pipe.getvalue())
+
+    def test_lines_come_in_order(self) -> None:
+        stream = io.StringIO()
+        writer = LineWriter(stream)
+        for number in range(100):
+            writer.msg(str(number))
+        writer.stop()
+        wanted = [str(number) for number in range(100)]
+        self.assertEqual(wanted, stream.getvalue().split())
+
+
+class EventMetricsTest(unittest.TestCase):
+    def test_events_and_times(self) -> None:
+        metrics = EventMetrics()
+        metrics.gauge("engines", "engines", lambda: 5.0)
+        for first_ms in (40, 250):
+            metrics.processor(
+                None,
+                "info",
+                {
+                    "event": "answered",
+                    "first_ms": first_ms,
+                    "queued_ms": 1,
+                    "age_ms": 900,
+                },
+            )
+        metrics.processor(
+            None, "info", {"event": "not placed", "reason": "late_start"}
+        )
+        text = metrics.text().decode()
+        for line in (
+            'mulberry_events_total{event="answered",reason=""} 2.0',
+            'mulberry_events_total{event="not placed",reason="late_start"}'
+            " 1.0",
+            'mulberry_first_seconds_bucket{le="0.05"} 1.0',
+            'mulberry_first_seconds_bucket{le="0.3"} 2.0',
+            "mulberry_engines 5.0",
+        ):
+            with self.subTest(line):
+                self.assertIn(line, text)
