--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TextIO
 
 from mulberrypass.batches.codec import HEADS
 from mulberrypass.batches.desk import BatchDesk
@@ -123,9 +123,9 @@
 class SiteProcess(Process):
     """The parts of one instance, wired together."""
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, log_to: TextIO = sys.stdout) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
-        self._lines = LineWriter(sys.stdout)
+        self._lines = LineWriter(log_to)
         self._events = EventMetrics()
         configure(
             "mulberry-site",
--- /dev/null
+++ b/tests/relay/test_followers.py
@@ -0,0 +1,152 @@
+"""Tests of how rows become the routes and engines in use."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+import unittest
+
+from mulberrypass.platform.desired import read_desired, read_engine
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.followers import EngineReader, RouteReader
+from mulberrypass.storage.rows import RowKey, StoredRow
+from tests.relay.fakes import engine, route, table
+
+SERVICES = [{"Name": "a"}]
+
+
+def config(version: int, **fields: Any) -> StoredRow:
+    """Give the row of a desired state."""
+    doc = {"Version": version, "Routes": [], "Services": SERVICES} | fields
+    return StoredRow(
+        RowKey("op", "", "config"), json.dumps(doc).encode(), version
+    )
+
+
+def entry(name: str, version: int = 1, **fields: Any) -> StoredRow:
+    """Give the row of an engine."""
+    doc = {
+        "Service": "a",
+        "Address": "10.0.0.1:80",
+        "Slots": 8,
+        "State": "ready",
+    } | fields
+    at = RowKey("servers", "", name)
+    return StoredRow(at, json.dumps(doc).encode(), version)
+
+
+def gone(name: str) -> StoredRow:
+    """Give the row of an engine that was removed."""
+    return StoredRow(RowKey("servers", "", name), b"", 9, removed=True)
+
+
+class RouteReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.reader = RouteReader(self.directory, "config", read_desired)
+
+    def test_never_goes_back(self) -> None:
+        for version, wanted in ((3, 3), (7, 7), (5, 7), (7, 7), (8, 8)):
+            with self.subTest(version):
+                self.reader.changed((config(version),))
+                self.assertEqual(wanted, self.directory.routes().version)
+                snapshot = self.reader.snapshot()
+                assert snapshot is not None
+                self.assertEqual(wanted, snapshot.generation)
+
+    def test_damaged_state_leaves_the_last_one_in_force(self) -> None:
+        self.reader.changed((config(3),))
+        bad = StoredRow(RowKey("op", "", "config"), b"{", 4)
+        self.reader.changed((bad, config(9, Routes="none")))
+        self.assertEqual(3, self.directory.routes().version)
+
+    def test_other_rows_and_removal_change_nothing(self) -> None:
+        self.reader.changed((config(3),))
+        other = StoredRow(RowKey("op", "", "other"), b"{}", 4)
+        removed = StoredRow(RowKey("op", "", "config"), b"", 5, removed=True)
+        self.reader.whole((other, removed))
+        self.assertEqual(3, self.directory.routes().version)
+
+
+class EngineReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.directory = Directory()
+        self.directory.apply_routes(table(route()))
+        self.reader = EngineReader(
+            self.directory, read_engine, lambda: self.now
+        )
+        self.reader.whole((entry("e1"), entry("e2")))
+
+    def usable(self) -> set[str]:
+        """Name the engines that may get new work."""
+        names = self.directory.engine_names()
+        return {n for n in names if self.directory.engine(n) is not None}
+
+    def test_leaving_and_removed_engines_get_nothing(self) -> None:
+        self.reader.changed((entry("e1", State="draining"),))
+        self.assertEqual({"e2"}, self.usable())
+        self.reader.changed((gone("e2"),))
+        self.assertEqual(set(), self.usable())
+
+    def test_foreign_entries_harm_nothing(self) -> None:
+        foreign = StoredRow(RowKey("servers", "", "x"), b"\xff", 3)
+        self.reader.changed((foreign, entry("e3", Slots="x")))
+        self.assertEqual({"e1", "e2"}, self.usable())
+
+    def test_entry_that_turns_foreign_names_no_engine(self) -> None:
+        self.reader.changed((entry("e1", State="odd"),))
+        self.assertEqual({"e2"}, self.usable())
+
+    def test_lapsed_with_the_store_and_back(self) -> None:
+        self.reader.reachable(False)
+        self.now = 10.0
+        self.reader.reachable(True)
+        self.reader.whole((entry("e1"),))
+        self.assertEqual({"e1", "e2"}, self.usable())
+        self.now = 11.0
+        self.reader.changed((entry("e2", version=5),))
+        self.now = 12.5
+        self.reader.sweep()
+        self.assertEqual({"e1", "e2"}, self.usable())
+
+    def test_lapsed_with_the_store_and_gone(self) -> None:
+        self.reader.reachable(False)
+        self.now = 10.0
+        self.reader.reachable(True)
+        self.reader.changed((gone("e2"),))
+        self.assertEqual({"e1", "e2"}, self.usable())
+        self.now = 12.1
+        self.reader.sweep()
+        self.assertEqual({"e1"}, self.usable())
+
+    def test_leaving_mark_holds_at_once_after_an_outage(self) -> None:
+        self.reader.reachable(False)
+        self.reader.reachable(True)
+        self.reader.changed((entry("e1", State="draining"),))
+        self.assertEqual({"e2"}, self.usable())
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_pools_hold_engines_that_may_get_work(self) -> None:
+        directory = Directory()
+        directory.apply_routes(table(route()))
+        directory.set_engines(
+            [
+                engine("e1"),
+                engine("e2", leaving=True),
+                engine("e3", service="unknown"),
+            ]
+        )
+        current = directory.current()
+        self.assertEqual(("e1",), current.pools["rackmind"].backends)
+        self.assertEqual({"e1"}, set(current.backends))
+
+    def test_tells_of_each_change(self) -> None:
+        directory = Directory()
+        seen: list[int] = []
+        directory.subscribe(lambda cfg: seen.append(cfg.generation))
+        directory.apply_routes(table(route(), version=2))
+        directory.apply_routes(table(route(), version=1))
+        directory.set_engines([engine("e1")])
+        self.assertEqual([1, 2], seen)
