Know a holder's usual pace after four answers

Cause: the first answer that a holder saw set its usual pace; one whose events came in one piece made the next look 123 times slower, and a well engine was cut to one slot. A pace counts from the fifth answer on, and as ten times the usual at the most; permits taken in by a new owner give none.

--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -321,7 +321,7 @@
                 self.pace.gap(message.gap_s)
         if message.tokens == 0:
             self.health.service(permit.backend, message.service_s, now)
-        elif message.tokens >= MIN_TOKENS_FOR_RATE:
+        elif message.tokens >= MIN_TOKENS_FOR_RATE and permit.first_after_s:
             decode_s = message.service_s - permit.first_after_s
             token_s = decode_s / message.tokens
             pace = self._paces.relative(permit.ask.holder, token_s)
--- a/tests/policy/test_health.py
+++ b/tests/policy/test_health.py
@@ -105,6 +105,18 @@
             pace.relative("entry@b", 0.02)
         self.assertAlmostEqual(1.0, pace.relative("entry@b", 0.02))
 
+    def test_the_first_answers_of_a_holder_say_nothing(self) -> None:
+        """Seen on the bench: a ratio of 123 after a first, tiny pace."""
+        pace = HolderPace()
+        for token_s in (0.00003, 0.004, 0.02, 0.004):
+            self.assertEqual(1.0, pace.relative("entry@a", token_s))
+
+    def test_no_answer_counts_for_more_than_ten(self) -> None:
+        pace = HolderPace()
+        for _ in range(9):
+            pace.relative("entry@a", 0.004)
+        self.assertEqual(10.0, pace.relative("entry@a", 4.0))
+
     def test_a_slow_engine_stands_out(self) -> None:
         pace = HolderPace()
         for _ in range(8):
