--- a/src/mulberrypass/programs/ctl.py
+++ b/src/mulberrypass/programs/ctl.py
@@ -4,7 +4,7 @@
 
 import os
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import fire
 
@@ -15,8 +15,12 @@
     Commands,
     Terminal,
 )
+from mulberrypass.operator.trace import trace
 from mulberrypass.runtime.ports import CONTROL_PORT
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 PROGRAM = "mulberryctl"
 KEY_VARIABLE = "MULBERRY_OPERATOR_KEY"
 CONTROL_VARIABLE = "MULBERRY_CONTROL"
@@ -98,6 +102,17 @@
         query = {"service": service, "customer": customer, "input": input}
         self._commands().explain({k: str(v) for k, v in query.items()})
 
+    def trace(self, identifier: str, *files: str) -> None:
+        """Tell what logs say of a request, a job or an item, by time.
+
+        :param files: logs of instances; standard input where none is named
+        """
+        found = trace(str(identifier), _log_lines(files))
+        if not found:
+            raise UsageError(f"no line is about {identifier}")
+        for line in found:
+            sys.stdout.write(line.text() + "\n")
+
     def dump(self) -> None:
         """Show the whole state of the process at --control."""
         self._commands().dump()
@@ -150,6 +165,17 @@
     return tuple(str(file) for file in files)
 
 
+def _log_lines(files: tuple[Any, ...]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        try:
+            with open(str(file), encoding="utf-8", errors="replace") as log:
+                yield from log
+        except OSError as exc:
+            raise UsageError(f"{file}: {exc.strerror}")
+
+
 def _read_input() -> str:
     return "" if sys.stdin.isatty() else sys.stdin.read()
 
--- /dev/null
+++ b/tests/operator/test_trace.py
@@ -0,0 +1,44 @@
+"""Tests of telling a request's story from logs."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from mulberrypass.operator.trace import trace
+
+
+def line(at: str, **fields: object) -> str:
+    """Give a line of a log."""
+    doc = {"timestamp": at, "member": "frontend-1", "source": "s"} | fields
+    return json.dumps(doc)
+
+
+LOG = [
+    line("10:02", event="answered", id="r1", age_ms=5),
+    "  17.3  frontend-2 " + line("10:01", event="attempt failed", id="r1"),
+    line("10:03", event="answered", id="r2"),
+    line("10:04", event="results listed", job="j1", items=["i1", "i2"]),
+    "no log line",
+    "{broken",
+    "[1, 2]",
+]
+
+
+class TraceTest(unittest.TestCase):
+    def test_lines_by_time_over_instances(self) -> None:
+        found = trace("r1", LOG)
+        self.assertEqual(
+            ["attempt failed", "answered"], [f.event for f in found]
+        )
+        self.assertEqual(
+            "10:02  frontend-1  answered  id=r1 age_ms=5", found[1].text()
+        )
+
+    def test_items_and_jobs(self) -> None:
+        for identifier in ("j1", "i2"):
+            with self.subTest(identifier):
+                self.assertEqual(1, len(trace(identifier, LOG)))
+
+    def test_unknown(self) -> None:
+        self.assertEqual([], trace("r9", LOG))
