--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -66,4 +66,9 @@
 echo "session $session" >>"$run/pids"
 wait "$session"
 verdict=$?
+if [ "$verdict" -eq 0 ]; then
+  echo "The same on the users' platform, with stand-ins:"
+  $bin/python scripts/demo_site.py
+  verdict=$?
+fi
 exit "$verdict"
--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -147,4 +147,11 @@
     )
 
 
-__all__ = ["Listener", "SETTINGS_VARIABLE", "Site", "SiteError", "read_site"]
+__all__ = [
+    "Listener",
+    "SETTINGS_VARIABLE",
+    "Site",
+    "SiteError",
+    "listener",
+    "read_site",
+]
--- /dev/null
+++ b/src/mulberrypass/programs/fake_site.py
@@ -0,0 +1,70 @@
+"""``mulberry-fake-site``: stand-ins for a site's store and engines."""
+
+from __future__ import annotations
+
+import json
+import sys
+import threading
+
+import fire
+
+from mulberrypass.platform.site import listener
+from mulberrypass.platform.stand_in.engine import EngineApp
+from mulberrypass.platform.stand_in.store import StoreApp
+from mulberrypass.runtime.http import HttpServer
+from mulberrypass.storage.rows import RowKey, Transaction
+from mulberrypass.testing.row_state import RowState
+
+THREADS = 64
+MAX_BODY_BYTES = 8_388_608
+EVENTS = 20
+EVENT_S = 0.02
+SLOTS = 8
+SERVICE = "rackmind"
+
+
+def serve(store: str, engines: str, config: str) -> None:
+    """Serve a store and engines until the process is ended.
+
+    :param store: IP number and port of the store
+    :param engines: IP numbers and ports, with commas between them
+    :param config: file with the desired state that the store holds
+    """
+    rows = RowState()
+    with open(config, "rb") as file:
+        _write(rows, "op", "config", file.read())
+    _start(StoreApp(rows), store)
+    for number, address in enumerate(str(engines).split(","), 1):
+        app = EngineApp(f"i-{number}", EVENTS, EVENT_S)
+        _start(app, address)
+        entry = {
+            "Service": SERVICE,
+            "Address": address,
+            "Slots": SLOTS,
+            "State": "ready",
+        }
+        _write(rows, "servers", app.name, json.dumps(entry).encode())
+    sys.stdout.write("serving\n")
+    sys.stdout.flush()
+    threading.Event().wait()
+
+
+def _write(rows: RowState, table: str, name: str, value: bytes) -> None:
+    put = (RowKey(table, "", name), value)
+    rows.apply(Transaction(puts=(put,)))
+
+
+def _start(app: StoreApp | EngineApp, address: str) -> None:
+    at = listener(address)
+    HttpServer(app, at.host, at.port, THREADS, MAX_BODY_BYTES).start()
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    fire.Fire(serve, name="mulberry-fake-site")
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["main", "serve"]
