--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 import zlib
 
-from mulberrypass.batches.api import (
+from mulberrypass.model.batch_jobs import (
     BatchItem,
     ItemOutcome,
     ItemState,
--- a/src/mulberrypass/batches/desk.py
+++ b/src/mulberrypass/batches/desk.py
@@ -6,7 +6,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.batches.api import (
+from mulberrypass.model.batch_jobs import (
     Accepted,
     NoSuchJob,
     OverQuota,
@@ -18,13 +18,13 @@
 if TYPE_CHECKING:
     from expression import Result
 
-    from mulberrypass.batches.api import (
+    from mulberrypass.batches.holder import JobHolder
+    from mulberrypass.batches.store import BatchStore
+    from mulberrypass.model.batch_jobs import (
         NewJob,
         ResultPage,
         VersionedHead,
     )
-    from mulberrypass.batches.holder import JobHolder
-    from mulberrypass.batches.store import BatchStore
     from mulberrypass.relay.directory import Directory
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.batches import codec
-from mulberrypass.batches.api import StoreLost, VersionedHead
 from mulberrypass.batches.run import ItemRun
+from mulberrypass.model.batch_jobs import StoreLost, VersionedHead
 from mulberrypass.policy import batch_heads as policy
 from mulberrypass.policy.batch_order import ItemPace
 from mulberrypass.runtime.logs import get_logger
@@ -20,8 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.batches.api import BatchItem, ItemOutcome, JobHead
     from mulberrypass.batches.store import BatchStore
+    from mulberrypass.model.batch_jobs import BatchItem, ItemOutcome, JobHead
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayTools
     from mulberrypass.storage.rows import StoredRow
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -7,11 +7,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.batches.api import ItemOutcome, ItemState
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import Deadline, WireError
+from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.batch_order import order_item
-from mulberrypass.policy.messages import Ran, ReleaseOutcome, WorkClass
+from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -24,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.batches.api import BatchItem, JobHead
+    from mulberrypass.model.batch_jobs import BatchItem, JobHead
     from mulberrypass.model.routes import RelayRoute
     from mulberrypass.policy.batch_order import ItemPace
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok
 
 from mulberrypass.batches import codec
-from mulberrypass.batches.api import (
+from mulberrypass.model.batch_jobs import (
     Accepted,
     ItemOutcome,
     JobHead,
@@ -19,7 +19,7 @@
     StoreLost,
     VersionedHead,
 )
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.policy import batch_heads as policy
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.rows import (
@@ -33,7 +33,7 @@
 
     from expression import Result
 
-    from mulberrypass.batches.api import BatchItem, NewJob
+    from mulberrypass.model.batch_jobs import BatchItem, NewJob
     from mulberrypass.model.routes import RelayRoute
     from mulberrypass.storage.rows import (
         ReadFailure,
--- a/src/mulberrypass/bench/instance_faults.py
+++ b/src/mulberrypass/bench/instance_faults.py
@@ -15,7 +15,7 @@
 
     from mulberrypass.bench.cluster import Cluster
     from mulberrypass.bench.open_loop import Outcome, Sample
-    from mulberrypass.bench.process_experiments import Run
+    from mulberrypass.bench.process_run import Run
     from mulberrypass.bench.results import ExperimentResult, Target
 
 LOAD = 0.25
--- a/src/mulberrypass/bench/slope_jobs.py
+++ b/src/mulberrypass/bench/slope_jobs.py
@@ -24,8 +24,10 @@
 
 from mulberrypass.bench.launcher import Launcher
 from mulberrypass.caller.auth import key_digest
+from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.engine.directory import Backends
 from mulberrypass.jobs.service import JobPeers, JobService
+from mulberrypass.model.member import Member
 from mulberrypass.model.objects import (
     Backend,
     BackendKind,
@@ -38,7 +40,7 @@
     ServiceKind,
 )
 from mulberrypass.model.source import ConfigurationSource
-from mulberrypass.peer.api import Member, Membership, PermitClient
+from mulberrypass.peer.api import Membership, PermitClient
 from mulberrypass.policy.job_commands import HolderSettings
 from mulberrypass.policy.messages import Grant
 from mulberrypass.runtime.http import WsgiApp
@@ -163,20 +165,30 @@
         self.platform = FakePlatform()
         self.backends = Backends()
         me = Member("batch@bench", "batch", "z", "127.0.42.10", 1)
+        cfg = _Configuration(key_digest(KEY))
+        metrics = Metrics("batch")
         self.jobs = JobService(
             me,
             JobPeers(
                 MemoryTable(self.platform),
                 MemoryObjects(self.platform),
-                _Configuration(key_digest(KEY)),
+                cfg,
                 _Alone(me),
                 _GrantAll(),
                 self.backends,
             ),
             HolderSettings(window=window, flush_outcomes=flush_outcomes),
-            Metrics("batch"),
+            metrics,
         )
-        self.app = WsgiApp(self.jobs.routes())
+        routes = JobRoutes(
+            cfg,
+            self.jobs.desk,
+            self.jobs.results,
+            self.jobs.cancelled,
+            metrics,
+            time.time,
+        )
+        self.app = WsgiApp(routes.routes())
         self.jobs.start()
 
     def call(self, method: str, path: str, body: bytes = b"") -> Any:
--- a/src/mulberrypass/bench/slope_membership.py
+++ b/src/mulberrypass/bench/slope_membership.py
@@ -18,13 +18,13 @@
 
 import fire
 
-from mulberrypass.peer.api import Member, MemberState
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import Listed, ListedKind, ListedState
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership
 from mulberrypass.peer.membership_state import MembershipSettings
 from mulberrypass.peer.peer_pb2 import FetchReply, FetchRequest
 from mulberrypass.peer.server import ConfigurationHandler, PeerServer
-from mulberrypass.platform.api import Listed, ListedKind, ListedState
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryInstanceList
 from mulberrypass.testing.platform_state import FakePlatform
--- a/src/mulberrypass/bench/slope_permits.py
+++ b/src/mulberrypass/bench/slope_permits.py
@@ -18,6 +18,7 @@
 import fire
 from grpclib.client import Channel
 
+from mulberrypass.model.member import Member
 from mulberrypass.model.objects import (
     Backend,
     BackendKind,
@@ -25,7 +26,7 @@
     Pool,
 )
 from mulberrypass.model.source import ConfigurationSource
-from mulberrypass.peer.api import Member, Membership
+from mulberrypass.peer.api import Membership
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.owner import OwnerTask
--- a/src/mulberrypass/bench/slope_platform.py
+++ b/src/mulberrypass/bench/slope_platform.py
@@ -19,7 +19,7 @@
 import fire
 
 from mulberrypass.bench.launcher import Launcher
-from mulberrypass.platform.api import Absent, Put
+from mulberrypass.model.store import Absent, Put
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import open_platform
 from mulberrypass.runtime.ports import PLATFORM_PORT
--- a/src/mulberrypass/caller/auth.py
+++ b/src/mulberrypass/caller/auth.py
@@ -9,7 +9,7 @@
 
 from expression import Error, Ok, Result
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import Problem
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/caller/explain.py
+++ b/src/mulberrypass/caller/explain.py
@@ -9,8 +9,8 @@
 import xxhash
 
 from mulberrypass.caller.auth import operator_of
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.policy.canary import route_version
-from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.http import Problem, json_answer
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/caller/jobs.py
+++ b/src/mulberrypass/caller/jobs.py
@@ -20,7 +20,7 @@
     Submission,
 )
 from mulberrypass.jobs.manifest import BadLine
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     Problem,
     Route,
--- a/src/mulberrypass/caller/online.py
+++ b/src/mulberrypass/caller/online.py
@@ -15,10 +15,10 @@
 from mulberrypass.caller.auth import customer_of
 from mulberrypass.caller.online_body import read_body, read_terms
 from mulberrypass.model.objects import RecordMode
+from mulberrypass.model.outcome import Ran
 from mulberrypass.online.call import Call, Completed, Failed, Shown
 from mulberrypass.online.course import Course
 from mulberrypass.policy.canary import route_version
-from mulberrypass.policy.messages import Ran
 from mulberrypass.policy.shares import Shares, ShareSettings
 from mulberrypass.runtime.http import (
     Answer,
--- a/src/mulberrypass/caller/online_body.py
+++ b/src/mulberrypass/caller/online_body.py
@@ -12,7 +12,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from mulberrypass.model.objects import ServiceKind
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import Problem
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/configuration/retention.py
+++ b/src/mulberrypass/configuration/retention.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from mulberrypass.configuration import rows
-from mulberrypass.platform import api
+from mulberrypass.model import store as api
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/engine/api.py
+++ b/src/mulberrypass/engine/api.py
@@ -12,7 +12,7 @@
     from expression import Result
 
     from mulberrypass.model.objects import Role
-    from mulberrypass.policy.messages import Ran
+    from mulberrypass.model.outcome import Ran
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/engine/plain_client.py
+++ b/src/mulberrypass/engine/plain_client.py
@@ -17,7 +17,7 @@
     decode_object,
     refusal,
 )
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/mulberrypass/engine/watch.py
+++ b/src/mulberrypass/engine/watch.py
@@ -16,8 +16,9 @@
     from collections.abc import Iterator
 
     from mulberrypass.engine.directory import Backends
+    from mulberrypass.model.member import Member
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
     from mulberrypass.peer.owner import OwnerTask
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.engine.api import EngineFailed
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/jobs/desk.py
+++ b/src/mulberrypass/jobs/desk.py
@@ -20,7 +20,8 @@
     open_key,
     open_to_row,
 )
-from mulberrypass.platform.api import (
+from mulberrypass.model.outcome import Ran
+from mulberrypass.model.store import (
     Absent,
     Always,
     Conflict,
@@ -31,7 +32,6 @@
     VersionIs,
 )
 from mulberrypass.policy.jobs import JobState, JobView, view
-from mulberrypass.policy.messages import Ran
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +40,7 @@
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.rows import ManifestLot
     from mulberrypass.model.objects import Service
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         ObjectError,
         Objects,
         Op,
--- a/src/mulberrypass/jobs/endings.py
+++ b/src/mulberrypass/jobs/endings.py
@@ -14,7 +14,7 @@
     job_to_row,
     open_key,
 )
-from mulberrypass.platform.api import Always, Delete, Put, VersionIs
+from mulberrypass.model.store import Always, Delete, Put, VersionIs
 from mulberrypass.policy.jobs import JobState
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.rows import LotRow
-    from mulberrypass.platform.api import Condition, Row, Table
+    from mulberrypass.model.store import Condition, Row, Table
     from mulberrypass.policy.jobs import OpenJob
 
 
--- a/src/mulberrypass/jobs/expiry.py
+++ b/src/mulberrypass/jobs/expiry.py
@@ -16,7 +16,7 @@
     lot_key,
     manifest_key,
 )
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_TRANSACTION_OPS,
     Always,
     Delete,
@@ -31,7 +31,7 @@
 
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.rows import JobRow, LotRow
-    from mulberrypass.platform.api import Objects, Table
+    from mulberrypass.model.store import Objects, Table
 
 LOG = get_logger(__name__)
 SWEEP_S = 300.0
--- a/src/mulberrypass/jobs/reading.py
+++ b/src/mulberrypass/jobs/reading.py
@@ -26,7 +26,7 @@
     from collections.abc import Iterable
 
     from mulberrypass.jobs.rows import Chunk, JobRow, LotRow
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         ObjectError,
         Objects,
         ReadError,
--- a/src/mulberrypass/jobs/results.py
+++ b/src/mulberrypass/jobs/results.py
@@ -16,7 +16,7 @@
 
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.rows import JobRow, LotRow, ManifestLot
-    from mulberrypass.platform.api import ReadError
+    from mulberrypass.model.store import ReadError
 
 TRIES = 5
 
--- a/src/mulberrypass/jobs/rows.py
+++ b/src/mulberrypass/jobs/rows.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
 
-    from mulberrypass.platform.api import Row
+    from mulberrypass.model.store import Row
 
 TABLE = "jobs"
 OPEN_PREFIX = "open/"
--- a/src/mulberrypass/jobs/run.py
+++ b/src/mulberrypass/jobs/run.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.engine.api import EngineFailed, Finished, Generation, Tokens
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.items import Broken, Completed, Stopped
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
     Grant,
-    Ran,
     Refuse,
     Release,
     ReleaseOutcome,
--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -12,7 +12,7 @@
 
 from mulberrypass.jobs.store import NotLeased
 from mulberrypass.jobs.writer import GaveUp
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.policy.items import Completed, ItemState
 from mulberrypass.policy.job_commands import (
     CloseJob,
@@ -36,7 +36,7 @@
     from mulberrypass.jobs.endings import JobEndings
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.store import HolderStore
-    from mulberrypass.platform.api import ReadError
+    from mulberrypass.model.store import ReadError
     from mulberrypass.policy.items import Outcome, RunResult
     from mulberrypass.policy.job_commands import Board, Command, Fleet
     from mulberrypass.policy.job_holder import HolderState, LotHolder
--- a/src/mulberrypass/jobs/runs.py
+++ b/src/mulberrypass/jobs/runs.py
@@ -13,9 +13,9 @@
 from mulberrypass.jobs.manifest import read_item
 from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
 from mulberrypass.model.objects import BackendKind, ServiceKind
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.canary import route_version
 from mulberrypass.policy.items import Broken, Completed, Stopped
-from mulberrypass.policy.messages import Ran
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.logs import get_logger
 
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -8,7 +8,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.jobs.desk import JobDesk
 from mulberrypass.jobs.endings import JobEndings
 from mulberrypass.jobs.expiry import ExpirySweeper
@@ -28,13 +27,13 @@
     from collections.abc import Callable
 
     from mulberrypass.jobs.runs import EngineClients, RunState
+    from mulberrypass.model.member import Member
     from mulberrypass.model.objects import Configuration
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership, PermitClient
-    from mulberrypass.platform.api import Objects, Table
+    from mulberrypass.model.store import Objects, Table
+    from mulberrypass.peer.api import Membership, PermitClient
     from mulberrypass.policy.job_holder import HolderState
     from mulberrypass.policy.jobs import OpenJob
-    from mulberrypass.runtime.http import Route
     from mulberrypass.runtime.metrics import Metrics
 
 PROGRAM = "batch"
@@ -103,7 +102,7 @@
             settings.window,
         )
         self._runner.attach(self._runs)
-        desk = JobDesk(
+        self.desk = JobDesk(
             peers.table,
             peers.objects,
             reader,
@@ -119,18 +118,11 @@
             lambda: [m.name for m in peers.membership.live(PROGRAM)],
             wall,
         )
-        self._routes = JobRoutes(
-            peers.configuration,
-            desk,
-            JobResults(reader),
-            self._runner.job_cancelled,
-            metrics,
-            wall,
-        )
+        self.results = JobResults(reader)
 
-    def routes(self) -> tuple[Route, ...]:
-        """Give the routes of the callers' interface."""
-        return self._routes.routes()
+    def cancelled(self, job_id: str) -> None:
+        """Stop what runs here of a job that a caller cancelled."""
+        self._runner.job_cancelled(job_id)
 
     def start(self) -> None:
         """Start to run lots."""
--- a/src/mulberrypass/jobs/store.py
+++ b/src/mulberrypass/jobs/store.py
@@ -29,7 +29,7 @@
     outcomes_key,
     outcomes_to_lines,
 )
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Always,
     Check,
@@ -45,7 +45,7 @@
     from mulberrypass.jobs.endings import JobEndings
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.writer import PatientWriter
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Condition,
         Op,
         Row,
--- a/src/mulberrypass/jobs/writer.py
+++ b/src/mulberrypass/jobs/writer.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.jobs.rows import TABLE
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Committed,
     Conflict,
     Exists,
@@ -18,7 +18,7 @@
     from collections.abc import Callable
     import threading
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         ObjectError,
         Objects,
         Op,
--- /dev/null
+++ b/src/mulberrypass/model/member.py
@@ -0,0 +1,37 @@
+"""The processes of the system, as they know one another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import enum
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; of one incarnation the higher state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process of the system.
+
+    :param name: ``program@instance``
+    :param address: IP number; the program's peer port is fixed
+    :param incarnation: set by the member itself; rises with each start
+    :param generation: generation of the configuration in force there
+    """
+
+    name: str
+    program: str
+    zone: str
+    address: str
+    incarnation: int
+    state: MemberState = MemberState.ALIVE
+    generation: int = 0
+
+
+__all__ = ["Member", "MemberState"]
--- /dev/null
+++ b/src/mulberrypass/model/outcome.py
@@ -0,0 +1,16 @@
+"""Whether work ran, as each refusal and failure says it."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Ran(enum.StrEnum):
+    """Whether refused or failed work ran."""
+
+    NO = "no"
+    MAYBE = "maybe"
+    YES = "yes"
+
+
+__all__ = ["Ran"]
--- a/src/mulberrypass/model/render.py
+++ b/src/mulberrypass/model/render.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.model.snapshot import KINDS
-from mulberrypass.runtime.dump import jsonable
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/mulberrypass/online/attempt.py
+++ b/src/mulberrypass/online/attempt.py
@@ -14,12 +14,8 @@
     ModelEngine,
     Tokens,
 )
-from mulberrypass.policy.messages import (
-    FirstToken,
-    Ran,
-    Release,
-    ReleaseOutcome,
-)
+from mulberrypass.model.outcome import Ran
+from mulberrypass.policy.messages import FirstToken, Release, ReleaseOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterator
--- a/src/mulberrypass/online/call.py
+++ b/src/mulberrypass/online/call.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from mulberrypass.model.objects import Customer, Route, Service
-    from mulberrypass.policy.messages import Ran
+    from mulberrypass.model.outcome import Ran
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/online/course.py
+++ b/src/mulberrypass/online/course.py
@@ -10,6 +10,7 @@
 
 from mulberrypass.engine.api import EngineFailed, Finished, Tokens
 from mulberrypass.model.objects import BackendKind, ServiceKind
+from mulberrypass.model.outcome import Ran
 from mulberrypass.online.attempt import Attempt, AttemptNews, PlainAnswer
 from mulberrypass.online.call import Completed, Shown
 from mulberrypass.online.refusals import (
@@ -22,7 +23,6 @@
 from mulberrypass.policy.messages import (
     Ask,
     Grant,
-    Ran,
     Refuse,
     Release,
     ReleaseOutcome,
--- a/src/mulberrypass/online/recorded.py
+++ b/src/mulberrypass/online/recorded.py
@@ -9,6 +9,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.outcome import Ran
 from mulberrypass.online.call import Completed, Failed, Shown
 from mulberrypass.online.course import Course
 from mulberrypass.online.intent import Intent
@@ -25,7 +26,6 @@
     indeterminate,
     own_fault,
 )
-from mulberrypass.policy.messages import Ran
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
--- a/src/mulberrypass/online/records.py
+++ b/src/mulberrypass/online/records.py
@@ -11,8 +11,8 @@
 from expression import Error, Ok, Result
 import xxhash
 
-from mulberrypass.online.call import Completed, Failed
-from mulberrypass.platform.api import (
+from mulberrypass.model.outcome import Ran
+from mulberrypass.model.store import (
     Absent,
     Always,
     Conflict,
@@ -21,13 +21,13 @@
     Row,
     VersionIs,
 )
-from mulberrypass.policy.messages import Ran
+from mulberrypass.online.call import Completed, Failed
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from mulberrypass.model.store import Table, TableError
     from mulberrypass.online.call import Call, Outcome
-    from mulberrypass.platform.api import Table, TableError
 
 REQUESTS = "request"
 PENDING = "pending"
--- a/src/mulberrypass/online/recovery.py
+++ b/src/mulberrypass/online/recovery.py
@@ -14,10 +14,11 @@
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
+    from mulberrypass.model.member import Member
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.online.recorded import RecordedRuns
     from mulberrypass.online.records import Record, Records
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
 
 LOG = get_logger(__name__)
 SWEEP_S = 2.0
--- a/src/mulberrypass/online/refusals.py
+++ b/src/mulberrypass/online/refusals.py
@@ -5,8 +5,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.outcome import Ran
 from mulberrypass.online.call import Failed
-from mulberrypass.policy.messages import Ran, RefusalReason
+from mulberrypass.policy.messages import RefusalReason
 
 if TYPE_CHECKING:
     from mulberrypass.engine.api import EngineFailed
--- a/src/mulberrypass/operator/app.py
+++ b/src/mulberrypass/operator/app.py
@@ -10,11 +10,11 @@
 
 from mulberrypass.configuration.store import StoreDown, SubmitIdReused
 from mulberrypass.model.fault import counted
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.model.render import document_of, documents_of
 from mulberrypass.model.snapshot import KINDS
 from mulberrypass.operator.changes import Conflicting, Faulty
 from mulberrypass.operator.messages import CheckBody, SubmitBody, read_body
-from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.http import Problem, Route, json_answer
 from mulberrypass.runtime.logs import get_logger
 
--- a/src/mulberrypass/operator/fleet.py
+++ b/src/mulberrypass/operator/fleet.py
@@ -5,14 +5,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.api import MemberState
+from mulberrypass.model.member import MemberState
 from mulberrypass.runtime.ports import PEER_PORTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.model.member import Member
     from mulberrypass.operator.changes import ConfigurationChanges
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
 
 COUNTED_STATES = frozenset({"alive", "suspect"})
 
--- a/src/mulberrypass/peer/api.py
+++ b/src/mulberrypass/peer/api.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
-import enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from concurrent.futures import Future
 
+    from mulberrypass.model.member import Member
     from mulberrypass.policy.messages import (
         Ask,
         FirstToken,
@@ -21,34 +20,6 @@
     )
 
 
-class MemberState(enum.IntEnum):
-    """State of a member; of one incarnation the higher state wins."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    DEAD = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """One process of the system.
-
-    :param name: ``program@instance``
-    :param address: IP number; the program's peer port is fixed
-    :param incarnation: set by the member itself; rises with each start
-    :param generation: generation of the configuration in force there
-    """
-
-    name: str
-    program: str
-    zone: str
-    address: str
-    incarnation: int
-    state: MemberState = MemberState.ALIVE
-    generation: int = 0
-
-
 class Membership(ABC):
     """The members that this process knows of."""
 
@@ -93,4 +64,4 @@
         """Tell the owner that gave a permit of its use; never blocks."""
 
 
-__all__ = ["Member", "MemberState", "Membership", "PermitClient"]
+__all__ = ["Membership", "PermitClient"]
--- a/src/mulberrypass/peer/holder.py
+++ b/src/mulberrypass/peer/holder.py
@@ -20,9 +20,10 @@
     from collections.abc import Callable
     import ssl
 
+    from mulberrypass.model.member import Member
     from mulberrypass.model.objects import Configuration
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
     from mulberrypass.peer.loop import LoopThread
     from mulberrypass.peer.owner import OwnerTask
     from mulberrypass.policy.messages import (
--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -11,7 +11,8 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from mulberrypass.peer.api import Membership, MemberState
+from mulberrypass.model.member import MemberState
+from mulberrypass.peer.api import Membership
 from mulberrypass.peer.membership_calls import HeartbeatCalls
 from mulberrypass.peer.membership_list import ListReader
 from mulberrypass.peer.membership_state import (
@@ -35,10 +36,10 @@
     from collections.abc import Callable, Coroutine
     import ssl
 
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
+    from mulberrypass.model.store import InstanceList, Listed
     from mulberrypass.peer.loop import LoopThread
     from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
-    from mulberrypass.platform.api import InstanceList, Listed
     from mulberrypass.runtime.metrics import Metrics
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/peer/membership_list.py
+++ b/src/mulberrypass/peer/membership_list.py
@@ -6,13 +6,13 @@
 import threading
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import Unavailable
+from mulberrypass.model.store import Unavailable
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.platform.api import InstanceList, Listed
+    from mulberrypass.model.store import InstanceList, Listed
 
 LOG = get_logger(__name__)
 MIN_JITTER = 0.8
--- a/src/mulberrypass/peer/membership_state.py
+++ b/src/mulberrypass/peer/membership_state.py
@@ -8,7 +8,7 @@
 from mulberrypass.policy.membership_messages import ViewSettings
 
 if TYPE_CHECKING:
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/peer/membership_wire.py
+++ b/src/mulberrypass/peer/membership_wire.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, cast
 
+from mulberrypass.model.member import Member, MemberState
 from mulberrypass.peer import peer_pb2 as pb
-from mulberrypass.peer.api import Member, MemberState
 from mulberrypass.policy.membership_backends import BackendMark
 from mulberrypass.policy.membership_messages import Message
 
--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -37,9 +37,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from mulberrypass.model.member import Member
     from mulberrypass.model.objects import Configuration
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
     from mulberrypass.peer.permit_inbox import Item
     from mulberrypass.policy.admission import CellDecision
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.peer.permit_entry import EntryState, PermitEntry
 from mulberrypass.peer.permit_fallback import LocalShare
 from mulberrypass.policy.messages import (
@@ -17,7 +18,6 @@
     Revoke,
     Withdraw,
 )
-from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.policy.admission import Cell
 from mulberrypass.policy.cells import CellKey, cut, owner
 from mulberrypass.policy.messages import WorkClass
-from mulberrypass.runtime.dump import jsonable
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/peer/permit_routes.py
+++ b/src/mulberrypass/peer/permit_routes.py
@@ -10,9 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.model.member import Member
     from mulberrypass.model.objects import Backend, Configuration
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.peer.api import Membership
     from mulberrypass.policy.cells import CellLoad
 
 OWNER_PROGRAM = "entry"
--- a/src/mulberrypass/peer/permit_session.py
+++ b/src/mulberrypass/peer/permit_session.py
@@ -25,7 +25,7 @@
     from collections.abc import Callable, Iterable
     import ssl
 
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
     from mulberrypass.policy.messages import HolderMessage
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/peer/permit_sessions.py
+++ b/src/mulberrypass/peer/permit_sessions.py
@@ -12,7 +12,8 @@
     from collections.abc import Callable, Collection
     import ssl
 
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.model.member import Member
+    from mulberrypass.peer.api import Membership
     from mulberrypass.peer.loop import LoopThread
     from mulberrypass.peer.owner import OwnerTask
     from mulberrypass.peer.permit_inbox import OwnerReply
--- a/src/mulberrypass/placement/lease.py
+++ b/src/mulberrypass/placement/lease.py
@@ -8,7 +8,7 @@
 from expression import Result
 from pydantic import BaseModel, ConfigDict
 
-from mulberrypass.platform import api
+from mulberrypass.model import store as api
 from mulberrypass.policy import orders
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/placement/pool.py
+++ b/src/mulberrypass/placement/pool.py
@@ -30,8 +30,8 @@
 
     from mulberrypass.engine.api import LoadReport, ModelEngine, Order
     from mulberrypass.model.objects import Backend, Configuration, Pool
+    from mulberrypass.model.store import WeightStore
     from mulberrypass.placement.lease import PoolLease
-    from mulberrypass.platform.api import WeightStore
     from mulberrypass.runtime.metrics import Metrics
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/placement/runner.py
+++ b/src/mulberrypass/placement/runner.py
@@ -18,11 +18,12 @@
     from collections.abc import Callable, Mapping
 
     from mulberrypass.engine.api import ModelEngine
+    from mulberrypass.model.member import Member
     from mulberrypass.model.objects import Backend, Configuration, Pool
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.peer.api import Member, Membership
+    from mulberrypass.model.store import Table, WeightStore
+    from mulberrypass.peer.api import Membership
     from mulberrypass.placement.engines import PoolState
-    from mulberrypass.platform.api import Table, WeightStore
     from mulberrypass.runtime.metrics import Metrics
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/platform/caller.py
+++ b/src/mulberrypass/platform/caller.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import Unavailable
+from mulberrypass.model.store import Unavailable
 from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/platform/client.py
+++ b/src/mulberrypass/platform/client.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     Committed,
     Conflict,
@@ -27,15 +27,15 @@
 from mulberrypass.platform.wire import (
     WireError,
     listed_from_json,
-    op_to_json,
     page_from_json,
     row_from_json,
 )
+from mulberrypass.storage.operations import op_to_json
 
 if TYPE_CHECKING:
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Listed,
         ObjectError,
         Op,
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -9,8 +9,8 @@
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import ConnectionPool, WireError
+from mulberrypass.model.outcome import Ran
 from mulberrypass.platform import headers as names
-from mulberrypass.policy.messages import Ran
 from mulberrypass.relay.api import EngineAnswer, EngineCalls, EngineHead
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_pascal
 
-from mulberrypass.batches.api import (
+from mulberrypass.model.batch_jobs import (
     BatchItem,
     ItemState,
     NewJob,
@@ -30,8 +30,8 @@
 from mulberrypass.platform.ingress import Reply, json_reply
 
 if TYPE_CHECKING:
-    from mulberrypass.batches.api import JobHead
     from mulberrypass.batches.desk import BatchDesk
+    from mulberrypass.model.batch_jobs import JobHead
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.directory import Directory
 
--- a/src/mulberrypass/platform/row_client.py
+++ b/src/mulberrypass/platform/row_client.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.platform.caller import Endpoint, HttpCaller
 from mulberrypass.storage.rows import (
     Lagged,
--- a/src/mulberrypass/platform/stand_in/store.py
+++ b/src/mulberrypass/platform/stand_in/store.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.platform.ingress import CallCounter, Reply, json_reply, whole
 from mulberrypass.storage.rows import (
     Expected,
--- a/src/mulberrypass/platform/wire.py
+++ b/src/mulberrypass/platform/wire.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Always,
     Check,
@@ -21,29 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from mulberrypass.platform.api import Condition, Op
+    from mulberrypass.model.store import Condition, Op
 
 
 class WireError(ValueError):
     """A document is not of the form that it should have."""
 
 
-def op_to_json(op: Op) -> dict[str, Any]:
-    """Give the document of one operation."""
-    doc: dict[str, Any] = {
-        "table": op.table,
-        "key": op.key,
-        "if": _condition_to_json(op.condition),
-    }
-    match op:
-        case Put():
-            return doc | {"op": "put", "row": dict(op.row)}
-        case Delete():
-            return doc | {"op": "delete"}
-        case Check():
-            return doc | {"op": "check"}
-
-
 def op_from_json(doc: Mapping[str, Any]) -> Op:
     """Read the document of one operation."""
     match doc:
@@ -59,16 +43,6 @@
     raise WireError("not an operation")
 
 
-def _condition_to_json(condition: Condition) -> dict[str, Any]:
-    match condition:
-        case Absent():
-            return {"kind": "absent"}
-        case VersionIs(version=version):
-            return {"kind": "version", "version": version}
-        case Always():
-            return {"kind": "always"}
-
-
 def _condition_from_json(doc: Any) -> Condition:
     match doc:
         case {"kind": "absent"}:
@@ -139,7 +113,6 @@
     "listed_from_json",
     "listed_to_json",
     "op_from_json",
-    "op_to_json",
     "page_from_json",
     "page_to_json",
     "row_from_json",
--- a/src/mulberrypass/policy/batch_heads.py
+++ b/src/mulberrypass/policy/batch_heads.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from mulberrypass.batches.api import ItemOutcome, JobHead
+    from mulberrypass.model.batch_jobs import ItemOutcome, JobHead
 
 
 def list_outcomes(
--- a/src/mulberrypass/policy/commit.py
+++ b/src/mulberrypass/policy/commit.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_TRANSACTION_BYTES,
     MAX_TRANSACTION_OPS,
     Check,
@@ -24,7 +24,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import Op, TableError
+    from mulberrypass.model.store import Op, TableError
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/policy/items.py
+++ b/src/mulberrypass/policy/items.py
@@ -6,7 +6,7 @@
 import enum
 from typing import Any
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 
 
 class ItemState(enum.StrEnum):
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.api import Member, MemberState
-from mulberrypass.platform.api import ListedKind
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import ListedKind
 from mulberrypass.policy.membership_backends import LeavingBackends
 from mulberrypass.policy.membership_listing import Listing
 from mulberrypass.policy.membership_messages import (
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     import random
 
-    from mulberrypass.platform.api import Listed
+    from mulberrypass.model.store import Listed
 
 MAX_CLAIMS = 8
 REFUTABLE = frozenset({MemberState.SUSPECT, MemberState.DEAD})
--- a/src/mulberrypass/policy/membership_backends.py
+++ b/src/mulberrypass/policy/membership_backends.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import ListedState
+from mulberrypass.model.store import ListedState
 from mulberrypass.policy.membership_news import NewsQueue
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/policy/membership_listing.py
+++ b/src/mulberrypass/policy/membership_listing.py
@@ -6,14 +6,14 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.api import Member, MemberState
-from mulberrypass.platform.api import ListedKind, ListedState
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import ListedKind, ListedState
 from mulberrypass.policy.membership_messages import Contact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from mulberrypass.platform.api import Listed
+    from mulberrypass.model.store import Listed
 
 
 class Listing:
--- a/src/mulberrypass/policy/membership_messages.py
+++ b/src/mulberrypass/policy/membership_messages.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
     from mulberrypass.policy.membership_backends import BackendMark
 
 
--- a/src/mulberrypass/policy/membership_roster.py
+++ b/src/mulberrypass/policy/membership_roster.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.api import Member, MemberState
+from mulberrypass.model.member import Member, MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/mulberrypass/policy/messages.py
+++ b/src/mulberrypass/policy/messages.py
@@ -6,14 +6,6 @@
 import enum
 
 
-class Ran(enum.StrEnum):
-    """Whether refused or failed work ran."""
-
-    NO = "no"
-    MAYBE = "maybe"
-    YES = "yes"
-
-
 class WorkClass(enum.StrEnum):
     """Online work always goes before batch work."""
 
@@ -153,7 +145,6 @@
     "Grant",
     "HolderMessage",
     "OwnerMessage",
-    "Ran",
     "Refuse",
     "RefusalReason",
     "Release",
--- a/src/mulberrypass/policy/retry.py
+++ b/src/mulberrypass/policy/retry.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 
 MIN_LEFT_S = 0.02
 RETRY_SHARE = 0.1
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -10,6 +10,7 @@
 from pydantic import Field
 
 from mulberrypass.caller.health import Health
+from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.engine.directory import Backends
 from mulberrypass.jobs.service import JobPeers, JobService
 from mulberrypass.peer.holder import PermitLink
@@ -128,8 +129,16 @@
         common.dump.register("runs", self._jobs.runs)
         common.dump.register("permits", self._permits.state)
         health = Health(common.follower, common.dump, self._not_ready)
+        jobs = JobRoutes(
+            common.follower,
+            self._jobs.desk,
+            self._jobs.results,
+            self._jobs.cancelled,
+            common.metrics,
+            time.time,
+        )
         self._http = HttpServer(
-            WsgiApp((*self._jobs.routes(), *health.routes())),
+            WsgiApp((*jobs.routes(), *health.routes())),
             str(cfg.address),
             cfg.port,
             cfg.threads,
--- a/src/mulberrypass/programs/daemon.py
+++ b/src/mulberrypass/programs/daemon.py
@@ -13,7 +13,7 @@
     model_validator,
 )
 
-from mulberrypass.peer.api import Member
+from mulberrypass.model.member import Member
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import PlatformClients, open_platform
 from mulberrypass.runtime.ports import PLATFORM_PORT
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -15,7 +15,7 @@
 from mulberrypass.batches.desk import BatchDesk
 from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.store import BatchStore
-from mulberrypass.peer.api import Member
+from mulberrypass.model.member import Member
 from mulberrypass.peer.configuration import ConfigurationPeers
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     import ssl
 
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
     from mulberrypass.peer.server import PermitsHandler
     from mulberrypass.platform.client import PlatformClients
     from mulberrypass.programs.daemon import DaemonSettings
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -9,8 +9,9 @@
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import Deadline, WireError
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
-from mulberrypass.policy.messages import Ran, ReleaseOutcome, WorkClass
+from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
--- a/src/mulberrypass/runtime/dump.py
+++ b/src/mulberrypass/runtime/dump.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import json
 import signal
 import sys
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.jsonable import jsonable
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -51,21 +51,4 @@
         return {"error": repr(exc)}
 
 
-def jsonable(value: Any) -> Any:
-    """Turn data classes, enums and collections into JSON values."""
-    match value:
-        case None | bool() | int() | float() | str():
-            return value.value if isinstance(value, enum.Enum) else value
-        case dict():
-            return {str(key): jsonable(item) for key, item in value.items()}
-        case list() | tuple() | set() | frozenset():
-            return [jsonable(item) for item in value]
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        return {
-            item.name: jsonable(getattr(value, item.name))
-            for item in dataclasses.fields(value)
-        }
-    return str(value)
-
-
-__all__ = ["StateDump", "jsonable"]
+__all__ = ["StateDump"]
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -23,7 +23,7 @@
     from collections.abc import Callable, Iterable, Iterator, Mapping
     from typing import BinaryIO
 
-    from mulberrypass.policy.messages import Ran
+    from mulberrypass.model.outcome import Ran
 
 LOG = get_logger(__name__)
 JSON_TYPE = "application/json"
--- a/src/mulberrypass/storage/committer.py
+++ b/src/mulberrypass/storage/committer.py
@@ -13,18 +13,18 @@
 
 from expression import Error
 
-from mulberrypass.platform.api import MAX_SCAN_ROWS, Table, Unavailable
-from mulberrypass.platform.wire import op_to_json
+from mulberrypass.model.store import MAX_SCAN_ROWS, Table, Unavailable
 from mulberrypass.policy.commit import Entry, GroupCommit
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
+from mulberrypass.storage.operations import op_to_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Committed,
         Op,
         Page,
--- a/src/mulberrypass/storage/follow.py
+++ b/src/mulberrypass/storage/follow.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.rows import Lagged
 
--- a/src/mulberrypass/storage/instances.py
+++ b/src/mulberrypass/storage/instances.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     InstanceList,
     Listed,
     ListedKind,
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
-    from mulberrypass.platform.api import ReadError
+    from mulberrypass.model.store import ReadError
     from mulberrypass.storage.rows import RowsError, RowStore, StoredRow
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/storage/metered.py
+++ b/src/mulberrypass/storage/metered.py
@@ -9,7 +9,7 @@
 
 from expression import Error
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     Objects,
     Table,
@@ -22,7 +22,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Committed,
         ObjectError,
         Op,
--- a/src/mulberrypass/storage/rows.py
+++ b/src/mulberrypass/storage/rows.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 
 if TYPE_CHECKING:
     from expression import Result
--- a/src/mulberrypass/storage/settled.py
+++ b/src/mulberrypass/storage/settled.py
@@ -17,7 +17,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     MAX_TRANSACTION_OPS,
     Absent,
@@ -39,7 +39,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Op,
         Page,
         ReadError,
--- a/src/mulberrypass/storage/settled_objects.py
+++ b/src/mulberrypass/storage/settled_objects.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Exists,
     Missing,
     Objects,
@@ -23,7 +23,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import ObjectError
+    from mulberrypass.model.store import ObjectError
     from mulberrypass.runtime.metrics import Metrics
 
 
--- a/src/mulberrypass/testing/engine_http.py
+++ b/src/mulberrypass/testing/engine_http.py
@@ -9,7 +9,7 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.http import (
     HttpServer,
--- a/src/mulberrypass/testing/plain_http.py
+++ b/src/mulberrypass/testing/plain_http.py
@@ -11,7 +11,7 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     JSON_TYPE,
     HttpServer,
--- a/src/mulberrypass/testing/platform_http.py
+++ b/src/mulberrypass/testing/platform_http.py
@@ -9,7 +9,7 @@
 import re
 from typing import TYPE_CHECKING, Any
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     Conflict,
     Exists,
--- a/src/mulberrypass/testing/platform_memory.py
+++ b/src/mulberrypass/testing/platform_memory.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     InstanceList,
     Objects,
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Committed,
         Listed,
         ObjectError,
--- a/src/mulberrypass/testing/platform_rows.py
+++ b/src/mulberrypass/testing/platform_rows.py
@@ -5,7 +5,7 @@
 from bisect import bisect_right, insort
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Always,
     Check,
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from mulberrypass.platform.api import Condition, Op
+    from mulberrypass.model.store import Condition, Op
 
 
 class Rows:
--- a/src/mulberrypass/testing/platform_state.py
+++ b/src/mulberrypass/testing/platform_state.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_TRANSACTION_OPS,
     Committed,
     Conflict,
@@ -30,7 +30,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Listed,
         ObjectError,
         Op,
--- a/src/mulberrypass/testing/row_state.py
+++ b/src/mulberrypass/testing/row_state.py
@@ -9,7 +9,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.storage.rows import (
     Lagged,
     RowPage,
--- a/tests/batches/cases.py
+++ b/tests/batches/cases.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from mulberrypass.batches.api import (
+from mulberrypass.model.batch_jobs import (
     BatchItem,
     ItemOutcome,
     ItemState,
--- a/tests/batches/test_store.py
+++ b/tests/batches/test_store.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.batches.api import (
+from mulberrypass.batches.store import BatchStore
+from mulberrypass.model.batch_jobs import (
     Accepted,
     NoSuchJob,
     OverQuota,
     StoreLost,
 )
-from mulberrypass.batches.store import BatchStore
 from mulberrypass.testing.row_state import RowState
 from tests.batches.cases import HOST, head, job, outcome, route
 
--- a/tests/bench/test_sending.py
+++ b/tests/bench/test_sending.py
@@ -21,7 +21,7 @@
     send_all,
 )
 from mulberrypass.bench.workload import Arrival, Size
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     HttpServer,
     Problem,
--- a/tests/configuration/world.py
+++ b/tests/configuration/world.py
@@ -21,7 +21,7 @@
     StoreDown,
     Submission,
 )
-from mulberrypass.platform import api
+from mulberrypass.model import store as api
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
--- a/tests/engine/test_model_client.py
+++ b/tests/engine/test_model_client.py
@@ -22,7 +22,7 @@
 )
 from mulberrypass.engine.model_client import HttpModelEngine
 from mulberrypass.model.objects import Role
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.testing.engine_http import EngineOptions, FakeEngine
 from mulberrypass.testing.engine_step import EngineShape
 from mulberrypass.testing.engine_tokens import expected_tokens
--- a/tests/engine/test_plain_client.py
+++ b/tests/engine/test_plain_client.py
@@ -12,7 +12,7 @@
 from mulberrypass.engine.directory import Backends
 from mulberrypass.engine.plain_client import HttpPlainService
 from mulberrypass.model.objects import Backend, BackendKind, Configuration
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.testing.engine_tokens import expected_result
 from mulberrypass.testing.plain_http import FakePlainService, PlainOptions
 
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -18,6 +18,7 @@
     PlainService,
     Tokens,
 )
+from mulberrypass.model.member import Member
 from mulberrypass.model.objects import (
     Backend,
     BackendKind,
@@ -29,16 +30,17 @@
     Service,
     ServiceKind,
 )
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.source import ConfigurationSource
-from mulberrypass.peer.api import Member, Membership, PermitClient
-from mulberrypass.platform.api import Objects, Table, Unavailable
-from mulberrypass.policy.messages import Grant, Ran, Release
+from mulberrypass.model.store import Objects, Table, Unavailable
+from mulberrypass.peer.api import Membership, PermitClient
+from mulberrypass.policy.messages import Grant, Release
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
     from mulberrypass.engine.api import StreamEvent
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Committed,
         ObjectError,
         Op,
--- a/tests/jobs/test_run.py
+++ b/tests/jobs/test_run.py
@@ -17,12 +17,12 @@
 from mulberrypass.jobs.manifest import Item
 from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
 from mulberrypass.model.objects import Route
+from mulberrypass.model.outcome import Ran
 from mulberrypass.peer.api import PermitClient
 from mulberrypass.policy.items import Broken, Completed, RunResult, Stopped
 from mulberrypass.policy.messages import (
     FirstToken,
     Grant,
-    Ran,
     RefusalReason,
     Refuse,
     Release,
--- a/tests/jobs/test_search.py
+++ b/tests/jobs/test_search.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.platform.api import Always, Check, Op, Put
+from mulberrypass.model.store import Always, Check, Op, Put
 from tests.jobs.checker import broken_promises
 from tests.jobs.world import World
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING, Any
 import unittest
 
+from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.jobs.service import JobPeers, JobService
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.job_commands import HolderSettings
-from mulberrypass.policy.messages import Ran
 from mulberrypass.runtime.http import WsgiApp
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
@@ -63,7 +64,15 @@
             self.metrics,
             lot_items=100,
         )
-        self.app = WsgiApp(self.service.routes())
+        routes = JobRoutes(
+            cfg,
+            self.service.desk,
+            self.service.results,
+            self.service.cancelled,
+            self.metrics,
+            time.time,
+        )
+        self.app = WsgiApp(routes.routes())
 
     def call(
         self,
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -21,13 +21,13 @@
 from mulberrypass.jobs.store import HolderStore
 from mulberrypass.jobs.writer import PatientWriter
 from mulberrypass.model.objects import Service, ServiceKind
-from mulberrypass.platform.api import Objects, Table, Unavailable
+from mulberrypass.model.outcome import Ran
+from mulberrypass.model.store import Objects, Table, Unavailable
 from mulberrypass.policy.items import Broken, Completed, Stopped
 from mulberrypass.policy.job_commands import Fleet, FlushAges, HolderSettings
 from mulberrypass.policy.job_holder import LotHolder
 from mulberrypass.policy.jobs import Holder
 from mulberrypass.policy.lots import LotTerms
-from mulberrypass.policy.messages import Ran
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Committed,
         ObjectError,
         Op,
--- a/tests/online/fakes.py
+++ b/tests/online/fakes.py
@@ -25,10 +25,11 @@
     Service,
     ServiceKind,
 )
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.source import ConfigurationSource
 from mulberrypass.online.call import Call
 from mulberrypass.peer.api import PermitClient
-from mulberrypass.policy.messages import Ask, Grant, Ran, Refuse, Release
+from mulberrypass.policy.messages import Ask, Grant, Refuse, Release
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
--- a/tests/online/test_recorded.py
+++ b/tests/online/test_recorded.py
@@ -10,14 +10,16 @@
 from typing import TYPE_CHECKING
 import unittest
 
+from mulberrypass.model.member import Member
+from mulberrypass.model.outcome import Ran
 from mulberrypass.online.call import Completed, Failed
 from mulberrypass.online.course import Tools, new_ask_numbers
 from mulberrypass.online.recorded import RecordedRuns
 from mulberrypass.online.records import EXPIRY, Records, RecordState
 from mulberrypass.online.recovery import LOST_AFTER_S, Sweeper
 from mulberrypass.online.shared import SharedPolicy
-from mulberrypass.peer.api import Member, Membership
-from mulberrypass.policy.messages import Ran, RefusalReason, Refuse
+from mulberrypass.peer.api import Membership
+from mulberrypass.policy.messages import RefusalReason, Refuse
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryTable
--- a/tests/operator/alone.py
+++ b/tests/operator/alone.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.peer.api import Member
+    from mulberrypass.model.member import Member
 
 
 class AloneMembership(Membership):
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -37,7 +37,9 @@
     lot_key,
     lot_to_row,
 )
+from mulberrypass.model.member import Member
 from mulberrypass.model.snapshot import Snapshot
+from mulberrypass.model.store import Always, Put
 from mulberrypass.operator.app import OperatorApp, OperatorParts
 from mulberrypass.operator.auth import OperatorAuth
 from mulberrypass.operator.changes import ConfigurationChanges
@@ -47,9 +49,7 @@
 from mulberrypass.operator.fleet import Fleet
 from mulberrypass.operator.night import JobNight
 from mulberrypass.operator.status import Status
-from mulberrypass.peer.api import Member
 from mulberrypass.placement.engines import EngineState, PoolState
-from mulberrypass.platform.api import Always, Put
 from mulberrypass.policy.jobs import JobState
 from mulberrypass.policy.lots import LotKey
 from mulberrypass.programs.ctl import Mulberryctl, run
--- a/tests/peer/membership_peers.py
+++ b/tests/peer/membership_peers.py
@@ -8,13 +8,13 @@
 import threading
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer import peer_pb2 as pb
-from mulberrypass.peer.api import Member, MemberState
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import Listed, ListedKind, ListedState
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership
 from mulberrypass.peer.membership_state import MembershipSettings
+import mulberrypass.peer.peer_pb2 as pb
 from mulberrypass.peer.server import ConfigurationHandler, PeerServer
-from mulberrypass.platform.api import Listed, ListedKind, ListedState
 from mulberrypass.policy.membership_messages import ViewSettings
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryInstanceList
--- a/tests/peer/permit_fakes.py
+++ b/tests/peer/permit_fakes.py
@@ -6,9 +6,10 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.member import Member
 from mulberrypass.model.objects import Configuration, Pool
 from mulberrypass.model.source import ConfigurationSource
-from mulberrypass.peer.api import Member, Membership
+from mulberrypass.peer.api import Membership
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.owner import OwnerTask
--- a/tests/peer/test_membership.py
+++ b/tests/peer/test_membership.py
@@ -8,10 +8,10 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError
 
-from mulberrypass.peer.api import MemberState
+from mulberrypass.model.member import MemberState
+from mulberrypass.model.store import Listed, ListedKind, ListedState
 from mulberrypass.peer.peer_grpc import PeerStub
 from mulberrypass.peer.peer_pb2 import HeartbeatRequest
-from mulberrypass.platform.api import Listed, ListedKind, ListedState
 from mulberrypass.testing.platform_faults import Faults
 from tests.peer.membership_peers import SETTINGS, Peer, Peers
 
--- a/tests/placement/test_search.py
+++ b/tests/placement/test_search.py
@@ -30,9 +30,9 @@
     ServiceKind,
     Version,
 )
+from mulberrypass.model.outcome import Ran
 from mulberrypass.placement.lease import PoolLease
 from mulberrypass.placement.pool import PoolPlacer, PoolPorts
-from mulberrypass.policy.messages import Ran
 from mulberrypass.policy.orders import LEASE_S
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
--- a/tests/platform/contract.py
+++ b/tests/platform/contract.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from mulberrypass.platform.api import Unavailable
+from mulberrypass.model.store import Unavailable
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import open_platform
 from mulberrypass.runtime.http import HttpServer
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     import unittest
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         InstanceList,
         Objects,
         Table,
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -6,7 +6,7 @@
 import threading
 import unittest
 
-from mulberrypass.platform.api import Always, Put, Throttled, Unavailable
+from mulberrypass.model.store import Always, Put, Throttled, Unavailable
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import PlatformClients, open_platform
 from mulberrypass.testing.platform_state import FakePlatform
--- a/tests/platform/test_contract.py
+++ b/tests/platform/test_contract.py
@@ -9,7 +9,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Always,
     Check,
@@ -34,7 +34,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import Op
+    from mulberrypass.model.store import Op
     from tests.platform.contract import Subject
 
 ODD_KEY = "jobs/a b%2F?&=é"
--- a/tests/platform/test_row_client.py
+++ b/tests/platform/test_row_client.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.platform.api import Throttled, Unavailable
+from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.platform.row_client import SiteRows
 from mulberrypass.platform.site import Listener
 from mulberrypass.platform.stand_in.store import StoreApp
--- a/tests/policy/membership_fleet.py
+++ b/tests/policy/membership_fleet.py
@@ -8,8 +8,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from mulberrypass.peer.api import Member, MemberState
-from mulberrypass.platform.api import Listed, ListedKind, ListedState
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import Listed, ListedKind, ListedState
 from mulberrypass.policy.membership import MembershipView
 from mulberrypass.policy.membership_messages import Contact, ViewSettings
 
--- a/tests/policy/test_commit.py
+++ b/tests/policy/test_commit.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Always,
     Check,
--- a/tests/policy/test_items.py
+++ b/tests/policy/test_items.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.items import (
     Again,
     Broken,
@@ -14,7 +15,6 @@
     Stopped,
     judge,
 )
-from mulberrypass.policy.messages import Ran
 
 CUT = Broken("cut", Ran.MAYBE, lost_backend=True, backend="e")
 CUT_ALONE = Broken("cut", Ran.MAYBE, lost_backend=True, alone=True)
--- a/tests/policy/test_lots.py
+++ b/tests/policy/test_lots.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.items import Broken, Completed, ItemState, Stopped
 from mulberrypass.policy.lots import (
     LotGrant,
@@ -11,7 +12,6 @@
     LotState,
     LotTerms,
 )
-from mulberrypass.policy.messages import Ran
 
 KEY = LotKey("j-1", 0)
 
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -7,8 +7,8 @@
 import random
 import unittest
 
-from mulberrypass.peer.api import Member, MemberState
-from mulberrypass.platform.api import Listed, ListedKind, ListedState
+from mulberrypass.model.member import Member, MemberState
+from mulberrypass.model.store import Listed, ListedKind, ListedState
 from mulberrypass.policy.membership import MembershipView
 from mulberrypass.policy.membership_backends import (
     HOLD_S,
--- a/tests/policy/test_membership_fleet.py
+++ b/tests/policy/test_membership_fleet.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from mulberrypass.peer.api import MemberState
+from mulberrypass.model.member import MemberState
 from tests.policy.membership_fleet import Fleet, Node, states_in
 
 ALIVE, SUSPECT, LEAVING, DEAD = MemberState
--- a/tests/policy/test_retry.py
+++ b/tests/policy/test_retry.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 import unittest
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.retry import Failure, RetryBudget, may_retry
 
 FAILURE = Failure(
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -9,6 +9,7 @@
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import WireError
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import (
     RegisteredEngine,
     RelayRoute,
@@ -18,7 +19,7 @@
     ServiceShare,
 )
 from mulberrypass.peer.api import PermitClient
-from mulberrypass.policy.messages import Grant, Ran, Refuse, Release
+from mulberrypass.policy.messages import Grant, Refuse, Release
 from mulberrypass.relay.api import (
     EngineAnswer,
     EngineCalls,
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -6,8 +6,9 @@
 import unittest
 
 from mulberrypass.engine.api import EngineFailed
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind, ServiceShare
-from mulberrypass.policy.messages import Ran, RefusalReason
+from mulberrypass.policy.messages import RefusalReason
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.policy.messages import Ran
+from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     HttpServer,
     Problem,
--- a/tests/storage/test_committer.py
+++ b/tests/storage/test_committer.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     Absent,
     Committed,
     Conflict,
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
-    from mulberrypass.platform.api import Op, TableError
+    from mulberrypass.model.store import Op, TableError
 
 
 class GatedTable(MemoryTable):
--- a/tests/storage/test_settled.py
+++ b/tests/storage/test_settled.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok
 
-from mulberrypass.platform.api import (
+from mulberrypass.model.store import (
     MAX_SCAN_ROWS,
     MAX_TRANSACTION_OPS,
     Absent,
@@ -37,7 +37,7 @@
 
     from expression import Result
 
-    from mulberrypass.platform.api import (
+    from mulberrypass.model.store import (
         Op,
         Page,
         ReadError,
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,87 @@
+"""Packages import only those below them."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+import re
+from typing import TYPE_CHECKING
+import unittest
+
+import mulberrypass
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ROOT = Path(mulberrypass.__file__).parent
+# From the bottom to the top; packages on one line don't know each other.
+LAYERS = (
+    {"model"},
+    {"runtime", "policy"},
+    {"storage"},
+    {"configuration"},
+    {"peer"},
+    {"engine"},
+    {"relay", "placement"},
+    {"batches", "online"},
+    {"jobs", "platform"},
+    {"caller", "testing"},
+    {"operator", "bench"},
+    {"programs"},
+)
+PLATFORM_NAMES = re.compile(
+    r"X-Mulberrypass|rows-(tx|get|feed|parts)|blob-(put|get|list|drop)"
+    r"|ExpectedRev|op/config|/lots/"
+)
+
+
+def _imports(path: Path) -> Iterator[str]:
+    """Give the packages of the project that a module imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.ImportFrom(module=str(module)):
+                names = [module]
+                if module == "mulberrypass":
+                    names = [f"{module}.{name.name}" for name in node.names]
+            case ast.Import():
+                names = [name.name for name in node.names]
+            case _:
+                continue
+        for name in names:
+            parts = name.split(".")
+            if parts[0] == "mulberrypass" and len(parts) > 1:
+                yield parts[1]
+
+
+def _level(package: str) -> int:
+    for level, packages in enumerate(LAYERS):
+        if package in packages:
+            return level
+    raise AssertionError(f"no layer for the package {package}")
+
+
+class LayerTest(unittest.TestCase):
+    def test_no_import_runs_upwards(self) -> None:
+        upwards = []
+        for path in ROOT.rglob("*.py"):
+            own = path.relative_to(ROOT).parts[0]
+            if own.endswith(".py"):
+                continue
+            for package in _imports(path):
+                if package != own and _level(package) >= _level(own):
+                    upwards.append(f"{path.relative_to(ROOT)} -> {package}")
+        self.assertEqual([], upwards)
+
+    def test_only_the_adapter_knows_names_of_the_platform(self) -> None:
+        found = [
+            str(path.relative_to(ROOT))
+            for path in ROOT.rglob("*.py")
+            if path.relative_to(ROOT).parts[0] != "platform"
+            and PLATFORM_NAMES.search(path.read_text())
+        ]
+        self.assertEqual([], found)
+
+    def test_the_adapter_decides_nothing(self) -> None:
+        for path in (ROOT / "platform").rglob("*.py"):
+            with self.subTest(path=path.name):
+                self.assertNotIn("policy", set(_imports(path)))
--- a/tests/testing/test_platform_admin.py
+++ b/tests/testing/test_platform_admin.py
@@ -8,7 +8,7 @@
 
 from expression import Ok
 
-from mulberrypass.platform.api import Absent, Always, Delete, Put
+from mulberrypass.model.store import Absent, Always, Delete, Put
 from mulberrypass.platform.caller import Endpoint, HttpCaller
 from mulberrypass.testing.platform_state import FakePlatform
 from tests.platform.contract import HOST, serve
