Start the threads that answer requests by need

Cause: each instance started 96 threads for callers and 6 for its side servers at its start.

Change: waitress hands requests to a ThreadPoolExecutor, which starts a thread only where none is idle; the limits stay. Ruled out: fewer threads (a long read of a job holds one for a second) and a pool that shrinks (pulses come each five seconds).

Test: three requests at once start three threads, the fourth waits for one.

--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -17,6 +17,7 @@
 import waitress.server
 from waitress.task import WSGITask
 
+from mulberrypass.runtime.dispatcher import PooledDispatcher
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -335,9 +336,9 @@
         self._closing = threading.Event()
         self._server = cast("Any", waitress.server.create_server)(
             app,
+            _dispatcher=PooledDispatcher(f"http-{port}", threads),
             host=host,
             port=port,
-            threads=threads,
             backlog=1_024,
             connection_limit=2_000,
             channel_timeout=idle_s,
