Hold callers to the limits in force, and split the server from its routes

Change: HttpServer.limit puts limits in force at open connections too. The idle time never gets shorter within a process, since callers may still go by an older one. Server, connection and dispatcher are modules of their own; what site settings and gauges are, too.

Tests: a body over a limit that came later (413), a head over it (431), a head that doesn't end, one in two parts.

--- a/src/mulberrypass/model/routes.py
+++ b/src/mulberrypass/model/routes.py
@@ -85,6 +85,20 @@
     event_tokens: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    :param head_s: from a request's first byte to the end of its head
+    :param idle_s: callers use a kept connection again within this
+    """
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_s: float = 30.0
+    idle_s: float = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
     """One whole published set of routes.
@@ -95,9 +109,7 @@
     version: int = 0
     routes: tuple[RelayRoute, ...] = ()
     services: Mapping[str, RelayService] = field(default_factory=dict)
-    max_body_bytes: int = 4_194_304
-    max_header_bytes: int = 16_384
-    idle_timeout_s: float = 60.0
+    limits: CallerLimits = CallerLimits()
 
     def find(self, host: str, path: str) -> RelayRoute | None:
         """Give the route of a host with the longest prefix of a path."""
@@ -136,6 +148,7 @@
 
 
 __all__ = [
+    "CallerLimits",
     "RegisteredEngine",
     "RelayRoute",
     "RelayService",
--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -9,6 +9,7 @@
 from pydantic.alias_generators import to_pascal
 
 from mulberrypass.model.routes import (
+    CallerLimits,
     RegisteredEngine,
     RelayRoute,
     RelayService,
@@ -78,6 +79,7 @@
 class _Limits(_Model):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 30_000
     idle_timeout_ms: float = 60_000
 
 
@@ -116,9 +118,12 @@
         version=found.version,
         routes=tuple(map(_route, found.routes)),
         services=services,
-        max_body_bytes=found.limits.max_body_bytes,
-        max_header_bytes=found.limits.max_header_bytes,
-        idle_timeout_s=found.limits.idle_timeout_ms / MS,
+        limits=CallerLimits(
+            head_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            head_s=found.limits.header_timeout_ms / MS,
+            idle_s=found.limits.idle_timeout_ms / MS,
+        ),
     )
 
 
--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -5,7 +5,6 @@
 import contextlib
 from http import HTTPStatus
 import json
-import threading
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
@@ -19,6 +18,7 @@
     Refused,
 )
 from mulberrypass.runtime.http import ClosingChunks
+from mulberrypass.runtime.in_flight import CallCounter
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -42,30 +42,6 @@
 MAX_ADDRESSES = 64
 
 
-class CallCounter:
-    """Counts calls that have not been answered whole."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._count = 0
-
-    @property
-    def in_flight(self) -> int:
-        """Calls that have started and have not been answered whole."""
-        with self._lock:
-            return self._count
-
-    def enter(self) -> None:
-        """Count a call in."""
-        with self._lock:
-            self._count += 1
-
-    def leave(self) -> None:
-        """Count a call out."""
-        with self._lock:
-            self._count -= 1
-
-
 class FrontApp(CallCounter):
     """Answers requesters' calls: requests, and all about batch jobs.
 
@@ -302,7 +278,6 @@
 
 
 __all__ = [
-    "CallCounter",
     "DirectoryApp",
     "FrontApp",
     "ReadyApp",
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.platform import headers as names
-from mulberrypass.platform.ingress import CallCounter, Reply, whole
+from mulberrypass.platform.ingress import Reply, whole
+from mulberrypass.runtime.in_flight import CallCounter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
--- a/src/mulberrypass/platform/stand_in/store.py
+++ b/src/mulberrypass/platform/stand_in/store.py
@@ -9,7 +9,8 @@
 from urllib.parse import parse_qs
 
 from mulberrypass.model.store import Throttled, Unavailable
-from mulberrypass.platform.ingress import CallCounter, Reply, json_reply, whole
+from mulberrypass.platform.ingress import Reply, json_reply, whole
+from mulberrypass.runtime.in_flight import CallCounter
 from mulberrypass.storage.rows import (
     Expected,
     Lagged,
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -18,7 +18,8 @@
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
-from mulberrypass.runtime.http import HttpServer, WsgiApp
+from mulberrypass.runtime.http import WsgiApp
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import BATCH_PORT
 from mulberrypass.runtime.settings import Port, load
--- a/src/mulberrypass/programs/entry.py
+++ b/src/mulberrypass/programs/entry.py
@@ -28,7 +28,8 @@
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
-from mulberrypass.runtime.http import HttpServer, Route, WsgiApp
+from mulberrypass.runtime.http import Route, WsgiApp
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import ENTRY_PORT, ENTRY_STREAM_PORT
 from mulberrypass.runtime.settings import load
--- a/src/mulberrypass/programs/fake_platform.py
+++ b/src/mulberrypass/programs/fake_platform.py
@@ -8,7 +8,7 @@
 
 from pydantic import Field, IPvAnyAddress, TypeAdapter
 
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.runtime.lifecycle import StopSignal
 from mulberrypass.runtime.logs import configure, get_logger
 from mulberrypass.runtime.ports import PLATFORM_PORT
--- a/src/mulberrypass/programs/fake_site.py
+++ b/src/mulberrypass/programs/fake_site.py
@@ -11,7 +11,7 @@
 from mulberrypass.platform.site import listener
 from mulberrypass.platform.stand_in.engine import EngineApp
 from mulberrypass.platform.stand_in.store import StoreApp
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
 
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -20,7 +20,6 @@
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership
-from mulberrypass.peer.membership_state import MembershipSettings
 from mulberrypass.peer.owner import OwnerTask
 from mulberrypass.peer.permit_streams import PermitStreams
 from mulberrypass.peer.server import PeerServer
@@ -40,22 +39,16 @@
     SiteError,
     read_site,
 )
-from mulberrypass.policy.cell_settings import (
-    BatchRoom,
-    CellSettings,
-    HealthSettings,
-    PacingSettings,
-    RoutingSettings,
-)
-from mulberrypass.policy.membership_messages import ViewSettings
 from mulberrypass.programs.session import Process, run
+from mulberrypass.programs.site_gauges import open_gauges
+from mulberrypass.programs.site_settings import CELLS, MEMBERSHIP, PROGRAM
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.relay.forward import Forwarder, RelayTools
 from mulberrypass.relay.placing import Placer
 from mulberrypass.relay.watch import CallWatch
 from mulberrypass.runtime.dump import StateDump
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import ClientLimits, HttpServer
 from mulberrypass.runtime.log_lines import LineWriter
 from mulberrypass.runtime.log_metrics import CONTENT_TYPE, EventMetrics
 from mulberrypass.runtime.logs import configure, get_logger
@@ -65,9 +58,8 @@
 
 if TYPE_CHECKING:
     from mulberrypass.platform.site import Site
-    from mulberrypass.runtime.http import ServedApp
+    from mulberrypass.runtime.http_server import ServedApp
 
-PROGRAM = "entry"
 LOG = get_logger(__name__)
 # Threads that read an event wait for those that compute at most so long.
 SWITCH_INTERVAL_S = 0.0005
@@ -77,6 +69,8 @@
 METRICS_PORT = 9_464
 METRICS_PATH = "/metrics"
 MAX_BODY_BYTES = 8_388_608
+# Connections are kept longer than callers use them, by clocks that differ.
+IDLE_SLACK_S = 5.0
 # Some callers keep an answer with addresses three times as long.
 TTL_S = 1.0
 KEPT_TIMES = 3
@@ -88,36 +82,6 @@
 MIN_HEADS_SPACING_S = 0.2
 MAX_HEADS_SPACING_S = 1.0
 STOP_POLL_S = 0.05
-MEMBERSHIP = MembershipSettings(
-    view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
-    timeout_s=0.5,
-    list_s=3.0,
-)
-# These engines read a prompt in a few ms, and a slot taken back is free at
-# once: batch work may fill all slots, and leaves them when online work comes.
-CELLS = CellSettings(
-    reserve_slots=0,
-    reserve_share=0.0,
-    batch_prefill_tokens=16_384,
-    batch_prefill_share=1.0,
-    over_share_prefill_tokens=16_384,
-    alone=BatchRoom(0, 16_384, 1.0),
-    fixed_share=1.0,
-    service_margin=0.0,
-    wait_margin=1.0,
-    batch_beside_prefill=True,
-    pacing=PacingSettings(
-        first_token_s=0.3,
-        gap_s=0.2,
-        start_tokens_per_s=1e6,
-        min_tokens_per_s=1e5,
-        max_tokens_per_s=1e6,
-    ),
-    patience_s=1.5,
-    ahead_s=0.1,
-    health=HealthSettings(max_hold_s=4.0, first_weight=0.3, slow_ratio=2.5),
-    routing=RoutingSettings(block_tokens=100),
-)
 
 
 class SiteProcess(Process):
@@ -138,6 +102,7 @@
         logging.getLogger("waitress").setLevel(logging.ERROR)
         self._site = site
         self._draining = False
+        self._idle_s = 0.0
         self._stopped = threading.Event()
         self._metrics = Metrics(PROGRAM)
         self._me = Member(
@@ -224,6 +189,7 @@
             site.front,
             FRONT_THREADS,
         )
+        self._directory.subscribe(lambda _cfg: self._limit_callers())
         self._sides = [
             self._server(ReadyApp(self._not_ready), site.ready, SIDE_THREADS)
         ]
@@ -239,7 +205,14 @@
                 SIDE_THREADS,
             )
         )
-        self._open_gauges()
+        open_gauges(
+            self._events,
+            self._directory,
+            lambda: len(self._membership.live(PROGRAM)),
+            self._followers,
+            self._holder,
+            self._lines,
+        )
         self._dump = self._open_dump()
 
     def _server(
@@ -247,47 +220,6 @@
     ) -> HttpServer:
         return HttpServer(app, at.host, at.port, threads, MAX_BODY_BYTES)
 
-    def _open_gauges(self) -> None:
-        show = self._events.gauge
-        directory = self._directory
-        show(
-            "configuration_version",
-            "version of the configuration in force",
-            lambda: float(directory.routes().version),
-        )
-        show(
-            "configuration_age_seconds",
-            "seconds since that version was put in force",
-            lambda: float(directory.state()["age_s"]),
-        )
-        show(
-            "engines",
-            "engines that may get new work",
-            lambda: float(len(directory.current().backends)),
-        )
-        show(
-            "members",
-            "members that are known to live",
-            lambda: float(len(self._membership.live(PROGRAM))),
-        )
-        show(
-            "store_silent_seconds",
-            "seconds since the store last answered a feed",
-            lambda: (
-                time.monotonic() - max(f.answered_at for f in self._followers)
-            ),
-        )
-        show(
-            "jobs_held",
-            "batch jobs that this member runs",
-            lambda: float(len(self._holder.state())),
-        )
-        show(
-            "log_lines_dropped",
-            "log lines that were dropped",
-            lambda: float(self._lines.dropped),
-        )
-
     def _open_dump(self) -> StateDump:
         dump = StateDump()
         dump.install_signal()
@@ -357,6 +289,22 @@
     def _unregister(self) -> None:
         self._instances.remove(self._site.name)
 
+    def _limit_callers(self) -> None:
+        """Put the limits of the routes in force at the front.
+
+        Callers may go by a longer idle time that was in force before.
+        """
+        limits = self._directory.routes().limits
+        self._idle_s = max(self._idle_s, limits.idle_s + IDLE_SLACK_S)
+        self._front.limit(
+            ClientLimits(
+                limits.head_bytes,
+                limits.body_bytes,
+                limits.head_s,
+                self._idle_s,
+            )
+        )
+
     def _heads_spacing_s(self) -> float:
         """Let all members together read heads so often a second."""
         members = len(self._membership.members(PROGRAM))
--- /dev/null
+++ b/src/mulberrypass/programs/site_settings.py
@@ -0,0 +1,47 @@
+"""How membership and admission work on the users' site."""
+
+from __future__ import annotations
+
+from mulberrypass.peer.membership_state import MembershipSettings
+from mulberrypass.policy.cell_settings import (
+    BatchRoom,
+    CellSettings,
+    HealthSettings,
+    PacingSettings,
+    RoutingSettings,
+)
+from mulberrypass.policy.membership_messages import ViewSettings
+
+PROGRAM = "entry"
+MEMBERSHIP = MembershipSettings(
+    view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
+    timeout_s=0.5,
+    list_s=3.0,
+)
+# These engines read a prompt in a few ms, and a slot taken back is free at
+# once: batch work may fill all slots, and leaves them when online work comes.
+CELLS = CellSettings(
+    reserve_slots=0,
+    reserve_share=0.0,
+    batch_prefill_tokens=16_384,
+    batch_prefill_share=1.0,
+    over_share_prefill_tokens=16_384,
+    alone=BatchRoom(0, 16_384, 1.0),
+    fixed_share=1.0,
+    service_margin=0.0,
+    wait_margin=1.0,
+    batch_beside_prefill=True,
+    pacing=PacingSettings(
+        first_token_s=0.3,
+        gap_s=0.2,
+        start_tokens_per_s=1e6,
+        min_tokens_per_s=1e5,
+        max_tokens_per_s=1e6,
+    ),
+    patience_s=1.5,
+    ahead_s=0.1,
+    health=HealthSettings(max_hold_s=4.0, first_weight=0.3, slow_ratio=2.5),
+    routing=RoutingSettings(block_tokens=100),
+)
+
+__all__ = ["CELLS", "MEMBERSHIP", "PROGRAM"]
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -1,23 +1,15 @@
-"""The HTTP border that programs share: routes, problems and a server."""
+"""The HTTP border that programs share: routes, answers and problems."""
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import dataclass, field
 from http import HTTPStatus
 import json
 import re
-import socket
-import threading
-import time
-from typing import TYPE_CHECKING, Any, Protocol, cast
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, unquote
 
-from waitress.channel import HTTPChannel
-import waitress.server
-from waitress.task import WSGITask
-
-from mulberrypass.runtime.dispatcher import PooledDispatcher
+from mulberrypass.runtime.in_flight import CallCounter
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -29,9 +21,6 @@
 LOG = get_logger(__name__)
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
-MAX_HEADER_BYTES = 32_768
-DRAIN_POLL_S = 0.02
-FLUSH_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,30 +131,22 @@
     return Answer(json.dumps(value).encode(), status, JSON_TYPE, headers)
 
 
-class WsgiApp:
+class WsgiApp(CallCounter):
     """Matches requests to routes and counts those in flight."""
 
     def __init__(self, routes: Iterable[Route]) -> None:
+        super().__init__()
         self._routes = [(_compile(r.pattern), r) for r in routes]
-        self._lock = threading.Lock()
-        self._in_flight = 0
-
-    @property
-    def in_flight(self) -> int:
-        """Requests that have started and have not been answered whole."""
-        with self._lock:
-            return self._in_flight
 
     def __call__(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         """Answer one WSGI request."""
-        with self._lock:
-            self._in_flight += 1
+        self.enter()
         try:
             reply = self._reply(environ)
         except BaseException:
-            self._done()
+            self.leave()
             raise
         return self._send(reply, start_response)
 
@@ -211,13 +192,9 @@
         if isinstance(reply, Answer):
             headers.append(("Content-Length", str(len(reply.body))))
             start_response(status, headers)
-            return ClosingChunks(iter((reply.body,)), self._done)
+            return ClosingChunks(iter((reply.body,)), self.leave)
         start_response(status, headers)
-        return ClosingChunks(reply.chunks, self._done)
-
-    def _done(self) -> None:
-        with self._lock:
-            self._in_flight -= 1
+        return ClosingChunks(reply.chunks, self.leave)
 
 
 class ClosingChunks:
@@ -253,21 +230,6 @@
             self._done()
 
 
-def _channel_class(closing: threading.Event) -> type[HTTPChannel]:
-    """Give a kind of connection that ends after an answer when told to."""
-
-    class ClosingTask(WSGITask):
-        def build_response_header(self) -> bytes:
-            if closing.is_set():
-                self.set_close_on_finish()
-            return bytes(super().build_response_header())
-
-    class ClosingChannel(HTTPChannel):
-        task_class = ClosingTask
-
-    return ClosingChannel
-
-
 def _compile(pattern: str) -> re.Pattern[str]:
     parts = re.split(r"\{(\w+)\}", pattern)
     regex = "".join(
@@ -302,106 +264,9 @@
     return False
 
 
-class ServedApp(Protocol):
-    """A WSGI application that counts what it has not answered yet."""
-
-    @property
-    def in_flight(self) -> int:
-        """Requests that have started and have not been answered whole."""
-
-    def __call__(
-        self, environ: dict[str, Any], start_response: Any
-    ) -> Iterable[bytes]:
-        """Answer one request."""
-
-
-class HttpServer:
-    """Serves an application on its own accept queue and thread pool.
-
-    :param threads: answers being made at once
-    :param max_body_bytes: larger bodies are refused before they are read
-    :param idle_s: a connection that sends nothing for so long is closed
-    """
-
-    def __init__(
-        self,
-        app: ServedApp,
-        host: str,
-        port: int,
-        threads: int,
-        max_body_bytes: int,
-        idle_s: int = 60,
-    ) -> None:
-        self._app = app
-        self._closing = threading.Event()
-        self._server = cast("Any", waitress.server.create_server)(
-            app,
-            _dispatcher=PooledDispatcher(f"http-{port}", threads),
-            host=host,
-            port=port,
-            backlog=1_024,
-            connection_limit=2_000,
-            channel_timeout=idle_s,
-            cleanup_interval=max(1, min(30, idle_s // 2)),
-            channel_request_lookahead=1,
-            max_request_body_size=max_body_bytes,
-            max_request_header_size=MAX_HEADER_BYTES,
-            clear_untrusted_proxy_headers=True,
-            asyncore_use_poll=True,
-            log_socket_errors=False,
-            ident=None,
-        )
-        self._server.channel_class = _channel_class(self._closing)
-        self._thread = threading.Thread(
-            target=self._server.run, name=f"http-{port}", daemon=True
-        )
-
-    @property
-    def port(self) -> int:
-        """The port that is served, also where 0 was asked for."""
-        return int(self._server.effective_port)
-
-    def start(self) -> None:
-        """Start to accept connections."""
-        self._thread.start()
-
-    def close_kept(self) -> None:
-        """End each kept connection with its next answer, and say so."""
-        self._closing.set()
-
-    def stop(self, grace_s: float) -> bool:
-        """Finish what is in flight, then close.
-
-        :param grace_s: seconds after which what is in flight is cut off
-        :returns: whether nothing was cut off
-        """
-        deadline = time.monotonic() + grace_s
-        self._refuse_connections()
-        self._drain(deadline)
-        # Answers reach their sockets, and connections that were kept open
-        # may bring one request more.
-        time.sleep(FLUSH_S)
-        whole = self._drain(deadline)
-        self._server.close()
-        return whole
-
-    def _refuse_connections(self) -> None:
-        """Stop to listen at once; closing alone takes a poll's time."""
-        listening = self._server.socket
-        if listening is not None:
-            with contextlib.suppress(OSError):
-                listening.shutdown(socket.SHUT_RDWR)
-
-    def _drain(self, deadline: float) -> bool:
-        while self._app.in_flight and time.monotonic() < deadline:
-            time.sleep(DRAIN_POLL_S)
-        return self._app.in_flight == 0
-
-
 __all__ = [
     "Answer",
     "ClosingChunks",
-    "HttpServer",
     "JSON_TYPE",
     "PROBLEM_TYPE",
     "Problem",
--- /dev/null
+++ b/src/mulberrypass/runtime/http_server.py
@@ -0,0 +1,148 @@
+"""Serves an application over HTTP, with limits and a planned stop."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+import waitress.server
+
+from mulberrypass.runtime.connection import connection_class
+from mulberrypass.runtime.dispatcher import PooledDispatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_HEADER_BYTES = 32_768
+# A client that sends a head slowly holds a connection, but no thread.
+HEAD_TIMEOUT_S = 30.0
+DRAIN_POLL_S = 0.02
+FLUSH_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a client may send, and how long it may take.
+
+    :param head_s: from the first byte of a request's head to its last
+    :param idle_s: a connection that sends nothing for so long is closed
+    """
+
+    head_bytes: int = MAX_HEADER_BYTES
+    body_bytes: int = 8_388_608
+    head_s: float = HEAD_TIMEOUT_S
+    idle_s: float = 60.0
+
+
+class ServedApp(Protocol):
+    """A WSGI application that counts what it has not answered yet."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have started and have not been answered whole."""
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+
+
+class HttpServer:
+    """Serves an application on its own accept queue and thread pool.
+
+    :param threads: answers being made at once
+    :param max_body_bytes: larger bodies are refused before they are read
+    :param idle_s: a connection that sends nothing for so long is closed
+    """
+
+    def __init__(
+        self,
+        app: ServedApp,
+        host: str,
+        port: int,
+        threads: int,
+        max_body_bytes: int,
+        idle_s: int = 60,
+    ) -> None:
+        self._app = app
+        self._closing = threading.Event()
+        self._head_s = HEAD_TIMEOUT_S
+        self._server = cast("Any", waitress.server.create_server)(
+            app,
+            _dispatcher=PooledDispatcher(f"http-{port}", threads),
+            host=host,
+            port=port,
+            backlog=1_024,
+            connection_limit=2_000,
+            channel_timeout=idle_s,
+            cleanup_interval=max(1, min(30, idle_s // 2)),
+            channel_request_lookahead=1,
+            max_request_body_size=max_body_bytes,
+            max_request_header_size=MAX_HEADER_BYTES,
+            clear_untrusted_proxy_headers=True,
+            asyncore_use_poll=True,
+            log_socket_errors=False,
+            ident=None,
+        )
+        self._server.channel_class = connection_class(
+            self._closing, lambda: self._head_s
+        )
+        self._thread = threading.Thread(
+            target=self._server.run, name=f"http-{port}", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that is served, also where 0 was asked for."""
+        return int(self._server.effective_port)
+
+    def start(self) -> None:
+        """Start to accept connections."""
+        self._thread.start()
+
+    def limit(self, limits: ClientLimits) -> None:
+        """Put other limits in force, also for connections that are open."""
+        adj = self._server.adj
+        adj.max_request_header_size = limits.head_bytes
+        adj.max_request_body_size = limits.body_bytes
+        adj.channel_timeout = limits.idle_s
+        self._head_s = limits.head_s
+
+    def close_kept(self) -> None:
+        """End each kept connection with its next answer, and say so."""
+        self._closing.set()
+
+    def stop(self, grace_s: float) -> bool:
+        """Finish what is in flight, then close.
+
+        :param grace_s: seconds after which what is in flight is cut off
+        :returns: whether nothing was cut off
+        """
+        deadline = time.monotonic() + grace_s
+        self._refuse_connections()
+        self._drain(deadline)
+        # Answers reach their sockets, and connections that were kept open
+        # may bring one request more.
+        time.sleep(FLUSH_S)
+        whole = self._drain(deadline)
+        self._server.close()
+        return whole
+
+    def _refuse_connections(self) -> None:
+        """Stop to listen at once; closing alone takes a poll's time."""
+        listening = self._server.socket
+        if listening is not None:
+            with contextlib.suppress(OSError):
+                listening.shutdown(socket.SHUT_RDWR)
+
+    def _drain(self, deadline: float) -> bool:
+        while self._app.in_flight and time.monotonic() < deadline:
+            time.sleep(DRAIN_POLL_S)
+        return self._app.in_flight == 0
+
+
+__all__ = ["ClientLimits", "HttpServer", "ServedApp"]
--- a/src/mulberrypass/testing/engine_http.py
+++ b/src/mulberrypass/testing/engine_http.py
@@ -12,13 +12,13 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.http import (
-    HttpServer,
     Problem,
     Route,
     Streamed,
     WsgiApp,
     json_answer,
 )
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.testing.engine_events import CacheLog
 from mulberrypass.testing.engine_faults import Faults, FaultSettings
 from mulberrypass.testing.engine_orders import ORDER_BODY, Placement
--- a/src/mulberrypass/testing/plain_http.py
+++ b/src/mulberrypass/testing/plain_http.py
@@ -14,13 +14,13 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     JSON_TYPE,
-    HttpServer,
     Problem,
     Route,
     Streamed,
     WsgiApp,
     json_answer,
 )
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.testing.engine_faults import Faults, FaultSettings
 from mulberrypass.testing.engine_http import StreamCutError
 from mulberrypass.testing.engine_tokens import (
--- a/tests/bench/test_sending.py
+++ b/tests/bench/test_sending.py
@@ -23,13 +23,13 @@
 from mulberrypass.bench.workload import Arrival, Size
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
-    HttpServer,
     Problem,
     Route,
     Streamed,
     WsgiApp,
     json_answer,
 )
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.testing.engine_http import EngineOptions, FakeEngine
 from mulberrypass.testing.engine_tokens import expected_tokens
 
--- a/tests/caller/test_golden.py
+++ b/tests/caller/test_golden.py
@@ -15,7 +15,8 @@
 from mulberrypass.caller.online_body import MAX_BODY_BYTES
 from mulberrypass.engine.api import Finished, Tokens
 from mulberrypass.policy.messages import RefusalReason, Refuse
-from mulberrypass.runtime.http import HttpServer, Route, WsgiApp
+from mulberrypass.runtime.http import Route, WsgiApp
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.testing.platform_faults import Faults
 from tests.caller.border import Border
 from tests.online.fakes import BROKEN, CUT, ScriptedEngine
--- a/tests/caller/test_online.py
+++ b/tests/caller/test_online.py
@@ -14,14 +14,8 @@
 from mulberrypass.caller.online_body import MAX_BODY_BYTES
 from mulberrypass.engine.api import Finished, Tokens
 from mulberrypass.policy.messages import RefusalReason, Refuse
-from mulberrypass.runtime.http import (
-    Answer,
-    HttpServer,
-    Problem,
-    Route,
-    Streamed,
-    WsgiApp,
-)
+from mulberrypass.runtime.http import Answer, Problem, Route, Streamed, WsgiApp
+from mulberrypass.runtime.http_server import HttpServer
 from tests.caller.border import GOOD, Border
 from tests.online.fakes import BROKEN, ScriptedEngine
 
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -54,7 +54,6 @@
 from mulberrypass.policy.lots import LotKey
 from mulberrypass.programs.ctl import Mulberryctl, run
 from mulberrypass.runtime.http import (
-    HttpServer,
     Problem,
     Reply,
     Request,
@@ -62,6 +61,7 @@
     WsgiApp,
     json_answer,
 )
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import CallFault, Faults
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
--- a/tests/platform/contract.py
+++ b/tests/platform/contract.py
@@ -9,7 +9,7 @@
 from mulberrypass.model.store import Unavailable
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import open_platform
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.testing.platform_http import PlatformApp
 from mulberrypass.testing.platform_memory import (
     MemoryInstanceList,
--- a/tests/platform/test_row_client.py
+++ b/tests/platform/test_row_client.py
@@ -9,7 +9,7 @@
 from mulberrypass.platform.row_client import SiteRows
 from mulberrypass.platform.site import Listener
 from mulberrypass.platform.stand_in.store import StoreApp
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.storage.rows import (
     Expected,
     Lagged,
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -111,7 +111,7 @@
         self.assertTrue(route.repeatable)
         self.assertEqual((5.0, 0.3), (route.timeout_s, route.target_s))
         self.assertEqual(6, table.services["a"].event_tokens)
-        self.assertEqual(1_000, table.max_body_bytes)
+        self.assertEqual(1_000, table.limits.body_bytes)
 
     def test_longest_prefix_of_the_host(self) -> None:
         longer = ROUTE | {"Name": "r-2", "Prefix": "/lohu930/2f/"}
--- a/tests/platform/test_site_session.py
+++ b/tests/platform/test_site_session.py
@@ -21,7 +21,7 @@
 from mulberrypass.platform.stand_in.engine import EngineApp
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.programs.site import SiteProcess
-from mulberrypass.runtime.http import HttpServer
+from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
 
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -13,13 +13,13 @@
 
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
-    HttpServer,
     Problem,
     Route,
     Streamed,
     WsgiApp,
     json_answer,
 )
+from mulberrypass.runtime.http_server import ClientLimits, HttpServer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -98,6 +98,33 @@
         status, _ = self.get("GET", "/echo/x", b"x" * 2_000)
         self.assertEqual(413, status)
 
+    def test_limits_hold_for_connections_that_are_open(self) -> None:
+        conn = http.client.HTTPConnection("127.0.0.1", self.server.port)
+        self.addCleanup(conn.close)
+        conn.request("GET", "/echo/x", body=b"x" * 500)
+        self.assertIn(b"x", conn.getresponse().read())
+        self.server.limit(ClientLimits(head_bytes=2_000, body_bytes=100))
+        conn.request("GET", "/echo/x", body=b"x" * 500)
+        self.assertEqual(413, conn.getresponse().status)
+        conn = http.client.HTTPConnection("127.0.0.1", self.server.port)
+        self.addCleanup(conn.close)
+        conn.request("GET", "/echo/x", headers={"X-Long": "x" * 3_000})
+        self.assertEqual(431, conn.getresponse().status)
+
+    def test_a_head_that_does_not_end_ends_the_connection(self) -> None:
+        self.server.limit(ClientLimits(head_s=0.0))
+        address = ("127.0.0.1", self.server.port)
+        with socket.create_connection(address, TIMEOUT_S) as sock:
+            sock.sendall(b"GET /echo/x HTTP/1.1\r\nHost:")
+            self.assertEqual(b"", sock.recv(1))
+
+    def test_a_head_in_two_parts_is_answered(self) -> None:
+        address = ("127.0.0.1", self.server.port)
+        with socket.create_connection(address, TIMEOUT_S) as sock:
+            sock.sendall(b"GET /echo/x HTTP/1.1\r\nHost:")
+            sock.sendall(b" a\r\nConnection: close\r\n\r\n")
+            self.assertTrue(sock.recv(64).startswith(b"HTTP/1.1 200"))
+
 
 class PlannedStopTest(unittest.TestCase):
     """A planned stop takes nothing new and cuts nothing off."""
