Judge an engine's pace by tokens only, not by calls beside them

Cause: HealthBoard kept paces of streams (relative, about 1.0) and seconds of calls without tokens (0.004 s) in one list.

Change: three lists, first tokens, paces and calls; calls count only where an engine gives no tokens at all. Ruled out: the holders' usual pace (it was the cause of an earlier, like ratio, and is bounded).

Test: KindsOfWorkTest, which fails on the old board.

--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission.py
@@ -320,12 +320,12 @@
             if message.gap_s > 0:
                 self.pace.gap(message.gap_s)
         if message.tokens == 0:
-            self.health.service(permit.backend, message.service_s, now)
+            self.health.call(permit.backend, message.service_s, now)
         elif message.tokens >= MIN_TOKENS_FOR_RATE and permit.first_after_s:
             decode_s = message.service_s - permit.first_after_s
             token_s = decode_s / message.tokens
             pace = self._paces.relative(permit.ask.holder, token_s)
-            self.health.service(permit.backend, pace, now)
+            self.health.pace(permit.backend, pace, now)
         work = work_of(permit.ask.prompt_tokens, message.tokens)
         queue = self.queued(permit.ask.work_class)
         queue.settle(permit.ask.customer, work - permit.work)
--- a/src/mulberrypass/policy/health.py
+++ b/src/mulberrypass/policy/health.py
@@ -37,7 +37,8 @@
 @dataclass(slots=True)
 class _Record:
     first: Samples
-    service: Samples
+    pace: Samples
+    call: Samples
     share: float = FULL_SHARE
     failures: int = 0
     holds: int = 0
@@ -50,7 +51,8 @@
 
     def clear(self) -> None:
         self.first.clear()
-        self.service.clear()
+        self.pace.clear()
+        self.call.clear()
 
 
 class HealthBoard:
@@ -113,12 +115,19 @@
         if record is not None:
             record.first.add(now, value)
 
-    def service(self, name: str, value: float, now: float) -> None:
-        """Take in the time of a token, or of a plain service's call."""
+    def pace(self, name: str, value: float, now: float) -> None:
+        """Take in the time of a token, relative to what is usual."""
         record = self._records.get(name)
         if record is not None:
             record.failures = 0
-            record.service.add(now, value)
+            record.pace.add(now, value)
+
+    def call(self, name: str, seconds: float, now: float) -> None:
+        """Take in the time of a call that gave no tokens."""
+        record = self._records.get(name)
+        if record is not None:
+            record.failures = 0
+            record.call.add(now, seconds)
 
     def failed(self, name: str, now: float) -> None:
         """Take in a failure; several in a row hold the engine back."""
@@ -154,11 +163,13 @@
         for name, record in self._records.items():
             record.overdue = overdue.get(name, ())
             record.first.drop_old(oldest)
-            record.service.drop_old(oldest)
+            record.pace.drop_old(oldest)
+            record.call.drop_old(oldest)
         firsts = Peers.of(r.first for r in self._records.values())
-        services = Peers.of(r.service for r in self._records.values())
+        paces = Peers.of(r.pace for r in self._records.values())
+        calls = Peers.of(r.call for r in self._records.values())
         ratios = {
-            name: self._ratio(record, firsts, services)
+            name: self._ratio(record, firsts, paces, calls)
             for name, record in self._records.items()
         }
         order = sorted(
@@ -198,9 +209,12 @@
             record.holds = 0
 
     def _ratio(
-        self, record: _Record, firsts: Peers, services: Peers
+        self, record: _Record, firsts: Peers, paces: Peers, calls: Peers
     ) -> float | None:
-        """Give how many times slower than its peers an engine is."""
+        """Give how many times slower than its peers an engine is.
+
+        Calls without tokens speak only of services that give none.
+        """
         ratios: list[tuple[float, str]] = []
         weight = self._settings.first_weight
         least = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
@@ -212,9 +226,13 @@
             late = median(record.overdue) / usual * weight
             if late > self._settings.slow_ratio:
                 ratios.append((late, "overdue"))
-        usual = services.without(record.service)
-        if usual and len(record.service) >= least:
-            ratios.append((record.service.median() / usual, "pace"))
+        usual = paces.without(record.pace)
+        if usual and len(record.pace) >= least:
+            ratios.append((record.pace.median() / usual, "pace"))
+        usual = calls.without(record.call)
+        plain = not paces.medians and not firsts.medians
+        if plain and usual and len(record.call) >= least:
+            ratios.append((record.call.median() / usual, "call"))
         if not ratios:
             return None
         ratio, record.why = max(ratios)
@@ -245,8 +263,8 @@
         return len(self._records) // 2
 
     def _new_record(self) -> _Record:
-        samples = self._settings.samples
-        return _Record(Samples(samples), Samples(samples))
+        most = self._settings.samples
+        return _Record(Samples(most), Samples(most), Samples(most))
 
 
 __all__ = ["HealthBoard", "HealthState"]
--- a/tests/policy/test_health.py
+++ b/tests/policy/test_health.py
@@ -82,7 +82,7 @@
         for _ in range(10):
             self.board.failed("core-3", self.now)
             self.board.failed("core-3", self.now)
-            self.board.service("core-3", 0.02, self.now)
+            self.board.pace("core-3", 0.02, self.now)
         self.assertEqual([], self.board.reduced())
 
     def test_probes_to_a_slow_engine_get_rarer(self) -> None:
@@ -95,6 +95,32 @@
             self.now = due
 
 
+class KindsOfWorkTest(unittest.TestCase):
+    """Seen on the bench: a ratio of 225 from calls beside streams."""
+
+    def setUp(self) -> None:
+        self.board = HealthBoard(SETTINGS)
+        self.board.set_engines(NAMES)
+
+    def test_short_calls_make_no_engine_of_streams_look_slow(self) -> None:
+        for name in NAMES:
+            for _ in range(4):
+                self.board.call(name, 0.004, 0.05)
+        for _ in range(4):
+            self.board.pace("core-1", 1.0, 0.05)
+            self.board.pace("core-2", 1.1, 0.05)
+        self.board.evaluate(STEP_S, {})
+        self.assertEqual([], self.board.reduced())
+
+    def test_a_plain_service_is_judged_by_its_calls(self) -> None:
+        for name in NAMES:
+            for _ in range(4):
+                seconds = 0.05 if name == "core-1" else 0.004
+                self.board.call(name, seconds, 0.05)
+        self.board.evaluate(STEP_S, {})
+        self.assertEqual(["core-1"], self.board.reduced())
+
+
 class HolderPaceTest(unittest.TestCase):
     def test_a_slow_holder_speaks_against_no_engine(self) -> None:
         pace = HolderPace()
