Judge no engine by a lost holder's work, and clear slow ones for trials

First, an ask of an instance that had been stopped stood without a first token until it was reclaimed 2 s later, and two such make an engine overdue. Second, the engine then had one slot for trials, but seven batch items on it; revocation passed over engines that were more than one item above their slots.

Change: permits of a lost holder are orphans until it tells of them again, and say nothing of the engine. Revocation takes batch work of an engine as long as online work alone leaves it a slot. Item placements and permits without a first token are logged, which is how this was found.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -99,6 +99,7 @@
             except NotPlacedError as exc:
                 time.sleep(max(PAUSE_S, min(MAX_PAUSE_S, exc.retry_after_s)))
                 continue
+            self._log_placed(placement)
             try:
                 self._attempt(placement)
             except WireError as exc:
@@ -177,6 +178,17 @@
         if abort is not None:
             abort()
 
+    def _log_placed(self, placement: Placement) -> None:
+        LOG.info(
+            "item placed",
+            job=self._head.job_id,
+            item=self._item.item_id,
+            engine=placement.engine.name,
+            ask=placement.ask_id,
+            queued_ms=round(placement.queued_s * 1_000),
+            events=len(self._progress.pieces),
+        )
+
     # One attempt
 
     def _attempt(self, placement: Placement) -> None:
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -121,6 +121,11 @@
                     name: [e.running, e.batch, e.revoked, e.cap]
                     for name, e in cell.engines.items()
                 },
+                prefilling=[
+                    (permit.ask.ask_id, permit.backend)
+                    for permit in cell.permits
+                    if permit.prefilling
+                ],
             )
 
     def state(self) -> dict[str, Any]:
--- a/src/mulberrypass/policy/cell_engines.py
+++ b/src/mulberrypass/policy/cell_engines.py
@@ -55,6 +55,7 @@
     :param uncached_tokens: prompt tokens that the engine must take in
     :param expected_steps: expected time of the first token, in empty steps
     :param reclaim_at: when it is taken back without a release
+    :param orphaned: whether its holder was lost, and tells nothing of it
     """
 
     ask: Ask
@@ -67,6 +68,7 @@
     reclaim_at: float
     prefilling: bool = True
     revoked: bool = False
+    orphaned: bool = False
     first_after_s: float = 0.0
 
     @property
--- a/src/mulberrypass/policy/cell_ledger.py
+++ b/src/mulberrypass/policy/cell_ledger.py
@@ -89,6 +89,7 @@
 
     def keep(self, permit: Permit) -> None:
         """Note that a permit's holder still has it."""
+        permit.orphaned = False
         if not permit.revoked:
             at = permit.deadline + self._settings.release_grace_s
             self.permits.reclaim_at(permit, at)
@@ -97,7 +98,10 @@
         """Reclaim a lost holder's permits after a grace period."""
         at = now + self._settings.holder_grace_s
         for permit in self.permits:
-            if permit.ask.holder == holder and permit.reclaim_at > at:
+            if permit.ask.holder != holder:
+                continue
+            permit.orphaned = True
+            if permit.reclaim_at > at:
                 self.permits.reclaim_at(permit, at)
 
     def holders(self) -> set[str]:
@@ -107,11 +111,12 @@
     def overdue(self, now: float) -> dict[str, list[float]]:
         """Give the ages of work without a first token, by engine.
 
-        Ages are in steps of an empty engine for each step expected.
+        Ages are in steps of an empty engine for each step expected. Work
+        whose holder was lost says nothing: nobody tells of its first token.
         """
         ages: dict[str, list[float]] = {}
         for permit in self.permits:
-            if permit.prefilling:
+            if permit.prefilling and not permit.orphaned:
                 age = (now - permit.granted_at) / permit.expected_steps
                 ages.setdefault(permit.backend, []).append(age)
         return ages
--- a/src/mulberrypass/policy/cell_revoke.py
+++ b/src/mulberrypass/policy/cell_revoke.py
@@ -60,10 +60,14 @@
             yield CellDecision(ask.holder, Revoke(ask.ask_id))
 
     def _usable(self, permit: Permit) -> bool:
-        """Whether online work may use the slot once it is free."""
+        """Whether online work may use the slot once it is free.
+
+        An engine that was found slow may hold more batch work than it is
+        to have by now; that goes first, so that a trial finds room.
+        """
         engine = self._ledger.engines[permit.backend]
-        after = engine.running - engine.revoked - 1
-        return not engine.leaving and after < engine.cap
+        kept = engine.running - engine.revocable
+        return not engine.leaving and kept < engine.cap
 
 
 def _is_prefilling(permit: Permit) -> bool:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -14,6 +14,7 @@
     Refuse,
     Release,
     ReleaseOutcome,
+    Revoke,
     WorkClass,
 )
 from tests.policy.cell_cases import (
@@ -361,3 +362,46 @@
         for tick in range(30):
             made.tick(0.2 + tick / 10)
         self.assertEqual(4, made.engines["core-0"].cap)
+
+    def test_work_of_a_lost_holder_is_not_overdue(self) -> None:
+        """Nobody tells of its first tokens until it is reclaimed."""
+        made = cell([engine("core-0"), engine("core-1")], SETTINGS)
+        for number in range(2):
+            lost = ask(f"l{number}", holder="entry@b", granted="core-0")
+            made.handle(lost, 0.0)
+        for number in range(4):
+            made.handle(ask(f"a{number}"), 0.1)
+            made.handle(FirstToken(f"a{number}", 0.05), 0.15)
+        made.holder_gone("entry@b", 0.2)
+        for tick in range(10):
+            made.tick(0.2 + tick / 10)
+        self.assertEqual(4, made.engines["core-0"].cap)
+
+
+class SlowEngineHeldByBatchTest(unittest.TestCase):
+    """Seen on the bench: 4 s in which online work waited beside it."""
+
+    def test_online_work_gets_its_trial_there(self) -> None:
+        made = cell([engine("core-0"), engine("core-1")], SETTINGS)
+        for number in range(3):
+            made.handle(batch(f"b{number}", granted="core-0"), 0.0)
+        for number in range(4):
+            made.handle(ask(f"a{number}", granted="core-1"), 0.0)
+        for _ in range(10):
+            for _sample in range(3):
+                made.health.pace("core-0", 9.0, 0.05)
+                made.health.pace("core-1", 1.0, 0.05)
+            made.health.evaluate(0.1, {})
+        made.tick(0.15)
+        out = made.handle(ask("waits"), 0.2)
+        got = granted(out)
+        while out:
+            answers = []
+            for decision in out:
+                if isinstance(decision.message, Revoke):
+                    ask_id = decision.message.ask_id
+                    gone = Release(ask_id, ReleaseOutcome.CANCELLED)
+                    answers += made.handle(gone, 0.25)
+            got += granted(answers)
+            out = answers
+        self.assertEqual([("waits", "core-0")], got)
