Send heartbeats as datagrams where peers are not encrypted

Cause: an idle instance among 20 spent 0.42 s of processor time in 23 s on the peer loop, for 129 heartbeats sent and as many answered: 0.035 s of it in the membership itself, the rest in HTTP/2 streams, one for each heartbeat.

Change: a heartbeat is a datagram with a code made from the peers' key, sent once more after 0.1 s. One that gets no reply, or whose reply doesn't fit a packet, is sent on a stream as before, so networks that drop datagrams lose 0.2 s at most. Probes stay on streams. Weighed: fewer neighbours or slower rounds (failures are seen later), one long stream for each neighbour (half of the gain by our measure of grpclib, and a stream hangs while a path is cut).

--- /dev/null
+++ b/src/mulberrypass/peer/datagrams.py
@@ -0,0 +1,176 @@
+"""Heartbeats as datagrams, which cost a fraction of a call on a stream."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import hashlib
+import hmac
+import secrets
+import struct
+from typing import TYPE_CHECKING, Any
+
+from google.protobuf.message import DecodeError
+from grpclib.exceptions import GRPCError
+
+from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from mulberrypass.peer.server import HeartbeatHandler
+
+LOG = get_logger(__name__)
+# Kind of the datagram and number of the call.
+HEAD = struct.Struct("!BQ")
+MAC_BYTES = 16
+# What fits a packet of 1,500 bytes whole.
+MAX_BYTES = 1_400
+# A lost datagram is sent once more after this; a reply takes a few ms.
+TRY_S = 0.1
+TRIES = 2
+NUMBERS = 2**63
+
+Address = tuple[str, int]
+
+
+class Kind(enum.IntEnum):
+    """What a datagram carries.
+
+    ``REFER`` says that the reply doesn't fit one, and is to be asked for
+    on a stream.
+    """
+
+    REQUEST = 1
+    REPLY = 2
+    REFER = 3
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Sends heartbeats and answers them; used on the peer loop only.
+
+    Each datagram carries a code that only holders of the key can make. One
+    that was recorded and comes again changes nothing: of what is said of a
+    member, the higher incarnation and state stands.
+    """
+
+    def __init__(self, key: str, handler: HeartbeatHandler) -> None:
+        self._key = key.encode()
+        self._handler = handler
+        self._transport: asyncio.DatagramTransport | None = None
+        self._number = secrets.randbelow(NUMBERS)
+        self._replies: dict[int, asyncio.Future[HeartbeatReply | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def close(self) -> None:
+        """Send and answer nothing more."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+        for task in self._tasks:
+            task.cancel()
+        for reply in self._replies.values():
+            reply.cancel()
+
+    async def call(
+        self, to: Address, req: HeartbeatRequest
+    ) -> HeartbeatReply | None:
+        """Send a heartbeat, once more if need be.
+
+        :returns: the reply; ``None`` where it is to be sent on a stream
+        """
+        data = req.SerializeToString()
+        if self._transport is None or len(data) > MAX_BYTES:
+            return None
+        self._number = (self._number + 1) % NUMBERS
+        number = self._number
+        reply = asyncio.get_running_loop().create_future()
+        self._replies[number] = reply
+        try:
+            for _ in range(TRIES):
+                self._send(to, Kind.REQUEST, number, data)
+                done, _ = await asyncio.wait((reply,), timeout=TRY_S)
+                if done:
+                    found: HeartbeatReply | None = reply.result()
+                    return found
+        finally:
+            del self._replies[number]
+        return None
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the socket."""
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram could not be delivered."""
+        LOG.debug("heartbeat not delivered", reason=str(exc))
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Take a datagram, if it was made with the key."""
+        body, code = data[:-MAC_BYTES], data[-MAC_BYTES:]
+        if len(body) < HEAD.size:
+            return
+        if not hmac.compare_digest(code, self._code(body)):
+            LOG.warning("datagram of a stranger", address=addr[0])
+            return
+        kind, number = HEAD.unpack_from(body)
+        message = body[HEAD.size :]
+        try:
+            self._take(kind, number, message, addr)
+        except DecodeError as exc:
+            LOG.warning("datagram can't be read", reason=str(exc))
+
+    def _take(
+        self, kind: int, number: int, message: bytes, addr: Address
+    ) -> None:
+        match kind:
+            case Kind.REQUEST:
+                req = HeartbeatRequest.FromString(message)
+                answer = self._answer(number, req, addr)
+                task = asyncio.get_running_loop().create_task(answer)
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            case Kind.REPLY:
+                self._resolve(number, HeartbeatReply.FromString(message))
+            case Kind.REFER:
+                self._resolve(number, None)
+
+    def _resolve(self, number: int, reply: HeartbeatReply | None) -> None:
+        waiting = self._replies.get(number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+
+    async def _answer(
+        self, number: int, req: HeartbeatRequest, to: Address
+    ) -> None:
+        try:
+            reply = await self._handler.heartbeat(req)
+        except GRPCError as exc:
+            LOG.debug("heartbeat not answered", reason=str(exc))
+            return
+        data = reply.SerializeToString()
+        if len(data) > MAX_BYTES:
+            self._send(to, Kind.REFER, number, b"")
+        else:
+            self._send(to, Kind.REPLY, number, data)
+
+    def _send(
+        self, to: Address, kind: Kind, number: int, message: bytes
+    ) -> None:
+        if self._transport is None:
+            return
+        body = HEAD.pack(kind, number) + message
+        self._transport.sendto(body + self._code(body), to)
+
+    def _code(self, body: bytes) -> bytes:
+        code = hmac.digest(self._key, body, hashlib.sha256)
+        return code[:MAC_BYTES]
+
+
+__all__ = ["Datagrams", "Kind"]
--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -13,6 +13,7 @@
 
 from mulberrypass.model.member import MemberState
 from mulberrypass.peer.api import Membership
+from mulberrypass.peer.datagrams import Datagrams
 from mulberrypass.peer.membership_calls import HeartbeatCalls
 from mulberrypass.peer.membership_list import ListReader
 from mulberrypass.peer.membership_state import (
@@ -47,6 +48,7 @@
 MAX_JITTER = 1.1
 PROBE_TIMEOUTS = 2.0
 LEAVE_TIMEOUT_S = 2.0
+OPEN_TIMEOUT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,8 @@
         it is in force here; must not block
     :param own_generation: gives the generation in force here
     :param port_of: peer port of a program
+    :param datagrams: whether heartbeats go by datagram, on the same port;
+        these are not encrypted
     """
 
     def __init__(
@@ -82,16 +86,21 @@
         port_of: Callable[[str], int] = PEER_PORTS.__getitem__,
         tls: ssl.SSLContext | None = None,
         rng: random.Random | None = None,
+        datagrams: bool = False,
     ) -> None:
         self._loop = loop
         self._settings = settings
         self._metrics = metrics
         self._on_generation = on_generation
         self._own_generation = own_generation
+        self._port_of = port_of
         self._rng = rng or random.Random()
         self._view = MembershipView(me, settings.view, self._rng)
         self._view.set_seeds(settings.seeds)
-        self._calls = HeartbeatCalls(key, port_of, settings.timeout_s, tls)
+        self._datagrams = Datagrams(key, self) if datagrams else None
+        self._calls = HeartbeatCalls(
+            key, port_of, settings.timeout_s, tls, self._datagrams
+        )
         self._list = ListReader(
             instances, self._list_spacing_s, self._hand_list, self._rng
         )
@@ -113,6 +122,7 @@
     def start(self) -> None:
         """Start to read the list and to send heartbeats."""
         self._list.start()
+        self._loop.submit(self._open()).result(OPEN_TIMEOUT_S)
         self._loop.call(self._spawn_rounds)
 
     def stop(self) -> None:
@@ -160,6 +170,11 @@
         """Give the state for a dump."""
         return self._loop.submit(self._state()).result(LEAVE_TIMEOUT_S)
 
+    async def _open(self) -> None:
+        if self._datagrams is not None:
+            me = self._view.me
+            await self._datagrams.start(me.address, self._port_of(me.program))
+
     async def heartbeat(self, req: HeartbeatRequest) -> HeartbeatReply:
         """Take a heartbeat's news, and give our own."""
         if self._ended:
--- a/src/mulberrypass/peer/membership_calls.py
+++ b/src/mulberrypass/peer/membership_calls.py
@@ -1,4 +1,4 @@
-"""Heartbeat calls on one long-lived channel for each peer."""
+"""Heartbeat calls by datagram, and on long-lived channels."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
     from collections.abc import Callable, Iterable
     import ssl
 
+    from mulberrypass.peer.datagrams import Datagrams
     from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
     from mulberrypass.policy.membership_messages import Contact
 
@@ -44,7 +45,11 @@
 class HeartbeatCalls:
     """Makes heartbeat calls; to be used on the peer loop only.
 
+    A call that gets no reply by datagram is made on a channel: its reply
+    may be too large, or datagrams may not get through.
+
     :param port_of: peer port of a program
+    :param datagrams: ``None`` where heartbeats are sent on channels only
     """
 
     def __init__(
@@ -53,11 +58,13 @@
         port_of: Callable[[str], int],
         timeout_s: float,
         tls: ssl.SSLContext | None = None,
+        datagrams: Datagrams | None = None,
     ) -> None:
         self._metadata = {KEY_HEADER: key}
         self._port_of = port_of
         self._timeout_s = timeout_s
         self._tls = tls
+        self._datagrams = datagrams
         self._channels: dict[Place, Channel] = {}
         self._in_use: Counter[Place] = Counter()
         self._closed = False
@@ -78,7 +85,10 @@
         self.counters.bytes_sent += req.ByteSize()
         self._in_use[place] += 1
         try:
-            reply = await self._call(place, req, self._timeout_s * timeouts)
+            reply = await self._by_datagram(place, req)
+            if reply is None and not self._closed:
+                timeout_s = self._timeout_s * timeouts
+                reply = await self._call(place, req, timeout_s)
         finally:
             self._in_use[place] -= 1
         if reply is None:
@@ -101,10 +111,19 @@
     def close(self) -> None:
         """Close all channels and make no more calls."""
         self._closed = True
+        if self._datagrams is not None:
+            self._datagrams.close()
         for channel in self._channels.values():
             channel.close()
         self._channels.clear()
 
+    async def _by_datagram(
+        self, place: Place, req: HeartbeatRequest
+    ) -> HeartbeatReply | None:
+        if self._datagrams is None or req.probe:
+            return None
+        return await self._datagrams.call((place.address, place.port), req)
+
     async def _call(
         self, place: Place, req: HeartbeatRequest, timeout_s: float
     ) -> HeartbeatReply | None:
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -141,6 +141,7 @@
             lambda: self._directory.routes().version,
             port_of=lambda _program: site.peer_port,
             rng=random.Random(),
+            datagrams=True,
         )
         self._owner = OwnerTask(
             self._me,
--- a/tests/peer/membership_peers.py
+++ b/tests/peer/membership_peers.py
@@ -76,6 +76,7 @@
             lambda: self.generation,
             lambda _program: fleet.port,
             rng=random.Random(incarnation),
+            datagrams=fleet.datagrams,
         )
         self.server = PeerServer(key, self.membership, NoConfiguration())
 
@@ -104,8 +105,11 @@
 class Peers:
     """Members on one loop and one platform stand-in."""
 
-    def __init__(self, case: unittest.TestCase) -> None:
+    def __init__(
+        self, case: unittest.TestCase, datagrams: bool = False
+    ) -> None:
         self.case = case
+        self.datagrams = datagrams
         self.loop = LoopThread()
         self.loop.start()
         case.addCleanup(self._stop_loop)
