Add a soak of the real programs, and leave engines that answer nothing

Keep-alives don't help where the connection itself is well.

Change: items leave an engine after 3 s without a byte and go on elsewhere from their last event; requests of resumable routes do after 1 s, while they have an attempt left. Instances take the peers' key from MULBERRYPASS_PEER_KEY where it is set.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -34,6 +34,9 @@
 
 LOG = get_logger(__name__)
 MAX_RUN_S = 120.0
+# An engine that answers nothing for so long is left; events come each 25 to
+# 300 ms, and items don't wait inside engines.
+SILENT_S = 3.0
 PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
 # The route of a job may be missing for the moment of a change.
@@ -214,9 +217,13 @@
         req = self._request(self._head, self._item, self._progress.last)
         try:
             answer = self._tools.engines.send(
-                placement.engine, req, deadline, on_open
+                placement.engine,
+                req,
+                deadline,
+                on_open,
+                deadline.within(SILENT_S),
             )
-            self._check_head(answer, deadline)
+            self._check_head(answer, deadline.within(SILENT_S))
             for count in self._read(answer, deadline, placement):
                 events += count
             outcome = ReleaseOutcome.DONE
@@ -251,7 +258,7 @@
         splitter = EventSplitter()
         order = EventOrder(self._progress.last)
         while True:
-            data = answer.read_some(deadline)
+            data = answer.read_some(deadline.within(SILENT_S))
             if not data:
                 break
             events = splitter.feed(data)
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -59,6 +59,10 @@
         """Give the deadline that is some seconds from now."""
         return cls(time.monotonic() + seconds)
 
+    def within(self, seconds: float) -> Deadline:
+        """Give the deadline that comes so soon from now, if not this one."""
+        return Deadline(min(self.at, time.monotonic() + seconds))
+
     def left_s(self) -> float:
         """Give the seconds that are left.
 
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -45,14 +45,15 @@
         req: RelayRequest,
         deadline: Deadline,
         on_open: Callable[[Callable[[], None]], None],
+        patience: Deadline,
     ) -> EngineAnswer:
         """Send a request; see ``EngineCalls``."""
         pool = self._pool(engine)
-        exchange = pool.open(deadline)
+        exchange = pool.open(patience)
         on_open(exchange.shut_down)
         headers = names.to_engine(req, engine.name, deadline.left_s())
         try:
-            exchange.send(req.method, req.target, req.body, deadline, headers)
+            exchange.send(req.method, req.target, req.body, patience, headers)
             return SiteAnswer(exchange, req)
         except WireError:
             exchange.close()
--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -13,6 +13,7 @@
     from pathlib import Path
 
 SETTINGS_VARIABLE = "MULBERRYPASS_SETTINGS"
+PEER_KEY_VARIABLE = "MULBERRYPASS_PEER_KEY"
 
 Port = Annotated[int, Field(ge=1, le=65_535)]
 
@@ -148,6 +149,7 @@
 
 
 __all__ = [
+    "PEER_KEY_VARIABLE",
     "Listener",
     "SETTINGS_VARIABLE",
     "Site",
--- /dev/null
+++ b/src/mulberrypass/platform/stand_in/caller.py
@@ -0,0 +1,159 @@
+"""A stand-in for the site's callers: their calls, as they make them."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import dataclass
+import http.client
+import json
+from typing import TYPE_CHECKING, Any
+
+from mulberrypass.platform import headers as names
+from mulberrypass.platform.stand_in.engine import STAMP
+
+if TYPE_CHECKING:
+    from mulberrypass.platform.site import Listener
+
+MS = 1_000.0
+ITEM_TOKENS = 100
+
+
+class CallFailedError(Exception):
+    """No whole answer came."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """One whole answer.
+
+    :param stamped: whether an engine's stamp came with it
+    :param last: whether the connection ends with it
+    """
+
+    status: int
+    body: bytes
+    stamped: bool
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Results of a job from a position on: id, state and output."""
+
+    total: int
+    results: tuple[tuple[str, str, str], ...]
+
+
+class SiteCaller:
+    """Makes calls on one connection, kept open between them."""
+
+    def __init__(self, to: Listener, timeout_s: float) -> None:
+        self._conn = http.client.HTTPConnection(
+            to.host, to.port, timeout=timeout_s
+        )
+        self._timeout_s = timeout_s
+
+    def close(self) -> None:
+        """End the connection."""
+        self._conn.close()
+
+    def resolve(self, zone: str) -> tuple[str, ...]:
+        """Ask for addresses.
+
+        :raises CallFailedError: where none are given
+        """
+        found = self._json("GET", f"/resolve?Name=x&Region=r&Zone={zone}")
+        return tuple(found["Addresses"])
+
+    def request(self, host: str, path: str, request_id: str) -> Answered:
+        """Make one request.
+
+        :raises CallFailedError: where no whole answer came
+        """
+        deadline = str(round(self._timeout_s * MS))
+        headers = {
+            "Host": host,
+            names.REQUEST_ID: request_id,
+            names.DEADLINE_MS: deadline,
+            names.TOKEN_COUNTS: "40,20",
+        }
+        return self._call("POST", path, headers, request_id.encode())
+
+    def submit(
+        self, host: str, path: str, job_id: str, items: tuple[str, ...]
+    ) -> int:
+        """Hand a job in; the status of the answer.
+
+        :raises CallFailedError: where no whole answer came
+        """
+        body = json.dumps(
+            {
+                "Items": [
+                    {
+                        "Id": item,
+                        "Path": path,
+                        "Headers": {},
+                        "Body": base64.b64encode(item.encode()).decode(),
+                        "Tokens": ITEM_TOKENS,
+                    }
+                    for item in items
+                ]
+            }
+        ).encode()
+        headers = {"Host": host, names.REQUEST_ID: job_id}
+        return self._call("POST", path, headers, body).status
+
+    def results(self, host: str, job_id: str, after: int) -> Page | None:
+        """Read results from a position on; ``None`` for no such job.
+
+        :raises CallFailedError: where they can't be told now
+        """
+        path = f"/lots/{job_id}?After={after}"
+        answer = self._call("GET", path, {"Host": host}, None)
+        if answer.status == http.client.NOT_FOUND:
+            return None
+        if answer.status != http.client.OK:
+            raise CallFailedError(f"status {answer.status}")
+        doc = json.loads(answer.body)
+        return Page(
+            doc["Total"],
+            tuple(
+                (entry["Id"], entry["State"], entry["Output"])
+                for entry in doc["Results"]
+            ),
+        )
+
+    def cancel(self, host: str, job_id: str) -> int:
+        """End a job; the status of the answer.
+
+        :raises CallFailedError: where no whole answer came
+        """
+        path = f"/lots/{job_id}"
+        return self._call("DELETE", path, {"Host": host}, None).status
+
+    def _json(self, method: str, path: str) -> dict[str, Any]:
+        answer = self._call(method, path, {}, None)
+        if answer.status != http.client.OK:
+            raise CallFailedError(f"status {answer.status}")
+        doc: dict[str, Any] = json.loads(answer.body)
+        return doc
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+    ) -> Answered:
+        try:
+            self._conn.request(method, path, body, headers)
+            resp = self._conn.getresponse()
+            data = resp.read()
+        except (OSError, http.client.HTTPException) as exc:
+            self._conn.close()
+            raise CallFailedError(repr(exc))
+        stamped = resp.getheader(STAMP) is not None
+        return Answered(resp.status, data, stamped, resp.will_close)
+
+
+__all__ = ["Answered", "CallFailedError", "Page", "SiteCaller"]
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -44,10 +44,11 @@
 
     :param runs: how often each request began to run, by its id
     :param resumed: after which event it went on, by its id
-    :param expected: the instances that requests were meant for
+    :param began: when each run began, by a monotonic clock, and its id
     """
 
     runs: Counter[str] = field(default_factory=Counter)
+    began: list[tuple[float, str]] = field(default_factory=list)
     resumed: dict[str, list[int]] = field(default_factory=dict)
     bodies: dict[str, bytes] = field(default_factory=dict)
     paths: dict[str, str] = field(default_factory=dict)
@@ -89,6 +90,7 @@
             return whole(reply, start_response)
         with self.log.lock:
             self.log.runs[request_id] += 1
+            self.log.began.append((time.monotonic(), request_id))
             self.log.bodies[request_id] = body
             self.log.paths[request_id] = environ["REQUEST_URI"]
         if self.faults.status:
--- /dev/null
+++ b/src/mulberrypass/platform/stand_in/site.py
@@ -0,0 +1,101 @@
+"""Documents of a small site: settings, desired state, engines' entries."""
+
+from __future__ import annotations
+
+from typing import Any
+
+ONLINE_HOST = "dock.example"
+BATCH_HOST = "clerk.example"
+ONCE_PATH = "/lookup/1"
+RESUMABLE_PATH = "/slip/1"
+BATCH_PATH = "/crates/1"
+SERVICE = "rackmind"
+FIRST_TIMEOUT_MS = 8_000
+
+
+def settings_text(
+    name: str, address: str, zone: str, store: str, grace_s: int
+) -> str:
+    """Give the settings file of an instance."""
+    return f"""
+NodeName = "{name}"
+Ip = "{address}"
+Zone = "{zone}"
+InternalPorts = [7720, 7735]
+[Listen]
+Front = "{address}:8161"
+Ready = "{address}:8167"
+Directory = "{address}:8164"
+[Bounds]
+GraceS = {grace_s}
+[Platform]
+Address = "{store}"
+"""
+
+
+def desired_document(version: int) -> dict[str, Any]:
+    """Give a desired state; each version has a route of its own."""
+    return {
+        "Version": version,
+        "Routes": [
+            _route("lookup", ONLINE_HOST, version),
+            _route("slip", ONLINE_HOST, version, Resumable=True),
+            _route(version_name(version), ONLINE_HOST, version),
+            _route(
+                "crates",
+                BATCH_HOST,
+                version,
+                RouteType="batch",
+                Cap=1_000_000,
+            ),
+        ],
+        "Services": [{"Name": SERVICE, "Engine": {"Stride": 1}}],
+    }
+
+
+def version_name(version: int) -> str:
+    """Name the route that only one version has."""
+    return f"version-{version}"
+
+
+def version_path(version: int) -> str:
+    """Give a path of the route that only one version has."""
+    return f"/{version_name(version)}/1"
+
+
+def engine_document(address: str, slots: int, leaving: bool) -> dict[str, Any]:
+    """Give an engine's entry."""
+    return {
+        "Service": SERVICE,
+        "Address": address,
+        "Slots": slots,
+        "State": "draining" if leaving else "ready",
+    }
+
+
+def _route(
+    name: str, host: str, version: int, **fields: Any
+) -> dict[str, Any]:
+    return {
+        "Name": name,
+        "Host": host,
+        "Prefix": f"/{name}/",
+        "RouteType": "streaming",
+        "Service": SERVICE,
+        "TimeoutMs": FIRST_TIMEOUT_MS + version,
+        "TargetLatencyMs": 2_000,
+        "MaxAttempts": 2,
+    } | fields
+
+
+__all__ = [
+    "BATCH_HOST",
+    "BATCH_PATH",
+    "ONCE_PATH",
+    "ONLINE_HOST",
+    "RESUMABLE_PATH",
+    "desired_document",
+    "engine_document",
+    "settings_text",
+    "version_path",
+]
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -34,6 +34,7 @@
 from mulberrypass.platform.lots import LotCalls, item_request
 from mulberrypass.platform.row_client import SiteRows
 from mulberrypass.platform.site import (
+    PEER_KEY_VARIABLE,
     SETTINGS_VARIABLE,
     Listener,
     SiteError,
@@ -124,8 +125,10 @@
             TableFollower(self._rows, desired.CONFIG_TABLE, self._routes),
             TableFollower(self._rows, desired.ENGINE_TABLE, self._engine_rows),
         )
-        # Peers are told apart from strangers by what all of a site share.
-        key = f"peers-of-{site.store.host}:{site.store.port}"
+        # Without a key of the operator's, peers are told apart from
+        # strangers by what all of a site share.
+        shared = f"peers-of-{site.store.host}:{site.store.port}"
+        key = os.environ.get(PEER_KEY_VARIABLE) or shared
         self._loop = LoopThread()
         self._peers = ConfigurationPeers(
             self._loop, key, self._address_of, self._routes.snapshot
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -108,11 +108,14 @@
         req: RelayRequest,
         deadline: Deadline,
         on_open: Callable[[Callable[[], None]], None],
+        patience: Deadline,
     ) -> EngineAnswer:
         """Send a request and read the head of the answer.
 
+        :param deadline: until when the engine may work; it is told so
         :param on_open: called with what ends the connection, before the
             request is sent
+        :param patience: until when to wait for the head
         :raises WireError: where there is no whole head for this request
         """
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -51,6 +51,9 @@
 # From an engine's slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_S = 0.07
 MAX_WHOLE_BYTES = 8_388_608
+# An engine that answers nothing for so long is left, where the request may
+# go on elsewhere; callers leave a silent stream after 2 s.
+SILENT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,7 +205,11 @@
         req = replace(self._req, after_event=self._shown)
         try:
             self._answer = self._tools.engines.send(
-                placement.engine, req, self._deadline, self._watch
+                placement.engine,
+                req,
+                self._deadline,
+                self._watch,
+                self._patience(),
             )
             head = self._answer.head
             if head.not_run:
@@ -226,6 +233,12 @@
         self._leave(ReleaseOutcome.DONE)
         return None
 
+    def _patience(self) -> Deadline:
+        """Give until when the engine may answer nothing."""
+        if self._may_repeat():
+            return self._deadline.within(SILENT_S)
+        return self._deadline
+
     def _watch(self, abort: Callable[[], None]) -> None:
         self._unwatch()
         self._watched = Watched(self._gone, abort)
@@ -245,7 +258,7 @@
             self._head_sent = True
             yield AnswerHead(answer.head.status, answer.head.headers, None)
         while True:
-            data = answer.read_some(self._deadline)
+            data = answer.read_some(self._patience())
             if not data:
                 break
             events = splitter.feed(data)
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -7,6 +7,7 @@
 import unittest
 
 from mulberrypass.batches.holder import JobHolder, Members
+from mulberrypass.batches.run import SILENT_S
 from mulberrypass.batches.store import BatchStore
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.platform.lots import item_request
@@ -114,6 +115,16 @@
                 self.assertEqual(wanted, self.results())
                 self.assertEqual(len(scripts), len(self.engines.sent))
 
+    def test_no_engine_is_waited_for_long_in_silence(self) -> None:
+        """Found by the soak: an item that waited 120 s for its next event."""
+        holder = self.holder(Script(parts=[event(1), event(2)]))
+        self.accept(holder)
+        self.assertTrue(until(lambda: bool(self.results())))
+        latest = time.monotonic() + SILENT_S
+        self.assertEqual(
+            [], [d for d in self.engines.patience if d.at > latest]
+        )
+
     def test_a_revoked_item_keeps_its_text(self) -> None:
         def revoke() -> None:
             assert self.permits.revoke is not None
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -117,16 +117,20 @@
 class ScriptedAnswer(EngineAnswer):
     """Gives the parts of a script."""
 
-    def __init__(self, script: Script, log: list[str]) -> None:
+    def __init__(
+        self, script: Script, log: list[str], patience: list[Deadline]
+    ) -> None:
         headers = (("X-Stamp", "s"),)
         self.head = EngineHead(
             script.status, headers, script.not_run, False, None, None
         )
         self._parts = deque(script.parts)
         self._log = log
+        self._patience = patience
 
-    def read_some(self, _deadline: Deadline) -> bytes:
+    def read_some(self, deadline: Deadline) -> bytes:
         """Give the next part."""
+        self._patience.append(deadline)
         if not self._parts:
             return b""
         part = self._parts.popleft()
@@ -149,6 +153,7 @@
     def __init__(self, *scripts: Script | EngineFailed) -> None:
         self._scripts = deque(scripts)
         self.sent: list[tuple[str, RelayRequest]] = []
+        self.patience: list[Deadline] = []
         self.log: list[str] = []
 
     def send(
@@ -157,16 +162,18 @@
         req: RelayRequest,
         _deadline: Deadline,
         on_open: Callable[[Callable[[], None]], None],
+        patience: Deadline,
     ) -> EngineAnswer:
         """Follow the next script."""
         self.sent.append((engine.name, req))
+        self.patience.append(patience)
         on_open(lambda: self.log.append("abort"))
         script = self._scripts.popleft()
         if isinstance(script, EngineFailed):
             raise WireError(script)
         if script.before is not None:
             script.before()
-        return ScriptedAnswer(script, self.log)
+        return ScriptedAnswer(script, self.log, self.patience)
 
 
 class ScriptedPermits(PermitClient):
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any
 import unittest
 
@@ -18,7 +19,7 @@
     Refused,
 )
 from mulberrypass.relay.directory import Directory
-from mulberrypass.relay.forward import Forwarder, RelayTools
+from mulberrypass.relay.forward import SILENT_S, Forwarder, RelayTools
 from mulberrypass.relay.placing import Placer
 from mulberrypass.relay.watch import CallWatch
 from tests.relay.fakes import (
@@ -59,6 +60,29 @@
     return b"".join(e.data for e in events if isinstance(e, AnswerBody))
 
 
+class SilenceTest(unittest.TestCase):
+    """Found by the soak: an engine that accepts, and answers nothing."""
+
+    def most_patient_s(self, engines: ScriptedEngines) -> float:
+        now = time.monotonic()
+        return max(until.at for until in engines.patience) - now
+
+    def test_a_silent_engine_is_left_where_that_may_go_on(self) -> None:
+        engines = ScriptedEngines(Script(parts=list(WHOLE)))
+        run(tools(engines, ScriptedPermits("e1"), RESUMABLE))
+        self.assertLessEqual(self.most_patient_s(engines), SILENT_S)
+
+    def test_it_is_not_left_on_the_last_attempt(self) -> None:
+        engines = ScriptedEngines(CUT, Script(parts=list(WHOLE)))
+        run(tools(engines, ScriptedPermits("e1", "e2"), RESUMABLE))
+        self.assertGreater(self.most_patient_s(engines), 2 * SILENT_S)
+
+    def test_it_is_not_left_where_nothing_may_run_twice(self) -> None:
+        engines = ScriptedEngines(Script(parts=list(WHOLE)))
+        run(tools(engines, ScriptedPermits("e1"), route()))
+        self.assertGreater(self.most_patient_s(engines), 2 * SILENT_S)
+
+
 class StreamTest(unittest.TestCase):
     def test_whole(self) -> None:
         engines = ScriptedEngines(Script(parts=list(WHOLE)))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,7 +26,7 @@
     {"batches", "online"},
     {"jobs", "platform"},
     {"caller", "testing"},
-    {"operator", "bench"},
+    {"operator", "bench", "soak"},
     {"programs"},
 )
 PLATFORM_NAMES = re.compile(
