--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -12,8 +12,8 @@
 from mulberrypass.batches import codec
 from mulberrypass.batches.run import ItemRun
 from mulberrypass.model.batch_jobs import StoreLost, VersionedHead
-from mulberrypass.policy import batch_heads as policy
-from mulberrypass.policy.batch_order import ItemPace
+from mulberrypass.policy.batches import heads as policy
+from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.follow import TableReader
 
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -11,7 +11,7 @@
 from mulberrypass.engine.wire import Deadline, WireError
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.batch_order import order_item
+from mulberrypass.policy.batches.order import order_item
 from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
 from mulberrypass.relay.events import (
     BadEventError,
@@ -27,7 +27,7 @@
 
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
     from mulberrypass.model.routes import RelayRoute
-    from mulberrypass.policy.batch_order import ItemPace
+    from mulberrypass.policy.batches.order import ItemPace
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.forward import RelayTools
     from mulberrypass.relay.placing import Placement
--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -20,7 +20,7 @@
     VersionedHead,
 )
 from mulberrypass.model.store import Throttled, Unavailable
-from mulberrypass.policy import batch_heads as policy
+from mulberrypass.policy.batches import heads as policy
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.rows import (
     Expected,
--- a/src/mulberrypass/bench/model_experiments.py
+++ b/src/mulberrypass/bench/model_experiments.py
@@ -28,7 +28,7 @@
     capacity,
     poisson,
 )
-from mulberrypass.policy.cell_settings import CellSettings, PacingSettings
+from mulberrypass.policy.admission.settings import CellSettings, PacingSettings
 from mulberrypass.testing.engine_step import EngineShape
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/bench/model_policies.py
+++ b/src/mulberrypass/bench/model_policies.py
@@ -9,7 +9,7 @@
 
 from mulberrypass.bench.model_engine import NETWORK_S
 from mulberrypass.model.objects import Backend, BackendKind, Customer
-from mulberrypass.policy.admission import Cell
+from mulberrypass.policy.admission.cell import Cell
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -24,8 +24,8 @@
     from collections.abc import Iterable
 
     from mulberrypass.bench.model_engine import Clock, Work
-    from mulberrypass.policy.admission import CellDecision
-    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.admission.cell import CellDecision
+    from mulberrypass.policy.admission.settings import CellSettings
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
     from mulberrypass.testing.engine_step import EngineShape
 
--- a/src/mulberrypass/bench/slope_jobs.py
+++ b/src/mulberrypass/bench/slope_jobs.py
@@ -41,7 +41,7 @@
 )
 from mulberrypass.model.source import ConfigurationSource
 from mulberrypass.peer.api import Membership, PermitClient
-from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.policy.jobs.commands import HolderSettings
 from mulberrypass.policy.messages import Grant
 from mulberrypass.runtime.http import WsgiApp
 from mulberrypass.runtime.logs import configure
--- a/src/mulberrypass/caller/addresses.py
+++ b/src/mulberrypass/caller/addresses.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.caller.auth import customer_of
-from mulberrypass.policy.addresses import TTL_S, Candidate, choose
+from mulberrypass.policy.online.addresses import TTL_S, Candidate, choose
 from mulberrypass.runtime.http import Problem, json_answer
 from mulberrypass.runtime.ports import (
     BATCH_PORT,
--- a/src/mulberrypass/caller/explain.py
+++ b/src/mulberrypass/caller/explain.py
@@ -10,7 +10,7 @@
 
 from mulberrypass.caller.auth import operator_of
 from mulberrypass.model.jsonable import jsonable
-from mulberrypass.policy.canary import route_version
+from mulberrypass.policy.placement.canary import route_version
 from mulberrypass.runtime.http import Problem, json_answer
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/caller/jobs.py
+++ b/src/mulberrypass/caller/jobs.py
@@ -38,7 +38,7 @@
     from mulberrypass.jobs.rows import JobRow
     from mulberrypass.model.objects import Customer, Service
     from mulberrypass.model.source import ConfigurationSource
-    from mulberrypass.policy.jobs import JobView
+    from mulberrypass.policy.jobs.jobs import JobView
     from mulberrypass.runtime.http import Reply, Request
     from mulberrypass.runtime.metrics import Metrics
 
--- a/src/mulberrypass/caller/online.py
+++ b/src/mulberrypass/caller/online.py
@@ -18,8 +18,8 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.online.call import Call, Completed, Failed, Shown
 from mulberrypass.online.course import Course
-from mulberrypass.policy.canary import route_version
-from mulberrypass.policy.shares import Shares, ShareSettings
+from mulberrypass.policy.online.shares import Shares, ShareSettings
+from mulberrypass.policy.placement.canary import route_version
 from mulberrypass.runtime.http import (
     Answer,
     ClosingChunks,
--- a/src/mulberrypass/configuration/follower.py
+++ b/src/mulberrypass/configuration/follower.py
@@ -15,7 +15,7 @@
 from mulberrypass.model.objects import Configuration
 from mulberrypass.model.snapshot import decode
 from mulberrypass.model.source import ConfigurationSource
-from mulberrypass.policy import generation as policy
+from mulberrypass.policy.storage import generation as policy
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
--- a/src/mulberrypass/engine/watch.py
+++ b/src/mulberrypass/engine/watch.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import Backend, BackendKind
-from mulberrypass.policy import cells
-from mulberrypass.policy.cells import CellKey
+from mulberrypass.policy.admission import cells
+from mulberrypass.policy.admission.cells import CellKey
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/jobs/desk.py
+++ b/src/mulberrypass/jobs/desk.py
@@ -31,7 +31,7 @@
     Throttled,
     VersionIs,
 )
-from mulberrypass.policy.jobs import JobState, JobView, view
+from mulberrypass.policy.jobs.jobs import JobState, JobView, view
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/mulberrypass/jobs/endings.py
+++ b/src/mulberrypass/jobs/endings.py
@@ -15,7 +15,7 @@
     open_key,
 )
 from mulberrypass.model.store import Always, Delete, Put, VersionIs
-from mulberrypass.policy.jobs import JobState
+from mulberrypass.policy.jobs.jobs import JobState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.rows import LotRow
     from mulberrypass.model.store import Condition, Row, Table
-    from mulberrypass.policy.jobs import OpenJob
+    from mulberrypass.policy.jobs.jobs import OpenJob
 
 
 class JobEndings:
--- a/src/mulberrypass/jobs/expiry.py
+++ b/src/mulberrypass/jobs/expiry.py
@@ -22,7 +22,7 @@
     Delete,
     Missing,
 )
-from mulberrypass.policy.lots import LotKey
+from mulberrypass.policy.jobs.lots import LotKey
 from mulberrypass.policy.rendezvous import pick
 from mulberrypass.runtime.logs import get_logger
 
--- a/src/mulberrypass/jobs/lot_changes.py
+++ b/src/mulberrypass/jobs/lot_changes.py
@@ -12,8 +12,8 @@
     from collections.abc import Collection, Iterable
 
     from mulberrypass.jobs.rows import Chunk
-    from mulberrypass.policy.job_commands import LotFlush
-    from mulberrypass.policy.jobs import HeldLot, Holder
+    from mulberrypass.policy.jobs.commands import LotFlush
+    from mulberrypass.policy.jobs.jobs import HeldLot, Holder
 
 
 def settled_items(lines: Iterable[bytes]) -> frozenset[int]:
--- a/src/mulberrypass/jobs/reading.py
+++ b/src/mulberrypass/jobs/reading.py
@@ -20,7 +20,7 @@
     manifest_key,
     open_from_row,
 )
-from mulberrypass.policy.job_commands import Board
+from mulberrypass.policy.jobs.commands import Board
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,7 +33,7 @@
         Row,
         Table,
     )
-    from mulberrypass.policy.lots import LotKey
+    from mulberrypass.policy.jobs.lots import LotKey
 
 
 class JobReader:
--- a/src/mulberrypass/jobs/results.py
+++ b/src/mulberrypass/jobs/results.py
@@ -8,8 +8,8 @@
 from expression import Error, Ok, Result
 
 from mulberrypass.jobs.rows import LotPhase
-from mulberrypass.policy.items import ItemState
-from mulberrypass.policy.jobs import JobState
+from mulberrypass.policy.jobs.items import ItemState
+from mulberrypass.policy.jobs.jobs import JobState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/mulberrypass/jobs/rows.py
+++ b/src/mulberrypass/jobs/rows.py
@@ -7,9 +7,9 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from mulberrypass.policy.items import ItemState, Outcome
-from mulberrypass.policy.jobs import HeldLot, JobState, LotCounts, OpenJob
-from mulberrypass.policy.lots import LotKey
+from mulberrypass.policy.jobs.items import ItemState, Outcome
+from mulberrypass.policy.jobs.jobs import HeldLot, JobState, LotCounts, OpenJob
+from mulberrypass.policy.jobs.lots import LotKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
--- a/src/mulberrypass/jobs/run.py
+++ b/src/mulberrypass/jobs/run.py
@@ -10,7 +10,7 @@
 
 from mulberrypass.engine.api import EngineFailed, Finished, Generation, Tokens
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.items import Broken, Completed, Stopped
+from mulberrypass.policy.jobs.items import Broken, Completed, Stopped
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -32,7 +32,7 @@
     from mulberrypass.jobs.manifest import Item
     from mulberrypass.model.objects import Route, Service
     from mulberrypass.peer.api import PermitClient
-    from mulberrypass.policy.items import RunResult
+    from mulberrypass.policy.jobs.items import RunResult
 
 CHUNK_TOKENS = 32
 PLAIN_CALL_TOKENS = 1
--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -13,8 +13,7 @@
 from mulberrypass.jobs.store import NotLeased
 from mulberrypass.jobs.writer import GaveUp
 from mulberrypass.model.store import Throttled, Unavailable
-from mulberrypass.policy.items import Completed, ItemState
-from mulberrypass.policy.job_commands import (
+from mulberrypass.policy.jobs.commands import (
     CloseJob,
     Flush,
     LeaseNext,
@@ -24,6 +23,7 @@
     StopRun,
     TakeOver,
 )
+from mulberrypass.policy.jobs.items import Completed, ItemState
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
@@ -37,10 +37,10 @@
     from mulberrypass.jobs.reading import JobReader
     from mulberrypass.jobs.store import HolderStore
     from mulberrypass.model.store import ReadError
-    from mulberrypass.policy.items import Outcome, RunResult
-    from mulberrypass.policy.job_commands import Board, Command, Fleet
-    from mulberrypass.policy.job_holder import HolderState, LotHolder
-    from mulberrypass.policy.lots import LotGrant, LotKey
+    from mulberrypass.policy.jobs.commands import Board, Command, Fleet
+    from mulberrypass.policy.jobs.holder import HolderState, LotHolder
+    from mulberrypass.policy.jobs.items import Outcome, RunResult
+    from mulberrypass.policy.jobs.lots import LotGrant, LotKey
     from mulberrypass.runtime.metrics import Metrics
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/jobs/runs.py
+++ b/src/mulberrypass/jobs/runs.py
@@ -14,8 +14,8 @@
 from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
 from mulberrypass.model.objects import BackendKind, ServiceKind
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.canary import route_version
-from mulberrypass.policy.items import Broken, Completed, Stopped
+from mulberrypass.policy.jobs.items import Broken, Completed, Stopped
+from mulberrypass.policy.placement.canary import route_version
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.logs import get_logger
 
@@ -27,10 +27,10 @@
     from mulberrypass.model.objects import Backend, Route, Service
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import PermitClient
-    from mulberrypass.policy.items import RunResult
-    from mulberrypass.policy.job_commands import StartItem
-    from mulberrypass.policy.jobs import Holder
-    from mulberrypass.policy.lots import LotKey
+    from mulberrypass.policy.jobs.commands import StartItem
+    from mulberrypass.policy.jobs.items import RunResult
+    from mulberrypass.policy.jobs.jobs import Holder
+    from mulberrypass.policy.jobs.lots import LotKey
 
 LOG = get_logger(__name__)
 CANCEL_THREADS = 4
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -18,10 +18,10 @@
 from mulberrypass.jobs.runs import ItemRuns
 from mulberrypass.jobs.store import HolderStore
 from mulberrypass.jobs.writer import PatientWriter, RetryPause
-from mulberrypass.policy.job_commands import Fleet, HolderSettings
-from mulberrypass.policy.job_holder import LotHolder
-from mulberrypass.policy.jobs import Holder
-from mulberrypass.policy.lots import LotTerms
+from mulberrypass.policy.jobs.commands import Fleet, HolderSettings
+from mulberrypass.policy.jobs.holder import LotHolder
+from mulberrypass.policy.jobs.jobs import Holder
+from mulberrypass.policy.jobs.lots import LotTerms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,8 +32,8 @@
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.model.store import Objects, Table
     from mulberrypass.peer.api import Membership, PermitClient
-    from mulberrypass.policy.job_holder import HolderState
-    from mulberrypass.policy.jobs import OpenJob
+    from mulberrypass.policy.jobs.holder import HolderState
+    from mulberrypass.policy.jobs.jobs import OpenJob
     from mulberrypass.runtime.metrics import Metrics
 
 PROGRAM = "batch"
--- a/src/mulberrypass/jobs/store.py
+++ b/src/mulberrypass/jobs/store.py
@@ -39,7 +39,7 @@
     Put,
     VersionIs,
 )
-from mulberrypass.policy.lots import LotGrant, LotKey
+from mulberrypass.policy.jobs.lots import LotGrant, LotKey
 
 if TYPE_CHECKING:
     from mulberrypass.jobs.endings import JobEndings
@@ -51,8 +51,8 @@
         Row,
         Table,
     )
-    from mulberrypass.policy.job_commands import Flush, LotFlush
-    from mulberrypass.policy.jobs import HeldLot, Holder, OpenJob
+    from mulberrypass.policy.jobs.commands import Flush, LotFlush
+    from mulberrypass.policy.jobs.jobs import HeldLot, Holder, OpenJob
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/jobs/writer.py
+++ b/src/mulberrypass/jobs/writer.py
@@ -27,7 +27,7 @@
         Table,
         TableError,
     )
-    from mulberrypass.policy.jobs import Holder
+    from mulberrypass.policy.jobs.jobs import Holder
 
 RETRY_BASE_S = 0.1
 MAX_RETRY_S = 2.0
--- a/src/mulberrypass/online/course.py
+++ b/src/mulberrypass/online/course.py
@@ -29,8 +29,8 @@
     Withdraw,
     WorkClass,
 )
+from mulberrypass.policy.online.retry import Failure, may_retry
 from mulberrypass.policy.prefix import prefix_hashes
-from mulberrypass.policy.retry import Failure, may_retry
 from mulberrypass.runtime.metrics import Decision
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/online/recovery.py
+++ b/src/mulberrypass/online/recovery.py
@@ -9,8 +9,8 @@
 import xxhash
 
 from mulberrypass.online.call import Call
-from mulberrypass.policy.canary import route_version
-from mulberrypass.policy.recovery import Claim, is_sweeper, orphans
+from mulberrypass.policy.online.recovery import Claim, is_sweeper, orphans
+from mulberrypass.policy.placement.canary import route_version
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/online/shared.py
+++ b/src/mulberrypass/online/shared.py
@@ -6,8 +6,8 @@
 import threading
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.hedging import HedgeTimer
-from mulberrypass.policy.retry import RetryBudget
+from mulberrypass.policy.online.hedging import HedgeTimer
+from mulberrypass.policy.online.retry import RetryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/mulberrypass/operator/explain.py
+++ b/src/mulberrypass/operator/explain.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok, Result
 
-from mulberrypass.policy.cells import CellKey, cut, owner
+from mulberrypass.policy.admission.cells import CellKey, cut, owner
 from mulberrypass.runtime.http import Problem, json_answer
 from mulberrypass.runtime.ports import ENTRY_PORT
 
--- a/src/mulberrypass/operator/night.py
+++ b/src/mulberrypass/operator/night.py
@@ -10,7 +10,7 @@
 
 from mulberrypass.configuration.store import reason_of
 from mulberrypass.jobs.rows import JobRow, customer_prefix
-from mulberrypass.policy.jobs import view
+from mulberrypass.policy.jobs.jobs import view
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -26,9 +26,9 @@
     request_of,
 )
 from mulberrypass.peer.server import HeartbeatHandler
-from mulberrypass.policy.budget import TokenBucket
-from mulberrypass.policy.membership import MembershipView
-from mulberrypass.policy.membership_messages import Contact
+from mulberrypass.policy.membership.messages import Contact
+from mulberrypass.policy.membership.view import MembershipView
+from mulberrypass.policy.storage.budget import TokenBucket
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 from mulberrypass.runtime.ports import PEER_PORTS
--- a/src/mulberrypass/peer/membership_calls.py
+++ b/src/mulberrypass/peer/membership_calls.py
@@ -19,7 +19,7 @@
 
     from mulberrypass.peer.datagrams import Datagrams
     from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
-    from mulberrypass.policy.membership_messages import Contact
+    from mulberrypass.policy.membership.messages import Contact
 
 CALL_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
--- a/src/mulberrypass/peer/membership_state.py
+++ b/src/mulberrypass/peer/membership_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.membership_messages import ViewSettings
+from mulberrypass.policy.membership.messages import ViewSettings
 
 if TYPE_CHECKING:
     from mulberrypass.model.member import Member
--- a/src/mulberrypass/peer/membership_wire.py
+++ b/src/mulberrypass/peer/membership_wire.py
@@ -6,8 +6,8 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.peer import peer_pb2 as pb
-from mulberrypass.policy.membership_backends import BackendMark
-from mulberrypass.policy.membership_messages import Message
+from mulberrypass.policy.membership.backends import BackendMark
+from mulberrypass.policy.membership.messages import Message
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -22,8 +22,8 @@
     Refresh,
     Stop,
 )
-from mulberrypass.policy.cell_settings import CellSettings
-from mulberrypass.policy.cells import parse
+from mulberrypass.policy.admission.cells import parse
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.messages import (
     Ask,
     Grant,
@@ -42,7 +42,7 @@
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import Membership
     from mulberrypass.peer.permit_inbox import Item
-    from mulberrypass.policy.admission import CellDecision
+    from mulberrypass.policy.admission.cell import CellDecision
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
     from mulberrypass.runtime.metrics import Metrics
 
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -29,7 +29,7 @@
     from mulberrypass.peer.permit_routes import CellRoutes
     from mulberrypass.peer.permit_session import OwnerSession
     from mulberrypass.peer.permit_sessions import OwnerSessions
-    from mulberrypass.policy.cells import CellKey
+    from mulberrypass.policy.admission.cells import CellKey
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
     from mulberrypass.runtime.metrics import Metrics
 
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.jsonable import jsonable
-from mulberrypass.policy.admission import Cell
-from mulberrypass.policy.cells import CellKey, cut, owner
+from mulberrypass.policy.admission.cell import Cell
+from mulberrypass.policy.admission.cells import CellKey, cut, owner
 from mulberrypass.policy.messages import WorkClass
 from mulberrypass.runtime.logs import get_logger
 
@@ -15,9 +15,9 @@
 
     from mulberrypass.model.objects import Configuration
     from mulberrypass.peer.api import Membership
-    from mulberrypass.policy.admission import CellDecision
-    from mulberrypass.policy.cell_settings import CellSettings
-    from mulberrypass.policy.cells import CellLoad
+    from mulberrypass.policy.admission.cell import CellDecision
+    from mulberrypass.policy.admission.cells import CellLoad
+    from mulberrypass.policy.admission.settings import CellSettings
 
 LOG = get_logger(__name__)
 HOLDER_PROGRAMS = ("entry", "batch", "control")
--- a/src/mulberrypass/peer/permit_codec.py
+++ b/src/mulberrypass/peer/permit_codec.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 import mulberrypass.peer.peer_pb2 as pb
-from mulberrypass.policy.cells import CellLoad
+from mulberrypass.policy.admission.cells import CellLoad
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
--- a/src/mulberrypass/peer/permit_entry.py
+++ b/src/mulberrypass/peer/permit_entry.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
     from concurrent.futures import Future
 
-    from mulberrypass.policy.cells import CellKey
+    from mulberrypass.policy.admission.cells import CellKey
     from mulberrypass.policy.messages import Ask, Grant, Refuse
 
 ONLINE_RESEND_S = 1.0
--- a/src/mulberrypass/peer/permit_inbox.py
+++ b/src/mulberrypass/peer/permit_inbox.py
@@ -9,7 +9,7 @@
     from collections.abc import Callable, Mapping
     from concurrent.futures import Future
 
-    from mulberrypass.policy.cells import CellLoad
+    from mulberrypass.policy.admission.cells import CellLoad
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
 
 
--- a/src/mulberrypass/peer/permit_routes.py
+++ b/src/mulberrypass/peer/permit_routes.py
@@ -5,7 +5,13 @@
 import random
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cells import CellKey, choose, cut, owner, usual
+from mulberrypass.policy.admission.cells import (
+    CellKey,
+    choose,
+    cut,
+    owner,
+    usual,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,7 +20,7 @@
     from mulberrypass.model.objects import Backend, Configuration
     from mulberrypass.model.source import ConfigurationSource
     from mulberrypass.peer.api import Membership
-    from mulberrypass.policy.cells import CellLoad
+    from mulberrypass.policy.admission.cells import CellLoad
 
 OWNER_PROGRAM = "entry"
 
--- a/src/mulberrypass/placement/engines.py
+++ b/src/mulberrypass/placement/engines.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.placement import EngineView
+from mulberrypass.policy.placement.placement import EngineView
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/mulberrypass/placement/lease.py
+++ b/src/mulberrypass/placement/lease.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from mulberrypass.model import store as api
-from mulberrypass.policy import orders
+from mulberrypass.policy.placement import orders
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/mulberrypass/placement/pool.py
+++ b/src/mulberrypass/placement/pool.py
@@ -20,7 +20,7 @@
     EngineState,
     PoolState,
 )
-from mulberrypass.policy import orders, placement
+from mulberrypass.policy.placement import orders, placement
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
--- a/src/mulberrypass/placement/runner.py
+++ b/src/mulberrypass/placement/runner.py
@@ -11,7 +11,7 @@
 from mulberrypass.model.objects import BackendKind
 from mulberrypass.placement.lease import PoolLease
 from mulberrypass.placement.pool import PoolPlacer, PoolPorts
-from mulberrypass.policy.orders import preferred
+from mulberrypass.policy.placement.orders import preferred
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/mulberrypass/policy/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who gets which engine when: queues, slots, refusals, revocation."""
--- a/src/mulberrypass/policy/admission.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -5,15 +5,17 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cell_decisions import CellDecision
-from mulberrypass.policy.cell_dispatch import Dispatcher
-from mulberrypass.policy.cell_ledger import Ledger
-from mulberrypass.policy.cell_pacing import BatchPace
-from mulberrypass.policy.cell_settings import CellSettings
-from mulberrypass.policy.cells import CellLoad
-from mulberrypass.policy.early_refusal import EarlyRefusal
-from mulberrypass.policy.health import HealthBoard
-from mulberrypass.policy.holder_pace import HolderPace
+from mulberrypass.policy.admission.cells import CellLoad
+from mulberrypass.policy.admission.decisions import CellDecision
+from mulberrypass.policy.admission.dispatch import Dispatcher
+from mulberrypass.policy.admission.early_refusal import EarlyRefusal
+from mulberrypass.policy.admission.ledger import Ledger
+from mulberrypass.policy.admission.pacing import BatchPace
+from mulberrypass.policy.admission.queue_wait import ServiceEstimate, wait_s
+from mulberrypass.policy.admission.queueing import Queued, lane_of, work_of
+from mulberrypass.policy.admission.settings import CellSettings
+from mulberrypass.policy.health.board import HealthBoard
+from mulberrypass.policy.health.holder_pace import HolderPace
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -26,17 +28,15 @@
     Withdraw,
     WorkClass,
 )
-from mulberrypass.policy.queue_wait import ServiceEstimate, wait_s
-from mulberrypass.policy.queueing import Queued, lane_of, work_of
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from mulberrypass.model.objects import Backend, Customer, Quota
-    from mulberrypass.policy.cell_engines import Engine, Permit
-    from mulberrypass.policy.cell_permits import PermitBook
+    from mulberrypass.policy.admission.engines import Engine, Permit
+    from mulberrypass.policy.admission.permits import PermitBook
+    from mulberrypass.policy.admission.queueing import FairQueue
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
-    from mulberrypass.policy.queueing import FairQueue
 
 MIN_TOKENS_FOR_RATE = 8
 RETRY_AFTER_S = 1.0
--- a/src/mulberrypass/policy/cell_limits.py
+++ b/src/mulberrypass/policy/admission/customer_limits.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.limits import TokenBucket
+from mulberrypass.policy.admission.rate_limits import TokenBucket
 from mulberrypass.policy.messages import WorkClass
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/policy/cell_dispatch.py
+++ b/src/mulberrypass/policy/admission/dispatch.py
@@ -6,23 +6,23 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cell_decisions import CellDecision
-from mulberrypass.policy.cell_revoke import Revoker
+from mulberrypass.policy.admission.decisions import CellDecision
+from mulberrypass.policy.admission.queueing import FairQueue
+from mulberrypass.policy.admission.revoke import Revoker
+from mulberrypass.policy.admission.routing import Router
 from mulberrypass.policy.messages import Grant, WorkClass
-from mulberrypass.policy.queueing import FairQueue
-from mulberrypass.policy.routing import Router
 
 if TYPE_CHECKING:
     from collections.abc import Generator, Iterator, Mapping
 
-    from mulberrypass.policy.cell_engines import Engine, Permit
-    from mulberrypass.policy.cell_ledger import Ledger
-    from mulberrypass.policy.cell_pacing import BatchPace
-    from mulberrypass.policy.cell_settings import CellSettings
-    from mulberrypass.policy.health import HealthBoard
+    from mulberrypass.policy.admission.engines import Engine, Permit
+    from mulberrypass.policy.admission.ledger import Ledger
+    from mulberrypass.policy.admission.pacing import BatchPace
+    from mulberrypass.policy.admission.queueing import Lane, Queued
+    from mulberrypass.policy.admission.routing import Choice
+    from mulberrypass.policy.admission.settings import CellSettings
+    from mulberrypass.policy.health.board import HealthBoard
     from mulberrypass.policy.messages import Ask
-    from mulberrypass.policy.queueing import Lane, Queued
-    from mulberrypass.policy.routing import Choice
 
 PACE_BURST_S = 0.02
 
--- a/src/mulberrypass/policy/early_refusal.py
+++ b/src/mulberrypass/policy/admission/early_refusal.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from mulberrypass.policy.arrivals import ArrivalRate
+from mulberrypass.policy.admission.arrivals import ArrivalRate
 
 if TYPE_CHECKING:
     from mulberrypass.policy.messages import Ask
--- a/src/mulberrypass/policy/cell_ledger.py
+++ b/src/mulberrypass/policy/admission/ledger.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cell_engines import Engine, Permit, PrefixTable
-from mulberrypass.policy.cell_limits import CustomerLimits
-from mulberrypass.policy.cell_permits import PermitBook
-from mulberrypass.policy.queueing import work_of
+from mulberrypass.policy.admission.customer_limits import CustomerLimits
+from mulberrypass.policy.admission.engines import Engine, Permit, PrefixTable
+from mulberrypass.policy.admission.permits import PermitBook
+from mulberrypass.policy.admission.queueing import work_of
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from mulberrypass.model.objects import Backend
-    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.admission.routing import Choice
+    from mulberrypass.policy.admission.settings import CellSettings
     from mulberrypass.policy.messages import Ask
-    from mulberrypass.policy.routing import Choice
 
 
 class Ledger:
--- a/src/mulberrypass/policy/cell_pacing.py
+++ b/src/mulberrypass/policy/admission/pacing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from mulberrypass.policy.cell_settings import PacingSettings
+    from mulberrypass.policy.admission.settings import PacingSettings
 
 
 class BatchPace:
--- a/src/mulberrypass/policy/cell_permits.py
+++ b/src/mulberrypass/policy/admission/permits.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from mulberrypass.policy.cell_engines import Permit
+    from mulberrypass.policy.admission.engines import Permit
 
 
 class PermitBook:
--- a/src/mulberrypass/policy/cell_revoke.py
+++ b/src/mulberrypass/policy/admission/revoke.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.cell_decisions import CellDecision
+from mulberrypass.policy.admission.decisions import CellDecision
 from mulberrypass.policy.messages import Revoke
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from mulberrypass.policy.cell_engines import Engine, Permit
-    from mulberrypass.policy.cell_ledger import Ledger
-    from mulberrypass.policy.cell_settings import CellSettings
+    from mulberrypass.policy.admission.engines import Engine, Permit
+    from mulberrypass.policy.admission.ledger import Ledger
+    from mulberrypass.policy.admission.settings import CellSettings
 
 REFILL_PERMITS = 2
 
--- a/src/mulberrypass/policy/routing.py
+++ b/src/mulberrypass/policy/admission/routing.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from mulberrypass.policy.cell_engines import Engine
-    from mulberrypass.policy.cell_settings import (
+    from mulberrypass.policy.admission.engines import Engine
+    from mulberrypass.policy.admission.settings import (
         CellSettings,
         RoutingSettings,
     )
--- a/src/mulberrypass/policy/cell_settings.py
+++ b/src/mulberrypass/policy/admission/settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from mulberrypass.policy.early_refusal import EarlyRefusalSettings
+from mulberrypass.policy.admission.early_refusal import EarlyRefusalSettings
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mulberrypass/policy/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs of the users' site: heads, holders and order."""
--- /dev/null
+++ b/src/mulberrypass/policy/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which engines of a cell are slow or failing."""
--- a/src/mulberrypass/policy/health.py
+++ b/src/mulberrypass/policy/health/board.py
@@ -6,12 +6,12 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.health_samples import Peers, Samples
+from mulberrypass.policy.health.samples import Peers, Samples
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
 
-    from mulberrypass.policy.cell_settings import HealthSettings
+    from mulberrypass.policy.admission.settings import HealthSettings
 
 MIN_SLOW_SAMPLES = 3
 MIN_OVERDUE = 2
--- /dev/null
+++ b/src/mulberrypass/policy/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Which lots of a job run where, and what follows a run."""
--- a/src/mulberrypass/policy/job_commands.py
+++ b/src/mulberrypass/policy/jobs/commands.py
@@ -8,9 +8,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from mulberrypass.policy.items import Outcome
-    from mulberrypass.policy.jobs import HeldLot, OpenJob
-    from mulberrypass.policy.lots import LotKey, LotTerms
+    from mulberrypass.policy.jobs.items import Outcome
+    from mulberrypass.policy.jobs.jobs import HeldLot, OpenJob
+    from mulberrypass.policy.jobs.lots import LotKey, LotTerms
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/policy/job_draw.py
+++ b/src/mulberrypass/policy/jobs/draw.py
@@ -4,26 +4,26 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.job_commands import (
+from mulberrypass.policy.jobs.commands import (
     Board,
     CloseJob,
     LeaseNext,
     TakeOver,
 )
-from mulberrypass.policy.jobs import (
+from mulberrypass.policy.jobs.jobs import (
     active_holders,
     draw_order,
     orphaned,
     surely_gone,
 )
-from mulberrypass.policy.lots import LotKey
+from mulberrypass.policy.jobs.lots import LotKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from mulberrypass.policy.job_commands import Fleet, HolderSettings
-    from mulberrypass.policy.jobs import HeldLot, Holder, OpenJob
-    from mulberrypass.policy.lots import LotTerms
+    from mulberrypass.policy.jobs.commands import Fleet, HolderSettings
+    from mulberrypass.policy.jobs.jobs import HeldLot, Holder, OpenJob
+    from mulberrypass.policy.jobs.lots import LotTerms
 
 EXHAUSTED_S = 5.0
 LEASE_RETRY_S = 0.2
--- a/src/mulberrypass/policy/job_holder.py
+++ b/src/mulberrypass/policy/jobs/holder.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.job_commands import (
+from mulberrypass.policy.jobs.commands import (
     Fleet,
     Flush,
     HolderSettings,
@@ -15,18 +15,18 @@
     StartItem,
     StopRun,
 )
-from mulberrypass.policy.job_draw import LotDraw
-from mulberrypass.policy.job_polls import PollSchedule
-from mulberrypass.policy.job_unrest import Unrest
-from mulberrypass.policy.lots import LotState
+from mulberrypass.policy.jobs.draw import LotDraw
+from mulberrypass.policy.jobs.lots import LotState
+from mulberrypass.policy.jobs.polls import PollSchedule
+from mulberrypass.policy.jobs.unrest import Unrest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from mulberrypass.policy.items import Outcome, RunResult
-    from mulberrypass.policy.job_commands import Board, Command
-    from mulberrypass.policy.jobs import Holder, OpenJob
-    from mulberrypass.policy.lots import LotGrant, LotKey, LotTerms
+    from mulberrypass.policy.jobs.commands import Board, Command
+    from mulberrypass.policy.jobs.items import Outcome, RunResult
+    from mulberrypass.policy.jobs.jobs import Holder, OpenJob
+    from mulberrypass.policy.jobs.lots import LotGrant, LotKey, LotTerms
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/policy/jobs.py
+++ b/src/mulberrypass/policy/jobs/jobs.py
@@ -8,7 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.lots import LotKey
+from mulberrypass.policy.jobs.lots import LotKey
 from mulberrypass.policy.rendezvous import weight
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/policy/lots.py
+++ b/src/mulberrypass/policy/jobs/lots.py
@@ -8,7 +8,7 @@
 import statistics
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.items import (
+from mulberrypass.policy.jobs.items import (
     Again,
     ItemRecord,
     ItemState,
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from mulberrypass.policy.items import RunResult
+    from mulberrypass.policy.jobs.items import RunResult
 
 INTENT_ITEMS = 100
 STRAGGLER_FACTOR = 3.0
--- a/src/mulberrypass/policy/job_polls.py
+++ b/src/mulberrypass/policy/jobs/polls.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from mulberrypass.policy.job_commands import HolderSettings
+    from mulberrypass.policy.jobs.commands import HolderSettings
 
 
 class PollSchedule:
--- /dev/null
+++ b/src/mulberrypass/policy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who lives, who is leaving, and how members hear of it."""
--- a/src/mulberrypass/policy/membership_backends.py
+++ b/src/mulberrypass/policy/membership/backends.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.store import ListedState
-from mulberrypass.policy.membership_news import NewsQueue
+from mulberrypass.policy.membership.news import NewsQueue
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/mulberrypass/policy/membership_listing.py
+++ b/src/mulberrypass/policy/membership/listing.py
@@ -8,7 +8,7 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import ListedKind, ListedState
-from mulberrypass.policy.membership_messages import Contact
+from mulberrypass.policy.membership.messages import Contact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/mulberrypass/policy/membership_messages.py
+++ b/src/mulberrypass/policy/membership/messages.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from mulberrypass.model.member import Member
-    from mulberrypass.policy.membership_backends import BackendMark
+    from mulberrypass.policy.membership.backends import BackendMark
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mulberrypass/policy/membership.py
+++ b/src/mulberrypass/policy/membership/view.py
@@ -7,16 +7,16 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import ListedKind
-from mulberrypass.policy.membership_backends import LeavingBackends
-from mulberrypass.policy.membership_listing import Listing
-from mulberrypass.policy.membership_messages import (
+from mulberrypass.policy.membership.backends import LeavingBackends
+from mulberrypass.policy.membership.listing import Listing
+from mulberrypass.policy.membership.messages import (
     Contact,
     Message,
     ViewSettings,
 )
-from mulberrypass.policy.membership_news import NewsQueue, Rotation
-from mulberrypass.policy.membership_ring import neighbours
-from mulberrypass.policy.membership_roster import Roster
+from mulberrypass.policy.membership.news import NewsQueue, Rotation
+from mulberrypass.policy.membership.ring import neighbours
+from mulberrypass.policy.membership.roster import Roster
 
 if TYPE_CHECKING:
     import random
--- /dev/null
+++ b/src/mulberrypass/policy/online/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: retries, hedging, recovery, addresses."""
--- /dev/null
+++ b/src/mulberrypass/policy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Versions on engines, and the orders that bring them there."""
--- /dev/null
+++ b/src/mulberrypass/policy/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Commits, budgets and generations of the platform's store."""
--- a/src/mulberrypass/policy/commit.py
+++ b/src/mulberrypass/policy/storage/commit.py
@@ -17,7 +17,7 @@
     Throttled,
     Unavailable,
 )
-from mulberrypass.policy.budget import Backoff
+from mulberrypass.policy.storage.budget import Backoff
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/mulberrypass/programs/batch.py
+++ b/src/mulberrypass/programs/batch.py
@@ -14,7 +14,7 @@
 from mulberrypass.engine.directory import Backends
 from mulberrypass.jobs.service import JobPeers, JobService
 from mulberrypass.peer.holder import PermitLink
-from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.policy.jobs.commands import HolderSettings
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
--- a/src/mulberrypass/programs/control.py
+++ b/src/mulberrypass/programs/control.py
@@ -20,7 +20,7 @@
 from mulberrypass.operator.night import JobNight
 from mulberrypass.operator.status import Status
 from mulberrypass.placement.runner import PlacementPorts, PlacementRunner
-from mulberrypass.policy.orders import preferred
+from mulberrypass.policy.placement.orders import preferred
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
--- a/src/mulberrypass/programs/entry.py
+++ b/src/mulberrypass/programs/entry.py
@@ -24,7 +24,7 @@
 from mulberrypass.peer.holder import PermitLink
 from mulberrypass.peer.owner import OwnerTask
 from mulberrypass.peer.permit_streams import PermitStreams
-from mulberrypass.policy.shares import ShareSettings
+from mulberrypass.policy.online.shares import ShareSettings
 from mulberrypass.programs.daemon import DaemonSettings
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.wiring import open_common
--- a/src/mulberrypass/programs/site_settings.py
+++ b/src/mulberrypass/programs/site_settings.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from mulberrypass.peer.membership_state import MembershipSettings
-from mulberrypass.policy.cell_settings import (
+from mulberrypass.policy.admission.settings import (
     BatchRoom,
     CellSettings,
     HealthSettings,
     PacingSettings,
     RoutingSettings,
 )
-from mulberrypass.policy.membership_messages import ViewSettings
+from mulberrypass.policy.membership.messages import ViewSettings
 
 PROGRAM = "entry"
 MEMBERSHIP = MembershipSettings(
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -17,7 +17,7 @@
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership, MembershipSettings
 from mulberrypass.peer.server import PeerServer
-from mulberrypass.policy.budget import FleetBudget
+from mulberrypass.policy.storage.budget import FleetBudget
 from mulberrypass.runtime.dump import StateDump
 from mulberrypass.runtime.logs import configure
 from mulberrypass.runtime.metrics import Metrics
--- a/src/mulberrypass/soak/world.py
+++ b/src/mulberrypass/soak/world.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 from pathlib import Path
 from signal import Signals
+import socket
 import subprocess
 import sys
 import tempfile
@@ -30,7 +32,7 @@
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
 
-NET = "127.0.60"
+NETS = tuple(f"127.0.{number}" for number in range(60, 90))
 FRONT, READY, DIRECTORY = 8161, 8167, 8164
 STORE_PORT, ENGINE_PORT = 8169, 8080
 STORE_HOST = 250
@@ -47,13 +49,24 @@
 ZONES = 3
 
 
+def free_net() -> str:
+    """Give a loopback network on which no other soak runs."""
+    for net in NETS:
+        with contextlib.suppress(OSError):
+            socket.create_server((f"{net}.{STORE_HOST}", STORE_PORT)).close()
+            return net
+    raise OSError("no loopback network is free")
+
+
 class Instance:
     """One instance: its process, and its link to the store."""
 
-    def __init__(self, number: int, link: Link, folder: Path) -> None:
+    def __init__(
+        self, net: str, number: int, link: Link, folder: Path
+    ) -> None:
         self.number = number
         self.link = link
-        self.address = f"{NET}.{number + 1}"
+        self.address = f"{net}.{number + 1}"
         self.front = Listener(self.address, FRONT)
         self.directory = Listener(self.address, DIRECTORY)
         self.expected_down = True
@@ -107,6 +120,7 @@
 
     def __init__(self, instances: int, engines: int) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="mulberry-soak-"))
+        self.net = free_net()
         self.rows = RowState()
         self.loop = LoopThread("soak-links")
         self.version = 0
@@ -117,14 +131,16 @@
         self.engine_links = [
             Link(
                 self.loop,
-                Listener(f"{NET}.{ENGINE_LINK + number}", ENGINE_PORT),
-                Listener(f"{NET}.{ENGINE_HOST + number}", ENGINE_PORT),
+                self._at(ENGINE_LINK + number, ENGINE_PORT),
+                self._at(ENGINE_HOST + number, ENGINE_PORT),
             )
             for number in range(engines)
         ]
-        store = Listener(f"{NET}.{STORE_HOST}", STORE_PORT)
+        store = self._at(STORE_HOST, STORE_PORT)
         self.instances = [
-            Instance(number, self._store_link(number, store), self.folder)
+            Instance(
+                self.net, number, self._store_link(number, store), self.folder
+            )
             for number in range(instances)
         ]
         self._store = self._server(StoreApp(self.rows), store)
@@ -134,9 +150,12 @@
         ]
 
     def _store_link(self, number: int, store: Listener) -> Link:
-        at = Listener(f"{NET}.{STORE_LINK + number}", STORE_PORT)
+        at = self._at(STORE_LINK + number, STORE_PORT)
         return Link(self.loop, at, store)
 
+    def _at(self, host: int, port: int) -> Listener:
+        return Listener(f"{self.net}.{host}", port)
+
     def _server(self, app: Any, at: Listener) -> HttpServer:
         return HttpServer(app, at.host, at.port, THREADS, MAX_BODY_BYTES)
 
--- a/src/mulberrypass/storage/committer.py
+++ b/src/mulberrypass/storage/committer.py
@@ -14,7 +14,7 @@
 from expression import Error
 
 from mulberrypass.model.store import MAX_SCAN_ROWS, Table, Unavailable
-from mulberrypass.policy.commit import Entry, GroupCommit
+from mulberrypass.policy.storage.commit import Entry, GroupCommit
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 from mulberrypass.storage.operations import op_to_json
@@ -32,7 +32,7 @@
         Row,
         TableError,
     )
-    from mulberrypass.policy.commit import Flight, GroupLimits, Settled
+    from mulberrypass.policy.storage.commit import Flight, GroupLimits, Settled
     from mulberrypass.runtime.metrics import Metrics
 
 LOG = get_logger(__name__)
--- a/src/mulberrypass/storage/metered.py
+++ b/src/mulberrypass/storage/metered.py
@@ -15,7 +15,7 @@
     Table,
     Throttled,
 )
-from mulberrypass.policy.budget import FleetBudget, TokenBucket
+from mulberrypass.policy.storage.budget import FleetBudget, TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/mulberrypass/storage/settled.py
+++ b/src/mulberrypass/storage/settled.py
@@ -31,7 +31,7 @@
     Unavailable,
     VersionIs,
 )
-from mulberrypass.policy.budget import Backoff
+from mulberrypass.policy.storage.budget import Backoff
 from mulberrypass.runtime.metrics import Decision
 
 if TYPE_CHECKING:
--- a/tests/caller/border.py
+++ b/tests/caller/border.py
@@ -19,7 +19,7 @@
 from mulberrypass.online.recorded import RecordedRuns
 from mulberrypass.online.records import Records
 from mulberrypass.online.shared import SharedPolicy
-from mulberrypass.policy.shares import ShareSettings
+from mulberrypass.policy.online.shares import ShareSettings
 from mulberrypass.runtime.http import Request
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryTable
--- a/tests/jobs/test_run.py
+++ b/tests/jobs/test_run.py
@@ -19,7 +19,12 @@
 from mulberrypass.model.objects import Route
 from mulberrypass.model.outcome import Ran
 from mulberrypass.peer.api import PermitClient
-from mulberrypass.policy.items import Broken, Completed, RunResult, Stopped
+from mulberrypass.policy.jobs.items import (
+    Broken,
+    Completed,
+    RunResult,
+    Stopped,
+)
 from mulberrypass.policy.messages import (
     FirstToken,
     Grant,
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -13,7 +13,7 @@
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.jobs.service import JobPeers, JobService
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.job_commands import HolderSettings
+from mulberrypass.policy.jobs.commands import HolderSettings
 from mulberrypass.runtime.http import WsgiApp
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -23,11 +23,11 @@
 from mulberrypass.model.objects import Service, ServiceKind
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.store import Objects, Table, Unavailable
-from mulberrypass.policy.items import Broken, Completed, Stopped
-from mulberrypass.policy.job_commands import Fleet, FlushAges, HolderSettings
-from mulberrypass.policy.job_holder import LotHolder
-from mulberrypass.policy.jobs import Holder
-from mulberrypass.policy.lots import LotTerms
+from mulberrypass.policy.jobs.commands import Fleet, FlushAges, HolderSettings
+from mulberrypass.policy.jobs.holder import LotHolder
+from mulberrypass.policy.jobs.items import Broken, Completed, Stopped
+from mulberrypass.policy.jobs.jobs import Holder
+from mulberrypass.policy.jobs.lots import LotTerms
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryObjects, MemoryTable
 from mulberrypass.testing.platform_state import FakePlatform
@@ -44,9 +44,9 @@
         Row,
         TableError,
     )
-    from mulberrypass.policy.items import RunResult
-    from mulberrypass.policy.job_commands import StartItem
-    from mulberrypass.policy.jobs import OpenJob
+    from mulberrypass.policy.jobs.commands import StartItem
+    from mulberrypass.policy.jobs.items import RunResult
+    from mulberrypass.policy.jobs.jobs import OpenJob
 
 T = TypeVar("T")
 CUSTOMER = "lakeshore"
--- a/tests/online/test_course.py
+++ b/tests/online/test_course.py
@@ -13,8 +13,8 @@
 from mulberrypass.online.call import Completed, Failed, Shown
 from mulberrypass.online.course import Course, Tools, new_ask_numbers
 from mulberrypass.online.shared import SharedPolicy
-from mulberrypass.policy.hedging import START_S
 from mulberrypass.policy.messages import RefusalReason, Refuse, ReleaseOutcome
+from mulberrypass.policy.online.hedging import START_S
 from mulberrypass.runtime.metrics import Metrics
 from tests.online.fakes import (
     BOOKING,
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -49,8 +49,8 @@
 from mulberrypass.operator.night import JobNight
 from mulberrypass.operator.status import Status
 from mulberrypass.placement.engines import EngineState, PoolState
-from mulberrypass.policy.jobs import JobState
-from mulberrypass.policy.lots import LotKey
+from mulberrypass.policy.jobs.jobs import JobState
+from mulberrypass.policy.jobs.lots import LotKey
 from mulberrypass.programs.ctl import Mulberryctl, run
 from mulberrypass.runtime.http import (
     Problem,
--- a/tests/peer/membership_peers.py
+++ b/tests/peer/membership_peers.py
@@ -15,7 +15,7 @@
 from mulberrypass.peer.membership_state import MembershipSettings
 import mulberrypass.peer.peer_pb2 as pb
 from mulberrypass.peer.server import ConfigurationHandler, PeerServer
-from mulberrypass.policy.membership_messages import ViewSettings
+from mulberrypass.policy.membership.messages import ViewSettings
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_memory import MemoryInstanceList
 from mulberrypass.testing.platform_state import FakePlatform
--- a/tests/peer/permit_fakes.py
+++ b/tests/peer/permit_fakes.py
@@ -20,7 +20,7 @@
     HeartbeatHandler,
     PeerServer,
 )
-from mulberrypass.policy.cell_settings import CellSettings
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.runtime.metrics import Metrics
 
 if TYPE_CHECKING:
--- a/tests/peer/test_datagrams.py
+++ b/tests/peer/test_datagrams.py
@@ -18,7 +18,7 @@
     HeartbeatHandler,
     PeerServer,
 )
-from mulberrypass.policy.membership_messages import Contact
+from mulberrypass.policy.membership.messages import Contact
 from tests.peer.membership_peers import NoConfiguration, Peers
 
 KEY = "peer-key"
--- a/tests/peer/test_holder.py
+++ b/tests/peer/test_holder.py
@@ -8,7 +8,7 @@
 import unittest
 
 from mulberrypass.peer.loop import LoopThread
-from mulberrypass.policy import cells
+from mulberrypass.policy.admission import cells
 from mulberrypass.policy.messages import (
     FirstToken,
     Grant,
@@ -28,7 +28,7 @@
     member,
     until,
 )
-from tests.policy.cell_cases import ask, batch, engine
+from tests.policy.admission.cases import ask, batch, engine
 
 if TYPE_CHECKING:
     from mulberrypass.peer.holder import PermitLink
--- a/tests/peer/test_permit_codec.py
+++ b/tests/peer/test_permit_codec.py
@@ -13,7 +13,7 @@
     encode_owner,
     encode_owner_batch,
 )
-from mulberrypass.policy.cells import CellLoad
+from mulberrypass.policy.admission.cells import CellLoad
 from mulberrypass.policy.messages import (
     FirstToken,
     Grant,
@@ -26,7 +26,7 @@
     Revoke,
     Withdraw,
 )
-from tests.policy.cell_cases import ask, batch
+from tests.policy.admission.cases import ask, batch
 
 FULL = batch(
     "b",
--- a/tests/peer/test_permit_faults.py
+++ b/tests/peer/test_permit_faults.py
@@ -25,7 +25,7 @@
     member,
     until,
 )
-from tests.policy.cell_cases import ask, batch, engine
+from tests.policy.admission.cases import ask, batch, engine
 
 if TYPE_CHECKING:
     from concurrent.futures import Future
--- a/tests/peer/test_permit_routes.py
+++ b/tests/peer/test_permit_routes.py
@@ -7,13 +7,13 @@
 import unittest
 
 from mulberrypass.peer.permit_routes import CellRoutes
-from mulberrypass.policy.cells import CellKey, CellLoad, usual
+from mulberrypass.policy.admission.cells import CellKey, CellLoad, usual
 from tests.peer.permit_fakes import (
     FakeConfiguration,
     FakeMembership,
     member,
 )
-from tests.policy.cell_cases import engine
+from tests.policy.admission.cases import engine
 
 ME = member("entry@a")
 CELLS = 10
--- a/tests/placement/test_pool.py
+++ b/tests/placement/test_pool.py
@@ -10,7 +10,7 @@
 from mulberrypass.model.objects import Fencing, Role, Route
 from mulberrypass.placement.engines import REPORT_LAG_S, EngineMemory
 from mulberrypass.placement.pool import SETTLE_S
-from mulberrypass.policy.orders import LEASE_S
+from mulberrypass.policy.placement.orders import LEASE_S
 from mulberrypass.testing.platform_state import FakePlatform
 from tests.placement.test_search import (
     ENGINES,
--- a/tests/placement/test_search.py
+++ b/tests/placement/test_search.py
@@ -33,7 +33,7 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.placement.lease import PoolLease
 from mulberrypass.placement.pool import PoolPlacer, PoolPorts
-from mulberrypass.policy.orders import LEASE_S
+from mulberrypass.policy.placement.orders import LEASE_S
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.testing.platform_faults import Faults
 from mulberrypass.testing.platform_memory import (
--- a/tests/policy/cell_cases.py
+++ b/tests/policy/admission/cases.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.objects import Backend, BackendKind, Customer
-from mulberrypass.policy.admission import Cell
-from mulberrypass.policy.cell_settings import CellSettings
+from mulberrypass.policy.admission.cell import Cell
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.messages import Ask, Grant, WorkClass
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from mulberrypass.policy.admission import CellDecision
+    from mulberrypass.policy.admission.cell import CellDecision
 
 MEMBERS = {"entry@a": "zone-a", "entry@b": "zone-b", "batch@a": "zone-a"}
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/admission/test_cell.py
@@ -7,7 +7,7 @@
 import unittest
 
 from mulberrypass.model.objects import Customer, Quota
-from mulberrypass.policy.cell_settings import CellSettings
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.messages import (
     FirstToken,
     RefusalReason,
@@ -17,7 +17,7 @@
     Revoke,
     WorkClass,
 )
-from tests.policy.cell_cases import (
+from tests.policy.admission.cases import (
     ask,
     batch,
     cell,
--- a/tests/policy/test_cells.py
+++ b/tests/policy/admission/test_cells.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.policy.cells import (
+from mulberrypass.policy.admission.cells import (
     CellKey,
     CellLoad,
     choose,
--- a/tests/policy/test_early_refusal.py
+++ b/tests/policy/admission/test_early_refusal.py
@@ -8,11 +8,11 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.policy.cell_settings import CellSettings
-from mulberrypass.policy.early_refusal import (
+from mulberrypass.policy.admission.early_refusal import (
     EarlyRefusal,
     EarlyRefusalSettings,
 )
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.messages import (
     Ask,
     Grant,
@@ -21,10 +21,10 @@
     Release,
     ReleaseOutcome,
 )
-from tests.policy.cell_cases import ask, cell, engine
+from tests.policy.admission.cases import ask, cell, engine
 
 if TYPE_CHECKING:
-    from mulberrypass.policy.admission import Cell, CellDecision
+    from mulberrypass.policy.admission.cell import Cell, CellDecision
 
 SETTINGS = EarlyRefusalSettings()
 START_S = 0.23
--- a/tests/policy/test_cell_pacing.py
+++ b/tests/policy/admission/test_pacing.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from mulberrypass.policy.cell_pacing import BatchPace
-from mulberrypass.policy.cell_settings import PacingSettings
+from mulberrypass.policy.admission.pacing import BatchPace
+from mulberrypass.policy.admission.settings import PacingSettings
 
 SETTINGS = PacingSettings()
 
--- a/tests/policy/test_queueing.py
+++ b/tests/policy/admission/test_queueing.py
@@ -5,14 +5,14 @@
 import random
 import unittest
 
-from mulberrypass.policy.messages import Ask
-from mulberrypass.policy.queueing import (
+from mulberrypass.policy.admission.queueing import (
     FairQueue,
     Queued,
     lane_of,
     work_of,
 )
-from tests.policy.cell_cases import ask
+from mulberrypass.policy.messages import Ask
+from tests.policy.admission.cases import ask
 
 
 def _queued(made: Ask, deadline: float, sequence: int) -> Queued:
--- a/tests/policy/test_admission_random.py
+++ b/tests/policy/admission/test_random.py
@@ -9,8 +9,8 @@
 import unittest
 
 from mulberrypass.model.objects import Customer, Quota
-from mulberrypass.policy.admission import Cell, CellDecision
-from mulberrypass.policy.cell_settings import CellSettings
+from mulberrypass.policy.admission.cell import Cell, CellDecision
+from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -22,7 +22,7 @@
     Withdraw,
     WorkClass,
 )
-from tests.policy.cell_cases import MEMBERS, ask, batch, engine
+from tests.policy.admission.cases import MEMBERS, ask, batch, engine
 
 SEEDS = int(os.environ.get("MULBERRY_TEST_SEEDS", "25"))
 STEPS = 1_500
--- a/tests/policy/test_limits.py
+++ b/tests/policy/admission/test_rate_limits.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mulberrypass.policy.limits import TokenBucket
+from mulberrypass.policy.admission.rate_limits import TokenBucket
 
 
 class TokenBucketTest(unittest.TestCase):
--- a/tests/policy/test_routing.py
+++ b/tests/policy/admission/test_routing.py
@@ -10,7 +10,7 @@
     Release,
     ReleaseOutcome,
 )
-from tests.policy.cell_cases import ask, cell, engine, granted
+from tests.policy.admission.cases import ask, cell, engine, granted
 
 PREFIX = tuple(range(100, 116))
 
--- a/tests/policy/test_batch_heads.py
+++ b/tests/policy/batches/test_heads.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mulberrypass.policy import batch_heads as policy
+from mulberrypass.policy.batches import heads as policy
 from tests.batches.cases import head, outcome
 
 GONE = 1_010.0
--- a/tests/policy/test_batch_order.py
+++ b/tests/policy/batches/test_order.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mulberrypass.policy.batch_order import (
+from mulberrypass.policy.batches.order import (
     LATE_BUDGET_S,
     ItemPace,
     order_item,
--- a/tests/policy/test_health.py
+++ b/tests/policy/health/test_board.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from mulberrypass.policy.cell_settings import HealthSettings
-from mulberrypass.policy.health import HealthBoard
-from mulberrypass.policy.holder_pace import HolderPace
+from mulberrypass.policy.admission.settings import HealthSettings
+from mulberrypass.policy.health.board import HealthBoard
+from mulberrypass.policy.health.holder_pace import HolderPace
 
 NAMES = tuple(f"core-{index}" for index in range(6))
 SETTINGS = HealthSettings()
--- a/tests/policy/test_items.py
+++ b/tests/policy/jobs/test_items.py
@@ -5,7 +5,7 @@
 import unittest
 
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.items import (
+from mulberrypass.policy.jobs.items import (
     Again,
     Broken,
     Completed,
--- a/tests/policy/test_jobs.py
+++ b/tests/policy/jobs/test_jobs.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 import unittest
 
-from mulberrypass.policy.job_commands import (
+from mulberrypass.policy.jobs.commands import (
     Board,
     Fleet,
     FlushAges,
@@ -14,10 +14,8 @@
     Poll,
     TakeOver,
 )
-from mulberrypass.policy.job_holder import LotHolder
-from mulberrypass.policy.job_polls import PollSchedule
-from mulberrypass.policy.job_unrest import Unrest
-from mulberrypass.policy.jobs import (
+from mulberrypass.policy.jobs.holder import LotHolder
+from mulberrypass.policy.jobs.jobs import (
     HeldLot,
     Holder,
     JobState,
@@ -28,7 +26,9 @@
     orphaned,
     view,
 )
-from mulberrypass.policy.lots import LotKey, LotTerms
+from mulberrypass.policy.jobs.lots import LotKey, LotTerms
+from mulberrypass.policy.jobs.polls import PollSchedule
+from mulberrypass.policy.jobs.unrest import Unrest
 
 OWN = Holder("batch@a", 5)
 JOB = OpenJob("j-1", "x", "s", 100.0, 1.0, 3, 1)
--- a/tests/policy/test_lots.py
+++ b/tests/policy/jobs/test_lots.py
@@ -5,8 +5,13 @@
 import unittest
 
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.items import Broken, Completed, ItemState, Stopped
-from mulberrypass.policy.lots import (
+from mulberrypass.policy.jobs.items import (
+    Broken,
+    Completed,
+    ItemState,
+    Stopped,
+)
+from mulberrypass.policy.jobs.lots import (
     LotGrant,
     LotKey,
     LotState,
--- a/tests/policy/membership_fleet.py
+++ b/tests/policy/membership/fleet.py
@@ -10,8 +10,8 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import Listed, ListedKind, ListedState
-from mulberrypass.policy.membership import MembershipView
-from mulberrypass.policy.membership_messages import Contact, ViewSettings
+from mulberrypass.policy.membership.messages import Contact, ViewSettings
+from mulberrypass.policy.membership.view import MembershipView
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/policy/test_membership_fleet.py
+++ b/tests/policy/membership/test_fleet.py
@@ -6,7 +6,7 @@
 import unittest
 
 from mulberrypass.model.member import MemberState
-from tests.policy.membership_fleet import Fleet, Node, states_in
+from tests.policy.membership.fleet import Fleet, Node, states_in
 
 ALIVE, SUSPECT, LEAVING, DEAD = MemberState
 STEP_S = 0.5
--- a/tests/policy/test_membership.py
+++ b/tests/policy/membership/test_view.py
@@ -9,16 +9,16 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import Listed, ListedKind, ListedState
-from mulberrypass.policy.membership import MembershipView
-from mulberrypass.policy.membership_backends import (
+from mulberrypass.policy.membership.backends import (
     HOLD_S,
     UNLISTED_HOLD_S,
     BackendMark,
     LeavingBackends,
 )
-from mulberrypass.policy.membership_messages import Message, ViewSettings
-from mulberrypass.policy.membership_news import NewsQueue, Rotation
-from mulberrypass.policy.membership_ring import neighbours
+from mulberrypass.policy.membership.messages import Message, ViewSettings
+from mulberrypass.policy.membership.news import NewsQueue, Rotation
+from mulberrypass.policy.membership.ring import neighbours
+from mulberrypass.policy.membership.view import MembershipView
 
 ALIVE, SUSPECT, LEAVING, DEAD = MemberState
 SETTINGS = ViewSettings(asking_rounds=0, young_rounds=0)
--- a/tests/policy/test_hedging.py
+++ b/tests/policy/online/test_hedging.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from mulberrypass.policy.hedging import (
+from mulberrypass.policy.online.hedging import (
     MIN_HEDGE_S,
     MIN_SAMPLES,
     START_S,
--- a/tests/policy/test_retry.py
+++ b/tests/policy/online/test_retry.py
@@ -6,7 +6,7 @@
 import unittest
 
 from mulberrypass.model.outcome import Ran
-from mulberrypass.policy.retry import Failure, RetryBudget, may_retry
+from mulberrypass.policy.online.retry import Failure, RetryBudget, may_retry
 
 FAILURE = Failure(
     Ran.NO, permanent=False, shown=False, idempotent=False, left_s=1.0
--- a/tests/policy/canary_trial.py
+++ b/tests/policy/placement/canary_trial.py
@@ -9,7 +9,7 @@
 import random
 import sys
 
-from mulberrypass.policy.canary import (
+from mulberrypass.policy.placement.canary import (
     Advance,
     Stop,
     VersionFigures,
--- a/tests/policy/test_canary.py
+++ b/tests/policy/placement/test_canary.py
@@ -6,7 +6,7 @@
 import unittest
 
 from mulberrypass.model.objects import Customer, Route, Service, ServiceKind
-from mulberrypass.policy.canary import (
+from mulberrypass.policy.placement.canary import (
     Advance,
     Stage,
     Stay,
@@ -17,7 +17,7 @@
     route_version,
     routes_at,
 )
-from tests.policy.canary_trial import BEHAVIOURS, bring_in
+from tests.policy.placement.canary_trial import BEHAVIOURS, bring_in
 
 ANYONE = Customer("firm", ())
 PILOT = Customer("pilot-firm", (), group="pilot")
--- a/tests/policy/test_orders.py
+++ b/tests/policy/placement/test_orders.py
@@ -5,7 +5,7 @@
 import unittest
 
 from mulberrypass.model.objects import Fencing
-from mulberrypass.policy.orders import (
+from mulberrypass.policy.placement.orders import (
     LEASE_S,
     SPACING_S,
     Held,
--- a/tests/policy/test_placement.py
+++ b/tests/policy/placement/test_placement.py
@@ -15,7 +15,7 @@
     ServiceKind,
     Version,
 )
-from mulberrypass.policy.placement import (
+from mulberrypass.policy.placement.placement import (
     EngineView,
     Load,
     PoolTarget,
--- a/tests/policy/test_budget.py
+++ b/tests/policy/storage/test_budget.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mulberrypass.policy.budget import (
+from mulberrypass.policy.storage.budget import (
     PROGRAM_WEIGHTS,
     Backoff,
     FleetBudget,
--- a/tests/policy/test_commit.py
+++ b/tests/policy/storage/test_commit.py
@@ -18,8 +18,8 @@
     Throttled,
     Unavailable,
 )
-from mulberrypass.policy.budget import Backoff
-from mulberrypass.policy.commit import (
+from mulberrypass.policy.storage.budget import Backoff
+from mulberrypass.policy.storage.commit import (
     Entry,
     Flight,
     GroupCommit,
--- a/tests/policy/test_generation.py
+++ b/tests/policy/storage/test_generation.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mulberrypass.policy.generation import (
+from mulberrypass.policy.storage.generation import (
     MAX_BACKOFF_S,
     FromPeer,
     FromStore,
--- a/tests/storage/test_committer.py
+++ b/tests/storage/test_committer.py
@@ -17,7 +17,7 @@
     Put,
     Throttled,
 )
-from mulberrypass.policy.budget import FleetBudget
+from mulberrypass.policy.storage.budget import FleetBudget
 from mulberrypass.storage.committer import Committer
 from mulberrypass.storage.metered import (
     MeteredObjects,
