--- a/src/mulberrypass/configuration/store.py
+++ b/src/mulberrypass/configuration/store.py
@@ -13,23 +13,7 @@
 from mulberrypass.model.objects import Configuration
 from mulberrypass.model.published import Snapshot
 from mulberrypass.model.snapshot import decode, encode
-from mulberrypass.model.store import (
-    Absent,
-    Check,
-    Condition,
-    Conflict,
-    Exists,
-    ObjectError,
-    Objects,
-    Op,
-    Put,
-    Row,
-    Table,
-    TableError,
-    Throttled,
-    Unavailable,
-    VersionIs,
-)
+import mulberrypass.model.store as api
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -122,11 +106,11 @@
         return 0 if self.row is None else self.row.generation
 
     @property
-    def condition(self) -> Condition:
+    def condition(self) -> api.Condition:
         """The condition that the row is still this one."""
         if self.row is None:
-            return Absent()
-        return VersionIs(self.version)
+            return api.Absent()
+        return api.VersionIs(self.version)
 
 
 class ConfigurationStore:
@@ -138,8 +122,8 @@
 
     def __init__(
         self,
-        table: Table,
-        objects: Objects,
+        table: api.Table,
+        objects: api.Objects,
         clock: Callable[[], float] = time.time,
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
@@ -181,7 +165,7 @@
         match self._objects.get(rows.snapshot_key(generation, digest)):
             case Result(tag="ok", ok=data):
                 return Ok(Snapshot(generation, digest, data))
-            case Result(error=Unavailable() | Throttled() as exc):
+            case Result(error=api.Unavailable() | api.Throttled() as exc):
                 return Error(StoreDown(reason_of(exc)))
             case _:
                 reason = "its snapshot is not in the object store"
@@ -212,7 +196,7 @@
         """
         before = self._table.read(rows.TABLE, rows.submit_key(sub.submit_id))
         match before:
-            case Result(tag="ok", ok=Row() as row):
+            case Result(tag="ok", ok=api.Row() as row):
                 return _outcome(sub, row)
             case Result(tag="error", error=exc):
                 return Error(StoreDown(reason_of(exc)))
@@ -225,15 +209,15 @@
     def _latest_head(self) -> Result[Head, StoreDown]:
         return self._read_latest(rows.HEAD_KEY).map(_head)
 
-    def _read_latest(self, key: str) -> Result[Row | None, StoreDown]:
+    def _read_latest(self, key: str) -> Result[api.Row | None, StoreDown]:
         """Read a row by a transaction, so that it can't be stale."""
-        check = Check(rows.TABLE, key, Absent())
+        check = api.Check(rows.TABLE, key, api.Absent())
         reason = ""
         for attempt in range(ATTEMPTS):
             match self._table.transact((check,)):
                 case Result(tag="ok"):
                     return Ok(None)
-                case Result(error=Conflict(found=found)):
+                case Result(error=api.Conflict(found=found)):
                     return Ok(found)
                 case Result(error=exc):
                     reason = reason_of(exc)
@@ -281,7 +265,7 @@
         reason = ""
         for attempt in range(ATTEMPTS):
             match self._objects.put(key, snapshot.data):
-                case Result(tag="ok") | Result(error=Exists()):
+                case Result(tag="ok") | Result(error=api.Exists()):
                     return None
                 case Result(error=exc):
                     reason = reason_of(exc)
@@ -289,7 +273,7 @@
         return StoreDown(reason)
 
     def _commit(
-        self, ops: tuple[Op, ...], snapshot: Snapshot, sub: Submission
+        self, ops: tuple[api.Op, ...], snapshot: Snapshot, sub: Submission
     ) -> Result[Accepted, SubmitError]:
         maybe = False
         reason = ""
@@ -297,7 +281,7 @@
             match self._table.transact(ops):
                 case Result(tag="ok"):
                     return Ok(Accepted(snapshot))
-                case Result(error=Conflict()):
+                case Result(error=api.Conflict()):
                     return self._settle(sub, maybe)
                 case Result(error=exc):
                     reason = reason_of(exc)
@@ -312,7 +296,7 @@
         match self._read_latest(rows.submit_key(sub.submit_id)):
             case Result(tag="ok", ok=None):
                 return self._overtaken_now(sub)
-            case Result(tag="ok", ok=Row() as row):
+            case Result(tag="ok", ok=api.Row() as row):
                 return _outcome(sub, row)
             case Result(error=down):
                 return Error(StoreDown(down.reason, maybe_accepted=maybe))
@@ -339,7 +323,7 @@
             self._sleep(RETRY_S * 2**attempt)
 
 
-def _head(row: Row | None) -> Head:
+def _head(row: api.Row | None) -> Head:
     if row is None:
         return Head(0, None)
     return Head(row.version, rows.HeadRow.model_validate(row.row))
@@ -347,31 +331,31 @@
 
 def _publishing(
     head: Head, row: rows.HeadRow, history: rows.HistoryRow
-) -> tuple[Op, ...]:
+) -> tuple[api.Op, ...]:
     outcome = rows.SubmitRow(generation=row.generation, digest=row.digest)
     return (
-        Put(
+        api.Put(
             rows.TABLE,
             rows.HEAD_KEY,
             row.model_dump(mode="json"),
             head.condition,
         ),
-        Put(
+        api.Put(
             rows.TABLE,
             rows.history_key(row.generation),
             history.model_dump(mode="json"),
-            Absent(),
+            api.Absent(),
         ),
-        Put(
+        api.Put(
             rows.TABLE,
             rows.submit_key(row.submit_id),
             outcome.model_dump(mode="json"),
-            Absent(),
+            api.Absent(),
         ),
     )
 
 
-def _outcome(sub: Submission, row: Row) -> Result[Accepted, SubmitError]:
+def _outcome(sub: Submission, row: api.Row) -> Result[Accepted, SubmitError]:
     found = rows.SubmitRow.model_validate(row.row)
     if found.digest != sub.cfg.digest:
         return Error(SubmitIdReused(found.generation))
@@ -379,19 +363,19 @@
     return Ok(Accepted(snapshot, repeated=True))
 
 
-def reason_of(exc: ObjectError | TableError) -> str:
+def reason_of(exc: api.ObjectError | api.TableError) -> str:
     """Say why the platform did not do what it was asked."""
     match exc:
-        case Unavailable(reason=reason):
+        case api.Unavailable(reason=reason):
             return f"the platform gave no answer: {reason}"
-        case Throttled(retry_after_s=wait):
+        case api.Throttled(retry_after_s=wait):
             return f"the platform is over its rate for {wait:g} s"
         case _:
             return f"the platform refused: {exc!r}"
 
 
-def _maybe_applied(exc: TableError) -> bool:
-    return isinstance(exc, Unavailable) and exc.maybe_applied
+def _maybe_applied(exc: api.TableError) -> bool:
+    return isinstance(exc, api.Unavailable) and exc.maybe_applied
 
 
 __all__ = [
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -75,6 +75,17 @@
             raise BadEventError(f"event {number} came after {last}")
         self.last = number
 
+    def leading(
+        self, events: list[Event]
+    ) -> tuple[list[Event], BadEventError | None]:
+        """Take events up to one that must not follow, and say why not."""
+        for index, event in enumerate(events):
+            try:
+                self.take(event)
+            except BadEventError as exc:
+                return events[:index], exc
+        return events, None
+
 
 def _end_of_event(buffer: bytes) -> int:
     """Give the length of the first event; -1 where it is not whole."""
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -41,7 +41,6 @@
         RelayRequest,
     )
     from mulberrypass.relay.directory import Directory
-    from mulberrypass.relay.events import Event
     from mulberrypass.relay.placing import Placement, Placer
     from mulberrypass.relay.watch import CallWatch
 
@@ -265,7 +264,7 @@
             if not events:
                 continue
             self._placement.first()
-            follows, bad = _in_order(events, order)
+            follows, bad = order.leading(events)
             self._tokens += len(follows)
             self._shown = order.last
             if follows:
@@ -389,18 +388,6 @@
         )
 
 
-def _in_order(
-    events: list[Event], order: EventOrder
-) -> tuple[list[Event], BadEventError | None]:
-    """Give the events up to one that must not follow, and why not."""
-    for index, event in enumerate(events):
-        try:
-            order.take(event)
-        except BadEventError as exc:
-            return events[:index], exc
-    return events, None
-
-
 def _is_success(head: object) -> bool:
     status = getattr(head, "status", 0)
     return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
