--- a/src/mulberrypass/programs/bench.py
+++ b/src/mulberrypass/programs/bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 import signal
 import sys
 
@@ -9,6 +10,7 @@
 
 from mulberrypass.bench import (
     capacity,
+    report,
     slope_jobs,
     slope_membership,
     slope_permits,
@@ -23,6 +25,7 @@
 )
 
 RESULTS = "bench/results"
+FRONTIER = "docs/design/frontier.svg"
 EXIT_STOPPED = 143
 
 
@@ -83,6 +86,34 @@
         capacity.write()
         return f"written to {capacity.PAGE}"
 
+    def report(
+        self, results: str = RESULTS, page: str = "build/experiments.html"
+    ) -> str:
+        """Write a page of all recorded experiments, with plots.
+
+        :param results: directory with the results
+        :param page: file that is written
+        """
+        target = Path(page)
+        target.parent.mkdir(parents=True, exist_ok=True)
+        try:
+            report.write(Path(results), target)
+        except report.NoResultsError as exc:
+            sys.exit(f"mulberry-bench: {exc}")
+        return f"written to {target}"
+
+    def frontier(self, results: str = RESULTS, plot: str = FRONTIER) -> str:
+        """Plot online tail against batch done, from the recorded run.
+
+        :param plot: file that is written
+        """
+        try:
+            picture = report.frontier(Path(results))
+        except report.NoResultsError as exc:
+            sys.exit(f"mulberry-bench: {exc}")
+        Path(plot).write_text(picture, encoding="utf-8")
+        return f"written to {plot}"
+
     def model(
         self,
         name: str,
