Keep logs quiet for the whole test run, set up in one place

Three test files ended with the log library's own defaults, which print to standard output, so threads that live on after their test (21 are left at the end of a run, listed by an atexit hook) printed thousands of lines until the interpreter ended.

Ruled out: a program of the product doing so. mulberry-site ends by os._exit after its writer was joined; with a pipe that nobody reads it ended after 0.57 s with status 0 (tried, with the stream of today).

Change: tests/quiet.py is the one place that sets logs up, no test goes back to the defaults.

--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -4,9 +4,7 @@
 
 import logging
 
-import structlog
+from tests.quiet import quiet_logs
 
-structlog.configure(
-    wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-)
+quiet_logs()
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
--- a/tests/configuration/test_search.py
+++ b/tests/configuration/test_search.py
@@ -5,12 +5,9 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import unittest
 
-import structlog
-
 from mulberrypass.configuration.store import Accepted, Overtaken, StoreDown
 from tests.configuration.world import World
 
@@ -64,14 +61,6 @@
 class ConfigurationSearchTest(unittest.TestCase):
     """No seed loses an acceptance, splits the fleet or goes back."""
 
-    def setUp(self) -> None:
-        self.addCleanup(structlog.reset_defaults)
-        structlog.configure(
-            wrapper_class=structlog.make_filtering_bound_logger(
-                logging.CRITICAL
-            )
-        )
-
     def run_seed(self, seed: int) -> int:
         """Try one seed; how many generations it published."""
         world = World(seed)
--- a/tests/placement/test_search.py
+++ b/tests/placement/test_search.py
@@ -8,14 +8,12 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import Executor, Future
 from itertools import pairwise, product
-import logging
 import os
 import random
 from typing import Any
 import unittest
 
 from expression import Error, Ok, Result
-import structlog
 
 from mulberrypass.engine import api as engine_api
 from mulberrypass.model.objects import (
@@ -278,14 +276,6 @@
 class PlacementSearchTest(unittest.TestCase):
     """No seed leaves a pool short of its target, or flapping."""
 
-    def setUp(self) -> None:
-        self.addCleanup(structlog.reset_defaults)
-        structlog.configure(
-            wrapper_class=structlog.make_filtering_bound_logger(
-                logging.CRITICAL
-            )
-        )
-
     def run_seed(self, seed: int, fencing: Fencing, room: int) -> None:
         """Move a pool from one version to another, under faults."""
         world = World(
--- a/tests/platform/test_site_session.py
+++ b/tests/platform/test_site_session.py
@@ -15,8 +15,6 @@
 import unittest
 from urllib.parse import urlencode
 
-import structlog
-
 from mulberrypass.platform.site import Listener, Site
 from mulberrypass.platform.stand_in.engine import EngineApp
 from mulberrypass.platform.stand_in.store import StoreApp
@@ -24,6 +22,7 @@
 from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
+from tests.quiet import quiet_logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,7 +144,7 @@
             ),
         )
         self.sites = [self._start(number) for number in (1, 2)]
-        self.addCleanup(structlog.reset_defaults)
+        self.addCleanup(quiet_logs)
         self._until(lambda: self._ready(1) and self._ready(2))
         self._until(lambda: self._addresses() == 2)
 
