Write nothing to the pipe of a server that was closed

Ruled out: a port taken over by another server (its answer begins with HTTP); the test's handler (no answer is made before the head ends).

Change: wake-ups and the close go through a lock, none after the close.

--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -13,6 +13,7 @@
 
 from mulberrypass.runtime.connection import connection_class
 from mulberrypass.runtime.dispatcher import PooledDispatcher
+from mulberrypass.runtime.wakeup import Wakeup
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -88,6 +89,7 @@
             log_socket_errors=False,
             ident=None,
         )
+        self._wakeup = Wakeup(self._server)
         self._server.channel_class = connection_class(
             self._closing, lambda: self._head_s
         )
@@ -129,7 +131,7 @@
         # may bring one request more.
         time.sleep(FLUSH_S)
         whole = self._drain(deadline)
-        self._server.close()
+        self._wakeup.close()
         return whole
 
     def _refuse_connections(self) -> None:
--- /dev/null
+++ b/tests/runtime/test_wakeup.py
@@ -0,0 +1,33 @@
+"""Tests of the wake-ups of a server that has been closed."""
+
+from __future__ import annotations
+
+import os
+import select
+import unittest
+
+from mulberrypass.runtime.http import Answer, Reply, Request, Route, WsgiApp
+from mulberrypass.runtime.http_server import HttpServer
+
+
+def answer(_req: Request) -> Reply:
+    """Answer any request."""
+    return Answer(200, b"")
+
+
+class WakeupTest(unittest.TestCase):
+    def test_a_closed_server_writes_to_nobody_elses_descriptor(self) -> None:
+        app = WsgiApp((Route("GET", "/", answer),))
+        server = HttpServer(app, "127.0.0.1", 0, 1, 1_000)
+        server.start()
+        number = server._server.trigger.trigger
+        server.stop(0.0)
+        read, write = os.pipe()
+        self.addCleanup(os.close, read)
+        if write != number:
+            os.dup2(write, number)
+            self.addCleanup(os.close, write)
+        self.addCleanup(os.close, number)
+        # What a thread does whose answer ends after the close.
+        server._server.pull_trigger()
+        self.assertEqual(([], [], []), select.select([read], [], [], 0))
