Take an engine's entry only if all of its fields are there and of their type

"Fields missing or of another type" names no engine.

Stand-ins left some out: they now share one function.

Change: strict types, every field required, IPv4 number and port checked.

--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 import json
-from typing import Any, TypeVar
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from typing import Annotated, Any, Literal, TypeVar
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 from pydantic.alias_generators import to_pascal
 
 from mulberrypass.model.routes import (
@@ -22,9 +29,9 @@
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ENGINE_TABLE = "servers"
-READY = "ready"
 DRAINING = "draining"
 MS = 1_000.0
+MAX_PORT = 65_535
 
 KINDS = {
     "streaming": RouteKind.STREAM,
@@ -41,6 +48,17 @@
 M = TypeVar("M", bound=_Model)
 
 
+def _ip_and_port(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    IPv4Address(host)
+    if not port.isascii() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError("no IP number with a port")
+    return text
+
+
+IPv4Port = Annotated[str, AfterValidator(_ip_and_port)]
+
+
 class _Share(_Model):
     service: str
     weight: float = 1.0
@@ -91,12 +109,19 @@
 
 
 class _Entry(_Model):
+    """All that an engine writes; an entry that lacks some is not its own."""
+
+    model_config = ConfigDict(strict=True)
+
     service: str
-    address: str
-    zone: str = ""
-    slots: int = Field(default=1, ge=1)
-    state: str
-    cold_left_ms: float = 0
+    address: IPv4Port
+    zone: str
+    version: str
+    slots: int = Field(ge=1)
+    state: Literal["ready", "draining"]
+    cold_left_ms: float = Field(ge=0)
+    # Counts the writes of this start of the engine.
+    seq: int = Field(ge=0)
 
 
 def read_desired(data: bytes) -> RouteTable:
@@ -133,11 +158,6 @@
     :raises DocumentError: where it names no engine to use
     """
     found = _validate(_Entry, data)
-    if found.state not in (READY, DRAINING):
-        raise DocumentError(f"State: {found.state!r} is not known")
-    host, _, port = found.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DocumentError(f"Address: {found.address!r} has no port")
     return RegisteredEngine(
         name=name,
         service=found.service,
--- a/src/mulberrypass/platform/stand_in/site.py
+++ b/src/mulberrypass/platform/stand_in/site.py
@@ -63,13 +63,19 @@
     return f"/{version_name(version)}/1"
 
 
-def engine_document(address: str, slots: int, leaving: bool) -> dict[str, Any]:
+def engine_document(
+    address: str, slots: int, leaving: bool = False
+) -> dict[str, Any]:
     """Give an engine's entry."""
     return {
         "Service": SERVICE,
         "Address": address,
+        "Zone": "zone-0",
+        "Version": "v1",
         "Slots": slots,
         "State": "draining" if leaving else "ready",
+        "ColdLeftMs": 0,
+        "Seq": 1,
     }
 
 
--- a/src/mulberrypass/programs/fake_site.py
+++ b/src/mulberrypass/programs/fake_site.py
@@ -10,6 +10,7 @@
 
 from mulberrypass.platform.site import listener
 from mulberrypass.platform.stand_in.engine import EngineApp
+from mulberrypass.platform.stand_in.site import engine_document
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.runtime.http_server import HttpServer
 from mulberrypass.storage.rows import RowKey, Transaction
@@ -20,7 +21,6 @@
 EVENTS = 20
 EVENT_S = 0.02
 SLOTS = 8
-SERVICE = "rackmind"
 
 
 def serve(store: str, engines: str, config: str) -> None:
@@ -37,13 +37,8 @@
     for number, address in enumerate(str(engines).split(","), 1):
         app = EngineApp(f"i-{number}", EVENTS, EVENT_S)
         _start(app, address)
-        entry = {
-            "Service": SERVICE,
-            "Address": address,
-            "Slots": SLOTS,
-            "State": "ready",
-        }
-        _write(rows, "servers", app.name, json.dumps(entry).encode())
+        entry = json.dumps(engine_document(address, SLOTS))
+        _write(rows, "servers", app.name, entry.encode())
     sys.stdout.write("serving\n")
     sys.stdout.flush()
     threading.Event().wait()
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -60,8 +60,10 @@
     "Service": "a",
     "Address": "10.128.0.9:8080",
     "Zone": "z",
+    "Version": "v1",
     "Slots": 8,
     "State": "ready",
+    "ColdLeftMs": 0,
     "Seq": 4,
 }
 
@@ -181,6 +183,27 @@
             "null": json.dumps(ENTRY | {"Address": None}).encode(),
             "deep": b"[" * 100_000,
         }
+        other_type = (
+            ("Service", 7),
+            ("Zone", None),
+            ("Version", 1),
+            ("Slots", "8"),
+            ("Slots", True),
+            ("Slots", 7.5),
+            ("State", ["ready"]),
+            ("ColdLeftMs", "0"),
+            ("Seq", "4"),
+            ("Address", "rack.example:8080"),
+            ("Address", "10.1.1.1:0"),
+            ("Address", "10.1.1.1:x"),
+            ("Address", "10.1.1.1:\u0664"),
+        )
+        for name, value in other_type:
+            case = f"{name} {value!r}"
+            cases[case] = json.dumps(ENTRY | {name: value}).encode()
+        for name in ENTRY:
+            rest = {k: v for k, v in ENTRY.items() if k != name}
+            cases[f"without {name}"] = json.dumps(rest).encode()
         for name, data in cases.items():
             with self.subTest(name), self.assertRaises(DocumentError):
                 read_engine("i-1", data)
--- a/tests/platform/test_site_session.py
+++ b/tests/platform/test_site_session.py
@@ -17,6 +17,7 @@
 
 from mulberrypass.platform.site import Listener, Site
 from mulberrypass.platform.stand_in.engine import EngineApp
+from mulberrypass.platform.stand_in.site import engine_document
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.programs.site import SiteProcess
 from mulberrypass.runtime.http_server import HttpServer
@@ -126,12 +127,7 @@
         self.engines = [EngineApp(f"i-{n}", events=3) for n in (1, 2)]
         for number, app in enumerate(self.engines):
             self._serve(app, 11 + number, ENGINE)
-            doc = {
-                "Service": "rackmind",
-                "Address": f"{NET}.{11 + number}:{ENGINE}",
-                "Slots": 4,
-                "State": "ready",
-            }
+            doc = engine_document(f"{NET}.{11 + number}:{ENGINE}", 4)
             self._write("servers", app.name, json.dumps(doc).encode())
         self._write(
             "op",
--- a/tests/relay/test_followers.py
+++ b/tests/relay/test_followers.py
@@ -7,6 +7,7 @@
 import unittest
 
 from mulberrypass.platform.desired import read_desired, read_engine
+from mulberrypass.platform.stand_in.site import engine_document
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.storage.rows import RowKey, StoredRow
@@ -25,12 +26,7 @@
 
 def entry(name: str, version: int = 1, **fields: Any) -> StoredRow:
     """Give the row of an engine."""
-    doc = {
-        "Service": "a",
-        "Address": "10.0.0.1:80",
-        "Slots": 8,
-        "State": "ready",
-    } | fields
+    doc = engine_document("10.0.0.1:80", 8) | {"Service": "a"} | fields
     at = RowKey("servers", "", name)
     return StoredRow(at, json.dumps(doc).encode(), version)
 
--- a/tests/runtime/test_wakeup.py
+++ b/tests/runtime/test_wakeup.py
@@ -12,7 +12,7 @@
 
 def answer(_req: Request) -> Reply:
     """Answer any request."""
-    return Answer(200, b"")
+    return Answer(b"")
 
 
 class WakeupTest(unittest.TestCase):
