Send heartbeats as datagrams in the product's own programs too

Change: datagrams wherever peers are not encrypted; the slope sends and counts datagrams. Fallback to streams is as before.

--- a/src/mulberrypass/bench/slope_membership.py
+++ b/src/mulberrypass/bench/slope_membership.py
@@ -133,6 +133,7 @@
             lambda _from, found: self._take_generation(number, found),
             lambda: self.generations[number],
             rng=random.Random(seed * 10_000 + number),
+            datagrams=True,
         )
         member.subscribe(self._notify)
         self.members.append(member)
@@ -166,12 +167,19 @@
     counted = [0]
     transport: Any = vars(selector_events)["_SelectorSocketTransport"]
     write = transport.write
+    datagrams: Any = vars(selector_events)["_SelectorDatagramTransport"]
+    sendto = datagrams.sendto
 
     def counting_write(self: Any, data: bytes) -> None:
         counted[0] += len(data)
         write(self, data)
 
+    def counting_sendto(self: Any, data: bytes, addr: Any = None) -> None:
+        counted[0] += len(data)
+        sendto(self, data, addr)
+
     transport.write = counting_write
+    datagrams.sendto = counting_sendto
     return counted
 
 
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -157,6 +157,8 @@
         lambda member, generation: follower.hint(member.name, generation),
         lambda: follower.current().generation,
         tls=peer_tls,
+        # A datagram is signed, but anyone on the way can read it.
+        datagrams=peer_tls is None,
     )
     membership.subscribe(
         lambda: budget.set_live(len(membership.live(program)))
