Group the experiments by what they run on

Now model, processes, load and slopes are packages, names without their prefix, tests alike; by script, no line of an experiment is changed but its imports. Commands follow: `python -m mulberrypass.bench.slopes.membership`.

--- /dev/null
+++ b/src/mulberrypass/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Senders of load, and what they see."""
--- a/src/mulberrypass/bench/direct_sender.py
+++ b/src/mulberrypass/bench/load/direct_sender.py
@@ -9,8 +9,13 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.open_loop import Answered, Outgoing, Sender, prompt_of
-from mulberrypass.bench.workload import BATCH_SIZES, Arrival
+from mulberrypass.bench.load.open_loop import (
+    Answered,
+    Outgoing,
+    Sender,
+    prompt_of,
+)
+from mulberrypass.bench.load.workload import BATCH_SIZES, Arrival
 from mulberrypass.engine.api import Finished, Generation, Tokens
 from mulberrypass.engine.model_client import HttpModelEngine
 
--- a/src/mulberrypass/bench/entry_sender.py
+++ b/src/mulberrypass/bench/load/entry_sender.py
@@ -8,9 +8,9 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from mulberrypass.bench.cluster import ONLINE_SERVICE, bearer
-from mulberrypass.bench.http_call import call
-from mulberrypass.bench.open_loop import Answered, Outgoing, Sender
+from mulberrypass.bench.load.http_call import call
+from mulberrypass.bench.load.open_loop import Answered, Outgoing, Sender
+from mulberrypass.bench.processes.cluster import ONLINE_SERVICE, bearer
 from mulberrypass.engine.wire import ConnectionPool
 
 if TYPE_CHECKING:
--- a/src/mulberrypass/bench/open_loop.py
+++ b/src/mulberrypass/bench/load/open_loop.py
@@ -9,13 +9,13 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.recorder import Recorder
+from mulberrypass.bench.load.recorder import Recorder
 from mulberrypass.testing.engine_tokens import expected_tokens
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from mulberrypass.bench.workload import Arrival
+    from mulberrypass.bench.load.workload import Arrival
 
 THREADS = 300
 REFUSED = "refused"
--- a/src/mulberrypass/bench/sending.py
+++ b/src/mulberrypass/bench/load/sending.py
@@ -10,15 +10,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.direct_sender import DirectSender
-from mulberrypass.bench.entry_sender import EntrySender
-from mulberrypass.bench.open_loop import Outcome, Sample, send_all
+from mulberrypass.bench.load.direct_sender import DirectSender
+from mulberrypass.bench.load.entry_sender import EntrySender
+from mulberrypass.bench.load.open_loop import Outcome, Sample, send_all
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from mulberrypass.bench.cluster import Cluster
-    from mulberrypass.bench.open_loop import LoadPlan, Sender
+    from mulberrypass.bench.load.open_loop import LoadPlan, Sender
+    from mulberrypass.bench.processes.cluster import Cluster
 
 PARTS = 4
 LEAD_S = 2.5
--- /dev/null
+++ b/src/mulberrypass/bench/model/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the model of engines, in one process."""
--- a/src/mulberrypass/bench/model_engine.py
+++ b/src/mulberrypass/bench/model/engine.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.bench.workload import Size
+    from mulberrypass.bench.load.workload import Size
     from mulberrypass.testing.engine_step import EngineShape
 
 NETWORK_S = 0.001_5
--- a/src/mulberrypass/bench/model_experiments.py
+++ b/src/mulberrypass/bench/model/experiments.py
@@ -8,8 +8,14 @@
 import heapq
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.model_fleet import ModelFleet, Scenario, Slowdown
-from mulberrypass.bench.model_policies import (
+from mulberrypass.bench.load.workload import (
+    ONLINE_SIZES,
+    Sizes,
+    capacity,
+    poisson,
+)
+from mulberrypass.bench.model.fleet import ModelFleet, Scenario, Slowdown
+from mulberrypass.bench.model.policies import (
     CellPolicy,
     LeastOutstanding,
     NoPriority,
@@ -22,22 +28,16 @@
     ratio,
     row,
 )
-from mulberrypass.bench.workload import (
-    ONLINE_SIZES,
-    Sizes,
-    capacity,
-    poisson,
-)
 from mulberrypass.policy.admission.settings import CellSettings, PacingSettings
 from mulberrypass.testing.engine_step import EngineShape
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from mulberrypass.bench.model_fleet import Measured
-    from mulberrypass.bench.model_policies import Fleet, Policy
+    from mulberrypass.bench.load.workload import Arrival
+    from mulberrypass.bench.model.fleet import Measured
+    from mulberrypass.bench.model.policies import Fleet, Policy
     from mulberrypass.bench.results import Row, Target
-    from mulberrypass.bench.workload import Arrival
 
 WORKERS = 4
 ENGINES = 5
--- a/src/mulberrypass/bench/model_fleet.py
+++ b/src/mulberrypass/bench/model/fleet.py
@@ -7,15 +7,15 @@
 import random
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.model_engine import (
+from mulberrypass.bench.load.recorder import Recorder
+from mulberrypass.bench.load.workload import BATCH_SIZES
+from mulberrypass.bench.model.engine import (
     NETWORK_S,
     Clock,
     ModelledEngine,
     Work,
 )
-from mulberrypass.bench.model_policies import Fleet
-from mulberrypass.bench.recorder import Recorder
-from mulberrypass.bench.workload import BATCH_SIZES
+from mulberrypass.bench.model.policies import Fleet
 from mulberrypass.policy.messages import WorkClass
 from mulberrypass.testing.engine_step import EngineShape
 
@@ -23,8 +23,8 @@
     from collections.abc import Callable
     from collections.abc import Sequence as Listed
 
-    from mulberrypass.bench.model_policies import Policy
-    from mulberrypass.bench.workload import Arrival, Sizes
+    from mulberrypass.bench.load.workload import Arrival, Sizes
+    from mulberrypass.bench.model.policies import Policy
     from mulberrypass.testing.engine_step import Sequence
 
 BATCH_CUSTOMER = "night"
--- a/src/mulberrypass/bench/model_policies.py
+++ b/src/mulberrypass/bench/model/policies.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.model_engine import NETWORK_S
+from mulberrypass.bench.model.engine import NETWORK_S
 from mulberrypass.model.objects import Backend, BackendKind, Customer
 from mulberrypass.policy.admission.cell import Cell
 from mulberrypass.policy.messages import (
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from mulberrypass.bench.model_engine import Clock, Work
+    from mulberrypass.bench.model.engine import Clock, Work
     from mulberrypass.policy.admission.cell import CellDecision
     from mulberrypass.policy.admission.settings import CellSettings
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
--- /dev/null
+++ b/src/mulberrypass/bench/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the programs as processes."""
--- a/src/mulberrypass/bench/batch_faults.py
+++ b/src/mulberrypass/bench/processes/batch_faults.py
@@ -11,13 +11,13 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from mulberrypass.bench.cluster import (
+from mulberrypass.bench.load.http_call import call
+from mulberrypass.bench.processes.cluster import (
     BATCH_CUSTOMER,
     Cluster,
     ClusterShape,
     bearer,
 )
-from mulberrypass.bench.http_call import call
 from mulberrypass.bench.results import (
     ExperimentResult,
     at_least,
--- a/src/mulberrypass/bench/batch_load.py
+++ b/src/mulberrypass/bench/processes/batch_load.py
@@ -7,12 +7,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.open_loop import prompt_of
-from mulberrypass.bench.workload import BATCH_SIZES, Arrival
+from mulberrypass.bench.load.open_loop import prompt_of
+from mulberrypass.bench.load.workload import BATCH_SIZES, Arrival
 from mulberrypass.testing.engine_step import EngineShape
 
 if TYPE_CHECKING:
-    from mulberrypass.bench.cluster import Cluster
+    from mulberrypass.bench.processes.cluster import Cluster
 
 MARGIN_S = 25.0
 SETTLE_S = 4.0
--- a/src/mulberrypass/bench/cluster.py
+++ b/src/mulberrypass/bench/processes/cluster.py
@@ -10,8 +10,8 @@
 
 import yaml
 
-from mulberrypass.bench.http_call import call, wait_until
-from mulberrypass.bench.launcher import Launcher
+from mulberrypass.bench.load.http_call import call, wait_until
+from mulberrypass.bench.processes.launcher import Launcher
 from mulberrypass.runtime.ports import (
     BATCH_PORT,
     CONTROL_PORT,
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     import signal
 
-    from mulberrypass.bench.http_call import HttpAnswer
+    from mulberrypass.bench.load.http_call import HttpAnswer
 
 PLATFORM = "127.0.20.1"
 PEER_KEY = "bench-peer-key"
--- a/src/mulberrypass/bench/process_experiments.py
+++ b/src/mulberrypass/bench/processes/experiments.py
@@ -5,28 +5,28 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.batch_load import BatchLoad
-from mulberrypass.bench.cluster import Cluster, ClusterShape
-from mulberrypass.bench.direct_sender import BASELINES
-from mulberrypass.bench.instance_faults import instance_faults
-from mulberrypass.bench.open_loop import LoadPlan
-from mulberrypass.bench.process_run import Run, merged
+from mulberrypass.bench.load.direct_sender import BASELINES
+from mulberrypass.bench.load.open_loop import LoadPlan
+from mulberrypass.bench.load.sending import SYSTEM, run_plan
+from mulberrypass.bench.load.workload import (
+    Sizes,
+    poisson,
+)
+from mulberrypass.bench.processes.batch_load import BatchLoad
+from mulberrypass.bench.processes.cluster import Cluster, ClusterShape
+from mulberrypass.bench.processes.instance_faults import instance_faults
+from mulberrypass.bench.processes.run import Run, merged
 from mulberrypass.bench.results import (
     ExperimentResult,
     at_least,
     at_most,
     ratio,
 )
-from mulberrypass.bench.sending import SYSTEM, run_plan
-from mulberrypass.bench.workload import (
-    Sizes,
-    poisson,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypass.bench.open_loop import Outcome
+    from mulberrypass.bench.load.open_loop import Outcome
 
 FIRST_TOKEN_TARGET_MS = 750.0
 GAP_TARGET_MS = 47.0
--- a/src/mulberrypass/bench/instance_faults.py
+++ b/src/mulberrypass/bench/processes/instance_faults.py
@@ -6,16 +6,16 @@
 import signal
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.open_loop import LoadPlan
+from mulberrypass.bench.load.open_loop import LoadPlan
+from mulberrypass.bench.load.sending import SYSTEM, run_plan
 from mulberrypass.bench.results import at_most, ratio
-from mulberrypass.bench.sending import SYSTEM, run_plan
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from mulberrypass.bench.cluster import Cluster
-    from mulberrypass.bench.open_loop import Outcome, Sample
-    from mulberrypass.bench.process_run import Run
+    from mulberrypass.bench.load.open_loop import Outcome, Sample
+    from mulberrypass.bench.processes.cluster import Cluster
+    from mulberrypass.bench.processes.run import Run
     from mulberrypass.bench.results import ExperimentResult, Target
 
 LOAD = 0.25
--- a/src/mulberrypass/bench/process_run.py
+++ b/src/mulberrypass/bench/processes/run.py
@@ -7,20 +7,20 @@
 import os
 from typing import TYPE_CHECKING
 
-from mulberrypass.bench.direct_sender import BASELINES
-from mulberrypass.bench.open_loop import LoadPlan
+from mulberrypass.bench.load.direct_sender import BASELINES
+from mulberrypass.bench.load.open_loop import LoadPlan
+from mulberrypass.bench.load.sending import SYSTEM, run_plan
+from mulberrypass.bench.load.workload import ONLINE_SIZES, capacity, poisson
 from mulberrypass.bench.results import ExperimentResult, row
-from mulberrypass.bench.sending import SYSTEM, run_plan
-from mulberrypass.bench.workload import ONLINE_SIZES, capacity, poisson
 from mulberrypass.testing.engine_step import EngineShape
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from mulberrypass.bench.cluster import Cluster
-    from mulberrypass.bench.open_loop import Outcome
+    from mulberrypass.bench.load.open_loop import Outcome
+    from mulberrypass.bench.load.workload import Arrival
+    from mulberrypass.bench.processes.cluster import Cluster
     from mulberrypass.bench.results import Row, Target
-    from mulberrypass.bench.workload import Arrival
 
 WARM_UP_S = 5.0
 
--- a/src/mulberrypass/bench/results.py
+++ b/src/mulberrypass/bench/results.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
-    from mulberrypass.bench.recorder import Recorder, Summary
+    from mulberrypass.bench.load.recorder import Recorder, Summary
 
 
 class Bound(enum.StrEnum):
--- /dev/null
+++ b/src/mulberrypass/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of each part by the size of the fleet."""
--- a/src/mulberrypass/bench/slope_jobs.py
+++ b/src/mulberrypass/bench/slopes/jobs.py
@@ -1,6 +1,6 @@
 """Cost of jobs for each 1,000 items, by the size of a job.
 
-Run as ``python -m mulberrypass.bench.slope_jobs``. The job service runs in
+Run as ``python -m mulberrypass.bench.slopes.jobs``. The job service runs in
 this process over the platform stand-in in memory, with permits that are
 granted at once, and engine stand-ins in a process of their own. The cost of
 permits is measured by ``slope_permits``.
@@ -22,7 +22,7 @@
 
 import fire
 
-from mulberrypass.bench.launcher import Launcher
+from mulberrypass.bench.processes.launcher import Launcher
 from mulberrypass.caller.auth import key_digest
 from mulberrypass.caller.jobs import JobRoutes
 from mulberrypass.engine.directory import Backends
@@ -301,7 +301,7 @@
     finally:
         launcher.stop_all()
     doc = {
-        "command": "python -m mulberrypass.bench.slope_jobs",
+        "command": "python -m mulberrypass.bench.slopes.jobs",
         "window": window,
         "flush_outcomes": flush_outcomes,
         "tokens": tokens,
--- a/src/mulberrypass/bench/slope_membership.py
+++ b/src/mulberrypass/bench/slopes/membership.py
@@ -1,6 +1,6 @@
 """Cost of the membership for each member, by the size of the fleet.
 
-Run as ``python -m mulberrypass.bench.slope_membership``. The members run in
+Run as ``python -m mulberrypass.bench.slopes.membership``. The members run in
 one process, each with its own address, server and channels.
 """
 
@@ -314,7 +314,7 @@
 
 def _write(measured: list[dict[str, Any]], seed: int, out: str) -> None:
     doc = {
-        "command": "python -m mulberrypass.bench.slope_membership",
+        "command": "python -m mulberrypass.bench.slopes.membership",
         "seed": seed,
         "heartbeat_s": MembershipSettings().view.heartbeat_s,
         "neighbours": MembershipSettings().view.neighbours,
--- a/src/mulberrypass/bench/slope_permits.py
+++ b/src/mulberrypass/bench/slopes/permits.py
@@ -375,7 +375,7 @@
         print(json.dumps(asdict(slopes[-1])), flush=True)
     holder.stop()
     document = {
-        "command": "python -m mulberrypass.bench.slope_permits holder",
+        "command": "python -m mulberrypass.bench.slopes.permits holder",
         "duration_s": duration_s,
         "engines": ENGINES,
         "slots": SLOTS,
--- a/src/mulberrypass/bench/slope_platform.py
+++ b/src/mulberrypass/bench/slopes/platform.py
@@ -1,6 +1,6 @@
 """Cost of group commit for each record, by the rate of records.
 
-Run as ``python -m mulberrypass.bench.slope_platform``. The platform
+Run as ``python -m mulberrypass.bench.slopes.platform``. The platform
 stand-in runs as a program of its own, so that the processor time measured
 is that of the committing process alone.
 """
@@ -18,7 +18,7 @@
 
 import fire
 
-from mulberrypass.bench.launcher import Launcher
+from mulberrypass.bench.processes.launcher import Launcher
 from mulberrypass.model.store import Absent, Put
 from mulberrypass.platform.caller import Endpoint
 from mulberrypass.platform.client import open_platform
@@ -211,7 +211,7 @@
     share = PlatformBudget(PROGRAM)
     share.set_live(live)
     doc = {
-        "command": "python -m mulberrypass.bench.slope_platform",
+        "command": "python -m mulberrypass.bench.slopes.platform",
         "conditions": asdict(conditions),
         "share_writes_per_s": share.state().writes_per_s,
         "record_bytes": len(json.dumps(RECORD)),
--- a/src/mulberrypass/bench/slope_tokens.py
+++ b/src/mulberrypass/bench/slopes/tokens.py
@@ -9,10 +9,10 @@
 import sys
 import time
 
-from mulberrypass.bench.cluster import Cluster, ClusterShape
-from mulberrypass.bench.open_loop import LoadPlan
-from mulberrypass.bench.sending import SYSTEM, run_plan
-from mulberrypass.bench.workload import Sizes, poisson
+from mulberrypass.bench.load.open_loop import LoadPlan
+from mulberrypass.bench.load.sending import SYSTEM, run_plan
+from mulberrypass.bench.load.workload import Sizes, poisson
+from mulberrypass.bench.processes.cluster import Cluster, ClusterShape
 
 PROMPT_TOKENS = 100
 OUTPUTS = (10, 40, 80)
--- a/src/mulberrypass/programs/bench.py
+++ b/src/mulberrypass/programs/bench.py
@@ -8,21 +8,20 @@
 
 import fire
 
-from mulberrypass.bench import (
-    capacity,
-    report,
-    slope_jobs,
-    slope_membership,
-    slope_permits,
-    slope_platform,
-    slope_tokens,
-)
-from mulberrypass.bench.batch_faults import batch_faults
-from mulberrypass.bench.model_experiments import MODEL_EXPERIMENTS
-from mulberrypass.bench.process_experiments import (
+from mulberrypass.bench import capacity, report
+from mulberrypass.bench.model.experiments import MODEL_EXPERIMENTS
+from mulberrypass.bench.processes.batch_faults import batch_faults
+from mulberrypass.bench.processes.experiments import (
     PROCESS_EXPERIMENTS,
     run_experiment,
 )
+from mulberrypass.bench.slopes import (
+    jobs,
+    membership,
+    permits,
+    platform,
+    tokens,
+)
 
 RESULTS = "bench/results"
 FRONTIER = "docs/design/frontier.svg"
@@ -32,12 +31,12 @@
 class Slopes:
     """Measures how the cost of a part grows with its load."""
 
-    jobs = staticmethod(slope_jobs.measure)
-    membership = staticmethod(slope_membership.run)
-    permits_holder = staticmethod(slope_permits.run_holder)
-    permits_owner = staticmethod(slope_permits.run_owner)
-    platform = staticmethod(slope_platform.run)
-    tokens = staticmethod(slope_tokens.measure)
+    jobs = staticmethod(jobs.measure)
+    membership = staticmethod(membership.run)
+    permits_holder = staticmethod(permits.run_holder)
+    permits_owner = staticmethod(permits.run_owner)
+    platform = staticmethod(platform.run)
+    tokens = staticmethod(tokens.measure)
 
 
 class Bench:
--- /dev/null
+++ b/tests/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of senders of load."""
--- a/tests/bench/test_sending.py
+++ b/tests/bench/load/test_sending.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from mulberrypass.bench.direct_sender import BASELINES, DirectSender
-from mulberrypass.bench.entry_sender import EntrySender
-from mulberrypass.bench.open_loop import (
+from mulberrypass.bench.load.direct_sender import BASELINES, DirectSender
+from mulberrypass.bench.load.entry_sender import EntrySender
+from mulberrypass.bench.load.open_loop import (
     Answered,
     LoadPlan,
     Outcome,
@@ -20,7 +20,7 @@
     prompt_of,
     send_all,
 )
-from mulberrypass.bench.workload import Arrival, Size
+from mulberrypass.bench.load.workload import Arrival, Size
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
     Problem,
--- /dev/null
+++ b/tests/bench/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of experiments on the model of engines."""
--- a/tests/bench/test_model.py
+++ b/tests/bench/model/test_fleet.py
@@ -6,28 +6,28 @@
 import json
 import unittest
 
-from mulberrypass.bench.model_fleet import ModelFleet, Scenario, Slowdown
-from mulberrypass.bench.model_policies import (
+from mulberrypass.bench.load.recorder import Recorder
+from mulberrypass.bench.load.workload import (
+    ONLINE_SIZES,
+    Arrival,
+    Size,
+    Sizes,
+    capacity,
+    poisson,
+)
+from mulberrypass.bench.model.fleet import ModelFleet, Scenario, Slowdown
+from mulberrypass.bench.model.policies import (
     CellPolicy,
     LeastOutstanding,
     NoPriority,
     RoundRobin,
 )
-from mulberrypass.bench.recorder import Recorder
 from mulberrypass.bench.results import (
     ExperimentResult,
     at_least,
     at_most,
     row,
 )
-from mulberrypass.bench.workload import (
-    ONLINE_SIZES,
-    Arrival,
-    Size,
-    Sizes,
-    capacity,
-    poisson,
-)
 from mulberrypass.testing.engine_step import EngineShape
 
 POLICIES = (RoundRobin, LeastOutstanding, NoPriority, CellPolicy)
--- a/tests/bench/test_report.py
+++ b/tests/bench/test_report.py
@@ -7,9 +7,9 @@
 import unittest
 from xml.etree import ElementTree as ET
 
-from mulberrypass.bench import report
+from mulberrypass.bench.load.recorder import Recorder
 from mulberrypass.bench.plots import LINE, Axis, Point, scatter
-from mulberrypass.bench.recorder import Recorder
+from mulberrypass.bench.report import NoResultsError, frontier, write
 from mulberrypass.bench.results import ExperimentResult, at_most, row
 
 SVG = "{http://www.w3.org/2000/svg}"
@@ -60,7 +60,7 @@
     def test_a_page_shows_targets_rows_and_plots(self) -> None:
         result("flood").save(str(self.folder))
         page = self.folder / "page.html"
-        report.write(self.folder, page)
+        write(self.folder, page)
         text = page.read_text(encoding="utf-8")
         for part in ("flood", "p99 &lt;tail&gt;", "a &amp; b", "<svg"):
             with self.subTest(part):
@@ -69,7 +69,7 @@
 
     def test_nothing_recorded(self) -> None:
         page = self.folder / "page.html"
-        with self.assertRaises(report.NoResultsError):
-            report.write(self.folder, page)
-        with self.assertRaises(report.NoResultsError):
-            report.frontier(self.folder)
+        with self.assertRaises(NoResultsError):
+            write(self.folder, page)
+        with self.assertRaises(NoResultsError):
+            frontier(self.folder)
