--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -26,6 +26,7 @@
     request_of,
 )
 from mulberrypass.peer.server import HeartbeatHandler
+from mulberrypass.policy.membership.changes import changes
 from mulberrypass.policy.membership.messages import Contact
 from mulberrypass.policy.membership.view import MembershipView
 from mulberrypass.policy.storage.budget import TokenBucket
@@ -110,6 +111,7 @@
             settings.early_per_s,
             settings.early_rounds / settings.early_per_s,
         )
+        self._known: tuple[Member, ...] = ()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._calling: set[Contact] = set()
         self._subscribers: list[Callable[[], None]] = []
@@ -304,8 +306,13 @@
             LOG.exception("a subscriber of the membership failed")
 
     def _publish(self) -> None:
+        known = self._view.known()
+        found = changes(self._known, known)
+        self._known = known
+        if found:
+            LOG.info("members changed", known=len(known), **found.said())
         by_program: dict[str, list[Member]] = {}
-        for member in sorted(self._view.known(), key=lambda m: m.name):
+        for member in sorted(known, key=lambda m: m.name):
             by_program.setdefault(member.program, []).append(member)
         self._published = _Published(
             {program: tuple(found) for program, found in by_program.items()},
