Ask the member that was told of where no other is known to have the version

Cause: reading again: an instance cut off from the store chose among members that it knows to have the version, and that list is brought up to date once a round (0.5 s), so the first tries found nobody.

Change: one member of the own zone by draw, then the one that the heartbeat told of, which has it for sure. Tests: test_catch_up tells of the member; 6 tests around pass.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -85,8 +85,6 @@
 MIN_HEADS_SPACING_S = 0.2
 MAX_HEADS_SPACING_S = 1.0
 STOP_POLL_S = 0.05
-# Peers that are asked for a version, one after the other.
-MAX_HOLDERS = 2
 
 
 class SiteProcess(Process):
@@ -146,7 +144,7 @@
             key,
             MEMBERSHIP,
             self._metrics,
-            lambda _member, version: self._catch_up.heard(version),
+            lambda member, version: self._catch_up.heard(member.name, version),
             lambda: self._directory.routes().version,
             port_of=lambda _program: site.peer_port,
             rng=random.Random(),
@@ -353,17 +351,21 @@
                 return member.address, self._site.peer_port
         return None
 
-    def _fetch_routes(self, version: int) -> bool:
-        """Fetch routes from a peer that has them, one of this zone first."""
+    def _fetch_routes(self, told_of: str, version: int) -> bool:
+        """Fetch routes from a peer that has them, one of this zone first.
+
+        :param told_of: a member that has them, also where what is known of
+            it here is older
+        """
         holders = [
             member
             for member in self._membership.live(PROGRAM)
             if member.generation >= version
         ]
-        random.shuffle(holders)
-        holders.sort(key=lambda member: member.zone != self._site.zone)
-        for member in holders[:MAX_HOLDERS]:
-            fetched = self._peers.fetch_from(member.name, version)
+        near = [m for m in holders if m.zone == self._site.zone] or holders
+        drawn = [random.choice(near).name] if near else []
+        for name in dict.fromkeys((*drawn, told_of)):
+            fetched = self._peers.fetch_from(name, version)
             if fetched.is_ok():
                 self._routes.apply(fetched.ok.data)
                 return True
--- a/src/mulberrypass/relay/catch_up.py
+++ b/src/mulberrypass/relay/catch_up.py
@@ -24,14 +24,14 @@
 
     :param in_force: version in force here
     :param fetch: fetches a version or a newer one and puts it in force;
-        whether that was done
+        is told of a member that has it, and tells whether that was done
     :param pause: waits so many seconds
     """
 
     def __init__(
         self,
         in_force: Callable[[], int],
-        fetch: Callable[[int], bool],
+        fetch: Callable[[str, int], bool],
         pause: Callable[[float], object] | None = None,
     ) -> None:
         self._in_force = in_force
@@ -41,11 +41,13 @@
         self._lock = threading.Lock()
         self._running = False
         self._heard = 0
+        self._member = ""
 
-    def heard(self, version: int) -> None:
-        """Note that a peer has a version in force."""
+    def heard(self, member: str, version: int) -> None:
+        """Note that a member has a version in force."""
         with self._lock:
-            self._heard = max(self._heard, version)
+            if version >= self._heard:
+                self._heard, self._member = version, member
             if self._running or self._heard <= self._in_force():
                 return
             self._running = True
@@ -58,9 +60,10 @@
     def _run(self) -> None:
         try:
             self._pause(PATIENCE_S)
-            wanted = self._heard
+            with self._lock:
+                member, wanted = self._member, self._heard
             if not self._stopped.is_set() and wanted > self._in_force():
-                done = self._fetch(wanted)
+                done = self._fetch(member, wanted)
                 LOG.info("routes fetched", version=wanted, done=done)
         finally:
             with self._lock:
