--- a/tests/platform/test_site_session.py
+++ b/tests/platform/test_site_session.py
@@ -4,12 +4,14 @@
 
 import base64
 from collections import Counter
+import contextlib
 from dataclasses import dataclass
 import http.client
 import io
 import json
 import os
 from pathlib import Path
+import socket
 import time
 from typing import TYPE_CHECKING, Any
 import unittest
@@ -29,7 +31,8 @@
     from collections.abc import Callable
 
 GOLDEN = Path(__file__).parents[1] / "golden" / "site" / "session.txt"
-NET = "127.0.30"
+NETS = tuple(f"127.0.{number}" for number in range(30, 50))
+LOCK_HOST, LOCK_PORT = 254, 8199
 FRONT, READY, DIRECTORY, PEER = 8161, 8167, 8164, 7720
 STORE, ENGINE = 8169, 8080
 PATIENCE_S = 20.0
@@ -37,6 +40,22 @@
 SHOWN = ("content-type", "retry-after", "x-mulberrypass-response-stamp")
 
 
+def take_net() -> tuple[str, socket.socket]:
+    """Give a loopback network that no other run of the tests uses.
+
+    :returns: the network, and the socket that keeps others from it
+    """
+    for net in NETS:
+        with contextlib.suppress(OSError):
+            lock = socket.create_server((f"{net}.{LOCK_HOST}", LOCK_PORT))
+            return net, lock
+    raise OSError("no loopback network is free")
+
+
+NET, LOCK = take_net()
+unittest.addModuleCleanup(LOCK.close)
+
+
 def desired(version: int, *routes: dict[str, Any]) -> bytes:
     """Give a desired state."""
     engine = {"KvCapacityTokens": 100_000, "Stride": 1}
