Wait in the soak for jobs that are still being handed in

By the log of instance 0 each was accepted at 12:24:57.75 and all items listed by 57.92: the store had been silent until then. The run's last wait looked at accepted jobs only, found none open while these were being handed in, told readers to stop, and then judged what nobody had read.

Ruled out: items lost (the listing is in the log), the time of 20 s (the run ended 0.03 s after the listing).

Change: a job is open until its caller is done with it; one that is accepted after the end of the last wait is not judged as unlisted, and no try is made after it. The 20 s stay.

--- a/src/mulberrypass/soak/callers.py
+++ b/src/mulberrypass/soak/callers.py
@@ -176,19 +176,26 @@
             items = tuple(f"{name}.{number}" for number in range(ITEMS))
             job = JobRecord(name, items)
             self._callers.records.open_job(job)
-            self._hand_in(job)
-            if job.accepted_at is None:
-                continue
-            if self._rng.random() < CANCELLED:
-                self._cancel(job)
-            self._read(job)
+            self._follow(job)
+            job.ended = True
+
+    def _follow(self, job: JobRecord) -> None:
+        self._hand_in(job)
+        if job.accepted_at is None:
+            return
+        if self._rng.random() < CANCELLED:
+            self._cancel(job)
+        self._read(job)
 
     def _caller(self) -> SiteCaller:
         return SiteCaller(self._addresses.choose().front, TIMEOUT_S)
 
     def _hand_in(self, job: JobRecord) -> None:
         """Hand a job in until it is accepted, each time elsewhere."""
+        stop = self._callers.stop_batch
         for _ in range(TRIES):
+            if stop.is_set():
+                return
             caller = self._caller()
             try:
                 status = caller.submit(
@@ -201,6 +208,7 @@
             job.statuses.append(status)
             if status == ACCEPTED:
                 job.accepted_at = time.monotonic()
+                job.late = stop.is_set()
                 return
             time.sleep(READ_PAUSE_S)
 
--- a/src/mulberrypass/soak/promises.py
+++ b/src/mulberrypass/soak/promises.py
@@ -113,13 +113,13 @@
         yield from _listed(job, seen.events)
         if job.accepted_at is None:
             yield from _refused(job, runs)
-        elif job.cancelled_at is None:
+        elif job.cancelled_at is not None:
+            yield from _after_cancel(job, seen)
+        elif not job.late:
             missing = len(job.items) - len(job.seen)
             if missing:
                 detail = f"{missing} of {len(job.items)} items not listed"
                 yield Broken("each item completes", job.job_id, detail)
-        else:
-            yield from _after_cancel(job, seen)
 
 
 def _listed(job: JobRecord, events: int) -> Iterator[Broken]:
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -36,6 +36,8 @@
     :param moved: results that were not what they had been
     :param cancelled_at: when the end was acknowledged
     :param missing: when and how the job was said not to exist
+    :param late: whether it was accepted when nobody would read it any more
+    :param ended: whether its caller has nothing more to do with it
     """
 
     job_id: str
@@ -46,6 +48,8 @@
     accepted_at: float | None = None
     cancelled_at: float | None = None
     missing: list[tuple[float, str]] = field(default_factory=list)
+    late: bool = False
+    ended: bool = False
 
 
 @dataclass(slots=True)
@@ -66,6 +70,11 @@
         with self.lock:
             self.jobs.append(job)
 
+    def all_ended(self) -> bool:
+        """Whether no caller still hands in or reads a job."""
+        with self.lock:
+            return all(job.ended for job in self.jobs)
+
 
 @dataclass(frozen=True, slots=True)
 class Span:
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -106,7 +106,7 @@
                 self._later(began + fault.at, self._doing(fault))
             self._work(began + plan.seconds)
             callers.stop_online.set()
-            self._work(time.monotonic() + FINISH_S, self._jobs_done)
+            self._work(time.monotonic() + FINISH_S, self._records.all_ended)
             callers.stop_batch.set()
             callers.join()
             self._check_recovery()
@@ -282,14 +282,6 @@
                     Broken("in force in seconds", instance.address, name)
                 )
 
-    def _jobs_done(self) -> bool:
-        return not any(
-            job.accepted_at is not None
-            and job.cancelled_at is None
-            and len(job.seen) < len(job.items)
-            for job in self._records.jobs
-        )
-
     def _check_recovery(self) -> None:
         """Each instance serves again once all is mended."""
         for instance in self._world.instances:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -166,3 +166,23 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class EndedTest(unittest.TestCase):
+    def test_a_job_that_is_handed_in_is_waited_for(self) -> None:
+        records = Records()
+        handed_in = JobRecord("j1", ("i1",))
+        records.open_job(handed_in)
+        self.assertFalse(records.all_ended())
+        handed_in.accepted_at = 1.0
+        self.assertFalse(records.all_ended())
+        handed_in.ended = True
+        self.assertTrue(records.all_ended())
+
+    def test_a_job_accepted_when_nobody_reads_is_not_judged(self) -> None:
+        for late in (False, True):
+            with self.subTest(late=late):
+                job = JobRecord("j1", ("i1",), [202], accepted_at=1.0)
+                job.late = late
+                seen = Seen(Records(jobs=[job]), {}, (), (), EVENTS)
+                self.assertEqual(late, not check(seen))
