--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -50,7 +50,8 @@
 def _ip_and_port(text: str) -> str:
     host, _, port = text.rpartition(":")
     IPv4Address(host)
-    if not port.isascii() or not 0 < int(port) <= MAX_PORT:
+    digits = port.isascii() and port.isdigit()
+    if not digits or not 0 < int(port) <= MAX_PORT:
         raise ValueError("no IP number with a port")
     return text
 
--- a/src/mulberrypass/policy/membership/changes.py
+++ b/src/mulberrypass/policy/membership/changes.py
@@ -59,6 +59,7 @@
 def _came(old: Member | None, new: Member) -> bool:
     if new.state is MemberState.LEAVING:
         return False
+    # The next number refutes a doubt; a start takes the time of day.
     return old is None or new.incarnation > old.incarnation + 1
 
 
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -215,6 +215,9 @@
             ("Address", "10.1.1.1:0"),
             ("Address", "10.1.1.1:x"),
             ("Address", "10.1.1.1:\u0664"),
+            ("Address", "10.1.1.1:8_0"),
+            ("Address", "10.1.1.1:+80"),
+            ("Address", "10.1.1.1:99999"),
         )
         for name, value in other_type:
             case = f"{name} {value!r}"
