Log received signals and the requests open at a stop

A process that a signal ends writes no line, and nobody could tell it from one that was killed or stopped. A signal that is handled now has a line of its own, and 'stopping' says how many requests are in flight, so a log that ends without either was ended from outside. Signals go through a SimpleQueue, whose put may interrupt its get; the Event it replaces takes a lock in the handler that the interrupted wait may hold (by reading, no run has shown it). Checked: tests of runtime and the site session, formatter, linter and types are clean.

--- a/src/mulberrypass/bench/slopes/permits.py
+++ b/src/mulberrypass/bench/slopes/permits.py
@@ -48,7 +48,7 @@
     ReleaseOutcome,
     WorkClass,
 )
-from mulberrypass.runtime.lifecycle import StopSignal
+from mulberrypass.runtime.lifecycle import STOP_SIGNALS, SignalQueue
 from mulberrypass.runtime.logs import configure
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.runtime.ports import ENTRY_PEER_PORT
@@ -335,7 +335,7 @@
 def run_owner(address: str = ADDRESS, port: int = ENTRY_PEER_PORT) -> None:
     """Own all cells until a stop signal arrives."""
     configure("bench", "entry@owner", "console", "warning")
-    stop = StopSignal()
+    stop = SignalQueue(*STOP_SIGNALS)
     stop.install()
     members = _StaticMembership(address)
     loop = LoopThread("owner-loop")
@@ -351,7 +351,7 @@
     figures = _OwnerUsage(streams.counts)
     server = PeerServer(KEY, _NoHeartbeats(), figures, streams)
     loop.submit(server.start(address, port)).result(TIMEOUT_S)
-    stop.wait()
+    stop.get()
     owner.stop()
     loop.submit(server.stop()).result(TIMEOUT_S)
     loop.stop()
--- a/src/mulberrypass/programs/fake_engine.py
+++ b/src/mulberrypass/programs/fake_engine.py
@@ -10,7 +10,7 @@
 from pydantic import Field, field_validator
 
 from mulberrypass.runtime import logs, settings
-from mulberrypass.runtime.lifecycle import StopSignal
+from mulberrypass.runtime.lifecycle import STOP_SIGNALS, SignalQueue
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.ports import ENGINE_PORT
 from mulberrypass.testing.engine_http import EngineOptions, FakeEngine
@@ -96,13 +96,13 @@
     logs.configure(PROGRAM, cfg.addresses, cfg.log_format, cfg.log_level)
     logging.getLogger("waitress").setLevel(logging.CRITICAL)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    stop = StopSignal()
+    stop = SignalQueue(*STOP_SIGNALS)
     stop.install()
     for address in cfg.addresses.split(","):
         host, _, port = address.strip().rpartition(":")
         _serve(cfg, host, int(port))
         LOG.info("serving", address=address.strip(), kind=cfg.kind)
-    stop.wait()
+    stop.get()
     # Exit without waiting for server threads; open streams are cut off.
     os._exit(0)
 
--- a/src/mulberrypass/programs/fake_platform.py
+++ b/src/mulberrypass/programs/fake_platform.py
@@ -9,7 +9,7 @@
 from pydantic import Field, IPvAnyAddress, TypeAdapter
 
 from mulberrypass.runtime.http_server import HttpServer
-from mulberrypass.runtime.lifecycle import StopSignal
+from mulberrypass.runtime.lifecycle import STOP_SIGNALS, SignalQueue
 from mulberrypass.runtime.logs import configure, get_logger
 from mulberrypass.runtime.ports import PLATFORM_PORT
 from mulberrypass.runtime.settings import Port, ProgramSettings, load
@@ -85,11 +85,11 @@
     server = HttpServer(
         app, str(cfg.address), cfg.port, cfg.threads, MAX_BODY_BYTES
     )
-    stop = StopSignal()
+    stop = SignalQueue(*STOP_SIGNALS)
     stop.install()
     server.start()
     LOG.info("serving", address=str(cfg.address), port=server.port)
-    stop.wait()
+    stop.get()
     server.stop(STOP_GRACE_S)
 
 
--- a/src/mulberrypass/programs/session.py
+++ b/src/mulberrypass/programs/session.py
@@ -7,11 +7,13 @@
 import sys
 from typing import TYPE_CHECKING, NoReturn
 
-from mulberrypass.runtime.lifecycle import StopSignal
+from mulberrypass.runtime.lifecycle import STOP_SIGNALS, SignalQueue
+from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+LOG = get_logger(__name__)
 EXIT_FINISHED = 0
 EXIT_UNFINISHED = 1
 
@@ -37,11 +39,12 @@
     The signal handlers are installed before the process is built, so that a
     signal during startup also leads to a planned stop.
     """
-    stop = StopSignal()
-    stop.install()
+    signals = SignalQueue(*STOP_SIGNALS)
+    signals.install()
     process = make()
     process.start()
-    stop.wait()
+    signum = signals.get()
+    LOG.info("signal received", signal=signum.name)
     finished = process.stop()
     sys.stdout.flush()
     sys.stderr.flush()
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -42,7 +42,12 @@
 )
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
-from mulberrypass.programs.site_settings import CELLS, MEMBERSHIP, PROGRAM
+from mulberrypass.programs.site_settings import (
+    CELLS,
+    MEMBERSHIP,
+    PROGRAM,
+    heads_spacing_s,
+)
 from mulberrypass.relay.catch_up import CatchUp
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.followers import EngineReader, RouteReader
@@ -80,11 +85,6 @@
 # Left at the end of a stop to flush answers and exit.
 EXIT_MARGIN_S = 0.7
 REGISTER_RETRY_S = 0.5
-# Every change of a job wakes all members, so reads are limited for the whole
-# site; a cancellation must be noticed within 3 s.
-HEAD_READS_PER_S = 100.0
-MIN_HEADS_SPACING_S = 0.2
-MAX_HEADS_SPACING_S = 1.0
 STOP_POLL_S = 0.05
 
 
@@ -199,7 +199,9 @@
                 HEADS,
                 self._holder,
                 all_parts=True,
-                spacing_s=self._heads_spacing_s,
+                spacing_s=lambda: heads_spacing_s(
+                    len(self._membership.members(PROGRAM))
+                ),
             ),
         )
         self._front = self._make_server(
@@ -280,7 +282,9 @@
         """
         site = self._site
         deadline = time.monotonic() + site.grace_s - EXIT_MARGIN_S
-        LOG.info("stopping", grace_s=site.grace_s)
+        LOG.info(
+            "stopping", grace_s=site.grace_s, in_flight=self._front.in_flight
+        )
         self._draining = True
         self._stopped.set()
         self._catch_up.stop()
@@ -325,12 +329,6 @@
             )
         )
 
-    def _heads_spacing_s(self) -> float:
-        """Return the spacing of head reads that keeps to the site's rate."""
-        members = len(self._membership.members(PROGRAM))
-        spacing = members / HEAD_READS_PER_S
-        return min(MAX_HEADS_SPACING_S, max(MIN_HEADS_SPACING_S, spacing))
-
     def _members(self) -> Members:
         live = self._membership.live(PROGRAM)
         known = self._membership.members(PROGRAM)
--- a/src/mulberrypass/programs/site_settings.py
+++ b/src/mulberrypass/programs/site_settings.py
@@ -13,6 +13,11 @@
 from mulberrypass.policy.membership.messages import ViewSettings
 
 PROGRAM = "entry"
+# Every change of a job wakes all members, so reads are limited for the whole
+# site; a cancellation must be noticed within 3 s.
+HEAD_READS_PER_S = 100.0
+MIN_HEADS_SPACING_S = 0.2
+MAX_HEADS_SPACING_S = 1.0
 MEMBERSHIP = MembershipSettings(
     view=ViewSettings(heartbeat_s=0.5, suspect_s=1.0, programs=(PROGRAM,)),
     timeout_s=0.5,
@@ -44,4 +49,11 @@
     routing=RoutingSettings(block_tokens=100),
 )
 
-__all__ = ["CELLS", "MEMBERSHIP", "PROGRAM"]
+
+def heads_spacing_s(members: int) -> float:
+    """Return the spacing of head reads that keeps to the site's rate."""
+    spacing = members / HEAD_READS_PER_S
+    return min(MAX_HEADS_SPACING_S, max(MIN_HEADS_SPACING_S, spacing))
+
+
+__all__ = ["CELLS", "MEMBERSHIP", "PROGRAM", "heads_spacing_s"]
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -103,6 +103,11 @@
         """The port that the server listens on."""
         return int(self._server.effective_port)
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that aren't completely answered."""
+        return self._app.in_flight
+
     def start(self) -> None:
         """Start accepting connections."""
         self._thread.start()
--- a/src/mulberrypass/runtime/lifecycle.py
+++ b/src/mulberrypass/runtime/lifecycle.py
@@ -1,29 +1,43 @@
-"""Stop signals of a process."""
+"""Signals that a process handles."""
 
 from __future__ import annotations
 
+import queue
 import signal
-import threading
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# Delay until a signal is seen that the kernel gave to another thread.
+POLL_S = 1.0
 
-class StopSignal:
-    """An event that is set on SIGTERM or SIGINT."""
 
-    def __init__(self) -> None:
-        self._event = threading.Event()
+class SignalQueue:
+    """Received signals, in order of arrival.
+
+    A handler may run while the main thread is inside ``get``; unlike the
+    lock of an event, a simple queue allows that.
+
+    :param signums: signals to receive
+    """
+
+    def __init__(self, *signums: signal.Signals) -> None:
+        self._signums = signums
+        self._received: queue.SimpleQueue[signal.Signals] = queue.SimpleQueue()
 
     def install(self) -> None:
         """Install the signal handlers; call on the main thread."""
-        for signum in (signal.SIGTERM, signal.SIGINT):
+        for signum in self._signums:
             signal.signal(signum, self._on_signal)
 
-    def wait(self) -> None:
-        """Block until a stop signal arrives; call on the main thread."""
-        while not self._event.wait(1.0):
-            pass
+    def get(self) -> signal.Signals:
+        """Block until a signal arrives; call on the main thread."""
+        while True:
+            try:
+                return self._received.get(timeout=POLL_S)
+            except queue.Empty:
+                continue
 
-    def _on_signal(self, _signum: int, _frame: object) -> None:
-        self._event.set()
+    def _on_signal(self, signum: int, _frame: object) -> None:
+        self._received.put(signal.Signals(signum))
 
 
-__all__ = ["StopSignal"]
+__all__ = ["STOP_SIGNALS", "SignalQueue"]
