--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -42,6 +42,7 @@
 )
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
+from mulberrypass.programs.site_peers import PeerRoutes
 from mulberrypass.programs.site_settings import (
     CELLS,
     MEMBERSHIP,
@@ -135,9 +136,6 @@
         self._peers = ConfigurationPeers(
             self._loop, key, self._address_of, self._routes.snapshot
         )
-        self._catch_up = CatchUp(
-            lambda: self._directory.routes().version, self._fetch_routes
-        )
         self._membership = GossipMembership(
             self._me,
             self._loop,
@@ -153,6 +151,12 @@
             rng=random.Random(),
             datagrams=True,
         )
+        peer_routes = PeerRoutes(
+            site.zone, self._membership, self._peers, self._routes
+        )
+        self._catch_up = CatchUp(
+            lambda: self._directory.routes().version, peer_routes.fetch
+        )
         self._owner = CellOwner(
             self._me,
             self._membership,
@@ -358,26 +362,6 @@
                 return member.address, self._site.peer_port
         return None
 
-    def _fetch_routes(self, announcer: str, version: int) -> bool:
-        """Fetch routes from a peer that has them, preferably of this zone.
-
-        :param announcer: a member that has announced the version, even if
-            the membership view still shows an older one
-        """
-        holders = [
-            member
-            for member in self._membership.live(PROGRAM)
-            if member.generation >= version
-        ]
-        nearby = [m for m in holders if m.zone == self._site.zone] or holders
-        chosen = [random.choice(nearby).name] if nearby else []
-        for name in dict.fromkeys((*chosen, announcer)):
-            fetched = self._peers.fetch_from(name, version)
-            if fetched.is_ok():
-                self._routes.apply(fetched.ok.data)
-                return True
-        return False
-
 
 def main() -> None:
     """Serve the site until a stop signal arrives."""
