Keep serving on SIGHUP and read the settings file again

The programs handled SIGTERM and SIGINT only, so SIGHUP had its default effect and ended the process (82 ended with code 129, each within 10 ms of its signal).

The signals of a planned stop and of a reload now go through one queue that is installed before the process is built, and deploy/serve.py ignores SIGHUP during the imports. mulberry-site reads its file again, applies what needs no restart, logs the rest, and keeps its settings if the file can't be used; it reads the file at a stop too, since it may change without a signal. A reload during a stop has no effect.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -3,8 +3,12 @@
 import gc
 import os
 from pathlib import Path
+import signal
 import sys
 
+# The platform may announce changed settings at any time; until the program
+# handles the signal itself, its default effect would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
 # Objects that are created during the imports live until exit: collections
--- a/src/mulberrypass/programs/session.py
+++ b/src/mulberrypass/programs/session.py
@@ -7,11 +7,16 @@
 import sys
 from typing import TYPE_CHECKING, NoReturn
 
-from mulberrypass.runtime.lifecycle import STOP_SIGNALS, SignalQueue
+from mulberrypass.runtime.lifecycle import (
+    RELOAD_SIGNAL,
+    STOP_SIGNALS,
+    SignalQueue,
+)
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from signal import Signals
 
 LOG = get_logger(__name__)
 EXIT_FINISHED = 0
@@ -25,6 +30,12 @@
     def start(self) -> None:
         """Start all components, the client-facing servers last."""
 
+    def reload(self) -> None:
+        """Read settings that may have changed again."""
+        LOG.info(
+            "nothing to reload", reason="settings are flags and environment"
+        )
+
     @abstractmethod
     def stop(self) -> bool:
         """Finish the work in flight, then stop.
@@ -37,14 +48,15 @@
     """Run a process until a stop signal, then exit.
 
     The signal handlers are installed before the process is built, so that a
-    signal during startup also leads to a planned stop.
+    signal during startup also leads to a planned stop, or to a reload. A
+    reload signal during the stop has no effect.
     """
-    signals = SignalQueue(*STOP_SIGNALS)
+    signals = SignalQueue(*STOP_SIGNALS, RELOAD_SIGNAL)
     signals.install()
     process = make()
     process.start()
-    signum = signals.get()
-    LOG.info("signal received", signal=signum.name)
+    while _next(signals) is RELOAD_SIGNAL:
+        process.reload()
     finished = process.stop()
     sys.stdout.flush()
     sys.stderr.flush()
@@ -52,4 +64,10 @@
     os._exit(EXIT_FINISHED if finished else EXIT_UNFINISHED)
 
 
+def _next(signals: SignalQueue) -> Signals:
+    signum = signals.get()
+    LOG.info("signal received", signal=signum.name)
+    return signum
+
+
 __all__ = ["Process", "run"]
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -43,6 +43,7 @@
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
+from mulberrypass.programs.site_reload import reload_site
 from mulberrypass.programs.site_settings import (
     CELLS,
     MEMBERSHIP,
@@ -90,9 +91,17 @@
 
 
 class SiteProcess(Process):
-    """Builds and runs the components of an instance."""
+    """Builds and runs the components of an instance.
 
-    def __init__(self, site: Site, log_to: TextIO = sys.stdout) -> None:
+    :param settings: file that the settings were read from
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        log_to: TextIO = sys.stdout,
+        settings: Path | None = None,
+    ) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self._lines = LineWriter(log_to)
         self._events = EventMetrics()
@@ -106,6 +115,7 @@
         )
         logging.getLogger("waitress").setLevel(logging.ERROR)
         self._site = site
+        self._settings = settings
         self._draining = False
         self._idle_s = 0.0
         self._stopped = threading.Event()
@@ -279,11 +289,18 @@
         self._front.start()
         LOG.info("started", address=site.address, zone=site.zone)
 
+    def reload(self) -> None:
+        """Read the settings file again."""
+        if self._settings is not None:
+            self._site = reload_site(self._settings, self._site)
+
     def stop(self) -> bool:
         """Finish the requests in flight, then stop.
 
         :returns: whether all requests in flight have finished
         """
+        # The file may have changed without a signal.
+        self.reload()
         site = self._site
         deadline = time.monotonic() + site.grace_s - EXIT_MARGIN_S
         LOG.info(
@@ -372,7 +389,7 @@
         site = read_site(Path(path))
     except SiteError as exc:
         sys.exit(f"mulberry-site: {exc}")
-    run(lambda: SiteProcess(site))
+    run(lambda: SiteProcess(site, settings=Path(path)))
 
 
 if __name__ == "__main__":
--- a/src/mulberrypass/runtime/lifecycle.py
+++ b/src/mulberrypass/runtime/lifecycle.py
@@ -6,6 +6,7 @@
 import signal
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 # Delay until a signal is seen that the kernel gave to another thread.
 POLL_S = 1.0
 
@@ -40,4 +41,4 @@
         self._received.put(signal.Signals(signum))
 
 
-__all__ = ["STOP_SIGNALS", "SignalQueue"]
+__all__ = ["RELOAD_SIGNAL", "STOP_SIGNALS", "SignalQueue"]
