Don't give up batch items because of the acceptor's wrong clock

Callers of a batch job found items given up seconds after the 202: the time from which items may be abandoned was the acceptor's Unix time plus the retention, compared with the clock of whoever ran the item.

A holder now counts the retention on its own steady clock from when it first saw the job. That can only be later than the true time, and items may be kept longer than that.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -55,6 +55,7 @@
     """A job whose items run on this member.
 
     :param stored: the newest known head
+    :param seen_at: monotonic time at which this member first saw the job
     :param items: the manifest, once it has been read
     :param running: indexes of items that run
     :param finished: indexes of items with an outcome
@@ -63,6 +64,7 @@
     """
 
     stored: VersionedHead
+    seen_at: float
     items: tuple[BatchItem, ...] | None = None
     running: set[int] = field(default_factory=set)
     finished: set[int] = field(default_factory=set)
@@ -100,6 +102,7 @@
         self._make_request = make_request
         self._lock = threading.RLock()
         self._heads: dict[str, VersionedHead] = {}
+        self._seen_at: dict[str, float] = {}
         self._held: dict[str, HeldJob] = {}
         self._missing_since: dict[str, float] = {}
         self._leaving = False
@@ -202,13 +205,14 @@
         if known is not None and known.version >= stored.version:
             return
         self._heads[job_id] = stored
+        seen_at = self._seen_at.setdefault(job_id, time.monotonic())
         job = self._held.get(job_id)
         if job is not None:
             job.stored = stored
             if not stored.head.open and not job.running and not job.outcomes:
                 del self._held[job_id]
         elif stored.head.open and stored.head.holder == self._me:
-            self._held[job_id] = HeldJob(stored)
+            self._held[job_id] = HeldJob(stored, seen_at)
 
     def _loop(self) -> None:
         while not self._stopped:
@@ -324,6 +328,8 @@
             self._make_request,
             lambda: self._should_stop(job, index),
             self._pace,
+            # The acceptor's clock may be wrong, so its time doesn't count.
+            job.seen_at + job.head.retention_s,
         )
         outcome = None
         try:
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -66,6 +66,7 @@
         the event with the given number
     :param should_stop: whether the outcome isn't needed any more
     :param pace: run time per token, updated by this run
+    :param expires_at: monotonic time from which the item may be abandoned
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         make_request: Callable[[JobHead, BatchItem, int | None], RelayRequest],
         should_stop: Callable[[], bool],
         pace: ItemPace,
+        expires_at: float,
     ) -> None:
         self._dependencies = dependencies
         self._head = head
@@ -85,6 +87,7 @@
         self._make_request = make_request
         self._should_stop = should_stop
         self._pace = pace
+        self._expires_at = expires_at
         self._progress = Progress()
         self._revoked = False
         self._abort: Callable[[], None] | None = None
@@ -175,7 +178,7 @@
         return now - self._progress.route_missing_since > ROUTE_MISSING_S
 
     def _expired(self) -> bool:
-        return time.time() > self._head.first_s + self._head.retention_s
+        return time.monotonic() > self._expires_at
 
     def _on_revoke(self) -> None:
         self._revoked = True
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -77,6 +77,17 @@
         return [(o.state.value, o.output) for o in page.outcomes]
 
 
+class ClockStepTest(HolderCase):
+    def test_wrong_clock_of_the_acceptor_gives_up_no_item(self) -> None:
+        self.store = BatchStore(
+            self.rows, sleep=lambda _s: None, clock=lambda: 0.0
+        )
+        holder = self.holder(Script(parts=[event(1), event(2)]))
+        self.accept(holder)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+        self.assertEqual([("completed", "1\n2")], self.results())
+
+
 class RunTest(HolderCase):
     def test_outcomes(self) -> None:
         complete = Script(parts=[event(1), event(2)])
