Don't leave batch items to a leaver whose clock is ahead

A leaving member kept the items that it still ran until a Unix time of its own clock, and its heir compared that with another. With a leaver an hour ahead that came back under its name, the heir left the item lying for the hour, while its callers waited for a result (LOST once FinishS is over).

A head now carries for how long the leaver may still run items, and the heir counts that from when it saw the hand-over. Both times sit in JobTimes.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -68,7 +68,7 @@
         "holder": head.holder,
         "busy": sorted(head.busy),
         "busy_by": head.busy_by,
-        "busy_until": head.busy_until,
+        "busy_for_s": head.busy_for_s,
     }
     return json.dumps(doc, separators=(",", ":")).encode()
 
@@ -94,7 +94,7 @@
             holder=str(doc["holder"]),
             busy=frozenset(map(int, doc["busy"])),
             busy_by=str(doc["busy_by"]),
-            busy_until=float(doc["busy_until"]),
+            busy_for_s=float(doc.get("busy_for_s", 0.0)),
         )
     except (ValueError, KeyError, TypeError) as exc:
         raise CorruptRowError(f"{row.at}: {exc!r}")
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -14,6 +14,7 @@
 from mulberrypass.model.batch_jobs import StoreUnavailable, VersionedHead
 from mulberrypass.policy.batches import heads as policy
 from mulberrypass.policy.batches.order import ItemPace
+from mulberrypass.policy.batches.times import JobTimes
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.follow import TableReader
 
@@ -55,7 +56,6 @@
     """A job whose items run on this member.
 
     :param stored: the newest known head
-    :param seen_at: monotonic time at which this member first saw the job
     :param items: the manifest, once it has been read
     :param running: indexes of items that run
     :param finished: indexes of items with an outcome
@@ -64,7 +64,6 @@
     """
 
     stored: VersionedHead
-    seen_at: float
     items: tuple[BatchItem, ...] | None = None
     running: set[int] = field(default_factory=set)
     finished: set[int] = field(default_factory=set)
@@ -102,7 +101,7 @@
         self._make_request = make_request
         self._lock = threading.RLock()
         self._heads: dict[str, VersionedHead] = {}
-        self._seen_at: dict[str, float] = {}
+        self._times = JobTimes()
         self._held: dict[str, HeldJob] = {}
         self._missing_since: dict[str, float] = {}
         self._leaving = False
@@ -166,7 +165,7 @@
 
         :param grace_s: seconds until this process exits
         """
-        self._exit_at = time.time() + grace_s
+        self._exit_at = time.monotonic() + grace_s
         self._leaving = True
         self._wake.set()
 
@@ -205,14 +204,15 @@
         if known is not None and known.version >= stored.version:
             return
         self._heads[job_id] = stored
-        seen_at = self._seen_at.setdefault(job_id, time.monotonic())
+        known_head = known.head if known is not None else None
+        self._times.note(known_head, stored.head, time.monotonic())
         job = self._held.get(job_id)
         if job is not None:
             job.stored = stored
             if not stored.head.open and not job.running and not job.outcomes:
                 del self._held[job_id]
         elif stored.head.open and stored.head.holder == self._me:
-            self._held[job_id] = HeldJob(stored, seen_at)
+            self._held[job_id] = HeldJob(stored)
 
     def _loop(self) -> None:
         while not self._stopped:
@@ -231,6 +231,7 @@
     def _hand_over(self) -> None:
         """Hand over the held jobs to other members."""
         live = self._members().live
+        left_s = max(0.0, self._exit_at - time.monotonic())
         for job in self._jobs():
             if not job.head.open or job.head.holder != self._me:
                 continue
@@ -241,9 +242,7 @@
             ) -> JobHead | None:
                 if not head.open or head.holder != self._me:
                     return None
-                return policy.hand_over(
-                    head, running, self._me, live, self._exit_at
-                )
+                return policy.hand_over(head, running, self._me, live, left_s)
 
             result = self._store.replace_head(
                 job.head.host, job.head.job_id, change
@@ -294,11 +293,12 @@
 
     def _start_items(self) -> None:
         known = self._members().known
-        now = time.time()
+        now = time.monotonic()
         for job in sorted(self._jobs(), key=_due_at):
             if job.head.holder != self._me or not self._load_items(job):
                 continue
-            for index in policy.runnable(job.head, known, now):
+            waited_s = self._times.since_hand_over(job.head, now)
+            for index in policy.runnable(job.head, known, waited_s):
                 with self._lock:
                     if index in job.running or index in job.finished:
                         continue
@@ -328,8 +328,7 @@
             self._make_request,
             lambda: self._should_stop(job, index),
             self._pace,
-            # The acceptor's clock may be wrong, so its time doesn't count.
-            job.seen_at + job.head.retention_s,
+            self._times.expires_at(job.head),
         )
         outcome = None
         try:
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -74,7 +74,8 @@
     :param holder: member that runs its items
     :param busy: indexes of items that a leaving member still runs
     :param busy_by: name of the leaving member
-    :param busy_until: Unix time by which the leaving member has stopped
+    :param busy_for_s: time from the hand-over by which that member has
+        stopped
     """
 
     job_id: str
@@ -90,7 +91,7 @@
     holder: str = ""
     busy: frozenset[int] = frozenset()
     busy_by: str = ""
-    busy_until: float = 0.0
+    busy_for_s: float = 0.0
 
     @property
     def total(self) -> int:
--- a/src/mulberrypass/policy/batches/heads.py
+++ b/src/mulberrypass/policy/batches/heads.py
@@ -73,13 +73,13 @@
     running: frozenset[int],
     me: str,
     live: Collection[str],
-    until: float,
+    for_s: float,
 ) -> JobHead:
     """Return the head with another member as its holder.
 
     Items that still run on this member stay with it.
 
-    :param until: Unix time by which this member has exited at the latest
+    :param for_s: time by which this member has exited at the latest
     """
     others = [name for name in live if name != me]
     successor = rendezvous.pick(head.job_id, others) or ""
@@ -88,7 +88,7 @@
         holder=successor,
         busy=running - head.done,
         busy_by=me,
-        busy_until=until,
+        busy_for_s=for_s,
     )
 
 
@@ -98,18 +98,18 @@
 
 
 def runnable(
-    head: JobHead, known: Collection[str], now: float
+    head: JobHead, known: Collection[str], waited_s: float
 ) -> tuple[int, ...]:
     """Return the indexes of the items that the holder is to run, in order.
 
-    Items that the former holder still ran stay with it only until
-    ``busy_until``: a restarted member has its old name but not its items.
+    Items that the former holder still ran stay with it only for
+    ``busy_for_s``: a restarted member has its old name but not its items.
 
-    :param now: Unix time
+    :param waited_s: time since this member first saw the hand-over
     """
     if not head.open:
         return ()
-    busy = head.busy_by in known and now < head.busy_until
+    busy = head.busy_by in known and waited_s < head.busy_for_s
     elsewhere = head.busy if busy else frozenset()
     return tuple(
         index
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 import unittest
+from unittest.mock import patch
 
 from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.run import READ_TIMEOUT_S
@@ -25,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.model.batch_jobs import JobHead, VersionedHead
+
 A, B = "entry@a", "entry@b"
 WAIT_TIMEOUT_S = 5.0
 
@@ -87,6 +90,46 @@
         self.assertTrue(wait_until(lambda: bool(self.results())))
         self.assertEqual([("completed", "1\n2")], self.results())
 
+    def test_wrong_clock_of_a_leaver_leaves_no_item_lying(self) -> None:
+        with patch("time.time", return_value=time.time() + 3_600):
+            left = self.leave_one_item(0.3)
+        holder = self.holder(Script(parts=[event(1)]))
+        holder.update_head(left)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+
+    def leave_one_item(self, grace_s: float) -> VersionedHead:
+        """Hand a job with a running item over to this member."""
+        leaver = JobHolder(
+            B,
+            self.store,
+            make_dependencies(
+                ScriptedEngines(), self.silent_permits(), route()
+            ),
+            lambda: Members(frozenset({A}), frozenset({A, B})),
+            item_request,
+        )
+        new_job = job(items=1)
+        head = self.store.accept(new_job, route(), B).ok.head
+        assert head is not None
+        leaver.add_accepted(head, new_job.items)
+        leaver.start()
+        self.addCleanup(leaver.stop)
+        self.assertTrue(wait_until(lambda: leaver.busy))
+        leaver.leave(grace_s)
+        self.assertTrue(wait_until(lambda: self.head().holder == A))
+        self.assertEqual(frozenset({0}), self.head().busy)
+        return self.store.read(HOST, "job-1").ok
+
+    def head(self) -> JobHead:
+        """Return the stored head."""
+        return self.store.read(HOST, "job-1").ok.head
+
+    def silent_permits(self) -> ScriptedPermits:
+        """Return permits that are never granted."""
+        permits = ScriptedPermits("e1")
+        permits.silent = True
+        return permits
+
 
 class RunTest(HolderCase):
     def test_outcomes(self) -> None:
