Don't miss the first batch job of a host during a full read

Cause: a full read of all parts listed the parts first and took the version to continue from at the first page after that. The first row of a part written between the two was in neither the full read nor the feed, so an instance that started just then never learnt of the first batch job of a host: if rendezvous picked it as the heir of a lost holder, nobody took the job over.

Change: the part "" is read before the parts are listed, and its version is the one to continue from; the feed then reports such a row.

--- a/src/mulberrypass/storage/follow.py
+++ b/src/mulberrypass/storage/follow.py
@@ -199,32 +199,45 @@
 ) -> Result[tuple[tuple[StoredRow, ...], int], ReadFailure]:
     """Read all rows of a table, and the version to continue from.
 
-    The version is that of the first page, so that the feed reports again
-    any change made between two pages.
+    The version is that of the first page, which is read before the parts are
+    listed: the feed reports again any change made since, including the first
+    row of a part that wasn't listed yet.
 
     :param all_parts: whether to read parts other than the one named ``""``
     """
-    parts: tuple[str, ...] = ("",)
+    first = _scan_part(rows, table, "")
+    if first.is_error():
+        return Error(first.error)
+    found, version = first.ok
     if all_parts:
         listed = rows.parts(table)
         if listed.is_error():
             return Error(listed.error)
-        parts = listed.ok
-    found: list[StoredRow] = []
+        for part in filter(None, listed.ok):
+            scanned = _scan_part(rows, table, part)
+            if scanned.is_error():
+                return Error(scanned.error)
+            found += scanned.ok[0]
+    return Ok((found, version))
+
+
+def _scan_part(
+    rows: RowStore, table: str, part: str
+) -> Result[tuple[tuple[StoredRow, ...], int], ReadFailure]:
+    """Read all rows of a part, and the version of the first page."""
+    found: tuple[StoredRow, ...] = ()
     version: int | None = None
-    for part in parts or ("",):
-        first = ""
-        while True:
-            paged = rows.scan(table, part, first)
-            if paged.is_error():
-                return Error(paged.error)
-            page = paged.ok
-            version = page.version if version is None else version
-            found.extend(page.rows)
-            if not page.more or not page.rows:
-                break
-            first = page.rows[-1].at.key + "\0"
-    return Ok((tuple(found), version or 0))
+    first = ""
+    while True:
+        paged = rows.scan(table, part, first)
+        if paged.is_error():
+            return Error(paged.error)
+        page = paged.ok
+        version = page.version if version is None else version
+        found += page.rows
+        if not page.more or not page.rows:
+            return Ok((found, version))
+        first = page.rows[-1].at.key + "\0"
 
 
 __all__ = ["FollowState", "TableFollower", "TableReader", "scan_all"]
--- a/tests/storage/test_follow.py
+++ b/tests/storage/test_follow.py
@@ -12,7 +12,9 @@
 from mulberrypass.testing.row_state import RowState
 
 if TYPE_CHECKING:
-    from mulberrypass.storage.rows import StoredRow
+    from expression import Result
+
+    from mulberrypass.storage.rows import ReadFailure, StoredRow
 
 WAIT_S = 10.0
 
@@ -109,6 +111,38 @@
             )
 
 
+class NewPartRows(RowState):
+    """Writes the first row of a part right after the parts were listed."""
+
+    def parts(self, table: str) -> Result[tuple[str, ...], ReadFailure]:
+        """List the parts of a table, then write a row of a new part."""
+        listed = RowState.parts(self, table)
+        first = (RowKey(table, "new", f"b{self.version}"), b"v")
+        self.apply(Transaction(puts=(first,)))
+        return listed
+
+
+class NewPartTest(unittest.TestCase):
+    def test_first_row_of_a_part_written_during_a_full_read(self) -> None:
+        """A part that begins during a full read isn't missed.
+
+        The version to continue from was that of a read after the parts were
+        listed, so neither the full read nor the feed returned such a row: a
+        member never learnt of the first batch job of a host.
+        """
+        for known_parts in (False, True):
+            with self.subTest(known_parts=known_parts):
+                state = NewPartRows(on_wait=lambda: None)
+                if known_parts:
+                    state.apply(put("a"))
+                reader = RecordingReader()
+                follower = TableFollower(state, "t", reader, all_parts=True)
+                self.assertTrue(follower._step())
+                self.assertTrue(follower._step())
+                keys = {at.key for at in state.rows}
+                self.assertEqual(keys, set(reader.rows))
+
+
 class StaleAnswerTest(unittest.TestCase):
     def test_a_stale_answer_is_dropped(self) -> None:
         state = RowState()
