Test power losses around batch jobs: resends, quota, lost heirs

Change: four tests. A job written without an answer and sent again to another member counts once, whether the late write comes before, after or never; a job resent within a full or lowered quota is accepted again; a job whose heir is lost too is taken over; a restarted member runs its jobs and the items that it ran for another holder.

--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -11,6 +11,7 @@
 from mulberrypass.batches.store import BatchStore
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.platform.lots import item_request
+from mulberrypass.policy.batches.heads import claim, hand_over
 from mulberrypass.testing.row_state import RowState
 from tests.batches.cases import HOST, job, route
 from tests.relay.fakes import (
@@ -200,3 +201,41 @@
         holder.on_all_rows(tuple(self.rows.rows.values()))
         self.assertTrue(wait_until(lambda: bool(self.results())))
         self.assertEqual([("completed", "1")], self.results())
+
+    def test_holder_and_heir_are_lost_in_quick_succession(self) -> None:
+        """A job whose heir is lost too, before it ran an item, goes on."""
+        lost, heir = "entry@lost", "entry@heir"
+        self.store.accept(job(items=1), route(), lost)
+        self.live = {A, heir}
+        self.known = {A, heir, lost}
+        holder = self.holder(Script(parts=[event(1)]))
+        holder._started_at -= 60.0
+        holder.on_all_rows(tuple(self.rows.rows.values()))
+        self.known.discard(lost)
+        claimed = self.store.replace_head(
+            HOST, "job-1", lambda head: claim(head, heir)
+        )
+        holder.update_head(claimed.ok)
+        self.assertFalse(self.results())
+        self.live.discard(heir)
+        self.known.discard(heir)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+        self.assertEqual(A, self.store.read(HOST, "job-1").ok.head.holder)
+
+    def test_member_returns_under_its_name_without_its_memory(self) -> None:
+        """A restarted holder runs its jobs at once, taking nothing over.
+
+        Items that it ran for another holder when it lost power run too.
+        """
+        self.store.accept(job(items=2), route(), B)
+        self.store.replace_head(
+            HOST,
+            "job-1",
+            lambda head: hand_over(
+                head, frozenset({0}), B, {A}, time.time() + 0.5
+            ),
+        )
+        script = Script(parts=[event(1)])
+        holder = self.holder(script, script)
+        holder.on_all_rows(tuple(self.rows.rows.values()))
+        self.assertTrue(wait_until(lambda: len(self.results()) == 2))
--- a/tests/batches/test_store.py
+++ b/tests/batches/test_store.py
@@ -134,6 +134,41 @@
         rows.deliver_late()
         self.assertEqual(version, rows.version)
 
+    def test_power_lost_in_an_acceptance(self) -> None:
+        """A job that is sent again to another member counts once.
+
+        The first member wrote it without an answer and lost power; its
+        write takes effect before the second attempt, after it, or never.
+        """
+        for moment in ("before", "after", "never"):
+            with self.subTest(moment):
+                rows = RowState()
+                exact = route(quota_tokens=300)
+                rows.faults.late = 99
+                lost = store(rows).accept(job(), exact, "entry@a")
+                assert isinstance(lost.error, StoreUnavailable)
+                self.assertTrue(lost.error.maybe_done)
+                rows.faults.late = 0
+                if moment == "before":
+                    rows.deliver_late()
+                again = store(rows).accept(job(), exact, "entry@b").ok
+                self.assertEqual(moment == "before", again.again)
+                if moment == "after":
+                    rows.deliver_late()
+                self.assertEqual(1, rows.version)
+                other = store(rows).accept(job("two"), exact, "entry@b")
+                self.assertEqual(OverQuota(300), other.error)
+
+    def test_resend_within_a_full_quota_is_not_refused(self) -> None:
+        """A job's own tokens don't count against it when it comes again."""
+        rows = RowState()
+        full = route(quota_tokens=300)
+        self.assertTrue(store(rows).accept(job(), full, "entry@a").is_ok())
+        lowered = route(quota_tokens=100)
+        for limited in (full, lowered):
+            again = store(rows).accept(job(), limited, "entry@b")
+            self.assertTrue(again.ok.again)
+
 
 class ResultsTest(unittest.TestCase):
     def test_positions_are_stable(self) -> None:
