Keep the loop's pipe open until a stopping server is closed

Cause: a stop shuts the listening socket down; waitress' loop sees the hang-up and closes that server, and with it the pipe by which threads wake the loop. For the rest of the stop each answer's thread wrote "x" to a descriptor that was free or already belonged to another connection, and nothing woke the loop for what was left in a send buffer.

Change: the hang-up closes the listening socket only; Wakeup.close still closes the pipe at the end.

--- a/src/mulberrypass/runtime/wakeup.py
+++ b/src/mulberrypass/runtime/wakeup.py
@@ -5,14 +5,18 @@
 import threading
 from typing import Any
 
+from waitress import wasyncore
+
 
 class Wakeup:
     """Guards the pipe by which threads wake the loop of a server.
 
     Waitress writes to the pipe's descriptor even after a close, when the
-    descriptor may belong to an unrelated connection.
+    descriptor may belong to an unrelated connection. It also closes the pipe
+    with the listening socket, though open connections still need it.
 
-    :param server: a waitress server; its ``pull_trigger`` is replaced
+    :param server: a waitress server; its ``pull_trigger`` and
+        ``handle_close`` are replaced
     """
 
     def __init__(self, server: Any) -> None:
@@ -21,6 +25,7 @@
         self._open = True
         self._lock = threading.Lock()
         server.pull_trigger = self.pull
+        server.handle_close = self._close_listening
 
     def pull(self) -> None:
         """Wake the loop, unless the server is closed."""
@@ -34,5 +39,9 @@
             self._open = False
             self._server.close()
 
+    def _close_listening(self) -> None:
+        """Close the listening socket only; called by the loop."""
+        wasyncore.dispatcher.close(self._server)
+
 
 __all__ = ["Wakeup"]
