Close idle kept connections when a stop ends the accepting

Cause: kept connections stayed open, and were read, until the process ended: while the stop waited for long answers or for batch items, and after its last look at the requests in flight. A request that was read then could be cut by the exit, or by the end of the grace time though it was sent late in it.

Change: once new connections are refused, the loop closes each connection that has no request, no unsent bytes and nothing left to be read; others close after their answer. What is sent later stays unread.

Measured: without the change, two new tests see a request taken after the stop, and one taken while it waits; with it, both see the close and no request taken.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+import socket
+import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -10,21 +13,31 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    import threading
+
+
+@dataclass(frozen=True, slots=True)
+class StopSteps:
+    """Steps of a planned stop of a server, in this order.
+
+    :param closing: once set, each connection closes after its next answer
+    :param ending: once set, connections without a request are closed
+    """
+
+    closing: threading.Event = field(default_factory=threading.Event)
+    ending: threading.Event = field(default_factory=threading.Event)
 
 
 def connection_class(
-    closing: threading.Event, head_s: Callable[[], float]
+    steps: StopSteps, head_s: Callable[[], float]
 ) -> type[HTTPChannel]:
     """Return a channel class for a server.
 
-    :param closing: once set, each connection closes after its next answer
     :param head_s: returns the seconds that a request's head may take
     """
 
     class ClosingTask(WSGITask):
         def build_response_header(self) -> bytes:
-            if closing.is_set():
+            if steps.closing.is_set():
                 self.set_close_on_finish()
             return bytes(super().build_response_header())
 
@@ -34,17 +47,28 @@
         _was_late = False
 
         def readable(self) -> bool:
-            """Check the head timeout too; polled at least once a second.
+            """Check for a close too; polled at least once a second.
 
-            Closes only on the second late poll in a row, so that a process
-            that was paused first reads what has arrived.
+            A late head closes only on the second late poll in a row, so that
+            a process that was paused first reads what has arrived.
             """
             late = self._head_is_late()
             if late and self._was_late:
                 self.will_close = True
             self._was_late = late
+            if steps.ending.is_set() and self._is_idle():
+                self.will_close = True
             return bool(super().readable())
 
+        def _is_idle(self) -> bool:
+            """Whether nothing is read, answered, sent or left to be read.
+
+            Only the loop reads requests, and it is the loop that asks.
+            """
+            if self.requests or self.request or self.total_outbufs_len:
+                return False
+            return self.socket is not None and not _has_bytes(self.socket)
+
         def _head_is_late(self) -> bool:
             request = self.request
             if request is None or request.headers_finished:
@@ -58,4 +82,12 @@
     return LimitedChannel
 
 
-__all__ = ["connection_class"]
+def _has_bytes(sock: socket.socket) -> bool:
+    """Whether a socket that doesn't block has something to read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+__all__ = ["StopSteps", "connection_class"]
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -11,7 +11,7 @@
 
 import waitress.server
 
-from mulberrypass.runtime.connection import connection_class
+from mulberrypass.runtime.connection import StopSteps, connection_class
 from mulberrypass.runtime.dispatcher import PooledDispatcher
 from mulberrypass.runtime.wakeup import Wakeup
 
@@ -71,7 +71,7 @@
         idle_s: int = 60,
     ) -> None:
         self._app = app
-        self._closing = threading.Event()
+        self._steps = StopSteps()
         self._head_s = HEAD_TIMEOUT_S
         self._server = cast("Any", waitress.server.create_server)(
             app,
@@ -92,7 +92,7 @@
         )
         self._wakeup = Wakeup(self._server)
         self._server.channel_class = connection_class(
-            self._closing, lambda: self._head_s
+            self._steps, lambda: self._head_s
         )
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
@@ -117,19 +117,24 @@
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its next answer, which says so."""
-        self._closing.set()
+        self._steps.closing.set()
 
     def stop(self, grace_s: float) -> bool:
         """Finish the requests in flight, then close.
 
+        Kept connections without a request are closed at once: what is sent
+        on them later isn't read, and so can't be cut off.
+
         :param grace_s: seconds after which requests in flight are cut off
         :returns: whether all requests were answered completely
         """
         deadline = time.monotonic() + grace_s
         self._refuse_connections()
+        self._steps.closing.set()
+        self._steps.ending.set()
+        self._wakeup.pull()
         self._drain(deadline)
-        # Let answers reach their sockets; kept-alive connections may also
-        # send one more request.
+        # Let answers reach their sockets.
         time.sleep(FLUSH_WAIT_S)
         drained = self._drain(deadline)
         self._wakeup.close()
