Let a stop wait for all connections instead of for counted calls

Cause: a stop counted a request from the call of the application to the last chunk of its answer.

Change: a stop waits until the loop has closed every connection, which it does after the last byte of an answer, or until the grace time ends. A request that arrives in part holds the stop until nothing has come for 2 s.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -14,6 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# A request that arrives in part ends a stop's wait after so much silence: a
+# lost segment is sent again within about a second.
+ARRIVAL_PAUSE_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class StopSteps:
@@ -45,6 +49,12 @@
         task_class = ClosingTask
         _head_started_at: float | None = None
         _was_late = False
+        _read_at = 0.0
+
+        def received(self, data: bytes) -> bool:
+            """Note when bytes of a request arrived, then read them."""
+            self._read_at = time.monotonic()
+            return bool(super().received(data))
 
         def readable(self) -> bool:
             """Check for a close too; polled at least once a second.
@@ -61,11 +71,14 @@
             return bool(super().readable())
 
         def _is_idle(self) -> bool:
-            """Whether nothing is read, answered, sent or left to be read.
+            """Whether no request is read, answered, sent or left to be read.
 
             Only the loop reads requests, and it is the loop that asks.
             """
-            if self.requests or self.request or self.total_outbufs_len:
+            if self.requests or self.total_outbufs_len:
+                return False
+            pause_s = time.monotonic() - self._read_at
+            if self.request is not None and pause_s < ARRIVAL_PAUSE_S:
                 return False
             return self.socket is not None and not _has_bytes(self.socket)
 
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -22,7 +22,6 @@
 # A client that sends a head slowly occupies a connection, but no thread.
 HEAD_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.02
-FLUSH_WAIT_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,9 +132,6 @@
         self._steps.closing.set()
         self._steps.ending.set()
         self._wakeup.pull()
-        self._drain(deadline)
-        # Let answers reach their sockets.
-        time.sleep(FLUSH_WAIT_S)
         drained = self._drain(deadline)
         self._wakeup.close()
         return drained
@@ -148,9 +144,19 @@
                 listening.shutdown(socket.SHUT_RDWR)
 
     def _drain(self, deadline: float) -> bool:
-        while self._app.in_flight and time.monotonic() < deadline:
+        while self._busy() and time.monotonic() < deadline:
             time.sleep(DRAIN_POLL_S)
-        return self._app.in_flight == 0
+        return not self._busy()
+
+    def _busy(self) -> bool:
+        """Whether connections are accepted or open, or answers are made.
+
+        An open connection has a request that is arriving, waits for a
+        thread or is answered, or an answer that isn't sent yet.
+        """
+        listening = self._server.accepting and self._thread.is_alive()
+        open_count = len(self._server.active_channels)
+        return listening or open_count > 0 or self._app.in_flight > 0
 
 
 __all__ = ["ClientLimits", "HttpServer", "ServedApp"]
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -121,6 +121,59 @@
         return True
 
 
+class ReadRequestTest(StopTest):
+    """Requests that were read before the stop are answered."""
+
+    def test_requests_that_wait_for_a_thread_are_answered(self) -> None:
+        socks = self.send_wait(count=6)
+        stopped = self.begin_stop()
+        time.sleep(LOOK_S)
+        self.release.set()
+        for sock in socks:
+            self.assertEqual(200, self.read(sock)[0])
+        self.assertTrue(stopped.result(TIMEOUT_S))
+
+    def test_stop_waits_for_an_answer_that_is_read_slowly(self) -> None:
+        sock = self.connect(receive_bytes=4_096)
+        sock.sendall(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.until(lambda: "long" in self.taken)
+        self.until(lambda: self.app.in_flight == 0)
+        stopped = self.begin_stop()
+        time.sleep(LOOK_S)
+        self.assertFalse(stopped.done(), "stopped with answers unsent")
+        self.assertEqual(LONG_BYTES, self.read(sock)[2])
+        self.assertTrue(stopped.result(TIMEOUT_S))
+
+    def test_stop_waits_for_the_rest_of_a_body(self) -> None:
+        self.release.set()
+        sock = self.connect()
+        sock.sendall(HEAD + b"01234")
+        time.sleep(0.1)
+        stopped = self.begin_stop()
+        time.sleep(LOOK_S)
+        self.assertFalse(stopped.done(), "stopped in the middle of a body")
+        sock.sendall(b"56789")
+        self.assertEqual((200, "close"), self.read(sock)[:2])
+        self.assertTrue(stopped.result(TIMEOUT_S))
+
+    def test_stalled_body_does_not_hold_the_stop(self) -> None:
+        sock = self.connect()
+        sock.sendall(HEAD + b"01234")
+        time.sleep(0.1)
+        self.assertTrue(self.begin_stop().result(TIMEOUT_S / 2))
+        self.assertTrue(self.ended_unread(sock))
+
+    def test_request_in_the_socket_at_the_stop_is_answered(self) -> None:
+        sock = self.connect_kept()
+        held = self.send_wait()[0]
+        sock.sendall(SHORT)
+        stopped = self.begin_stop()
+        self.assertEqual(200, self.read(sock)[0])
+        self.release.set()
+        self.assertEqual(200, self.read(held)[0])
+        self.assertTrue(stopped.result(TIMEOUT_S))
+
+
 class KeptConnectionTest(StopTest):
     """What is sent after the stop has begun isn't read and then cut."""
 
