Answer requests that the end of the grace time breaks off

Cause: at the end of the grace time the process exited at once. Requests that still waited for a permit, for a thread or for an engine got no answer.

Change: the server then tells every request that nobody waits for it, as when a client has left.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
@@ -25,10 +25,12 @@
 
     :param closing: once set, each connection closes after its next answer
     :param ending: once set, connections without a request are closed
+    :param overdue: once set, requests are told that nobody waits for them
     """
 
     closing: threading.Event = field(default_factory=threading.Event)
     ending: threading.Event = field(default_factory=threading.Event)
+    overdue: threading.Event = field(default_factory=threading.Event)
 
 
 def connection_class(
@@ -51,6 +53,10 @@
         _was_late = False
         _read_at = 0.0
 
+        def check_client_disconnected(self) -> Any:
+            """Whether the request's work is no longer needed."""
+            return not self.connected or steps.overdue.is_set()
+
         def received(self, data: bytes) -> bool:
             """Note when bytes of a request arrived, then read them."""
             self._read_at = time.monotonic()
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -22,6 +22,9 @@
 # A client that sends a head slowly occupies a connection, but no thread.
 HEAD_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.02
+# For answers to requests that the end of the grace time breaks off: work that
+# nobody waits for ends within 0.05 s.
+LAST_ANSWERS_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +127,8 @@
         Kept connections without a request are closed at once: what is sent
         on them later isn't read, and so can't be cut off.
 
-        :param grace_s: seconds after which requests in flight are cut off
+        :param grace_s: seconds after which requests in flight are told to
+            end; they have ``LAST_ANSWERS_S`` more to answer with a failure
         :returns: whether all requests were answered completely
         """
         deadline = time.monotonic() + grace_s
@@ -133,6 +137,9 @@
         self._steps.ending.set()
         self._wakeup.pull()
         drained = self._drain(deadline)
+        if not drained:
+            self._steps.overdue.set()
+            self._drain(time.monotonic() + LAST_ANSWERS_S)
         self._wakeup.close()
         return drained
 
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -207,3 +207,23 @@
         self.assertEqual((200, "close"), self.read(sock)[:2])
         self.assertTrue(self.ended_unread(sock))
         self.assertTrue(self.server.stop(TIMEOUT_S))
+
+
+class GraceTest(StopTest):
+    """A request at the end of the grace time is answered, not cut."""
+
+    def test_overdue_request_gets_a_failure(self) -> None:
+        socks = self.send_wait(count=4)
+        stopped = self.begin_stop(grace_s=0.2)
+        for sock in socks:
+            self.assertEqual(503, self.read(sock)[0])
+        self.assertFalse(stopped.result(TIMEOUT_S))
+
+    def test_stop_keeps_to_the_grace_time(self) -> None:
+        sock = self.connect(receive_bytes=4_096)
+        sock.sendall(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.until(lambda: "long" in self.taken)
+        self.until(lambda: self.app.in_flight == 0)
+        begun = time.monotonic()
+        self.assertFalse(self.server.stop(0.2))
+        self.assertLess(time.monotonic() - begun, 1.0)
