Answer a request whose work ends with a socket error

Cause: waitress takes every OSError for the client's end and closes the connection without an answer and without a log line. Timeouts and broken connections of the application's own calls are OSErrors too.

Change: if the answer's head isn't sent yet, the error is logged and the request gets 500. No path of the programs is known that raises one now: the clients of engines, of the store and of peers turn them into values.

Measured: the new test's two requests got no answer before, and get 500 now.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -11,14 +11,21 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from mulberrypass.runtime.logs import get_logger
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+LOG = get_logger(__name__)
 # A request that arrives in part ends a stop's wait after so much silence: a
 # lost segment is sent again within about a second.
 ARRIVAL_PAUSE_S = 2.0
 
 
+class UnansweredError(Exception):
+    """An application ended with a socket error before its answer began."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopSteps:
     """Steps of a planned stop of a server, in this order.
@@ -42,6 +49,16 @@
     """
 
     class ClosingTask(WSGITask):
+        def execute(self) -> None:
+            """Answer; waitress takes any OSError for the client's end."""
+            try:
+                super().execute()
+            except OSError as exc:
+                if self.wrote_header:
+                    raise
+                LOG.exception("request failed outside of its handler")
+                raise UnansweredError(str(exc))
+
         def build_response_header(self) -> bytes:
             if steps.closing.is_set():
                 self.set_close_on_finish()
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -8,7 +8,7 @@
 import socket
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 import unittest
 
 from mulberrypass.runtime.http import (
@@ -19,9 +19,10 @@
     json_answer,
 )
 from mulberrypass.runtime.http_server import HttpServer
+from mulberrypass.runtime.in_flight import CallCounter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Iterator
     from concurrent.futures import Future
 
     from mulberrypass.runtime.http import Reply, Request
@@ -227,3 +228,37 @@
         begun = time.monotonic()
         self.assertFalse(self.server.stop(0.2))
         self.assertLess(time.monotonic() - begun, 1.0)
+
+
+class BrokenApp(CallCounter):
+    """Fails with a socket error before the answer's head is sent."""
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Fail in the call, or in the first chunk."""
+        if environ["PATH_INFO"] == "/call":
+            raise ConnectionResetError("not the client's connection")
+        return self._chunks(start_response)
+
+    def _chunks(self, start_response: Any) -> Iterator[bytes]:
+        start_response("200 OK", [])
+        raise TimeoutError("not the client's time")
+        yield b""
+
+
+class OwnSocketErrorTest(unittest.TestCase):
+    """A socket error of the application isn't taken for the client's."""
+
+    def test_request_is_answered_with_a_failure(self) -> None:
+        server = HttpServer(BrokenApp(), "127.0.0.1", 0, 2, 1_000)
+        server.start()
+        self.addCleanup(server.stop, 1.0)
+        for path in ("/call", "/chunk"):
+            with self.subTest(path=path):
+                conn = http.client.HTTPConnection(
+                    "127.0.0.1", server.port, TIMEOUT_S
+                )
+                self.addCleanup(conn.close)
+                conn.request("GET", path)
+                self.assertEqual(500, conn.getresponse().status)
