End the taking of requests in time when peers don't reply

Cause: a stop first told its peers that it leaves, which takes up to 2 s when they don't reply, and only then waited for the callers' addresses to run out. Requests were then taken later than 3 s after SIGTERM, with too little of the grace time left.

Change: the wait counts from the signal.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -105,7 +105,6 @@
         )
         logging.getLogger("waitress").setLevel(logging.ERROR)
         self._site = site
-        self._draining = False
         self._idle_s = 0.0
         self._stopped = threading.Event()
         self._metrics = Metrics(PROGRAM)
@@ -279,16 +278,17 @@
         :returns: whether all requests in flight have finished
         """
         site = self._site
-        deadline = time.monotonic() + site.grace_s - EXIT_MARGIN_S
+        now = time.monotonic()
+        deadline = now + site.grace_s - EXIT_MARGIN_S
+        accept_until = now + min(TTL_FACTOR * TTL_S, site.grace_s / TTL_FACTOR)
         LOG.info("stopping", grace_s=site.grace_s)
-        self._draining = True
         self._stopped.set()
         self._catch_up.stop()
         self._front.disable_keep_alive()
         self._membership.leave()
         self._holder.leave(site.grace_s)
         threading.Thread(target=self._unregister, daemon=True).start()
-        time.sleep(min(TTL_FACTOR * TTL_S, site.grace_s / TTL_FACTOR))
+        time.sleep(max(0.0, accept_until - time.monotonic()))
         finished = self._front.stop(max(0.0, deadline - time.monotonic()))
         while self._holder.busy and time.monotonic() < deadline:
             time.sleep(STOP_POLL_S)
@@ -340,7 +340,7 @@
         )
 
     def _not_ready(self) -> str:
-        if self._draining:
+        if self._stopped.is_set():
             return "the process is being stopped"
         if self._directory.routes().version == 0:
             return "no configuration is known"
