--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -2,29 +2,65 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+import socket
+import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from mulberrypass.runtime.logs import get_logger
+
 if TYPE_CHECKING:
     from collections.abc import Callable
-    import threading
+
+LOG = get_logger(__name__)
+# A request that arrives in part ends a stop's wait after so much silence: a
+# lost segment is sent again within about a second.
+ARRIVAL_PAUSE_S = 2.0
+
+
+class UnansweredError(Exception):
+    """An application ended with a socket error before its answer began."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopSteps:
+    """Steps of a planned stop of a server, in this order.
+
+    :param closing: once set, each connection closes after its next answer
+    :param ending: once set, connections without a request are closed
+    :param overdue: once set, requests are told that nobody waits for them
+    """
+
+    closing: threading.Event = field(default_factory=threading.Event)
+    ending: threading.Event = field(default_factory=threading.Event)
+    overdue: threading.Event = field(default_factory=threading.Event)
 
 
 def connection_class(
-    closing: threading.Event, head_s: Callable[[], float]
+    steps: StopSteps, head_s: Callable[[], float]
 ) -> type[HTTPChannel]:
     """Return a channel class for a server.
 
-    :param closing: once set, each connection closes after its next answer
     :param head_s: returns the seconds that a request's head may take
     """
 
     class ClosingTask(WSGITask):
+        def execute(self) -> None:
+            """Answer; waitress takes any OSError for the client's end."""
+            try:
+                super().execute()
+            except OSError as exc:
+                if self.wrote_header:
+                    raise
+                LOG.exception("request failed outside of its handler")
+                raise UnansweredError(str(exc))
+
         def build_response_header(self) -> bytes:
-            if closing.is_set():
+            if steps.closing.is_set():
                 self.set_close_on_finish()
             return bytes(super().build_response_header())
 
@@ -32,19 +68,43 @@
         task_class = ClosingTask
         _head_started_at: float | None = None
         _was_late = False
+        _read_at = 0.0
+
+        def check_client_disconnected(self) -> Any:
+            """Whether the request's work is no longer needed."""
+            return not self.connected or steps.overdue.is_set()
+
+        def received(self, data: bytes) -> bool:
+            """Note when bytes of a request arrived, then read them."""
+            self._read_at = time.monotonic()
+            return bool(super().received(data))
 
         def readable(self) -> bool:
-            """Check the head timeout too; polled at least once a second.
+            """Check for a close too; polled at least once a second.
 
-            Closes only on the second late poll in a row, so that a process
-            that was paused first reads what has arrived.
+            A late head closes only on the second late poll in a row, so that
+            a process that was paused first reads what has arrived.
             """
             late = self._head_is_late()
             if late and self._was_late:
                 self.will_close = True
             self._was_late = late
+            if steps.ending.is_set() and self._is_idle():
+                self.will_close = True
             return bool(super().readable())
 
+        def _is_idle(self) -> bool:
+            """Whether no request is read, answered, sent or left to be read.
+
+            Only the loop reads requests, and it is the loop that asks.
+            """
+            if self.requests or self.total_outbufs_len:
+                return False
+            pause_s = time.monotonic() - self._read_at
+            if self.request is not None and pause_s < ARRIVAL_PAUSE_S:
+                return False
+            return self.socket is not None and not _has_bytes(self.socket)
+
         def _head_is_late(self) -> bool:
             request = self.request
             if request is None or request.headers_finished:
@@ -58,4 +118,12 @@
     return LimitedChannel
 
 
-__all__ = ["connection_class"]
+def _has_bytes(sock: socket.socket) -> bool:
+    """Whether a socket that doesn't block has something to read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+__all__ = ["StopSteps", "connection_class"]
