Bound what an exchange reads from an engine as a whole

Cause: http.client reads heads, chunk sizes and trailers line by line, with a time-out for each receive. A server that trickles bytes held the thread until it stopped by itself; interim heads and trailers had no bound of size either. A head or a last chunk that ended early counted as complete, a 103 as an answer, and bytes behind an answer stayed hidden in the read buffer of a connection that went back to the pool.

Change: one bound of time and bytes for all reads of an answer, below http.client (runtime/bounded.py). A peer's close ends an answer only where that is its end, and surplus bytes close the connection.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -15,6 +15,7 @@
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.outcome import Ran
+from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
 from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
+FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -85,6 +87,7 @@
         self._pool = pool
         self._conn = conn
         self._sock: socket.socket = conn.sock
+        self._bound = ReadBound()
         self._resp: http.client.HTTPResponse | None = None
 
     @property
@@ -125,11 +128,14 @@
         """
         if headers is None:
             headers = {} if body is None else JSON_HEADERS
+        self._bound.allow(deadline.at, MAX_FRAMING_BYTES)
+        bind(self._conn, self._bound)
         try:
             self._sock.settimeout(deadline.left_s())
             self._conn.request(method, path, body, dict(headers))
-            self._sock.settimeout(deadline.left_s())
             self._resp = self._conn.getresponse()
+            if self._resp.status < FIRST_FINAL_STATUS:
+                raise http.client.BadStatusLine(str(self._resp.status))
         except TimeoutError:
             raise WireError(
                 EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -138,7 +144,7 @@
             failed = EngineFailed(
                 f"no answer: {type(exc).__name__}", Ran.MAYBE, resumable=True
             )
-            raise WireError(failed, unanswered=True)
+            raise WireError(failed, unanswered=not self._bound.received)
 
     def read_some(self, size: int, deadline: Deadline) -> bytes:
         """Read the next part of the body; empty at its end.
@@ -146,8 +152,11 @@
         :raises WireError: if the read fails or the deadline passes
         """
         assert self._resp is not None
+        deadline.left_s()
+        self._bound.allow(
+            deadline.at, size + MAX_FRAMING_BYTES, not self._resp.chunked
+        )
         try:
-            self._sock.settimeout(deadline.left_s())
             return self._resp.read1(size)
         except TimeoutError:
             raise WireError(
@@ -187,7 +196,10 @@
             self.close()
             return
         resp.close()
-        self._pool.put(self._conn)
+        if self._bound.surplus:
+            self.close()
+        else:
+            self._pool.put(self._conn)
 
     def close(self) -> None:
         """Close the connection."""
--- /dev/null
+++ b/src/mulberrypass/runtime/bounded.py
@@ -0,0 +1,150 @@
+"""Reads HTTP answers within bounds of time and size."""
+
+from __future__ import annotations
+
+from functools import partial
+import http.client
+import io
+import time
+from typing import TYPE_CHECKING, Any, cast
+
+if TYPE_CHECKING:
+    import socket
+
+# Bytes of a head with its interim heads, or of the chunk sizes and trailers
+# around a part of a body: as many as http.client accepts in one line.
+MAX_FRAMING_BYTES = 65_536
+
+
+class OversizeError(http.client.HTTPException):
+    """More bytes arrived than the answer may have at this point."""
+
+
+class ReadBound:
+    """Bounds all reads of one answer, however its bytes are spread.
+
+    :ivar received: number of bytes received
+    :ivar surplus: whether bytes arrived after the end of the answer
+    """
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.surplus = False
+        self._until = 0.0
+        self._silence_s = 0.0
+        self._allowed = 0
+        self._may_end = False
+        self._ended = False
+
+    def end(self) -> None:
+        """Receive nothing more."""
+        self._ended = True
+
+    def allow(
+        self,
+        until: float,
+        size: int,
+        may_end: bool = False,
+        silence_s: float = float("inf"),
+    ) -> None:
+        """Set the bounds of the next reads.
+
+        :param until: when they must have ended, on the monotonic clock
+        :param size: number of bytes that they may receive
+        :param may_end: whether the peer may close the connection now
+        :param silence_s: longest wait for a byte
+        """
+        self._until = until
+        self._allowed = size
+        self._may_end = may_end
+        self._silence_s = silence_s
+
+    def read_into(
+        self, source: io.RawIOBase, sock: socket.socket, buffer: memoryview
+    ) -> int:
+        """Receive some bytes.
+
+        :raises TimeoutError: if the time has passed
+        :raises OversizeError: if all allowed bytes were received before
+        :raises RemoteDisconnected: if the answer ends too early
+        """
+        if self._ended:
+            return 0
+        left_s = min(self._until - time.monotonic(), self._silence_s)
+        if left_s <= 0:
+            raise TimeoutError("timed out")
+        if self._allowed <= 0:
+            raise OversizeError("bytes without an end")
+        sock.settimeout(left_s)
+        count: int = source.readinto(buffer[: self._allowed]) or 0
+        if not count and not self._may_end:
+            raise http.client.RemoteDisconnected("an answer ended early")
+        self.received += count
+        self._allowed -= count
+        return count
+
+
+class _BoundedSource(io.RawIOBase):
+    """The bytes of a socket, within a bound."""
+
+    def __init__(
+        self, source: io.RawIOBase, sock: socket.socket, bound: ReadBound
+    ) -> None:
+        self._source = source
+        self._sock = sock
+        self._bound = bound
+
+    def readable(self) -> bool:
+        """Return that it can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Receive some bytes; see ``ReadBound``."""
+        return self._bound.read_into(
+            self._source, self._sock, memoryview(buffer)
+        )
+
+    def close(self) -> None:
+        """Release the socket."""
+        self._source.close()
+        super().close()
+
+
+class _BoundedReader(io.BufferedReader):
+    """Notices bytes that were received but not read."""
+
+    def __init__(self, source: _BoundedSource, bound: ReadBound) -> None:
+        super().__init__(source)
+        self._bound = bound
+
+    def close(self) -> None:
+        """Release the socket."""
+        if not self.closed:
+            self._bound.end()
+            self._bound.surplus = bool(self.peek())
+        super().close()
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """An answer whose reads a bound limits."""
+
+    def __init__(
+        self, sock: socket.socket, *args: Any, bound: ReadBound, **kwargs: Any
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        source = _BoundedSource(self.fp.detach(), sock, bound)
+        self.fp = _BoundedReader(source, bound)
+
+
+def bind(conn: http.client.HTTPConnection, bound: ReadBound) -> None:
+    """Bound the next answer on a connection."""
+    cast("Any", conn).response_class = partial(BoundedResponse, bound=bound)
+
+
+__all__ = [
+    "BoundedResponse",
+    "MAX_FRAMING_BYTES",
+    "OversizeError",
+    "ReadBound",
+    "bind",
+]
--- /dev/null
+++ b/tests/engine/test_endless_bytes.py
@@ -0,0 +1,192 @@
+"""Tests of calls to a backend server whose bytes never end."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import replace
+import socket
+import threading
+import time
+import unittest
+
+from mulberrypass.engine.wire import (
+    MAX_ERROR_BYTES,
+    ConnectionPool,
+    Deadline,
+    WireError,
+)
+from tests.engine.endless import (
+    CHUNKED,
+    HOST,
+    NO_LENGTH,
+    OK_HEAD,
+    Bytes,
+    EndlessServer,
+)
+
+TRICKLE_S = 0.02
+DEADLINE_S = 0.15
+SLACK_S = 0.2
+LONG_S = 10.0
+# Well above what any of these cases takes, well below its deadline.
+FAST_S = 1.5
+HEADS = {
+    "no line end": Bytes(b"", b"x"),
+    "header lines": Bytes(OK_HEAD, b"X-A: b\r\n"),
+    "header without end": Bytes(OK_HEAD + b"X-A: ", b"b"),
+    "interim heads": Bytes(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+BODIES = {
+    "chunk size": Bytes(CHUNKED, b"0"),
+    "chunk extension": Bytes(CHUNKED + b"5;", b"x"),
+    "trailer": Bytes(CHUNKED + b"0\r\nX-A: ", b"b"),
+    "trailers": Bytes(CHUNKED + b"0\r\n", b"X-A: b\r\n"),
+    "body without length": Bytes(NO_LENGTH, b"x"),
+    "chunks": Bytes(CHUNKED, b"1\r\nx\r\n"),
+}
+
+
+def call(pool: ConnectionPool, deadline: Deadline) -> bytes:
+    """Make a call and read its whole answer."""
+    exchange = pool.exchange("GET", "/", None, deadline, repeatable=False)
+    try:
+        return exchange.read_whole(MAX_ERROR_BYTES, deadline)
+    finally:
+        exchange.finish()
+
+
+class EndlessBytesTest(unittest.TestCase):
+    """Heads and bodies that don't end held a thread without a bound.
+
+    Each single read succeeded within its time-out.
+    """
+
+    def assert_ends(
+        self, sent: Bytes, deadline_s: float, limit_s: float
+    ) -> None:
+        server = EndlessServer(self, sent)
+        pool = ConnectionPool(server.address)
+        started = time.monotonic()
+        with self.assertRaises(WireError):
+            call(pool, Deadline.after(deadline_s))
+        self.assertLess(time.monotonic() - started, limit_s)
+        self.assertIsNone(pool.take_idle())
+        self.assertTrue(server.closed.wait(0.5))
+
+    def test_trickle_ends_at_the_deadline(self) -> None:
+        for name, sent in (HEADS | BODIES).items():
+            with self.subTest(name):
+                self.assert_ends(
+                    replace(sent, pause_s=TRICKLE_S),
+                    DEADLINE_S,
+                    DEADLINE_S + SLACK_S,
+                )
+
+    def test_flood_ends_at_a_size(self) -> None:
+        for name, sent in (HEADS | BODIES).items():
+            with self.subTest(name):
+                self.assert_ends(sent, LONG_S, FAST_S)
+
+
+class AnswerOnceServer:
+    """Sends the same bytes after each request on a connection.
+
+    :param then: sent a moment after the first answer
+    :param close: whether it closes the connection after an answer
+    """
+
+    def __init__(
+        self,
+        test: unittest.TestCase,
+        answer: bytes,
+        then: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        self._parts = (answer, then)
+        self._close = close
+        self._listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        self.channels = 0
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+        test.addCleanup(thread.join)
+        test.addCleanup(self._listener.close)
+        test.addCleanup(self._listener.shutdown, socket.SHUT_RDWR)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.channels += 1
+            with conn, contextlib.suppress(OSError):
+                self._answer(conn)
+
+    def _answer(self, conn: socket.socket) -> None:
+        answer, then = self._parts
+        while conn.recv(65_536):
+            conn.sendall(answer)
+            if self._close:
+                return
+            time.sleep(TRICKLE_S)
+            conn.sendall(then)
+
+
+class PartOfAnswerTest(unittest.TestCase):
+    def assert_no_answer(self, part: bytes) -> None:
+        server = AnswerOnceServer(self, part, close=True)
+        pool = ConnectionPool(server.address)
+        with self.assertRaises(WireError):
+            call(pool, Deadline.after(1.0))
+        self.assertIsNone(pool.take_idle())
+
+    def test_head_that_ends_early_is_no_answer(self) -> None:
+        for part in (OK_HEAD, OK_HEAD[:-20], OK_HEAD + b"Content-Len"):
+            with self.subTest(part):
+                self.assert_no_answer(part)
+
+    def test_interim_status_is_no_answer(self) -> None:
+        self.assert_no_answer(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+    def test_chunks_that_end_early_are_no_answer(self) -> None:
+        for part in (b"", b"1\r\nx", b"1\r\nx\r\n", b"0\r\n"):
+            with self.subTest(part):
+                self.assert_no_answer(CHUNKED + part)
+
+
+class SurplusTest(unittest.TestCase):
+    """Bytes after a complete answer belong to no request."""
+
+    def test_connection_with_surplus_bytes_is_not_used_again(self) -> None:
+        whole = OK_HEAD + b"Content-Length: 2\r\n\r\nok"
+        chunks = CHUNKED + b"2\r\nok\r\n0\r\n\r\n"
+        cases = {
+            "with the answer": (whole + b"x", b""),
+            "with the last chunk": (chunks + b"x", b""),
+            "a moment later": (whole, b"x" * 100_000),
+        }
+        for name, (answer, then) in cases.items():
+            with self.subTest(name):
+                server = AnswerOnceServer(self, answer, then)
+                pool = ConnectionPool(server.address)
+                self.assertEqual(b"ok", call(pool, Deadline.after(1.0)))
+                time.sleep(3 * TRICKLE_S)
+                self.assertIsNone(pool.take_idle())
+
+    def test_connection_without_surplus_is_used_again(self) -> None:
+        for answer in (
+            OK_HEAD + b"Content-Length: 2\r\n\r\nok",
+            CHUNKED + b"2\r\nok\r\n0\r\n\r\n",
+        ):
+            with self.subTest(answer):
+                server = AnswerOnceServer(self, answer)
+                pool = ConnectionPool(server.address)
+                self.addCleanup(pool.close)
+                for _ in range(3):
+                    call(pool, Deadline.after(1.0))
+                self.assertEqual(1, server.channels)
+
+
+if __name__ == "__main__":
+    unittest.main()
