Bound what the store's client reads of a reply

Cause: the same reads without a bound as in the exchange with engines; a reply had a time-out for each receive only, and its declared length or chunk size was allocated before a byte of it had come.

Change: the head has the call's time-out as a whole, the body 10 s and 16 MiB, still with the time-out for each receive, and is read in parts.

--- a/src/mulberrypass/platform/http_client.py
+++ b/src/mulberrypass/platform/http_client.py
@@ -12,6 +12,12 @@
 from expression import Error, Ok
 
 from mulberrypass.model.store import Unavailable
+from mulberrypass.runtime.bounded import (
+    MAX_FRAMING_BYTES,
+    OversizeError,
+    ReadBound,
+    bind,
+)
 from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
@@ -21,6 +27,11 @@
     from expression import Result
 
 MAX_IDLE_S = 20.0
+# A page of 1 MB or an object of 8 MB, over a link that is squeezed.
+MAX_TRANSFER_S = 10.0
+# Twice the largest object that the store keeps.
+MAX_REPLY_BYTES = 16_777_216
+READ_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,14 +108,25 @@
         body: bytes,
         headers: Mapping[str, str],
     ) -> Result[HttpReply, Unavailable]:
+        timeout_s = self._endpoint.read_timeout_s
+        bound = ReadBound()
+        bind(conn, bound)
         try:
+            conn.sock.settimeout(timeout_s)
             conn.request(method, target, body, headers)
+            bound.allow(time.monotonic() + timeout_s, MAX_FRAMING_BYTES)
             resp = conn.getresponse()
-            reply = HttpReply(resp.status, resp.read())
+            bound.allow(
+                time.monotonic() + MAX_TRANSFER_S,
+                MAX_REPLY_BYTES + MAX_FRAMING_BYTES,
+                may_end=not resp.chunked,
+                silence_s=timeout_s,
+            )
+            reply = HttpReply(resp.status, _read_body(resp))
         except (OSError, http.client.HTTPException) as exc:
             conn.close()
             return Error(Unavailable(f"no answer: {exc!r}", True))
-        self._release(conn, resp.will_close)
+        self._release(conn, resp.will_close or bound.surplus)
         return Ok(reply)
 
     def close(self) -> None:
@@ -146,7 +168,6 @@
             conn.close()
             return Error(Unavailable(f"no connection: {exc!r}", False))
         keep_alive(conn.sock)
-        conn.sock.settimeout(endpoint.read_timeout_s)
         return Ok(conn)
 
     def _release(
@@ -159,6 +180,24 @@
         conn.close()
 
 
+def _read_body(resp: http.client.HTTPResponse) -> bytes:
+    """Read the body in parts, whatever size it claims to have.
+
+    :raises HTTPException: if it is truncated or too large
+    """
+    parts: list[bytes] = []
+    size = 0
+    with resp:
+        while part := resp.read1(READ_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > MAX_REPLY_BYTES:
+                raise OversizeError("a reply is too large")
+        if resp.length:
+            raise http.client.IncompleteRead(b"", resp.length)
+    return b"".join(parts)
+
+
 def _closed_by_peer(conn: http.client.HTTPConnection) -> bool:
     if conn.sock is None:
         return True
--- a/tests/engine/endless.py
+++ b/tests/engine/endless.py
@@ -14,7 +14,7 @@
 HOST = "127.0.0.1"
 # Far more than a bound allows, so that a test without one ends and fails.
 MAX_SENDING_S = 3.0
-REPEAT = 1_024
+REPEAT = 32_768
 OK_HEAD = b"HTTP/1.1 200 OK\r\nX-Mulberrypass-Request-Id: r1\r\n"
 CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 NO_LENGTH = OK_HEAD + b"\r\n"
