Split events in linear time, however small the parts are

Cause: each part was joined to all bytes before it and searched from the start, so that an event without an end, in small chunks, cost the square of its length in processor time before the limit of 1 MiB was reached.

Change: the splitter keeps one buffer and searches new bytes only.

--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import re
 
 # Engines send no longer events; a larger one means a broken stream.
 MAX_EVENT_BYTES = 1_048_576
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# Bytes of an end that may have arrived without its last one.
+MAX_PARTIAL_END = 3
 
 
 class BadEventError(Exception):
@@ -27,32 +31,37 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into events."""
+    """Splits a byte stream into events.
+
+    It looks at each byte once, however small the parts are.
+    """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def pending(self) -> bool:
         """Whether an incomplete event is buffered."""
-        return bool(self._partial.strip())
+        return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
         :raises BadEventError: if an event is too long
         """
-        buffer = self._partial + data
+        buffer = self._buffer
+        buffer += data
         events = []
-        while True:
-            end = _first_event_length(buffer)
-            if end < 0:
-                break
-            events.append(_parse_event(buffer[:end]))
-            buffer = buffer[end:]
+        start, search = 0, self._searched
+        while found := EVENT_END.search(buffer, search):
+            search = found.end()
+            events.append(_parse_event(bytes(buffer[start:search])))
+            start = search
+        del buffer[:start]
         if len(buffer) > MAX_EVENT_BYTES:
             raise BadEventError("an event is too long")
-        self._partial = buffer
+        self._searched = max(0, len(buffer) - MAX_PARTIAL_END)
         return events
 
 
@@ -87,16 +96,6 @@
         return events, None
 
 
-def _first_event_length(buffer: bytes) -> int:
-    """Return the length of the first event; -1 if it is incomplete."""
-    ends = [
-        found + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (found := buffer.find(separator)) >= 0
-    ]
-    return min(ends, default=-1)
-
-
 def _parse_event(raw: bytes) -> Event:
     number = None
     data = []
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 from mulberrypass.relay.events import (
@@ -38,6 +39,24 @@
         self.assertEqual([4], [e.number for e in events])
         self.assertEqual(b"x", events[0].data)
 
+    def test_crlf_end_in_parts(self) -> None:
+        raw = b"id: 4\r\ndata: x\r\n\r\n"
+        for size in range(1, len(raw)):
+            with self.subTest(size):
+                splitter = EventSplitter()
+                events = []
+                for at in range(0, 2 * len(raw), size):
+                    events += splitter.feed((2 * raw)[at : at + size])
+                self.assertEqual([raw, raw], [e.raw for e in events])
+
+    def test_event_without_end_in_small_parts_takes_little_time(self) -> None:
+        """Each part cost as much as all parts before it."""
+        splitter = EventSplitter()
+        started = time.process_time()
+        for _ in range(MAX_EVENT_BYTES // 8):
+            splitter.feed(b"data: x\n")
+        self.assertLess(time.process_time() - started, 2.0)
+
     def test_unknown_field_is_ignored(self) -> None:
         raw = b"x-weight-versions: 3\nid: 4\ndata: x\n\n"
         events = EventSplitter().feed(raw)
