Leave an engine that sends bytes but completes no event

Cause: the limit on an engine's silence started anew with each read, so that bytes which never become an event kept a resumable stream at its engine until the deadline, and a batch item for 120 s. A trickled body on a route that may be repeated took the whole time, too. The body of an answer that said "not run" was waited for until the deadline, and without it the status was forgotten: a request that never ran ended 504, an item's 422 was run again.

Change: the limit holds for a whole event. A body that is forwarded whole has half of the time left if the request may go on elsewhere.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -19,6 +19,7 @@
     EventSplitter,
 )
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 from mulberrypass.runtime.logs import get_logger
 
@@ -223,7 +224,7 @@
                 on_open,
                 deadline.within(READ_TIMEOUT_S),
             )
-            self._check_head(answer, deadline.within(READ_TIMEOUT_S))
+            self._check_head(answer, deadline)
             for count in self._read(answer, deadline, permit):
                 events += count
             outcome = ReleaseOutcome.DONE
@@ -245,7 +246,7 @@
         head = answer.head
         if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
             return
-        answer.read_some(deadline)
+        skip_rest(answer, deadline)
         ran = Ran.NO if head.not_run else Ran.YES
         raise WireError(
             EngineFailed(f"status {head.status}", ran, status=head.status)
@@ -257,13 +258,15 @@
         counts = []
         splitter = EventSplitter()
         order = EventOrder(self._progress.last)
+        event_due = deadline.within(READ_TIMEOUT_S)
         while True:
-            data = answer.read_some(deadline.within(READ_TIMEOUT_S))
+            data = answer.read_some(event_due)
             if not data:
                 break
             events = splitter.feed(data)
             if events:
                 permit.mark_first_event()
+                event_due = deadline.within(READ_TIMEOUT_S)
             for event in events:
                 order.accept(event)
                 self._progress.last = order.last
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -27,6 +27,7 @@
     EventSplitter,
 )
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 from mulberrypass.runtime.logs import get_logger
 
@@ -50,8 +51,8 @@
 # From a free engine slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_LATENCY_S = 0.07
 MAX_BUFFERED_BYTES = 8_388_608
-# A request that may continue elsewhere leaves an engine that sends nothing
-# for this long. Callers give up on a silent stream after 2 s.
+# A request that may continue elsewhere leaves an engine that completes no
+# head or event for this long. Callers give up on a silent stream after 2 s.
 SILENCE_TIMEOUT_S = 1.0
 
 
@@ -213,11 +214,10 @@
             )
             head = self._answer.head
             if head.not_run:
-                self._answer.read_some(self._deadline)
                 reason = f"engine says not run: {head.status}"
-                raise WireError(
-                    EngineFailed(reason, Ran.NO, status=head.status)
-                )
+                sound = skip_rest(self._answer, self._deadline)
+                status = head.status if sound else 0
+                raise WireError(EngineFailed(reason, Ran.NO, status=status))
             if self._route.kind is RouteKind.STREAM and _is_success(head):
                 yield from self._forward_stream(self._answer)
             else:
@@ -234,11 +234,20 @@
         return None
 
     def _read_deadline(self) -> Deadline:
-        """Return until when to wait for the engine's next bytes."""
+        """Return until when the head or the next event is due."""
         if self._may_repeat():
             return self._deadline.within(SILENCE_TIMEOUT_S)
         return self._deadline
 
+    def _body_deadline(self) -> Deadline:
+        """Return until when a body is due that is forwarded whole.
+
+        If the request may continue elsewhere, time is left for that.
+        """
+        if self._may_repeat():
+            return self._deadline.within(self._deadline.left_s() / 2)
+        return self._deadline
+
     def _watch_call(self, abort: Callable[[], None]) -> None:
         self._unwatch_call()
         self._watched_call = WatchedCall(self._disconnected, abort)
@@ -257,10 +266,8 @@
         if not self._head_sent:
             self._head_sent = True
             yield AnswerHead(answer.head.status, answer.head.headers, None)
-        while True:
-            data = answer.read_some(self._read_deadline())
-            if not data:
-                break
+        event_due = self._read_deadline()
+        while data := answer.read_some(event_due):
             events = splitter.feed(data)
             if not events:
                 continue
@@ -272,6 +279,7 @@
                 yield AnswerBody(b"".join(event.raw for event in valid))
             if error is not None:
                 raise error
+            event_due = self._read_deadline()
         if splitter.pending:
             raise WireError(EngineFailed("cut in an event", Ran.YES))
 
@@ -279,10 +287,8 @@
         """Forward an answer once it is complete."""
         parts = []
         size = 0
-        while True:
-            data = answer.read_some(self._deadline)
-            if not data:
-                break
+        body_due = self._body_deadline()
+        while data := answer.read_some(body_due):
             parts.append(data)
             size += len(data)
             if size > MAX_BUFFERED_BYTES:
--- /dev/null
+++ b/src/mulberrypass/relay/unread.py
@@ -0,0 +1,36 @@
+"""Reads what is left of an answer that nobody needs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.engine.wire import MAX_ERROR_BYTES, WireError
+
+if TYPE_CHECKING:
+    from mulberrypass.engine.wire import Deadline
+    from mulberrypass.relay.api import EngineAnswer
+
+# Such a body comes with its head. Waiting longer costs the request more than
+# a new connection.
+SKIP_TIMEOUT_S = 0.05
+
+
+def skip_rest(answer: EngineAnswer, deadline: Deadline) -> bool:
+    """Read the rest of an answer, so that its connection can be reused.
+
+    :returns: whether the body is no larger than that of a refusal
+    """
+    size = 0
+    try:
+        until = deadline.within(SKIP_TIMEOUT_S)
+        while size <= MAX_ERROR_BYTES:
+            data = answer.read_some(until)
+            if not data:
+                return True
+            size += len(data)
+    except WireError:
+        return True
+    return False
+
+
+__all__ = ["skip_rest"]
--- /dev/null
+++ b/tests/batches/test_run.py
@@ -0,0 +1,121 @@
+"""Tests of one run of a batch item at engines that misbehave."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import time
+from typing import TYPE_CHECKING
+import unittest
+from unittest.mock import patch
+
+from mulberrypass.batches import run as run_module
+from mulberrypass.batches.run import ItemRun
+from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
+from mulberrypass.platform.engines import HttpEngineClient
+from mulberrypass.policy.batches.order import ItemPace
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.forward import RelayDependencies
+from mulberrypass.relay.permits import PermitAcquirer
+from mulberrypass.relay.watch import CallWatch
+from tests.batches import cases
+from tests.engine.endless import (
+    NO_LENGTH,
+    AnsweringServer,
+    Bytes,
+    EndlessServer,
+)
+from tests.relay.fakes import ScriptedPermits, engine, event, request, table
+
+if TYPE_CHECKING:
+    from mulberrypass.model.batch_jobs import BatchItem, JobHead
+    from mulberrypass.relay.api import RelayRequest
+
+TRICKLE_S = 0.02
+READ_S = 0.15
+FAST_S = 1.5
+WHOLE = event(1) + event(2)
+
+
+def make_request(
+    _head: JobHead, _item: BatchItem, after: int | None
+) -> RelayRequest:
+    """Return the request of an item."""
+    return request(after_event=after)
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """An engine that sends bytes without an end held an item for 120 s."""
+
+    def setUp(self) -> None:
+        read = patch.object(run_module, "READ_TIMEOUT_S", READ_S)
+        read.start()
+        self.addCleanup(read.stop)
+
+    def outcome_of(
+        self, sent: Bytes, answer: bytes = WHOLE
+    ) -> tuple[ItemOutcome | None, list[str]]:
+        """Run an item at an endless engine, and then at a sound one."""
+        endless = EndlessServer(self, sent)
+        sound = AnsweringServer(self, NO_LENGTH + answer, close=True)
+        directory = Directory()
+        directory.apply_routes(table(cases.route()))
+        directory.set_engines(
+            [
+                engine("e1", address=endless.address),
+                engine("e2", address=sound.address),
+            ]
+        )
+        permits = ScriptedPermits("e1", "e2")
+        deps = RelayDependencies(
+            directory,
+            PermitAcquirer("entry@a", permits, directory),
+            HttpEngineClient(),
+            CallWatch(),
+        )
+        item_run = ItemRun(
+            deps,
+            cases.head(first_s=time.time()),
+            0,
+            cases.item(0),
+            make_request,
+            lambda: False,
+            ItemPace(),
+        )
+        started = time.monotonic()
+        outcome = item_run.run()
+        self.assertLess(time.monotonic() - started, FAST_S)
+        self.assertTrue(endless.closed.wait(0.5))
+        return outcome, permits.released
+
+    def test_item_leaves_bytes_that_become_no_event(self) -> None:
+        streams = {
+            "head": (Bytes(b"", b"x"), WHOLE),
+            "body": (Bytes(NO_LENGTH + event(1), b"data: x\n"), event(2)),
+        }
+        for name, (sent, answer) in streams.items():
+            for pause_s in (0.0, TRICKLE_S):
+                with self.subTest(name, pause_s=pause_s):
+                    outcome, released = self.outcome_of(
+                        replace(sent, pause_s=pause_s), answer
+                    )
+                    assert outcome is not None
+                    self.assertEqual("1\n2", outcome.output)
+                    self.assertEqual(["failed", "done"], released)
+
+    def test_item_that_cannot_be_done_waits_for_no_body(self) -> None:
+        status = (
+            b"HTTP/1.1 422 Unprocessable\r\n" + NO_LENGTH.partition(b"\r\n")[2]
+        )
+        for sent in (
+            Bytes(status, b"x"),
+            Bytes(status, b"x", TRICKLE_S),
+            Bytes(status, b""),
+        ):
+            with self.subTest(sent.pause_s):
+                outcome, _ = self.outcome_of(sent)
+                assert outcome is not None
+                self.assertIs(ItemState.ABANDONED, outcome.state)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/engine/endless.py
+++ b/tests/engine/endless.py
@@ -1,7 +1,8 @@
-"""A server that answers with bytes that never end."""
+"""Servers that answer with bytes that never end, or with an answer."""
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 import socket
 import threading
@@ -15,6 +16,7 @@
 # Far more than a bound allows, so that a test without one ends and fails.
 MAX_SENDING_S = 3.0
 REPEAT = 32_768
+SURPLUS_DELAY_S = 0.02
 OK_HEAD = b"HTTP/1.1 200 OK\r\nX-Mulberrypass-Request-Id: r1\r\n"
 CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 NO_LENGTH = OK_HEAD + b"\r\n"
@@ -96,7 +98,54 @@
             self.closed.set()
 
 
+class AnsweringServer:
+    """Sends the same bytes after each request on a connection.
+
+    :param then: sent a moment after the first answer
+    :param close: whether it ends the connection after an answer
+    """
+
+    def __init__(
+        self,
+        test: unittest.TestCase,
+        answer: bytes,
+        then: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        self._parts = (answer, then)
+        self._close = close
+        self._listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        self.channels = 0
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+        test.addCleanup(thread.join)
+        test.addCleanup(self._listener.close)
+        test.addCleanup(self._listener.shutdown, socket.SHUT_RDWR)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.channels += 1
+            with conn, contextlib.suppress(OSError):
+                self._answer(conn)
+
+    def _answer(self, conn: socket.socket) -> None:
+        answer, then = self._parts
+        while conn.recv(65_536):
+            conn.sendall(answer)
+            if self._close:
+                conn.shutdown(socket.SHUT_WR)
+                continue
+            time.sleep(SURPLUS_DELAY_S)
+            conn.sendall(then)
+
+
 __all__ = [
+    "AnsweringServer",
     "Bytes",
     "CHUNKED",
     "EndlessServer",
--- a/tests/engine/test_endless_bytes.py
+++ b/tests/engine/test_endless_bytes.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import replace
-import socket
-import threading
 import time
 import unittest
 
@@ -17,9 +14,9 @@
 )
 from tests.engine.endless import (
     CHUNKED,
-    HOST,
     NO_LENGTH,
     OK_HEAD,
+    AnsweringServer,
     Bytes,
     EndlessServer,
 )
@@ -88,54 +85,9 @@
                 self.assert_ends(sent, LONG_S, FAST_S)
 
 
-class AnswerOnceServer:
-    """Sends the same bytes after each request on a connection.
-
-    :param then: sent a moment after the first answer
-    :param close: whether it closes the connection after an answer
-    """
-
-    def __init__(
-        self,
-        test: unittest.TestCase,
-        answer: bytes,
-        then: bytes = b"",
-        close: bool = False,
-    ) -> None:
-        self._parts = (answer, then)
-        self._close = close
-        self._listener = socket.create_server((HOST, 0))
-        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
-        self.channels = 0
-        thread = threading.Thread(target=self._run, daemon=True)
-        thread.start()
-        test.addCleanup(thread.join)
-        test.addCleanup(self._listener.close)
-        test.addCleanup(self._listener.shutdown, socket.SHUT_RDWR)
-
-    def _run(self) -> None:
-        while True:
-            try:
-                conn, _ = self._listener.accept()
-            except OSError:
-                return
-            self.channels += 1
-            with conn, contextlib.suppress(OSError):
-                self._answer(conn)
-
-    def _answer(self, conn: socket.socket) -> None:
-        answer, then = self._parts
-        while conn.recv(65_536):
-            conn.sendall(answer)
-            if self._close:
-                return
-            time.sleep(TRICKLE_S)
-            conn.sendall(then)
-
-
 class PartOfAnswerTest(unittest.TestCase):
     def assert_no_answer(self, part: bytes) -> None:
-        server = AnswerOnceServer(self, part, close=True)
+        server = AnsweringServer(self, part, close=True)
         pool = ConnectionPool(server.address)
         with self.assertRaises(WireError):
             call(pool, Deadline.after(1.0))
@@ -168,7 +120,7 @@
         }
         for name, (answer, then) in cases.items():
             with self.subTest(name):
-                server = AnswerOnceServer(self, answer, then)
+                server = AnsweringServer(self, answer, then)
                 pool = ConnectionPool(server.address)
                 self.assertEqual(b"ok", call(pool, Deadline.after(1.0)))
                 time.sleep(3 * TRICKLE_S)
@@ -180,7 +132,7 @@
             CHUNKED + b"2\r\nok\r\n0\r\n\r\n",
         ):
             with self.subTest(answer):
-                server = AnswerOnceServer(self, answer)
+                server = AnsweringServer(self, answer)
                 pool = ConnectionPool(server.address)
                 self.addCleanup(pool.close)
                 for _ in range(3):
