Bound the output that a run of a batch item collects

Cause: an engine that sends acceptable events without an end filled the memory of the holder for up to 120 s, as nothing limited the joined output.

Change: at 8 MiB, the limit of an answer that is forwarded whole, the attempt fails and the output begins anew at another engine.

Measured: the new test fails on the state before (the output has all four events, "1\n2" was wanted) and passes now.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -30,6 +30,7 @@
     from mulberrypass.model.routes import RelayRoute
     from mulberrypass.policy.batches.order import ItemPace
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.events import Event
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit
 
@@ -38,6 +39,8 @@
 # Events come every 25 to 300 ms, and items don't queue inside engines, so
 # that a longer silence is a fault.
 READ_TIMEOUT_S = 3.0
+# As much as an answer that is forwarded whole may have.
+MAX_OUTPUT_BYTES = 8_388_608
 RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 # The route of a job may be missing briefly while the configuration changes.
@@ -49,16 +52,33 @@
     """The output of an item so far, kept across attempts.
 
     :param event_texts: data of the events received
+    :param size: bytes of data in these events
     :param last: number of the last event; ``None`` before the first
     :param failures: attempts that ended with status 500 of the engine
     :param route_missing_since: monotonic time; ``None`` while it exists
     """
 
     event_texts: list[str] = field(default_factory=list)
+    size: int = 0
     last: int | None = None
     failures: int = 0
     route_missing_since: float | None = None
 
+    def add(self, event: Event) -> None:
+        """Add an event to the output.
+
+        :raises BadEventError: if it makes the output too long; it begins
+            anew
+        """
+        self.last = event.number
+        self.size += len(event.data)
+        self.event_texts.append(event.data.decode("utf-8", "replace"))
+        if self.size > MAX_OUTPUT_BYTES:
+            self.event_texts.clear()
+            self.size = 0
+            self.last = None
+            raise BadEventError("the output is too long")
+
 
 class ItemRun:
     """The execution of one item; used by one thread.
@@ -269,10 +289,7 @@
                 event_due = deadline.within(READ_TIMEOUT_S)
             for event in events:
                 order.accept(event)
-                self._progress.last = order.last
-                self._progress.event_texts.append(
-                    event.data.decode("utf-8", "replace")
-                )
+                self._progress.add(event)
             counts.append(len(events))
         if splitter.pending:
             raise WireError(EngineFailed("cut in an event", Ran.YES))
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -24,11 +24,20 @@
     Bytes,
     EndlessServer,
 )
-from tests.relay.fakes import ScriptedPermits, engine, event, request, table
+from tests.relay.fakes import (
+    Script,
+    ScriptedEngines,
+    ScriptedPermits,
+    engine,
+    event,
+    request,
+    table,
+)
 
 if TYPE_CHECKING:
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
-    from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.model.routes import RegisteredEngine
+    from mulberrypass.relay.api import EngineClient, RelayRequest
 
 TRICKLE_S = 0.02
 READ_S = 0.15
@@ -43,6 +52,48 @@
     return request(after_event=after)
 
 
+def make_run(
+    client: EngineClient, *engines: RegisteredEngine
+) -> tuple[ScriptedPermits, ItemRun]:
+    """Return the run of an item that tries these engines in turn."""
+    directory = Directory()
+    directory.apply_routes(table(cases.route()))
+    directory.set_engines(engines)
+    permits = ScriptedPermits(*(each.name for each in engines))
+    deps = RelayDependencies(
+        directory,
+        PermitAcquirer("entry@a", permits, directory),
+        client,
+        CallWatch(),
+    )
+    return permits, ItemRun(
+        deps,
+        cases.head(first_s=time.time()),
+        0,
+        cases.item(0),
+        make_request,
+        lambda: False,
+        ItemPace(),
+    )
+
+
+class EndlessOutputTest(unittest.TestCase):
+    """Acceptable events without an end filled the memory."""
+
+    def test_output_that_is_too_long_begins_anew_elsewhere(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[event(number) for number in range(1, 5)]),
+            Script(parts=[WHOLE]),
+        )
+        permits, item_run = make_run(engines, engine("e1"), engine("e2"))
+        with patch.object(run_module, "MAX_OUTPUT_BYTES", 2):
+            outcome = item_run.run()
+        assert outcome is not None
+        self.assertEqual("1\n2", outcome.output)
+        self.assertEqual(["failed", "done"], permits.released)
+        self.assertIsNone(engines.sent[1][1].after_event)
+
+
 class EndlessAnswerTest(unittest.TestCase):
     """An engine that sends bytes without an end held an item for 120 s."""
 
@@ -57,29 +108,10 @@
         """Run an item at an endless engine, and then at a sound one."""
         endless = EndlessServer(self, sent)
         sound = AnsweringServer(self, NO_LENGTH + answer, close=True)
-        directory = Directory()
-        directory.apply_routes(table(cases.route()))
-        directory.set_engines(
-            [
-                engine("e1", address=endless.address),
-                engine("e2", address=sound.address),
-            ]
-        )
-        permits = ScriptedPermits("e1", "e2")
-        deps = RelayDependencies(
-            directory,
-            PermitAcquirer("entry@a", permits, directory),
+        permits, item_run = make_run(
             HttpEngineClient(),
-            CallWatch(),
-        )
-        item_run = ItemRun(
-            deps,
-            cases.head(first_s=time.time()),
-            0,
-            cases.item(0),
-            make_request,
-            lambda: False,
-            ItemPace(),
+            engine("e1", address=endless.address),
+            engine("e2", address=sound.address),
         )
         started = time.monotonic()
         outcome = item_run.run()
