End a generation whose bytes become no event

Cause: the limit of 1 MiB held for one line only, so that comments or empty lines without an end kept a thread busy until the generation's deadline, and each part of a long line was joined to all parts before it.

Change: the limit holds for all bytes between two events, and a line is joined once it is complete.

--- a/src/mulberrypass/engine/model_client.py
+++ b/src/mulberrypass/engine/model_client.py
@@ -258,17 +258,24 @@
 
 def _sse_data(exchange: Exchange, deadline: Deadline) -> Iterator[bytes]:
     """Yield the data of each event before the end marker."""
-    buffer = b""
+    buffer = bytearray()
+    skipped = 0
     while True:
         part = exchange.read_some(READ_BYTES, deadline)
         if not part:
             raise WireError(EngineFailed("cut", Ran.MAYBE, resumable=True))
-        *lines, buffer = (buffer + part).split(b"\n")
-        if len(buffer) > MAX_EVENT_BYTES:
+        buffer += part
+        if skipped + len(buffer) > MAX_EVENT_BYTES:
             raise WireError(WRONG_ANSWER)
+        if b"\n" not in part:
+            continue
+        *lines, rest = bytes(buffer).split(b"\n")
+        buffer = bytearray(rest)
         for line in lines:
+            skipped += len(line) + 1
             if not line.startswith(DATA_PREFIX):
                 continue
+            skipped = 0
             data = line[len(DATA_PREFIX) :]
             if data == DONE:
                 exchange.read_some(READ_BYTES, deadline)
--- a/tests/engine/test_endless_bytes.py
+++ b/tests/engine/test_endless_bytes.py
@@ -6,6 +6,8 @@
 import time
 import unittest
 
+from mulberrypass.engine.api import EngineFailed, GenerationRequest
+from mulberrypass.engine.model_client import WRONG_ANSWER, HttpModelEngine
 from mulberrypass.engine.wire import (
     MAX_ERROR_BYTES,
     ConnectionPool,
@@ -85,6 +87,31 @@
                 self.assert_ends(sent, LONG_S, FAST_S)
 
 
+class EndlessGenerationTest(unittest.TestCase):
+    """A stream of lines that are no events ran until its deadline."""
+
+    def failure_of(self, sent: Bytes, deadline_s: float) -> EngineFailed:
+        server = EndlessServer(self, sent)
+        engine = HttpModelEngine(server.address)
+        self.addCleanup(engine.close)
+        req = GenerationRequest("r1", "m", "1", "a b", 4)
+        *events, last = engine.generate(req, deadline_s)
+        self.assertEqual([], events)
+        self.assertTrue(server.closed.wait(0.5))
+        return last.error
+
+    def test_lines_without_an_event(self) -> None:
+        for unit in (b": x\n", b"\n", b"x"):
+            with self.subTest(unit):
+                started = time.monotonic()
+                sent = Bytes(NO_LENGTH, unit)
+                self.assertEqual(WRONG_ANSWER, self.failure_of(sent, LONG_S))
+                sent = Bytes(NO_LENGTH, unit, TRICKLE_S)
+                failed = self.failure_of(sent, DEADLINE_S)
+                self.assertEqual("deadline", failed.reason)
+                self.assertLess(time.monotonic() - started, FAST_S)
+
+
 class PartOfAnswerTest(unittest.TestCase):
     def assert_no_answer(self, part: bytes) -> None:
         server = AnsweringServer(self, part, close=True)
