Let the soak reload instances and lose all of them at once

The soak never sent SIGHUP, so it could not see that the signal ends the process. A second random stream of each seed now draws reloads (alone, in series, with changed or broken settings, during a stop or a start) and losses of all instances, at times at the end of a run just after a job was accepted. Reloads first come alone, where lost requests are judged. Some callers keep to one connection in their own rhythm until it is closed, and all accepted jobs are read again at each instance at the end. Injection moves out of run.py.

--- a/src/mulberrypass/soak/callers.py
+++ b/src/mulberrypass/soak/callers.py
@@ -40,6 +40,9 @@
 JOB_VISIBLE_S = 1.0
 CANCEL_PROBABILITY = 0.15
 POLL_INTERVAL_S = 0.3
+# Rhythms of the callers that keep to one connection, from nearly always busy
+# to idle for most of a stop.
+KEPT_INTERVALS_S = (0.02, 0.4, 1.3, 2.9)
 
 
 class Callers:
@@ -59,6 +62,8 @@
         """Start the given numbers of online and batch callers."""
         for number in range(online):
             self._start(_OnlineCaller(self, number).run)
+        for number in range(len(KEPT_INTERVALS_S)):
+            self._start(_KeptCaller(self, number).run)
         for number in range(batch):
             self._start(_BatchCaller(self, number).run)
 
@@ -126,7 +131,9 @@
             caller.close()
 
     def _send(self, request_id: str) -> None:
-        instance = self._addresses.choose()
+        self._send_to(self._addresses.choose(), request_id)
+
+    def _send_to(self, instance: Instance, request_id: str) -> None:
         caller = self._connections.pop(instance.number, None)
         if caller is None:
             at = HostPort(instance.front.host, instance.front.port)
@@ -159,6 +166,26 @@
         )
 
 
+class _KeptCaller(_OnlineCaller):
+    """Keeps to one connection, listed or not, until it is closed."""
+
+    def run(self) -> None:
+        """Send requests in its rhythm until ``stop_online`` is set."""
+        interval_s = KEPT_INTERVALS_S[self._number]
+        count = 0
+        while not self._callers.stop_online.wait(interval_s):
+            count += 1
+            kept = next(iter(self._connections), None)
+            instance = (
+                self._addresses.choose()
+                if kept is None
+                else self._callers.instances[kept]
+            )
+            self._send_to(instance, f"k{self._number}-{count}")
+        for caller in self._connections.values():
+            caller.close()
+
+
 class _BatchCaller:
     """Submits batch jobs one at a time and polls each to its end."""
 
@@ -250,27 +277,40 @@
                 return
 
     def _read_page(self, job: JobRecord, after: int) -> None:
-        caller = self._connect()
-        try:
-            page = caller.results(BATCH_HOST, job.job_id, after)
-        except CallFailedError:
-            return
-        finally:
-            caller.close()
-        now = time.monotonic()
-        if page is None:
-            assert job.accepted_at is not None
-            if now > job.accepted_at + JOB_VISIBLE_S:
-                job.not_found.append((now, "no such job"))
-            return
-        if page.total != len(job.items):
-            job.inconsistencies.append(f"total {page.total}")
-        for position, result in enumerate(page.results, after):
-            before = job.results.setdefault(position, result)
-            if before != result:
-                job.inconsistencies.append(
-                    f"position {position} holds another result"
-                )
+        read_page(self._connect(), job, after)
+
+
+def read_page(caller: SiteCaller, job: JobRecord, after: int) -> bool:
+    """Read results of a job from a position on and note what is wrong.
+
+    :returns: whether there was an answer
+    """
+    try:
+        page = caller.results(BATCH_HOST, job.job_id, after)
+    except CallFailedError:
+        return False
+    finally:
+        caller.close()
+    now = time.monotonic()
+    if page is None:
+        assert job.accepted_at is not None
+        if now > job.accepted_at + JOB_VISIBLE_S:
+            job.not_found.append((now, "no such job"))
+        return True
+    if page.total != len(job.items):
+        job.inconsistencies.append(f"total {page.total}")
+    for position, result in enumerate(page.results, after):
+        before = job.results.setdefault(position, result)
+        if before != result:
+            job.inconsistencies.append(
+                f"position {position} holds another result"
+            )
+    if after + len(page.results) < len(job.results):
+        job.inconsistencies.append(
+            f"{len(page.results)} results after {after}, "
+            f"{len(job.results)} were read before"
+        )
+    return True
 
 
-__all__ = ["Callers"]
+__all__ = ["REQUEST_TIMEOUT_S", "Callers", "read_page"]
--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -48,6 +48,19 @@
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 ZONE_COUNT = 3
+CONNECT_TIMEOUT_S = 0.2
+# Changes of a settings file that a running process may take over; the grace
+# stays below the soak's own, after which an instance is killed.
+HARMLESS_GRACES_S = (GRACE_S - 1, GRACE_S)
+UNKNOWN_SETTING = 'SoakUnknown = "x"'
+BROKEN_SETTINGS = ("", "NodeName = ", "[Bounds]\nGraceS = 'x'\n", "\0")
+# Ignored signals are inherited, and a soak under nohup ignores SIGHUP.
+PROGRAM = """
+import signal
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+from mulberrypass.programs.site import main
+main()
+"""
 
 
 def find_free_subnet() -> str:
@@ -77,37 +90,79 @@
         self.directory = HostPort(self.address, DIRECTORY_PORT)
         self.expected_down = True
         self._folder = folder
-        self._starts = 0
-        self._process: subprocess.Popen[bytes] | None = None
+        self._processes: list[subprocess.Popen[bytes]] = []
 
     def start(self) -> None:
-        """Start the process."""
-        self._starts += 1
+        """Start the process with sound settings."""
         name = f"instance-{self.number}"
-        settings = self._folder / f"{name}.toml"
-        zone = f"zone-{self.number % ZONE_COUNT}"
-        store = f"{self.link.address.host}:{self.link.address.port}"
-        text = settings_text(name, self.address, zone, store, GRACE_S)
-        settings.write_text(text)
+        self._write_settings(self._settings(GRACE_S))
         environ = os.environ | {
-            SETTINGS_VARIABLE: str(settings),
+            SETTINGS_VARIABLE: str(self._settings_path),
             PEER_KEY_VARIABLE: "soak",
         }
-        program = "from mulberrypass.programs.site import main; main()"
-        with (self._folder / f"{name}.{self._starts}.log").open("wb") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-c", program],
-                stdout=log,
-                stderr=log,
-                env=environ,
+        boot = len(self._processes) + 1
+        with (self._folder / f"{name}.{boot}.log").open("wb") as log:
+            self._processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-c", PROGRAM],
+                    stdout=log,
+                    stderr=log,
+                    env=environ,
+                )
             )
         self.expected_down = False
 
+    @property
+    def _process(self) -> subprocess.Popen[bytes] | None:
+        return self._processes[-1] if self._processes else None
+
     @property
     def running(self) -> bool:
         """Whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def listening(self) -> bool:
+        """Whether it takes connections, so has read its settings."""
+        with contextlib.suppress(OSError):
+            socket.create_connection(
+                (self.front.host, self.front.port), CONNECT_TIMEOUT_S
+            ).close()
+            return self.running
+        return False
+
+    @property
+    def ends(self) -> list[int]:
+        """Exit codes of all processes that have ended."""
+        codes = [process.poll() for process in self._processes]
+        return [code for code in codes if code is not None]
+
+    @property
+    def _settings_path(self) -> Path:
+        return self._folder / f"instance-{self.number}.toml"
+
+    def change_settings(self, choice: int) -> None:
+        """Change the settings in a way that a process may take over."""
+        grace_s = HARMLESS_GRACES_S[choice % len(HARMLESS_GRACES_S)]
+        unknown = f"{UNKNOWN_SETTING}\n" if choice % 3 else ""
+        self._write_settings(unknown + self._settings(grace_s))
+
+    def break_settings(self, choice: int) -> None:
+        """Replace the settings by some that no process can take over."""
+        self._write_settings(BROKEN_SETTINGS[choice % len(BROKEN_SETTINGS)])
+
+    def _settings(self, grace_s: int) -> str:
+        zone = f"zone-{self.number % ZONE_COUNT}"
+        store = f"{self.link.address.host}:{self.link.address.port}"
+        name = f"instance-{self.number}"
+        return settings_text(name, self.address, zone, store, grace_s)
+
+    def _write_settings(self, text: str) -> None:
+        """Replace the file at once; a starting process may be reading it."""
+        new = self._settings_path.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self._settings_path)
+
     def send(self, signum: Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self.running:
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -4,9 +4,11 @@
 
 from collections import Counter
 from dataclasses import dataclass
+import signal
 from typing import TYPE_CHECKING
 
 from mulberrypass.platform.stand_in.engine import event, output
+from mulberrypass.soak.records import STOP
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
@@ -85,10 +87,22 @@
         *_check_attempts(observed, runs),
         *_check_jobs(observed, runs),
         *_check_drains(observed),
-        *_check_stops(observed, runs),
+        *_check_planned_work(observed, runs),
     )
 
 
+def check_ends(address: str, codes: Sequence[int]) -> list[Violation]:
+    """Return a violation for each process that a SIGHUP ended.
+
+    :param codes: exit codes as by ``Popen.returncode``
+    """
+    return [
+        Violation("a reload ends no process", address, "ended by SIGHUP")
+        for code in codes
+        if code == -signal.SIGHUP
+    ]
+
+
 def _check_attempts(
     observed: Observations, runs: Counter[str]
 ) -> Iterator[Violation]:
@@ -192,40 +206,43 @@
                 )
 
 
-def _check_stops(
+def _check_planned_work(
     observed: Observations, runs: Counter[str]
 ) -> Iterator[Violation]:
-    """Check that a planned stop alone interrupts no request.
+    """Check that a planned stop or reload alone interrupts no request.
 
-    A request that failed fast and never ran does not count: the instance
-    closed its idle connection while the request was being sent.
+    A request that failed fast and never ran does not count during a stop:
+    the instance closed its idle connection while the request was being sent.
+    A reload closes no connection.
     """
-    stops = [
+    planned = [
         disturbance
         for disturbance in observed.disturbances
-        if disturbance.instance is not None
+        if disturbance.planned and disturbance.instance is not None
     ]
     for attempt in observed.records.attempts:
         if attempt.status or not observed.undisturbed(
             attempt.began, attempt.ended
         ):
             continue
-        for stop in stops:
-            duration_s = attempt.ended - attempt.began
-            if not runs[attempt.request_id] and duration_s < IDLE_CLOSE_RACE_S:
-                continue
-            if (
-                stop.planned
-                and stop.instance == attempt.instance
-                and stop.began <= attempt.ended
-                and attempt.began < stop.ended
-            ):
-                yield Violation(
-                    "a stop cuts nothing off",
-                    attempt.request_id,
-                    f"{attempt.reason}, {attempt.ended - stop.began:.2f} s "
-                    f"after the signal",
-                )
+        near = {
+            work.kind: work.began
+            for work in planned
+            if work.instance == attempt.instance
+            and work.began <= attempt.ended
+            and attempt.began < work.ended
+        }
+        duration_s = attempt.ended - attempt.began
+        fast = duration_s < IDLE_CLOSE_RACE_S
+        if STOP in near and fast and not runs[attempt.request_id]:
+            continue
+        for kind, began in near.items():
+            yield Violation(
+                f"a {kind} cuts nothing off",
+                attempt.request_id,
+                f"{attempt.reason}, {attempt.ended - began:.2f} s "
+                f"after the signal",
+            )
 
 
-__all__ = ["Violation", "Observations", "check"]
+__all__ = ["Violation", "Observations", "check", "check_ends"]
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -8,6 +8,10 @@
 from dataclasses import dataclass, field
 import threading
 
+# Kinds of disturbance that must not interrupt requests.
+STOP = "stop"
+RELOAD = "reload"
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptRecord:
@@ -74,6 +78,11 @@
         with self.lock:
             self.jobs.append(job)
 
+    def count_accepted(self) -> int:
+        """Count the jobs that have been accepted."""
+        with self.lock:
+            return sum(job.accepted_at is not None for job in self.jobs)
+
     def all_done(self) -> bool:
         """Return whether no caller still submits or polls a job."""
         with self.lock:
@@ -82,10 +91,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A fault, start or stop that may affect requests.
+    """A fault, start, stop or reload that may affect requests.
 
     :param planned: whether it must not interrupt requests
-    :param instance: number of the instance to stop; ``None`` for others
+    :param instance: number of the instance to stop or reload; ``None`` for
+        others
     """
 
     kind: str
@@ -108,6 +118,8 @@
 
 
 __all__ = [
+    "RELOAD",
+    "STOP",
     "AttemptRecord",
     "DrainPeriod",
     "JobRecord",
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import heapq
 import itertools
-import signal
 import time
 from typing import TYPE_CHECKING
 
@@ -15,40 +13,24 @@
     RESUMABLE_PATH,
     version_path,
 )
-from mulberrypass.soak.callers import REQUEST_TIMEOUT_S, Callers
-from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, GRACE_S, SoakCluster
-from mulberrypass.soak.guarantees import Observations, Violation, check
-from mulberrypass.soak.proxy import LinkState
-from mulberrypass.soak.records import Disturbance, DrainPeriod, SoakRecords
-from mulberrypass.soak.schedule import (
-    PLANNED_KINDS,
-    FaultKind,
-    ScheduledFault,
-    draw_faults,
+from mulberrypass.soak.callers import REQUEST_TIMEOUT_S, Callers, read_page
+from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, SoakCluster
+from mulberrypass.soak.guarantees import (
+    Observations,
+    Violation,
+    check,
+    check_ends,
 )
+from mulberrypass.soak.injector import APPLY_TIMEOUT_S, Injector
+from mulberrypass.soak.records import Disturbance, SoakRecords
+from mulberrypass.soak.schedule import CALM_S, draw_run
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from mulberrypass.soak.cluster import Instance
+    from mulberrypass.soak.schedule import ScheduledFault
 
 FINISH_TIMEOUT_S = 20.0
-RESTART_MARGIN_S = 1.0
-# Instances connected to the store apply a version within 2 s.
-APPLY_TIMEOUT_S = 2.5
-LOST_REPLIES = 4
 NOT_FOUND = 404
-LINK_STATES = {
-    FaultKind.STORE_CUT: LinkState.PARTITIONED,
-    FaultKind.STORE_ONE_WAY: LinkState.DROP_REPLIES,
-    FaultKind.STORE_SLOW: LinkState.SLOW,
-    FaultKind.ENGINE_CUT: LinkState.PARTITIONED,
-    FaultKind.ENGINE_DEAF: LinkState.DROP_REPLIES,
-    FaultKind.ENGINE_SLOW: LinkState.SLOW,
-}
-STORE_LINK_KINDS = frozenset(
-    {FaultKind.STORE_CUT, FaultKind.STORE_ONE_WAY, FaultKind.STORE_SLOW}
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,17 +75,14 @@
         self._plan = plan
         self._cluster = SoakCluster(plan.instances, plan.engines)
         self._records = SoakRecords()
-        self._disturbances: list[Disturbance] = []
-        self._drains: list[DrainPeriod] = []
+        self._injector = Injector(self._cluster, self._records, self._publish)
         self._violations: list[Violation] = []
         self._sequence = itertools.count()
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._leaving: set[int] = set()
 
     def run(self) -> SoakReport:
         """Run to the end and check the guarantees."""
         plan = self._plan
-        faults = draw_faults(
+        faults = draw_run(
             plan.seed, plan.seconds, plan.instances, plan.engines
         )
         callers = Callers(self._cluster.instances, self._records, plan.seed)
@@ -112,15 +91,16 @@
             began = time.monotonic()
             callers.start(plan.online, plan.batch)
             for fault in faults:
-                self._schedule(began + fault.at, self._injection(fault))
-            self._run_due(began + plan.seconds)
+                self._injector.add(began, fault)
+            self._injector.run_due(began + CALM_S + plan.seconds)
             callers.stop_online.set()
-            self._run_due(
+            self._injector.run_due(
                 time.monotonic() + FINISH_TIMEOUT_S, self._records.all_done
             )
             callers.stop_batch.set()
             callers.join()
             self._check_recovery()
+            self._read_again()
             self._check_processes()
         finally:
             self._cluster.stop()
@@ -135,150 +115,13 @@
             raise TimeoutError(
                 "not every instance listed its own address in time"
             )
-        self._disturbances.append(
+        self._injector.disturbances.append(
             Disturbance("start", 0.0, time.monotonic(), False)
         )
 
-    def _injection(self, fault: ScheduledFault) -> Callable[[], None]:
-        return lambda: self._inject(fault)
-
-    def _schedule(self, at: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._due, (at, next(self._sequence), action))
-
-    def _run_due(
-        self, until: float, done: Callable[[], bool] | None = None
-    ) -> None:
-        """Run scheduled actions until a time, then those still pending.
-
-        :param done: ends the wait early
-        """
-        while self._due or (
-            time.monotonic() < until and not (done and done())
-        ):
-            now = time.monotonic()
-            if self._due and self._due[0][0] <= now:
-                heapq.heappop(self._due)[2]()
-                continue
-            next_at = self._due[0][0] if self._due else until
-            time.sleep(max(0.0, min(next_at - now, 0.05)))
-
-    def _inject(self, fault: ScheduledFault) -> None:
-        """Inject one fault and schedule its end."""
-        now = time.monotonic()
-        end = now + fault.duration_s
-        if fault.kind not in PLANNED_KINDS:
-            self._disturbances.append(Disturbance(fault.kind, now, end, False))
-        faults = self._cluster.rows.faults
-        match fault.kind:
-            case FaultKind.KILL:
-                self._kill(fault, end)
-            case FaultKind.PAUSE:
-                self._pause(fault, end)
-            case FaultKind.STOP:
-                self._stop(fault.target)
-            case FaultKind.STORE_DOWN:
-                faults.down = True
-                self._schedule(end, lambda: setattr(faults, "down", False))
-            case FaultKind.STORE_SILENT:
-                faults.silent = True
-                self._schedule(end, lambda: setattr(faults, "silent", False))
-            case FaultKind.STORE_LOSES:
-                faults.lose += LOST_REPLIES
-                self._schedule(end, lambda: setattr(faults, "lose", 0))
-            case FaultKind.STORE_LATE:
-                faults.late += LOST_REPLIES
-                self._schedule(end, self._deliver_late)
-            case FaultKind.STORE_FORGETS:
-                self._cluster.rows.forget_history()
-            case FaultKind.ENGINE_RESET:
-                self._cluster.engine_links[fault.target].reset()
-            case FaultKind.ENGINE_FULL | FaultKind.ENGINE_BREAKS:
-                self._degrade_engine(fault, end)
-            case FaultKind.ENGINE_DRAINS:
-                self._drain(fault.target, now, fault.duration_s)
-            case FaultKind.CONFIG:
-                self._publish(now)
-            case _:
-                self._set_link(fault, end)
-
-    def _kill(self, fault: ScheduledFault, end: float) -> None:
-        instance = self._cluster.instances[fault.target]
-        if instance.running:
-            instance.kill()
-            self._schedule(end, lambda: self._restart(instance))
-
-    def _restart(self, instance: Instance) -> None:
-        """Restart an instance, which begins without any state."""
-        now = time.monotonic()
-        self._disturbances.append(
-            Disturbance("restart", now, now + RESTART_MARGIN_S, False)
-        )
-        if not instance.running:
-            instance.start()
-
-    def _pause(self, fault: ScheduledFault, end: float) -> None:
-        instance = self._cluster.instances[fault.target]
-        instance.send(signal.SIGSTOP)
-        self._schedule(end, lambda: instance.send(signal.SIGCONT))
-
-    def _stop(self, target: int) -> None:
-        """Stop an instance as the platform does and restart it."""
-        instance = self._cluster.instances[target]
-        if not instance.running:
-            return
-        now = time.monotonic()
-        instance.expected_down = True
-        instance.send(signal.SIGTERM)
-        end = now + GRACE_S
-        self._disturbances.append(Disturbance("stop", now, end, True, target))
-
-        def finish() -> None:
-            instance.kill()
-            self._restart(instance)
-
-        self._schedule(end, finish)
-
-    def _deliver_late(self) -> None:
-        self._cluster.rows.faults.late = 0
-        self._cluster.rows.deliver_late()
-
-    def _degrade_engine(self, fault: ScheduledFault, end: float) -> None:
-        faults = self._cluster.apps[fault.target].faults
-        if fault.kind is FaultKind.ENGINE_FULL:
-            faults.full = True
-            self._schedule(end, lambda: setattr(faults, "full", False))
-        else:
-            faults.cut_after = EVENTS_PER_ANSWER // 2
-            self._schedule(end, lambda: setattr(faults, "cut_after", None))
-
-    def _set_link(self, fault: ScheduledFault, end: float) -> None:
-        if fault.kind in STORE_LINK_KINDS:
-            link = self._cluster.instances[fault.target].link
-        else:
-            link = self._cluster.engine_links[fault.target]
-        link.set(LINK_STATES[fault.kind])
-        self._schedule(end, lambda: link.set(LinkState.OPEN))
-
-    def _drain(self, target: int, now: float, duration_s: float) -> None:
-        """Make an engine leave and register again under a new id."""
-        if self._leaving:
-            return
-        self._leaving.add(target)
-        self._cluster.register(target, leaving=True)
-        removed_at = now + duration_s + APPLY_TIMEOUT_S
-
-        def reregister() -> None:
-            self._cluster.unregister(target)
-            name = str(target)
-            self._drains.append(DrainPeriod(name, now, time.monotonic()))
-            self._cluster.register(target)
-            self._leaving.discard(target)
-
-        self._schedule(removed_at, reregister)
-
     def _publish(self, now: float) -> None:
         version = self._cluster.publish()
-        self._schedule(
+        self._injector.schedule(
             now + APPLY_TIMEOUT_S, lambda: self._probe(version, now)
         )
 
@@ -309,7 +152,7 @@
     def _check_recovery(self) -> None:
         """Check that each instance serves once all faults have ended."""
         for instance in self._cluster.instances:
-            served = self._cluster.wait_until(
+            served = instance.running and self._cluster.wait_until(
                 lambda at=instance: self._serves(at)
             )
             if not served:
@@ -328,11 +171,29 @@
             caller.close()
         return answer.status == 200
 
+    def _read_again(self) -> None:
+        """Read all results of the accepted jobs again at each instance."""
+        running = [i for i in self._cluster.instances if i.running]
+        for job in self._records.jobs:
+            if job.accepted_at is None:
+                continue
+            for instance in running:
+                if not self._cluster.wait_until(
+                    lambda job=job, at=instance: read_page(
+                        SiteCaller(at.front, REQUEST_TIMEOUT_S), job, 0
+                    )
+                ):
+                    self._violations.append(
+                        Violation("results stay", job.job_id, "no answer")
+                    )
+
     def _check_processes(self) -> None:
         for address in self._cluster.crashed_instances():
             self._violations.append(
                 Violation("runs on", address, "process ended")
             )
+        for instance in self._cluster.instances:
+            self._violations += check_ends(instance.address, instance.ends)
 
     def _observations(self) -> Observations:
         logs = {
@@ -342,8 +203,8 @@
         return Observations(
             self._records,
             logs,
-            self._disturbances,
-            self._drains,
+            self._injector.disturbances,
+            self._injector.drains,
             EVENTS_PER_ANSWER,
         )
 
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 import enum
 import random
 from typing import TYPE_CHECKING
@@ -17,6 +17,21 @@
 # Probability that a fault kind is repeated at once, on a random target.
 REPEAT_PROBABILITY = 0.25
 REPEAT_GAP_S = 0.3
+# Planned work comes alone first: requests near an unplanned fault or the
+# start of the instances are not judged, up to the checks' margin of 3 s.
+CALM_S = 8.5
+CALM_FIRST_S = 3.0
+CALM_LAST_S = 5.5
+# A series of reloads, its gaps short enough for their effects to overlap.
+MAX_SERIES = 4
+SERIES_GAP_S = 0.25
+# Gaps between two series.
+MIN_SERIES_GAP_S = 0.4
+MAX_SERIES_GAP_S = 2.5
+# Probability that all instances are lost at once, while other faults go on
+# and at the end of a run.
+LOSS_PROBABILITY = 0.3
+LAST_LOSS_PROBABILITY = 0.5
 
 
 class FaultKind(enum.StrEnum):
@@ -41,11 +56,33 @@
     ENGINE_BREAKS = "engine breaks streams off"
     ENGINE_DRAINS = "engine leaves and comes back"
     CONFIG = "configuration changes"
-
-
-PLANNED_KINDS = frozenset(
-    {FaultKind.STOP, FaultKind.CONFIG, FaultKind.ENGINE_DRAINS}
+    RELOAD = "reload"
+    RELOAD_SERIES = "reloads of all in quick series"
+    RELOAD_CHANGED = "reload of changed settings"
+    RELOAD_BROKEN = "reload of broken settings"
+    RELOAD_STOPPING = "reloads during a stop"
+    RELOAD_STARTING = "reloads during a start"
+    LOSS = "all instances lost at once"
+
+
+RELOAD_KINDS = (
+    FaultKind.RELOAD,
+    FaultKind.RELOAD_SERIES,
+    FaultKind.RELOAD_CHANGED,
+    FaultKind.RELOAD_BROKEN,
+    FaultKind.RELOAD_STOPPING,
+    FaultKind.RELOAD_STARTING,
 )
+# Drawn from the seed's first stream, which must not change: a seed that once
+# failed must give the same faults again.
+FIRST_KINDS = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in RELOAD_KINDS and kind is not FaultKind.LOSS
+)
+PLANNED_KINDS = frozenset(
+    {FaultKind.STOP, FaultKind.CONFIG, FaultKind.ENGINE_DRAINS, *RELOAD_KINDS}
+) - {FaultKind.RELOAD_STARTING}
 INSTANCE_KINDS = frozenset(
     {
         FaultKind.KILL,
@@ -80,7 +117,7 @@
 def draw_faults(
     seed: int, seconds: float, instances: int, engines: int
 ) -> tuple[ScheduledFault, ...]:
-    """Draw the faults of a run, which may overlap and repeat."""
+    """Draw the faults of the first stream, which may overlap and repeat."""
     return tuple(
         _draw_faults(random.Random(seed), seconds, instances, engines)
     )
@@ -90,9 +127,8 @@
     rng: random.Random, seconds: float, instances: int, engines: int
 ) -> Iterator[ScheduledFault]:
     at = rng.uniform(MIN_GAP_S, MAX_GAP_S)
-    kinds = list(FaultKind)
     while at < seconds:
-        kind = rng.choice(kinds)
+        kind = rng.choice(FIRST_KINDS)
         targets = instances if kind in INSTANCE_KINDS else engines
         fault = ScheduledFault(
             at,
@@ -108,10 +144,68 @@
         at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
 
 
+def draw_run(
+    seed: int, seconds: float, instances: int, engines: int
+) -> tuple[ScheduledFault, ...]:
+    """Draw all faults of a run in order.
+
+    Reloads come alone until ``CALM_S``; then the faults of the first stream
+    begin, with reloads and at times a loss of all instances among them.
+    """
+    rng = random.Random(f"{seed}-second")
+    end = CALM_S + seconds
+    faults = [
+        replace(fault, at=CALM_S + fault.at)
+        for fault in draw_faults(seed, seconds, instances, engines)
+    ]
+    faults += _draw_reloads(
+        rng,
+        CALM_FIRST_S,
+        CALM_LAST_S,
+        tuple(kind for kind in RELOAD_KINDS if kind in PLANNED_KINDS),
+        instances,
+    )
+    faults += _draw_reloads(rng, CALM_S, end, RELOAD_KINDS, instances)
+    if rng.random() < LOSS_PROBABILITY:
+        faults.append(_draw_loss(rng, rng.uniform(CALM_S, end)))
+    if rng.random() < LAST_LOSS_PROBABILITY:
+        faults.append(_draw_loss(rng, end))
+    return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def _draw_loss(rng: random.Random, at: float) -> ScheduledFault:
+    duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+    return ScheduledFault(at, FaultKind.LOSS, 0, duration_s)
+
+
+def _draw_reloads(
+    rng: random.Random,
+    begin: float,
+    end: float,
+    kinds: tuple[FaultKind, ...],
+    instances: int,
+) -> Iterator[ScheduledFault]:
+    """Draw overlapping series of reloads, a single one now and then."""
+    at = begin + rng.uniform(0.0, MIN_SERIES_GAP_S)
+    while at < end:
+        for _ in range(rng.randint(1, MAX_SERIES)):
+            yield ScheduledFault(
+                at,
+                rng.choice(kinds),
+                rng.randrange(instances),
+                rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
+            )
+            at += rng.uniform(0.0, SERIES_GAP_S)
+        at += rng.uniform(MIN_SERIES_GAP_S, MAX_SERIES_GAP_S)
+
+
 __all__ = [
-    "ScheduledFault",
-    "FaultKind",
+    "CALM_S",
     "INSTANCE_KINDS",
     "PLANNED_KINDS",
+    "RELOAD_KINDS",
+    "FaultKind",
+    "ScheduledFault",
     "draw_faults",
+    "draw_run",
 ]
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import unittest
 
 from mulberrypass.platform.stand_in.engine import EngineLog, event, output
@@ -11,8 +12,11 @@
     Observations,
     Violation,
     check,
+    check_ends,
 )
 from mulberrypass.soak.records import (
+    RELOAD,
+    STOP,
     AttemptRecord,
     Disturbance,
     DrainPeriod,
@@ -161,6 +165,57 @@
                 )
                 self.assertEqual(expected, found)
 
+    def test_reload_that_interrupts_a_request(self) -> None:
+        reload = Disturbance(RELOAD, 10.2, 12.2, True, 0)
+        other = Disturbance(RELOAD, 10.2, 12.2, True, 1)
+        past = Disturbance(RELOAD, 8.0, 10.0, True, 0)
+        stop = Disturbance(STOP, 9.0, 15.0, True, 0)
+        kill = Disturbance("kill", 11.0, 12.0, False)
+        ran = ((10.1, "r1"),)
+        cut = "a reload cuts nothing off"
+        lost = attempt(status=0, reason="cut")
+        refused = attempt(status=0, reason="refused", began=10.3, ended=10.31)
+        cases: dict[
+            str,
+            tuple[
+                AttemptRecord,
+                tuple[tuple[float, str], ...],
+                tuple[Disturbance, ...],
+                list[str],
+            ],
+        ] = {
+            "ran and lost": (lost, ran, (reload,), [cut]),
+            "held and lost": (lost, (), (reload,), [cut]),
+            "an idle connection closed": (refused, (), (reload,), [cut]),
+            "an idle connection closed by a stop beside it": (
+                refused,
+                (),
+                (stop, reload),
+                [],
+            ),
+            "lost during a stop too": (
+                lost,
+                ran,
+                (stop, reload),
+                ["a stop cuts nothing off", cut],
+            ),
+            "answered": (attempt(), ran, (reload,), []),
+            "another's reload": (lost, ran, (other,), []),
+            "an earlier reload": (lost, ran, (past,), []),
+            "a kill beside it": (lost, ran, (reload, kill), []),
+        }
+        for name, (sent, began, disturbances, expected) in cases.items():
+            with self.subTest(name):
+                found = self.check(
+                    (sent,), began=began, disturbances=disturbances
+                )
+                self.assertEqual(expected, found)
+
+    def test_process_that_a_reload_ended(self) -> None:
+        codes = (0, -signal.SIGKILL, -signal.SIGHUP, 1)
+        found = [v.guarantee for v in check_ends("127.0.60.1", codes)]
+        self.assertEqual(["a reload ends no process"], found)
+
     def test_planned_stop_that_interrupts_a_request(self) -> None:
         stop = Disturbance("stop", 10.2, 16.0, True, 0)
         other = Disturbance("stop", 10.2, 16.0, True, 1)
