--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -42,7 +42,14 @@
 )
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
-from mulberrypass.programs.site_settings import CELLS, MEMBERSHIP, PROGRAM
+from mulberrypass.programs.site_peers import PeerRoutes
+from mulberrypass.programs.site_reload import reload_site
+from mulberrypass.programs.site_settings import (
+    CELLS,
+    MEMBERSHIP,
+    PROGRAM,
+    heads_spacing_s,
+)
 from mulberrypass.relay.catch_up import CatchUp
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.followers import EngineReader, RouteReader
@@ -80,18 +87,21 @@
 # Left at the end of a stop to flush answers and exit.
 EXIT_MARGIN_S = 0.7
 REGISTER_RETRY_S = 0.5
-# Every change of a job wakes all members, so reads are limited for the whole
-# site; a cancellation must be noticed within 3 s.
-HEAD_READS_PER_S = 100.0
-MIN_HEADS_SPACING_S = 0.2
-MAX_HEADS_SPACING_S = 1.0
 STOP_POLL_S = 0.05
 
 
 class SiteProcess(Process):
-    """Builds and runs the components of an instance."""
+    """Builds and runs the components of an instance.
+
+    :param settings: file that the settings were read from
+    """
 
-    def __init__(self, site: Site, log_to: TextIO = sys.stdout) -> None:
+    def __init__(
+        self,
+        site: Site,
+        log_to: TextIO = sys.stdout,
+        settings: Path | None = None,
+    ) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self._lines = LineWriter(log_to)
         self._events = EventMetrics()
@@ -105,6 +115,7 @@
         )
         logging.getLogger("waitress").setLevel(logging.ERROR)
         self._site = site
+        self._settings = settings
         self._draining = False
         self._idle_s = 0.0
         self._stopped = threading.Event()
@@ -135,9 +146,6 @@
         self._peers = ConfigurationPeers(
             self._loop, key, self._address_of, self._routes.snapshot
         )
-        self._catch_up = CatchUp(
-            lambda: self._directory.routes().version, self._fetch_routes
-        )
         self._membership = GossipMembership(
             self._me,
             self._loop,
@@ -153,6 +161,12 @@
             rng=random.Random(),
             datagrams=True,
         )
+        peer_routes = PeerRoutes(
+            site.zone, self._membership, self._peers, self._routes
+        )
+        self._catch_up = CatchUp(
+            lambda: self._directory.routes().version, peer_routes.fetch
+        )
         self._owner = CellOwner(
             self._me,
             self._membership,
@@ -199,7 +213,9 @@
                 HEADS,
                 self._holder,
                 all_parts=True,
-                spacing_s=self._heads_spacing_s,
+                spacing_s=lambda: heads_spacing_s(
+                    len(self._membership.members(PROGRAM))
+                ),
             ),
         )
         self._front = self._make_server(
@@ -273,14 +289,23 @@
         self._front.start()
         LOG.info("started", address=site.address, zone=site.zone)
 
+    def reload(self) -> None:
+        """Read the settings file again."""
+        if self._settings is not None:
+            self._site = reload_site(self._settings, self._site)
+
     def stop(self) -> bool:
         """Finish the requests in flight, then stop.
 
         :returns: whether all requests in flight have finished
         """
+        # The file may have changed without a signal.
+        self.reload()
         site = self._site
         deadline = time.monotonic() + site.grace_s - EXIT_MARGIN_S
-        LOG.info("stopping", grace_s=site.grace_s)
+        LOG.info(
+            "stopping", grace_s=site.grace_s, in_flight=self._front.in_flight
+        )
         self._draining = True
         self._stopped.set()
         self._catch_up.stop()
@@ -325,12 +350,6 @@
             )
         )
 
-    def _heads_spacing_s(self) -> float:
-        """Return the spacing of head reads that keeps to the site's rate."""
-        members = len(self._membership.members(PROGRAM))
-        spacing = members / HEAD_READS_PER_S
-        return min(MAX_HEADS_SPACING_S, max(MIN_HEADS_SPACING_S, spacing))
-
     def _members(self) -> Members:
         live = self._membership.live(PROGRAM)
         known = self._membership.members(PROGRAM)
@@ -360,26 +379,6 @@
                 return member.address, self._site.peer_port
         return None
 
-    def _fetch_routes(self, announcer: str, version: int) -> bool:
-        """Fetch routes from a peer that has them, preferably of this zone.
-
-        :param announcer: a member that has announced the version, even if
-            the membership view still shows an older one
-        """
-        holders = [
-            member
-            for member in self._membership.live(PROGRAM)
-            if member.generation >= version
-        ]
-        nearby = [m for m in holders if m.zone == self._site.zone] or holders
-        chosen = [random.choice(nearby).name] if nearby else []
-        for name in dict.fromkeys((*chosen, announcer)):
-            fetched = self._peers.fetch_from(name, version)
-            if fetched.is_ok():
-                self._routes.apply(fetched.ok.data)
-                return True
-        return False
-
 
 def main() -> None:
     """Serve the site until a stop signal arrives."""
@@ -390,7 +389,7 @@
         site = read_site(Path(path))
     except SiteError as exc:
         sys.exit(f"mulberry-site: {exc}")
-    run(lambda: SiteProcess(site))
+    run(lambda: SiteProcess(site, settings=Path(path)))
 
 
 if __name__ == "__main__":
