Judge in the soak whether a reload is handled, and read all at the end

A process that ignores SIGHUP for good would have passed: the soak now starts instances as deploy/serve.py does, and an instance that runs on must log the signal within 2 s. Broken settings include bytes that are no UTF-8. At the end each instance must know all jobs and results ever read.

--- a/src/mulberrypass/soak/callers.py
+++ b/src/mulberrypass/soak/callers.py
@@ -280,9 +280,12 @@
         read_page(self._connect(), job, after)
 
 
-def read_page(caller: SiteCaller, job: JobRecord, after: int) -> bool:
+def read_page(
+    caller: SiteCaller, job: JobRecord, after: int, settled: bool = False
+) -> bool:
     """Read results of a job from a position on and note what is wrong.
 
+    :param settled: whether each instance must know all that was ever read
     :returns: whether there was an answer
     """
     try:
@@ -294,7 +297,9 @@
     now = time.monotonic()
     if page is None:
         assert job.accepted_at is not None
-        if now > job.accepted_at + JOB_VISIBLE_S:
+        if settled:
+            job.inconsistencies.append("no such job at the end")
+        elif now > job.accepted_at + JOB_VISIBLE_S:
             job.not_found.append((now, "no such job"))
         return True
     if page.total != len(job.items):
@@ -305,12 +310,12 @@
             job.inconsistencies.append(
                 f"position {position} holds another result"
             )
-    if after + len(page.results) < len(job.results):
+    if settled and after + len(page.results) < len(job.results):
         job.inconsistencies.append(
-            f"{len(page.results)} results after {after}, "
+            f"{len(page.results)} results after {after} at the end, "
             f"{len(job.results)} were read before"
         )
     return True
 
 
-__all__ = ["REQUEST_TIMEOUT_S", "Callers", "read_page"]
+__all__ = ["JOB_VISIBLE_S", "REQUEST_TIMEOUT_S", "Callers", "read_page"]
--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -53,11 +53,20 @@
 # stays below the soak's own, after which an instance is killed.
 HARMLESS_GRACES_S = (GRACE_S - 1, GRACE_S)
 UNKNOWN_SETTING = 'SoakUnknown = "x"'
-BROKEN_SETTINGS = ("", "NodeName = ", "[Bounds]\nGraceS = 'x'\n", "\0")
-# Ignored signals are inherited, and a soak under nohup ignores SIGHUP.
+BROKEN_SETTINGS = (
+    b"",
+    b"NodeName = ",
+    b"[Bounds]\nGraceS = 'x'\n",
+    b"\0",
+    b"\xff\xfe",
+)
+# As ``deploy/serve.py``, which the platform starts, so that a signal during
+# the imports has no effect. No program can handle one before its first line;
+# the file tells that it has got there.
 PROGRAM = """
-import signal
-signal.signal(signal.SIGHUP, signal.SIG_DFL)
+import signal, sys
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+open(sys.argv.pop(), "w").close()
 from mulberrypass.programs.site import main
 main()
 """
@@ -100,11 +109,16 @@
             SETTINGS_VARIABLE: str(self._settings_path),
             PEER_KEY_VARIABLE: "soak",
         }
-        boot = len(self._processes) + 1
-        with (self._folder / f"{name}.{boot}.log").open("wb") as log:
+        log_path = self._folder / f"{name}.{self.boots + 1}.log"
+        with log_path.open("wb") as log:
             self._processes.append(
                 subprocess.Popen(
-                    [sys.executable, "-c", PROGRAM],
+                    [
+                        sys.executable,
+                        "-c",
+                        PROGRAM,
+                        str(log_path.with_suffix(".began")),
+                    ],
                     stdout=log,
                     stderr=log,
                     env=environ,
@@ -131,6 +145,22 @@
             return self.running
         return False
 
+    @property
+    def boots(self) -> int:
+        """How often it was started."""
+        return len(self._processes)
+
+    @property
+    def began(self) -> bool:
+        """Whether the newest process has run its first line."""
+        name = f"instance-{self.number}.{self.boots}.began"
+        return (self._folder / name).exists()
+
+    def count_logged(self, text: bytes) -> int:
+        """Count a text in the log of the newest process."""
+        name = f"instance-{self.number}.{self.boots}.log"
+        return (self._folder / name).read_bytes().count(text)
+
     @property
     def ends(self) -> list[int]:
         """Exit codes of all processes that have ended."""
@@ -145,22 +175,23 @@
         """Change the settings in a way that a process may take over."""
         grace_s = HARMLESS_GRACES_S[choice % len(HARMLESS_GRACES_S)]
         unknown = f"{UNKNOWN_SETTING}\n" if choice % 3 else ""
-        self._write_settings(unknown + self._settings(grace_s))
+        self._write_settings(unknown.encode() + self._settings(grace_s))
 
     def break_settings(self, choice: int) -> None:
         """Replace the settings by some that no process can take over."""
         self._write_settings(BROKEN_SETTINGS[choice % len(BROKEN_SETTINGS)])
 
-    def _settings(self, grace_s: int) -> str:
+    def _settings(self, grace_s: int) -> bytes:
         zone = f"zone-{self.number % ZONE_COUNT}"
         store = f"{self.link.address.host}:{self.link.address.port}"
         name = f"instance-{self.number}"
-        return settings_text(name, self.address, zone, store, grace_s)
+        text = settings_text(name, self.address, zone, store, grace_s)
+        return text.encode()
 
-    def _write_settings(self, text: str) -> None:
+    def _write_settings(self, data: bytes) -> None:
         """Replace the file at once; a starting process may be reading it."""
         new = self._settings_path.with_suffix(".new")
-        new.write_text(text)
+        new.write_bytes(data)
         new.replace(self._settings_path)
 
     def send(self, signum: Signals) -> None:
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -19,6 +19,7 @@
         Disturbance,
         DrainPeriod,
         JobRecord,
+        ReloadRecord,
         SoakRecords,
     )
 
@@ -55,6 +56,7 @@
 
     :param logs: log of each engine, by its number
     :param events: number of events in each complete answer
+    :param reloads: reloads of instances that went on running
     """
 
     records: SoakRecords
@@ -62,6 +64,7 @@
     disturbances: Sequence[Disturbance]
     drains: Sequence[DrainPeriod]
     events: int
+    reloads: Sequence[ReloadRecord] = ()
 
     def count_runs(self) -> Counter[str]:
         """Count the runs of each request id over all engines."""
@@ -88,6 +91,7 @@
         *_check_jobs(observed, runs),
         *_check_drains(observed),
         *_check_planned_work(observed, runs),
+        *_check_reloads(observed),
     )
 
 
@@ -206,6 +210,16 @@
                 )
 
 
+def _check_reloads(observed: Observations) -> Iterator[Violation]:
+    for reload in observed.reloads:
+        if not reload.taken and observed.undisturbed(reload.at, reload.until):
+            yield Violation(
+                "a reload is handled",
+                f"instance {reload.instance}",
+                f"not logged in {reload.until - reload.at:.1f} s",
+            )
+
+
 def _check_planned_work(
     observed: Observations, runs: Counter[str]
 ) -> Iterator[Violation]:
--- a/src/mulberrypass/soak/injector.py
+++ b/src/mulberrypass/soak/injector.py
@@ -16,6 +16,7 @@
     STOP,
     Disturbance,
     DrainPeriod,
+    ReloadRecord,
 )
 from mulberrypass.soak.schedule import (
     PLANNED_KINDS,
@@ -37,10 +38,13 @@
 RELOAD_EFFECT_S = 2.0
 # When signals come in a quick series, and during a stop or a start. A Python
 # process runs its first line after about 10 ms and has imported its modules
-# after 0.4 s; nothing can handle a signal before the first line.
+# after 0.4 s, both later on a busy machine.
 SERIES_S = (0.0, 0.01, 0.05, 0.1)
 STOPPING_S = (0.0, 0.05, 0.5, 1.5, 3.0, 4.5)
-STARTING_S = (0.15, 0.25, 0.4, 0.6, 0.9, 1.5)
+STARTING_S = (0.0, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5)
+BEGAN_POLL_S = 0.01
+# Logged for each SIGHUP that a program handles.
+HANG_UP_LOGGED = b"SIGHUP"
 # A loss of all instances waits so long for the next accepted job.
 ACCEPTED_WAIT_S = 1.0
 ACCEPTED_POLL_S = 0.005
@@ -73,6 +77,7 @@
     ) -> None:
         self.disturbances: list[Disturbance] = []
         self.drains: list[DrainPeriod] = []
+        self.reloads: list[ReloadRecord] = []
         self._cluster = cluster
         self._records = records
         self._publish = publish
@@ -225,6 +230,7 @@
                 self._hang_up_at(instance, end, STARTING_S)
             case FaultKind.RELOAD_CHANGED:
                 instance.change_settings(choice)
+                self._watch_reload(instance, now)
                 self._hang_up(instance)
             case FaultKind.RELOAD_BROKEN if instance.listening:
                 instance.break_settings(choice)
@@ -232,6 +238,23 @@
             case _:
                 self._hang_up(instance)
 
+    def _watch_reload(self, instance: Instance, now: float) -> None:
+        """Note later whether a running instance took its reload."""
+        if instance.expected_down or not instance.listening:
+            return
+        boot = instance.boots
+        before = instance.count_logged(HANG_UP_LOGGED)
+
+        def look() -> None:
+            at = time.monotonic()
+            if instance.boots == boot and not instance.expected_down:
+                taken = instance.count_logged(HANG_UP_LOGGED) > before
+                self.reloads.append(
+                    ReloadRecord(instance.number, now, at, taken)
+                )
+
+        self.schedule(now + RELOAD_EFFECT_S, look)
+
     def _hang_up_at(
         self, instance: Instance, at: float, delays_s: tuple[float, ...]
     ) -> None:
@@ -241,6 +264,9 @@
     def _hang_up(self, instance: Instance) -> None:
         """Send a SIGHUP, by which no request may be cut."""
         now = time.monotonic()
+        if instance.running and not instance.began:
+            self.schedule(now + BEGAN_POLL_S, partial(self._hang_up, instance))
+            return
         end = now + RELOAD_EFFECT_S
         self.disturbances.append(
             Disturbance(RELOAD, now, end, True, instance.number)
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -105,6 +105,20 @@
     instance: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReloadRecord:
+    """A SIGHUP to an instance that was running and not stopping.
+
+    :param until: when its log was looked at
+    :param taken: whether it had logged the signal
+    """
+
+    instance: int
+    at: float
+    until: float
+    taken: bool
+
+
 @dataclass(frozen=True, slots=True)
 class DrainPeriod:
     """Period during which an engine was leaving.
@@ -123,6 +137,7 @@
     "AttemptRecord",
     "DrainPeriod",
     "JobRecord",
+    "ReloadRecord",
     "SoakRecords",
     "Disturbance",
 ]
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -13,7 +13,12 @@
     RESUMABLE_PATH,
     version_path,
 )
-from mulberrypass.soak.callers import REQUEST_TIMEOUT_S, Callers, read_page
+from mulberrypass.soak.callers import (
+    JOB_VISIBLE_S,
+    REQUEST_TIMEOUT_S,
+    Callers,
+    read_page,
+)
 from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, SoakCluster
 from mulberrypass.soak.guarantees import (
     Observations,
@@ -173,6 +178,7 @@
 
     def _read_again(self) -> None:
         """Read all results of the accepted jobs again at each instance."""
+        time.sleep(JOB_VISIBLE_S)
         running = [i for i in self._cluster.instances if i.running]
         for job in self._records.jobs:
             if job.accepted_at is None:
@@ -180,7 +186,7 @@
             for instance in running:
                 if not self._cluster.wait_until(
                     lambda job=job, at=instance: read_page(
-                        SiteCaller(at.front, REQUEST_TIMEOUT_S), job, 0
+                        SiteCaller(at.front, REQUEST_TIMEOUT_S), job, 0, True
                     )
                 ):
                     self._violations.append(
@@ -206,6 +212,7 @@
             self._injector.disturbances,
             self._injector.drains,
             EVENTS_PER_ANSWER,
+            self._injector.reloads,
         )
 
     def _report(self, faults: tuple[ScheduledFault, ...]) -> SoakReport:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -21,6 +21,7 @@
     Disturbance,
     DrainPeriod,
     JobRecord,
+    ReloadRecord,
     SoakRecords,
 )
 
@@ -216,6 +217,21 @@
         found = [v.guarantee for v in check_ends("127.0.60.1", codes)]
         self.assertEqual(["a reload ends no process"], found)
 
+    def test_reload_that_is_not_handled(self) -> None:
+        kill = Disturbance("kill", 11.0, 12.0, False)
+        for taken, disturbances, expected in (
+            (False, (), ["a reload is handled"]),
+            (True, (), []),
+            (False, (kill,), []),
+        ):
+            with self.subTest(taken=taken, disturbances=disturbances):
+                reload = ReloadRecord(0, 10.0, 12.0, taken)
+                observed = Observations(
+                    SoakRecords(), {}, disturbances, (), EVENTS, (reload,)
+                )
+                found = [v.guarantee for v in check(observed)]
+                self.assertEqual(expected, found)
+
     def test_planned_stop_that_interrupts_a_request(self) -> None:
         stop = Disturbance("stop", 10.2, 16.0, True, 0)
         other = Disturbance("stop", 10.2, 16.0, True, 1)
