--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -5,12 +5,14 @@
 import time
 from typing import TYPE_CHECKING
 import unittest
+from unittest.mock import patch
 
 from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.run import READ_TIMEOUT_S
 from mulberrypass.batches.store import BatchStore
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.platform.lots import item_request
+from mulberrypass.policy.batches.heads import claim, hand_over
 from mulberrypass.testing.row_state import RowState
 from tests.batches.cases import HOST, job, route
 from tests.relay.fakes import (
@@ -25,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.model.batch_jobs import JobHead, VersionedHead
+
 A, B = "entry@a", "entry@b"
 WAIT_TIMEOUT_S = 5.0
 
@@ -77,6 +81,57 @@
         return [(o.state.value, o.output) for o in page.outcomes]
 
 
+class ClockStepTest(HolderCase):
+    def test_wrong_clock_of_the_acceptor_gives_up_no_item(self) -> None:
+        self.store = BatchStore(
+            self.rows, sleep=lambda _s: None, clock=lambda: 0.0
+        )
+        holder = self.holder(Script(parts=[event(1), event(2)]))
+        self.accept(holder)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+        self.assertEqual([("completed", "1\n2")], self.results())
+
+    def test_wrong_clock_of_a_leaver_leaves_no_item_lying(self) -> None:
+        with patch("time.time", return_value=time.time() + 3_600):
+            left = self.leave_one_item(0.3)
+        holder = self.holder(Script(parts=[event(1)]))
+        holder.update_head(left)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+
+    def leave_one_item(self, grace_s: float) -> VersionedHead:
+        """Hand a job with a running item over to this member."""
+        leaver = JobHolder(
+            B,
+            self.store,
+            make_dependencies(
+                ScriptedEngines(), self.silent_permits(), route()
+            ),
+            lambda: Members(frozenset({A}), frozenset({A, B})),
+            item_request,
+        )
+        new_job = job(items=1)
+        head = self.store.accept(new_job, route(), B).ok.head
+        assert head is not None
+        leaver.add_accepted(head, new_job.items)
+        leaver.start()
+        self.addCleanup(leaver.stop)
+        self.assertTrue(wait_until(lambda: leaver.busy))
+        leaver.leave(grace_s)
+        self.assertTrue(wait_until(lambda: self.head().holder == A))
+        self.assertEqual(frozenset({0}), self.head().busy)
+        return self.store.read(HOST, "job-1").ok
+
+    def head(self) -> JobHead:
+        """Return the stored head."""
+        return self.store.read(HOST, "job-1").ok.head
+
+    def silent_permits(self) -> ScriptedPermits:
+        """Return permits that are never granted."""
+        permits = ScriptedPermits("e1")
+        permits.silent = True
+        return permits
+
+
 class RunTest(HolderCase):
     def test_outcomes(self) -> None:
         complete = Script(parts=[event(1), event(2)])
@@ -200,3 +255,39 @@
         holder.on_all_rows(tuple(self.rows.rows.values()))
         self.assertTrue(wait_until(lambda: bool(self.results())))
         self.assertEqual([("completed", "1")], self.results())
+
+    def test_holder_and_heir_are_lost_in_quick_succession(self) -> None:
+        """A job whose heir is lost too, before it ran an item, goes on."""
+        lost, heir = "entry@lost", "entry@heir"
+        self.store.accept(job(items=1), route(), lost)
+        self.live = {A, heir}
+        self.known = {A, heir, lost}
+        holder = self.holder(Script(parts=[event(1)]))
+        holder._started_at -= 60.0
+        holder.on_all_rows(tuple(self.rows.rows.values()))
+        self.known.discard(lost)
+        claimed = self.store.replace_head(
+            HOST, "job-1", lambda head: claim(head, heir)
+        )
+        holder.update_head(claimed.ok)
+        self.assertFalse(self.results())
+        self.live.discard(heir)
+        self.known.discard(heir)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+        self.assertEqual(A, self.store.read(HOST, "job-1").ok.head.holder)
+
+    def test_member_returns_under_its_name_without_its_memory(self) -> None:
+        """A restarted holder runs its jobs at once, taking nothing over.
+
+        Items that it ran for another holder when it lost power run too.
+        """
+        self.store.accept(job(items=2), route(), B)
+        self.store.replace_head(
+            HOST,
+            "job-1",
+            lambda head: hand_over(head, frozenset({0}), B, {A}, 0.5),
+        )
+        script = Script(parts=[event(1)])
+        holder = self.holder(script, script)
+        holder.on_all_rows(tuple(self.rows.rows.values()))
+        self.assertTrue(wait_until(lambda: len(self.results()) == 2))
