Read the heads of all parts though the part "" is down

Cause: the fix of the missed first row read the part "" before the parts were listed, for its version. Heads never lie in that part, yet a store that is down in part, as the users' may be, then hid all heads from an instance that had just started.

Change: the parts are listed, read, and listed again until none is new; any change after the first page comes by the feed. One more call for each full read, and no read of a part that has no rows unless the table is empty.

--- a/src/mulberrypass/storage/follow.py
+++ b/src/mulberrypass/storage/follow.py
@@ -199,26 +199,30 @@
 ) -> Result[tuple[tuple[StoredRow, ...], int], ReadFailure]:
     """Read all rows of a table, and the version to continue from.
 
-    The version is that of the first page, which is read before the parts are
-    listed: the feed reports again any change made since, including the first
-    row of a part that wasn't listed yet.
+    The version is that of the first page, so that the feed reports again any
+    change made since. A part may begin between the listing of the parts and
+    that page, so the parts are listed again until none is new.
 
     :param all_parts: whether to read parts other than the one named ``""``
     """
-    first = _scan_part(rows, table, "")
-    if first.is_error():
-        return Error(first.error)
-    found, version = first.ok
-    if all_parts:
-        listed = rows.parts(table)
+    found: tuple[StoredRow, ...] = ()
+    version: int | None = None
+    scanned: set[str] = set()
+    while True:
+        listed = rows.parts(table) if all_parts else Ok(("",))
         if listed.is_error():
             return Error(listed.error)
-        for part in filter(None, listed.ok):
-            scanned = _scan_part(rows, table, part)
-            if scanned.is_error():
-                return Error(scanned.error)
-            found += scanned.ok[0]
-    return Ok((found, version))
+        parts = tuple(part for part in listed.ok if part not in scanned)
+        if not parts and version is not None:
+            return Ok((found, version))
+        # An empty table has no parts, but a version.
+        for part in parts or ("",):
+            read = _scan_part(rows, table, part)
+            if read.is_error():
+                return Error(read.error)
+            found += read.ok[0]
+            version = read.ok[1] if version is None else version
+            scanned.add(part)
 
 
 def _scan_part(
--- a/tests/storage/test_follow.py
+++ b/tests/storage/test_follow.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 import unittest
 
+from expression import Error
+
+from mulberrypass.model.store import Unavailable
 from mulberrypass.storage.follow import TableFollower, TableReader
 from mulberrypass.storage.instances import RowInstances
 from mulberrypass.storage.rows import RowKey, RowPage, Transaction
@@ -143,6 +146,31 @@
                 self.assertEqual(keys, set(reader.rows))
 
 
+class PartlyDownRows(RowState):
+    """Refuses to read the part that is named ``""``."""
+
+    def scan(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[RowPage, ReadFailure]:
+        """Read rows of the other parts."""
+        if not part:
+            return Error(Unavailable("status 503", False))
+        return RowState.scan(self, table, part, first, end)
+
+
+class PartlyDownTest(unittest.TestCase):
+    def test_an_empty_part_that_is_down_does_not_hide_the_others(
+        self,
+    ) -> None:
+        state = PartlyDownRows(on_wait=lambda: None)
+        key = RowKey("t", "host", "a")
+        state.apply(Transaction(puts=((key, b"v"),)))
+        reader = RecordingReader()
+        follower = TableFollower(state, "t", reader, all_parts=True)
+        self.assertTrue(follower._step())
+        self.assertEqual({"a": b"v"}, reader.rows)
+
+
 class StaleAnswerTest(unittest.TestCase):
     def test_a_stale_answer_is_dropped(self) -> None:
         state = RowState()
