Give the test's item runs the time of their expiry

The tests of endless output were written before ItemRun took the steady time from which an item may be abandoned. Their module and mypy pass.

--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -39,6 +39,7 @@
     from mulberrypass.model.routes import RegisteredEngine
     from mulberrypass.relay.api import EngineClient, RelayRequest
 
+RETENTION_S = 60.0
 TRICKLE_S = 0.02
 READ_S = 0.15
 FAST_S = 1.5
@@ -74,6 +75,7 @@
         make_request,
         lambda: False,
         ItemPace(),
+        time.monotonic() + RETENTION_S,
     )
 
 
