Free a soak's subnet only when all its servers have stopped

Another run that looked for a subnet while this one stopped its engines found the store's port free, since the store was stopped first, and failed with "Address already in use" at an engine's (seen in 2 of 2 runs of tests.soak.test_run beside two soaks).

--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -277,7 +277,8 @@
             instance.link.stop()
         for link in self.engine_links:
             link.stop()
-        for server in (self._store, *self._engines):
+        # The store last: by its port other runs tell that the subnet is used.
+        for server in (*self._engines, self._store):
             server.stop(0.0)
         self.loop.stop()
 
