--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -11,7 +11,7 @@
 
 import waitress.server
 
-from mulberrypass.runtime.connection import connection_class
+from mulberrypass.runtime.connection import StopSteps, connection_class
 from mulberrypass.runtime.dispatcher import PooledDispatcher
 from mulberrypass.runtime.wakeup import Wakeup
 
@@ -22,7 +22,9 @@
 # A client that sends a head slowly occupies a connection, but no thread.
 HEAD_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.02
-FLUSH_WAIT_S = 0.25
+# For answers to requests that the end of the grace time breaks off: work that
+# nobody waits for ends within 0.05 s.
+LAST_ANSWERS_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +73,7 @@
         idle_s: int = 60,
     ) -> None:
         self._app = app
-        self._closing = threading.Event()
+        self._steps = StopSteps()
         self._head_s = HEAD_TIMEOUT_S
         self._server = cast("Any", waitress.server.create_server)(
             app,
@@ -92,7 +94,7 @@
         )
         self._wakeup = Wakeup(self._server)
         self._server.channel_class = connection_class(
-            self._closing, lambda: self._head_s
+            self._steps, lambda: self._head_s
         )
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
@@ -122,21 +124,27 @@
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its next answer, which says so."""
-        self._closing.set()
+        self._steps.closing.set()
 
     def stop(self, grace_s: float) -> bool:
         """Finish the requests in flight, then close.
 
-        :param grace_s: seconds after which requests in flight are cut off
+        Kept connections without a request are closed at once: what is sent
+        on them later isn't read, and so can't be cut off.
+
+        :param grace_s: seconds after which requests in flight are told to
+            end; they have ``LAST_ANSWERS_S`` more to answer with a failure
         :returns: whether all requests were answered completely
         """
         deadline = time.monotonic() + grace_s
         self._refuse_connections()
-        self._drain(deadline)
-        # Let answers reach their sockets; kept-alive connections may also
-        # send one more request.
-        time.sleep(FLUSH_WAIT_S)
+        self._steps.closing.set()
+        self._steps.ending.set()
+        self._wakeup.pull()
         drained = self._drain(deadline)
+        if not drained:
+            self._steps.overdue.set()
+            self._drain(time.monotonic() + LAST_ANSWERS_S)
         self._wakeup.close()
         return drained
 
@@ -148,9 +156,19 @@
                 listening.shutdown(socket.SHUT_RDWR)
 
     def _drain(self, deadline: float) -> bool:
-        while self._app.in_flight and time.monotonic() < deadline:
+        while self._busy() and time.monotonic() < deadline:
             time.sleep(DRAIN_POLL_S)
-        return self._app.in_flight == 0
+        return not self._busy()
+
+    def _busy(self) -> bool:
+        """Whether connections are accepted or open, or answers are made.
+
+        An open connection has a request that is arriving, waits for a
+        thread or is answered, or an answer that isn't sent yet.
+        """
+        listening = self._server.accepting and self._thread.is_alive()
+        open_count = len(self._server.active_channels)
+        return listening or open_count > 0 or self._app.in_flight > 0
 
 
 __all__ = ["ClientLimits", "HttpServer", "ServedApp"]
