Take no jobs over before the other members can be known

Cause: a takeover was allowed 2.5 s after the start of the process, whether or not it had met any member by then. After a loss of power of all with a slow store, two instances read the heads 1.3 s before the list of instances, held all holders for lost and claimed their jobs. One view served the whole pass, so the claims went on after the holders had been met.

Change: Takeover, split from the holder, counts the 2.5 s from the first member met, or 8 s from the start if none is met, and asks for the newest view before each claim and in its transaction. The log says done only if the job is held now.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -11,6 +11,7 @@
 
 from mulberrypass.batches import codec
 from mulberrypass.batches.run import ItemRun
+from mulberrypass.batches.takeover import Members, Takeover
 from mulberrypass.model.batch_jobs import StoreUnavailable, VersionedHead
 from mulberrypass.policy.batches import heads as policy
 from mulberrypass.policy.batches.order import ItemPace
@@ -32,22 +33,6 @@
 # Keeps a transaction below the size limit of the store.
 MAX_COMMIT_OUTCOMES = 8
 COMMIT_RETRY_S = 0.3
-# Time that a starting member needs to learn of the others.
-MEMBERSHIP_SETTLE_S = 2.5
-# How long a job's holder must be unknown before the job is taken over.
-TAKEOVER_DELAY_S = 1.0
-
-
-@dataclass(slots=True)
-class Members:
-    """The membership view of this member.
-
-    :param live: members that may hold jobs
-    :param known: members not known to be dead, including leaving ones
-    """
-
-    live: frozenset[str]
-    known: frozenset[str]
 
 
 @dataclass(slots=True, eq=False)
@@ -101,11 +86,10 @@
         self._lock = threading.RLock()
         self._heads: dict[str, VersionedHead] = {}
         self._held: dict[str, HeldJob] = {}
-        self._missing_since: dict[str, float] = {}
+        self._takeover = Takeover(me, members, time.monotonic)
         self._leaving = False
         self._exit_at = 0.0
         self._stopped = False
-        self._started_at = time.monotonic()
         self._wake = threading.Event()
         self._pace = ItemPace()
         self._commit_pool = ThreadPoolExecutor(4, "commit")
@@ -255,25 +239,17 @@
                 self.update_head(result.ok)
 
     def _take_over(self) -> None:
-        """Claim jobs of failed holders whose successor is this member."""
-        now = time.monotonic()
-        if now - self._started_at < MEMBERSHIP_SETTLE_S:
-            return
-        members = self._members()
+        """Claim jobs of lost holders whose successor is this member."""
         with self._lock:
             heads = [stored.head for stored in self._heads.values()]
-        for head in heads:
-            successor = policy.next_holder(head, members.live, members.known)
-            if successor is None:
-                self._missing_since.pop(head.job_id, None)
-                continue
-            since = self._missing_since.setdefault(head.job_id, now)
-            if successor == self._me and now - since >= TAKEOVER_DELAY_S:
-                self._claim(head)
+        for head in self._takeover.due(heads):
+            self._claim(head)
 
     def _claim(self, seen: JobHead) -> None:
         def change(head: JobHead) -> JobHead | None:
-            if not head.open or head.holder != seen.holder:
+            if head.holder != seen.holder:
+                return None
+            if not self._takeover.may_claim(head):
                 return None
             return policy.claim(head, self._me)
 
@@ -282,10 +258,9 @@
             "job taken over",
             job=seen.job_id,
             former=seen.holder,
-            done=result.is_ok(),
+            done=result.is_ok() and result.ok.head.holder == self._me,
         )
         if result.is_ok():
-            self._missing_since.pop(seen.job_id, None)
             self.update_head(result.ok)
 
     def _start_items(self) -> None:
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -197,7 +197,7 @@
         self.store.accept(job(items=1), route(), "entry@lost")
         self.live = self.known = {A}
         holder = self.holder(Script(parts=[event(1)]))
-        holder._started_at -= 60.0
+        holder._takeover._started_at -= 60.0
         holder.on_all_rows(tuple(self.rows.rows.values()))
         self.assertTrue(wait_until(lambda: bool(self.results())))
         self.assertEqual([("completed", "1")], self.results())
@@ -209,7 +209,7 @@
         self.live = {A, heir}
         self.known = {A, heir, lost}
         holder = self.holder(Script(parts=[event(1)]))
-        holder._started_at -= 60.0
+        holder._takeover._started_at -= 60.0
         holder.on_all_rows(tuple(self.rows.rows.values()))
         self.known.discard(lost)
         claimed = self.store.replace_head(
