--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -98,6 +98,18 @@
         holder.update_head(left)
         self.assertTrue(wait_until(lambda: bool(self.results())))
 
+    def test_restart_after_a_hand_over_waits_for_the_leaver_once(
+        self,
+    ) -> None:
+        """The time since the hand-over isn't counted from zero again."""
+        left = self.leave_one_item(2.0)
+        time.sleep(2.5)
+        holder = self.holder(Script(parts=[event(1)]))
+        restarted_at = time.monotonic()
+        holder.update_head(left)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
+        self.assertLess(time.monotonic() - restarted_at, 1.0)
+
     def leave_one_item(self, grace_s: float) -> VersionedHead:
         """Hand a job with a running item over to this member."""
         leaver = JobHolder(
--- a/tests/programs/test_reload.py
+++ b/tests/programs/test_reload.py
@@ -21,6 +21,8 @@
 TIMEOUT_S = 10.0
 EVENTS = 20
 EVENT_INTERVAL_S = 0.05
+# A process that a reload ends takes about 0.5 s for that.
+RELOAD_S = 3.0
 OK = 200
 # An import that takes as long as the test wants.
 SLOW_IMPORT = """
@@ -68,6 +70,15 @@
         self.assertEqual([OK] * CALLERS, statuses)
         self.assertEqual([], self.cluster.crashed_instances())
 
+    def test_undecodable_settings_file_ends_no_process(self) -> None:
+        """A file that is read while it is written may end in a character."""
+        instance = self.cluster.instances[0]
+        settings = self.cluster.folder / "instance-0.toml"
+        settings.write_bytes(settings.read_bytes() + b"# \xc3")
+        instance.send(signal.SIGHUP)
+        time.sleep(RELOAD_S)
+        self.assertTrue(instance.running)
+
     def test_reload_signal_during_a_stop_cuts_off_no_answer(self) -> None:
         instance = self.cluster.instances[0]
         with ThreadPoolExecutor(CALLERS) as pool:
