Keep the settings in force whatever the settings file holds

On SIGHUP the real mulberry-site ended with status 1 when the file was cut within a character: the error of decoding isn't a SiteError. A port of digits that aren't ASCII did the same, and a GraceS of -1 or nan was applied, for which a stop can't sleep. All are refused as settings that can't be used now.

--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -77,7 +77,7 @@
 
 class _Bounds(_Model):
     contact_ms: float = 3_000
-    grace_s: float = 8
+    grace_s: float = Field(default=8, ge=0, allow_inf_nan=False)
     drain_ms: float = 2_000
     config_apply_ms: float = 2_000
     cancel_ms: float = 3_000
@@ -108,7 +108,7 @@
         settings = _Settings.model_validate(tomllib.loads(path.read_text()))
     except OSError as exc:
         raise SiteError(f"{path}: {exc.strerror}")
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
         raise SiteError(f"{path}: {exc}")
     except ValidationError as exc:
         error = exc.errors()[0]
@@ -123,7 +123,7 @@
     :raises SiteError: if the host or the port is missing
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise SiteError(f"{text!r} is not an IP address with a port")
     return HostPort(host, int(port))
 
