Refuse a settings file that is nested too deeply

A reload of such a file raised RecursionError, which ended the process as the error of decoding did.

--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -108,12 +108,12 @@
         settings = _Settings.model_validate(tomllib.loads(path.read_text()))
     except OSError as exc:
         raise SiteError(f"{path}: {exc.strerror}")
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise SiteError(f"{path}: {exc}")
     except ValidationError as exc:
         error = exc.errors()[0]
         field = ".".join(map(str, error["loc"]))
         raise SiteError(f"{path}: {field}: {error['msg']}")
+    except (ValueError, RecursionError) as exc:
+        raise SiteError(f"{path}: {exc}")
     return _site(settings)
 
 
--- a/tests/programs/test_unusable_settings.py
+++ b/tests/programs/test_unusable_settings.py
@@ -38,6 +38,10 @@
         )
         self.assertIs(self.site, reload_site(self.path, self.site))
 
+    def test_deep_nesting_keeps_the_settings_in_force(self) -> None:
+        self.path.write_text(text() + "x = " + "[" * 100_000)
+        self.assertIs(self.site, reload_site(self.path, self.site))
+
     def test_stop_time_that_no_stop_can_use_is_not_applied(self) -> None:
         """A sleep for such a time fails, in the middle of a stop."""
         for grace_s in ("-1", "nan"):
