Count the wait for a leaver's items only once

The head carries the Unix end of that time again, beside its length, and the earlier of both counts: a wrong clock can't make the wait longer, nor can a restart.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -69,6 +69,7 @@
         "busy": sorted(head.busy),
         "busy_by": head.busy_by,
         "busy_for_s": head.busy_for_s,
+        "busy_until": head.busy_until,
     }
     return json.dumps(doc, separators=(",", ":")).encode()
 
@@ -95,6 +96,7 @@
             busy=frozenset(map(int, doc["busy"])),
             busy_by=str(doc["busy_by"]),
             busy_for_s=float(doc.get("busy_for_s", 0.0)),
+            busy_until=float(doc["busy_until"]),
         )
     except (ValueError, KeyError, TypeError) as exc:
         raise CorruptRowError(f"{row.at}: {exc!r}")
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -226,7 +226,9 @@
             ) -> JobHead | None:
                 if not head.open or head.holder != self._me:
                     return None
-                return policy.hand_over(head, running, self._me, live, left_s)
+                return policy.hand_over(
+                    head, running, self._me, live, left_s, time.time()
+                )
 
             result = self._store.replace_head(
                 job.head.host, job.head.job_id, change
@@ -273,7 +275,9 @@
             if job.head.holder != self._me or not self._load_items(job):
                 continue
             waited_s = self._times.since_hand_over(job.head, now)
-            for index in policy.runnable(job.head, known, waited_s):
+            for index in policy.runnable(
+                job.head, known, waited_s, time.time()
+            ):
                 with self._lock:
                     if index in job.running or index in job.finished:
                         continue
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -76,6 +76,7 @@
     :param busy_by: name of the leaving member
     :param busy_for_s: time from the hand-over by which that member has
         stopped
+    :param busy_until: the end of that time as Unix time of that member
     """
 
     job_id: str
@@ -92,6 +93,7 @@
     busy: frozenset[int] = frozenset()
     busy_by: str = ""
     busy_for_s: float = 0.0
+    busy_until: float = 0.0
 
     @property
     def total(self) -> int:
--- a/src/mulberrypass/policy/batches/heads.py
+++ b/src/mulberrypass/policy/batches/heads.py
@@ -74,12 +74,14 @@
     me: str,
     live: Collection[str],
     for_s: float,
+    now: float,
 ) -> JobHead:
     """Return the head with another member as its holder.
 
     Items that still run on this member stay with it.
 
     :param for_s: time by which this member has exited at the latest
+    :param now: Unix time
     """
     others = [name for name in live if name != me]
     successor = rendezvous.pick(head.job_id, others) or ""
@@ -89,6 +91,7 @@
         busy=running - head.done,
         busy_by=me,
         busy_for_s=for_s,
+        busy_until=now + for_s,
     )
 
 
@@ -98,18 +101,22 @@
 
 
 def runnable(
-    head: JobHead, known: Collection[str], waited_s: float
+    head: JobHead, known: Collection[str], waited_s: float, now: float
 ) -> tuple[int, ...]:
     """Return the indexes of the items that the holder is to run, in order.
 
     Items that the former holder still ran stay with it only for
     ``busy_for_s``: a restarted member has its old name but not its items.
+    Clocks may differ, and this member may have seen the hand-over late, so
+    the earlier of both ends counts; an item may run twice.
 
     :param waited_s: time since this member first saw the hand-over
+    :param now: Unix time
     """
     if not head.open:
         return ()
-    busy = head.busy_by in known and waited_s < head.busy_for_s
+    waiting = waited_s < head.busy_for_s and now < head.busy_until
+    busy = waiting and head.busy_by in known
     elsewhere = head.busy if busy else frozenset()
     return tuple(
         index
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -297,7 +297,9 @@
         self.store.replace_head(
             HOST,
             "job-1",
-            lambda head: hand_over(head, frozenset({0}), B, {A}, 0.5),
+            lambda head: hand_over(
+                head, frozenset({0}), B, {A}, 0.5, time.time()
+            ),
         )
         script = Script(parts=[event(1)])
         holder = self.holder(script, script)
--- a/tests/policy/batches/test_heads.py
+++ b/tests/policy/batches/test_heads.py
@@ -8,6 +8,7 @@
 from tests.batches.cases import head, outcome
 
 BUSY_FOR_S = 8.0
+NOW = 1_000.0
 A, B, C = "entry@a", "entry@b", "entry@c"
 
 
@@ -43,19 +44,19 @@
 class HandOverTest(unittest.TestCase):
     def test_running_items_are_left_to_their_runner(self) -> None:
         given = policy.hand_over(
-            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S
+            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S, NOW
         )
         self.assertEqual(B, given.holder)
         self.assertEqual(
-            (0, 2), policy.runnable(given, {A, B}, BUSY_FOR_S - 1)
+            (0, 2), policy.runnable(given, {A, B}, BUSY_FOR_S - 1, NOW)
         )
 
     def test_items_of_a_dead_runner_are_taken_over(self) -> None:
         given = policy.hand_over(
-            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S
+            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S, NOW
         )
         self.assertEqual(
-            (0, 1, 2), policy.runnable(given, {B}, BUSY_FOR_S - 1)
+            (0, 1, 2), policy.runnable(given, {B}, BUSY_FOR_S - 1, NOW)
         )
 
     def test_items_of_a_restarted_runner_are_taken_over(self) -> None:
@@ -64,15 +65,22 @@
         Seen in the bench experiment mix, seed 719080042388 (lcrc-shelf).
         """
         given = policy.hand_over(
-            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S
+            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S, NOW
         )
         self.assertEqual(
-            (0, 1, 2), policy.runnable(given, {A, B}, BUSY_FOR_S + 1)
+            (0, 1, 2), policy.runnable(given, {A, B}, BUSY_FOR_S + 1, NOW)
         )
 
+    def test_items_handed_over_before_a_restart_are_taken_over(self) -> None:
+        given = policy.hand_over(
+            head(holder=A), frozenset({1}), A, {A, B}, BUSY_FOR_S, NOW
+        )
+        later = NOW + BUSY_FOR_S + 1
+        self.assertEqual((0, 1, 2), policy.runnable(given, {A, B}, 0.0, later))
+
     def test_the_last_member_leaves_no_holder(self) -> None:
         given = policy.hand_over(
-            head(holder=A), frozenset(), A, {A}, BUSY_FOR_S
+            head(holder=A), frozenset(), A, {A}, BUSY_FOR_S, NOW
         )
         self.assertEqual("", given.holder)
 
--- a/tests/programs/test_reload.py
+++ b/tests/programs/test_reload.py
@@ -60,9 +60,10 @@
         names = [f"open-{number}" for number in range(CALLERS)]
         with ThreadPoolExecutor(CALLERS) as pool:
             calls = [pool.submit(call, self.cluster, name) for name in names]
-            self.cluster.wait_until(
+            running = self.cluster.wait_until(
                 lambda: set(names) <= set(self.engine.log.runs)
             )
+            self.assertTrue(running)
             for _ in range(3):
                 self.cluster.instances[0].send(signal.SIGHUP)
                 time.sleep(EVENT_INTERVAL_S)
@@ -83,7 +84,10 @@
         instance = self.cluster.instances[0]
         with ThreadPoolExecutor(CALLERS) as pool:
             answer = pool.submit(call, self.cluster, "open")
-            self.cluster.wait_until(lambda: "open" in self.engine.log.runs)
+            running = self.cluster.wait_until(
+                lambda: "open" in self.engine.log.runs
+            )
+            self.assertTrue(running)
             instance.send(signal.SIGTERM)
             instance.send(signal.SIGHUP)
             self.assertEqual(OK, answer.result())
