Close idle connections that have grown old when one is returned

Cause: idle connections are used last in, first out, and were looked at only when taken, so that one at the bottom stayed open for good, whatever its engine sent on it.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -274,11 +274,16 @@
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Return a connection to the pool after a complete answer."""
         now = time.monotonic()
+        unused = []
         with self._lock:
+            while self._idle and now - self._idle[0][0] >= MAX_IDLE_S:
+                unused.append(self._idle.popleft()[1])
             if not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append((now, conn))
-                return
-        conn.close()
+            else:
+                unused.append(conn)
+        for each in unused:
+            each.close()
 
     def close(self) -> None:
         """Close idle connections; those in use close after their answer."""
--- a/tests/engine/endless.py
+++ b/tests/engine/endless.py
@@ -130,8 +130,13 @@
             except OSError:
                 return
             self.channels += 1
-            with conn, contextlib.suppress(OSError):
-                self._answer(conn)
+            threading.Thread(
+                target=self._serve, args=(conn,), daemon=True
+            ).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn, contextlib.suppress(OSError):
+            self._answer(conn)
 
     def _answer(self, conn: socket.socket) -> None:
         answer, then = self._parts
--- a/tests/engine/test_endless_bytes.py
+++ b/tests/engine/test_endless_bytes.py
@@ -5,7 +5,9 @@
 from dataclasses import replace
 import time
 import unittest
+from unittest.mock import patch
 
+from mulberrypass.engine import wire
 from mulberrypass.engine.api import EngineFailed, GenerationRequest
 from mulberrypass.engine.model_client import WRONG_ANSWER, HttpModelEngine
 from mulberrypass.engine.wire import (
@@ -153,6 +155,23 @@
                 time.sleep(3 * TRICKLE_S)
                 self.assertIsNone(pool.take_idle())
 
+    def test_old_idle_connections_are_closed(self) -> None:
+        """Below those in use, bytes could arrive for good."""
+        server = AnsweringServer(self, OK_HEAD + b"Content-Length: 0\r\n\r\n")
+        pool = ConnectionPool(server.address)
+        self.addCleanup(pool.close)
+        deadline = Deadline.after(1.0)
+        both = [pool.open(deadline) for _ in range(2)]
+        for exchange in both:
+            exchange.send("GET", "/", None, deadline)
+        with patch.object(wire, "MAX_IDLE_S", 0.0):
+            for exchange in both:
+                exchange.finish()
+        kept = pool.take_idle()
+        assert kept is not None
+        kept.close()
+        self.assertIsNone(pool.take_idle())
+
     def test_connection_without_surplus_is_used_again(self) -> None:
         for answer in (
             OK_HEAD + b"Content-Length: 2\r\n\r\nok",
