--- a/tests/platform/test_site_stop.py
+++ b/tests/platform/test_site_stop.py
@@ -50,6 +50,8 @@
     def test_accepting_ends_in_time(self) -> None:
         self.addCleanup(quiet_logs)
         process = make_process()
+        for server in (process._front, *process._aux_servers):
+            self.addCleanup(server.stop, 0.0)
         begun = time.monotonic()
         ended: list[float] = []
 
--- /dev/null
+++ b/tests/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what the programs share."""
