Ask for the list of instances again soon when the first read fails

Cause: a read of the list that failed was repeated after a whole interval, 3 s for a small site and more for a large one.

--- a/src/mulberrypass/peer/membership_list.py
+++ b/src/mulberrypass/peer/membership_list.py
@@ -17,6 +17,8 @@
 LOG = get_logger(__name__)
 MIN_JITTER = 0.8
 MAX_JITTER = 1.2
+# Until the list has been read once, a member may know nobody else.
+FIRST_READ_RETRY_S = 0.5
 
 
 class InstanceListReader:
@@ -41,6 +43,7 @@
         self._thread = threading.Thread(
             target=self._run, name="membership-list", daemon=True
         )
+        self._was_read = False
         self.error = "not read yet"
 
     def start(self) -> None:
@@ -54,8 +57,11 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             self._read()
+            interval_s = self._interval_s()
+            if not self._was_read:
+                interval_s = min(interval_s, FIRST_READ_RETRY_S)
             jitter = self._rng.uniform(MIN_JITTER, MAX_JITTER)
-            self._stop.wait(self._interval_s() * jitter)
+            self._stop.wait(interval_s * jitter)
 
     def _read(self) -> None:
         try:
@@ -66,6 +72,7 @@
             return
         if result.is_ok():
             self.error = ""
+            self._was_read = True
             self._on_list(result.ok)
             return
         match result.error:
