--- a/tests/programs/test_session.py
+++ b/tests/programs/test_session.py
@@ -12,6 +12,9 @@
 PROGRAM = """
     import time
     from mulberrypass.programs.session import Process, run
+    from mulberrypass.runtime.logs import configure
+
+    configure("test", "i-1", "json", "warning")
 
     class Slow(Process):
         def start(self) -> None:
