--- a/tests/programs/test_reload.py
+++ b/tests/programs/test_reload.py
@@ -21,6 +21,8 @@
 TIMEOUT_S = 10.0
 EVENTS = 20
 EVENT_INTERVAL_S = 0.05
+# A process that a reload ends takes about 0.5 s for that.
+RELOAD_S = 3.0
 OK = 200
 # An import that takes as long as the test wants.
 SLOW_IMPORT = """
@@ -58,9 +60,10 @@
         names = [f"open-{number}" for number in range(CALLERS)]
         with ThreadPoolExecutor(CALLERS) as pool:
             calls = [pool.submit(call, self.cluster, name) for name in names]
-            self.cluster.wait_until(
+            running = self.cluster.wait_until(
                 lambda: set(names) <= set(self.engine.log.runs)
             )
+            self.assertTrue(running)
             for _ in range(3):
                 self.cluster.instances[0].send(signal.SIGHUP)
                 time.sleep(EVENT_INTERVAL_S)
@@ -68,21 +71,31 @@
         self.assertEqual([OK] * CALLERS, statuses)
         self.assertEqual([], self.cluster.crashed_instances())
 
+    def test_undecodable_settings_file_ends_no_process(self) -> None:
+        """A file that is read while it is written may end in a character."""
+        instance = self.cluster.instances[0]
+        settings = self.cluster.folder / "instance-0.toml"
+        settings.write_bytes(settings.read_bytes() + b"# \xc3")
+        instance.send(signal.SIGHUP)
+        time.sleep(RELOAD_S)
+        self.assertTrue(instance.running)
+
     def test_reload_signal_during_a_stop_cuts_off_no_answer(self) -> None:
         instance = self.cluster.instances[0]
         with ThreadPoolExecutor(CALLERS) as pool:
             answer = pool.submit(call, self.cluster, "open")
-            self.cluster.wait_until(lambda: "open" in self.engine.log.runs)
+            running = self.cluster.wait_until(
+                lambda: "open" in self.engine.log.runs
+            )
+            self.assertTrue(running)
             instance.send(signal.SIGTERM)
             instance.send(signal.SIGHUP)
             self.assertEqual(OK, answer.result())
         instance.expected_down = True
 
 
-class ReloadSignalDuringImportsTest(unittest.TestCase):
-    def test_reload_signal_during_imports_does_not_end_the_process(
-        self,
-    ) -> None:
+class SignalsDuringImportsTest(unittest.TestCase):
+    def test_reload_or_dump_signal_ends_no_process(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         (Path(folder.name) / "structlog.py").write_text(SLOW_IMPORT)
@@ -97,5 +110,6 @@
         self.addCleanup(process.stdout.close)
         self.assertEqual(b"importing\n", process.stdout.readline())
         process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGUSR1)
         with self.assertRaises(subprocess.TimeoutExpired):
             process.wait(0.5)
