Log how an engine's answer was framed and whether its connection was kept

Cause: the lines of attempts and of finished items could not tell the three hypotheses of docs/incidents/answers-that-were-not-whole.md apart. Change: "attempt failed", "answered", "item attempt failed" and "item done" say whether only the end of the connection ended the answer and whether the connection had carried a request before; "item done" says the last event's number and whether the permit was revoked.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -13,7 +13,7 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.batches.order import order_item
 from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
-from mulberrypass.relay.api import part_names
+from mulberrypass.relay.api import framing, part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.events import (
     BadEventError,
@@ -114,6 +114,7 @@
         self._progress = Progress()
         self._revoked = False
         self._abort: Callable[[], None] | None = None
+        self._framing: dict[str, bool] = {}
         self._avoid: tuple[str, ...] = ()
         self.held_back = False
 
@@ -247,6 +248,7 @@
         :raises WireError: if the output is incomplete
         """
         self._progress.route_missing_since = None
+        self._framing = {}
         watched: WatchedCall | None = None
         answer: EngineAnswer | None = None
         outcome = ReleaseOutcome.FAILED
@@ -271,6 +273,7 @@
                 on_open,
                 deadline.within(READ_TIMEOUT_S),
             )
+            self._framing = framing(answer)
             permit.mark_limit(answer.head.limit_per_s)
             self._check_head(answer, deadline)
             for count in self._read(answer, deadline, permit):
@@ -344,6 +347,7 @@
             reason=failed.reason,
             revoked=self._revoked,
             events=len(self._progress.event_texts),
+            **self._framing,
             parts=part_names(self._request(None).shared_parts),
         )
         if failed.status == HTTPStatus.UNPROCESSABLE_ENTITY:
@@ -376,6 +380,9 @@
             item=self._item.item_id,
             engine=engine,
             events=len(self._progress.event_texts),
+            last=self._progress.last,
+            revoked=self._revoked,
+            **self._framing,
         )
         output = "\n".join(self._progress.event_texts)
         return ItemOutcome(self._index, self._item.item_id, state, output)
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -96,6 +96,7 @@
             length=exchange.length,
             limit_per_s=self._limit(),
             ends_with_connection=exchange.ends_with_connection,
+            reused=exchange.reused,
             load=names.parse_load(head.get(names.SERVER_LOAD)),
         )
 
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -80,6 +80,7 @@
         read
     :param ends_with_connection: whether only the end of the connection ends
         the body
+    :param reused: whether the connection had carried another request before
     """
 
     status: int
@@ -90,6 +91,7 @@
     load: EngineLoad | None
     limit_per_s: float | None = 0.0
     ends_with_connection: bool = False
+    reused: bool = False
 
 
 class EngineAnswer(ABC):
@@ -113,6 +115,14 @@
         """Close the connection; safe on any thread."""
 
 
+def framing(answer: EngineAnswer | None) -> dict[str, bool]:
+    """Return how the answer of an attempt came, as it is logged."""
+    if answer is None:
+        return {}
+    head = answer.head
+    return {"unframed": head.ends_with_connection, "reused": head.reused}
+
+
 class EngineClient(ABC):
     """Sends requests to engines. Safe on any thread."""
 
@@ -234,5 +244,6 @@
     "RelayRequest",
     "TruncatedAnswerError",
     "Unservable",
+    "framing",
     "part_names",
 ]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -21,6 +21,7 @@
     Relay,
     TruncatedAnswerError,
     Unservable,
+    framing,
     part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
@@ -403,6 +404,7 @@
             ran=failed.ran.value,
             status=failed.status,
             shown=self._last_event,
+            **framing(self._answer),
             parts=part_names(self._req.shared_parts),
             left=self._disconnected(),
             age_ms=self._age_ms(),
@@ -424,6 +426,7 @@
             age_ms=self._age_ms(),
             events=self._event_count,
             attempts=self._attempts,
+            **framing(self._answer),
         )
 
 
