Show answers and items that are not whole

Callers of a batch job saw a result that was done with a part of its text (MIXED). The tests make the orders of events of the hypotheses with an engine on raw sockets, which can now repeat each answer and fail some requests.

--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -5,22 +5,20 @@
 from collections import Counter
 import contextlib
 from dataclasses import dataclass, field
+from http import HTTPStatus
 import socket
 import struct
 import threading
 import time
-from typing import TYPE_CHECKING
 
 from mulberrypass.platform import headers as names
+from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.engine import (
     INSTANCE_ID,
     RESPONSE_STAMP,
     event,
 )
 
-if TYPE_CHECKING:
-    from mulberrypass.platform.site import HostPort
-
 SERVER_LIMIT = "Server-Limit"
 ERROR_TEXT = "the engine failed"
 HEAD_END = b"\r\n\r\n"
@@ -46,6 +44,9 @@
     :param break_after: bytes of the events after which it closes
     :param resumed_bytes: the same of requests that resume a stream
     :param error: status of its answers to requests that resume a stream
+    :param failures: number of requests to run and answer with status 500
+    :param repeated: whether each answer is written once more when the next
+        request arrives on its connection
     """
 
     crash_parts: frozenset[str] = frozenset()
@@ -57,6 +58,21 @@
     break_after: int | None = None
     resumed_bytes: int | None = None
     error: int | None = None
+    failures: int = 0
+    repeated: bool = False
+
+
+class _Connection:
+    """A connection to a caller, which remembers the latest answer."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.answer = b""
+
+    def sendall(self, data: bytes) -> None:
+        """Send part of the answer."""
+        self.answer += data
+        self._sock.sendall(data)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +101,7 @@
 class RawEngine:
     """Streams events on raw sockets, a thread for each connection.
 
+    :param at: where it listens; port 0 for any free port
     :param event_s: seconds between two events
     :ivar requests: all requests received
     :ivar runs: number of runs of each request, by its id
@@ -108,6 +125,8 @@
         self._listening = socket.create_server(
             (self.at.host, self.at.port), backlog=BACKLOG
         )
+        port = self._listening.getsockname()[1]
+        self.at = HostPort(self.at.host, port)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def end(self) -> None:
@@ -140,19 +159,22 @@
                 target=self._serve, args=(conn,), daemon=True
             ).start()
 
-    def _serve(self, conn: socket.socket) -> None:
-        refusal = b""
-        with contextlib.suppress(OSError), conn:
-            while (req := _read_request(conn)) is not None:
+    def _serve(self, sock: socket.socket) -> None:
+        late = b""
+        with contextlib.suppress(OSError), sock:
+            while (req := _read_request(sock)) is not None:
                 self.requests.append(req)
-                conn.sendall(refusal)
+                sock.sendall(late)
+                conn = _Connection(sock)
                 refusal = self._refusal(req)
                 if refusal:
                     conn.sendall(refusal)
                 elif not self._answer(conn, req):
                     break
+                repeated = self.faults.repeated or refusal
+                late = conn.answer if repeated else b""
         with self._lock:
-            self._open.discard(conn)
+            self._open.discard(sock)
 
     def _refusal(self, req: RawRequest) -> bytes:
         """Return a refusal if one is due."""
@@ -169,9 +191,12 @@
             lines.append(f"{names.REQUEST_ID}: {req.request_id}")
         return _head(lines)
 
-    def _answer(self, conn: socket.socket, req: RawRequest) -> bool:
+    def _answer(self, conn: _Connection, req: RawRequest) -> bool:
         """Run a request; return whether the connection goes on."""
         self.runs[req.request_id] += 1
+        if self._fails():
+            conn.sendall(self._error(req, HTTPStatus.INTERNAL_SERVER_ERROR))
+            return True
         after = req.headers.get(names.LAST_EVENT_ID.lower())
         if after is not None and self.faults.error is not None:
             conn.sendall(self._error(req, self.faults.error))
@@ -186,8 +211,16 @@
             return False
         return self._send_events(conn, req, int(after or 0) + 1)
 
+    def _fails(self) -> bool:
+        """Return whether a failure is due."""
+        with self._lock:
+            if self.faults.failures <= 0:
+                return False
+            self.faults.failures -= 1
+            return True
+
     def _send_events(
-        self, conn: socket.socket, req: RawRequest, first: int
+        self, conn: _Connection, req: RawRequest, first: int
     ) -> bool:
         left = self.faults.break_after
         if first > 1:
--- a/tests/platform/test_misbehaving_engine.py
+++ b/tests/platform/test_misbehaving_engine.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
+import time
+
 from mulberrypass.platform.stand_in.engine import event
 from mulberrypass.platform.stand_in.raw_engine import ERROR_TEXT
 from tests.platform.raw_site import RawSiteTest, Reply, stream_route
 
 WHOLE_EVENTS = 3
+# Until the first events of a stream have arrived.
+BEGUN_S = 0.4
 
 
 def whole(number: int) -> bytes:
@@ -123,3 +128,23 @@
                     with self.subTest(path, size=size, unframed=unframed):
                         self.assert_not_whole(reply, number)
                         self.assertNotEqual(200, reply.status)
+
+
+class EndOfGraceTest(MisbehavingEngineTest):
+    """A stream that a stop broke off looked complete."""
+
+    def test_stream_that_a_stop_breaks_off(self) -> None:
+        for engine in self.engines:
+            engine.events = 40
+            engine.event_s = 0.1
+        for number, unframed in enumerate((False, True), 1):
+            with self.subTest(unframed=unframed):
+                self.faults.unframed = unframed
+                self.at = self.start_instance()
+                with ThreadPoolExecutor(1) as pool:
+                    asked = pool.submit(self.ask, "/lookup/1", number)
+                    time.sleep(BEGUN_S)
+                    self.processes[-1].stop()
+                    reply = asked.result()
+                self.assertEqual(200, reply.status)
+                self.assertFalse(reply.whole)
