Don't take our own end of a connection for the end of an answer

Callers of a batch job read a result that was done with a part of its text (MIXED), and a caller could get a stream that looked complete before its last event. Cause: an answer without a length or chunks ends with its connection. When a permit is revoked, a job ends, a caller leaves or a stop's grace is over, another thread shuts the socket down, and the reader then reads no bytes, as at the answer's end; nothing told the two apart. Class: an end that several parties can cause, taken as the word of one. Change: an exchange notes that it was shut down before it touches the socket, and an answer that only its connection ends is cut if it was; all readers of engines' answers go through this one place. Evidence: RevokedItemTest (done with 3 of 8 events), EndedJobTest (4 of 8), OwnShutdownTest and EndOfGraceTest failed before with answers without a length, passed with framed ones, and pass now; 56 tests beside them pass.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -97,6 +97,7 @@
         self._sock: socket.socket = conn.sock
         self._bound = ReadBound()
         self._resp: http.client.HTTPResponse | None = None
+        self._shut_down = False
 
     @property
     def status(self) -> int:
@@ -123,7 +124,8 @@
         return self._resp.length is None and not self._resp.chunked
 
     def shut_down(self) -> None:
-        """Shut the socket down, so that blocked reads and writes end."""
+        """Shut the socket down, so that blocked reads and writes fail."""
+        self._shut_down = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -166,7 +168,8 @@
     def read_some(self, size: int, deadline: Deadline) -> bytes:
         """Read the next part of the body; empty at its end.
 
-        :raises WireError: if the read fails or the deadline passes
+        :raises WireError: if the read fails, the deadline passes or
+            ``shut_down`` was called before the end
         """
         assert self._resp is not None
         deadline.left_s()
@@ -174,13 +177,17 @@
             deadline.at, size + MAX_FRAMING_BYTES, not self._resp.chunked
         )
         try:
-            return self._resp.read1(size)
+            data = self._resp.read1(size)
         except TimeoutError:
             raise WireError(
                 EngineFailed("deadline", Ran.MAYBE, resumable=True)
             )
         except (OSError, ValueError, http.client.HTTPException):
             raise WireError(CUT)
+        if not data and self._shut_down and self.ends_with_connection:
+            # The engine may not have ended it.
+            raise WireError(CUT)
+        return data
 
     def read_whole(self, limit: int, deadline: Deadline) -> bytes:
         """Read the rest of the body.
