Let a late abort end no other request on a kept connection

Callers could get a part of an answer as a whole one (MIXED), or lose an answer that was on its way. Cause: what aborts a request, the watch's thread or a revoked permit, holds on to the exchange; after the answer's end the connection goes back to the pool and carries the next request, and a late abort shut that one down. Change: an exchange that has ended shuts nothing down, under the lock that hands the connection back; one that was shut down isn't pooled.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -97,7 +97,9 @@
         self._sock: socket.socket = conn.sock
         self._bound = ReadBound()
         self._resp: http.client.HTTPResponse | None = None
+        self._lock = threading.Lock()
         self._shut_down = False
+        self._released = False
 
     @property
     def status(self) -> int:
@@ -124,10 +126,17 @@
         return self._resp.length is None and not self._resp.chunked
 
     def shut_down(self) -> None:
-        """Shut the socket down, so that blocked reads and writes fail."""
-        self._shut_down = True
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+        """Shut the socket down, so that blocked reads and writes fail.
+
+        Does nothing once the exchange has ended, as its connection may
+        carry another one by then.
+        """
+        with self._lock:
+            if self._released:
+                return
+            self._shut_down = True
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def send(
         self,
@@ -212,8 +221,10 @@
 
     def finish(self) -> None:
         """Reuse the connection if the answer is complete, else close it."""
+        with self._lock:
+            self._released = True
         resp = self._resp
-        if resp is None or self._conn.sock is None:
+        if resp is None or self._conn.sock is None or self._shut_down:
             self.close()
             return
         if not resp.isclosed() and resp.length != 0:
