Send no request on a connection that has carried its id

Cause: engines may write an answer twice, the second time late, where the next answer is due; an answer is told from another by the request id alone, and an item runs under one id at each attempt, a request at each repeat. A copy of the earlier answer on the kept connection passed for the answer to the later send: a whole one with its first events missing, a refusal for a request that runs, a 500 for a second run. Change: a pool remembers the ids that each connection has carried and leaves such connections to other requests, so that an answer with the id can only be to this send; a connection carries 512 requests at most, which bounds the memory. Ruled out: comparing event numbers or counts, as a copy may meet any of them. Cost: one connection more for each repeat at the same engine, and one in 512 requests.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from typing import TYPE_CHECKING, Any
+from weakref import WeakKeyDictionary
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.outcome import Ran
@@ -26,6 +27,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
 MAX_IDLE_S = 20.0
+# Bounds the memory for the ids of the requests on a connection.
+MAX_REQUESTS_PER_CONNECTION = 512
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
@@ -265,6 +268,9 @@
         self._lock = threading.Lock()
         self._closed = False
         self._idle: deque[tuple[float, http.client.HTTPConnection]] = deque()
+        self._request_ids: WeakKeyDictionary[
+            http.client.HTTPConnection, set[str]
+        ] = WeakKeyDictionary()
 
     def exchange(
         self,
@@ -298,14 +304,21 @@
             raise
         return exchange
 
-    def open(self, deadline: Deadline) -> Exchange:
+    def open(self, deadline: Deadline, request_id: str) -> Exchange:
         """Return an exchange on an idle connection or a new one.
 
+        The connection has carried no request with this id before: an engine
+        may repeat an earlier answer, which only the id tells apart.
+
         :raises WireError: if connecting fails; nothing ran
         """
-        conn = self.take_idle()
+        conn = self.take_idle(request_id)
         reused = conn is not None
-        return Exchange(self, conn or self._connect(deadline), reused)
+        if conn is None:
+            conn = self._connect(deadline)
+        with self._lock:
+            self._request_ids.setdefault(conn, set()).add(request_id)
+        return Exchange(self, conn, reused)
 
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Return a connection to the pool after a complete answer."""
@@ -314,7 +327,10 @@
         with self._lock:
             while self._idle and now - self._idle[0][0] >= MAX_IDLE_S:
                 unused.append(self._idle.popleft()[1])
-            if not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            full = len(self._idle) >= MAX_IDLE_CONNECTIONS
+            carried = len(self._request_ids.get(conn, ()))
+            worn = carried >= MAX_REQUESTS_PER_CONNECTION
+            if not (self._closed or full or worn):
                 self._idle.append((now, conn))
             else:
                 unused.append(conn)
@@ -330,18 +346,33 @@
         for _, conn in idle:
             conn.close()
 
-    def take_idle(self) -> http.client.HTTPConnection | None:
-        """Remove and return an idle connection that is still open, if any."""
+    def take_idle(
+        self, request_id: str | None = None
+    ) -> http.client.HTTPConnection | None:
+        """Remove and return an idle connection that is still open, if any.
+
+        :param request_id: leave those that have carried it before
+        """
         while True:
             with self._lock:
-                if not self._idle:
+                entry = self._latest_without(request_id)
+                if entry is None:
                     return None
-                since, conn = self._idle.pop()
+                self._idle.remove(entry)
+            since, conn = entry
             fresh = time.monotonic() - since < MAX_IDLE_S
             if fresh and _is_reusable(conn):
                 return conn
             conn.close()
 
+    def _latest_without(
+        self, request_id: str | None
+    ) -> tuple[float, http.client.HTTPConnection] | None:
+        for entry in reversed(self._idle):
+            if request_id not in self._request_ids.get(entry[1], ()):
+                return entry
+        return None
+
     def _connect(self, deadline: Deadline) -> http.client.HTTPConnection:
         timeout = min(
             self._connect_timeout_s, _remaining_before_send(deadline)
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -51,7 +51,7 @@
     ) -> EngineAnswer:
         """Send a request; see ``EngineClient``."""
         pool = self._pool(engine)
-        exchange = pool.open(head_deadline)
+        exchange = pool.open(head_deadline, req.request_id)
         on_open(exchange.shut_down)
         headers = names.engine_headers(req, engine.name, deadline.left_s())
         try:
@@ -75,8 +75,9 @@
 class HttpEngineAnswer(EngineAnswer):
     """An engine's answer; its request id must be that of the request.
 
-    A refusal may lack an id. On a connection that has had another request,
-    it may be the refusal of that one, written once more.
+    The connection has carried no other request with this id. A refusal may
+    lack an id. On a connection that has had another request, it may be the
+    refusal of that one, written once more.
     """
 
     def __init__(self, exchange: Exchange, req: RelayRequest) -> None:
--- a/tests/engine/test_endless_bytes.py
+++ b/tests/engine/test_endless_bytes.py
@@ -161,7 +161,7 @@
         pool = ConnectionPool(server.address)
         self.addCleanup(pool.close)
         deadline = Deadline.after(1.0)
-        both = [pool.open(deadline) for _ in range(2)]
+        both = [pool.open(deadline, f"r{n}") for n in range(2)]
         for exchange in both:
             exchange.send("GET", "/", None, deadline)
         with patch.object(wire, "MAX_IDLE_S", 0.0):
