Take no run from the start that begins with a later event

Cause: the check of event numbers took any number for the first one of a run that wasn't asked to resume, so that the rest of a resumed run passed for a whole one. Change: a run from the start begins with event 0 or 1. Evidence: FirstEventTest failed before (each number to 29 was taken) and passes. The case "back" of test_non_consecutive_events_truncate_the_answer began with event 2, which is refused now; it begins with 1 and goes back to 0, and checks as much as before.

--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -10,6 +10,8 @@
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 # Bytes of an end that may have arrived without its last one.
 MAX_PARTIAL_END = 3
+# Numbers with which a run from the start may begin.
+FIRST_NUMBERS = (0, 1)
 
 
 class BadEventError(Exception):
@@ -68,7 +70,8 @@
 class EventOrder:
     """Checks that event numbers are consecutive.
 
-    :ivar last: number of the last event; ``None`` before the first
+    :ivar last: number of the last event; ``None`` before the first of a run
+        from the start
     """
 
     def __init__(self, last: int | None) -> None:
@@ -77,12 +80,14 @@
     def accept(self, event: Event) -> None:
         """Accept the next event.
 
-        :raises BadEventError: if its number doesn't follow the last one
+        :raises BadEventError: if its number doesn't follow the last one, or
+            is none with which a run begins
         """
-        number, last = event.number, self.last
-        if number is None or (last is not None and number != last + 1):
-            raise BadEventError(f"event {number} came after {last}")
-        self.last = number
+        last = self.last
+        follows = FIRST_NUMBERS if last is None else (last + 1,)
+        if event.number not in follows:
+            raise BadEventError(f"event {event.number} came after {last}")
+        self.last = event.number
 
     def accept_leading(
         self, events: list[Event]
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -8,12 +8,34 @@
 from mulberrypass.relay.events import (
     MAX_EVENT_BYTES,
     BadEventError,
+    EventOrder,
     EventSplitter,
 )
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n:note\n\n"
 
 
+class FirstEventTest(unittest.TestCase):
+    """A stream whose first events were missing was taken for whole."""
+
+    def accepted(self, last: int | None, number: int) -> bool:
+        order = EventOrder(last)
+        (event,) = EventSplitter().feed(b"id: %d\ndata: x\n\n" % number)
+        try:
+            order.accept(event)
+        except BadEventError:
+            return False
+        return True
+
+    def test_run_from_the_start(self) -> None:
+        numbers = [n for n in range(30) if self.accepted(None, n)]
+        self.assertEqual([0, 1], numbers)
+
+    def test_resumed_run(self) -> None:
+        numbers = [n for n in range(30) if self.accepted(20, n)]
+        self.assertEqual([21], numbers)
+
+
 class EventSplitterTest(unittest.TestCase):
     def test_chunk_size_does_not_change_events(self) -> None:
         for size in range(1, len(STREAM) + 1):
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -187,7 +187,7 @@
         cases = {
             "gap": [event(1), event(3)],
             "twice": [event(1), event(1)],
-            "back": [event(2), event(1)],
+            "back": [event(1), event(0)],
         }
         for name, parts in cases.items():
             with self.subTest(name):
