Take no framed answer without an event for a whole run

Cause: that an answer ended before its first event was looked at only where its connection ends it; with a length of 0 or a last chunk at once it counted as whole. Change: a run from the start has an event, however it is framed; a resumed one may have none, as all may have been received. Evidence: two cases of test_outcome_by_failure and test_framed_answer_without_an_event failed before (an empty stream sent as complete; an item done with an empty text) and pass, and the case of a stream that resumes after its last event passes before and after.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -331,7 +331,8 @@
         if splitter.pending:
             reason = "cut in an event"
             raise WireError(EngineFailed(reason, Ran.YES, closed=True))
-        if answer.head.ends_with_connection and not sum(counts):
+        unframed = answer.head.ends_with_connection
+        if not sum(counts) and (unframed or self._progress.last is None):
             raise WireError(CUT)
         return counts
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -311,7 +311,8 @@
         if splitter.pending:
             reason = "cut in an event"
             raise WireError(EngineFailed(reason, Ran.YES, closed=True))
-        if answer.head.ends_with_connection and not count:
+        unframed = answer.head.ends_with_connection
+        if not count and (unframed or self._last_event is None):
             # Nothing else shows that it ended too early.
             raise WireError(CUT)
 
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -145,6 +145,13 @@
 class EmptyStreamTest(unittest.TestCase):
     """An engine that ended before the first event completed an item."""
 
+    def test_framed_answer_without_an_event(self) -> None:
+        engines = ScriptedEngines(Script(), Script(parts=[WHOLE]))
+        _permits, item_run = make_run(engines, engine("e1"), engine("e2"))
+        outcome = item_run.run()
+        assert outcome is not None
+        self.assertEqual("1\n2", outcome.output)
+
     def test_item_goes_on_elsewhere(self) -> None:
         ended = AnsweringServer(self, NO_LENGTH, close=True)
         sound = AnsweringServer(self, NO_LENGTH + WHOLE, close=True)
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -131,6 +131,21 @@
                 False,
                 2,
             ),
+            "whole without an event": (False, [Script()], "", True, 1),
+            "whole without an event, resumable": (
+                True,
+                [Script(), whole],
+                "all",
+                False,
+                2,
+            ),
+            "whole after the last event": (
+                True,
+                [Script(parts=[*WHOLE, CUT]), Script()],
+                "all",
+                False,
+                2,
+            ),
             "cut twice": (True, [part, Script(parts=[CUT])], "first", True, 2),
             "ended before the first event": (False, [empty], "", True, 1),
             "ended before the first event, resumable": (
