Run an item anew if the end of its output can't be told

An item could run until it was given up, at RetentionS, though all of its events had been received. Cause: an attempt that is cut after the last event is resumed after it; an engine that ends its answers with the connection then answers with no event, which can't be told from a cut, so the next attempt resumed there again. Change: such an answer makes the item begin anew; its next whole run completes it. Evidence: test_item_begins_anew_if_its_end_cannot_be_told failed before (a fourth attempt after event 2) and passes; 32 tests of runs and forwarding pass.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -76,11 +76,15 @@
         self.size += len(event.data)
         self.event_texts.append(event.data.decode("utf-8", "replace"))
         if self.size > MAX_OUTPUT_BYTES:
-            self.event_texts.clear()
-            self.size = 0
-            self.last = None
+            self.begin_anew()
             raise BadEventError("the output is too long")
 
+    def begin_anew(self) -> None:
+        """Forget the output, so that the next attempt runs from the start."""
+        self.event_texts.clear()
+        self.size = 0
+        self.last = None
+
 
 class ItemRun:
     """The execution of one item; used by one thread.
@@ -333,6 +337,9 @@
             raise WireError(EngineFailed(reason, Ran.YES, closed=True))
         unframed = answer.head.ends_with_connection
         if not sum(counts) and (unframed or self._progress.last is None):
+            # A run that resumes after its last event would end like this at
+            # each attempt.
+            self._progress.begin_anew()
             raise WireError(CUT)
         return counts
 
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -29,6 +29,7 @@
     EndlessServer,
 )
 from tests.relay.fakes import (
+    CUT,
     Script,
     ScriptedEngines,
     ScriptedPermits,
@@ -152,6 +153,21 @@
         assert outcome is not None
         self.assertEqual("1\n2", outcome.output)
 
+    def test_item_begins_anew_if_its_end_cannot_be_told(self) -> None:
+        """It was resumed after its last event for good."""
+        rest = Script(ends_with_connection=True)
+        engines = ScriptedEngines(
+            Script(parts=[WHOLE, CUT]),
+            rest,
+            Script(ends_with_connection=True, parts=[WHOLE]),
+        )
+        _permits, item_run = make_run(engines, engine("e1"), engine("e2"))
+        outcome = item_run.run()
+        assert outcome is not None
+        self.assertEqual("1\n2", outcome.output)
+        resumed = [req.after_event for _name, req in engines.sent]
+        self.assertEqual([None, 2, None], resumed)
+
     def test_item_goes_on_elsewhere(self) -> None:
         ended = AnsweringServer(self, NO_LENGTH, close=True)
         sound = AnsweringServer(self, NO_LENGTH + WHOLE, close=True)
