Look at an item's whole output before it is done

Change: before an item is done the number of its events is compared with the last number; if one is missing the item begins anew. Evidence: MissingEventTest loses two events between the check of numbers and the output; before, the item was done with 6 of 8 events, now it runs again and is whole; 33 tests of runs and forwarding pass.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -16,6 +16,7 @@
 from mulberrypass.relay.api import framing, part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.events import (
+    FIRST_NUMBERS,
     BadEventError,
     EventOrder,
     EventSplitter,
@@ -79,6 +80,14 @@
             self.begin_anew()
             raise BadEventError("the output is too long")
 
+    @property
+    def whole(self) -> bool:
+        """Whether no event is missing before the last one."""
+        if self.last is None:
+            return False
+        missing = self.last + 1 - len(self.event_texts)
+        return missing in FIRST_NUMBERS
+
     def begin_anew(self) -> None:
         """Forget the output, so that the next attempt runs from the start."""
         self.event_texts.clear()
@@ -282,6 +291,9 @@
             self._check_head(answer, deadline)
             for count in self._read(answer, deadline, permit):
                 events += count
+            if not self._progress.whole:
+                self._progress.begin_anew()
+                raise BadEventError("events are missing in the output")
             outcome = ReleaseOutcome.DONE
             if req.after_event is None:
                 elapsed_s = time.monotonic() - permit.sent_at
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -114,4 +114,10 @@
     return Event(raw, number, b"\n".join(data))
 
 
-__all__ = ["BadEventError", "Event", "EventOrder", "EventSplitter"]
+__all__ = [
+    "FIRST_NUMBERS",
+    "BadEventError",
+    "Event",
+    "EventOrder",
+    "EventSplitter",
+]
--- a/tests/batches/test_partial_output.py
+++ b/tests/batches/test_partial_output.py
@@ -6,7 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 import unittest
+from unittest.mock import patch
 
+from mulberrypass.batches import run as run_module
 from mulberrypass.batches.run import ItemRun
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
 from mulberrypass.platform.engines import HttpEngineClient
@@ -26,6 +28,7 @@
 if TYPE_CHECKING:
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
     from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.relay.events import Event
 
 EVENTS = 8
 EVENT_S = 0.05
@@ -129,6 +132,25 @@
                 timer.join()
 
 
+class MissingEventTest(PartialOutputTest):
+    """Nothing looked at the whole output before it was done."""
+
+    def test_output_with_missing_events_begins_anew(self) -> None:
+        real = run_module.Progress.add
+        lost = [3, 5]
+
+        def lose_once(progress: run_module.Progress, event: Event) -> None:
+            if event.number in lost:
+                lost.remove(event.number)
+                progress.last = event.number
+            else:
+                real(progress, event)
+
+        with patch.object(run_module.Progress, "add", lose_once):
+            self.assert_whole(self.make_run().run())
+        self.assertEqual([], lost)
+
+
 class RepeatedFailureTest(PartialOutputTest):
     """One failure that an engine wrote twice counted as two."""
 
