Count the bytes of a page of results as they are sent

Cause: the limit of a page counted the characters of the outputs, while JSON sends a quote or a line feed as 2 bytes and other letters as 6. Change: what counts is each result as it is encoded. Evidence: LargePageTest failed before (a page of 3,375,578 bytes) and passes, all results being read page by page; 12 tests of test_lots pass.

--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -38,7 +38,8 @@
 LOT_PATH = re.compile(r"/lots/([^/]+)")
 ITEM_PATH = re.compile(r"/items/([^/]+)")
 MAX_ITEMS = 200
-MAX_PAGE_CHARS = 900_000
+# The results of a page, encoded; callers take pages of 1 MB.
+MAX_PAGE_BYTES = 900_000
 RETRY_AFTER_S = 0.3
 QUOTA_RETRY_AFTER_S = 1.0
 MAX_ID_LENGTH = 150
@@ -125,16 +126,15 @@
         results: list[dict[str, str]] = []
         size = 0
         for outcome in read.ok.outcomes:
-            size += len(outcome.output)
-            if results and size > MAX_PAGE_CHARS:
+            result = {
+                "Id": outcome.item_id,
+                "State": STATE_NAMES[outcome.state],
+                "Output": outcome.output,
+            }
+            size += len(json.dumps(result))
+            if results and size > MAX_PAGE_BYTES:
                 break
-            results.append(
-                {
-                    "Id": outcome.item_id,
-                    "State": STATE_NAMES[outcome.state],
-                    "Output": outcome.output,
-                }
-            )
+            results.append(result)
         return json_reply(
             {
                 "Total": read.ok.total,
--- a/tests/platform/test_lots.py
+++ b/tests/platform/test_lots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import json
 from typing import Any
 import unittest
@@ -27,6 +28,8 @@
     "Tokens": 100,
 }
 ME = "entry@a"
+# Of the users' pages.
+MAX_RESULTS_BYTES = 1_000_000
 
 
 class BatchJobApiTestCase(unittest.TestCase):
@@ -170,6 +173,32 @@
                 self.assertEqual(400, status)
 
 
+class LargePageTest(BatchJobApiTestCase):
+    """A page of results was larger than callers read."""
+
+    def test_page_of_outputs_that_grow_when_encoded(self) -> None:
+        count = 12
+        items = [ITEM | {"Id": f"i{n}", "Tokens": 1} for n in range(count)]
+        self.call("POST", "/crates/a", {"Items": items})
+        texts = {
+            "quotes": '{"a":"b"}\n' * 9_000,
+            "other letters": "\u0416" * 90_000,
+        }
+        for index in range(count):
+            text = texts["quotes" if index % 2 else "other letters"]
+            done = replace(outcome(index), output=text)
+            self.store.record_outcomes(None, HOST, "lot-1", (done,))
+        after = 0
+        while after < count:
+            target = f"/lots/lot-1?After={after}"
+            req = read_request("GET", target, {"host": HOST}, b"")
+            reply = self.api.handle(req)
+            assert reply is not None
+            self.assertLessEqual(len(reply.body), MAX_RESULTS_BYTES)
+            after = json.loads(reply.body)["Next"]
+        self.assertEqual(count, after)
+
+
 class ItemRequestTest(unittest.TestCase):
     def test_request_of_an_item(self) -> None:
         req = item_request(head(), item(0), 7)
