Take no answer whose framing can't be read

Cause: http.client takes a length that is no number, a negative one, several lengths and any transfer coding but chunked for no framing at all, and such an answer counted as one that its connection ends. Class: an end taken from a head that doesn't tell it. Change: a head names one length, or the coding chunked alone, or neither; any other answer is none, and the request goes on as after bytes that are no answer (RFC 9112, section 6.3). No engine was seen to send such a head.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 import http.client
 import json
+import re
 import select
 import socket
 import threading
@@ -34,6 +35,7 @@
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
+LENGTH = re.compile(r"[0-9]+")
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -164,6 +166,7 @@
             self._resp = self._conn.getresponse()
             if self._resp.status < FIRST_FINAL_STATUS:
                 raise http.client.BadStatusLine(str(self._resp.status))
+            _check_framing(self._resp.headers)
         except TimeoutError:
             raise WireError(
                 EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -427,6 +430,24 @@
     return doc
 
 
+def _check_framing(head: Message) -> None:
+    """Check that a head tells where the body ends, or names no end at all.
+
+    What can't be read counts as no length otherwise, and so as a body that
+    the connection ends.
+
+    :raises HTTPException: if it can't be read
+    """
+    codings = head.get_all("Transfer-Encoding", [])
+    if codings:
+        if [coding.lower() for coding in codings] != ["chunked"]:
+            raise http.client.HTTPException("an unknown transfer coding")
+        return
+    lengths = {text.strip() for text in head.get_all("Content-Length", [])}
+    if len(lengths) > 1 or not all(map(LENGTH.fullmatch, lengths)):
+        raise http.client.HTTPException("an unreadable length")
+
+
 def _is_reusable(conn: http.client.HTTPConnection) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     if conn.sock is None:
