Take no empty answer for whole if only its connection ends it

Cause: that an answer ended right after its head was looked at for streams only; for an answer that is forwarded whole, an end of the connection after the head counted as the end of a body of no bytes. Change: the same rule holds for both kinds; such an answer is cut, and is repeated elsewhere where that is allowed. An answer with a length of 0 and a status other than 2xx are forwarded as before. Evidence: test_answer_that_ends_after_its_head failed before in its four cases and passes; test_framed_answer_without_a_body_is_whole passes before and after; 23 tests of forwarding pass. What is cut later in a body without a length can't be told from the whole one.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -326,6 +326,10 @@
             size += len(data)
             if size > MAX_BUFFERED_BYTES:
                 raise WireError(EngineFailed("answer too large", Ran.YES))
+        unframed = answer.head.ends_with_connection
+        if not size and unframed and _is_success(answer.head):
+            # Nothing else shows that it ended too early.
+            raise WireError(CUT)
         status = answer.head.status
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR and self._may_repeat():
             reason = f"engine answered {status}"
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -341,6 +341,26 @@
         )
         self.assertEqual(b"whole", body(events))
 
+    def test_answer_that_ends_after_its_head(self) -> None:
+        """It was forwarded as a whole answer without a body."""
+        for status in (200, 201):
+            empty = Script(status, ends_with_connection=True)
+            for kind, wanted in ((self.CALL, b""), (self.REPEATABLE, b"all")):
+                with self.subTest(status, kind=kind.kind):
+                    engines = ScriptedEngines(empty, Script(parts=[b"all"]))
+                    permits = ScriptedPermits("e1", "e2")
+                    events, _ = run(make_dependencies(engines, permits, kind))
+                    self.assertEqual(wanted, body(events))
+                    if not wanted:
+                        self.assertIsInstance(events[0], Failed)
+
+    def test_framed_answer_without_a_body_is_whole(self) -> None:
+        engines = ScriptedEngines(Script(204))
+        events, _ = run(
+            make_dependencies(engines, ScriptedPermits("e1"), self.CALL)
+        )
+        self.assertEqual(AnswerHead(204, (("X-Stamp", "s"),), 0), events[0])
+
     def test_client_error_of_the_engine_is_forwarded_unchanged(self) -> None:
         engines = ScriptedEngines(Script(404, parts=[b"none"]))
         events, _ = run(
