Don't take an engine's stop at its deadline for the end of an answer

Cause: an engine stops work at the deadline that it is given, in whole milliseconds rounded down. An answer without a length ends with its connection then, just before our own deadline, and counted as whole if the stop fell between two events. Class: an end that several parties can cause, taken as the word of one; the engine itself causes it for two reasons. Change: such an end from 10 ms before the work's deadline on is no end of an answer; a framed answer is taken as before.

--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -5,6 +5,7 @@
 import contextlib
 from http import HTTPStatus
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
@@ -23,6 +24,9 @@
 
 LOG = get_logger(__name__)
 READ_BYTES = 65_536
+# Engines are given whole milliseconds, and stop a moment before the deadline.
+STOP_MARGIN_S = 0.01
+STOPPED = EngineFailed("ended at the deadline", Ran.MAYBE, resumable=True)
 WRONG_REQUEST_ID = EngineFailed("an answer to another request", Ran.MAYBE)
 
 
@@ -58,7 +62,7 @@
             exchange.send(
                 req.method, req.target, req.body, head_deadline, headers
             )
-            return HttpEngineAnswer(exchange, req)
+            return HttpEngineAnswer(exchange, req, deadline)
         except WireError:
             exchange.close()
             raise
@@ -78,10 +82,15 @@
     The connection has carried no other request with this id. A refusal may
     lack an id. On a connection that has had another request, it may be the
     refusal of that one, written once more.
+
+    :param deadline: when the engine stops the work
     """
 
-    def __init__(self, exchange: Exchange, req: RelayRequest) -> None:
+    def __init__(
+        self, exchange: Exchange, req: RelayRequest, deadline: Deadline
+    ) -> None:
         self._exchange = exchange
+        self._deadline = deadline
         head = exchange.head
         answer_id = head.get(names.REQUEST_ID)
         not_run = head.get(names.NOT_RUN) is not None
@@ -112,8 +121,14 @@
     def read_some(self, deadline: Deadline) -> bytes:
         """Read the next bytes; see ``EngineAnswer``."""
         data = self._exchange.read_some(READ_BYTES, deadline)
-        if not data and self._exchange.length:
+        if data:
+            return data
+        if self._exchange.length:
             raise WireError(CUT)
+        stops_at = self._deadline.at - STOP_MARGIN_S
+        unframed = self._exchange.ends_with_connection
+        if unframed and time.monotonic() >= stops_at:
+            raise WireError(STOPPED)
         return data
 
     def finish(self) -> None:
