Reject engines whose entry has a number out of range

An entry with 10^400 slots, written by another writer, was taken for an engine. The owner of the pool failed on every step with "int too large to convert to float": in one instance with stand-ins, 3,536 log lines in some 3 s. A cold time of 1e400 was taken too, as were a count of writes and a start of 10^400.

Counts and times of an entry now have bounds. OddEngineTest puts some 60 odd entries into the first read and into a feed, alone and beside three engines; before, 12 of its cases failed, as the odd entry named an engine. Deep nesting, bytes that aren't text and ports out of range were rejected before.

--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -31,6 +31,11 @@
 DRAINING = "draining"
 MS_PER_S = 1_000.0
 MAX_PORT = 65_535
+# Of a signed 64-bit integer, as peers encode versions.
+MAX_INT = 2**63 - 1
+MAX_SLOTS = 1_000_000
+# 31 years; ``threading`` can't wait for more than 292.
+MAX_MS = 1e12
 
 ROUTE_KINDS = {
     "streaming": RouteKind.STREAM,
@@ -121,13 +126,13 @@
     address: IPv4Port
     zone: str
     version: str
-    slots: int = Field(ge=1)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
-    cold_left_ms: float = Field(ge=0)
+    cold_left_ms: float = Field(ge=0, le=MAX_MS)
     # Number of writes since the engine started.
-    seq: int = Field(ge=0)
+    seq: int = Field(ge=0, le=MAX_INT)
     # Unix milliseconds of its start.
-    born: int = Field(default=0, ge=0, alias="born")
+    born: int = Field(default=0, ge=0, le=MAX_INT, alias="born")
 
 
 def read_desired(data: bytes) -> RouteTable:
--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,78 @@
+"""Tests of rows that another writer has left among the others."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from mulberrypass.platform.desired import (
+    ENGINE_TABLE,
+    read_engine,
+)
+from mulberrypass.platform.stand_in.site import engine_document
+from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.followers import EngineReader
+from tests.platform.odd_values import OddRowTest, odd_documents
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ENGINE = engine_document("10.0.0.1:80", 8) | {"Service": "a"}
+ODD_ADDRESSES = (
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:-1",
+    "10.0.0.1:http",
+    "10.0.0.1:8\N{SUPERSCRIPT TWO}",
+    "10.0.0.1:" + "8" * 5_000,
+    "10.0.0.1",
+    "10.0.0.1:",
+    ":80",
+    "[::1]:80",
+    "e.example:80",
+    "10.0.0.1\0:80",
+    ["10.0.0.1", 80],
+    {"Host": "10.0.0.1", "Port": 80},
+    80,
+    None,
+)
+
+
+class OddEngineTest(OddRowTest):
+    """An odd entry names no engine, and harms no other."""
+
+    table = ENGINE_TABLE
+
+    def odd_entries(self) -> Iterator[tuple[str, bytes]]:
+        """Yield what can't be an engine's entry."""
+        numbers = ("Slots", "ColdLeftMs", "Seq", "born")
+        yield from odd_documents(ENGINE, numbers)
+        for number in ("4.5", "0", "-1", '"4"', "null", "true"):
+            doc = json.dumps(ENGINE | {"Slots": "@"})
+            yield f"Slots {number}", doc.replace('"@"', number).encode()
+        for address in ODD_ADDRESSES:
+            doc = json.dumps(ENGINE | {"Address": address})
+            yield f"Address {str(address)[:20]}", doc.encode()
+
+    def check(self, name: str, value: bytes, kept: int) -> None:
+        """Follow the odd entry, first or later, alone or beside others."""
+        odd = self.row(name, value)
+        good = json.dumps(ENGINE).encode()
+        others = tuple(self.row(f"e{n}", good) for n in range(kept))
+        names = {f"e{n}" for n in range(kept)}
+        for before, later in (
+            ((odd, *others), ()),
+            ((*others, odd), ()),
+            (others[:1], (odd, *others)),
+        ):
+            directory = Directory()
+            reader = EngineReader(directory, read_engine)
+            self.follow(reader, before, later)
+            self.assertEqual(names, directory.engine_names())
+            self.assertEqual(1, self.lines_about(name))
+
+    def test_odd_entry_names_no_engine(self) -> None:
+        for what, value in self.odd_entries():
+            for kept in (0, 3):
+                with self.subTest(what, kept=kept):
+                    self.check("odd-1", value, kept)
