Reject engines whose name can't be sent in a header

The name of an engine's row goes to the engine in a header. With a line break in it, the request raised "Invalid header value" and callers got 500: in one instance with stand-ins, 8 of 16 requests, as the odd entry had the address of an engine. Names with other control or non-ASCII characters did the same.

Such an entry now names no engine, as one with an odd body.

--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import IPv4Address
+import re
 from typing import Annotated, Literal, TypeVar
 
 from pydantic import (
@@ -36,6 +37,8 @@
 MAX_SLOTS = 1_000_000
 # 31 years; ``threading`` can't wait for more than 292.
 MAX_MS = 1e12
+# A name is sent to its engine as a header.
+ENGINE_NAME = re.compile(r"[!-~]{1,255}")
 
 ROUTE_KINDS = {
     "streaming": RouteKind.STREAM,
@@ -168,6 +171,8 @@
 
     :raises DocumentError: if it doesn't describe a usable engine
     """
+    if not ENGINE_NAME.fullmatch(name):
+        raise DocumentError("its name can't be sent in a header")
     entry = _validate(_Entry, data)
     return RegisteredEngine(
         name=name,
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -76,3 +76,15 @@
             for kept in (0, 3):
                 with self.subTest(what, kept=kept):
                     self.check("odd-1", value, kept)
+
+    def test_odd_name_names_no_engine(self) -> None:
+        value = json.dumps(ENGINE).encode()
+        for name in (
+            "odd\r\n1",
+            "odd 1",
+            "odd\N{EM DASH}1",
+            "odd\0",
+            "odd" * 100,
+        ):
+            with self.subTest(name[:20]):
+                self.check(name, value, 3)
