Reject a desired state with a number out of range

A desired state was put in force with a version of 10^400, which peers can't encode in a heartbeat ("Value out of range"), with times and weights that are infinite or not a number, and with counts of 400 digits.

Its numbers now have bounds, and one that exceeds them leaves the last state in force, as any other state that can't be read. OddConfigurationTest writes odd states before and after a good one; before, 198 of its cases failed.

--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -35,6 +35,7 @@
 # Of a signed 64-bit integer, as peers encode versions.
 MAX_INT = 2**63 - 1
 MAX_SLOTS = 1_000_000
+MAX_WEIGHT = 1e9
 # 31 years; ``threading`` can't wait for more than 292.
 MAX_MS = 1e12
 # A name is sent to its engine as a header.
@@ -65,11 +66,13 @@
 
 
 IPv4Port = Annotated[str, AfterValidator(_check_ip_and_port)]
+Int = Annotated[int, Field(ge=-MAX_INT, le=MAX_INT)]
+Ms = Annotated[float, Field(ge=-MAX_MS, le=MAX_MS)]
 
 
 class _Share(_Model):
     service: str
-    weight: float = 1.0
+    weight: float = Field(default=1.0, ge=-MAX_WEIGHT, le=MAX_WEIGHT)
 
 
 class _Route(_Model):
@@ -79,39 +82,39 @@
     route_type: str = "idempotent"
     service: str | None = None
     backends: list[_Share] = Field(default_factory=list)
-    timeout_ms: float = 30_000
-    target_latency_ms: float = 1_000
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: Ms = 30_000
+    target_latency_ms: Ms = 1_000
+    priority: Int = 0
+    max_attempts: Int = 1
     resumable: bool = False
     # Limits the tokens of waiting batch items; on an engine, those of
     # waiting calls.
-    cap: int = 0
-    target_completion_ms: float = 60_000
-    retention_s: float = 3_600
+    cap: Int = 0
+    target_completion_ms: Ms = 60_000
+    retention_s: Ms = 3_600
 
 
 class _Engine(_Model):
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Int = 0
     # Tokens per event of a stream.
-    stride: int = Field(default=1, ge=1)
+    stride: int = Field(default=1, ge=1, le=MAX_INT)
 
 
 class _Service(_Model):
     name: str
-    max_conns: int = 0
+    max_conns: Int = 0
     engine: _Engine = _Engine()
 
 
 class _Limits(_Model):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 30_000
-    idle_timeout_ms: float = 60_000
+    max_header_bytes: Int = 16_384
+    max_body_bytes: Int = 4_194_304
+    header_timeout_ms: Ms = 30_000
+    idle_timeout_ms: Ms = 60_000
 
 
 class _Desired(_Model):
-    version: int
+    version: Int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -106,12 +106,16 @@
                 self.assertTrue(follower._step())
         self.assertEqual(state.version, follower.state.version)
 
+    def complaints(self) -> list[MutableMapping[str, Any]]:
+        """Return the warnings and errors."""
+        bad = ("warning", "error")
+        return [line for line in self.logged if line["log_level"] in bad]
+
     def lines_about(self, name: str) -> int:
         """Return how many log lines name a row."""
         return sum(
             any(name in str(value) for value in line.values())
-            for line in self.logged
-            if line["log_level"] in ("warning", "error")
+            for line in self.complaints()
         )
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -6,18 +6,24 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.platform.desired import (
+    CONFIG_KEY,
+    CONFIG_TABLE,
     ENGINE_TABLE,
+    read_desired,
     read_engine,
 )
 from mulberrypass.platform.stand_in.site import engine_document
 from mulberrypass.relay.directory import Directory
-from mulberrypass.relay.followers import EngineReader
-from tests.platform.odd_values import OddRowTest, odd_documents
+from mulberrypass.relay.followers import EngineReader, RouteReader
+from tests.platform.odd_values import OddRowTest, odd_documents, replaced
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 ENGINE = engine_document("10.0.0.1:80", 8) | {"Service": "a"}
+ROUTE = {"Name": "r", "Host": "h", "Prefix": "/", "Service": "a"}
+SERVICE = {"Name": "a"}
+DESIRED = {"Version": 3, "Routes": [ROUTE], "Services": [SERVICE]}
 ODD_ADDRESSES = (
     "10.0.0.1:0",
     "10.0.0.1:65536",
@@ -88,3 +94,73 @@
         ):
             with self.subTest(name[:20]):
                 self.check(name, value, 3)
+
+
+class OddConfigurationTest(OddRowTest):
+    """An odd desired state leaves the last one in force."""
+
+    table = CONFIG_TABLE
+
+    def odd_documents(self) -> Iterator[tuple[str, bytes]]:
+        """Yield what can't be a desired state."""
+        yield from odd_documents(DESIRED, ("Version",))
+        routes = (
+            "TimeoutMs",
+            "TargetLatencyMs",
+            "Priority",
+            "MaxAttempts",
+            "Cap",
+            "TargetCompletionMs",
+            "RetentionS",
+        )
+        limits = (
+            "MaxHeaderBytes",
+            "MaxBodyBytes",
+            "HeaderTimeoutMs",
+            "IdleTimeoutMs",
+        )
+        share = {"Service": "a", "Weight": 1.0}
+        for within, good, numbers in (
+            ("Routes", ROUTE, routes),
+            ("Services", SERVICE, ("MaxConns",)),
+            ("Limits", {}, limits),
+            ("Engine", {}, ("KvCapacityTokens", "Stride")),
+            ("Backends", share, ("Weight",)),
+        ):
+            for what, value in odd_documents(good, numbers):
+                if value.startswith(b"{") and value.endswith(b"}"):
+                    yield f"{within}: {what}", _within(within, value)
+
+    def test_odd_document_keeps_the_last_one_in_force(self) -> None:
+        good = self.row(CONFIG_KEY, json.dumps(DESIRED).encode())
+        newer = json.dumps(DESIRED | {"Version": 9}).encode()
+        for what, value in self.odd_documents():
+            odd = self.row(CONFIG_KEY, value)
+            for before, later, version in (
+                ((odd,), (), 0),
+                ((odd,), (self.row(CONFIG_KEY, newer),), 9),
+                ((good,), (odd,), 3),
+            ):
+                with self.subTest(what, version=version):
+                    directory = Directory()
+                    reader = RouteReader(directory, CONFIG_KEY, read_desired)
+                    self.follow(reader, before, later)
+                    self.assertEqual(version, directory.routes().version)
+                    self.assertEqual(1, len(self.complaints()))
+
+
+def _within(name: str, value: bytes) -> bytes:
+    """Return a desired state that holds a part."""
+    part = value.decode()
+    match name:
+        case "Routes":
+            return replaced(DESIRED, "Routes", f"[{part}]")
+        case "Services":
+            return replaced(DESIRED, "Services", f"[{part}]")
+        case "Limits":
+            return replaced(DESIRED, "Limits", part)
+        case "Engine":
+            service = replaced(SERVICE, "Engine", part).decode()
+            return replaced(DESIRED, "Services", f"[{service}]")
+    route = replaced(ROUTE, "Backends", f"[{part}]").decode()
+    return replaced(DESIRED, "Routes", f"[{route}]")
