Read the heads of batch jobs strictly

One deeply nested head, or one with a number too large, raised RecursionError or OverflowError out of the decoder. The first read of the table ended there, was repeated every 0.25 s and never came to an end: the instance followed no batch job any more, with one odd row of another writer. In a feed, the same page came again and again. A head with times that are infinite or no number was taken.

Heads are now validated with bounds, as the entries of engines are, and an odd one is logged and skipped.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -7,9 +7,11 @@
 
 import base64
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar
 import zlib
 
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
 from mulberrypass.model.batch_jobs import (
     BatchItem,
     ItemOutcome,
@@ -34,12 +36,41 @@
 PIECE_DIGITS = 3
 # The character after "/": ends the range of keys that start with "job/".
 AFTER_SLASH = "0"
+MAX_COUNT = 2**53
+MAX_S = 1e12
+
+Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+Seconds = Annotated[float, Field(ge=-MAX_S, le=MAX_S)]
 
 
 class CorruptRowError(Exception):
     """Stored rows are incomplete or can't be decoded."""
 
 
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
+D = TypeVar("D", bound=_Document)
+
+
+class _Head(_Document):
+    host: str
+    route: str
+    first_s: Seconds
+    due_s: Seconds
+    retention_s: Seconds
+    tokens: tuple[Count, ...]
+    done: frozenset[Count]
+    results: Count
+    ended: bool
+    holder: str
+    busy: frozenset[Count]
+    busy_by: str
+    busy_for_s: Seconds = 0.0
+    busy_until: Seconds
+
+
 def head_key(host: str, job_id: str) -> RowKey:
     """Return the key of a job's head."""
     return RowKey(HEADS, host, job_id)
@@ -79,27 +110,26 @@
 
     :raises CorruptRowError: if the row isn't a valid head
     """
-    try:
-        doc = json.loads(row.value)
-        return JobHead(
-            job_id=row.at.key,
-            host=str(doc["host"]),
-            route=str(doc["route"]),
-            first_s=float(doc["first_s"]),
-            due_s=float(doc["due_s"]),
-            retention_s=float(doc["retention_s"]),
-            tokens=tuple(map(int, doc["tokens"])),
-            done=frozenset(map(int, doc["done"])),
-            results=int(doc["results"]),
-            ended=bool(doc["ended"]),
-            holder=str(doc["holder"]),
-            busy=frozenset(map(int, doc["busy"])),
-            busy_by=str(doc["busy_by"]),
-            busy_for_s=float(doc.get("busy_for_s", 0.0)),
-            busy_until=float(doc["busy_until"]),
-        )
-    except (ValueError, KeyError, TypeError) as exc:
-        raise CorruptRowError(f"{row.at}: {exc!r}")
+    doc = _validate(_Head, row.value, str(row.at))
+    if max(doc.done | doc.busy, default=-1) >= len(doc.tokens):
+        raise CorruptRowError(f"{row.at}: an index without an item")
+    return JobHead(
+        job_id=row.at.key,
+        host=doc.host,
+        route=doc.route,
+        first_s=doc.first_s,
+        due_s=doc.due_s,
+        retention_s=doc.retention_s,
+        tokens=doc.tokens,
+        done=doc.done,
+        results=doc.results,
+        ended=doc.ended,
+        holder=doc.holder,
+        busy=doc.busy,
+        busy_by=doc.busy_by,
+        busy_for_s=doc.busy_for_s,
+        busy_until=doc.busy_until,
+    )
 
 
 def item_rows(
@@ -220,6 +250,20 @@
     ]
 
 
+def _validate(model: type[D], data: bytes, what: str) -> D:
+    """Decode a JSON document.
+
+    :param what: named in errors
+    :raises CorruptRowError: if it isn't valid
+    """
+    try:
+        return model.model_validate_json(data)
+    except ValidationError as exc:
+        error = exc.errors()[0]
+        field = ".".join(map(str, error["loc"])) or "not JSON"
+        raise CorruptRowError(f"{what}: {field}: {error['msg']}")
+
+
 def _is_whole(rows: list[StoredRow]) -> bool:
     return len(rows) == int(rows[0].at.key.rpartition("-")[2])
 
