Read the rows of manifests and results strictly

A manifest or result that was deeply nested, had a number too large or a row whose key holds no number raised RecursionError, OverflowError, ValueError or TypeError instead of CorruptRowError. One row "job-1/odd" among the results of a batch job made all of them unreadable. A document could also inflate to any size.

Both are now validated, keys that hold no number belong to no position, and a document has a maximum size.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -7,10 +7,17 @@
 
 import base64
 import json
-from typing import TYPE_CHECKING, Annotated, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 import zlib
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    RootModel,
+    ValidationError,
+)
 
 from mulberrypass.model.batch_jobs import (
     BatchItem,
@@ -36,6 +43,9 @@
 PIECE_DIGITS = 3
 # The character after "/": ends the range of keys that start with "job/".
 AFTER_SLASH = "0"
+MAX_DIGITS = 9
+# Several times the largest manifest that callers may hand in.
+MAX_DOCUMENT_BYTES = 67_108_864
 MAX_COUNT = 2**53
 MAX_S = 1e12
 
@@ -47,11 +57,36 @@
     """Stored rows are incomplete or can't be decoded."""
 
 
+def _decode_base64(text: object) -> bytes:
+    if not isinstance(text, str):
+        raise ValueError("not base64")
+    return base64.b64decode(text, validate=True)
+
+
 class _Document(BaseModel):
     model_config = ConfigDict(extra="ignore", strict=True)
 
 
-D = TypeVar("D", bound=_Document)
+D = TypeVar("D", bound=BaseModel)
+
+
+class _Item(_Document):
+    id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: Annotated[bytes, BeforeValidator(_decode_base64)]
+    tokens: Count
+
+
+class _Items(RootModel[tuple[_Item, ...]]):
+    pass
+
+
+class _Outcome(_Document):
+    index: Count
+    id: str
+    state: ItemState
+    output: str
 
 
 class _Head(_Document):
@@ -154,20 +189,11 @@
 
     :raises CorruptRowError: if a row is missing or corrupt
     """
-    docs = _join([row for row in rows])
-    try:
-        return tuple(
-            BatchItem(
-                str(doc["id"]),
-                str(doc["path"]),
-                tuple((str(k), str(v)) for k, v in doc["headers"]),
-                base64.b64decode(doc["body"], validate=True),
-                int(doc["tokens"]),
-            )
-            for doc in docs
-        )
-    except (ValueError, KeyError, TypeError) as exc:
-        raise CorruptRowError(f"manifest: {exc!r}")
+    docs = _join(_Items, list(rows))
+    return tuple(
+        BatchItem(doc.id, doc.path, doc.headers, doc.body, doc.tokens)
+        for doc in docs.root
+    )
 
 
 def result_rows(
@@ -194,13 +220,13 @@
     by_position: dict[int, list[StoredRow]] = {}
     for row in rows:
         digits = row.at.key.rpartition("/")[2].partition(".")[0]
-        by_position.setdefault(int(digits), []).append(row)
+        by_position.setdefault(_number(digits), []).append(row)
     outcomes = []
     while position in by_position:
         pieces = by_position[position]
         if not _is_whole(pieces):
             break
-        outcomes.append(_decode_outcome(_join(pieces)))
+        outcomes.append(_decode_outcome(pieces))
         position += 1
     return outcomes
 
@@ -216,16 +242,9 @@
     return f"{job_id}/", job_id + AFTER_SLASH
 
 
-def _decode_outcome(doc: Any) -> ItemOutcome:
-    try:
-        return ItemOutcome(
-            int(doc["index"]),
-            str(doc["id"]),
-            ItemState(doc["state"]),
-            str(doc["output"]),
-        )
-    except (ValueError, KeyError, TypeError) as exc:
-        raise CorruptRowError(f"result: {exc!r}")
+def _decode_outcome(pieces: list[StoredRow]) -> ItemOutcome:
+    doc = _join(_Outcome, pieces)
+    return ItemOutcome(doc.index, doc.id, doc.state, doc.output)
 
 
 def _split(
@@ -264,19 +283,37 @@
         raise CorruptRowError(f"{what}: {field}: {error['msg']}")
 
 
+def _number(digits: str) -> int:
+    """Return the number in a key; -1 if it isn't one."""
+    valid = digits.isascii() and digits.isdigit()
+    return int(digits) if valid and len(digits) <= MAX_DIGITS else -1
+
+
 def _is_whole(rows: list[StoredRow]) -> bool:
-    return len(rows) == int(rows[0].at.key.rpartition("-")[2])
+    return len(rows) == _number(rows[0].at.key.rpartition("-")[2])
 
 
-def _join(rows: list[StoredRow]) -> Any:
+def _join(model: type[D], rows: list[StoredRow]) -> D:
     if not rows or not _is_whole(rows):
         raise CorruptRowError("rows are missing")
     ordered = sorted(rows, key=lambda row: row.at.key)
     try:
-        data = zlib.decompress(b"".join(row.value for row in ordered))
-        return json.loads(data)
-    except (zlib.error, ValueError) as exc:
+        data = _inflate(b"".join(row.value for row in ordered))
+    except zlib.error as exc:
         raise CorruptRowError(f"{ordered[0].at}: {exc!r}")
+    return _validate(model, data, str(ordered[0].at))
+
+
+def _inflate(data: bytes) -> bytes:
+    """Decompress a document.
+
+    :raises zlib.error: if it is damaged or larger than any that is written
+    """
+    inflater = zlib.decompressobj()
+    found = inflater.decompress(data, MAX_DOCUMENT_BYTES)
+    if not inflater.eof:
+        raise zlib.error("incomplete or too large")
+    return found
 
 
 __all__ = [
--- a/tests/batches/test_odd_rows.py
+++ b/tests/batches/test_odd_rows.py
@@ -4,15 +4,22 @@
 
 import json
 from typing import Any
+import unittest
 from unittest.mock import Mock
+import zlib
 
 from mulberrypass.batches import codec
 from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.store import BatchStore
-from mulberrypass.storage.rows import StoredRow
+from mulberrypass.storage.rows import RowKey, StoredRow
 from mulberrypass.testing.row_state import RowState
 from tests.batches import cases
-from tests.platform.odd_values import OddRowTest, odd_documents
+from tests.platform.odd_values import (
+    UNREADABLE,
+    OddRowTest,
+    odd_documents,
+    replaced,
+)
 
 NOBODY = Members(frozenset(), frozenset())
 HEAD: dict[str, Any] = json.loads(codec.encode_head(cases.head()))
@@ -85,3 +92,78 @@
         key = codec.head_key(cases.HOST, head.job_id)
         row = StoredRow(key, codec.encode_head(head), 1)
         self.assertEqual(head, codec.decode_head(row))
+
+
+class OddPieceTest(unittest.TestCase):
+    """Odd rows of manifests and results are corrupt, and nothing else."""
+
+    def pieces(self, table: str, name: str, value: bytes) -> list[StoredRow]:
+        """Return a document in one row."""
+        key = RowKey(table, cases.HOST, name)
+        return [StoredRow(key, zlib.compress(value), 1)]
+
+    def test_odd_manifest_is_corrupt(self) -> None:
+        item = {
+            "id": "item-1",
+            "path": "/crates/1",
+            "headers": [["x-a", "b"]],
+            "body": "cQ==",
+            "tokens": 1,
+        }
+        odd = {f"all {what}": value for what, value in UNREADABLE.items()}
+        del odd["all a list"]
+        for what, value in odd_documents(item, ("tokens",)):
+            odd[what] = b"[" + value + b"]"
+        for field, text in (
+            ("tokens", "-1"),
+            ("tokens", "4.5"),
+            ("headers", '[["a"]]'),
+            ("headers", "[[1, 2]]"),
+            ("body", '"%"'),
+            ("body", '"\\u00e9"'),
+            ("body", "1"),
+        ):
+            odd[f"{field} {text}"] = b"[" + replaced(item, field, text) + b"]"
+        del odd["no bytes"]
+        for what, value in odd.items():
+            rows = self.pieces(codec.ITEMS, "odd-1/000-001", value)
+            with self.subTest(what):
+                with self.assertRaises(codec.CorruptRowError):
+                    codec.decode_items(rows)
+
+    def test_odd_result_is_corrupt(self) -> None:
+        doc = {"index": 0, "id": "i", "state": "completed", "output": "o"}
+        for what, value in odd_documents(doc, ("index",)):
+            rows = self.pieces(codec.RESULTS, "odd-1/00000.000-001", value)
+            with self.subTest(what):
+                with self.assertRaisesRegex(codec.CorruptRowError, "odd-1"):
+                    codec.decode_results(rows, 0)
+
+    def test_odd_key_hides_no_result(self) -> None:
+        good = [
+            StoredRow(key, value, 1)
+            for key, value in codec.result_rows(
+                cases.HOST, "job-1", 0, cases.outcome(0)
+            )
+        ]
+        for name in ("job-1/odd", "job-1/" + "1" * 5_000, "job-1/\u00b2.1-1"):
+            odd = StoredRow(RowKey(codec.RESULTS, cases.HOST, name), b"", 1)
+            with self.subTest(name[:20]):
+                found = codec.decode_results((odd, *good), 0)
+                self.assertEqual([cases.outcome(0)], found)
+
+    def test_document_that_inflates_without_end_is_corrupt(self) -> None:
+        value = b" " * (codec.MAX_DOCUMENT_BYTES + 1)
+        rows = self.pieces(codec.ITEMS, "odd-1/000-001", value)
+        with self.assertRaises(codec.CorruptRowError):
+            codec.decode_items(rows)
+
+    def test_pieces_of_another_number_are_corrupt(self) -> None:
+        for name in (
+            "odd-1/000-x",
+            "odd-1/000-002",
+            "odd-1/000-" + "1" * 5_000,
+        ):
+            with self.subTest(name[:20]):
+                with self.assertRaises(codec.CorruptRowError):
+                    codec.decode_items(self.pieces(codec.ITEMS, name, b"[]"))
