Report unreadable rows of batch jobs as errors of the store

CorruptRowError left the store of batch jobs. An odd head refused all new jobs of its host with 500, as the quota reads all heads; and a held job whose manifest can't be read ended each pass of the holder before the other jobs ("job holder failed", four times a second), so that none of their items ran.

The store now skips an unreadable head when it counts the quota, and answers StoreUnavailable where one is asked for, which all its users handle. Of the four tests of OddRowInStoreTest none passed before.

--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -50,6 +50,7 @@
 MAX_ATTEMPTS = 12
 MAX_UNAVAILABLE = 3
 UNAVAILABLE_RETRY_S = 0.05
+UNREADABLE_HEAD = "its head can't be read"
 
 
 class BatchStore:
@@ -82,9 +83,11 @@
             if scanned.is_error():
                 return Error(_store_unavailable(scanned.error, maybe_done))
             rows = scanned.ok
-            if any(row.at.key == job.job_id for row in rows):
-                return Ok(Accepted(job.job_id, again=True))
             heads = _heads(rows)
+            if any(head.job_id == job.job_id for head in heads):
+                return Ok(Accepted(job.job_id, again=True))
+            if any(row.at.key == job.job_id for row in rows):
+                return Error(StoreUnavailable(UNREADABLE_HEAD, maybe_done))
             waiting = policy.waiting_tokens(heads, route.name)
             if not policy.within_quota(
                 waiting, job.tokens, route.quota_tokens
@@ -114,9 +117,9 @@
         scanned = self._scan(codec.HEADS, host, job_id, job_id + "\0")
         if scanned.is_error():
             return Error(_store_unavailable(scanned.error))
-        for row in scanned.ok:
-            return Ok(VersionedHead(codec.decode_head(row), row.version))
-        return Error(NoSuchJob())
+        if not scanned.ok:
+            return Error(NoSuchJob())
+        return _versioned_head(scanned.ok[0])
 
     def results(
         self, host: str, job_id: str, position: int, total: int | None
@@ -136,7 +139,10 @@
         paged = self._rows.scan(codec.RESULTS, host, first, end)
         if paged.is_error():
             return Error(_store_unavailable(paged.error))
-        outcomes = codec.decode_results(paged.ok.rows, position)
+        try:
+            outcomes = codec.decode_results(paged.ok.rows, position)
+        except codec.CorruptRowError as exc:
+            return Error(_unreadable(exc))
         return Ok(ResultPage(total, tuple(outcomes)))
 
     def items(
@@ -148,7 +154,10 @@
             return Error(_store_unavailable(scanned.error))
         if not scanned.ok:
             return Error(NoSuchJob())
-        return Ok(codec.decode_items(scanned.ok))
+        try:
+            return Ok(codec.decode_items(scanned.ok))
+        except codec.CorruptRowError as exc:
+            return Error(_unreadable(exc))
 
     def end(
         self, host: str, job_id: str
@@ -321,11 +330,25 @@
 
 
 def _heads(rows: Iterable[StoredRow]) -> list[JobHead]:
-    return [
-        codec.decode_head(row)
+    """Return the heads that can be read."""
+    found = [
+        _versioned_head(row)
         for row in rows
         if not row.at.key.startswith(codec.GATE_PREFIX)
     ]
+    return [read.ok.head for read in found if read.is_ok()]
+
+
+def _versioned_head(row: StoredRow) -> Result[VersionedHead, StoreUnavailable]:
+    try:
+        return Ok(VersionedHead(codec.decode_head(row), row.version))
+    except codec.CorruptRowError as exc:
+        return Error(_unreadable(exc))
+
+
+def _unreadable(exc: codec.CorruptRowError) -> StoreUnavailable:
+    LOG.error("rows of a job can't be read", reason=str(exc))
+    return StoreUnavailable(str(exc))
 
 
 def _split(
@@ -349,7 +372,8 @@
 def _conflicting_head(found: tuple[StoredRow, ...]) -> VersionedHead | None:
     for row in found:
         if row.at.table == codec.HEADS and row.version:
-            return VersionedHead(codec.decode_head(row), row.version)
+            read = _versioned_head(row)
+            return read.ok if read.is_ok() else None
     return None
 
 
--- a/tests/batches/test_odd_rows.py
+++ b/tests/batches/test_odd_rows.py
@@ -11,15 +11,19 @@
 from mulberrypass.batches import codec
 from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.store import BatchStore
-from mulberrypass.storage.rows import RowKey, StoredRow
+from mulberrypass.model.batch_jobs import StoreUnavailable, VersionedHead
+from mulberrypass.storage.rows import RowKey, StoredRow, Transaction
 from mulberrypass.testing.row_state import RowState
 from tests.batches import cases
+from tests.batches.test_holder import A, HolderCase, wait_until
 from tests.platform.odd_values import (
+    NESTED,
     UNREADABLE,
     OddRowTest,
     odd_documents,
     replaced,
 )
+from tests.relay.fakes import Script, event
 
 NOBODY = Members(frozenset(), frozenset())
 HEAD: dict[str, Any] = json.loads(codec.encode_head(cases.head()))
@@ -167,3 +171,42 @@
             with self.subTest(name[:20]):
                 with self.assertRaises(codec.CorruptRowError):
                     codec.decode_items(self.pieces(codec.ITEMS, name, b"[]"))
+
+
+class OddRowInStoreTest(HolderCase):
+    """One odd row once refused or stopped all jobs of a host."""
+
+    def put(self, table: str, name: str) -> None:
+        """Write a row that can't be read."""
+        key = RowKey(table, cases.HOST, name)
+        self.rows.apply(Transaction(puts=((key, NESTED.encode()),)))
+
+    def test_odd_head_refuses_no_other_job(self) -> None:
+        self.put(codec.HEADS, "odd-1")
+        accepted = self.store.accept(cases.job(), cases.route(), "entry@a")
+        self.assertTrue(accepted.is_ok())
+
+    def test_job_whose_head_is_odd_is_not_accepted(self) -> None:
+        self.put(codec.HEADS, "job-1")
+        accepted = self.store.accept(cases.job(), cases.route(), "entry@a")
+        self.assertIsInstance(accepted.error, StoreUnavailable)
+
+    def test_odd_rows_are_an_error_of_the_store(self) -> None:
+        self.put(codec.HEADS, "odd-1")
+        self.put(codec.ITEMS, "odd-1/000-001")
+        self.put(codec.RESULTS, "odd-1/00000.000-001")
+        for read in (
+            self.store.read(cases.HOST, "odd-1"),
+            self.store.items(cases.HOST, "odd-1"),
+            self.store.results(cases.HOST, "odd-1", 0, 1),
+            self.store.end(cases.HOST, "odd-1"),
+        ):
+            self.assertIsInstance(read.error, StoreUnavailable)
+
+    def test_job_with_an_odd_manifest_stops_no_other(self) -> None:
+        holder = self.holder(Script(parts=[event(1)]))
+        odd = cases.head(job_id="odd-1", first_s=0.0, holder=A)
+        self.put(codec.ITEMS, "odd-1/000-001")
+        holder.update_head(VersionedHead(odd, 1))
+        self.accept(holder)
+        self.assertTrue(wait_until(lambda: bool(self.results())))
