Read the crashes of engines strictly

One odd row among the crashes, deeply nested or with 1e400 as its time, raised out of the reader: the first read never ended and no crash was learnt, or the same page of the feed came again. A time of 10^400 or a part of 17 digits was learnt, and no heartbeat that tells of it can be encoded ("Value out of range").

Crashes are validated with the bounds of their encoding.

--- a/src/mulberrypass/storage/crashes.py
+++ b/src/mulberrypass/storage/crashes.py
@@ -3,8 +3,17 @@
 from __future__ import annotations
 
 import json
+import re
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
 from mulberrypass.model.store import Throttled, Unavailable
 from mulberrypass.policy.health.crashes import Crash, QuarantineSettings
@@ -23,6 +32,9 @@
 # Each crash has a row for each member that has reported it.
 MAX_ROWS = 4 * QuarantineSettings().remembered
 SEPARATOR = "/"
+# A part is an unsigned 64-bit number in hexadecimal digits.
+PART = re.compile(r"[0-9a-f]{1,16}")
+MAX_MS = 2**63 - 1
 
 
 class RowCrashes(TableReader):
@@ -79,9 +91,13 @@
                 continue
             try:
                 crash = _decode(row)
-            except (ValueError, KeyError, TypeError) as exc:
+            except ValidationError as exc:
+                error = exc.errors()[0]
                 LOG.error(
-                    "crash can't be read", row=row.at.key, reason=repr(exc)
+                    "crash can't be read",
+                    row=row.at.key,
+                    field=".".join(map(str, error["loc"])),
+                    reason=error["msg"],
                 )
                 continue
             self._learn(crash)
@@ -127,15 +143,39 @@
     return json.dumps(doc).encode()
 
 
+def _parse_part(text: object) -> int:
+    if not isinstance(text, str) or not PART.fullmatch(text):
+        raise ValueError("not a part of a prompt")
+    return int(text, 16)
+
+
+Parts = frozenset[Annotated[int, BeforeValidator(_parse_part)]]
+
+
+class _Crash(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    engine: str
+    service: str
+    at_ms: int = Field(ge=0, le=MAX_MS)
+    suspects: Parts
+    familiar: Parts
+    cleared: Parts
+
+
 def _decode(row: StoredRow) -> Crash:
-    doc = json.loads(row.value)
+    """Decode a crash.
+
+    :raises ValidationError: if the row isn't a valid crash
+    """
+    doc = _Crash.model_validate_json(row.value)
     return Crash(
-        engine=str(doc["engine"]),
-        service=str(doc["service"]),
-        at_ms=int(doc["at_ms"]),
-        suspects=frozenset(int(part, 16) for part in doc["suspects"]),
-        familiar=frozenset(int(part, 16) for part in doc["familiar"]),
-        cleared=frozenset(int(part, 16) for part in doc["cleared"]),
+        engine=doc.engine,
+        service=doc.service,
+        at_ms=doc.at_ms,
+        suspects=doc.suspects,
+        familiar=doc.familiar,
+        cleared=doc.cleared,
     )
 
 
