Read the rows of instances strictly

One deeply nested row made the whole list of instances unreadable ("list was not read"), so that a member that needs the list finds no other. A row whose address is null, a list or no address at all named an instance, which members then tried to contact by that name.

The rows are validated, and an odd one is logged with its field.

--- a/src/mulberrypass/storage/instances.py
+++ b/src/mulberrypass/storage/instances.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 from expression import Error, Ok
+from pydantic import AfterValidator, BaseModel, ConfigDict, ValidationError
 
 from mulberrypass.model.store import (
     InstanceList,
@@ -56,19 +58,37 @@
         return self._rows.transact(change)
 
 
+def _check_ip(text: str) -> str:
+    ip_address(text)
+    return text
+
+
+class _Instance(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    zone: str
+    address: Annotated[str, AfterValidator(_check_ip)]
+
+
 def _decode(row: StoredRow) -> ListedMachine | None:
     try:
-        doc = json.loads(row.value)
-        return ListedMachine(
-            name=row.at.key,
-            kind=ListedKind.INSTANCE,
-            zone=str(doc["zone"]),
-            address=str(doc["address"]),
-            state=ListedState.LIVE,
+        doc = _Instance.model_validate_json(row.value)
+    except ValidationError as exc:
+        error = exc.errors()[0]
+        LOG.warning(
+            "damaged row of an instance",
+            instance=row.at.key,
+            field=".".join(map(str, error["loc"])),
+            reason=error["msg"],
         )
-    except (ValueError, KeyError, TypeError):
-        LOG.warning("damaged row of an instance", instance=row.at.key)
         return None
+    return ListedMachine(
+        name=row.at.key,
+        kind=ListedKind.INSTANCE,
+        zone=doc.zone,
+        address=doc.address,
+        state=ListedState.LIVE,
+    )
 
 
 __all__ = ["RowInstances", "TABLE"]
--- a/tests/storage/test_odd_rows.py
+++ b/tests/storage/test_odd_rows.py
@@ -1,14 +1,17 @@
-"""Tests of odd rows among crashes."""
+"""Tests of odd rows among crashes and instances."""
 
 from __future__ import annotations
 
 import json
 from typing import TYPE_CHECKING
 
+from structlog.testing import capture_logs
+
 from mulberrypass.model.member import Member
 from mulberrypass.peer.membership_codec import encode_reply
 from mulberrypass.policy.health.crashes import Crash
 from mulberrypass.policy.membership.messages import Message
+from mulberrypass.storage import instances
 from mulberrypass.storage.crashes import CRASHES_TABLE, RowCrashes
 from mulberrypass.testing.row_state import RowState
 from tests.platform.odd_values import OddRowTest, odd_documents, replaced
@@ -24,6 +27,7 @@
     "familiar": [],
     "cleared": [],
 }
+INSTANCE = {"zone": "a", "address": "10.0.0.7"}
 ME = Member("entry@a", "entry", "a", "10.0.0.1", 1)
 
 
@@ -81,3 +85,41 @@
         row = self.row("e1/m", json.dumps(largest).encode())
         self.follow(crashes, (row,))
         encode_reply(Message(ME, (), (), tuple(learnt)))
+
+
+class OddInstanceTest(OddRowTest):
+    """An odd row names no instance, and hides none."""
+
+    table = instances.TABLE
+
+    def odd_instances(self) -> Iterator[tuple[str, bytes]]:
+        """Yield what can't be an instance."""
+        yield from odd_documents(INSTANCE, ())
+        for text in (
+            "null",
+            "[]",
+            "{}",
+            "1",
+            '""',
+            '"x"',
+            '"[::1]"',
+            '"\\u0000"',
+        ):
+            yield f"address {text}", replaced(INSTANCE, "address", text)
+        for text in ("null", "[]", "1e400"):
+            yield f"zone {text}", replaced(INSTANCE, "zone", text)
+
+    def test_other_instances_are_listed(self) -> None:
+        good = json.dumps(INSTANCE).encode()
+        for what, value in self.odd_instances():
+            for kept in (0, 2):
+                state = RowState()
+                state.transact(self.row("odd-1", value))
+                for number in range(kept):
+                    state.transact(self.row(f"p{number}", good))
+                with self.subTest(what, kept=kept):
+                    with capture_logs() as self.logged:
+                        listed = instances.RowInstances(state).listed()
+                    names = [entry.name for entry in listed.ok]
+                    self.assertEqual([f"p{n}" for n in range(kept)], names)
+                    self.assertEqual(1, self.lines_about("odd-1"))
