Ignore callers' numbers that are out of range

Last-Event-Id or a length hint of "inf" or "1e400" raised OverflowError, and token counts of 5,000 digits or with a superscript digit ValueError, so that callers got 500 for a header that is ignored when it is malformed otherwise.

Numbers above 2**53 now count as malformed. The test failed before in 6 cases of 9.

--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -27,6 +27,9 @@
 # The least limit, as 0 stands for none.
 MIN_LIMIT_PER_S = 1e-6
 LAST_EVENT_ID = "Last-Event-Id"
+# Larger numbers aren't exact.
+MAX_NUMBER = 2.0**53
+COUNT = re.compile(r"[0-9]{1,15}")
 MS_PER_S = 1_000.0
 NORMAL_SLOWNESS_PERCENT = 100.0
 
@@ -73,12 +76,12 @@
     :param headers: keyed by name in lower case
     """
     prompt_tokens, max_tokens = _int_pair(headers, TOKEN_COUNTS)
-    hint = _non_negative(headers, LENGTH_HINT)
+    hint = _number(headers, LENGTH_HINT)
     output_tokens = int(hint) if hint else max_tokens
     if max_tokens:
         output_tokens = min(output_tokens, max_tokens)
-    wait_ms = _non_negative(headers, DEADLINE_MS)
-    after = _non_negative(headers, LAST_EVENT_ID)
+    wait_ms = _number(headers, DEADLINE_MS)
+    after = _number(headers, LAST_EVENT_ID)
     return RelayRequest(
         request_id=headers.get(REQUEST_ID.lower(), ""),
         method=method,
@@ -144,19 +147,21 @@
     return max(MIN_LIMIT_PER_S, per_s)
 
 
-def _non_negative(headers: Mapping[str, str], name: str) -> float | None:
+def _number(headers: Mapping[str, str], name: str) -> float | None:
+    """Return a number that isn't negative; ``None`` if there is none."""
     text = headers.get(name.lower())
     try:
         value = float(text) if text else None
     except ValueError:
         return None
-    return value if value is not None and value >= 0 else None
+    return value if value is not None and 0 <= value <= MAX_NUMBER else None
 
 
 def _int_pair(headers: Mapping[str, str], name: str) -> tuple[int, int]:
     first, _, second = headers.get(name.lower(), "").partition(",")
-    if first.strip().isdigit() and second.strip().isdigit():
-        return int(first), int(second)
+    pair = (first.strip(), second.strip())
+    if all(COUNT.fullmatch(text) for text in pair):
+        return int(pair[0]), int(pair[1])
     return 0, 0
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -68,6 +68,39 @@
         self.assertIsNone(req.wait_s)
         self.assertIsNone(req.after_event)
 
+    def test_odd_numbers_are_ignored(self) -> None:
+        """Some of these once raised, so that callers got 500."""
+        for text in (
+            "inf",
+            "-inf",
+            "nan",
+            "1e400",
+            "1" + "0" * 400,
+            "1" + "0" * 5_000,
+            "8\N{SUPERSCRIPT TWO}",
+            "\N{SUPERSCRIPT TWO}",
+            "-1",
+        ):
+            with self.subTest(text[:20]):
+                req = headers.read_request(
+                    "GET",
+                    "/",
+                    {
+                        "x-mulberrypass-token-counts": f"{text},{text}",
+                        "x-mulberrypass-length-hint": text,
+                        "x-mulberrypass-prompt-prefix": f"x{text}:{text}",
+                        "x-mulberrypass-deadline-ms": text,
+                        "last-event-id": text,
+                    },
+                    b"",
+                )
+                self.assertEqual(
+                    (0, 0), (req.prompt_tokens, req.output_tokens)
+                )
+                self.assertIsNone(req.wait_s)
+                self.assertIsNone(req.after_event)
+                self.assertEqual((), req.prefix)
+
 
 class EngineHeadersTest(unittest.TestCase):
     def test_replaced_headers(self) -> None:
