Ignore an engine's load that is out of range

A load of "inf", "1e400" or 400 digits raised OverflowError while the head of an engine's answer was read. That is no failure of the exchange, so the caller got 500, the answer stayed on its connection and the engine wasn't blamed. A slowness that is no number or infinite was taken.

Such a header counts as malformed, like one with too few fields.

--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -29,7 +29,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 # Larger numbers aren't exact.
 MAX_NUMBER = 2.0**53
-COUNT = re.compile(r"[0-9]{1,15}")
+MAX_DIGITS = 15
+COUNT = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 MS_PER_S = 1_000.0
 NORMAL_SLOWNESS_PERCENT = 100.0
 
@@ -122,12 +123,15 @@
     """Parse an engine's load; ``None`` if it is missing or malformed."""
     if not text:
         return None
-    try:
-        values = [float(part) for part in text.split(",")]
-        running, waiting, slots = map(int, values[:3])
-    except ValueError:
+    fields = [field.strip() for field in text.split(",")]
+    if len(fields) < 3 or not all(map(COUNT.fullmatch, fields[:3])):
+        return None
+    running, waiting, slots = map(int, fields[:3])
+    if len(fields) == 3:
+        return EngineLoad(running, waiting, slots)
+    if not DECIMAL.fullmatch(fields[3]) or len(fields[3]) > MAX_DIGITS:
         return None
-    slowness = values[3] / NORMAL_SLOWNESS_PERCENT if len(values) > 3 else 1.0
+    slowness = float(fields[3]) / NORMAL_SLOWNESS_PERCENT
     return EngineLoad(running, waiting, slots, slowness)
 
 
