Ignore an event's id that is too long to be a number

An engine's event with an id of more than 4,300 digits raised ValueError in the middle of a stream, outside of the failures that another engine takes over. The test failed before with "Exceeds the limit (4300 digits)".

--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -10,6 +10,7 @@
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 # Bytes of an end that may have arrived without its last one.
 MAX_PARTIAL_END = 3
+NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
 class BadEventError(Exception):
@@ -102,7 +103,7 @@
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if name == b"id" and value.strip().isdigit():
+        if name == b"id" and NUMBER.fullmatch(value.strip()):
             number = int(value)
         elif name == b"data":
             data.append(value)
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -62,6 +62,10 @@
         events = EventSplitter().feed(raw)
         self.assertEqual(b"x", events[0].data)
 
+    def test_event_with_an_endless_number_has_none(self) -> None:
+        raw = b"id: " + b"1" * 5_000 + b"\ndata: x\n\n"
+        self.assertIsNone(EventSplitter().feed(raw)[0].number)
+
     def test_event_over_size_limit_is_rejected(self) -> None:
         splitter = EventSplitter()
         with self.assertRaises(BadEventError):
