Refuse batch items that can't be sent to an engine

An item whose path holds a space, a line break or a non-ASCII character, or whose header has a name or value that HTTP doesn't allow, was accepted with 202. Each run of it raised ValueError out of the item's run ("item failed"), which began again at once, with another permit. Its id and path and headers are now checked when it is handed in, and the answer is 400; so is the number of its tokens, which had no upper bound.

The same goes for After, whose 5,000 digits raised ValueError instead of the answer 400.

--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 import json
 import re
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import parse_qs, unquote
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -37,7 +37,14 @@
 
 LOT_PATH = re.compile(r"/lots/([^/]+)")
 ITEM_PATH = re.compile(r"/items/([^/]+)")
+POSITION = re.compile(r"[0-9]{1,9}")
+# What an HTTP client can send.
+ITEM_ID = r"^[!-~]([ -~]*[!-~])?$"
+TARGET = r"^[!-~]+$"
+HEADER_NAME = r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$"
+HEADER_VALUE = r"^[\t -~\x80-\xff]*$"
 MAX_ITEMS = 200
+MAX_TOKENS = 1_000_000_000
 MAX_PAGE_CHARS = 900_000
 RETRY_AFTER_S = 0.3
 QUOTA_RETRY_AFTER_S = 1.0
@@ -52,11 +59,14 @@
 class _Item(BaseModel):
     model_config = ConfigDict(extra="ignore", alias_generator=to_pascal)
 
-    id: str = Field(min_length=1, max_length=MAX_ID_LENGTH)
-    path: str
-    headers: dict[str, str] = Field(default_factory=dict)
+    id: str = Field(max_length=MAX_ID_LENGTH, pattern=ITEM_ID)
+    path: str = Field(pattern=TARGET)
+    headers: dict[
+        Annotated[str, Field(pattern=HEADER_NAME)],
+        Annotated[str, Field(pattern=HEADER_VALUE)],
+    ] = Field(default_factory=dict)
     body: str = ""
-    tokens: int = Field(default=0, ge=0)
+    tokens: int = Field(default=0, ge=0, le=MAX_TOKENS)
 
 
 class _Lot(BaseModel):
@@ -206,7 +216,7 @@
 def _read_after(req: RelayRequest) -> int | None:
     query = parse_qs(req.target.partition("?")[2])
     text = query.get("After", ["0"])[0]
-    return int(text) if text.isascii() and text.isdigit() else None
+    return int(text) if POSITION.fullmatch(text) else None
 
 
 def _error_reply(error: NoSuchJob | StoreUnavailable) -> Reply:
--- a/tests/platform/test_lots.py
+++ b/tests/platform/test_lots.py
@@ -13,6 +13,7 @@
 from mulberrypass.platform.lots import BatchJobApi, item_request
 from mulberrypass.testing.row_state import RowState
 from tests.batches.cases import HOST, head, item, outcome, route
+from tests.platform.odd_values import HUGE_NUMBERS, NESTED, replaced
 from tests.relay.fakes import (
     ScriptedEngines,
     ScriptedPermits,
@@ -86,7 +87,25 @@
             "no request id": ({"Items": [ITEM]}, ""),
             "slash in the id": ({"Items": [ITEM]}, "a/b"),
             "negative tokens": ({"Items": [ITEM | {"Tokens": -1}]}, "lot-1"),
+            "nested": (NESTED.encode(), "lot-1"),
         }
+        for text in HUGE_NUMBERS:
+            lot = b'{"Items":[' + replaced(ITEM, "Tokens", text) + b"]}"
+            cases[f"tokens {text[:20]}"] = (lot, "lot-1")
+        for item_id in ("", " a", "a\r\nb", "\u2014"):
+            lot = {"Items": [ITEM | {"Id": item_id}]}
+            cases[f"id {item_id!r}"] = (lot, "lot-1")
+        for path in ("", "/a b", "/a\r\nb", "/\u00e9", "/a\0"):
+            lot = {"Items": [ITEM | {"Path": path}]}
+            cases[f"path {path!r}"] = (lot, "lot-1")
+        for header in (
+            ("a b", ""),
+            ("", "b"),
+            ("a", "b\r\nc: d"),
+            ("a", "\u2014"),
+        ):
+            lot = {"Items": [ITEM | {"Headers": dict([header])}]}
+            cases[f"header {header!r}"] = (lot, "lot-1")
         for name, (doc, request_id) in cases.items():
             with self.subTest(name):
                 status, answer = self.call(
@@ -164,8 +183,8 @@
                 self.assertEqual(503, self.call(method, target)[0])
 
     def test_invalid_position(self) -> None:
-        for after in ("x", "-1", "1.5"):
-            with self.subTest(after):
+        for after in ("x", "-1", "1.5", "%C2%B2", "9" * 5_000):
+            with self.subTest(after[:20]):
                 status, _ = self.call("GET", f"/lots/lot-1?After={after}")
                 self.assertEqual(400, status)
 
