Take an answer of the store that can't be decoded for a failure

An answer that is nested too deeply, or that has a row that is no object or a version that is infinite, raised RecursionError, AttributeError or OverflowError out of the client. The followers caught that and tried again; the thread that registers an instance ended, and requests about batch jobs were answered 500.

All that decoding raises now becomes Unavailable, with maybe_applied for a change.

--- a/src/mulberrypass/platform/row_client.py
+++ b/src/mulberrypass/platform/row_client.py
@@ -40,6 +40,15 @@
 MAX_FEED_WAIT_S = 1.5
 THROTTLE_RETRY_S = 0.2
 PAGE_LIMIT = 500
+# Raised while an answer of another structure is decoded.
+BAD_ANSWER = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class HttpRowStore(RowStore):
@@ -93,7 +102,7 @@
             if reply.status == HTTPStatus.OK:
                 return Ok(int(doc["SchemaVersion"]))
             return Error(RowsConflict(_rows(doc["Rows"])))
-        except (ValueError, KeyError, TypeError) as exc:
+        except BAD_ANSWER as exc:
             return Error(Unavailable(f"bad answer: {exc!r}", True))
 
     def scan(
@@ -123,7 +132,7 @@
             try:
                 doc = json.loads(called.ok.body)
                 names = [str(name) for name in doc["parts"]]
-            except (ValueError, KeyError, TypeError) as exc:
+            except BAD_ANSWER as exc:
                 return Error(Unavailable(f"bad answer: {exc!r}", False))
             found.extend(names)
             if not names or not doc.get("HasMore"):
@@ -175,7 +184,7 @@
                 int(doc["SchemaVersion"]),
             )
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except BAD_ANSWER as exc:
         return Error(Unavailable(f"bad answer: {exc!r}", False))
 
 
--- a/tests/platform/test_row_client.py
+++ b/tests/platform/test_row_client.py
@@ -5,8 +5,12 @@
 import socket
 from typing import TYPE_CHECKING
 import unittest
+from unittest.mock import patch
+
+from expression import Ok
 
 from mulberrypass.model.store import Throttled, Unavailable
+from mulberrypass.platform.http_client import HttpClient, HttpReply
 from mulberrypass.platform.row_client import (
     FEED_MARGIN_S,
     MAX_FEED_WAIT_S,
@@ -24,6 +28,7 @@
     Transaction,
 )
 from mulberrypass.testing.row_state import RowState
+from tests.platform.odd_values import NESTED, UNREADABLE, replaced
 
 if TYPE_CHECKING:
     from mulberrypass.storage.rows import RowStore
@@ -184,3 +189,61 @@
         error = client.transact(put("a")).error
         assert isinstance(error, Unavailable)
         self.assertFalse(error.maybe_applied)
+
+
+PAGE = {"Rows": [], "parts": [], "SchemaVersion": 1}
+ODD_VERSIONS = ("1e400", "NaN", "Infinity", "null", "[]", '"x"', NESTED)
+
+
+class OddAnswerTest(unittest.TestCase):
+    """An answer that can't be decoded is a failure of the store.
+
+    One that was nested too deeply once raised out of every call, and ended
+    the thread that registers an instance.
+    """
+
+    def check(self, body: bytes, parts: bool = True) -> None:
+        """Check that no call takes an answer.
+
+        :param parts: whether it can't be taken for a list of parts either
+        """
+        rows = HttpRowStore(HostPort(HOST, 1))
+        reply = Ok(HttpReply(200, body))
+        with patch.object(HttpClient, "call", return_value=reply):
+            calls = [rows.scan("t", ""), rows.feed("t", 0, 0.1)]
+            if parts:
+                calls.append(rows.parts("t"))
+            for result in calls:
+                self.assertIsInstance(result.error, Unavailable)
+
+    def test_unreadable_answer(self) -> None:
+        for what, body in UNREADABLE.items():
+            with self.subTest(what):
+                self.check(body)
+
+    def test_unreadable_answer_to_a_change(self) -> None:
+        rows = HttpRowStore(HostPort(HOST, 1))
+        odd = [replaced(PAGE, "SchemaVersion", v) for v in ODD_VERSIONS]
+        for body in (*UNREADABLE.values(), *odd):
+            reply = Ok(HttpReply(200, body))
+            with self.subTest(body[:80][-20:]):
+                with patch.object(HttpClient, "call", return_value=reply):
+                    changed = rows.transact(put("a"))
+                self.assertTrue(changed.error.maybe_applied)
+
+    def test_odd_version(self) -> None:
+        for text in ODD_VERSIONS:
+            with self.subTest(text[:20]):
+                body = replaced(PAGE, "SchemaVersion", text)
+                self.check(body, parts=False)
+
+    def test_odd_row(self) -> None:
+        row = {"Table": "t", "part": "", "Key": "k", "Value": ""}
+        odd = [
+            replaced(row, "SchemaVersion", text).decode()
+            for text in ("1e400", "Infinity", "NaN", '"x"', NESTED)
+        ]
+        for text in ("null", '"x"', "1", "[]", "{}", NESTED, *odd):
+            with self.subTest(text[-20:]):
+                body = replaced(PAGE, "Rows", f"[{text}]")
+                self.check(body, parts=False)
