--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -9,6 +9,11 @@
 from expression import Error, Ok
 
 from mulberrypass.batches import codec
+from mulberrypass.batches.reading import (
+    read_head,
+    readable_heads,
+    unreadable,
+)
 from mulberrypass.model.batch_jobs import (
     Accepted,
     ItemOutcome,
@@ -29,7 +34,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from expression import Result
 
@@ -83,7 +88,7 @@
             if scanned.is_error():
                 return Error(_store_unavailable(scanned.error, maybe_done))
             rows = scanned.ok
-            heads = _heads(rows)
+            heads = readable_heads(rows)
             if any(head.job_id == job.job_id for head in heads):
                 return Ok(Accepted(job.job_id, again=True))
             if any(row.at.key == job.job_id for row in rows):
@@ -119,7 +124,7 @@
             return Error(_store_unavailable(scanned.error))
         if not scanned.ok:
             return Error(NoSuchJob())
-        return _versioned_head(scanned.ok[0])
+        return read_head(scanned.ok[0])
 
     def results(
         self, host: str, job_id: str, position: int, total: int | None
@@ -142,7 +147,7 @@
         try:
             outcomes = codec.decode_results(paged.ok.rows, position)
         except codec.CorruptRowError as exc:
-            return Error(_unreadable(exc))
+            return Error(unreadable(exc))
         return Ok(ResultPage(total, tuple(outcomes)))
 
     def items(
@@ -157,7 +162,7 @@
         try:
             return Ok(codec.decode_items(scanned.ok))
         except codec.CorruptRowError as exc:
-            return Error(_unreadable(exc))
+            return Error(unreadable(exc))
 
     def end(
         self, host: str, job_id: str
@@ -329,28 +334,6 @@
             first = paged.ok.rows[-1].at.key + "\0"
 
 
-def _heads(rows: Iterable[StoredRow]) -> list[JobHead]:
-    """Return the heads that can be read."""
-    found = [
-        _versioned_head(row)
-        for row in rows
-        if not row.at.key.startswith(codec.GATE_PREFIX)
-    ]
-    return [read.ok.head for read in found if read.is_ok()]
-
-
-def _versioned_head(row: StoredRow) -> Result[VersionedHead, StoreUnavailable]:
-    try:
-        return Ok(VersionedHead(codec.decode_head(row), row.version))
-    except codec.CorruptRowError as exc:
-        return Error(_unreadable(exc))
-
-
-def _unreadable(exc: codec.CorruptRowError) -> StoreUnavailable:
-    LOG.error("rows of a job can't be read", reason=str(exc))
-    return StoreUnavailable(str(exc))
-
-
 def _split(
     pieces: list[tuple[RowKey, bytes]],
 ) -> list[list[tuple[RowKey, bytes]]]:
@@ -372,7 +355,7 @@
 def _conflicting_head(found: tuple[StoredRow, ...]) -> VersionedHead | None:
     for row in found:
         if row.at.table == codec.HEADS and row.version:
-            read = _versioned_head(row)
+            read = read_head(row)
             return read.ok if read.is_ok() else None
     return None
 
