--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -27,6 +27,10 @@
 # The least limit, as 0 stands for none.
 MIN_LIMIT_PER_S = 1e-6
 LAST_EVENT_ID = "Last-Event-Id"
+# Larger numbers aren't exact.
+MAX_NUMBER = 2.0**53
+MAX_DIGITS = 15
+COUNT = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 MS_PER_S = 1_000.0
 NORMAL_SLOWNESS_PERCENT = 100.0
 
@@ -73,12 +77,12 @@
     :param headers: keyed by name in lower case
     """
     prompt_tokens, max_tokens = _int_pair(headers, TOKEN_COUNTS)
-    hint = _non_negative(headers, LENGTH_HINT)
+    hint = _number(headers, LENGTH_HINT)
     output_tokens = int(hint) if hint else max_tokens
     if max_tokens:
         output_tokens = min(output_tokens, max_tokens)
-    wait_ms = _non_negative(headers, DEADLINE_MS)
-    after = _non_negative(headers, LAST_EVENT_ID)
+    wait_ms = _number(headers, DEADLINE_MS)
+    after = _number(headers, LAST_EVENT_ID)
     return RelayRequest(
         request_id=headers.get(REQUEST_ID.lower(), ""),
         method=method,
@@ -119,12 +123,15 @@
     """Parse an engine's load; ``None`` if it is missing or malformed."""
     if not text:
         return None
-    try:
-        values = [float(part) for part in text.split(",")]
-        running, waiting, slots = map(int, values[:3])
-    except ValueError:
+    fields = [field.strip() for field in text.split(",")]
+    if len(fields) < 3 or not all(map(COUNT.fullmatch, fields[:3])):
+        return None
+    running, waiting, slots = map(int, fields[:3])
+    if len(fields) == 3:
+        return EngineLoad(running, waiting, slots)
+    if not DECIMAL.fullmatch(fields[3]) or len(fields[3]) > MAX_DIGITS:
         return None
-    slowness = values[3] / NORMAL_SLOWNESS_PERCENT if len(values) > 3 else 1.0
+    slowness = float(fields[3]) / NORMAL_SLOWNESS_PERCENT
     return EngineLoad(running, waiting, slots, slowness)
 
 
@@ -144,19 +151,21 @@
     return max(MIN_LIMIT_PER_S, per_s)
 
 
-def _non_negative(headers: Mapping[str, str], name: str) -> float | None:
+def _number(headers: Mapping[str, str], name: str) -> float | None:
+    """Return a number that isn't negative; ``None`` if there is none."""
     text = headers.get(name.lower())
     try:
         value = float(text) if text else None
     except ValueError:
         return None
-    return value if value is not None and value >= 0 else None
+    return value if value is not None and 0 <= value <= MAX_NUMBER else None
 
 
 def _int_pair(headers: Mapping[str, str], name: str) -> tuple[int, int]:
     first, _, second = headers.get(name.lower(), "").partition(",")
-    if first.strip().isdigit() and second.strip().isdigit():
-        return int(first), int(second)
+    pair = (first.strip(), second.strip())
+    if all(COUNT.fullmatch(text) for text in pair):
+        return int(pair[0]), int(pair[1])
     return 0, 0
 
 
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -12,6 +12,7 @@
 MAX_PARTIAL_END = 3
 # Numbers with which a run from the start may begin.
 FIRST_NUMBERS = (0, 1)
+NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
 class BadEventError(Exception):
@@ -107,7 +108,7 @@
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if name == b"id" and value.strip().isdigit():
+        if name == b"id" and NUMBER.fullmatch(value.strip()):
             number = int(value)
         elif name == b"data":
             data.append(value)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -68,6 +68,39 @@
         self.assertIsNone(req.wait_s)
         self.assertIsNone(req.after_event)
 
+    def test_odd_numbers_are_ignored(self) -> None:
+        """Some of these once raised, so that callers got 500."""
+        for text in (
+            "inf",
+            "-inf",
+            "nan",
+            "1e400",
+            "1" + "0" * 400,
+            "1" + "0" * 5_000,
+            "8\N{SUPERSCRIPT TWO}",
+            "\N{SUPERSCRIPT TWO}",
+            "-1",
+        ):
+            with self.subTest(text[:20]):
+                req = headers.read_request(
+                    "GET",
+                    "/",
+                    {
+                        "x-mulberrypass-token-counts": f"{text},{text}",
+                        "x-mulberrypass-length-hint": text,
+                        "x-mulberrypass-prompt-prefix": f"x{text}:{text}",
+                        "x-mulberrypass-deadline-ms": text,
+                        "last-event-id": text,
+                    },
+                    b"",
+                )
+                self.assertEqual(
+                    (0, 0), (req.prompt_tokens, req.output_tokens)
+                )
+                self.assertIsNone(req.wait_s)
+                self.assertIsNone(req.after_event)
+                self.assertEqual((), req.prefix)
+
 
 class EngineHeadersTest(unittest.TestCase):
     def test_replaced_headers(self) -> None:
@@ -99,7 +132,20 @@
         cases = {
             "3,0,8": EngineLoad(3, 0, 8, 1.0),
             "3,1,8,250": EngineLoad(3, 1, 8, 2.5),
+            "3, 1, 8, 99.5": EngineLoad(3, 1, 8, 0.995),
             "3,0": None,
+            "inf,0,8": None,
+            "1e400,0,8": None,
+            "1" + "0" * 400 + ",0,8": None,
+            "nan,0,8": None,
+            "3.5,0,8": None,
+            "-1,0,8": None,
+            "\N{SUPERSCRIPT TWO},0,8": None,
+            "3,0,8,nan": None,
+            "3,0,8,inf": None,
+            "3,0,8,1e400": None,
+            "3,0,8," + "9" * 400: None,
+            "3,0,8,-1": None,
             "x,y,z": None,
             "": None,
             None: None,
