Reset the connection of a cut answer that only its end would end

A caller that knows no chunks got a stream that looked complete before its last event (MIXED). Cause: to a caller of HTTP/1.0 an answer without a length ends with its connection; when it was broken off, by an engine, the end of a stop's grace or a fault of our own, the connection was closed as after a whole one. Class: an end that several parties can cause, taken as the word of one, on our own side as the server. Change: an answer that breaks off after its head, and has neither chunks nor a length, ends with a reset. Evidence: test_cut_stream_ends_with_a_reset failed before (a clean end) and passes, also in five runs of its own; whole streams of 1.0 and cut ones of 1.1 pass before and after; 24 tests of the server pass. The users' callers speak HTTP/1.1, so this isn't what they saw.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -12,6 +12,7 @@
 from waitress.task import WSGITask
 
 from mulberrypass.runtime.logs import get_logger
+from mulberrypass.runtime.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,12 +54,23 @@
             """Answer; waitress takes any OSError for the client's end."""
             try:
                 super().execute()
-            except OSError as exc:
+            except Exception as exc:
                 if self.wrote_header:
+                    self._break_off()
+                    raise
+                if not isinstance(exc, OSError):
                     raise
                 LOG.exception("request failed outside of its handler")
                 raise UnansweredError(str(exc))
 
+        def _break_off(self) -> None:
+            """End an answer that only its connection ends with a reset."""
+            unframed = (
+                not self.chunked_response and self.content_length is None
+            )
+            if unframed and self.channel.socket is not None:
+                reset_on_close(self.channel.socket)
+
         def build_response_header(self) -> bytes:
             if steps.closing.is_set():
                 self.set_close_on_finish()
--- a/src/mulberrypass/runtime/sockets.py
+++ b/src/mulberrypass/runtime/sockets.py
@@ -4,12 +4,15 @@
 
 import contextlib
 import socket
+import struct
 
 # A peer that doesn't answer for about three seconds is considered gone.
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
 USER_TIMEOUT_MS = 2_500
+# Closing with a linger time of 0 resets a connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def keep_alive(sock: socket.socket) -> None:
@@ -27,4 +30,10 @@
             sock.setsockopt(level, name, value)
 
 
-__all__ = ["keep_alive"]
+def reset_on_close(sock: socket.socket) -> None:
+    """Make the close of a connection a reset, which is no end of data."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+__all__ = ["keep_alive", "reset_on_close"]
