Tell batch jobs apart by their host and id

Cause: the rows of a job are told apart by host and id, while the holder, its times, the takeover and the total known to readers went by the id alone, so that two hosts' jobs with one id shared one entry, under the newer head. Class: a thing told from another by an id that is used again. Change: all of them go by both. Evidence: SameIdTest failed before (only the first host's item was sent, and its result was listed under the other host) and test_job_of_another_host_is_unknown failed with 200; both pass, with 55 tests of holders, stores, takeovers and lots.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -87,9 +87,9 @@
         self._members = members
         self._make_request = make_request
         self._lock = threading.RLock()
-        self._heads: dict[str, VersionedHead] = {}
+        self._heads: dict[tuple[str, str], VersionedHead] = {}
         self._times = JobTimes()
-        self._held: dict[str, HeldJob] = {}
+        self._held: dict[tuple[str, str], HeldJob] = {}
         self._takeover = Takeover(me, members, time.monotonic)
         self._leaving = False
         self._exit_at = 0.0
@@ -112,14 +112,14 @@
         """Hold a job that this member has accepted."""
         with self._lock:
             self._update(head)
-            job = self._held.get(head.head.job_id)
+            job = self._held.get(head.head.key)
             if job is not None and job.items is None:
                 job.items = items
         self._wake.set()
 
-    def total(self, job_id: str) -> int | None:
+    def total(self, host: str, job_id: str) -> int | None:
         """Return the number of items of a job, ``None`` if it's unknown."""
-        stored = self._heads.get(job_id)
+        stored = self._heads.get((host, job_id))
         return stored.head.total if stored is not None else None
 
     def update_head(self, stored: VersionedHead) -> None:
@@ -185,20 +185,20 @@
 
     def _update(self, stored: VersionedHead) -> None:
         """Keep the newest head of a job; the caller holds the lock."""
-        job_id = stored.head.job_id
-        known = self._heads.get(job_id)
+        key = stored.head.key
+        known = self._heads.get(key)
         if known is not None and known.version >= stored.version:
             return
-        self._heads[job_id] = stored
+        self._heads[key] = stored
         known_head = known.head if known is not None else None
         self._times.note(known_head, stored.head, time.monotonic())
-        job = self._held.get(job_id)
+        job = self._held.get(key)
         if job is not None:
             job.stored = stored
             if not stored.head.open and not job.running and not job.outcomes:
-                del self._held[job_id]
+                del self._held[key]
         elif stored.head.open and stored.head.holder == self._me:
-            self._held[job_id] = HeldJob(stored)
+            self._held[key] = HeldJob(stored)
 
     def _loop(self) -> None:
         while not self._stopped:
@@ -366,7 +366,7 @@
         with self._lock:
             job.committing = False
             if not job.head.open and not job.outcomes and not job.running:
-                self._held.pop(job.head.job_id, None)
+                self._held.pop(job.head.key, None)
 
     def _commit_batch(self, job: HeldJob) -> bool:
         with self._lock:
--- a/src/mulberrypass/batches/manager.py
+++ b/src/mulberrypass/batches/manager.py
@@ -82,7 +82,7 @@
         self, host: str, job_id: str, position: int
     ) -> Result[ResultPage, NoSuchJob | StoreUnavailable]:
         """Read the results from a position on."""
-        total = self._holder.total(job_id)
+        total = self._holder.total(host, job_id)
         return self._store.results(host, job_id, position, total)
 
     def body(
--- a/src/mulberrypass/batches/takeover.py
+++ b/src/mulberrypass/batches/takeover.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-    from mulberrypass.model.batch_jobs import JobHead
+    from mulberrypass.model.batch_jobs import JobHead, JobKey
 
 # Time that a starting member needs to learn of the others, from the first
 # that it meets.
@@ -53,7 +53,7 @@
         self._clock = clock
         self._started_at = clock()
         self._met_at: float | None = None
-        self._missing_since: dict[str, float] = {}
+        self._missing_since: dict[JobKey, float] = {}
 
     def due(self, heads: Iterable[JobHead]) -> Iterator[JobHead]:
         """Yield the heads to claim; the claims in between may take long."""
@@ -64,9 +64,9 @@
         for head in heads:
             successor = _successor(head, members)
             if successor is None:
-                self._missing_since.pop(head.job_id, None)
+                self._missing_since.pop(head.key, None)
                 continue
-            since = self._missing_since.setdefault(head.job_id, now)
+            since = self._missing_since.setdefault(head.key, now)
             if successor != self._me or now - since < TAKEOVER_DELAY_S:
                 continue
             if self.may_claim(head):
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 import enum
 
+# The host of a job, and its id, which another host's job may have too.
+JobKey = tuple[str, str]
+
 
 @dataclass(frozen=True, slots=True)
 class BatchItem:
@@ -95,6 +98,11 @@
     busy_for_s: float = 0.0
     busy_until: float = 0.0
 
+    @property
+    def key(self) -> JobKey:
+        """What tells it from the other jobs."""
+        return self.host, self.job_id
+
     @property
     def total(self) -> int:
         """The number of items."""
@@ -181,6 +189,7 @@
     "ItemOutcome",
     "ItemState",
     "JobHead",
+    "JobKey",
     "NewJob",
     "NoSuchJob",
     "OverQuota",
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from functools import partial
+import threading
 import time
 from typing import TYPE_CHECKING
 import unittest
@@ -30,6 +33,7 @@
     from mulberrypass.model.batch_jobs import JobHead, VersionedHead
 
 A, B = "entry@a", "entry@b"
+OTHER_HOST = "other.example"
 WAIT_TIMEOUT_S = 5.0
 
 
@@ -144,6 +148,52 @@
         return permits
 
 
+class SameIdTest(HolderCase):
+    """Jobs of two hosts with the same id were taken for one job.
+
+    The result of one could be listed as that of the other.
+    """
+
+    def test_each_job_gets_its_own_result(self) -> None:
+        accepted = threading.Event()
+
+        def wait_for_both() -> None:
+            accepted.wait(WAIT_TIMEOUT_S)
+
+        scripts = [
+            Script(parts=[event(1)], before=wait_for_both) for _ in range(2)
+        ]
+        self.engines = ScriptedEngines(*scripts)
+        dependencies = make_dependencies(
+            self.engines,
+            ScriptedPermits("e1", "e2"),
+            *(route(host=host) for host in (HOST, OTHER_HOST)),
+        )
+        live = Members(frozenset(self.live), frozenset(self.known))
+        holder = JobHolder(
+            A, self.store, dependencies, lambda: live, item_request
+        )
+        holder.start()
+        self.addCleanup(holder.stop)
+        for host in (HOST, OTHER_HOST):
+            new_job = replace(job(items=1), host=host)
+            head = self.store.accept(new_job, route(host=host), A).ok.head
+            assert head is not None
+            holder.add_accepted(head, new_job.items)
+            self.assertTrue(wait_until(lambda: holder.busy))
+        accepted.set()
+        for host in (HOST, OTHER_HOST):
+            with self.subTest(host):
+                self.assertTrue(wait_until(partial(self.listed, host)))
+        self.assertEqual(
+            {HOST, OTHER_HOST}, {req.host for _, req in self.engines.sent}
+        )
+
+    def listed(self, host: str) -> bool:
+        """Return whether a host's job has a result."""
+        return bool(self.store.results(host, "job-1", 0, None).ok.outcomes)
+
+
 class RunTest(HolderCase):
     def test_outcomes(self) -> None:
         complete = Script(parts=[event(1), event(2)])
--- a/tests/platform/test_lots.py
+++ b/tests/platform/test_lots.py
@@ -142,6 +142,13 @@
         _, page = self.call("GET", "/lots/lot-1?After=1")
         self.assertEqual(([], 1), (page["Results"], page["Next"]))
 
+    def test_job_of_another_host_is_unknown(self) -> None:
+        target = "/lots/lot-1?After=0"
+        other = read_request("GET", target, {"host": "other.example"}, b"")
+        reply = self.api.handle(other)
+        assert reply is not None
+        self.assertEqual(404, reply.status)
+
     def test_item_bodies(self) -> None:
         status, body = self.call("GET", "/items/lot-1?Id=i1")
         self.assertEqual((200, b"\xab\xcd\xef"), (status, body))
