Take no answer with a line in its head that is no header

Cause: the parser of http.client leaves out all lines of a head from the first one on that is no header; an answer whose length or coding stood after it seemed to end with its connection. Change: such a head is no answer, as bytes that are no answer aren't. Evidence: test_broken_line_is_no_answer failed before in its three cases (the chunked body came with its sizes) and passes; a head of many parts, which the parser reports as defective for another reason, passes before and after; 46 tests of clients, connections and runs pass. No engine was seen to send such a head.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -5,6 +5,7 @@
 from collections import deque
 import contextlib
 from dataclasses import dataclass
+from email.errors import MissingHeaderBodySeparatorDefect
 import http.client
 import json
 import re
@@ -438,6 +439,10 @@
 
     :raises HTTPException: if it can't be read
     """
+    # The lines after one that is no header are left out of the head.
+    for defect in head.defects:
+        if isinstance(defect, MissingHeaderBodySeparatorDefect):
+            raise http.client.HTTPException("a line that is no header")
     codings = head.get_all("Transfer-Encoding", [])
     if codings:
         if [coding.lower() for coding in codings] != ["chunked"]:
--- a/tests/engine/test_unreadable_framing.py
+++ b/tests/engine/test_unreadable_framing.py
@@ -38,11 +38,8 @@
 }
 
 
-class UnreadableFramingTest(unittest.TestCase):
-    """Such an answer was taken to end with its connection.
-
-    The sizes of its chunks, or a part of its body, passed for the body.
-    """
+class HeadCase(unittest.TestCase):
+    """Reads an answer with some lines in its head."""
 
     def read(self, lines: bytes) -> bytes:
         answer = OK_HEAD + lines + b"\r\n" + BODY
@@ -56,6 +53,13 @@
         finally:
             exchange.close()
 
+
+class UnreadableFramingTest(HeadCase):
+    """Such an answer was taken to end with its connection.
+
+    The sizes of its chunks, or a part of its body, passed for the body.
+    """
+
     def test_unreadable_framing_is_no_answer(self) -> None:
         for name, lines in UNREADABLE.items():
             with self.subTest(name), self.assertRaises(WireError):
@@ -67,5 +71,22 @@
                 self.assertEqual(body, self.read(lines))
 
 
+class BrokenHeadTest(HeadCase):
+    """The lines after one that is no header were dropped, unlike its body.
+
+    The answer then seemed to end with its connection.
+    """
+
+    def test_broken_line_is_no_answer(self) -> None:
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        for line in (b"garbled", b"HTTP/1.1 200 OK", b"id r1"):
+            with self.subTest(line), self.assertRaises(WireError):
+                self.read(line + b"\r\n" + chunked)
+
+    def test_type_of_many_parts_is_readable(self) -> None:
+        lines = b"Content-Type: multipart/mixed\r\nContent-Length: 3\r\n"
+        self.assertEqual(b"3\r\n", self.read(lines))
+
+
 if __name__ == "__main__":
     unittest.main()
