Take no answer that names two requests

A caller could get an answer that was not its own (MIXED). Cause: of several ids in the head of an answer only the first was compared; a head made of two answers, or an id added on the way, passed for that of the first. Change: all ids that a head names are that of the request. Evidence: test_answer_with_two_ids_is_refused failed before with two different ids and passes; the same id twice is taken before and after; 37 tests of connections, runs and forwarding pass. No engine was seen to send such a head.

--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -92,11 +92,12 @@
         self._exchange = exchange
         self._deadline = deadline
         head = exchange.head
-        answer_id = head.get(names.REQUEST_ID)
+        answer_ids = set(head.get_all(names.REQUEST_ID, []))
         not_run = head.get(names.NOT_RUN) is not None
         moved = exchange.status == HTTPStatus.MISDIRECTED_REQUEST
-        lacks_id = answer_id is None and (not_run or moved)
-        if answer_id != req.request_id and (exchange.reused or not lacks_id):
+        lacks_id = not answer_ids and (not_run or moved)
+        is_own = answer_ids == {req.request_id}
+        if not is_own and (exchange.reused or not lacks_id):
             raise WireError(WRONG_REQUEST_ID)
         self.head = EngineHead(
             status=exchange.status,
--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 import threading
 from typing import TYPE_CHECKING
 import unittest
@@ -12,7 +13,7 @@
 from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.engine import event
 from mulberrypass.platform.stand_in.raw_engine import RawEngine, RawFaults
-from tests.engine.endless import HOST
+from tests.engine.endless import HOST, OK_HEAD, AnsweringServer
 from tests.relay.fakes import engine, request
 
 if TYPE_CHECKING:
@@ -126,5 +127,30 @@
         self.assertFalse(self.send("r1").head.not_run)
 
 
+class TwoIdsTest(unittest.TestCase):
+    """An answer that names two requests was taken for that to the first."""
+
+    def test_answer_with_two_ids_is_refused(self) -> None:
+        for second, whole in (("r2", False), ("r1", True)):
+            with self.subTest(second):
+                lines = f"{REQUEST_ID}: {second}\r\nContent-Length: 0\r\n\r\n"
+                server = AnsweringServer(self, OK_HEAD + lines.encode())
+                client = HttpEngineClient()
+                self.addCleanup(client.retain, frozenset())
+                deadline = Deadline.after(WAIT_S)
+                send = partial(
+                    client.send,
+                    engine("e1", address=server.address),
+                    request(),
+                    deadline,
+                    lambda _abort: None,
+                    deadline,
+                )
+                if whole:
+                    send().finish()
+                else:
+                    self.assertRaises(WireError, send)
+
+
 if __name__ == "__main__":
     unittest.main()
