Read an engine's load that is no finite number as none

Cause: an infinite figure in the load that an engine names raises OverflowError out of parse_load; by reading, nothing between the head of an answer and the caller expects it, so that the request fails and its connection is left to the collector. An infinite or undefined slowness was passed on to the owner. Found in the review of answers that were not whole, and no case of it. Change: such a load counts as malformed, like text. Evidence: four cases of test_parse_load failed before (two with OverflowError) and pass; 13 tests of headers and of kept connections pass.

--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 import re
 from typing import TYPE_CHECKING
 
@@ -121,6 +122,8 @@
         return None
     try:
         values = [float(part) for part in text.split(",")]
+        if not all(map(isfinite, values)):
+            return None
         running, waiting, slots = map(int, values[:3])
     except ValueError:
         return None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -101,6 +101,10 @@
             "3,1,8,250": EngineLoad(3, 1, 8, 2.5),
             "3,0": None,
             "x,y,z": None,
+            "inf,0,8": None,
+            "3,1e400,8": None,
+            "3,0,8,inf": None,
+            "3,0,8,nan": None,
             "": None,
             None: None,
         }
