--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -147,6 +147,7 @@
             "3,0,8," + "9" * 400: None,
             "3,0,8,-1": None,
             "x,y,z": None,
+            "3,1e400,8": None,
             "": None,
             None: None,
         }
