Name a request in log lines by what makes it the same one

Lines of one request that comes again had nothing in common: its id is new each time. Attempts, answers and refusals now name a digest of caller, method, target and body; a line tells when a part is cleared.

--- a/src/mulberrypass/operator/trace.py
+++ b/src/mulberrypass/operator/trace.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-IDENTIFIER_FIELDS = ("id", "job", "item", "items")
+IDENTIFIER_FIELDS = ("id", "request", "job", "item", "items")
 CRASH_EVENT = "connections ended early"
 QUARANTINE_EVENTS = ("part quarantined", "part released from quarantine")
 # Left out of the printed fields: shown separately, or on every line.
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+import hashlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from mulberrypass.model.routes import RegisteredEngine
 
 Headers = tuple[tuple[str, str], ...]
+DIGEST_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,20 @@
         """
         return self.prefix[:-1]
 
+    def digest(self) -> int:
+        """Return 64 bits that identify the request when it comes again.
+
+        A cryptographic hash, so that nobody can make a request that passes
+        for another caller's.
+        """
+        found = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for text in (self.host, self.method, self.target):
+            data = text.encode("utf-8", "surrogateescape")
+            found.update(len(data).to_bytes(DIGEST_BYTES))
+            found.update(data)
+        found.update(self.body)
+        return int.from_bytes(found.digest())
+
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
@@ -194,6 +210,11 @@
     return [f"{part:x}" for part in parts]
 
 
+def digest_name(digest: int) -> str:
+    """Return a request's digest as it is logged."""
+    return f"{digest:016x}"
+
+
 RelayEvent = AnswerHead | AnswerBody | Refused | Unservable | NoRoute | Failed
 
 
@@ -234,5 +255,6 @@
     "RelayRequest",
     "TruncatedAnswerError",
     "Unservable",
+    "digest_name",
     "part_names",
 ]
--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -119,13 +119,23 @@
     def on_begun(self, service: str, parts: Collection[int]) -> None:
         """Clear the parts of a request whose answer has begun."""
         changed: list[Crash] = []
+        cleared: dict[int, list[str]] = {}
         with self._lock:
             for part in parts:
                 self._begun[service, part] = None
                 self._begun.move_to_end((service, part))
-                changed += self._history.clear(service, part)
+                if crashes := self._history.clear(service, part):
+                    cleared[part] = [crash.engine for crash in crashes]
+                    changed += crashes
             while len(self._begun) > MAX_BEGUN:
                 self._begun.popitem(last=False)
+        for part, engines in cleared.items():
+            LOG.info(
+                "part cleared",
+                service=service,
+                part=part_names((part,))[0],
+                engines=engines,
+            )
         self._publish(changed)
 
     def on_connection_ended(
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -21,6 +21,7 @@
     Relay,
     TruncatedAnswerError,
     Unservable,
+    digest_name,
     part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
@@ -114,6 +115,7 @@
             wait_s = min(wait_s, req.wait_s)
         self._deps = deps
         self._req = req
+        self._digest = req.digest()
         self._route = route
         self._disconnected = disconnected
         self._started_at = now
@@ -190,6 +192,7 @@
         LOG.info(
             "not placed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
             reason=reason,
             attempts=self._attempts,
@@ -207,6 +210,7 @@
         LOG.info(
             "not placed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
             reason=CRASHES_ENGINES,
             part=exc.part,
@@ -398,6 +402,7 @@
         LOG.info(
             "attempt failed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             engine=self._permit.engine.name,
             reason=failed.reason,
             ran=failed.ran.value,
@@ -417,6 +422,7 @@
         LOG.info(
             "answered",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
             engine=self._permit.engine.name,
             queued_ms=round(self._permit.queued_s * 1_000),
@@ -424,6 +430,7 @@
             age_ms=self._age_ms(),
             events=self._event_count,
             attempts=self._attempts,
+            parts=part_names(self._req.shared_parts),
         )
 
 
