--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -36,6 +36,7 @@
 
     :param crash_parts: parts of a prompt on which it ends as soon as it
         begins to write the answer
+    :param crash_bodies: bodies of requests that do the same
     :param limit: requests per second that it says it takes; ``None`` to name
         no limit
     :param refusals: number of requests to refuse as not run, each refusal
@@ -49,6 +50,7 @@
     """
 
     crash_parts: frozenset[str] = frozenset()
+    crash_bodies: frozenset[bytes] = frozenset()
     limit: str | None = None
     refusals: int = 0
     ids_in_refusals: bool = False
@@ -68,6 +70,7 @@
 
     at: float
     headers: dict[str, str]
+    body: bytes = b""
 
     @property
     def request_id(self) -> str:
@@ -181,11 +184,16 @@
             conn.sendall(head[: self.faults.head_bytes])
             return False
         conn.sendall(head)
-        if self.faults.crash_parts.intersection(req.parts):
+        if self._crashes(req):
             self.end()
             return False
         return self._send_events(conn, req, int(after or 0) + 1)
 
+    def _crashes(self, req: RawRequest) -> bool:
+        if self.faults.crash_parts.intersection(req.parts):
+            return True
+        return req.body in self.faults.crash_bodies
+
     def _send_events(
         self, conn: socket.socket, req: RawRequest, first: int
     ) -> bool:
@@ -243,14 +251,14 @@
     lines = head.decode("latin-1").split("\r\n")[1:]
     pairs = (line.partition(":") for line in lines)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
-    req = RawRequest(time.monotonic(), headers)
-    missing = int(headers.get("content-length", 0)) - len(body)
-    while missing > 0:
+    at = time.monotonic()
+    size = int(headers.get("content-length", 0))
+    while len(body) < size:
         part = conn.recv(READ_BYTES)
         if not part:
             return None
-        missing -= len(part)
-    return req
+        body += part
+    return RawRequest(at, headers, body)
 
 
 def _head(lines: list[str]) -> bytes:
--- a/tests/platform/raw_site.py
+++ b/tests/platform/raw_site.py
@@ -121,8 +121,18 @@
         self.wait_until(lambda: _ready(address))
         return address
 
-    def send(self, address: str, path: str, parts: str, number: int) -> Reply:
-        """Send a request whose prompt has shared parts and one of its own."""
+    def send(
+        self,
+        address: str,
+        path: str,
+        parts: str,
+        number: int,
+        body: bytes | None = None,
+    ) -> Reply:
+        """Send a request whose prompt has shared parts and one of its own.
+
+        :param body: what to send; ``None`` for a body of its own
+        """
         prefix = [f"{part}:100" for part in parts.split()]
         headers = {
             "Host": HOST,
@@ -135,7 +145,9 @@
         }
         conn = http.client.HTTPConnection(address, FRONT, timeout=10)
         try:
-            conn.request("POST", path, b"q", headers)
+            if body is None:
+                body = f"{parts} {number}".encode()
+            conn.request("POST", path, body, headers)
             resp = conn.getresponse()
             found = {name.lower(): value for name, value in resp.getheaders()}
             try:
