Hold a request that crashes engines, whatever parts it has

Callers lost their streams on engine after engine when one request came again: suspects were parts of prompts only. A request without shared parts was not looked at; sound requests cleared the parts of others, or made them familiar, and then paid for them with 502.

A crash now records digests of the requests whose answers had not begun; three crashes at two moments hold a digest before each send. Its crashes count once against parts.

--- a/src/mulberrypass/operator/trace.py
+++ b/src/mulberrypass/operator/trace.py
@@ -9,9 +9,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-IDENTIFIER_FIELDS = ("id", "request", "job", "item", "items")
+IDENTIFIER_FIELDS = ("id", "request", "requests", "job", "item", "items")
 CRASH_EVENT = "connections ended early"
-QUARANTINE_EVENTS = ("part quarantined", "part released from quarantine")
+REQUEST_CRASHES = "request_crashes_engines"
+QUARANTINE_EVENTS = (
+    "part quarantined",
+    "part released from quarantine",
+    "request quarantined",
+    "request released from quarantine",
+)
 # Left out of the printed fields: shown separately, or on every line.
 COMMON_FIELDS = frozenset(
     {"program", "member", "source", "event", "level", "timestamp"}
@@ -41,19 +47,24 @@
 def trace(identifier: str, lines: Iterable[str]) -> list[LogLine]:
     """Return the log lines that mention an identifier, sorted by time.
 
-    If one of them names a part of a prompt that crashes engines, the lines
-    on these crashes come too.
+    If one of them names a part of a prompt or a request that crashes engines,
+    the lines on these crashes come too.
 
     Lines that are not JSON are skipped, and so is any text before the first
     brace, as log collectors add their own prefixes.
     """
     parsed = list(_parse_lines(lines))
     found = [line for line in parsed if _mentions(line, identifier)]
-    parts = {line.fields["part"] for line in found if "part" in line.fields}
+    parts = {line.fields.get("part") for line in found} - {None}
+    requests = {
+        line.fields.get("request")
+        for line in found
+        if line.fields.get("reason") == REQUEST_CRASHES
+    }
     found += [
         line
         for line in parsed
-        if line not in found and _is_on_crash(line, parts)
+        if line not in found and _is_on_crash(line, parts, requests)
     ]
     return sorted(found, key=lambda line: line.at)
 
@@ -88,12 +99,20 @@
     return False
 
 
-def _is_on_crash(line: LogLine, parts: set[str]) -> bool:
-    """Return whether a line tells why one of the parts is quarantined."""
+def _is_on_crash(
+    line: LogLine, parts: set[str | None], requests: set[str | None]
+) -> bool:
+    """Return whether a line tells why something is quarantined."""
     if line.event in QUARANTINE_EVENTS:
-        return line.fields.get("part") in parts
-    suspects = line.fields.get("suspects", ())
-    return line.event == CRASH_EVENT and not parts.isdisjoint(suspects)
+        fields = line.fields
+        if fields.get("part") in parts:
+            return True
+        return fields.get("request") in requests
+    if line.event != CRASH_EVENT:
+        return False
+    if not parts.isdisjoint(line.fields.get("suspects", ())):
+        return True
+    return not requests.isdisjoint(line.fields.get("requests", ()))
 
 
 def _format_value(value: Any) -> str:
--- a/src/mulberrypass/peer/membership_codec.py
+++ b/src/mulberrypass/peer/membership_codec.py
@@ -102,6 +102,8 @@
         suspects=crash.suspects,
         familiar=crash.familiar,
         cleared=crash.cleared,
+        requests=crash.requests,
+        cleared_requests=crash.cleared_requests,
     )
 
 
@@ -113,6 +115,8 @@
         frozenset(news.suspects),
         frozenset(news.familiar),
         frozenset(news.cleared),
+        frozenset(news.requests),
+        frozenset(news.cleared_requests),
     )
 
 
--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -3,7 +3,8 @@
 A part that crashes an engine does so before the first event of an answer.
 So the suspects of a crash are the parts of the requests that the engine had
 and whose answers had not begun; an answer that begins elsewhere clears the
-parts of its request.
+parts of its request. A request that comes again is judged by itself first:
+see ``requests``.
 """
 
 from __future__ import annotations
@@ -12,44 +13,17 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from mulberrypass.policy.health.crash import Crash
+from mulberrypass.policy.health.requests import (
+    CrashingRequest,
+    CrashingRequests,
+    count_occasions,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
 
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """The crash of one engine, as all members together know it.
-
-    :param engine: identifies one start of an engine
-    :param at_ms: Unix time in milliseconds, by the earliest report
-    :param suspects: parts that may have caused it
-    :param familiar: suspects under which answers had begun before
-    :param cleared: suspects under which an answer has begun since
-    """
-
-    engine: str
-    service: str
-    at_ms: int
-    suspects: frozenset[int]
-    familiar: frozenset[int] = frozenset()
-    cleared: frozenset[int] = frozenset()
-
-    @property
-    def open_suspects(self) -> frozenset[int]:
-        """The suspects that are not cleared."""
-        return self.suspects - self.cleared
-
-    def merge(self, other: Crash) -> Crash:
-        """Return what two reports of the same crash say together."""
-        return replace(
-            self,
-            at_ms=min(self.at_ms, other.at_ms),
-            suspects=self.suspects | other.suspects,
-            familiar=self.familiar | other.familiar,
-            cleared=self.cleared | other.cleared,
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class Quarantine:
     """A part that gets no engine, and the crashes that count against it."""
@@ -110,13 +84,22 @@
 
 
 class CrashHistory:
-    """The recent crashes and the parts suspected of them. Not thread-safe."""
+    """The recent crashes and their suspects. Not thread-safe.
+
+    :param member: name of this member
+    """
 
-    def __init__(self, settings: QuarantineSettings | None = None) -> None:
+    def __init__(
+        self, settings: QuarantineSettings | None = None, member: str = ""
+    ) -> None:
         self._settings = settings or QuarantineSettings()
+        self._member = member
         self._known: dict[str, _Known] = {}
         self._by_part: dict[tuple[str, int], dict[str, None]] = {}
+        self._by_request: Counter[tuple[str, int]] = Counter()
         self._verdicts: dict[tuple[str, int], _Verdict] | None = None
+        self._crashing: CrashingRequests | None = None
+        self._causes: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of crashes."""
@@ -154,6 +137,33 @@
             changed.append(known.crash)
         return changed
 
+    def clear_request(self, service: str, request: int) -> list[Crash]:
+        """Clear a request of all known crashes; return the changed ones."""
+        if not self._by_request[service, request]:
+            return []
+        changed = []
+        for known in tuple(self._known.values()):
+            crash = known.crash
+            if crash.service != service or request not in crash.open_requests:
+                continue
+            cleared = crash.cleared_requests | {request}
+            crash = replace(crash, cleared_requests=cleared)
+            self._store(replace(known, crash=crash))
+            changed.append(crash)
+        return changed
+
+    def crashing_request(
+        self, service: str, request: int, now: float
+    ) -> CrashingRequest | None:
+        """Return why a request may not run by itself; ``None`` if it may."""
+        return self._requests().held(service, request, now)
+
+    def crashing_requests(
+        self, now: float
+    ) -> dict[tuple[str, int], CrashingRequest]:
+        """Return the requests with enough crashes, by service and digest."""
+        return self._requests().all_held(now)
+
     def quarantine(
         self, service: str, parts: Collection[int], now: float
     ) -> Quarantine | None:
@@ -178,6 +188,16 @@
             if self._is_held(verdict, now)
         }
 
+    def _requests(self) -> CrashingRequests:
+        """Return the verdicts on requests."""
+        if self._crashing is None:
+            self._crashing = CrashingRequests(
+                ((k.crash, k.known_at) for k in self._known.values()),
+                self._member,
+            )
+            self._causes = self._crashing.causes()
+        return self._crashing
+
     def _is_held(self, verdict: _Verdict, now: float) -> bool:
         """Return whether no request may try the parts now."""
         settings = self._settings
@@ -192,6 +212,7 @@
         """Return the verdicts on parts with enough crashes."""
         if self._verdicts is None:
             self._verdicts = {}
+            self._requests()
             for service in {service for service, _part in self._by_part}:
                 self._judge(service, self._verdicts)
         return self._verdicts
@@ -257,7 +278,8 @@
             parts,
             tuple(engine for engine in self._known if engine in engines),
             self._count_occasions(engines),
-            not self._has_rival(engines, parts),
+            not self._has_rival(engines, parts)
+            and not self._has_request(engines),
             max(self._known[engine].known_at for engine in engines),
         )
 
@@ -272,18 +294,29 @@
         most = max(others.values(), default=0)
         return most >= len(engines) - 1
 
+    def _has_request(self, engines: Collection[str]) -> bool:
+        """Return whether requests explain all crashes but one."""
+        explained = sum(engine in self._causes for engine in engines)
+        return explained >= len(engines) - 1
+
     def _count_occasions(self, engines: Collection[str]) -> int:
-        """Count crashes, those that coincide with an earlier one once."""
-        count = 0
-        ends_ms = -1
-        for at_ms in sorted(self._known[e].crash.at_ms for e in engines):
-            if at_ms > ends_ms:
-                count += 1
-                ends_ms = at_ms + self._settings.coincidence_ms
-        return count
+        """Count crashes, those that coincide with an earlier one once.
+
+        All that one request has caused count once, unless a second one has
+        caused some too.
+        """
+        causes = {self._causes[e] for e in engines if e in self._causes}
+        counted = set(engines)
+        if len(causes) == 1:
+            caused = counted.intersection(self._causes)
+            first = min(caused, key=lambda e: (self._known[e].crash.at_ms, e))
+            counted -= caused - {first}
+        times_ms = (self._known[engine].crash.at_ms for engine in counted)
+        return count_occasions(times_ms, self._settings.coincidence_ms)
 
     def _store(self, known: _Known) -> None:
         self._verdicts = None
+        self._crashing = None
         crash = known.crash
         before = self._known.get(crash.engine)
         if before is not None:
@@ -292,8 +325,15 @@
         for part in crash.open_suspects:
             engines = self._by_part.setdefault((crash.service, part), {})
             engines[crash.engine] = None
+        for request in crash.open_requests:
+            self._by_request[crash.service, request] += 1
 
     def _unindex(self, crash: Crash) -> None:
+        for request in crash.open_requests:
+            key = crash.service, request
+            self._by_request[key] -= 1
+            if not self._by_request[key]:
+                del self._by_request[key]
         for part in crash.open_suspects:
             engines = self._by_part[crash.service, part]
             del engines[crash.engine]
@@ -302,24 +342,28 @@
 
     def _forget(self, engine: str) -> None:
         self._verdicts = None
+        self._crashing = None
         self._unindex(self._known.pop(engine).crash)
 
     def _least_useful(self) -> str:
         """Return the oldest of the crashes that count least.
 
-        A caller that invents parts must not end the quarantine of others.
+        A caller that invents parts or requests must not end the quarantine
+        of others.
         """
         return min(self._known, key=self._usefulness)
 
     def _usefulness(self, engine: str) -> int:
         crash = self._known[engine].crash
-        return max(
-            (
-                len(self._by_part[crash.service, part])
-                for part in crash.open_suspects
-            ),
-            default=0,
-        )
+        counts = [
+            len(self._by_part[crash.service, part])
+            for part in crash.open_suspects
+        ]
+        counts += [
+            self._by_request[crash.service, request]
+            for request in crash.open_requests
+        ]
+        return max(counts, default=0)
 
 
 __all__ = ["Crash", "CrashHistory", "Quarantine", "QuarantineSettings"]
--- /dev/null
+++ b/src/mulberrypass/policy/health/requests.py
@@ -0,0 +1,158 @@
+"""Infers from the crashes of engines which requests cause them.
+
+A request that comes again, with the same caller, method, target and body,
+crashes each engine that begins to run it, so that no answer to it begins.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from mulberrypass.policy.health.crash import Crash
+
+OFFSET_BYTES = 8
+OFFSETS = float(1 << (8 * OFFSET_BYTES))
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSettings:
+    """Settings of the quarantine of requests.
+
+    :param crashes: crashes that quarantine a request
+    :param occasions: at how many moments they must have happened, as a lost
+        rack may end several engines that run the same sound request
+    :param coincidence_ms: crashes within this time are of one moment
+    :param trial_after_s: least time after which a member lets the request
+        run again; doubles with each further crash
+    :param no_trial_crashes: crashes after which none does; a site's users
+        allow three requests after the third crash
+    """
+
+    crashes: int = 3
+    occasions: int = 2
+    coincidence_ms: int = 100
+    trial_after_s: float = 3_600.0
+    no_trial_crashes: int = 6
+
+
+@dataclass(frozen=True, slots=True)
+class CrashingRequest:
+    """A request that gets no engine, and the crashes that count against it.
+
+    :param request: its digest
+    :param last_known_at: monotonic time of the last of these crashes
+    """
+
+    request: int
+    engines: tuple[str, ...]
+    last_known_at: float
+
+
+class CrashingRequests:
+    """The requests with enough crashes.
+
+    :param known: crashes, and the monotonic times at which they became known
+    :param member: name of this member; members try a request again at
+        different times
+    """
+
+    def __init__(
+        self,
+        known: Iterable[tuple[Crash, float]],
+        member: str,
+        settings: RequestSettings | None = None,
+    ) -> None:
+        self._member = member
+        self._settings = settings or RequestSettings()
+        by_request: dict[tuple[str, int], list[tuple[Crash, float]]] = {}
+        for crash, known_at in known:
+            for request in crash.open_requests:
+                found = by_request.setdefault((crash.service, request), [])
+                found.append((crash, known_at))
+        self._found = {
+            key: CrashingRequest(
+                key[1],
+                tuple(crash.engine for crash, _ in crashes),
+                max(known_at for _, known_at in crashes),
+            )
+            for key, crashes in by_request.items()
+            if self._are_enough([crash.at_ms for crash, _ in crashes])
+        }
+
+    def held(
+        self, service: str, request: int, now: float
+    ) -> CrashingRequest | None:
+        """Return why a request may not run; ``None`` if it may."""
+        found = self._found.get((service, request))
+        if found is None or not self._is_held(found, now):
+            return None
+        return found
+
+    def all_held(self, now: float) -> dict[tuple[str, int], CrashingRequest]:
+        """Return the requests that may not run, by service and digest."""
+        return {
+            key: found
+            for key, found in self._found.items()
+            if self._is_held(found, now)
+        }
+
+    def causes(self) -> dict[str, int]:
+        """Return the request that explains a crash, by engine.
+
+        Of several, the one that explains most crashes.
+        """
+        causes: dict[str, int] = {}
+        for found in sorted(
+            self._found.values(), key=lambda found: -len(found.engines)
+        ):
+            for engine in found.engines:
+                causes.setdefault(engine, found.request)
+        return causes
+
+    def _are_enough(self, times_ms: Sequence[int]) -> bool:
+        settings = self._settings
+        if len(times_ms) < settings.crashes:
+            return False
+        moments = count_occasions(times_ms, settings.coincidence_ms)
+        return moments >= settings.occasions
+
+    def _is_held(self, found: CrashingRequest, now: float) -> bool:
+        settings = self._settings
+        crashes = len(found.engines)
+        if crashes >= settings.no_trial_crashes:
+            return True
+        doublings: float = crashes - settings.crashes
+        # Otherwise all members would try it at once.
+        spread = 1.0 + self._offset(found.request)
+        hold_s: float = settings.trial_after_s * 2.0**doublings * spread
+        return now < found.last_known_at + hold_s
+
+    def _offset(self, request: int) -> float:
+        """Return this member's share of the span in which members try."""
+        text = f"{self._member}/{request}".encode()
+        found = hashlib.blake2b(text, digest_size=OFFSET_BYTES).digest()
+        return int.from_bytes(found) / OFFSETS
+
+
+def count_occasions(times_ms: Iterable[int], coincidence_ms: int) -> int:
+    """Count crashes, those that coincide with an earlier one once."""
+    count = 0
+    ends_ms = -1
+    for at_ms in sorted(times_ms):
+        if at_ms > ends_ms:
+            count += 1
+            ends_ms = at_ms + coincidence_ms
+    return count
+
+
+__all__ = [
+    "CrashingRequest",
+    "CrashingRequests",
+    "RequestSettings",
+    "count_occasions",
+]
--- a/src/mulberrypass/policy/membership/crashes.py
+++ b/src/mulberrypass/policy/membership/crashes.py
@@ -53,7 +53,11 @@
     def snapshot(self) -> tuple[Crash, ...]:
         """Return the crashes with suspects, for a member that has joined."""
         crashes = self._history.crashes()
-        return tuple(crash for crash in crashes if crash.open_suspects)
+        return tuple(
+            crash
+            for crash in crashes
+            if crash.open_suspects or crash.open_requests
+        )
 
     def _known(self, engines: Iterable[str]) -> tuple[Crash, ...]:
         found = map(self._history.get, engines)
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -195,7 +195,8 @@
         )
         self._watch = CallWatch()
         self._guard = CrashGuard(
-            lambda name: self._directory.engine(name) is None
+            lambda name: self._directory.engine(name) is None,
+            member=self._me.name,
         )
         self._crashes = RowCrashes(
             self._rows, self._me.name, self._learn_stored_crash
--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps requests away from engines that their prompts would crash."""
+"""Keeps requests away from engines that they would crash."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.policy.health.crashes import Crash, CrashHistory
-from mulberrypass.relay.api import part_names
+from mulberrypass.relay.api import digest_name, part_names
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from mulberrypass.model.routes import RegisteredEngine
-    from mulberrypass.policy.health.crashes import Quarantine
+    from mulberrypass.policy.health.requests import CrashingRequest
 
 LOG = get_logger(__name__)
 # The connections of a crashed engine end within a few ms of each other.
@@ -30,19 +30,26 @@
 MAX_BEGUN = 4_096
 # An engine runs few requests at once, each with few parts.
 MAX_SUSPECTS = 64
+PART_CRASHES = "prompt_crashes_engines"
+REQUEST_CRASHES = "request_crashes_engines"
 MS_PER_S = 1_000
 
 
 class QuarantinedError(Exception):
-    """A part of the prompt is known to crash engines.
+    """The request, or a part of its prompt, is known to crash engines.
 
-    :param part: id of the part as it is logged
+    :param reason: stable reason code
+    :param engines: the engines that crashed
+    :param part: id of the part as it is logged; ``None`` for a request
     """
 
-    def __init__(self, quarantine: Quarantine) -> None:
-        self.part = part_names((quarantine.part,))[0]
-        super().__init__(f"part {self.part} crashes engines")
-        self.engines = quarantine.engines
+    def __init__(
+        self, reason: str, engines: tuple[str, ...], part: str | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.engines = engines
+        self.part = part
 
 
 @dataclass(slots=True)
@@ -52,14 +59,16 @@
     engine: RegisteredEngine
     at_ms: int
     parts: set[int] = field(default_factory=set)
+    requests: set[int] = field(default_factory=set)
 
 
 class CrashGuard:
-    """Learns which parts of prompts crash engines. Safe on any thread.
+    """Learns which requests and parts crash engines. Safe on any thread.
 
     :param leaves: returns whether an engine is leaving or gone
     :param is_listening: returns whether an address takes connections;
         ``None`` if that can't be told
+    :param member: name of this member
     """
 
     def __init__(
@@ -68,15 +77,17 @@
         is_listening: Callable[[str], bool | None] | None = None,
         clock: Callable[[], float] = time.monotonic,
         unix_clock: Callable[[], float] = time.time,
+        member: str = "",
     ) -> None:
         self._leaves = leaves
         self._is_listening = is_listening or is_listening_at
         self._clock = clock
         self._unix_clock = unix_clock
         self._lock = threading.Lock()
-        self._history = CrashHistory()
+        self._history = CrashHistory(member=member)
         self._begun: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._logged: frozenset[tuple[str, int]] = frozenset()
+        self._logged_requests: frozenset[tuple[str, int]] = frozenset()
         self._ended: dict[str, _EndedConnections] = {}
         self._pending = threading.Event()
         self._stopped = threading.Event()
@@ -103,24 +114,46 @@
         """
         self._publishers.append(publish)
 
-    def check(self, service: str, parts: Collection[int]) -> None:
+    def check(
+        self,
+        service: str,
+        parts: Collection[int],
+        request: int | None = None,
+    ) -> None:
         """Check right before a request is sent to an engine.
 
         :param parts: parts of its prompt that others may share
+        :param request: its digest; ``None`` for an item, which is owed
         :raises QuarantinedError: if it would crash the engine
         """
         if not len(self._history):
             return
+        now = self._clock()
         with self._lock:
-            found = self._history.quarantine(service, parts, self._clock())
+            crashing = None
+            if request is not None:
+                crashing = self._history.crashing_request(
+                    service, request, now
+                )
+            found = self._history.quarantine(service, parts, now)
+        if crashing is not None:
+            raise QuarantinedError(REQUEST_CRASHES, crashing.engines)
         if found is not None:
-            raise QuarantinedError(found)
+            part = part_names((found.part,))[0]
+            raise QuarantinedError(PART_CRASHES, found.engines, part)
 
-    def on_begun(self, service: str, parts: Collection[int]) -> None:
-        """Clear the parts of a request whose answer has begun."""
+    def on_begun(
+        self,
+        service: str,
+        parts: Collection[int],
+        request: int | None = None,
+    ) -> None:
+        """Clear a request whose answer has begun, and its parts."""
         changed: list[Crash] = []
         cleared: dict[int, list[str]] = {}
         with self._lock:
+            if request is not None:
+                changed += self._history.clear_request(service, request)
             for part in parts:
                 self._begun[service, part] = None
                 self._begun.move_to_end((service, part))
@@ -139,10 +172,19 @@
         self._publish(changed)
 
     def on_connection_ended(
-        self, engine: RegisteredEngine, parts: Collection[int]
+        self,
+        engine: RegisteredEngine,
+        parts: Collection[int],
+        request: int | None = None,
     ) -> None:
-        """Note that a connection ended before its answer began."""
-        if not parts or self._leaves(engine.name):
+        """Note that a connection ended before its answer began.
+
+        An engine that leaves ends connections by itself, so that this is no
+        evidence against parts, which many requests share.
+        """
+        if self._leaves(engine.name):
+            return
+        if not parts and request is None:
             return
         with self._lock:
             ended = self._ended.get(engine.boot)
@@ -151,6 +193,8 @@
                 ended = _EndedConnections(engine, at_ms)
                 self._ended[engine.boot] = ended
             ended.parts.update(parts)
+            if request is not None:
+                ended.requests.add(request)
         self._pending.set()
 
     def learn(self, crash: Crash) -> bool:
@@ -175,8 +219,13 @@
         now = self._clock()
         with self._lock:
             quarantined = self._history.quarantined(now)
+            requests = self._history.crashing_requests(now)
             crashes = self._history.crashes()
         return {
+            "requests": sorted(
+                f"{service}:{digest_name(request)}"
+                for service, request in requests
+            ),
             "quarantined": sorted(
                 f"{service}:{part:x}" for service, part in quarantined
             ),
@@ -210,7 +259,14 @@
         listening = self._is_listening(engine.address)
         with self._lock:
             suspects = frozenset(sorted(ended.parts)[:MAX_SUSPECTS])
-            crash = Crash(engine.boot, engine.service, ended.at_ms, suspects)
+            requests = frozenset(sorted(ended.requests)[:MAX_SUSPECTS])
+            crash = Crash(
+                engine.boot,
+                engine.service,
+                ended.at_ms,
+                suspects,
+                requests=requests,
+            )
             crash = replace(crash, familiar=self._familiar(crash))
             merged = None
             if listening is False:
@@ -219,6 +275,7 @@
             "connections ended early",
             engine=engine.name,
             listening=listening,
+            requests=[digest_name(each) for each in sorted(requests)],
             suspects=part_names(sorted(suspects)),
             familiar=part_names(sorted(crash.familiar)),
         )
@@ -242,11 +299,16 @@
             self._log_changes()
 
     def _log_changes(self) -> None:
-        """Log parts that enter or leave quarantine."""
+        """Log what enters or leaves quarantine."""
+        now = self._clock()
         with self._lock:
-            found = self._history.quarantined(self._clock())
+            found = self._history.quarantined(now)
             held = frozenset(found)
             before, self._logged = self._logged, held
+            requests = self._history.crashing_requests(now)
+            before_requests = self._logged_requests
+            self._logged_requests = frozenset(requests)
+        _log_requests(requests, before_requests)
         for service, part in held - before:
             LOG.warning(
                 "part quarantined",
@@ -262,6 +324,26 @@
             )
 
 
+def _log_requests(
+    held: dict[tuple[str, int], CrashingRequest],
+    before: frozenset[tuple[str, int]],
+) -> None:
+    """Log requests that enter or leave quarantine."""
+    for service, request in held.keys() - before:
+        LOG.warning(
+            "request quarantined",
+            service=service,
+            request=digest_name(request),
+            engines=held[service, request].engines,
+        )
+    for service, request in before - held.keys():
+        LOG.info(
+            "request released from quarantine",
+            service=service,
+            request=digest_name(request),
+        )
+
+
 def is_listening_at(address: str) -> bool | None:
     """Return whether a TCP address takes connections.
 
@@ -277,4 +359,10 @@
         return None
 
 
-__all__ = ["CrashGuard", "QuarantinedError", "is_listening_at"]
+__all__ = [
+    "PART_CRASHES",
+    "REQUEST_CRASHES",
+    "CrashGuard",
+    "QuarantinedError",
+    "is_listening_at",
+]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -51,7 +51,6 @@
 
 LOG = get_logger(__name__)
 FinalEvent = Refused | Unservable | Failed | NoRoute
-CRASHES_ENGINES = "prompt_crashes_engines"
 NO_CONFIGURATION_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
@@ -159,6 +158,7 @@
             output_tokens=self._req.output_tokens,
             prefix=self._req.prefix,
             start_by=self._start_by(),
+            request=self._digest,
         )
         try:
             self._permit = self._deps.acquirer.acquire(
@@ -212,7 +212,7 @@
             id=self._req.request_id,
             request=digest_name(self._digest),
             route=self._route.name,
-            reason=CRASHES_ENGINES,
+            reason=exc.reason,
             part=exc.part,
             engines=exc.engines,
             attempts=self._attempts,
@@ -220,8 +220,8 @@
             age_ms=self._age_ms(),
         )
         if self._maybe_ran:
-            return Failed(CRASHES_ENGINES)
-        return Unservable(CRASHES_ENGINES)
+            return Failed(exc.reason)
+        return Unservable(exc.reason)
 
     def _attempt(self) -> Generator[RelayEvent, None, EngineFailed | None]:
         """Send the request to the engine and forward its answer.
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -45,6 +45,7 @@
     :param routing_key: hashed to choose among the services of a route
     :param deadline: monotonic time by which the work must have ended
     :param start_by: monotonic time by which it should have started
+    :param request: digest of a request; ``None`` for an item
     """
 
     find: Callable[[], RelayRoute | None]
@@ -57,6 +58,7 @@
     prefix: tuple[int, ...] = ()
     revocable: bool = False
     start_by: float | None = None
+    request: int | None = None
 
     @property
     def shared_parts(self) -> tuple[int, ...]:
@@ -87,6 +89,7 @@
     :param queued_s: how long the permit request waited
     :param parts: parts of the prompt that other requests may share
     :param limit_per_s: limit of the engine when it was granted; 0 for none
+    :param request: digest of the request; ``None`` for an item
     """
 
     permits: PermitClient
@@ -96,6 +99,7 @@
     guard: CrashGuard
     parts: tuple[int, ...] = ()
     limit_per_s: float = 0.0
+    request: int | None = None
     sent_at: float = field(default_factory=time.monotonic)
     first_at: float | None = None
     released: bool = False
@@ -107,7 +111,7 @@
             self.first_at = time.monotonic()
             after_s = self.first_at - self.sent_at
             self.permits.tell(FirstToken(self.ask_id, after_s))
-            self.guard.on_begun(self.engine.service, self.parts)
+            self._mark_begun()
 
     def mark_limit(self, per_s: float | None) -> None:
         """Report the limit that the answer names, or that it ends."""
@@ -119,7 +123,12 @@
     def mark_connection_ended(self) -> None:
         """Note that the connection ended before the answer began."""
         if self.first_at is None:
-            self.guard.on_connection_ended(self.engine, self.parts)
+            self.guard.on_connection_ended(
+                self.engine, self.parts, self.request
+            )
+
+    def _mark_begun(self) -> None:
+        self.guard.on_begun(self.engine.service, self.parts, self.request)
 
     def release(self, outcome: ReleaseOutcome, tokens: int = 0) -> None:
         """Release the permit; further calls do nothing."""
@@ -127,7 +136,7 @@
             return
         self.released = True
         if outcome is ReleaseOutcome.DONE and self.first_at is None:
-            self.guard.on_begun(self.engine.service, self.parts)
+            self._mark_begun()
         service_s = time.monotonic() - self.sent_at
         self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
 
@@ -172,7 +181,7 @@
             if route is None or not route.services:
                 raise NoRouteError
             service = choose_service(route, work.routing_key)
-            self._guard.check(service, work.shared_parts)
+            self._guard.check(service, work.shared_parts, work.request)
             ask = self._ask(work, service, avoid)
             answer = self._wait_for_answer(ask, work, abandoned, on_revoke)
             match answer:
@@ -190,6 +199,7 @@
                             self._guard,
                             work.shared_parts,
                             limit_per_s,
+                            work.request,
                         )
                     self._release_unused(ask.ask_id)
                     avoid = (*avoid, backend)
@@ -215,7 +225,7 @@
     ) -> None:
         """Check again after the wait."""
         try:
-            self._guard.check(service, work.shared_parts)
+            self._guard.check(service, work.shared_parts, work.request)
         except QuarantinedError:
             self._release_unused(ask_id)
             raise
--- a/src/mulberrypass/storage/crashes.py
+++ b/src/mulberrypass/storage/crashes.py
@@ -123,6 +123,10 @@
         "suspects": [f"{part:x}" for part in sorted(crash.suspects)],
         "familiar": [f"{part:x}" for part in sorted(crash.familiar)],
         "cleared": [f"{part:x}" for part in sorted(crash.cleared)],
+        "requests": [f"{each:x}" for each in sorted(crash.requests)],
+        "cleared_requests": [
+            f"{each:x}" for each in sorted(crash.cleared_requests)
+        ],
     }
     return json.dumps(doc).encode()
 
@@ -136,6 +140,11 @@
         suspects=frozenset(int(part, 16) for part in doc["suspects"]),
         familiar=frozenset(int(part, 16) for part in doc["familiar"]),
         cleared=frozenset(int(part, 16) for part in doc["cleared"]),
+        # Builds that don't judge requests write none.
+        requests=frozenset(int(each, 16) for each in doc.get("requests", ())),
+        cleared_requests=frozenset(
+            int(each, 16) for each in doc.get("cleared_requests", ())
+        ),
     )
 
 
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -40,6 +40,7 @@
         PermitMessage,
         RefusalReason,
     )
+    from mulberrypass.relay.crash_guard import CrashGuard
 
 HOST = "dock.example"
 NOT_RUN = EngineFailed("no connection", Ran.NO)
@@ -235,13 +236,16 @@
 
 
 def make_dependencies(
-    engines: EngineClient, permits: PermitClient, *routes: RelayRoute
+    engines: EngineClient,
+    permits: PermitClient,
+    *routes: RelayRoute,
+    guard: CrashGuard | None = None,
 ) -> RelayDependencies:
     """Return dependencies with a directory of two engines."""
     directory = Directory()
     directory.apply_routes(table(*(routes or (route(),))))
     directory.set_engines([engine("e1"), engine("e2")])
-    acquirer = PermitAcquirer("entry@a", permits, directory)
+    acquirer = PermitAcquirer("entry@a", permits, directory, guard)
     return RelayDependencies(directory, acquirer, engines, CallWatch())
 
 
--- a/tests/relay/test_crash_guard.py
+++ b/tests/relay/test_crash_guard.py
@@ -9,6 +9,7 @@
 from mulberrypass.policy.health.crashes import Crash, QuarantineSettings
 from mulberrypass.relay.crash_guard import (
     COLLECT_S,
+    REQUEST_CRASHES,
     CrashGuard,
     QuarantinedError,
     is_listening_at,
@@ -17,6 +18,7 @@
 
 SERVICE = "rackmind"
 SHARED, SOUND, BAD = 1, 2, 3
+REQUEST, OTHER_REQUEST = 0xD1, 0xD2
 CRASHES = QuarantineSettings().crashes
 EXAMINED_S = 10 * COLLECT_S
 
@@ -48,6 +50,20 @@
         self.guard.on_connection_ended(lost, parts)
         time.sleep(3 * COLLECT_S)
 
+    def lose_request(self, number: int, request: int, *parts: int) -> None:
+        """The same for a request that comes again."""
+        self.now += 1.0
+        lost = engine(f"i-{number}")
+        self.guard.on_connection_ended(lost, parts, request)
+        time.sleep(3 * COLLECT_S)
+
+    def refusal(self, request: int, *parts: int) -> QuarantinedError | None:
+        try:
+            self.guard.check(SERVICE, parts, request)
+        except QuarantinedError as exc:
+            return exc
+        return None
+
     def is_refused(self, *parts: int, by: CrashGuard | None = None) -> bool:
         try:
             (by or self.guard).check(SERVICE, parts)
@@ -63,6 +79,32 @@
         self.assertTrue(self.is_refused(SHARED, BAD))
         self.assertFalse(self.is_refused(SHARED, SOUND))
 
+    def test_request_without_parts_is_refused(self) -> None:
+        for number in range(CRASHES):
+            self.assertIsNone(self.refusal(REQUEST))
+            self.lose_request(number, REQUEST)
+        found = self.refusal(REQUEST)
+        assert found is not None
+        self.assertEqual(REQUEST_CRASHES, found.reason)
+        self.assertIsNone(found.part)
+        self.assertIsNone(self.refusal(OTHER_REQUEST))
+        self.assertIn(f"{SERVICE}:{REQUEST:016x}", self.state_requests())
+
+    def state_requests(self) -> list[str]:
+        found: list[str] = self.guard.state()["requests"]
+        return found
+
+    def test_item_is_not_refused_for_itself(self) -> None:
+        for number in range(CRASHES):
+            self.lose_request(number, REQUEST)
+        self.assertFalse(self.is_refused())
+
+    def test_answer_that_begins_clears_its_request(self) -> None:
+        for number in range(CRASHES):
+            self.lose_request(number, REQUEST)
+        self.guard.on_begun(SERVICE, (), REQUEST)
+        self.assertIsNone(self.refusal(REQUEST))
+
     def test_ends_that_are_no_crashes_do_not_count(self) -> None:
         cases = {"reset only": True, "no reply": None}
         for name, listening in cases.items():
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+import json
 import time
 import unittest
 from unittest.mock import patch
@@ -16,7 +18,13 @@
 
 WAIT_S = 5.0
 CRASH = Crash(
-    "i-1@7", "rackmind", 5, frozenset((1, 2**64 - 1)), frozenset((1,))
+    "i-1@7",
+    "rackmind",
+    5,
+    frozenset((1, 2**64 - 1)),
+    frozenset((1,)),
+    requests=frozenset((3, 2**64 - 2)),
+    cleared_requests=frozenset((3,)),
 )
 
 
@@ -45,6 +53,18 @@
         self.crashes.on_all_rows(self.rows())
         self.assertEqual([CRASH], self.learnt)
 
+    def test_crash_of_a_build_that_judges_no_requests_is_read(self) -> None:
+        self.crashes.save(CRASH)
+        self.wait_for(1)
+        (row,) = self.rows()
+        doc = json.loads(row.value)
+        del doc["requests"], doc["cleared_requests"]
+        row = replace(row, value=json.dumps(doc).encode())
+        self.crashes.on_all_rows((row,))
+        none = frozenset[int]()
+        older = replace(CRASH, requests=none, cleared_requests=none)
+        self.assertEqual([older], self.learnt)
+
     def test_crash_is_written_when_the_store_is_back(self) -> None:
         self.state.faults.down = True
         with patch.object(module, "RETRY_S", 0.01):
