Count crashes of leaving engines against the requests they ran

An engine that crashed while it was leaving was taken for one that ended as planned, so that a request went on to crash others. A request that comes again is evidence of its own, unlike parts, which many share. test_request_crashes_engines_that_are_leaving failed before (not refused after three crashes).

--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -183,7 +183,7 @@
         evidence against parts, which many requests share.
         """
         if self._leaves(engine.name):
-            return
+            parts = ()
         if not parts and request is None:
             return
         with self._lock:
--- a/tests/relay/test_crash_guard.py
+++ b/tests/relay/test_crash_guard.py
@@ -105,6 +105,14 @@
         self.guard.on_begun(SERVICE, (), REQUEST)
         self.assertIsNone(self.refusal(REQUEST))
 
+    def test_request_crashes_engines_that_are_leaving(self) -> None:
+        """Their crashes were left out, so that it went on to others."""
+        for number in range(CRASHES):
+            self.leaving.add(f"i-{number}")
+            self.lose_request(number, REQUEST, BAD)
+        self.assertIsNotNone(self.refusal(REQUEST))
+        self.assertFalse(self.is_refused(BAD))
+
     def test_ends_that_are_no_crashes_do_not_count(self) -> None:
         cases = {"reset only": True, "no reply": None}
         for name, listening in cases.items():
