Look at a resumed stream whose engine crashed before an event

Events were counted over all attempts of a request, so that a stream that began at one engine was no suspect when the engine that resumed it crashed. The permit knows by itself whether its own answer had begun. test_resumed_stream_crashes_an_engine_unnoticed failed before (no crash was published).

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -346,8 +346,7 @@
         if failed.ran is Ran.NO:
             self._attempts -= 1
         outcome = self._release_outcome(failed)
-        began = self._event_count > 0
-        if failed.closed and outcome is ReleaseOutcome.FAILED and not began:
+        if failed.closed and outcome is ReleaseOutcome.FAILED:
             self._permit.mark_connection_ended()
         self._release(outcome)
         return failed
--- a/tests/relay/test_forward_crashes.py
+++ b/tests/relay/test_forward_crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 import unittest
 
@@ -10,6 +11,7 @@
 from mulberrypass.policy.health.crashes import Crash
 from mulberrypass.relay.api import TruncatedAnswerError, Unservable
 from mulberrypass.relay.crash_guard import (
+    COLLECT_S,
     REQUEST_CRASHES,
     CrashGuard,
 )
@@ -27,7 +29,9 @@
 if TYPE_CHECKING:
     from mulberrypass.relay.api import RelayEvent
 
+EXAMINED_S = 4 * COLLECT_S
 CRASHES = 3
+CLOSED = EngineFailed("cut", Ran.YES, closed=True)
 CUT_SHORT = EngineFailed("cut", Ran.YES)
 
 
@@ -88,6 +92,19 @@
         self.assertTrue(truncated)
         self.assertEqual(1, len(engines.sent))
 
+    def test_resumed_stream_crashes_an_engine_unnoticed(self) -> None:
+        """Events of the first engine hid that the second had sent none."""
+        self.run_once(
+            Script(parts=[event(1), CUT_SHORT]),
+            Script(parts=[CLOSED]),
+            resumable=True,
+        )
+        time.sleep(EXAMINED_S)
+        self.assertEqual(
+            [frozenset({self.digest})],
+            [crash.requests for crash in self.published],
+        )
+
     def test_answer_clears_the_request(self) -> None:
         self.learn(0, 1)
         self.run_once(Script(parts=[event(1)]))
