Clear nothing by an answer that is an error

An engine that answers 400 or 500 may not have begun to run the request, yet the answer cleared its parts and itself of all crashes, and engines crashed on. Only an answer with an event, or a whole one with a status of success, clears now. test_error_answer_clears_the_request failed before (not held after three crashes with a 400 in between).

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -242,6 +242,7 @@
             )
             head = self._answer.head
             permit.mark_limit(head.limit_per_s)
+            permit.succeeded = _is_success(head)
             if head.not_run:
                 reason = f"engine says not run: {head.status}"
                 sound = skip_rest(self._answer, self._deadline)
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -90,6 +90,8 @@
     :param parts: parts of the prompt that other requests may share
     :param limit_per_s: limit of the engine when it was granted; 0 for none
     :param request: digest of the request; ``None`` for an item
+    :ivar succeeded: whether the answer is no error, as a refusal or an error
+        doesn't show that the engine has run the request
     """
 
     permits: PermitClient
@@ -102,6 +104,7 @@
     request: int | None = None
     sent_at: float = field(default_factory=time.monotonic)
     first_at: float | None = None
+    succeeded: bool = True
     released: bool = False
     revoked: Callable[[], bool] = lambda: False
 
@@ -135,7 +138,8 @@
         if self.released:
             return
         self.released = True
-        if outcome is ReleaseOutcome.DONE and self.first_at is None:
+        done = outcome is ReleaseOutcome.DONE and self.succeeded
+        if done and self.first_at is None:
             self._mark_begun()
         service_s = time.monotonic() - self.sent_at
         self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
--- a/tests/relay/test_forward_crashes.py
+++ b/tests/relay/test_forward_crashes.py
@@ -105,6 +105,14 @@
             [crash.requests for crash in self.published],
         )
 
+    def test_error_answer_clears_the_request(self) -> None:
+        """An engine that answers with an error may not have run it."""
+        for status in (400, 500):
+            self.learn(0, 1)
+            self.run_once(Script(status=status, parts=[b"no"]))
+            self.learn(2)
+            self.assertTrue(self.guard.state()["requests"], status)
+
     def test_answer_clears_the_request(self) -> None:
         self.learn(0, 1)
         self.run_once(Script(parts=[event(1)]))
