Keep the newest crashes, however little they count

With 256 crashes of many known causes remembered, each crash of a new request counted least and was forgotten at once, so that it crashed engines without end. The newest 64 stay. test_new_request_is_found_beside_many_known_ones failed before (never held).

--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -11,6 +11,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from mulberrypass.policy.health.crash import Crash
@@ -48,6 +49,8 @@
     :param no_trial_crashes: crashes after which no request tries it; a
         site's users allow three more requests after the fifth crash
     :param remembered: maximum number of crashes remembered
+    :param recent: the newest of them, which are not forgotten, so that a new
+        cause can be found beside many known ones
     """
 
     crashes: int = 3
@@ -57,6 +60,7 @@
     doubt_s: float = 10.0
     no_trial_crashes: int = 8
     remembered: int = 256
+    recent: int = 64
 
 
 @dataclass(slots=True)
@@ -346,12 +350,13 @@
         self._unindex(self._known.pop(engine).crash)
 
     def _least_useful(self) -> str:
-        """Return the oldest of the crashes that count least.
+        """Return the oldest of the crashes that count least, no recent one.
 
         A caller that invents parts or requests must not end the quarantine
         of others.
         """
-        return min(self._known, key=self._usefulness)
+        older = len(self._known) - self._settings.recent
+        return min(islice(self._known, older), key=self._usefulness)
 
     def _usefulness(self, engine: str) -> int:
         crash = self._known[engine].crash
--- a/tests/policy/health/test_requests.py
+++ b/tests/policy/health/test_requests.py
@@ -129,6 +129,13 @@
             self.assertLess(now, 2 * SETTINGS.trial_after_s + 1)
         self.assertGreater(len(starts), 15)
 
+    def test_new_request_is_found_beside_many_known_ones(self) -> None:
+        """Each of its crashes was forgotten at once for older ones."""
+        for number in range(300):
+            self.add(crash(number, 1_000 + number // KNOWN_CRASHES))
+        self.add(*(crash(1_000 + n, DEADLY) for n in range(KNOWN_CRASHES)))
+        self.assertTrue(self.held(DEADLY))
+
     def test_many_requests_push_no_other_out(self) -> None:
         self.add(*(crash(number, DEADLY) for number in range(KNOWN_CRASHES)))
         for number in range(10, 1_000):
