--- a/tests/platform/test_random_day.py
+++ b/tests/platform/test_random_day.py
@@ -52,7 +52,7 @@
 
     def _play(self, rng: random.Random) -> None:
         self.ends_at = time.monotonic() + DAY_S
-        self.faults.crash_parts = frozenset(BAD_PARTS)
+        self._spoil()
         threads = [
             threading.Thread(target=self._send, args=(number, rng.random()))
             for number in range(SENDERS)
@@ -66,6 +66,10 @@
         for thread in threads:
             thread.join()
 
+    def _spoil(self) -> None:
+        """Let some requests crash engines."""
+        self.faults.crash_parts = frozenset(BAD_PARTS)
+
     def _disturb(self, rng: random.Random) -> None:
         match rng.choice(("store", "stop", "start", "crash", "cut")):
             case "store":
