Keep the rows of crashes that hold something

Rows of crashes were removed by age alone. At 600 engines that crash once a day, reported by eight members each, the 1,024 rows last five hours; after a loss of all instances a request held before would crash engines again. test_row_that_holds_a_request_is_removed failed with the rule by age (the row of the first crash was gone) and passes.

--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -168,6 +168,14 @@
         """Return the requests with enough crashes, by service and digest."""
         return self._requests().all_held(now)
 
+    def counts(self, engine: str) -> bool:
+        """Return whether a crash is one of those that hold something."""
+        self._requests()
+        if engine in self._causes:
+            return True
+        verdicts = self._judged().values()
+        return any(engine in verdict.engines for verdict in verdicts)
+
     def quarantine(
         self, service: str, parts: Collection[int], now: float
     ) -> Quarantine | None:
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -199,7 +199,10 @@
             member=self._me.name,
         )
         self._crashes = RowCrashes(
-            self._rows, self._me.name, self._learn_stored_crash
+            self._rows,
+            self._me.name,
+            self._learn_stored_crash,
+            self._guard.counts,
         )
         self._guard.subscribe(self._membership.report_crash)
         self._guard.subscribe(self._crashes.save)
--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -214,6 +214,14 @@
         self._log_changes()
         return merged is not None
 
+    def counts(self, engine: str) -> bool:
+        """Return whether a crash is one of those that hold something.
+
+        :param engine: one start of an engine
+        """
+        with self._lock:
+            return self._history.counts(engine)
+
     def state(self) -> dict[str, Any]:
         """Return crashes and quarantined parts for a state dump."""
         now = self._clock()
--- a/src/mulberrypass/storage/crashes.py
+++ b/src/mulberrypass/storage/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import filterfalse, islice
 import json
 import threading
 from typing import TYPE_CHECKING
@@ -30,11 +31,18 @@
 
     :param member: name of this member, which ends the keys of its rows
     :param learn: called with each crash read
+    :param counts: returns whether the crash of an engine's start still counts,
+        so that its rows are kept
     """
 
     def __init__(
-        self, rows: RowStore, member: str, learn: Callable[[Crash], None]
+        self,
+        rows: RowStore,
+        member: str,
+        learn: Callable[[Crash], None],
+        counts: Callable[[str], bool] = lambda _engine: False,
     ) -> None:
+        self._counts = counts
         self._rows = rows
         self._member = member
         self._learn = learn
@@ -98,7 +106,9 @@
         """Write one crash, and return whether the store has taken it."""
         with self._lock:
             engine, crash = next(iter(self._unsaved.items()))
-            removed = tuple(self._known)[: max(0, len(self._known) - MAX_ROWS)]
+            surplus = max(0, len(self._known) - MAX_ROWS)
+            oldest = tuple(self._known) if surplus else ()
+        removed = tuple(islice(filterfalse(self._is_kept, oldest), surplus))
         key = RowKey(CRASHES_TABLE, "", f"{engine}{SEPARATOR}{self._member}")
         change = Transaction(
             puts=((key, _encode(crash)),),
@@ -114,6 +124,9 @@
                 del self._unsaved[engine]
         return True
 
+    def _is_kept(self, name: str) -> bool:
+        return self._counts(name.partition(SEPARATOR)[0])
+
 
 def _encode(crash: Crash) -> bytes:
     doc = {
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -33,7 +33,13 @@
         quiet_logs()
         self.state = RowState()
         self.learnt: list[Crash] = []
-        self.crashes = RowCrashes(self.state, "entry@a", self.learnt.append)
+        self.kept: set[str] = set()
+        self.crashes = RowCrashes(
+            self.state,
+            "entry@a",
+            self.learnt.append,
+            self.kept.__contains__,
+        )
         self.crashes.start()
         self.addCleanup(self.crashes.stop)
 
@@ -81,6 +87,24 @@
                 self.crashes.on_changed_rows(self.rows()[-1:])
             self.assertLessEqual(len(self.rows()), 5)
 
+    def test_row_that_holds_a_request_is_removed(self) -> None:
+        """After a loss of all instances the request crashed engines again."""
+        self.kept.add("i-0")
+        with patch.object(module, "MAX_ROWS", 3):
+            for number in range(8):
+                self.crashes.save(Crash(f"i-{number}", "s", 0, frozenset()))
+                self.wait_for_row(f"i-{number}/entry@a")
+                self.crashes.on_all_rows(self.rows())
+        names = [row.at.key for row in self.rows()]
+        self.assertIn("i-0/entry@a", names)
+        self.assertLessEqual(len(names), 5)
+
+    def wait_for_row(self, name: str) -> None:
+        end = time.monotonic() + WAIT_S
+        while name not in [row.at.key for row in self.rows()]:
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.01)
+
     def test_damaged_row_is_passed_over(self) -> None:
         for number, value in enumerate((b"", b"[]", b"{}", b"\xff")):
             key = RowKey(CRASHES_TABLE, "", f"row-{number}")
