Merge requests that crash engines

Conflicts in imports, constants of the stand-in and the reading of crash rows, which are read strictly and may hold digests of requests; all sides are kept.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -195,10 +195,14 @@
         )
         self._watch = CallWatch()
         self._guard = CrashGuard(
-            lambda name: self._directory.engine(name) is None
+            lambda name: self._directory.engine(name) is None,
+            member=self._me.name,
         )
         self._crashes = RowCrashes(
-            self._rows, self._me.name, self._learn_stored_crash
+            self._rows,
+            self._me.name,
+            self._learn_stored_crash,
+            self._guard.counts,
         )
         self._guard.subscribe(self._membership.report_crash)
         self._guard.subscribe(self._crashes.save)
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -21,6 +21,7 @@
     Relay,
     TruncatedAnswerError,
     Unservable,
+    digest_name,
     framing,
     part_names,
 )
@@ -51,7 +52,6 @@
 
 LOG = get_logger(__name__)
 FinalEvent = Refused | Unservable | Failed | NoRoute
-CRASHES_ENGINES = "prompt_crashes_engines"
 NO_CONFIGURATION_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
@@ -115,6 +115,7 @@
             wait_s = min(wait_s, req.wait_s)
         self._deps = deps
         self._req = req
+        self._digest = req.digest()
         self._route = route
         self._disconnected = disconnected
         self._started_at = now
@@ -158,6 +159,7 @@
             output_tokens=self._req.output_tokens,
             prefix=self._req.prefix,
             start_by=self._start_by(),
+            request=self._digest,
         )
         try:
             self._permit = self._deps.acquirer.acquire(
@@ -191,6 +193,7 @@
         LOG.info(
             "not placed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
             reason=reason,
             attempts=self._attempts,
@@ -208,8 +211,9 @@
         LOG.info(
             "not placed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
-            reason=CRASHES_ENGINES,
+            reason=exc.reason,
             part=exc.part,
             engines=exc.engines,
             attempts=self._attempts,
@@ -217,8 +221,8 @@
             age_ms=self._age_ms(),
         )
         if self._maybe_ran:
-            return Failed(CRASHES_ENGINES)
-        return Unservable(CRASHES_ENGINES)
+            return Failed(exc.reason)
+        return Unservable(exc.reason)
 
     def _attempt(self) -> Generator[RelayEvent, None, EngineFailed | None]:
         """Send the request to the engine and forward its answer.
@@ -239,6 +243,7 @@
             )
             head = self._answer.head
             permit.mark_limit(head.limit_per_s)
+            permit.succeeded = _is_success(head)
             if head.not_run:
                 reason = f"engine says not run: {head.status}"
                 sound = skip_rest(self._answer, self._deadline)
@@ -348,8 +353,7 @@
         if failed.ran is Ran.NO:
             self._attempts -= 1
         outcome = self._release_outcome(failed)
-        began = self._event_count > 0
-        if failed.closed and outcome is ReleaseOutcome.FAILED and not began:
+        if failed.closed and outcome is ReleaseOutcome.FAILED:
             self._permit.mark_connection_ended()
         self._release(outcome)
         return failed
@@ -404,6 +408,7 @@
         LOG.info(
             "attempt failed",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             engine=self._permit.engine.name,
             reason=failed.reason,
             ran=failed.ran.value,
@@ -424,6 +429,7 @@
         LOG.info(
             "answered",
             id=self._req.request_id,
+            request=digest_name(self._digest),
             route=self._route.name,
             engine=self._permit.engine.name,
             queued_ms=round(self._permit.queued_s * 1_000),
@@ -432,6 +438,7 @@
             events=self._event_count,
             attempts=self._attempts,
             **framing(self._answer),
+            parts=part_names(self._req.shared_parts),
         )
 
 
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -45,6 +45,7 @@
     :param routing_key: hashed to choose among the services of a route
     :param deadline: monotonic time by which the work must have ended
     :param start_by: monotonic time by which it should have started
+    :param request: digest of a request; ``None`` for an item
     """
 
     find: Callable[[], RelayRoute | None]
@@ -57,6 +58,7 @@
     prefix: tuple[int, ...] = ()
     revocable: bool = False
     start_by: float | None = None
+    request: int | None = None
 
     @property
     def shared_parts(self) -> tuple[int, ...]:
@@ -87,6 +89,9 @@
     :param queued_s: how long the permit request waited
     :param parts: parts of the prompt that other requests may share
     :param limit_per_s: limit of the engine when it was granted; 0 for none
+    :param request: digest of the request; ``None`` for an item
+    :ivar succeeded: whether the answer is no error, as a refusal or an error
+        doesn't show that the engine has run the request
     """
 
     permits: PermitClient
@@ -96,8 +101,10 @@
     guard: CrashGuard
     parts: tuple[int, ...] = ()
     limit_per_s: float = 0.0
+    request: int | None = None
     sent_at: float = field(default_factory=time.monotonic)
     first_at: float | None = None
+    succeeded: bool = True
     released: bool = False
     revoked: Callable[[], bool] = lambda: False
 
@@ -107,7 +114,7 @@
             self.first_at = time.monotonic()
             after_s = self.first_at - self.sent_at
             self.permits.tell(FirstToken(self.ask_id, after_s))
-            self.guard.on_begun(self.engine.service, self.parts)
+            self._mark_begun()
 
     def mark_limit(self, per_s: float | None) -> None:
         """Report the limit that the answer names, or that it ends."""
@@ -119,15 +126,21 @@
     def mark_connection_ended(self) -> None:
         """Note that the connection ended before the answer began."""
         if self.first_at is None:
-            self.guard.on_connection_ended(self.engine, self.parts)
+            self.guard.on_connection_ended(
+                self.engine, self.parts, self.request
+            )
+
+    def _mark_begun(self) -> None:
+        self.guard.on_begun(self.engine.service, self.parts, self.request)
 
     def release(self, outcome: ReleaseOutcome, tokens: int = 0) -> None:
         """Release the permit; further calls do nothing."""
         if self.released:
             return
         self.released = True
-        if outcome is ReleaseOutcome.DONE and self.first_at is None:
-            self.guard.on_begun(self.engine.service, self.parts)
+        done = outcome is ReleaseOutcome.DONE and self.succeeded
+        if done and self.first_at is None:
+            self._mark_begun()
         service_s = time.monotonic() - self.sent_at
         self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
 
@@ -172,7 +185,7 @@
             if route is None or not route.services:
                 raise NoRouteError
             service = choose_service(route, work.routing_key)
-            self._guard.check(service, work.shared_parts)
+            self._guard.check(service, work.shared_parts, work.request)
             ask = self._ask(work, service, avoid)
             answer = self._wait_for_answer(ask, work, abandoned, on_revoke)
             match answer:
@@ -190,6 +203,7 @@
                             self._guard,
                             work.shared_parts,
                             limit_per_s,
+                            work.request,
                         )
                     self._release_unused(ask.ask_id)
                     avoid = (*avoid, backend)
@@ -215,7 +229,7 @@
     ) -> None:
         """Check again after the wait."""
         try:
-            self._guard.check(service, work.shared_parts)
+            self._guard.check(service, work.shared_parts, work.request)
         except QuarantinedError:
             self._release_unused(ask_id)
             raise
--- a/src/mulberrypass/storage/crashes.py
+++ b/src/mulberrypass/storage/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import filterfalse, islice
 import json
 import re
 import threading
@@ -42,11 +43,18 @@
 
     :param member: name of this member, which ends the keys of its rows
     :param learn: called with each crash read
+    :param counts: returns whether the crash of an engine's start still counts,
+        so that its rows are kept
     """
 
     def __init__(
-        self, rows: RowStore, member: str, learn: Callable[[Crash], None]
+        self,
+        rows: RowStore,
+        member: str,
+        learn: Callable[[Crash], None],
+        counts: Callable[[str], bool] = lambda _engine: False,
     ) -> None:
+        self._counts = counts
         self._rows = rows
         self._member = member
         self._learn = learn
@@ -114,7 +122,9 @@
         """Write one crash, and return whether the store has taken it."""
         with self._lock:
             engine, crash = next(iter(self._unsaved.items()))
-            removed = tuple(self._known)[: max(0, len(self._known) - MAX_ROWS)]
+            surplus = max(0, len(self._known) - MAX_ROWS)
+            oldest = tuple(self._known) if surplus else ()
+        removed = tuple(islice(filterfalse(self._is_kept, oldest), surplus))
         key = RowKey(CRASHES_TABLE, "", f"{engine}{SEPARATOR}{self._member}")
         change = Transaction(
             puts=((key, _encode(crash)),),
@@ -130,6 +140,9 @@
                 del self._unsaved[engine]
         return True
 
+    def _is_kept(self, name: str) -> bool:
+        return self._counts(name.partition(SEPARATOR)[0])
+
 
 def _encode(crash: Crash) -> bytes:
     doc = {
@@ -139,13 +152,17 @@
         "suspects": [f"{part:x}" for part in sorted(crash.suspects)],
         "familiar": [f"{part:x}" for part in sorted(crash.familiar)],
         "cleared": [f"{part:x}" for part in sorted(crash.cleared)],
+        "requests": [f"{each:x}" for each in sorted(crash.requests)],
+        "cleared_requests": [
+            f"{each:x}" for each in sorted(crash.cleared_requests)
+        ],
     }
     return json.dumps(doc).encode()
 
 
 def _parse_part(text: object) -> int:
     if not isinstance(text, str) or not PART.fullmatch(text):
-        raise ValueError("not a part of a prompt")
+        raise ValueError("not a part of a prompt, nor a request")
     return int(text, 16)
 
 
@@ -161,6 +178,9 @@
     suspects: Parts
     familiar: Parts
     cleared: Parts
+    # Builds that don't judge requests write none.
+    requests: Parts = frozenset()
+    cleared_requests: Parts = frozenset()
 
 
 def _decode(row: StoredRow) -> Crash:
@@ -176,6 +196,8 @@
         suspects=doc.suspects,
         familiar=doc.familiar,
         cleared=doc.cleared,
+        requests=doc.requests,
+        cleared_requests=doc.cleared_requests,
     )
 
 
