--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -22,6 +22,7 @@
     from mulberrypass.platform.site import HostPort
 
 SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
 ERROR_TEXT = "the engine failed"
 HEAD_END = b"\r\n\r\n"
 READ_BYTES = 65_536
@@ -86,6 +87,9 @@
     """Streams events on raw sockets, a thread for each connection.
 
     :param event_s: seconds between two events
+    :param leaving: what its answers say of whether it leaves; ``None`` to
+        say nothing
+    :ivar said_at: when it first said so, on the monotonic clock
     :ivar requests: all requests received
     :ivar runs: number of runs of each request, by its id
     :ivar ended: whether it has crashed or was stopped
@@ -96,6 +100,8 @@
     events: int = 3
     event_s: float = 0.0
     faults: RawFaults = field(default_factory=RawFaults)
+    leaving: str | None = None
+    said_at: float | None = None
     requests: list[RawRequest] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     ended: threading.Event = field(default_factory=threading.Event)
@@ -167,6 +173,7 @@
         ]
         if self.faults.ids_in_refusals:
             lines.append(f"{names.REQUEST_ID}: {req.request_id}")
+        self._say_leaving(lines)
         return _head(lines)
 
     def _answer(self, conn: socket.socket, req: RawRequest) -> bool:
@@ -214,6 +221,7 @@
             f"Content-Length: {len(text)}",
             f"{names.REQUEST_ID}: {req.request_id}",
         ]
+        self._say_leaving(lines)
         return _head(lines) + text
 
     def _head(self, req: RawRequest) -> bytes:
@@ -228,8 +236,14 @@
             lines.append("Transfer-Encoding: chunked")
         if self.faults.limit is not None:
             lines.append(f"{SERVER_LIMIT}: {self.faults.limit}")
+        self._say_leaving(lines)
         return _head(lines)
 
+    def _say_leaving(self, lines: list[str]) -> None:
+        if self.leaving is not None:
+            lines.append(f"{SERVER_LEAVING}: {self.leaving}")
+            self.said_at = self.said_at or time.monotonic()
+
 
 def _read_request(conn: socket.socket) -> RawRequest | None:
     """Read one request with its body; ``None`` at the end."""
--- a/tests/platform/raw_site.py
+++ b/tests/platform/raw_site.py
@@ -24,7 +24,7 @@
 from tests.quiet import quiet_logs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 # Own to this process, unlike the networks of the other loopback tests.
 NETWORK = f"127.9.{os.getpid() % 250}"
@@ -52,10 +52,26 @@
     whole: bool = True
 
 
+class _PausedStore(StoreApp):
+    """Answers no request while an event isn't set."""
+
+    def __init__(self, rows: RowState, answers: threading.Event) -> None:
+        super().__init__(rows)
+        self._answers = answers
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Handle one WSGI request."""
+        self._answers.wait()
+        return super().__call__(environ, start_response)
+
+
 class RawSiteTest(unittest.TestCase):
     """Starts a store, engines that come back, and instances.
 
     :cvar routes: routes of the desired state
+    :ivar store_answers: the store is silent while this isn't set
     """
 
     engine_count = 3
@@ -68,6 +84,8 @@
         self.faults = RawFaults()
         self.engines: list[RawEngine] = []
         self.processes: list[SiteProcess] = []
+        self.store_answers = threading.Event()
+        self.store_answers.set()
         self._octet = next(OCTETS)
         self._numbers = itertools.count(1)
         self._closing = threading.Event()
@@ -162,7 +180,7 @@
     def _serve_store(self) -> None:
         self._store_port = STORE + self._octet
         server = HttpServer(
-            StoreApp(self.rows),
+            _PausedStore(self.rows, self.store_answers),
             f"{NETWORK}.{STORE_OCTET}",
             self._store_port,
             64,
@@ -181,6 +199,7 @@
 
     def _close_engines(self) -> None:
         self._closing.set()
+        self.store_answers.set()
         for engine in self.engines:
             engine.end()
 
