Send nothing more to engines that say that they leave

Nothing read Server-Leaving, so that an engine which leaves got requests until the store said so, and for as long as the store was silent. The adapter reads it from each head, and a guard remembers the last start of each engine that leaves. The check stands in the client of engines, right before the request is written, and in the directory, so that this instance's owner and its share without an owner leave the engine out; idle connections are closed.

--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -12,6 +12,7 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.platform import headers as names
 from mulberrypass.relay.api import EngineAnswer, EngineClient, EngineHead
+from mulberrypass.relay.departures import DepartureGuard
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -27,9 +28,13 @@
 
 
 class HttpEngineClient(EngineClient):
-    """Sends requests to engines, one at a time per connection."""
+    """Sends requests to engines, one at a time per connection.
 
-    def __init__(self) -> None:
+    :param departures: is told of engines that leave, which get no request
+    """
+
+    def __init__(self, departures: DepartureGuard | None = None) -> None:
+        self._departures = departures or DepartureGuard()
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
 
@@ -55,14 +60,35 @@
         on_open(exchange.shut_down)
         headers = names.engine_headers(req, engine.name, deadline.left_s())
         try:
+            # Opening the connection may have taken long.
+            self._departures.check(engine)
             exchange.send(
                 req.method, req.target, req.body, head_deadline, headers
             )
-            return HttpEngineAnswer(exchange, req)
+            leaving = self._note_leaving(engine, req, exchange)
+            return HttpEngineAnswer(exchange, req, leaving)
         except WireError:
             exchange.close()
             raise
 
+    def _note_leaving(
+        self, engine: RegisteredEngine, req: RelayRequest, exchange: Exchange
+    ) -> bool:
+        """Return whether an answer says that this engine leaves.
+
+        An extra answer to another request counts too: the engine wrote it.
+        """
+        values = exchange.head.get_all(names.SERVER_LEAVING, [])
+        named = exchange.head.get(names.INSTANCE_ID)
+        moved = exchange.status == HTTPStatus.MISDIRECTED_REQUEST
+        if not values or named != (engine.name if moved or named else None):
+            return False
+        if names.LEAVING not in (value.strip() for value in values):
+            self._departures.on_other_value(engine, str(values[0]))
+            return False
+        self._departures.on_answer(engine, req.request_id, exchange.status)
+        return True
+
     def _pool(self, engine: RegisteredEngine) -> ConnectionPool:
         with self._lock:
             pool = self._pools.get(engine.name)
@@ -79,7 +105,9 @@
     it may be the refusal of that one, written once more.
     """
 
-    def __init__(self, exchange: Exchange, req: RelayRequest) -> None:
+    def __init__(
+        self, exchange: Exchange, req: RelayRequest, leaving: bool = False
+    ) -> None:
         self._exchange = exchange
         head = exchange.head
         answer_id = head.get(names.REQUEST_ID)
@@ -97,6 +125,7 @@
             limit_per_s=self._limit(),
             ends_with_connection=exchange.ends_with_connection,
             load=names.parse_load(head.get(names.SERVER_LOAD)),
+            leaving=leaving,
         )
 
     def _limit(self) -> float | None:
--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -21,6 +21,9 @@
 NOT_RUN = "X-Mulberrypass-Not-Run"
 SERVER_LOAD = "X-Mulberrypass-Server-Load"
 SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
+LEAVING = "1"
+INSTANCE_ID = "X-Mulberrypass-Instance-Id"
 # No engine takes more requests per second.
 MAX_LIMIT_PER_S = 1e6
 DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+")
@@ -175,9 +178,12 @@
 __all__ = [
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
+    "INSTANCE_ID",
     "LAST_EVENT_ID",
+    "LEAVING",
     "NOT_RUN",
     "REQUEST_ID",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SERVER_LOAD",
     "end_to_end",
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterable, Iterator
 
 RESPONSE_STAMP = "X-Mulberrypass-Response-Stamp"
-INSTANCE_ID = "X-Mulberrypass-Instance-Id"
+INSTANCE_ID = names.INSTANCE_ID
 
 
 @dataclass(slots=True)
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -52,6 +52,7 @@
 )
 from mulberrypass.relay.catch_up import CatchUp
 from mulberrypass.relay.crash_guard import CrashGuard
+from mulberrypass.relay.departures import DepartureGuard
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
@@ -131,7 +132,8 @@
         )
         self._rows = HttpRowStore(site.store)
         self._instances = RowInstances(self._rows)
-        self._directory = Directory()
+        self._departures = DepartureGuard()
+        self._directory = Directory(departures=self._departures)
         self._routes = RouteReader(
             self._directory, desired.CONFIG_KEY, desired.read_desired
         )
@@ -189,7 +191,7 @@
         self._peer_server = PeerServer(
             key, self._membership, self._peers, PermitStreams(self._owner)
         )
-        self._engines = HttpEngineClient()
+        self._engines = HttpEngineClient(self._departures)
         self._directory.subscribe(
             lambda _cfg: self._engines.retain(self._directory.engine_names())
         )
@@ -274,6 +276,7 @@
         dump.register("lapsed_engines", self._engine_rows.state)
         dump.register("membership", self._membership.state)
         dump.register("crashes", self._guard.state)
+        dump.register("departures", self._departures.state)
         dump.register("jobs", self._holder.state)
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -80,6 +80,7 @@
         read
     :param ends_with_connection: whether only the end of the connection ends
         the body
+    :param leaving: whether the engine says that it leaves
     """
 
     status: int
@@ -90,6 +91,7 @@
     load: EngineLoad | None
     limit_per_s: float | None = 0.0
     ends_with_connection: bool = False
+    leaving: bool = False
 
 
 class EngineAnswer(ABC):
--- a/src/mulberrypass/relay/directory.py
+++ b/src/mulberrypass/relay/directory.py
@@ -14,6 +14,7 @@
 )
 from mulberrypass.model.routes import RouteTable
 from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.relay.departures import DepartureGuard
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -30,10 +31,17 @@
     The version of the routes never decreases. Pool owners see a
     configuration with one pool per service, which contains the engines that
     accept new work.
+
+    :param departures: knows the engines that have said that they leave
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        departures: DepartureGuard | None = None,
+    ) -> None:
         self._clock = clock
+        self._departures = departures or DepartureGuard()
         self._lock = threading.Lock()
         self._routes = RouteTable()
         self._engines: dict[str, RegisteredEngine] = {}
@@ -41,6 +49,7 @@
         self._generation = 0
         self._subscribers: list[Callable[[Configuration], None]] = []
         self._applied_at = clock()
+        self._departures.subscribe(self._publish)
 
     def routes(self) -> RouteTable:
         """Return the routes in force; version 0 before the first."""
@@ -49,11 +58,15 @@
     def engine(self, name: str) -> RegisteredEngine | None:
         """Return an engine, or ``None`` if it may not get new work."""
         found = self._engines.get(name)
-        return found if found is not None and not found.leaving else None
+        if found is None or found.leaving or self._departures.leaves(found):
+            return None
+        return found
 
     def engine_names(self) -> frozenset[str]:
-        """Return the names of all registered engines."""
-        return frozenset(self._engines)
+        """Return the registered engines that haven't said that they leave."""
+        leaves = self._departures.leaves
+        engines = self._engines.values()
+        return frozenset(e.name for e in engines if not leaves(e))
 
     def current(self) -> Configuration:
         """Return the pools of engines that accept new work."""
@@ -87,6 +100,7 @@
             before = self._engines
             self._engines = {engine.name: engine for engine in engines}
             self._log_changes(before, self._engines)
+            self._departures.forget(self._engines)
         self._publish()
 
     def state(self) -> dict[str, Any]:
@@ -97,11 +111,16 @@
             "age_s": round(self._clock() - self._applied_at, 3),
             "routes": [route.name for route in table.routes],
             "engines": {
-                name: "leaving" if engine.leaving else "ready"
+                name: self._state_of(engine)
                 for name, engine in self._engines.items()
             },
         }
 
+    def _state_of(self, engine: RegisteredEngine) -> str:
+        if self._departures.leaves(engine):
+            return "leaving, as it says"
+        return "leaving" if engine.leaving else "ready"
+
     def _log_changes(
         self,
         before: dict[str, RegisteredEngine],
@@ -132,7 +151,9 @@
         usable = [
             engine
             for engine in self._engines.values()
-            if not engine.leaving and engine.service in services
+            if engine.service in services
+            and not engine.leaving
+            and not self._departures.leaves(engine)
         ]
         backends = {
             engine.name: Backend(
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -24,6 +24,7 @@
     part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
+from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -355,7 +356,7 @@
         late = time.monotonic() >= self._deadline.at
         if aborted or (late and self._permit.first_at is not None):
             return ReleaseOutcome.CANCELLED
-        if failed.status and failed.ran is Ran.NO:
+        if failed is LEAVES or (failed.status and failed.ran is Ran.NO):
             return ReleaseOutcome.UNUSED
         return ReleaseOutcome.FAILED
 
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -111,6 +111,7 @@
     status: int = 200
     not_run: bool = False
     ends_with_connection: bool = False
+    leaving: bool = False
     parts: list[bytes | EngineFailed] = field(default_factory=list)
     before: Callable[[], None] | None = None
 
@@ -130,6 +131,7 @@
             None,
             None,
             ends_with_connection=script.ends_with_connection,
+            leaving=script.leaving,
         )
         self._parts = deque(script.parts)
         self._log = log
