Hand back items of engines that leave without a wait or a charge

An item that was held back at the send, or refused as not run by an engine that says it leaves, was released as failed, which counts against the engine's health, and waited 50 ms and more; it also avoided the engine's name, which its next start may have.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -15,6 +15,7 @@
 from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
 from mulberrypass.relay.api import part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
+from mulberrypass.relay.departures import LEAVES, EngineLeavesError
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -147,7 +148,7 @@
                 outcome = self._handle_failure(permit, exc.failed)
                 if outcome is not None:
                     return outcome
-                if not self._revoked:
+                if not self._revoked and exc.failed is not LEAVES:
                     time.sleep(delay_s)
                     delay_s = min(MAX_RETRY_S, delay_s * 2)
                 continue
@@ -283,6 +284,8 @@
             raise WireError(EngineFailed(str(exc), Ran.MAYBE))
         except WireError as exc:
             closed = exc.failed.closed
+            if exc.failed is LEAVES:
+                outcome = ReleaseOutcome.UNUSED
             raise
         finally:
             if watched is not None:
@@ -301,6 +304,8 @@
         if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
             return
         skip_rest(answer, deadline)
+        if head.leaving and head.not_run:
+            raise EngineLeavesError
         ran = Ran.NO if head.not_run else Ran.YES
         raise WireError(
             EngineFailed(f"status {head.status}", ran, status=head.status)
@@ -354,7 +359,9 @@
             limit = route.max_attempts if route is not None else 1
             if self._progress.failures >= limit:
                 return self._abandon("failed at each run")
-        self._avoid = () if self._revoked else (permit.engine.name,)
+        # The next start of an engine that leaves may have its name.
+        keep = not self._revoked and failed is not LEAVES
+        self._avoid = (permit.engine.name,) if keep else ()
         return None
 
     def _abandon(self, reason: str) -> ItemOutcome:
