Tell all members which engines say that they leave

Each instance learnt of it only from an answer to a request of its own: with the store silent, two other instances sent four requests 1 s after the first answer, and one that joined later sent its first there too. Starts that left are names of their own, so that members remember at most 1,024 of them that no longer leave.

--- a/src/mulberrypass/policy/membership/backends.py
+++ b/src/mulberrypass/policy/membership/backends.py
@@ -13,6 +13,9 @@
 
 MIN_LEAVING_S = 60.0
 UNLISTED_LEAVING_S = 600.0
+# Servers that left and are remembered, as their sequences keep late updates
+# from being taken for news.
+MAX_LEFT = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +107,16 @@
             leaving = states.get(backend) is ListedState.LEAVING
             if not leaving and now - known.updated_at >= min_s:
                 known.leaving = False
+        self._forget_oldest()
         return before != self.leaving()
 
+    def _forget_oldest(self) -> None:
+        left = [name for name, k in self._known.items() if not k.leaving]
+        left.sort(key=lambda name: self._known[name].updated_at)
+        for name in left[: max(0, len(left) - MAX_LEFT)]:
+            del self._known[name]
+            self._gossip.discard(name)
+
     def _update(self, backend: str) -> BackendUpdate:
         known = self._known[backend]
         return BackendUpdate(backend, known.leaving, known.sequence)
@@ -123,6 +134,7 @@
 __all__ = [
     "BackendUpdate",
     "LeavingBackends",
+    "MAX_LEFT",
     "MIN_LEAVING_S",
     "UNLISTED_LEAVING_S",
 ]
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -191,6 +191,12 @@
         self._peer_server = PeerServer(
             key, self._membership, self._peers, PermitStreams(self._owner)
         )
+        self._departures.subscribe_answers(
+            self._membership.report_leaving_backend
+        )
+        self._membership.subscribe(
+            lambda: self._departures.learn(self._membership.leaving_backends())
+        )
         self._engines = HttpEngineClient(self._departures)
         self._directory.subscribe(
             lambda _cfg: self._engines.retain(self._directory.engine_names())
--- a/src/mulberrypass/relay/departures.py
+++ b/src/mulberrypass/relay/departures.py
@@ -13,7 +13,7 @@
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection
 
     from mulberrypass.model.routes import RegisteredEngine
 
@@ -38,6 +38,7 @@
         self._lock = threading.Lock()
         self._departures = Departures()
         self._unreadable: dict[str, None] = {}
+        self._told: frozenset[str] = frozenset()
         self._changed: list[Callable[[], None]] = []
         self._publishers: list[Callable[[str], None]] = []
 
@@ -101,13 +102,14 @@
             "leaving can't be read", engine=engine.name, value=value[:64]
         )
 
-    def learn(self, boots: Iterable[str]) -> None:
-        """Learn of the starts that other members were told of.
+    def learn(self, boots: frozenset[str]) -> None:
+        """Learn of all starts that other members were told of.
 
         :param boots: see ``RegisteredEngine.boot``; others are ignored
         """
         news = []
-        for boot in boots:
+        told, self._told = self._told, boots
+        for boot in sorted(boots - told):
             name, separator, born = boot.rpartition(BOOT_SEPARATOR)
             if not separator or not (born.isascii() and born.isdigit()):
                 continue
--- a/tests/platform/test_leaving_engine.py
+++ b/tests/platform/test_leaving_engine.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.programs.site_settings import PROGRAM
 from tests.platform.raw_site import RawSiteTest, stream_route
 
 if TYPE_CHECKING:
@@ -13,10 +14,9 @@
 
 # Requests that were sent before the answer was read may arrive after it.
 IN_FLIGHT_S = 0.2
-# Of the users' pages: how long after such an answer was passed on requests
-# may still reach the engine.
-DRAIN_S = 2.0
 SENDERS, SEND_S = 6, 3.5
+# Within which all members hear what one of them was told.
+GOSSIP_S = 1.0
 
 
 class LeavingEngineTest(RawSiteTest):
@@ -89,13 +89,43 @@
         self.press(("/lookup/1", "/slip/1"), [self.at])
         self.assertEqual([], self.late(self.first, IN_FLIGHT_S))
 
-    def test_all_instances_learn_of_it(self) -> None:
-        addresses = [self.at, *(self.start_instance() for _ in range(2))]
+
+class OtherInstancesTest(LeavingEngineTest):
+    """Instances that the engine has told nothing, while the store is silent.
+
+    They learnt of it from its answers to requests of their own.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.others = [self.start_instance() for _ in range(2)]
+        self.wait_until(self.all_are_members)
+
+    def all_are_members(self) -> bool:
+        views = [len(p._membership.live(PROGRAM)) for p in self.processes]
+        return views == [len(self.processes)] * len(self.processes)
+
+    def leave_with_word(self) -> None:
+        self.store_answers.clear()
         self.first.leaving = "1"
         self.ask_until_said(self.first)
-        time.sleep(DRAIN_S)
-        self.press(("/lookup/1", "/slip/1"), addresses)
-        self.assertEqual([], self.late(self.first, DRAIN_S))
+
+    def test_they_learn_of_it_at_once(self) -> None:
+        self.leave_with_word()
+        time.sleep(GOSSIP_S)
+        self.press(("/lookup/1", "/slip/1"), self.others)
+        self.assertEqual([], self.late(self.first, GOSSIP_S))
+
+    def test_instance_that_joins_later(self) -> None:
+        self.leave_with_word()
+        self.store_answers.set()
+        at = self.start_instance()
+        self.wait_until(self.all_are_members)
+        time.sleep(GOSSIP_S)
+        since = time.monotonic()
+        self.press(("/lookup/1", "/slip/1"), [at])
+        late = [req for req in self.first.requests if req.at >= since]
+        self.assertEqual([], late)
 
 
 class SilentStoreTest(LeavingEngineTest):
--- a/tests/policy/membership/test_view.py
+++ b/tests/policy/membership/test_view.py
@@ -10,6 +10,7 @@
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import ListedKind, ListedMachine, ListedState
 from mulberrypass.policy.membership.backends import (
+    MAX_LEFT,
     MIN_LEAVING_S,
     UNLISTED_LEAVING_S,
     BackendUpdate,
@@ -447,6 +448,20 @@
         reports = [backends.report("b", float(now)) for now in range(61)]
         self.assertEqual([0, 30, 60], [n for n, r in enumerate(reports) if r])
 
+    def test_starts_that_left_long_ago_are_forgotten(self) -> None:
+        """Each start of an engine that leaves has a name of its own."""
+        backends = LeavingBackends()
+        for number in range(2 * MAX_LEFT):
+            backends.report(f"e{number}@1", float(number))
+        later = UNLISTED_LEAVING_S + 2 * MAX_LEFT
+        backends.report("e@1", later)
+        backends.apply_list({}, later)
+        self.assertEqual(MAX_LEFT + 1, len(backends._known))
+        self.assertIn(f"e{MAX_LEFT}@1", backends._known)
+        self.assertEqual({"e@1"}, backends.leaving())
+        self.assertEqual(1, len(backends.snapshot()))
+        backends.next_updates(4 * MAX_LEFT, 10)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/relay/test_departures.py
+++ b/tests/relay/test_departures.py
@@ -214,10 +214,16 @@
                 self.assertEqual(["unused", "done"], self.permits.released)
 
     def test_member_has_told(self) -> None:
-        self.guard.learn([self.first.boot, "e2", "e2@", "@1", "e2@-1"])
+        others = ("e2", "e2@", "@1", "e2@-1")
+        self.guard.learn(frozenset((self.first.boot, *others)))
         self.assert_answered_by("e2", self.forward())
         self.assertEqual([], self.published)
 
+    def test_member_forgets(self) -> None:
+        self.guard.learn(frozenset((self.first.boot,)))
+        self.guard.learn(frozenset())
+        self.assert_answered_by("e2", self.forward())
+
     def test_stale_registry(self) -> None:
         self.guard.on_answer(self.first, "r0", 200)
         self.first = engine(
