Tell in logs, metrics and traces who said that an engine leaves

An engine that is left though the store lists it as ready was to be found in a state dump only. mulberryctl trace ENGINE prints since which answer, and which instances were told; a trace of a request that was held back holds these lines too, and a gauge counts such engines.

--- a/src/mulberrypass/operator/trace.py
+++ b/src/mulberrypass/operator/trace.py
@@ -12,6 +12,8 @@
 IDENTIFIER_FIELDS = ("id", "job", "item", "items")
 CRASH_EVENT = "connections ended early"
 QUARANTINE_EVENTS = ("part quarantined", "part released from quarantine")
+DEPARTURE_EVENTS = ("engine says that it leaves", "engine was said to leave")
+LEAVES_REASON = "engine leaves"
 # Left out of the printed fields: shown separately, or on every line.
 COMMON_FIELDS = frozenset(
     {"program", "member", "source", "event", "level", "timestamp"}
@@ -42,7 +44,8 @@
     """Return the log lines that mention an identifier, sorted by time.
 
     If one of them names a part of a prompt that crashes engines, the lines
-    on these crashes come too.
+    on these crashes come too; if a request was held back from an engine that
+    leaves, those on who said so. The identifier of an engine gives these too.
 
     Lines that are not JSON are skipped, and so is any text before the first
     brace, as log collectors add their own prefixes.
@@ -55,6 +58,18 @@
         for line in parsed
         if line not in found and _is_on_crash(line, parts)
     ]
+    engines = {
+        line.fields.get("engine")
+        for line in found
+        if line.fields.get("reason") == LEAVES_REASON
+    }
+    found += [
+        line
+        for line in parsed
+        if line.event in DEPARTURE_EVENTS
+        and line not in found
+        and line.fields.get("engine") in {identifier, *engines}
+    ]
     return sorted(found, key=lambda line: line.at)
 
 
--- a/src/mulberrypass/programs/ctl.py
+++ b/src/mulberrypass/programs/ctl.py
@@ -104,6 +104,8 @@
     def trace(self, identifier: str, *files: str) -> None:
         """Print the log lines of a request, job or item, ordered by time.
 
+        The identifier of an engine gives the lines on who said it leaves.
+
         :param files: log files of instances; default: standard input
         """
         found = trace(str(identifier), _log_lines(files))
--- a/src/mulberrypass/programs/site_gauges.py
+++ b/src/mulberrypass/programs/site_gauges.py
@@ -41,6 +41,11 @@
         "engines that may get new work",
         lambda: float(len(directory.current().backends)),
     )
+    add_gauge(
+        "engines_said_to_leave",
+        "registered engines that have said that they leave",
+        lambda: float(directory.count_said_to_leave()),
+    )
     add_gauge(
         "members",
         "members that are known to live",
--- a/src/mulberrypass/relay/departures.py
+++ b/src/mulberrypass/relay/departures.py
@@ -107,7 +107,7 @@
 
         :param boots: see ``RegisteredEngine.boot``; others are ignored
         """
-        news = []
+        news: list[tuple[str, int]] = []
         told, self._told = self._told, boots
         for boot in sorted(boots - told):
             name, separator, born = boot.rpartition(BOOT_SEPARATOR)
@@ -115,9 +115,9 @@
                 continue
             with self._lock:
                 if self._departures.add(name, int(born)):
-                    news.append(boot)
-        for boot in news:
-            LOG.info("engine leaves, as a member says", engine=boot)
+                    news.append((name, int(born)))
+        for name, born_ms in news:
+            LOG.info("engine was said to leave", engine=name, born_ms=born_ms)
         if news:
             self._notify()
 
--- a/src/mulberrypass/relay/directory.py
+++ b/src/mulberrypass/relay/directory.py
@@ -68,6 +68,10 @@
         engines = self._engines.values()
         return frozenset(e.name for e in engines if not leaves(e))
 
+    def count_said_to_leave(self) -> int:
+        """Return the number of registered engines that have said so."""
+        return len(self._engines) - len(self.engine_names())
+
     def current(self) -> Configuration:
         """Return the pools of engines that accept new work."""
         return self._current
--- a/tests/operator/test_trace.py
+++ b/tests/operator/test_trace.py
@@ -21,6 +21,20 @@
     log_line("11:04", event="part quarantined", part="c", engines=["i-2"]),
     log_line("11:05", event="not placed", id="r7", part="b"),
 ]
+SAYS, SAID = "engine says that it leaves", "engine was said to leave"
+LEAVING_LINES = [
+    log_line("12:01", event=SAYS, engine="i-1", id="r1", status=200),
+    log_line("12:02", event=SAID, engine="i-1", born_ms=5),
+    log_line("12:03", event=SAYS, engine="i-2", id="r2", status=503),
+    log_line(
+        "12:04",
+        event="attempt failed",
+        id="r3",
+        engine="i-1",
+        reason="engine leaves",
+    ),
+    log_line("12:05", event="answered", id="r3", engine="i-2"),
+]
 LOG_LINES = [
     log_line("10:02", event="answered", id="r1", age_ms=5),
     "  17.3  frontend-2 " + log_line("10:01", event="attempt failed", id="r1"),
@@ -53,5 +67,16 @@
             ["11:01", "11:03", "11:05"], [line.at for line in found]
         )
 
+    def test_request_held_back_comes_with_who_said_so(self) -> None:
+        for identifier, expected in (
+            ("r3", ["12:01", "12:02", "12:04", "12:05"]),
+            ("r1", ["12:01"]),
+            ("i-1", ["12:01", "12:02"]),
+            ("i-2", ["12:03"]),
+        ):
+            with self.subTest(identifier):
+                found = trace(identifier, LEAVING_LINES)
+                self.assertEqual(expected, [line.at for line in found])
+
     def test_unknown(self) -> None:
         self.assertEqual([], trace("r9", LOG_LINES))
--- a/tests/relay/test_departures.py
+++ b/tests/relay/test_departures.py
@@ -263,6 +263,7 @@
         for _ in range(2):
             self.assertIsNone(directory.engine("e1"))
             self.assertEqual({"e2"}, directory.engine_names())
+            self.assertEqual(1, directory.count_said_to_leave())
             pools = directory.current().pools
             self.assertEqual(("e2",), pools["rackmind"].backends)
             # The entry vanished for a while, and came back.
