--- a/tests/relay/test_departures.py
+++ b/tests/relay/test_departures.py
@@ -132,6 +132,14 @@
             with self.subTest(value):
                 self.assertFalse(self.says(answer(f"Server-Leaving: {value}")))
 
+    def test_word_that_is_not_said_again(self) -> None:
+        to = self.serve("e1", answer(LEAVING))
+        self.send(to)
+        silent = self.serve("e1", answer())
+        self.assertTrue(self.guard.leaves(silent))
+        with self.assertRaises(EngineLeavesError):
+            self.send(silent)
+
     def test_other_values_are_logged_once_for_each_start(self) -> None:
         log = "mulberrypass.relay.departures.LOG"
         to = self.serve("e1", answer("Server-Leaving: yes"))
