--- a/tests/platform/test_leaving_engine.py
+++ b/tests/platform/test_leaving_engine.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from mulberrypass.programs.site_settings import PROGRAM
 from tests.platform.raw_site import RawSiteTest, stream_route
@@ -138,6 +139,23 @@
         self.assertEqual([], self.late(self.first, IN_FLIGHT_S))
 
 
+class OwnerCutOffTest(LeavingEngineTest):
+    """No owner gets a message; work runs without one, the store is silent."""
+
+    def test_no_request_after_the_answer(self) -> None:
+        for process in self.processes:
+            dropped = patch.object(process._owner, "receive")
+            dropped.start()
+            self.addCleanup(dropped.stop)
+        self.store_answers.clear()
+        self.first.leaving = "1"
+        self.press(("/lookup/1", "/slip/1"), [self.at])
+        self.assertEqual([], self.late(self.first, IN_FLIGHT_S))
+        said_at = self.first.said_at or 0.0
+        later = [req for req in self.other.requests if req.at > said_at]
+        self.assertGreater(len(later), 0)
+
+
 class RefusalTest(LeavingEngineTest):
     """An engine says in a refusal alone that it leaves."""
 
