Draw engines that say they leave in the soak, with the store away

A third stream of the seed, so that older seeds keep their faults, lets an engine say so while the store is silent or down, until it registers under a new id. Judged from what the engines and the callers saw: what a requester sends to an instance after that one passed on such an answer doesn't reach the engine; a kill, a stop or a pause since then excuses. The test of the schedule leaves out all later kinds by name now, as strictly as before.

--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -29,6 +29,7 @@
     :param cut_after: break streams off after this many events
     :param skip: number of an event to leave out of streams
     :param other_id: answer with the id of another request
+    :param leaving: say in all answers that it leaves
     """
 
     full: bool = False
@@ -36,6 +37,7 @@
     cut_after: int | None = None
     skip: int | None = None
     other_id: bool = False
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -46,6 +48,7 @@
     :param began: monotonic start time and request id of each run
     :param resumed: numbers of the events after which streams resumed, by id
     :param closed: ids of the requests whose streams the client closed
+    :param said: times and request ids of the answers that said it leaves
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -54,6 +57,7 @@
     bodies: dict[str, bytes] = field(default_factory=dict)
     paths: dict[str, str] = field(default_factory=dict)
     closed: list[str] = field(default_factory=list)
+    said: list[tuple[float, str]] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
 
@@ -88,6 +92,7 @@
             reply = Reply(HTTPStatus.SERVICE_UNAVAILABLE)
             reply.headers.append((names.NOT_RUN, "1"))
             reply.headers.append((names.REQUEST_ID, request_id))
+            reply.headers += self._leaving_headers(request_id)
             return send_reply(reply, start_response)
         with self.log.lock:
             self.log.runs[request_id] += 1
@@ -97,6 +102,7 @@
         if self.faults.status:
             reply = Reply(self.faults.status, b"failed")
             reply.headers.append((names.REQUEST_ID, request_id))
+            reply.headers += self._leaving_headers(request_id)
             return send_reply(reply, start_response)
         return self._stream(environ, request_id, start_response)
 
@@ -117,10 +123,18 @@
                 (names.REQUEST_ID, answer_id),
                 (RESPONSE_STAMP, f"stamp-{request_id}"),
                 (names.SERVER_LOAD, "1,0,8,100"),
+                *self._leaving_headers(request_id),
             ],
         )
         return self._events(request_id, first)
 
+    def _leaving_headers(self, request_id: str) -> list[tuple[str, str]]:
+        if not self.faults.leaving:
+            return []
+        with self.log.lock:
+            self.log.said.append((time.monotonic(), request_id))
+        return [(names.SERVER_LEAVING, names.LEAVING)]
+
     def _events(self, request_id: str, first: int) -> Iterator[bytes]:
         produced = 0
         try:
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -16,8 +16,10 @@
     from mulberrypass.platform.stand_in.engine import EngineLog
     from mulberrypass.soak.records import (
         AttemptRecord,
+        Departure,
         Disturbance,
         DrainPeriod,
+        Halt,
         JobRecord,
         ReloadRecord,
         SoakRecords,
@@ -65,6 +67,8 @@
     drains: Sequence[DrainPeriod]
     events: int
     reloads: Sequence[ReloadRecord] = ()
+    departures: Sequence[Departure] = ()
+    halts: Sequence[Halt] = ()
 
     def count_runs(self) -> Counter[str]:
         """Count the runs of each request id over all engines."""
@@ -83,6 +87,18 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Interval:
+    """A period, both ends included."""
+
+    began: float
+    ended: float
+
+    def holds(self, at: float) -> bool:
+        """Return whether a time is in the period."""
+        return self.began <= at <= self.ended
+
+
 def check(observed: Observations) -> tuple[Violation, ...]:
     """Return all violations."""
     runs = observed.count_runs()
@@ -90,6 +106,7 @@
         *_check_attempts(observed, runs),
         *_check_jobs(observed, runs),
         *_check_drains(observed),
+        *_check_departures(observed),
         *_check_planned_work(observed, runs),
         *_check_reloads(observed),
     )
@@ -210,6 +227,42 @@
                 )
 
 
+def _check_departures(observed: Observations) -> Iterator[Violation]:
+    """Check that an instance heeds an engine's word that it leaves.
+
+    Only what a requester has sent after the instance had passed on such an
+    answer counts, and nothing after a halt of the instance.
+    """
+    for departure in observed.departures:
+        log = observed.logs[departure.engine]
+        during = Interval(departure.at, departure.until)
+        said = {name for at, name in log.said if during.holds(at)}
+        began = {name: at for at, name in log.began if during.holds(at)}
+        told: dict[int, float] = {}
+        attempts = sorted(observed.records.attempts, key=lambda a: a.ended)
+        for attempt in attempts:
+            if attempt.status == 200 and attempt.request_id in said:
+                told.setdefault(attempt.instance, attempt.ended)
+        for attempt in attempts:
+            told_at = told.get(attempt.instance, departure.until)
+            at = began.get(attempt.request_id, 0.0)
+            sent = Interval(attempt.began, attempt.ended)
+            if attempt.began <= told_at or not sent.holds(at):
+                continue
+            if not any(
+                halt.instance == attempt.instance
+                and halt.began < at
+                and told_at < halt.ended
+                for halt in observed.halts
+            ):
+                yield Violation(
+                    "an engine that says it leaves gets nothing",
+                    departure.engine,
+                    f"{attempt.request_id} of instance {attempt.instance}, "
+                    f"{at - told_at:.1f} s after",
+                )
+
+
 def _check_reloads(observed: Observations) -> Iterator[Violation]:
     for reload in observed.reloads:
         if not reload.taken and observed.undisturbed(reload.at, reload.until):
--- a/src/mulberrypass/soak/injector.py
+++ b/src/mulberrypass/soak/injector.py
@@ -14,8 +14,10 @@
 from mulberrypass.soak.records import (
     RELOAD,
     STOP,
+    Departure,
     Disturbance,
     DrainPeriod,
+    Halt,
     ReloadRecord,
 )
 from mulberrypass.soak.schedule import (
@@ -61,6 +63,8 @@
 STORE_LINK_KINDS = frozenset(
     {FaultKind.STORE_CUT, FaultKind.STORE_ONE_WAY, FaultKind.STORE_SLOW}
 )
+# Disturb when they happen, which may be later or never.
+DELAYED_KINDS = frozenset({FaultKind.LOSS, FaultKind.ENGINE_SAYS})
 
 
 class Injector:
@@ -77,6 +81,8 @@
     ) -> None:
         self.disturbances: list[Disturbance] = []
         self.drains: list[DrainPeriod] = []
+        self.departures: list[Departure] = []
+        self.halts: list[Halt] = []
         self.reloads: list[ReloadRecord] = []
         self._cluster = cluster
         self._records = records
@@ -114,7 +120,7 @@
         """Inject one fault and schedule its end."""
         now = time.monotonic()
         end = now + fault.duration_s
-        if fault.kind not in {*PLANNED_KINDS, FaultKind.LOSS}:
+        if fault.kind not in {*PLANNED_KINDS, *DELAYED_KINDS}:
             self.disturbances.append(Disturbance(fault.kind, now, end, False))
         faults = self._cluster.rows.faults
         match fault.kind:
@@ -146,6 +152,8 @@
                 self._degrade_engine(fault, end)
             case FaultKind.ENGINE_DRAINS:
                 self._drain(fault.target, now, fault.duration_s)
+            case FaultKind.ENGINE_SAYS:
+                self._leave_with_word(fault, now)
             case FaultKind.CONFIG:
                 self._publish(now)
             case _ if fault.kind in RELOAD_KINDS:
@@ -157,8 +165,13 @@
         instance = self._cluster.instances[fault.target]
         if instance.running:
             instance.kill()
+            self._note_halt(instance, end)
             self.schedule(end, lambda: self._restart(instance))
 
+    def _note_halt(self, instance: Instance, end: float) -> None:
+        now = time.monotonic()
+        self.halts.append(Halt(instance.number, now, end + RESTART_MARGIN_S))
+
     def _restart(self, instance: Instance) -> None:
         """Restart an instance, which begins without any state."""
         now = time.monotonic()
@@ -171,6 +184,7 @@
     def _pause(self, fault: ScheduledFault, end: float) -> None:
         instance = self._cluster.instances[fault.target]
         instance.send(signal.SIGSTOP)
+        self._note_halt(instance, end)
         self.schedule(end, lambda: instance.send(signal.SIGCONT))
 
     def _stop(self, target: int) -> None:
@@ -182,6 +196,7 @@
         instance.expected_down = True
         instance.send(signal.SIGTERM)
         end = now + GRACE_S
+        self._note_halt(instance, end)
         self.disturbances.append(Disturbance(STOP, now, end, True, target))
 
         def finish() -> None:
@@ -212,6 +227,7 @@
             instance.send(signal.SIGKILL)
         for instance in running:
             instance.kill()
+            self._note_halt(instance, end)
             self.schedule(end, partial(self._restart, instance))
 
     def _reload(self, fault: ScheduledFault, now: float, end: float) -> None:
@@ -311,5 +327,35 @@
 
         self.schedule(removed_at, reregister)
 
+    def _leave_with_word(self, fault: ScheduledFault, now: float) -> None:
+        """Let an engine say that it leaves, which the store never hears.
+
+        The store is away until the engine registers again under a new id.
+        """
+        if self._leaving:
+            return
+        target = fault.target
+        self._leaving.add(target)
+        end = now + fault.duration_s + APPLY_TIMEOUT_S
+        self.disturbances.append(Disturbance(fault.kind, now, end, False))
+        engine = self._cluster.apps[target].faults
+        store = self._cluster.rows.faults
+        silent = round(fault.duration_s * MS_PER_S) % 2
+        away = "silent" if silent else "down"
+        engine.leaving = True
+        setattr(store, away, True)
+
+        def come_back() -> None:
+            setattr(store, away, False)
+            self._cluster.unregister(target)
+            engine.leaving = False
+            self.departures.append(
+                Departure(str(target), now, time.monotonic())
+            )
+            self._cluster.register(target)
+            self._leaving.discard(target)
+
+        self.schedule(end, come_back)
+
 
 __all__ = ["APPLY_TIMEOUT_S", "Injector"]
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -131,11 +131,34 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """Period during which an engine said in its answers that it leaves.
+
+    :param until: when it had another id
+    """
+
+    engine: str
+    at: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Halt:
+    """Period during which an instance was stopped, killed or paused."""
+
+    instance: int
+    began: float
+    ended: float
+
+
 __all__ = [
     "RELOAD",
     "STOP",
     "AttemptRecord",
+    "Departure",
     "DrainPeriod",
+    "Halt",
     "JobRecord",
     "ReloadRecord",
     "SoakRecords",
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -213,6 +213,8 @@
             self._injector.drains,
             EVENTS_PER_ANSWER,
             self._injector.reloads,
+            self._injector.departures,
+            self._injector.halts,
         )
 
     def _report(self, faults: tuple[ScheduledFault, ...]) -> SoakReport:
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -32,6 +32,11 @@
 # and at the end of a run.
 LOSS_PROBABILITY = 0.3
 LAST_LOSS_PROBABILITY = 0.5
+# Time before the first engine that says that it leaves while the store is
+# away, and gaps between two, in which other checks can judge.
+FIRST_SAYS_S = 6.0
+MIN_SAYS_GAP_S = 4.0
+MAX_SAYS_GAP_S = 14.0
 
 
 class FaultKind(enum.StrEnum):
@@ -63,6 +68,7 @@
     RELOAD_STOPPING = "reloads during a stop"
     RELOAD_STARTING = "reloads during a start"
     LOSS = "all instances lost at once"
+    ENGINE_SAYS = "engine says that it leaves, store away"
 
 
 RELOAD_KINDS = (
@@ -73,13 +79,10 @@
     FaultKind.RELOAD_STOPPING,
     FaultKind.RELOAD_STARTING,
 )
+LATER_KINDS = frozenset({*RELOAD_KINDS, FaultKind.LOSS, FaultKind.ENGINE_SAYS})
 # Drawn from the seed's first stream, which must not change: a seed that once
 # failed must give the same faults again.
-FIRST_KINDS = tuple(
-    kind
-    for kind in FaultKind
-    if kind not in RELOAD_KINDS and kind is not FaultKind.LOSS
-)
+FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 PLANNED_KINDS = frozenset(
     {FaultKind.STOP, FaultKind.CONFIG, FaultKind.ENGINE_DRAINS, *RELOAD_KINDS}
 ) - {FaultKind.RELOAD_STARTING}
@@ -170,6 +173,8 @@
         faults.append(_draw_loss(rng, rng.uniform(CALM_S, end)))
     if rng.random() < LAST_LOSS_PROBABILITY:
         faults.append(_draw_loss(rng, end))
+    third = random.Random(f"{seed}-third")
+    faults += _draw_says(third, CALM_S, end, engines)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -178,6 +183,17 @@
     return ScheduledFault(at, FaultKind.LOSS, 0, duration_s)
 
 
+def _draw_says(
+    rng: random.Random, begin: float, end: float, engines: int
+) -> Iterator[ScheduledFault]:
+    at = begin + rng.uniform(0.0, FIRST_SAYS_S)
+    while at < end:
+        duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        kind = FaultKind.ENGINE_SAYS
+        yield ScheduledFault(at, kind, rng.randrange(engines), duration_s)
+        at += duration_s + rng.uniform(MIN_SAYS_GAP_S, MAX_SAYS_GAP_S)
+
+
 def _draw_reloads(
     rng: random.Random,
     begin: float,
@@ -202,6 +218,7 @@
 __all__ = [
     "CALM_S",
     "INSTANCE_KINDS",
+    "LATER_KINDS",
     "PLANNED_KINDS",
     "RELOAD_KINDS",
     "FaultKind",
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from typing import Any
 import unittest
 
 from mulberrypass.platform.stand_in.engine import EngineLog, event, output
@@ -18,8 +19,10 @@
     RELOAD,
     STOP,
     AttemptRecord,
+    Departure,
     Disturbance,
     DrainPeriod,
+    Halt,
     JobRecord,
     ReloadRecord,
     SoakRecords,
@@ -166,6 +169,42 @@
                 )
                 self.assertEqual(expected, found)
 
+    def test_engine_that_says_it_leaves_and_gets_new_work(self) -> None:
+        """An instance is told at 10.5 s; the engine has another id at 20 s."""
+        guarantee = "an engine that says it leaves gets nothing"
+        disturbed = Disturbance("store silent", 9.0, 30.0, False)
+        for name, fields, halts, expected in (
+            ("sent later", {"began": 10.6}, (), [guarantee]),
+            ("sent before", {"began": 10.4}, (), []),
+            ("other instance", {"began": 10.6, "instance": 1}, (), []),
+            ("restarted", {"began": 10.6}, (Halt(0, 9.0, 10.55),), []),
+            ("frozen", {"began": 10.6}, (Halt(0, 10.65, 12.0),), []),
+            ("other halted", {"began": 10.6}, (Halt(1, 9, 12),), [guarantee]),
+            ("halted before", {"began": 10.6}, (Halt(0, 9, 10),), [guarantee]),
+            ("halted after", {"began": 10.6}, (Halt(0, 11, 12),), [guarantee]),
+            ("failed", {"began": 10.6, "status": 0}, (), [guarantee]),
+            ("new id", {"began": 20.6, "ended": 21.0}, (), []),
+        ):
+            with self.subTest(name):
+                values: dict[str, Any] = {"ended": 11.0} | fields
+                late = attempt("r2", **values)
+                log = EngineLog()
+                log.said = [(10.1, "r1")]
+                log.began = [(10.1, "r1"), (late.began + 0.1, "r2")]
+                for _, request_id in log.began:
+                    log.runs[request_id] += 1
+                observed = Observations(
+                    SoakRecords([attempt(), late]),
+                    {"0": log},
+                    (disturbed,),
+                    (),
+                    EVENTS,
+                    departures=(Departure("0", 9.5, 20.0),),
+                    halts=halts,
+                )
+                found = [violation.guarantee for violation in check(observed)]
+                self.assertEqual(expected, found)
+
     def test_reload_that_interrupts_a_request(self) -> None:
         reload = Disturbance(RELOAD, 10.2, 12.2, True, 0)
         other = Disturbance(RELOAD, 10.2, 12.2, True, 1)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -13,6 +13,7 @@
 from mulberrypass.soak.run import Soak, SoakPlan
 from mulberrypass.soak.schedule import (
     CALM_S,
+    LATER_KINDS,
     PLANNED_KINDS,
     RELOAD_KINDS,
     FaultKind,
@@ -82,7 +83,7 @@
                 drawn = [
                     fault
                     for fault in draw_run(seed, 30.0, 4, 3)
-                    if fault.kind not in {*RELOAD_KINDS, FaultKind.LOSS}
+                    if fault.kind not in LATER_KINDS
                 ]
                 moved = [
                     replace(fault, at=CALM_S + fault.at) for fault in first
