--- a/src/mulberrypass/operator/trace.py
+++ b/src/mulberrypass/operator/trace.py
@@ -18,6 +18,8 @@
     "request quarantined",
     "request released from quarantine",
 )
+DEPARTURE_EVENTS = ("engine says that it leaves", "engine was said to leave")
+LEAVES_REASON = "engine leaves"
 # Left out of the printed fields: shown separately, or on every line.
 COMMON_FIELDS = frozenset(
     {"program", "member", "source", "event", "level", "timestamp"}
@@ -49,6 +51,8 @@
 
     If one of them names a part of a prompt or a request that crashes engines,
     the lines on these crashes come too.
+    So do those on who said that an engine leaves, if a request was held back
+    from it, or if the identifier is the engine's.
 
     Lines that are not JSON are skipped, and so is any text before the first
     brace, as log collectors add their own prefixes.
@@ -66,6 +70,18 @@
         for line in parsed
         if line not in found and _is_on_crash(line, parts, requests)
     ]
+    engines = {
+        line.fields.get("engine")
+        for line in found
+        if line.fields.get("reason") == LEAVES_REASON
+    }
+    found += [
+        line
+        for line in parsed
+        if line.event in DEPARTURE_EVENTS
+        and line not in found
+        and line.fields.get("engine") in {identifier, *engines}
+    ]
     return sorted(found, key=lambda line: line.at)
 
 
--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -20,6 +20,7 @@
 )
 
 SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
 ERROR_TEXT = "the engine failed"
 HEAD_END = b"\r\n\r\n"
 READ_BYTES = 65_536
@@ -106,6 +107,9 @@
 
     :param at: where it listens; port 0 for any free port
     :param event_s: seconds between two events
+    :param leaving: what its answers say of whether it leaves; ``None`` to
+        say nothing
+    :ivar said_at: when it first said so, on the monotonic clock
     :ivar requests: all requests received
     :ivar runs: number of runs of each request, by its id
     :ivar ended: whether it has crashed or was stopped
@@ -116,6 +120,8 @@
     events: int = 3
     event_s: float = 0.0
     faults: RawFaults = field(default_factory=RawFaults)
+    leaving: str | None = None
+    said_at: float | None = None
     requests: list[RawRequest] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     ended: threading.Event = field(default_factory=threading.Event)
@@ -192,6 +198,7 @@
         ]
         if self.faults.ids_in_refusals:
             lines.append(f"{names.REQUEST_ID}: {req.request_id}")
+        self._say_leaving(lines)
         return _head(lines)
 
     def _answer(self, conn: _Connection, req: RawRequest) -> bool:
@@ -255,6 +262,7 @@
             f"Content-Length: {len(text)}",
             f"{names.REQUEST_ID}: {req.request_id}",
         ]
+        self._say_leaving(lines)
         return _head(lines) + text
 
     def _head(self, req: RawRequest) -> bytes:
@@ -269,8 +277,14 @@
             lines.append("Transfer-Encoding: chunked")
         if self.faults.limit is not None:
             lines.append(f"{SERVER_LIMIT}: {self.faults.limit}")
+        self._say_leaving(lines)
         return _head(lines)
 
+    def _say_leaving(self, lines: list[str]) -> None:
+        if self.leaving is not None:
+            lines.append(f"{SERVER_LEAVING}: {self.leaving}")
+            self.said_at = self.said_at or time.monotonic()
+
 
 def _read_request(conn: socket.socket) -> RawRequest | None:
     """Read one request with its body; ``None`` at the end."""
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -97,6 +97,7 @@
     :param ends_with_connection: whether only the end of the connection ends
         the body
     :param reused: whether the connection had carried another request before
+    :param leaving: whether the engine says that it leaves
     """
 
     status: int
@@ -108,6 +109,7 @@
     limit_per_s: float | None = 0.0
     ends_with_connection: bool = False
     reused: bool = False
+    leaving: bool = False
 
 
 class EngineAnswer(ABC):
