--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -261,7 +261,7 @@
         counts = {
             part: self._count_occasions(engines)
             for part, engines in unexplained.items()
-            if part in candidates
+            if part in candidates and len(engines) >= crashes
         }
         worst = max(counts, key=counts.__getitem__, default=None)
         if worst is None or counts[worst] < crashes:
--- /dev/null
+++ b/tests/policy/health/test_deadly_requests.py
@@ -0,0 +1,53 @@
+"""Tests of what keeps a request that crashes engines away from them."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from mulberrypass.policy.health import crashes as module
+from mulberrypass.policy.health.crashes import Crash, CrashHistory
+
+SERVICE = "rackmind"
+
+
+def crash(
+    number: int,
+    *requests: int,
+    parts: tuple[int, ...] = (),
+    at_ms: int | None = None,
+    service: str = SERVICE,
+) -> Crash:
+    """Return a crash, a second after the one before."""
+    at_ms = number * 1_000 if at_ms is None else at_ms
+    return Crash(
+        f"i-{number}@0",
+        service,
+        at_ms,
+        frozenset(parts),
+        requests=frozenset(requests),
+    )
+
+
+class DeadlyRequestTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = CrashHistory(member="entry@a")
+
+    def add(self, *crashes: Crash, now: float = 0.0) -> None:
+        for each in crashes:
+            self.history.merge(each, now)
+
+    def test_learning_a_crash_takes_long_beside_many(self) -> None:
+        """Parts of few crashes were counted again for each verdict."""
+        parts_each = 16
+        for number in range(256):
+            parts = range(number * parts_each, (number + 1) * parts_each)
+            self.add(crash(number, number, parts=tuple(parts)))
+        count = module.count_occasions
+        with patch.object(module, "count_occasions", wraps=count) as counted:
+            self.history.quarantined(0.0)
+        self.assertLess(counted.call_count, 256)
+
+
+if __name__ == "__main__":
+    unittest.main()
