Look at a resumed item whose engine crashed before an event

Events were counted over all runs of an item, as they were for requests, so that an item that began at one engine was no suspect when the engine that resumed it crashed, and neither were the parts of its prompt. The permit knows by itself whether its own answer had begun. test_resumed_item_crashes_an_engine_unnoticed failed before (no crash was published).

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -291,8 +291,7 @@
                 answer.finish()
             if self._revoked or (watched is not None and watched.ended):
                 outcome = ReleaseOutcome.CANCELLED
-            began = self._progress.last is not None
-            if closed and outcome is ReleaseOutcome.FAILED and not began:
+            if closed and outcome is ReleaseOutcome.FAILED:
                 permit.mark_connection_ended()
             permit.release(outcome, events)
 
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -12,11 +12,13 @@
 
 from mulberrypass.batches import run as run_module
 from mulberrypass.batches.run import ItemRun
+from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
+from mulberrypass.model.outcome import Ran
 from mulberrypass.platform.engines import HttpEngineClient
 from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.policy.health.crashes import Crash, QuarantineSettings
-from mulberrypass.relay.crash_guard import CrashGuard
+from mulberrypass.relay.crash_guard import COLLECT_S, CrashGuard
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.forward import RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
@@ -131,6 +133,26 @@
         self.assertTrue(item_run.held_back)
         self.assertLessEqual(len(permits.released), MAX_CRASHES)
 
+    def test_resumed_item_crashes_an_engine_unnoticed(self) -> None:
+        """Events of the first engine hid that the second had sent none."""
+        published: list[Crash] = []
+        guard = self.guard()
+        guard.subscribe(published.append)
+        engines = ScriptedEngines(
+            Script(parts=[event(1), EngineFailed("cut", Ran.YES)]),
+            EngineFailed("cut", Ran.YES, closed=True),
+            Script(parts=[event(2)]),
+        )
+        _, item_run = make_run(
+            engines, engine("e1"), engine("e2"), prefix=(BAD, 9), guard=guard
+        )
+        self.assertIsNotNone(item_run.run())
+        time.sleep(4 * COLLECT_S)
+        self.assertEqual({"e2@0"}, {crash.engine for crash in published})
+        self.assertEqual(
+            {frozenset((BAD,))}, {crash.suspects for crash in published}
+        )
+
     def guard(self) -> CrashGuard:
         seconds = count()
         guard = CrashGuard(
