Forget the crashes of a crashing request last

When two zones are lost at one moment, each of their crashes counts as many times as there are engines with the same first part, and the three records of a request that crashes engines were forgotten by every member at once, so that it was sent again. Crashes that explain a crashing request rank above all others now. test_lost_zones_push_a_deadly_request_out failed before (not held after 300 engines ended at once).

--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -353,7 +353,12 @@
         """
         return min(self._known, key=self._usefulness)
 
-    def _usefulness(self, engine: str) -> int:
+    def _usefulness(self, engine: str) -> tuple[bool, int]:
+        """Rank a crash; those of a crashing request are the most useful.
+
+        Engines that are lost at one moment may have a part in common.
+        """
+        self._requests()
         crash = self._known[engine].crash
         counts = [
             len(self._by_part[crash.service, part])
@@ -363,7 +368,7 @@
             self._by_request[crash.service, request]
             for request in crash.open_requests
         ]
-        return max(counts, default=0)
+        return engine in self._causes, max(counts, default=0)
 
 
 __all__ = ["Crash", "CrashHistory", "Quarantine", "QuarantineSettings"]
--- a/tests/policy/health/test_deadly_requests.py
+++ b/tests/policy/health/test_deadly_requests.py
@@ -9,6 +9,12 @@
 from mulberrypass.policy.health.crashes import Crash, CrashHistory
 
 SERVICE = "rackmind"
+DEADLY = 0xDEAD
+SHARED = 10
+# Of the users' pages: crashes before a request counts as known.
+KNOWN_CRASHES = 3
+# Engines of the largest site.
+ENGINES = 600
 
 
 def crash(
@@ -37,6 +43,24 @@
         for each in crashes:
             self.history.merge(each, now)
 
+    def held(self, request: int, service: str = SERVICE) -> bool:
+        found = self.history.crashing_request(service, request, 0.0)
+        return found is not None
+
+    def test_lost_zones_push_a_deadly_request_out(self) -> None:
+        """Many engines that end at once count as one crash of a part."""
+        self.add(*(crash(number, DEADLY) for number in range(KNOWN_CRASHES)))
+        for number in range(ENGINES // 2):
+            self.add(
+                crash(
+                    100 + number,
+                    1_000 + number,
+                    parts=(SHARED,),
+                    at_ms=100_000,
+                )
+            )
+        self.assertTrue(self.held(DEADLY))
+
     def test_learning_a_crash_takes_long_beside_many(self) -> None:
         """Parts of few crashes were counted again for each verdict."""
         parts_each = 16
