Hold a request that crashes engines at all services

A route may lead to several services, of which one is drawn for each attempt, and each counted for itself: one request crashed nine engines of three services, six after the third.

--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -153,10 +153,10 @@
         return changed
 
     def crashing_request(
-        self, service: str, request: int, now: float
+        self, request: int, now: float
     ) -> CrashingRequest | None:
         """Return why a request may not run by itself; ``None`` if it may."""
-        return self._requests().held(service, request, now)
+        return self._requests().held(request, now)
 
     def crashing_requests(
         self, now: float
--- a/src/mulberrypass/policy/health/requests.py
+++ b/src/mulberrypass/policy/health/requests.py
@@ -45,16 +45,20 @@
     """A request that gets no engine, and the crashes that count against it.
 
     :param request: its digest
+    :param services: those whose engines have crashed
     :param last_known_at: monotonic time of the last of these crashes
     """
 
     request: int
+    services: frozenset[str]
     engines: tuple[str, ...]
     last_known_at: float
 
 
 class CrashingRequests:
-    """The requests with enough crashes.
+    """The requests with enough crashes, those of all services together.
+
+    A route may lead to several services, and to another one tomorrow.
 
     :param known: crashes, and the monotonic times at which they became known
     :param member: name of this member; members try a request again at
@@ -69,26 +73,25 @@
     ) -> None:
         self._member = member
         self._settings = settings or RequestSettings()
-        by_request: dict[tuple[str, int], list[tuple[Crash, float]]] = {}
+        by_request: dict[int, list[tuple[Crash, float]]] = {}
         for crash, known_at in known:
             for request in crash.open_requests:
-                found = by_request.setdefault((crash.service, request), [])
+                found = by_request.setdefault(request, [])
                 found.append((crash, known_at))
         self._found = {
-            key: CrashingRequest(
-                key[1],
+            request: CrashingRequest(
+                request,
+                frozenset(crash.service for crash, _ in crashes),
                 tuple(crash.engine for crash, _ in crashes),
                 max(known_at for _, known_at in crashes),
             )
-            for key, crashes in by_request.items()
+            for request, crashes in by_request.items()
             if self._are_enough([crash.at_ms for crash, _ in crashes])
         }
 
-    def held(
-        self, service: str, request: int, now: float
-    ) -> CrashingRequest | None:
+    def held(self, request: int, now: float) -> CrashingRequest | None:
         """Return why a request may not run; ``None`` if it may."""
-        found = self._found.get((service, request))
+        found = self._found.get(request)
         if found is None or not self._is_held(found, now):
             return None
         return found
@@ -96,9 +99,10 @@
     def all_held(self, now: float) -> dict[tuple[str, int], CrashingRequest]:
         """Return the requests that may not run, by service and digest."""
         return {
-            key: found
-            for key, found in self._found.items()
+            (service, request): found
+            for request, found in self._found.items()
             if self._is_held(found, now)
+            for service in found.services
         }
 
     def causes(self) -> dict[str, int]:
--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -132,9 +132,7 @@
         with self._lock:
             crashing = None
             if request is not None:
-                crashing = self._history.crashing_request(
-                    service, request, now
-                )
+                crashing = self._history.crashing_request(request, now)
             found = self._history.quarantine(service, parts, now)
         if crashing is not None:
             raise QuarantinedError(REQUEST_CRASHES, crashing.engines)
