Look at crashed engines while a whole zone doesn't reply

Eight threads looked at engines whose connections had ended, half a second each where there is no reply. Behind 200 engines of a zone that is cut off, a crashed engine was looked at 12 s later, was back, and its crash counted as none: for requests and for parts. 64 threads, which are started as needed, take 1.6 s. test_engines_cut_off_delay_the_look_at_a_crashed_one failed before.

--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -24,8 +24,9 @@
 # The connections of a crashed engine end within a few ms of each other.
 COLLECT_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
-# An engine that doesn't reply delays none but a few others.
-MAX_EXAMINERS = 8
+# Engines of a zone that is cut off must not delay the look at a crashed one,
+# which is back after some seconds.
+MAX_EXAMINERS = 64
 # Parts under which answers have begun, to be remembered.
 MAX_BEGUN = 4_096
 # An engine runs few requests at once, each with few parts.
--- a/tests/relay/test_crash_evidence.py
+++ b/tests/relay/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from typing import TYPE_CHECKING
 import unittest
@@ -10,6 +11,8 @@
 from mulberrypass.policy.health.crashes import Crash
 from mulberrypass.relay.crash_guard import (
     COLLECT_S,
+    CONNECT_TIMEOUT_S,
+    MAX_EXAMINERS,
     CrashGuard,
 )
 from mulberrypass.relay.forward import Forwarder
@@ -17,6 +20,7 @@
     Script,
     ScriptedEngines,
     ScriptedPermits,
+    engine,
     make_dependencies,
     request,
     route,
@@ -26,6 +30,12 @@
     from mulberrypass.relay.api import RelayEvent
 
 SERVICE = "rackmind"
+REQUEST = 0xD1
+CUT, CRASHED = "cut:1", "crashed:1"
+# Engines of a lost zone at the largest site.
+CUT_ENGINES = 200
+# An engine is back some seconds after its crash.
+BACK_AFTER_S = 2.0
 
 
 class UnframedAnswerTest(unittest.TestCase):
@@ -83,5 +93,33 @@
         self.assertFalse(self.guard.state()["requests"])
 
 
+class ExaminationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.crashed_at = time.monotonic()
+        self.found = threading.Event()
+
+    def is_listening(self, address: str) -> bool | None:
+        """Reply as engines that are cut off, or as one that comes back."""
+        if address == CUT:
+            time.sleep(CONNECT_TIMEOUT_S)
+            return None
+        return time.monotonic() - self.crashed_at > BACK_AFTER_S
+
+    def test_engines_cut_off_delay_the_look_at_a_crashed_one(self) -> None:
+        """It was back when it was looked at, and the crash not seen."""
+        guard = CrashGuard(is_listening=self.is_listening)
+        guard.subscribe(lambda _crash: self.found.set())
+        guard.start()
+        self.addCleanup(guard.stop)
+        for number in range(CUT_ENGINES):
+            cut = engine(f"cut-{number}", address=CUT)
+            guard.on_connection_ended(cut, (), number)
+        time.sleep(2 * COLLECT_S)
+        self.crashed_at = time.monotonic()
+        guard.on_connection_ended(engine("i-1", address=CRASHED), (), REQUEST)
+        wait_s = CUT_ENGINES / MAX_EXAMINERS * CONNECT_TIMEOUT_S + 1
+        self.assertTrue(self.found.wait(wait_s))
+
+
 if __name__ == "__main__":
     unittest.main()
