Show that parts of two deadly requests are refused for an hour, failing

Crashes of a request that isn't held yet count against its parts: three crashes by one request and two by a second one of the same subject are three occasions, and nothing else explains them. Sound requests with these parts get 502 for an hour, items wait.

--- a/tests/policy/health/test_deadly_requests.py
+++ b/tests/policy/health/test_deadly_requests.py
@@ -11,12 +11,14 @@
 
 SERVICE = "rackmind"
 SERVICES = ("rackmind", "rackmind-canary", "rackmind-next")
-DEADLY = 0xDEAD
-SHARED = 10
+DEADLY, DEADLY_2 = 0xDEAD, 0xDEAE
+SHARED, SUBJECT = 10, 11
 # Of the users' pages: crashes before a request counts as known.
 KNOWN_CRASHES = 3
 # Engines of the largest site.
 ENGINES = 600
+# Longer than a part that is in doubt is kept after five crashes.
+DOUBT_S = 60.0
 
 
 def crash(
@@ -81,6 +83,15 @@
             )
         self.assertTrue(self.held(DEADLY))
 
+    def test_parts_of_two_deadly_requests_are_refused_for_long(self) -> None:
+        """Sound requests and items that share the parts are owed."""
+        parts = (SHARED, SUBJECT)
+        for number in range(KNOWN_CRASHES):
+            self.add(crash(number, DEADLY, parts=parts))
+        for number in range(10, 10 + KNOWN_CRASHES - 1):
+            self.add(crash(number, DEADLY_2, parts=parts))
+        self.assertIsNone(self.history.quarantine(SERVICE, parts, DOUBT_S))
+
     def test_learning_a_crash_takes_long_beside_many(self) -> None:
         """Parts of few crashes were counted again for each verdict."""
         parts_each = 16
