Tell of the newest crashes first

While the store is silent, a request went on to crash engines at members that didn't know. Of the crashes told equally often the one queued last goes first now; all are told in the end. test_news_of_a_crash_waits_behind_those_of_a_lost_zone and test_changed_crash_is_news_again failed before.

--- a/src/mulberrypass/policy/membership/crashes.py
+++ b/src/mulberrypass/policy/membership/crashes.py
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         self._history = CrashHistory()
-        self._gossip = GossipQueue()
+        self._gossip = GossipQueue(newest_first=True)
         self._changed: dict[str, None] = {}
 
     def report(self, crash: Crash, now: float) -> bool:
--- a/src/mulberrypass/policy/membership/gossip.py
+++ b/src/mulberrypass/policy/membership/gossip.py
@@ -17,9 +17,13 @@
     """Names with pending updates, each sent a bounded number of times.
 
     Urgent names go first, then those that were sent least often.
+
+    :param newest_first: whether of those sent equally often the one that was
+        queued last goes first
     """
 
-    def __init__(self) -> None:
+    def __init__(self, newest_first: bool = False) -> None:
+        self._newest_first = newest_first
         self._urgent: dict[str, int] = {}
         self._other: dict[str, int] = {}
 
@@ -30,6 +34,8 @@
         """Queue a name, or reset the number of times it was sent."""
         if urgent:
             self._other.pop(name, None)
+            if self._newest_first:
+                self._urgent.pop(name, None)
             self._urgent[name] = 0
         elif name not in self._urgent:
             self._other[name] = 0
@@ -47,16 +53,19 @@
         """
         doublings = math.log2(members + 1)
         max_sends = max(MIN_SENDS, math.ceil(SENDS_PER_DOUBLING * doublings))
-        first = _take(self._urgent, count, max_sends)
-        return first + _take(self._other, count - len(first), max_sends)
+        newest_first = self._newest_first
+        first = _take(self._urgent, count, max_sends, newest_first)
+        left = count - len(first)
+        return first + _take(self._other, left, max_sends, newest_first)
 
 
 def _take(
-    sends: dict[str, int], count: int, max_sends: int
+    sends: dict[str, int], count: int, max_sends: int, newest_first: bool
 ) -> tuple[str, ...]:
     if not sends or count <= 0:
         return ()
-    chosen = sorted(sends, key=sends.__getitem__)[:count]
+    names = reversed(sends) if newest_first else iter(sends)
+    chosen = sorted(names, key=sends.__getitem__)[:count]
     for name in chosen:
         sends[name] += 1
         if sends[name] >= max_sends:
