Count crashes against a part again where three occasions remain

With one bad part in requests that come again, all crashes of a request that is held counted as one occasion, so that a part that was familiar needed seven engines and not five. A request that alone crashes engines still leaves its parts free.

--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,16 +302,20 @@
     def _count_occasions(self, engines: Collection[str]) -> int:
         """Count crashes, those that coincide with an earlier one once.
 
-        All that one request has caused count once, unless a second one has
-        caused some too.
+        All that one request has caused count once, unless other requests
+        have caused enough too.
         """
         causes = {self._causes[e] for e in engines if e in self._causes}
-        counted = set(engines)
         if len(causes) == 1:
-            caused = counted.intersection(self._causes)
+            caused = self._causes.keys() & engines
             first = min(caused, key=lambda e: (self._known[e].crash.at_ms, e))
-            counted -= caused - {first}
-        times_ms = (self._known[engine].crash.at_ms for engine in counted)
+            apart = self._count_moments(set(engines) - caused | {first})
+            if apart < self._settings.crashes:
+                return apart
+        return self._count_moments(engines)
+
+    def _count_moments(self, engines: Iterable[str]) -> int:
+        times_ms = (self._known[engine].crash.at_ms for engine in engines)
         return count_occasions(times_ms, self._settings.coincidence_ms)
 
     def _store(self, known: _Known) -> None:
--- a/tests/policy/health/test_deadly_requests.py
+++ b/tests/policy/health/test_deadly_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import unittest
 from unittest.mock import patch
 
@@ -92,6 +93,16 @@
             self.add(crash(number, DEADLY_2, parts=parts))
         self.assertIsNone(self.history.quarantine(SERVICE, parts, DOUBT_S))
 
+    def test_bad_part_in_requests_that_come_again(self) -> None:
+        """Crashes of one request counted once, so that more engines ended."""
+        requests = (DEADLY, DEADLY, DEADLY, 100, 101)
+        for number, request in enumerate(requests):
+            found = crash(number, request, parts=(SHARED,))
+            found = replace(found, familiar=frozenset({SHARED}))
+            self.assertIsNone(self.history.quarantine(SERVICE, (SHARED,), 0.0))
+            self.add(found)
+        self.assertIsNotNone(self.history.quarantine(SERVICE, (SHARED,), 0.0))
+
     def test_learning_a_crash_takes_long_beside_many(self) -> None:
         """Parts of few crashes were counted again for each verdict."""
         parts_each = 16
