--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,10 +157,10 @@
         return changed
 
     def crashing_request(
-        self, service: str, request: int, now: float
+        self, request: int, now: float
     ) -> CrashingRequest | None:
         """Return why a request may not run by itself; ``None`` if it may."""
-        return self._requests().held(service, request, now)
+        return self._requests().held(request, now)
 
     def crashing_requests(
         self, now: float
@@ -273,7 +273,7 @@
         counts = {
             part: self._count_occasions(engines)
             for part, engines in unexplained.items()
-            if part in candidates
+            if part in candidates and len(engines) >= crashes
         }
         worst = max(counts, key=counts.__getitem__, default=None)
         if worst is None or counts[worst] < crashes:
@@ -314,16 +314,20 @@
     def _count_occasions(self, engines: Collection[str]) -> int:
         """Count crashes, those that coincide with an earlier one once.
 
-        All that one request has caused count once, unless a second one has
-        caused some too.
+        All that one request has caused count once, unless other requests
+        have caused enough too.
         """
         causes = {self._causes[e] for e in engines if e in self._causes}
-        counted = set(engines)
         if len(causes) == 1:
-            caused = counted.intersection(self._causes)
+            caused = self._causes.keys() & engines
             first = min(caused, key=lambda e: (self._known[e].crash.at_ms, e))
-            counted -= caused - {first}
-        times_ms = (self._known[engine].crash.at_ms for engine in counted)
+            apart = self._count_moments(set(engines) - caused | {first})
+            if apart < self._settings.crashes:
+                return apart
+        return self._count_moments(engines)
+
+    def _count_moments(self, engines: Iterable[str]) -> int:
+        times_ms = (self._known[engine].crash.at_ms for engine in engines)
         return count_occasions(times_ms, self._settings.coincidence_ms)
 
     def _store(self, known: _Known) -> None:
@@ -366,7 +370,12 @@
         older = len(self._known) - self._settings.recent
         return min(islice(self._known, older), key=self._usefulness)
 
-    def _usefulness(self, engine: str) -> int:
+    def _usefulness(self, engine: str) -> tuple[bool, int]:
+        """Rank a crash; those of a crashing request are the most useful.
+
+        Engines that are lost at one moment may have a part in common.
+        """
+        self._requests()
         crash = self._known[engine].crash
         counts = [
             len(self._by_part[crash.service, part])
@@ -376,7 +385,7 @@
             self._by_request[crash.service, request]
             for request in crash.open_requests
         ]
-        return max(counts, default=0)
+        return engine in self._causes, max(counts, default=0)
 
 
 __all__ = ["Crash", "CrashHistory", "Quarantine", "QuarantineSettings"]
