--- a/tests/online/test_crashing_call.py
+++ b/tests/online/test_crashing_call.py
@@ -14,6 +14,7 @@
 )
 from mulberrypass.online.shared import SharedPolicy
 from mulberrypass.runtime.metrics import Metrics
+from tests.known_red import known_red
 from tests.online.fakes import (
     FakeBackends,
     FixedConfiguration,
@@ -29,6 +30,7 @@
 
 
 class CrashingCallTest(unittest.TestCase):
+    @known_red(27)
     def test_call_that_crashes_engines_is_repeated_without_a_bound(
         self,
     ) -> None:
