Decide once how the stand-in engine frames an answer

Cause, by reading: the engine on raw sockets looked at its framing again after the last chunk, where a test that had read the answer had changed it already, and then closed the connection. Change: the framing is decided once for each answer.

--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -65,16 +65,20 @@
     repeated: bool = False
 
 
-class _Connection:
-    """A connection to a caller, which remembers the latest answer."""
+class _Answer:
+    """An answer that is written to a connection.
 
-    def __init__(self, sock: socket.socket) -> None:
+    :param unframed: whether only the end of the connection ends it
+    """
+
+    def __init__(self, sock: socket.socket, unframed: bool) -> None:
         self._sock = sock
-        self.answer = b""
+        self.unframed = unframed
+        self.written = b""
 
     def sendall(self, data: bytes) -> None:
         """Send part of the answer."""
-        self.answer += data
+        self.written += data
         self._sock.sendall(data)
 
 
@@ -174,14 +178,14 @@
             while (req := _read_request(sock)) is not None:
                 self.requests.append(req)
                 sock.sendall(late)
-                conn = _Connection(sock)
+                answer = _Answer(sock, self.faults.unframed)
                 refusal = self._refusal(req)
                 if refusal:
-                    conn.sendall(refusal)
-                elif not self._answer(conn, req):
+                    answer.sendall(refusal)
+                elif not self._answer(answer, req):
                     break
                 repeated = self.faults.repeated or refusal
-                late = conn.answer if repeated else b""
+                late = answer.written if repeated else b""
         with self._lock:
             self._open.discard(sock)
 
@@ -201,25 +205,25 @@
         self._say_leaving(lines)
         return _head(lines)
 
-    def _answer(self, conn: _Connection, req: RawRequest) -> bool:
+    def _answer(self, answer: _Answer, req: RawRequest) -> bool:
         """Run a request; return whether the connection goes on."""
         self.runs[req.request_id] += 1
         if self._fails():
-            conn.sendall(self._error(req, HTTPStatus.INTERNAL_SERVER_ERROR))
+            answer.sendall(self._error(req, HTTPStatus.INTERNAL_SERVER_ERROR))
             return True
         after = req.headers.get(names.LAST_EVENT_ID.lower())
         if after is not None and self.faults.error is not None:
-            conn.sendall(self._error(req, self.faults.error))
+            answer.sendall(self._error(req, self.faults.error))
             return True
-        head = self._head(req)
+        head = self._head(req, answer.unframed)
         if self.faults.head_bytes is not None:
-            conn.sendall(head[: self.faults.head_bytes])
+            answer.sendall(head[: self.faults.head_bytes])
             return False
-        conn.sendall(head)
+        answer.sendall(head)
         if self._crashes(req):
             self.end()
             return False
-        return self._send_events(conn, req, int(after or 0) + 1)
+        return self._send_events(answer, req, int(after or 0) + 1)
 
     def _fails(self) -> bool:
         """Return whether a failure is due."""
@@ -235,7 +239,7 @@
         return req.body in self.faults.crash_bodies
 
     def _send_events(
-        self, conn: _Connection, req: RawRequest, first: int
+        self, answer: _Answer, req: RawRequest, first: int
     ) -> bool:
         left = self.faults.break_after
         if first > 1:
@@ -244,16 +248,13 @@
             time.sleep(self.event_s)
             data = event(req.request_id, number)
             if left is not None and len(data) > left:
-                conn.sendall(self._framed(data[:left]))
+                answer.sendall(_framed(answer, data[:left]))
                 return False
-            conn.sendall(self._framed(data))
+            answer.sendall(_framed(answer, data))
             left = None if left is None else left - len(data)
-        if not self.faults.unframed:
-            conn.sendall(_chunk(b""))
-        return not self.faults.unframed
-
-    def _framed(self, data: bytes) -> bytes:
-        return data if self.faults.unframed else _chunk(data)
+        if not answer.unframed:
+            answer.sendall(_chunk(b""))
+        return not answer.unframed
 
     def _error(self, req: RawRequest, status: int) -> bytes:
         text = ERROR_TEXT.encode()
@@ -265,7 +266,7 @@
         self._say_leaving(lines)
         return _head(lines) + text
 
-    def _head(self, req: RawRequest) -> bytes:
+    def _head(self, req: RawRequest, unframed: bool) -> bytes:
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
@@ -273,7 +274,7 @@
             f"{INSTANCE_ID}: {self.name}",
             f"{RESPONSE_STAMP}: stamp-{req.request_id}",
         ]
-        if not self.faults.unframed:
+        if not unframed:
             lines.append("Transfer-Encoding: chunked")
         if self.faults.limit is not None:
             lines.append(f"{SERVER_LIMIT}: {self.faults.limit}")
@@ -312,6 +313,10 @@
     return "\r\n".join(lines).encode() + HEAD_END
 
 
+def _framed(answer: _Answer, data: bytes) -> bytes:
+    return data if answer.unframed else _chunk(data)
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
