End an exchange under its lock when it is closed

A late abort could in theory reach a descriptor that another connection has by then (found by the review, by reading). Cause: closing an exchange didn't mark it as ended, as finishing does. Change: close marks it too. Measured: 23 tests of kept connections and partial outputs pass; the race itself has not been seen and has no test.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -245,6 +245,8 @@
 
     def close(self) -> None:
         """Close the connection."""
+        with self._lock:
+            self._released = True
         if self._resp is not None:
             self._resp.close()
         self._conn.close()
