Refuse what can't be answered before a planned stop ends

In a planned stop, requests that came late were taken and passed on to an engine, and at the end of the grace their streams were cut, also those that may not be repeated. Nothing said beforehand that they couldn't be finished: the stop only ends the taking of new connections, and a request whose body ends later, or that waits for an engine, began its work at any time.

From the signal on, the relay knows when the process must have ended. A wait for an engine ends with the process. What may have run goes on, and so does a request whose own deadline comes earlier.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -53,6 +53,7 @@
 from mulberrypass.relay.catch_up import CatchUp
 from mulberrypass.relay.crash_guard import CrashGuard
 from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
@@ -206,8 +207,13 @@
         acquirer = PermitAcquirer(
             self._me.name, self._permits, self._directory, self._guard
         )
+        self._ending = PlannedEnd()
         deps = RelayDependencies(
-            self._directory, acquirer, self._engines, self._watch
+            self._directory,
+            acquirer,
+            self._engines,
+            self._watch,
+            self._ending,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -324,6 +330,7 @@
             "stopping", grace_s=site.grace_s, in_flight=self._front.in_flight
         )
         self._stopped.set()
+        self._ending.set(deadline)
         self._catch_up.stop()
         self._front.disable_keep_alive()
         self._membership.leave()
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 import time
 from typing import TYPE_CHECKING
@@ -24,6 +24,7 @@
     part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
+from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -52,6 +53,7 @@
 FinalEvent = Refused | Unservable | Failed | NoRoute
 CRASHES_ENGINES = "prompt_crashes_engines"
 NO_CONFIGURATION_RETRY_S = 0.5
+STOPPING = "stopping"
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_LATENCY_S = 0.07
@@ -69,6 +71,7 @@
     acquirer: PermitAcquirer
     engines: EngineClient
     watch: CallWatch
+    ending: PlannedEnd = field(default_factory=PlannedEnd)
 
 
 class Forwarder(Relay):
@@ -147,12 +150,14 @@
 
     def _acquire_permit(self) -> FinalEvent | None:
         """Acquire a permit; return the final event if there is none."""
+        if not self._may_finish():
+            return self._not_admitted(STOPPING, 0.0)
         work = WorkSpec(
             find=self._find_route,
             routing_key=self._req.request_id,
             customer=f"priority-{self._route.priority}",
             work_class=WorkClass.ONLINE,
-            deadline=self._deadline.at,
+            deadline=min(self._deadline.at, self._latest_end()),
             prompt_tokens=self._req.prompt_tokens,
             output_tokens=self._req.output_tokens,
             prefix=self._req.prefix,
@@ -168,8 +173,27 @@
             return self._not_admitted(exc.reason, exc.retry_after_s)
         except QuarantinedError as exc:
             return self._quarantined(exc)
+        if not self._may_finish():
+            self._release(ReleaseOutcome.UNUSED)
+            return self._not_admitted(STOPPING, 0.0)
         return None
 
+    def _may_finish(self) -> bool:
+        """Return whether the answer may end before this process does.
+
+        A request that may have run goes on: it can't be refused any more.
+        """
+        ending = self._deps.ending
+        if self._latest_end() >= self._deadline.at:
+            return True
+        return ending.allows(self._route.name, self._req.output_tokens)
+
+    def _latest_end(self) -> float:
+        """Return when a request that never ran is refused, at the latest."""
+        if self._maybe_ran or self._head_sent:
+            return self._deadline.at
+        return self._deps.ending.at
+
     def _start_by(self) -> float | None:
         """Return the latest start that meets the target.
 
@@ -255,6 +279,8 @@
             self._log_failure(failed)
             return self._after_failure(failed)
         self._log_done()
+        if _is_success(head):
+            self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
         return None
 
@@ -393,6 +419,11 @@
     def _age_ms(self) -> int:
         return round((time.monotonic() - self._started_at) * 1_000)
 
+    def _note_time(self, permit: HeldPermit) -> None:
+        seconds = time.monotonic() - permit.sent_at
+        tokens = self._req.output_tokens
+        self._deps.ending.note(self._route.name, tokens, seconds)
+
     def _log_failure(self, failed: EngineFailed) -> None:
         assert self._permit is not None
         LOG.info(
--- a/tests/platform/raw_site.py
+++ b/tests/platform/raw_site.py
@@ -91,7 +91,7 @@
         ).start()
         return app
 
-    def start_instance(self) -> str:
+    def start_instance(self, grace_s: float = 1.2) -> str:
         """Start an instance, and return its address once it is ready."""
         octet = next(OCTETS)
         address = f"{NETWORK}.{octet}"
@@ -107,7 +107,7 @@
                 peer_port=PEER,
                 store=HostPort(f"{NETWORK}.{STORE_OCTET}", self._store_port),
                 contact_s=3.0,
-                grace_s=1.2,
+                grace_s=grace_s,
                 drain_s=2.0,
                 apply_s=2.0,
                 max_ttl_s=5.0,
