Leave the budget of a request alone in a planned stop

The request now watches itself whether it can still be finished, as it watches whether its caller has left, and gives up the wait as soon as it can't. The test of a wait that ends failed before, as the refusal came only at the end of the process.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -157,7 +157,7 @@
             routing_key=self._req.request_id,
             customer=f"priority-{self._route.priority}",
             work_class=WorkClass.ONLINE,
-            deadline=min(self._deadline.at, self._latest_end()),
+            deadline=self._deadline.at,
             prompt_tokens=self._req.prompt_tokens,
             output_tokens=self._req.output_tokens,
             prefix=self._req.prefix,
@@ -165,12 +165,13 @@
         )
         try:
             self._permit = self._deps.acquirer.acquire(
-                work, self._avoid, self._disconnected
+                work, self._avoid, self._gives_up
             )
         except NoRouteError:
             return self._not_admitted("no_route", 0.0)
         except NoPermitError as exc:
-            return self._not_admitted(exc.reason, exc.retry_after_s)
+            reason = exc.reason if self._may_finish() else STOPPING
+            return self._not_admitted(reason, exc.retry_after_s)
         except QuarantinedError as exc:
             return self._quarantined(exc)
         if not self._may_finish():
@@ -184,15 +185,14 @@
         A request that may have run goes on: it can't be refused any more.
         """
         ending = self._deps.ending
-        if self._latest_end() >= self._deadline.at:
+        goes_on = self._maybe_ran or self._head_sent
+        if goes_on or self._deadline.at <= ending.at:
             return True
         return ending.allows(self._route.name, self._req.output_tokens)
 
-    def _latest_end(self) -> float:
-        """Return when a request that never ran is refused, at the latest."""
-        if self._maybe_ran or self._head_sent:
-            return self._deadline.at
-        return self._deps.ending.at
+    def _gives_up(self) -> bool:
+        """Return whether to wait for an engine no longer."""
+        return self._disconnected() or not self._may_finish()
 
     def _start_by(self) -> float | None:
         """Return the latest start that meets the target.
--- a/tests/relay/test_ending.py
+++ b/tests/relay/test_ending.py
@@ -81,6 +81,14 @@
         self.assertEqual(Refused("stopping", 0.2), self.first())
         self.assertEqual([], self.permits.asks)
 
+    def test_wait_ends_when_the_answer_cannot_end_any_more(self) -> None:
+        self.permits.silent = True
+        self.deps.ending.set(time.monotonic() + 2.3)
+        begun = time.monotonic()
+        self.assertEqual(Refused("stopping", 0.2), self.first())
+        self.assertLess(time.monotonic() - begun, 0.6)
+        self.assertGreaterEqual(self.permits.asks[0].budget_s, 4.0)
+
     def test_request_whose_own_deadline_is_earlier_is_taken(self) -> None:
         self.deps.ending.set(time.monotonic() + 1.0)
         self.assertNotIsInstance(self.first(wait_s=0.5), Refused)
