--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 import time
 from typing import TYPE_CHECKING
@@ -27,6 +27,7 @@
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
+from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -54,6 +55,7 @@
 LOG = get_logger(__name__)
 FinalEvent = Refused | Unservable | Failed | NoRoute
 NO_CONFIGURATION_RETRY_S = 0.5
+STOPPING = "stopping"
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_LATENCY_S = 0.07
@@ -71,6 +73,7 @@
     acquirer: PermitAcquirer
     engines: EngineClient
     watch: CallWatch
+    ending: PlannedEnd = field(default_factory=PlannedEnd)
 
 
 class Forwarder(Relay):
@@ -150,6 +153,8 @@
 
     def _acquire_permit(self) -> FinalEvent | None:
         """Acquire a permit; return the final event if there is none."""
+        if not self._may_finish():
+            return self._not_admitted(STOPPING, 0.0)
         work = WorkSpec(
             find=self._find_route,
             routing_key=self._req.request_id,
@@ -164,16 +169,35 @@
         )
         try:
             self._permit = self._deps.acquirer.acquire(
-                work, self._avoid, self._disconnected
+                work, self._avoid, self._gives_up
             )
         except NoRouteError:
             return self._not_admitted("no_route", 0.0)
         except NoPermitError as exc:
-            return self._not_admitted(exc.reason, exc.retry_after_s)
+            reason = exc.reason if self._may_finish() else STOPPING
+            return self._not_admitted(reason, exc.retry_after_s)
         except QuarantinedError as exc:
             return self._quarantined(exc)
+        if not self._may_finish():
+            self._release(ReleaseOutcome.UNUSED)
+            return self._not_admitted(STOPPING, 0.0)
         return None
 
+    def _may_finish(self) -> bool:
+        """Return whether the answer may end before this process does.
+
+        A request that may have run goes on: it can't be refused any more.
+        """
+        ending = self._deps.ending
+        goes_on = self._maybe_ran or self._head_sent
+        if goes_on or self._deadline.at <= ending.at:
+            return True
+        return ending.allows(self._route.name, self._req.output_tokens)
+
+    def _gives_up(self) -> bool:
+        """Return whether to wait for an engine no longer."""
+        return self._disconnected() or not self._may_finish()
+
     def _start_by(self) -> float | None:
         """Return the latest start that meets the target.
 
@@ -262,6 +286,8 @@
             self._log_failure(failed)
             return self._after_failure(failed)
         self._log_done()
+        if _is_success(head):
+            self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
         return None
 
@@ -404,6 +430,11 @@
     def _age_ms(self) -> int:
         return round((time.monotonic() - self._started_at) * 1_000)
 
+    def _note_time(self, permit: HeldPermit) -> None:
+        seconds = time.monotonic() - permit.sent_at
+        tokens = self._req.output_tokens
+        self._deps.ending.note(self._route.name, tokens, seconds)
+
     def _log_failure(self, failed: EngineFailed) -> None:
         assert self._permit is not None
         LOG.info(
