--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -307,21 +307,10 @@
         return most >= len(engines) - 1
 
     def _has_request(self, engines: Collection[str]) -> bool:
-        """Return whether requests may explain all crashes but one.
-
-        A request of two crashes may have caused them, as another one that
-        caused three.
-        """
-        explained = sum(map(self._may_be_by_request, engines))
+        """Return whether requests explain all crashes but one."""
+        explained = sum(engine in self._causes for engine in engines)
         return explained >= len(engines) - 1
 
-    def _may_be_by_request(self, engine: str) -> bool:
-        crash = self._known[engine].crash
-        return engine in self._causes or any(
-            self._by_request[crash.service, request] > 1
-            for request in crash.open_requests
-        )
-
     def _count_occasions(self, engines: Collection[str]) -> int:
         """Count crashes, those that coincide with an earlier one once.
 
