Test that a refused request is traced to the crashes behind it

mulberryctl trace prints, for a refused request or its digest, the crashes and the quarantine of that digest, and none of another's.

--- a/tests/operator/test_trace.py
+++ b/tests/operator/test_trace.py
@@ -21,6 +21,20 @@
     log_line("11:04", event="part quarantined", part="c", engines=["i-2"]),
     log_line("11:05", event="not placed", id="r7", part="b"),
 ]
+REQUEST_LINES = [
+    log_line("11:01", event="connections ended early", requests=["d1", "d2"]),
+    log_line("11:02", event="connections ended early", requests=["d3"]),
+    log_line("11:03", event="request quarantined", request="d1"),
+    log_line("11:04", event="request quarantined", request="d3"),
+    log_line(
+        "11:05",
+        event="not placed",
+        id="r8",
+        request="d1",
+        reason="request_crashes_engines",
+    ),
+    log_line("11:06", event="answered", id="r9", request="d3"),
+]
 LOG_LINES = [
     log_line("10:02", event="answered", id="r1", age_ms=5),
     "  17.3  frontend-2 " + log_line("10:01", event="attempt failed", id="r1"),
@@ -53,5 +67,14 @@
             ["11:01", "11:03", "11:05"], [line.at for line in found]
         )
 
+    def test_refused_request_comes_with_the_crashes_behind_it(self) -> None:
+        for identifier in ("r8", "d1"):
+            found = trace(identifier, REQUEST_LINES)
+            self.assertEqual(
+                ["11:01", "11:03", "11:05"], [line.at for line in found]
+            )
+        answered = trace("r9", REQUEST_LINES)
+        self.assertEqual(["11:06"], [line.at for line in answered])
+
     def test_unknown(self) -> None:
         self.assertEqual([], trace("r9", LOG_LINES))
