Move the pool of connections to a module of its own

Change: ConnectionPool and its constants stand in engine/pool.py, unchanged; wire.py keeps requests, answers and deadlines.

--- a/src/mulberrypass/bench/load/entry_sender.py
+++ b/src/mulberrypass/bench/load/entry_sender.py
@@ -15,7 +15,7 @@
     Sender,
 )
 from mulberrypass.bench.processes.cluster import ONLINE_SERVICE, bearer
-from mulberrypass.engine.wire import ConnectionPool
+from mulberrypass.engine.pool import ConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
--- a/src/mulberrypass/engine/model_client.py
+++ b/src/mulberrypass/engine/model_client.py
@@ -21,10 +21,10 @@
     Tokens,
     UnloadOrder,
 )
+from mulberrypass.engine.pool import ConnectionPool
 from mulberrypass.engine.wire import (
     MAX_ANSWER_BYTES,
     MAX_ERROR_BYTES,
-    ConnectionPool,
     Deadline,
     WireError,
     decode_object,
--- a/src/mulberrypass/engine/plain_client.py
+++ b/src/mulberrypass/engine/plain_client.py
@@ -9,9 +9,9 @@
 from expression import Error, Ok
 
 from mulberrypass.engine.api import EngineFailed, PlainService
+from mulberrypass.engine.pool import ConnectionPool
 from mulberrypass.engine.wire import (
     MAX_ANSWER_BYTES,
-    ConnectionPool,
     Deadline,
     WireError,
     decode_object,
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -1,36 +1,28 @@
-"""Pooled HTTP connections to a backend server, with deadlines."""
+"""HTTP requests to a backend server and their answers, with deadlines."""
 
 from __future__ import annotations
 
-from collections import deque
 import contextlib
 from dataclasses import dataclass
 from email.errors import MissingHeaderBodySeparatorDefect
 import http.client
 import json
 import re
-import select
 import socket
 import threading
 import time
 from typing import TYPE_CHECKING, Any
-from weakref import WeakKeyDictionary
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
-from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from email.message import Message
-    import ssl
 
-CONNECT_TIMEOUT_S = 1.0
-MAX_IDLE_CONNECTIONS = 64
-MAX_IDLE_S = 20.0
-# Bounds the memory for the ids of the requests on a connection.
-MAX_REQUESTS_PER_CONNECTION = 512
+    from mulberrypass.engine.pool import ConnectionPool
+
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
@@ -252,156 +244,6 @@
         self._conn.close()
 
 
-class ConnectionPool:
-    """Idle connections to one backend server, reused last in, first out.
-
-    :param address: IP address and port
-    :param ssl_context: for TLS; ``None`` for plain HTTP
-    """
-
-    def __init__(
-        self,
-        address: str,
-        ssl_context: ssl.SSLContext | None = None,
-        connect_timeout_s: float = CONNECT_TIMEOUT_S,
-    ) -> None:
-        host, _, port = address.rpartition(":")
-        self.address = address
-        self._host = host
-        self._port = int(port)
-        self._ssl = ssl_context
-        self._connect_timeout_s = connect_timeout_s
-        self._lock = threading.Lock()
-        self._closed = False
-        self._idle: deque[tuple[float, http.client.HTTPConnection]] = deque()
-        self._request_ids: WeakKeyDictionary[
-            http.client.HTTPConnection, set[str]
-        ] = WeakKeyDictionary()
-
-    def exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        deadline: Deadline,
-        repeatable: bool,
-    ) -> Exchange:
-        """Send a request and read the head of its answer.
-
-        :param repeatable: whether to send the request again if a pooled
-            connection returned no answer
-        :raises WireError: if it fails
-        """
-        conn = self.take_idle()
-        pooled = conn is not None
-        exchange = Exchange(self, conn or self._connect(deadline))
-        try:
-            exchange.send(method, path, body, deadline)
-            return exchange
-        except WireError as exc:
-            exchange.close()
-            if not (pooled and repeatable and exc.unanswered):
-                raise
-        exchange = Exchange(self, self._connect(deadline))
-        try:
-            exchange.send(method, path, body, deadline)
-        except WireError:
-            exchange.close()
-            raise
-        return exchange
-
-    def open(self, deadline: Deadline, request_id: str) -> Exchange:
-        """Return an exchange on an idle connection or a new one.
-
-        The connection has carried no request with this id before: an engine
-        may repeat an earlier answer, which only the id tells apart.
-
-        :raises WireError: if connecting fails; nothing ran
-        """
-        conn = self.take_idle(request_id)
-        reused = conn is not None
-        if conn is None:
-            conn = self._connect(deadline)
-        with self._lock:
-            self._request_ids.setdefault(conn, set()).add(request_id)
-        return Exchange(self, conn, reused)
-
-    def put(self, conn: http.client.HTTPConnection) -> None:
-        """Return a connection to the pool after a complete answer."""
-        now = time.monotonic()
-        unused = []
-        with self._lock:
-            while self._idle and now - self._idle[0][0] >= MAX_IDLE_S:
-                unused.append(self._idle.popleft()[1])
-            full = len(self._idle) >= MAX_IDLE_CONNECTIONS
-            carried = len(self._request_ids.get(conn, ()))
-            worn = carried >= MAX_REQUESTS_PER_CONNECTION
-            if not (self._closed or full or worn):
-                self._idle.append((now, conn))
-            else:
-                unused.append(conn)
-        for each in unused:
-            each.close()
-
-    def close(self) -> None:
-        """Close idle connections; those in use close after their answer."""
-        with self._lock:
-            self._closed = True
-            idle = list(self._idle)
-            self._idle.clear()
-        for _, conn in idle:
-            conn.close()
-
-    def take_idle(
-        self, request_id: str | None = None
-    ) -> http.client.HTTPConnection | None:
-        """Remove and return an idle connection that is still open, if any.
-
-        :param request_id: leave those that have carried it before
-        """
-        while True:
-            with self._lock:
-                entry = self._latest_without(request_id)
-                if entry is None:
-                    return None
-                self._idle.remove(entry)
-            since, conn = entry
-            fresh = time.monotonic() - since < MAX_IDLE_S
-            if fresh and _is_reusable(conn):
-                return conn
-            conn.close()
-
-    def _latest_without(
-        self, request_id: str | None
-    ) -> tuple[float, http.client.HTTPConnection] | None:
-        for entry in reversed(self._idle):
-            if request_id not in self._request_ids.get(entry[1], ()):
-                return entry
-        return None
-
-    def _connect(self, deadline: Deadline) -> http.client.HTTPConnection:
-        timeout = min(
-            self._connect_timeout_s, _remaining_before_send(deadline)
-        )
-        conn: http.client.HTTPConnection
-        if self._ssl is None:
-            conn = http.client.HTTPConnection(
-                self._host, self._port, timeout=timeout
-            )
-        else:
-            conn = http.client.HTTPSConnection(
-                self._host, self._port, timeout=timeout, context=self._ssl
-            )
-        try:
-            conn.connect()
-            keep_alive(conn.sock)
-        except OSError as exc:
-            conn.close()
-            reason = f"no connection: {type(exc).__name__}"
-            raise WireError(EngineFailed(reason, Ran.NO))
-        return conn
-
-
 def parse_failure(status: int, body: bytes) -> EngineFailed:
     """Return the failure that an error answer describes."""
     reason = f"status {status}"
@@ -455,25 +297,8 @@
         raise http.client.HTTPException("an unreadable length")
 
 
-def _is_reusable(conn: http.client.HTTPConnection) -> bool:
-    """Return whether an idle connection is open and has no unread data."""
-    if conn.sock is None:
-        return False
-    poll = select.poll()
-    poll.register(conn.sock, select.POLLIN)
-    return not poll.poll(0)
-
-
-def _remaining_before_send(deadline: Deadline) -> float:
-    try:
-        return deadline.left_s()
-    except WireError:
-        raise WireError(EngineFailed("deadline", Ran.NO))
-
-
 __all__ = [
     "CUT",
-    "ConnectionPool",
     "Deadline",
     "Exchange",
     "MAX_ANSWER_BYTES",
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.wire import CUT, ConnectionPool, WireError
+from mulberrypass.engine.pool import ConnectionPool
+from mulberrypass.engine.wire import CUT, WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.platform import headers as names
 from mulberrypass.relay.api import EngineAnswer, EngineClient, EngineHead
--- a/tests/engine/test_endless_bytes.py
+++ b/tests/engine/test_endless_bytes.py
@@ -7,12 +7,12 @@
 import unittest
 from unittest.mock import patch
 
-from mulberrypass.engine import wire
+from mulberrypass.engine import pool as pool_module
 from mulberrypass.engine.api import EngineFailed, GenerationRequest
 from mulberrypass.engine.model_client import WRONG_ANSWER, HttpModelEngine
+from mulberrypass.engine.pool import ConnectionPool
 from mulberrypass.engine.wire import (
     MAX_ERROR_BYTES,
-    ConnectionPool,
     Deadline,
     WireError,
 )
@@ -164,7 +164,7 @@
         both = [pool.open(deadline, f"r{n}") for n in range(2)]
         for exchange in both:
             exchange.send("GET", "/", None, deadline)
-        with patch.object(wire, "MAX_IDLE_S", 0.0):
+        with patch.object(pool_module, "MAX_IDLE_S", 0.0):
             for exchange in both:
                 exchange.finish()
         kept = pool.take_idle()
--- a/tests/engine/test_unreadable_framing.py
+++ b/tests/engine/test_unreadable_framing.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from mulberrypass.engine.wire import ConnectionPool, Deadline, WireError
+from mulberrypass.engine.pool import ConnectionPool
+from mulberrypass.engine.wire import Deadline, WireError
 from tests.engine.endless import OK_HEAD, AnsweringServer
 
 DEADLINE_S = 2.0
--- a/tests/relay/test_departures.py
+++ b/tests/relay/test_departures.py
@@ -6,7 +6,8 @@
 import unittest
 from unittest.mock import patch
 
-from mulberrypass.engine.wire import ConnectionPool, Deadline
+from mulberrypass.engine.pool import ConnectionPool
+from mulberrypass.engine.wire import Deadline
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.platform.engines import HttpEngineClient
 from mulberrypass.relay.api import AnswerBody, AnswerHead, Refused
