Capture the logs of odd rows through the module that silences them

test_quiet failed: the tests of odd rows enabled logging by themselves. They now capture it with a function of tests/quiet.py, which drops it afterwards.

--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -6,13 +6,10 @@
 from typing import TYPE_CHECKING, Any
 import unittest
 
-import structlog
-from structlog.testing import capture_logs
-
 from mulberrypass.storage.follow import TableFollower
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
-from tests.quiet import quiet_logs
+from tests.quiet import captured_logs, quiet_logs
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, MutableMapping
@@ -77,8 +74,7 @@
     part = ""
 
     def setUp(self) -> None:
-        structlog.reset_defaults()
-        self.addCleanup(quiet_logs)
+        quiet_logs()
         self.logged: list[MutableMapping[str, Any]] = []
 
     def row(self, name: str, value: bytes) -> Transaction:
@@ -99,7 +95,7 @@
         follower = TableFollower(
             state, self.table, reader, all_parts=bool(self.part)
         )
-        with capture_logs() as self.logged:
+        with captured_logs() as self.logged:
             self.assertTrue(follower._step())
             for change in later:
                 state.transact(change)
--- a/tests/quiet.py
+++ b/tests/quiet.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+from typing import TYPE_CHECKING
 
 import structlog
+from structlog.testing import capture_logs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from structlog.typing import EventDict
 
 
 def quiet_logs() -> None:
@@ -20,4 +28,15 @@
     )
 
 
-__all__ = ["quiet_logs"]
+@contextlib.contextmanager
+def captured_logs() -> Iterator[list[EventDict]]:
+    """Capture the log lines of all levels, and drop them afterwards."""
+    structlog.reset_defaults()
+    try:
+        with capture_logs() as lines:
+            yield lines
+    finally:
+        quiet_logs()
+
+
+__all__ = ["captured_logs", "quiet_logs"]
--- a/tests/storage/test_odd_rows.py
+++ b/tests/storage/test_odd_rows.py
@@ -5,8 +5,6 @@
 import json
 from typing import TYPE_CHECKING
 
-from structlog.testing import capture_logs
-
 from mulberrypass.model.member import Member
 from mulberrypass.peer.membership_codec import encode_reply
 from mulberrypass.policy.health.crashes import Crash
@@ -15,6 +13,7 @@
 from mulberrypass.storage.crashes import CRASHES_TABLE, RowCrashes
 from mulberrypass.testing.row_state import RowState
 from tests.platform.odd_values import OddRowTest, odd_documents, replaced
+from tests.quiet import captured_logs
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -118,7 +117,7 @@
                 for number in range(kept):
                     state.transact(self.row(f"p{number}", good))
                 with self.subTest(what, kept=kept):
-                    with capture_logs() as self.logged:
+                    with captured_logs() as self.logged:
                         listed = instances.RowInstances(state).listed()
                     names = [entry.name for entry in listed.ok]
                     self.assertEqual([f"p{n}" for n in range(kept)], names)
