--- a/tests/platform/raw_site.py
+++ b/tests/platform/raw_site.py
@@ -135,6 +135,7 @@
         )
         process.start()
         self.processes.append(process)
+        self.addCleanup(end_threads, process)
         self.addCleanup(process.stop)
         self.wait_until(lambda: _ready(address))
         return address
@@ -239,6 +240,19 @@
     } | fields
 
 
+def end_threads(process: SiteProcess) -> None:
+    """End what only the exit of a process would end, after its stop."""
+    for follower in process._followers:
+        follower.stop()
+    process._watch.stop()
+    process._permits.stop()
+    process._owner.stop()
+    process._membership.stop()
+    process._loop.stop()
+    for server in process._aux_servers:
+        server.stop(0.0)
+
+
 def _ready(address: str) -> bool:
     conn = http.client.HTTPConnection(address, READY, timeout=5)
     try:
@@ -250,4 +264,4 @@
         conn.close()
 
 
-__all__ = ["RawSiteTest", "Reply", "stream_route"]
+__all__ = ["RawSiteTest", "Reply", "end_threads", "stream_route"]
