Update the known members by what changed, not anew in each round

Cause: each round of heartbeats (two a second and more) compared, sorted and grouped all members, and each read of the live ones filtered them again: work that grows with the members, on each of them, when nothing happens. Change: the view remembers whose state may have changed; KnownMembers applies just those and keeps the tuples that others hold. The test of quiet rounds fails before.

--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -11,7 +11,6 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from mulberrypass.model.member import MemberState
 from mulberrypass.peer.api import Membership
 from mulberrypass.peer.datagrams import DatagramHandler, HeartbeatDatagrams
 from mulberrypass.peer.membership_calls import HeartbeatCalls
@@ -26,7 +25,7 @@
     MembershipState,
 )
 from mulberrypass.peer.server import HeartbeatHandler
-from mulberrypass.policy.membership.changes import changes
+from mulberrypass.policy.membership.known_members import KnownMembers
 from mulberrypass.policy.membership.messages import Contact
 from mulberrypass.policy.membership.view import MembershipView
 from mulberrypass.policy.storage.budget import TokenBucket
@@ -57,7 +56,8 @@
 class _PublishedMembers:
     """Immutable members and backend servers for readers on other threads."""
 
-    by_program: dict[str, tuple[Member, ...]] = field(default_factory=dict)
+    known: dict[str, tuple[Member, ...]] = field(default_factory=dict)
+    live: dict[str, tuple[Member, ...]] = field(default_factory=dict)
     leaving_backends: frozenset[str] = frozenset()
 
 
@@ -112,7 +112,7 @@
             settings.early_rounds_per_s,
             settings.early_round_burst / settings.early_rounds_per_s,
         )
-        self._known: tuple[Member, ...] = ()
+        self._known = KnownMembers()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._calling: set[Contact] = set()
         self._subscribers: list[Callable[[], None]] = []
@@ -148,15 +148,11 @@
 
     def members(self, program: str) -> tuple[Member, ...]:
         """Return the members of a program that are not known to be dead."""
-        return self._published.by_program.get(program, ())
+        return self._published.known.get(program, ())
 
     def live(self, program: str) -> tuple[Member, ...]:
         """Return the members that are alive and not leaving, by name."""
-        return tuple(
-            member
-            for member in self.members(program)
-            if member.state is MemberState.ALIVE
-        )
+        return self._published.live.get(program, ())
 
     def leaving_backends(self) -> frozenset[str]:
         """Return the backend servers that any source reports as leaving."""
@@ -218,7 +214,8 @@
     async def _run_rounds(self) -> None:
         while True:
             self._view.set_generation(self._own_generation())
-            self._publish()
+            if self._view.has_touched:
+                self._publish()
             contacts = self._view.start_round(self._now())
             self._calls.close_unused(contacts)
             for contact in contacts:
@@ -327,16 +324,13 @@
             LOG.exception("a subscriber of the membership failed")
 
     def _publish(self) -> None:
-        known = self._view.known()
-        found = changes(self._known, known)
-        self._known = known
+        found = self._known.update(self._view.take_touched())
         if found:
-            LOG.info("members changed", known=len(known), **found.log_fields())
-        by_program: dict[str, list[Member]] = {}
-        for member in sorted(known, key=lambda m: m.name):
-            by_program.setdefault(member.program, []).append(member)
+            known = len(self._known)
+            LOG.info("members changed", known=known, **found.log_fields())
         self._published = _PublishedMembers(
-            {program: tuple(found) for program, found in by_program.items()},
+            self._known.known(),
+            self._known.live(),
             self._view.leaving_backends(),
         )
 
@@ -408,7 +402,7 @@
         self._handle_changes()
 
     def _list_interval_s(self) -> float:
-        members = sum(map(len, self._published.by_program.values()))
+        members = sum(map(len, self._published.known.values()))
         interval_s = members / self._settings.list_reads_per_s
         return max(self._settings.list_interval_s, interval_s)
 
--- a/src/mulberrypass/policy/membership/view.py
+++ b/src/mulberrypass/policy/membership/view.py
@@ -67,6 +67,7 @@
         self._discover_until = float("-inf")
         self._changed = True
         self._urgent = False
+        self._touched = {me.name}
         self.newest = me
 
     def known(self) -> tuple[Member, ...]:
@@ -101,6 +102,21 @@
         changed, self._changed = self._changed, False
         return changed
 
+    @property
+    def has_touched(self) -> bool:
+        """Whether any member may differ from when it was last taken."""
+        return bool(self._touched)
+
+    def take_touched(self) -> dict[str, Member | None]:
+        """Return and clear the members that may have changed.
+
+        Members on an instance that is listed as leaving are leaving.
+
+        :returns: the members by name, ``None`` for one that is dead
+        """
+        touched, self._touched = sorted(self._touched), set()
+        return {name: self._known_member(name) for name in touched}
+
     def take_urgent(self) -> bool:
         """Return and clear whether an update shouldn't wait for a round."""
         urgent, self._urgent = self._urgent, False
@@ -113,13 +129,13 @@
     def set_generation(self, generation: int) -> None:
         """Set the configuration generation in force on this member."""
         if generation > self.me.generation:
-            self.me = replace(self.me, generation=generation)
+            self._replace_me(replace(self.me, generation=generation))
             self._note_generation(self.me)
 
     def leave(self) -> None:
         """Mark this member as leaving, which can't be undone."""
         if self.me.state is not MemberState.LEAVING:
-            self.me = replace(self.me, state=MemberState.LEAVING)
+            self._replace_me(replace(self.me, state=MemberState.LEAVING))
             self._note_change(True)
 
     def report_backend(self, backend: str, now: float) -> None:
@@ -136,7 +152,9 @@
 
     def apply_list(self, items: tuple[ListedMachine, ...], now: float) -> None:
         """Apply the platform's list of instances and backend servers."""
-        self._changed |= self._instances.update(items)
+        if self._instances.update(items):
+            self._changed = True
+            self._touched.update((self.me.name, *self._table))
         states = {
             e.name: e.state for e in items if e.kind is ListedKind.BACKEND
         }
@@ -287,6 +305,17 @@
         member = self._table.get(name)
         return member.incarnation if member is not None else 0
 
+    def _known_member(self, name: str) -> Member | None:
+        """Return a member as others should see it, ``None`` if dead."""
+        member = self.me if name == self.me.name else self._table.get(name)
+        if member is None or member.state is MemberState.DEAD:
+            return None
+        return self._instances.apply_leaving(member)
+
+    def _replace_me(self, me: Member) -> None:
+        self.me = me
+        self._touched.add(me.name)
+
     def _merge(self, member: Member, now: float) -> None:
         """Merge a received state of another member."""
         old = self._table.get(member.name)
@@ -333,6 +362,7 @@
         self._unverified_deaths.pop(member.name, None)
         self._neighbours = None
         self._changed = True
+        self._touched.add(member.name)
         if member.state is not MemberState.DEAD:
             self._note_generation(member)
         elif self.newest.name == member.name:
@@ -344,6 +374,7 @@
             return
         newer = replace(old, generation=generation)
         self._table.replace_member(newer)
+        self._touched.add(old.name)
         self._gossip.add(old.name, urgent=False)
         if old.state is not MemberState.DEAD:
             self._note_generation(newer)
@@ -376,7 +407,8 @@
         moved = reported.address != self.me.address
         self.superseded = moved and reported.state not in REFUTABLE_STATES
         if not self.superseded:
-            self.me = replace(self.me, incarnation=reported.incarnation + 1)
+            incarnation = reported.incarnation + 1
+            self._replace_me(replace(self.me, incarnation=incarnation))
             self._note_change(True)
 
     def _declare_dead(self, now: float) -> None:
--- a/tests/peer/membership_fleet.py
+++ b/tests/peer/membership_fleet.py
@@ -162,4 +162,4 @@
             self.changed.notify_all()
 
 
-__all__ = ["KEY", "Peer", "PeerFleet", "SETTINGS"]
+__all__ = ["DEADLINE_S", "KEY", "Peer", "PeerFleet", "SETTINGS"]
--- a/tests/peer/test_membership.py
+++ b/tests/peer/test_membership.py
@@ -13,9 +13,16 @@
 from mulberrypass.peer.peer_grpc import PeerStub
 from mulberrypass.peer.peer_pb2 import HeartbeatRequest
 from mulberrypass.testing.platform_faults import Faults
-from tests.peer.membership_fleet import SETTINGS, Peer, PeerFleet
+from tests.peer.membership_fleet import (
+    DEADLINE_S,
+    SETTINGS,
+    Peer,
+    PeerFleet,
+)
 
 ADDRESSES = tuple(f"127.0.11.{number}" for number in range(1, 7))
+# Heartbeats of several rounds to both neighbours.
+QUIET_CALLS = 10
 ALIVE = MemberState.ALIVE
 LEAVING = MemberState.LEAVING
 
@@ -52,6 +59,21 @@
                 state.deaths, peer.metrics.snapshot()["member.dead"]
             )
 
+    def test_rounds_without_a_change_build_nothing_anew(self) -> None:
+        addresses = ADDRESSES[:3]
+        self.peers.list_live(*addresses)
+        # On a slow machine nobody may be suspected, which is a change.
+        patient = replace(SETTINGS, timeout_s=DEADLINE_S)
+        peers = [self.peers.start(a, settings=patient) for a in addresses]
+        everyone = {peer.name for peer in peers}
+        self.wait_for_states(peers, dict.fromkeys(everyone, ALIVE))
+        watched = peers[0].membership
+        members, live = watched.members("entry"), watched.live("entry")
+        calls = watched.state().calls
+        while watched.state().calls < calls + QUIET_CALLS:
+            self.assertIs(members, watched.members("entry"))
+            self.assertIs(live, watched.live("entry"))
+
     def test_restarted_member_is_alive_again(self) -> None:
         *rest, killed = self.start_all(*ADDRESSES[:3])
         killed.stop()
