Let members without a cell sleep between refreshes

Cause: the owner thread of each member ticked ten times a second, and listed all members for their zones once a second, also where it owns no cell: 195 instances share two cells of 16 engines, so nearly all ticks did nothing. Change: without a cell the next tick is the next refresh; the zones are listed only for a cell that is owned. A new cell is taken up as before.

--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -270,7 +270,10 @@
         if now >= self._loads_logged_at + LOAD_LOG_INTERVAL_S:
             self._loads_logged_at = now
             self._cells.log_loads()
-        self._next_tick_at = now + IDLE_TICK_S
+        # In a large fleet most members own no cell and have nothing to do
+        # between refreshes.
+        idle_s = IDLE_TICK_S if len(self._cells) else REFRESH_INTERVAL_S
+        self._next_tick_at = min(now + idle_s, self._next_refresh_at)
 
     def _schedule_refresh(self, now: float) -> None:
         """Schedule a refresh, at most one per ``MIN_REFRESH_INTERVAL_S``."""
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -44,6 +44,9 @@
         self._logged_limits: dict[str, float] = {}
         self.loaded: dict[str, frozenset[str]] = {}
 
+    def __len__(self) -> int:
+        return len(self._cells)
+
     def __iter__(self) -> Iterator[Cell]:
         """Iterate over a copy of the owned cells."""
         return iter(tuple(self._cells.values()))
@@ -59,7 +62,7 @@
 
         :param sessions: connected holders by name
         """
-        zones = self._zones(sessions)
+        zones: dict[str, str] | None = None
         self._update_live_owners()
         owned: set[CellKey] = set()
         for pool in cfg.pools.values():
@@ -68,6 +71,7 @@
                 key = CellKey(pool.name, index)
                 if self._owner_of(key) == self._me:
                     owned.add(key)
+                    zones = zones or self._zones(sessions)
                     yield from self._configure(
                         key, names, len(parts), cfg, zones, now
                     )
