--- a/src/mulberrypass/bench/capacity.py
+++ b/src/mulberrypass/bench/capacity.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import json
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -18,7 +19,7 @@
 DAY_S = 86_400
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FleetSize:
     """Size and load of a fleet.
 
@@ -78,7 +79,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class UnitCosts:
     """Measured unit costs.
 
@@ -108,7 +109,7 @@
     member_bytes_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Figure:
     """One row of the capacity page.
 
--- a/src/mulberrypass/bench/load/http_call.py
+++ b/src/mulberrypass/bench/load/http_call.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import http.client
 import json
 import time
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -15,7 +16,7 @@
 POLL_INTERVAL_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HttpAnswer:
     """Status and body of an HTTP answer."""
 
--- a/src/mulberrypass/bench/load/open_loop.py
+++ b/src/mulberrypass/bench/load/open_loop.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.bench.load.recorder import Recorder
+from mulberrypass.model.value_class import value_class
 from mulberrypass.testing.engine_tokens import expected_tokens
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
 REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OutgoingRequest:
     """One request to be sent.
 
@@ -77,7 +78,7 @@
         return
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Sample:
     """Measurements of one request, from its intended send time on.
 
@@ -99,7 +100,7 @@
     address: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LoadPlan:
     """Requests to send, and which of them are measured.
 
@@ -135,7 +136,7 @@
         return not self.customers or sample.customer in self.customers
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LoadOutcome:
     """Measurements of a whole run.
 
--- a/src/mulberrypass/bench/load/recorder.py
+++ b/src/mulberrypass/bench/load/recorder.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import threading
 
 from hdrh.histogram import HdrHistogram
 
+from mulberrypass.model.value_class import value_class
+
 MIN_US = 1
 MAX_US = 600_000_000
 SIGNIFICANT_DIGITS = 3
@@ -14,7 +15,7 @@
 US_PER_MS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Summary:
     """Percentiles of one latency, in milliseconds."""
 
--- a/src/mulberrypass/bench/load/sending.py
+++ b/src/mulberrypass/bench/load/sending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
 import multiprocessing
 import sys
 import threading
@@ -13,6 +12,7 @@
 from mulberrypass.bench.load.direct_sender import DirectSender
 from mulberrypass.bench.load.entry_sender import EntrySender
 from mulberrypass.bench.load.open_loop import LoadOutcome, Sample, send_all
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -26,7 +26,7 @@
 SYSTEM = "mulberrypass"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SenderSpec:
     """How the sender processes send their requests.
 
--- a/src/mulberrypass/bench/load/workload.py
+++ b/src/mulberrypass/bench/load/workload.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -14,7 +15,7 @@
 MAX_ITERATIONS = 50
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RequestSize:
     """Prompt and output length of one request."""
 
@@ -22,7 +23,7 @@
     output_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SizeRange:
     """Uniform distribution of request sizes, bounds included."""
 
@@ -51,7 +52,7 @@
 BATCH_SIZES = SizeRange(200, 600, 60, 180)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Arrival:
     """One request and its intended send time.
 
--- a/src/mulberrypass/bench/model/experiments.py
+++ b/src/mulberrypass/bench/model/experiments.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import asdict, dataclass, field, replace
+from dataclasses import asdict, field, replace
 from functools import partial
 import heapq
 from typing import TYPE_CHECKING
@@ -28,6 +28,7 @@
     make_row,
     ratio,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.settings import CellSettings, PacingSettings
 from mulberrypass.testing.engine_step import EngineShape
 
@@ -58,7 +59,7 @@
 SYSTEM = "mulberrypass"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Trial:
     """Simulation of one policy in one scenario."""
 
--- a/src/mulberrypass/bench/model/fleet.py
+++ b/src/mulberrypass/bench/model/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from functools import partial
 import random
 from typing import TYPE_CHECKING
@@ -16,6 +16,7 @@
     Work,
 )
 from mulberrypass.bench.model.policies import EngineFleet
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import WorkClass
 from mulberrypass.testing.engine_step import EngineShape
 
@@ -31,7 +32,7 @@
 BATCH_BUDGET_S = 3_600.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Slowdown:
     """Temporary slowdown of some engines.
 
@@ -44,7 +45,7 @@
     end: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Scenario:
     """Load and faults of one simulation.
 
@@ -70,7 +71,7 @@
     seed: int = 1
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SimulationResult:
     """Measurements of one simulation."""
 
--- a/src/mulberrypass/bench/plots.py
+++ b/src/mulberrypass/bench/plots.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from html import escape
 import math
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
@@ -18,7 +19,7 @@
 COLOURS = ("#1b6ca8", "#c0392b", "#27813a", "#8e44ad", "#b9770e", "#34495e")
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Point:
     """A point of a plot and its label."""
 
@@ -27,7 +28,7 @@
     y: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Axis:
     """One axis; logarithmic if its values span a wide range.
 
--- a/src/mulberrypass/bench/processes/batch_faults.py
+++ b/src/mulberrypass/bench/processes/batch_faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 import http.client
 import json
 import random
@@ -24,6 +23,7 @@
     at_most,
     ratio,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.ports import BATCH_PORT, PLATFORM_PORT
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
         ]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobResult:
     """Results of one job.
 
--- a/src/mulberrypass/bench/processes/cluster.py
+++ b/src/mulberrypass/bench/processes/cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import partial
 import hashlib
 import json
@@ -12,6 +11,7 @@
 
 from mulberrypass.bench.load.http_call import call, wait_until
 from mulberrypass.bench.processes.launcher import Launcher
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.ports import (
     BATCH_PORT,
     CONTROL_PORT,
@@ -38,7 +38,7 @@
 BATCH_CUSTOMER = "night"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ClusterShape:
     """Numbers of engines and instances, and their settings.
 
--- a/src/mulberrypass/bench/processes/experiments.py
+++ b/src/mulberrypass/bench/processes/experiments.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from mulberrypass.bench.load.direct_sender import BASELINES
@@ -22,6 +22,7 @@
     at_most,
     ratio,
 )
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -244,7 +245,7 @@
     return run.make_result("overload", outcomes, targets, notes)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Experiment:
     """One experiment, its cluster and the default length of its runs."""
 
--- a/src/mulberrypass/bench/processes/launcher.py
+++ b/src/mulberrypass/bench/processes/launcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import os
 from pathlib import Path
 import signal
@@ -11,6 +10,8 @@
 import tempfile
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -20,7 +21,7 @@
 SYSTEM_TICKS_FIELD = 12
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StartedProgram:
     """A program and its process."""
 
--- a/src/mulberrypass/bench/processes/run.py
+++ b/src/mulberrypass/bench/processes/run.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 import heapq
 import os
 from typing import TYPE_CHECKING
@@ -16,6 +16,7 @@
     poisson_arrivals,
 )
 from mulberrypass.bench.results import ExperimentResult, make_row
+from mulberrypass.model.value_class import value_class
 from mulberrypass.testing.engine_step import EngineShape
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
 WARM_UP_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ExperimentRun:
     """Cluster, seed and length of one experiment.
 
--- a/src/mulberrypass/bench/results.py
+++ b/src/mulberrypass/bench/results.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, field
 import enum
 import json
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
@@ -21,7 +23,7 @@
     AT_LEAST = ">="
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ResultRow:
     """Measurements of one policy in one run.
 
@@ -41,7 +43,7 @@
     batch_tokens_per_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Target:
     """A measured figure and the bound that it must keep."""
 
@@ -58,7 +60,7 @@
         return self.measured >= self.wanted
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ExperimentResult:
     """Measurements and targets of one experiment.
 
--- a/src/mulberrypass/bench/slopes/jobs.py
+++ b/src/mulberrypass/bench/slopes/jobs.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 import io
 import json
 from pathlib import Path
@@ -40,6 +40,7 @@
     ServiceKind,
 )
 from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.api import Membership, PermitClient
 from mulberrypass.policy.jobs.commands import HolderSettings
 from mulberrypass.policy.messages import Grant
@@ -68,7 +69,7 @@
 WORDS_PER_ITEM = 24
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobCost:
     """Measured cost of one job.
 
--- a/src/mulberrypass/bench/slopes/membership.py
+++ b/src/mulberrypass/bench/slopes/membership.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from asyncio import selector_events
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 import json
 import pathlib
 import random
@@ -20,6 +20,7 @@
 
 from mulberrypass.model.member import Member, MemberState
 from mulberrypass.model.store import ListedKind, ListedMachine, ListedState
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership
 from mulberrypass.peer.membership_state import MembershipSettings
@@ -41,7 +42,7 @@
 SETTLE_S = 25.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class MembershipCost:
     """Measured cost at one fleet size.
 
--- a/src/mulberrypass/bench/slopes/permits.py
+++ b/src/mulberrypass/bench/slopes/permits.py
@@ -26,6 +26,7 @@
     Pool,
 )
 from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.api import Membership
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.owner import CellOwner
@@ -76,7 +77,7 @@
 RESULTS = Path("bench/results/slope-permits.json")
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PermitCost:
     """Measured cost at one rate of permits.
 
--- a/src/mulberrypass/bench/slopes/platform.py
+++ b/src/mulberrypass/bench/slopes/platform.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 import json
 import pathlib
 import random
@@ -20,6 +20,7 @@
 
 from mulberrypass.bench.processes.launcher import Launcher
 from mulberrypass.model.store import Absent, Put
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.client import open_platform
 from mulberrypass.platform.http_client import Endpoint
 from mulberrypass.runtime.ports import PLATFORM_PORT
@@ -40,7 +41,7 @@
 SUBMIT_TIMEOUT_S = 30.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CommitCost:
     """Measured cost at one rate of records.
 
@@ -59,7 +60,7 @@
     latency_p99_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Conditions:
     """Conditions of a run.
 
--- a/src/mulberrypass/bench/slopes/tokens.py
+++ b/src/mulberrypass/bench/slopes/tokens.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 import json
 import os
 from pathlib import Path
@@ -13,6 +13,7 @@
 from mulberrypass.bench.load.sending import SYSTEM, run_plan
 from mulberrypass.bench.load.workload import SizeRange, poisson_arrivals
 from mulberrypass.bench.processes.cluster import Cluster, ClusterShape
+from mulberrypass.model.value_class import value_class
 
 PROMPT_TOKENS = 100
 OUTPUT_TOKENS = (10, 40, 80)
@@ -21,7 +22,7 @@
 IDLE_S = 6.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class TokenLoad:
     """Processor time of the entry process under one load.
 
@@ -35,7 +36,7 @@
     processor_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class TokenCost:
     """Fitted unit costs.
 
--- a/src/mulberrypass/caller/jobs.py
+++ b/src/mulberrypass/caller/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from datetime import datetime
 from http import HTTPStatus
 import re
@@ -21,6 +20,7 @@
 )
 from mulberrypass.jobs.manifest import BadLine
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.http import (
     HttpRoute,
     Problem,
@@ -55,7 +55,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _OwnedJob:
     customer: Customer
     job: JobRow
--- a/src/mulberrypass/caller/online.py
+++ b/src/mulberrypass/caller/online.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, replace
 from http import HTTPStatus
 import json
 import threading
@@ -16,6 +16,7 @@
 from mulberrypass.caller.online_body import read_body, read_options
 from mulberrypass.model.objects import RecordMode
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.online.call import Call, Completed, Failed, StreamedTokens
 from mulberrypass.online.execution import RequestExecution
 from mulberrypass.policy.online.shares import ThreadShares, ThreadShareSettings
@@ -47,7 +48,7 @@
 BUSY_RETRY_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ValidatedRequest:
     """A request that has passed authentication and validation."""
 
--- a/src/mulberrypass/caller/online_body.py
+++ b/src/mulberrypass/caller/online_body.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 import json
 import re
@@ -13,6 +12,7 @@
 
 from mulberrypass.model.objects import ServiceKind
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.http import Problem
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
     stream: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RequestOptions:
     """Options of a request, from its headers.
 
--- a/src/mulberrypass/configuration/follower.py
+++ b/src/mulberrypass/configuration/follower.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import queue
 import random
 import threading
@@ -15,6 +14,7 @@
 from mulberrypass.model.objects import Configuration
 from mulberrypass.model.snapshot import decode
 from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.storage import generation as policy
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
@@ -32,18 +32,18 @@
 STOP_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Hint:
     member: str
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Offer:
     snapshot: Snapshot
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Stop:
     pass
 
@@ -51,7 +51,7 @@
 _Message = _Hint | _Offer | _Stop
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FollowerState:
     """State of a follower, for the state dump.
 
@@ -70,7 +70,7 @@
     stale_offers: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FollowerDependencies:
     """The collaborators of a follower.
 
--- a/src/mulberrypass/configuration/store.py
+++ b/src/mulberrypass/configuration/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import time
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from mulberrypass.model.published import Snapshot
 from mulberrypass.model.snapshot import decode, encode
 import mulberrypass.model.store as api
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
 MAX_HISTORY_ROWS = 200
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Submission:
     """A complete configuration that an operator wants to publish.
 
@@ -39,7 +39,7 @@
     message: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Accepted:
     """The configuration is published.
 
@@ -52,7 +52,7 @@
     unchanged: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StaleBase:
     """Another submission was accepted after the base; nothing changed.
 
@@ -63,14 +63,14 @@
     since: tuple[rows.HistoryRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SubmitIdReused:
     """The id belongs to an accepted submission with other content."""
 
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StoreDown:
     """The platform gave no conclusive answer.
 
@@ -81,7 +81,7 @@
     maybe_accepted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoSuchGeneration:
     """The snapshot is missing from the object store or can't be decoded."""
 
@@ -93,7 +93,7 @@
 SnapshotError = NoSuchGeneration | StoreDown
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Head:
     """The head row and its version; version 0 if there is no row."""
 
--- a/src/mulberrypass/engine/api.py
+++ b/src/mulberrypass/engine/api.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
@@ -15,7 +17,7 @@
     from mulberrypass.model.outcome import Ran
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class GenerationRequest:
     """A request to a model engine to generate an answer.
 
@@ -34,7 +36,7 @@
     seed: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Tokens:
     """Consecutive tokens of one answer.
 
@@ -45,7 +47,7 @@
     tokens: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Finished:
     """The end of a complete answer.
 
@@ -59,7 +61,7 @@
 StreamEvent = Tokens | Finished
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineFailed:
     """The backend server did not return a complete answer.
 
@@ -80,7 +82,7 @@
     closed: bool = field(default=False, compare=False)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LoadReport:
     """A model engine's report on its load, some seconds old.
 
@@ -95,7 +97,7 @@
     versions: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CacheEvent:
     """A change of an engine's prefix cache, reported with a delay.
 
@@ -109,7 +111,7 @@
     block: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LoadOrder:
     """An order to load a version, and adapters, into memory."""
 
@@ -118,7 +120,7 @@
     adapters: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class UnloadOrder:
     """An order to unload a version."""
 
@@ -126,7 +128,7 @@
     version: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RoleOrder:
     """An order to switch to a role."""
 
@@ -136,7 +138,7 @@
 Order = LoadOrder | UnloadOrder | RoleOrder
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StaleFence:
     """An order was rejected: the engine has seen a higher fencing number.
 
--- a/src/mulberrypass/engine/watch.py
+++ b/src/mulberrypass/engine/watch.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 import threading
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import Backend, BackendKind
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission import cells
 from mulberrypass.policy.admission.cells import CellKey
 from mulberrypass.runtime.logs import get_logger
@@ -27,7 +27,7 @@
 OWNER_PROGRAM = "entry"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineWatchState:
     """State of the polling, for the state dump.
 
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-from dataclasses import dataclass
 from email.errors import MissingHeaderBodySeparatorDefect
 import http.client
 import json
@@ -15,6 +14,7 @@
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
         self.unanswered = unanswered
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Deadline:
     """The time after which an answer is of no use.
 
--- a/src/mulberrypass/jobs/manager.py
+++ b/src/mulberrypass/jobs/manager.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
@@ -31,6 +31,7 @@
     Throttled,
     VersionIs,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.jobs import JobState, JobView, view
 
 if TYPE_CHECKING:
@@ -53,19 +54,19 @@
 RETRY_AFTER_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EmptyManifest:
     """The manifest has no items."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class KeyTaken:
     """The key already names another job of the customer."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StoreDown:
     """The platform gave no answer.
 
@@ -76,17 +77,17 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoSuchJob:
     """The customer has no such job."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AlreadyDone:
     """A job that is done can't be cancelled."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Accepted:
     """The job is stored.
 
@@ -97,7 +98,7 @@
     created: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Submission:
     """A job submission without its manifest.
 
--- a/src/mulberrypass/jobs/manifest.py
+++ b/src/mulberrypass/jobs/manifest.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +9,7 @@
 
 from mulberrypass.jobs.rows import ManifestLot
 from mulberrypass.model.objects import ServiceKind
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,7 +24,7 @@
 ITEM_FIELDS = frozenset({"input", "max_tokens"})
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BadLine:
     """A manifest line that can't be accepted.
 
@@ -43,7 +43,7 @@
         self.bad = bad
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Item:
     """One item of a job.
 
@@ -54,7 +54,7 @@
     max_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotData:
     """One lot of a manifest and its stored bytes."""
 
--- a/src/mulberrypass/jobs/rows.py
+++ b/src/mulberrypass/jobs/rows.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 import enum
 import json
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.items import ItemState, Outcome
 from mulberrypass.policy.jobs.jobs import HeldLot, JobState, LotCounts, OpenJob
 from mulberrypass.policy.jobs.lots import LotKey
@@ -30,7 +31,7 @@
     DONE = "done"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ManifestLot:
     """Items of a manifest that are stored in one object.
 
@@ -42,7 +43,7 @@
     count: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobRow:
     """The row of an accepted job.
 
@@ -65,7 +66,7 @@
     expires: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Chunk:
     """Outcomes of one lot within one object.
 
@@ -80,7 +81,7 @@
     indeterminate: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotRow:
     """The row of a lot that was leased at least once.
 
--- a/src/mulberrypass/jobs/run.py
+++ b/src/mulberrypass/jobs/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import queue
 import threading
 import time
@@ -15,6 +14,7 @@
     Tokens,
 )
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.items import RunCompleted, RunFailed, RunStopped
 from mulberrypass.policy.messages import (
     Ask,
@@ -47,7 +47,7 @@
 MIN_BUDGET_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunTask:
     """Parameters of one run.
 
--- a/src/mulberrypass/jobs/runner.py
+++ b/src/mulberrypass/jobs/runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import queue
 import threading
 import time
@@ -13,6 +12,7 @@
 from mulberrypass.jobs.store import NotLeased
 from mulberrypass.jobs.writer import RetryAbortedError
 from mulberrypass.model.store import Throttled, Unavailable
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.commands import (
     CloseJob,
     Flush,
@@ -57,49 +57,49 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Sent:
     run: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Ended:
     run: int
     result: RunResult
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Polled:
     snapshot: Result[JobSnapshot, ReadError]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _LeaseAnswered:
     lease: Result[LotLease, NotLeased]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _IntentsAnswered:
     key: LotKey
     durable: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Flushed:
     fenced: tuple[LotKey, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Cancelled:
     job: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Drain:
     pass
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _StopIdempotent:
     pass
 
--- a/src/mulberrypass/jobs/runs.py
+++ b/src/mulberrypass/jobs/runs.py
@@ -14,6 +14,7 @@
 from mulberrypass.jobs.run import ItemRun, RunHooks, RunTask
 from mulberrypass.model.objects import BackendKind, ServiceKind
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.items import RunCompleted, RunFailed, RunStopped
 from mulberrypass.policy.placement.canary import route_version
 from mulberrypass.policy.prefix import prefix_hashes
@@ -56,7 +57,7 @@
     started: float = field(default_factory=time.monotonic)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunState:
     """State of a run as shown in dumps.
 
--- a/src/mulberrypass/jobs/service.py
+++ b/src/mulberrypass/jobs/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -18,6 +17,7 @@
 from mulberrypass.jobs.runs import ItemRunPool
 from mulberrypass.jobs.store import LotStore
 from mulberrypass.jobs.writer import RetryBackoff, RetryingWriter
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.commands import FleetView, HolderSettings
 from mulberrypass.policy.jobs.holder import LotHolder
 from mulberrypass.policy.jobs.jobs import Holder
@@ -40,7 +40,7 @@
 DEFAULT_RETENTION_S = 604_800.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobDependencies:
     """Interfaces that the job components depend on."""
 
--- a/src/mulberrypass/jobs/store.py
+++ b/src/mulberrypass/jobs/store.py
@@ -39,6 +39,7 @@
     Put,
     VersionIs,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.lots import LotKey, LotLease
 
 if TYPE_CHECKING:
@@ -55,7 +56,7 @@
     from mulberrypass.policy.jobs.jobs import HeldLot, Holder, OpenJob
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NotLeased:
     """No lot was leased.
 
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import enum
 
+from mulberrypass.model.value_class import value_class
+
 # The host of a job, and its id, which another host's job may have too.
 JobKey = tuple[str, str]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BatchItem:
     """One item of a job, as submitted.
 
@@ -24,7 +25,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NewJob:
     """One job that a caller submits.
 
@@ -49,7 +50,7 @@
     ABANDONED = "abandoned"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ItemOutcome:
     """Outcome of one item.
 
@@ -63,7 +64,7 @@
     output: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobHead:
     """State of a job, small enough for one row.
 
@@ -125,7 +126,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class VersionedHead:
     """A job head as stored in the table.
 
@@ -136,7 +137,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ResultPage:
     """Results of a job, starting at one position."""
 
@@ -144,7 +145,7 @@
     outcomes: tuple[ItemOutcome, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Accepted:
     """The job is stored.
 
@@ -157,7 +158,7 @@
     head: VersionedHead | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OverQuota:
     """The job exceeds the quota; none of it runs.
 
@@ -167,12 +168,12 @@
     waiting_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoSuchJob:
     """The job does not exist, or the requested item is not available."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StoreUnavailable:
     """The store did not answer.
 
--- a/src/mulberrypass/model/diff.py
+++ b/src/mulberrypass/model/diff.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import fields
 import enum
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.snapshot import KINDS
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,7 +23,7 @@
     REMOVED = "removed"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FieldChange:
     """One field of a changed object."""
 
@@ -31,7 +32,7 @@
     after: Any
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Change:
     """One object that was added, changed or removed.
 
--- a/src/mulberrypass/model/fault.py
+++ b/src/mulberrypass/model/fault.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Source:
     """Location of a document.
 
--- a/src/mulberrypass/model/load.py
+++ b/src/mulberrypass/model/load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import json
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -10,6 +9,7 @@
 import yaml
 
 from mulberrypass.model.fault import Fault, Source
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -18,7 +18,7 @@
 TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RawDocument:
     """One document, not yet validated."""
 
@@ -26,7 +26,7 @@
     content: Any
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LoadResult:
     """The documents of some files, and the faults of unreadable files."""
 
--- a/src/mulberrypass/model/located.py
+++ b/src/mulberrypass/model/located.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from mulberrypass.model.document import (
@@ -11,6 +10,7 @@
     VersionDocument,
 )
 from mulberrypass.model.fault import Fault
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -31,7 +31,7 @@
     return label
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LocatedDocument:
     """A document and its source location."""
 
@@ -52,7 +52,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ObjectSet:
     """The documents of a set.
 
--- a/src/mulberrypass/model/member.py
+++ b/src/mulberrypass/model/member.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import enum
 
+from mulberrypass.model.value_class import value_class
+
 
 class MemberState(enum.IntEnum):
     """State of a member; within an incarnation the higher state wins."""
@@ -15,7 +16,7 @@
     DEAD = 3
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Member:
     """One process of the system.
 
--- a/src/mulberrypass/model/objects.py
+++ b/src/mulberrypass/model/objects.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 import enum
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -46,7 +48,7 @@
     DECODE = "decode"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class KeyDigest:
     """Digest of a secret key; the key itself is never stored.
 
@@ -58,7 +60,7 @@
     not_after: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Quota:
     """Limits for each customer that references this quota.
 
@@ -75,7 +77,7 @@
     batch_running: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Customer:
     """One customer and its share of the fleet.
 
@@ -90,14 +92,14 @@
     quota: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Model:
     """One model; its versions and adapters are objects of their own."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Version:
     """One version of a model.
 
@@ -111,7 +113,7 @@
     size_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Adapter:
     """One adapter that is loaded together with versions of its model."""
 
@@ -121,7 +123,7 @@
     size_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Backend:
     """One backend server: a model engine or the server of a plain service.
 
@@ -144,7 +146,7 @@
     weights_bytes: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Pool:
     """Backend servers that serve the same services."""
 
@@ -152,7 +154,7 @@
     backends: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Route:
     """One model version that a service sends requests to.
 
@@ -166,7 +168,7 @@
     adapter: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Service:
     """One service that callers send requests to.
 
@@ -197,7 +199,7 @@
     max_attempts: int = 3
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Operator:
     """One operator who may change the configuration."""
 
@@ -210,7 +212,7 @@
     return f"{model}/{name}"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Configuration:
     """A complete set of objects.
 
--- a/src/mulberrypass/model/published.py
+++ b/src/mulberrypass/model/published.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from mulberrypass.model.value_class import value_class
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Snapshot:
     """The serialized configuration of one generation.
 
@@ -18,7 +18,7 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SnapshotUnavailable:
     """A member did not return a snapshot of the requested generation."""
 
--- a/src/mulberrypass/model/references.py
+++ b/src/mulberrypass/model/references.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model import document as d
 from mulberrypass.model.fault import quoted
 from mulberrypass.model.located import describe
 from mulberrypass.model.objects import version_key
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,7 +24,7 @@
 MAX_SUGGESTED_NAMES = 8
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Reference:
     """A reference from one object to another one.
 
--- a/src/mulberrypass/model/routes.py
+++ b/src/mulberrypass/model/routes.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 import enum
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -19,7 +21,7 @@
     BATCH = "batch"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ServiceShare:
     """One service that a route sends requests to.
 
@@ -30,7 +32,7 @@
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RelayRoute:
     """Route for the requests of one host under one path prefix.
 
@@ -71,7 +73,7 @@
         return any(share.service == service for share in self.services)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RelayService:
     """A service that engines register for.
 
@@ -86,7 +88,7 @@
     event_tokens: int = 1
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CallerLimits:
     """Limits on the size and duration of callers' requests.
 
@@ -101,7 +103,7 @@
     idle_s: float = 60.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RouteTable:
     """A complete published set of routes.
 
@@ -142,7 +144,7 @@
         return None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RegisteredEngine:
     """One engine as it registered itself.
 
--- a/src/mulberrypass/model/rules.py
+++ b/src/mulberrypass/model/rules.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model import document as d
 from mulberrypass.model.fault import quoted
 from mulberrypass.model.objects import BackendKind, Role, ServiceKind
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -22,7 +22,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Index:
     """Lookup tables that are shared by the checks of all services.
 
--- a/src/mulberrypass/model/snapshot.py
+++ b/src/mulberrypass/model/snapshot.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 import hashlib
 import json
 from typing import TYPE_CHECKING, Any
@@ -13,6 +13,7 @@
 
 from mulberrypass.model import objects
 from mulberrypass.model.published import Snapshot
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,7 +41,7 @@
 KINDS = tuple(name for name in _Canonical.model_fields if name != "format")
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BadSnapshot:
     """A snapshot could not be decoded.
 
--- a/src/mulberrypass/model/store.py
+++ b/src/mulberrypass/model/store.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 import enum
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -17,19 +18,19 @@
 MAX_SCAN_ROWS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Absent:
     """Condition: there is no row with the key."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class VersionIs:
     """Condition: the row has this version."""
 
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Always:
     """Condition that is always met."""
 
@@ -37,7 +38,7 @@
 Condition = Absent | VersionIs | Always
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Put:
     """Write one row, replacing all its fields."""
 
@@ -47,7 +48,7 @@
     condition: Condition
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Delete:
     """Delete one row."""
 
@@ -56,7 +57,7 @@
     condition: Condition
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Check:
     """Make a transaction conditional on a row that it does not write."""
 
@@ -68,7 +69,7 @@
 Op = Put | Delete | Check
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Row:
     """One stored row.
 
@@ -80,7 +81,7 @@
     row: Mapping[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Page:
     """One page of a scan, ordered by key.
 
@@ -91,7 +92,7 @@
     next_after: str | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Committed:
     """A transaction took effect.
 
@@ -101,7 +102,7 @@
     versions: tuple[int, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Conflict:
     """A condition was not met, and nothing was written.
 
@@ -113,7 +114,7 @@
     found: Row | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Unavailable:
     """The platform did not answer.
 
@@ -124,21 +125,21 @@
     maybe_applied: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Throttled:
     """The platform refused the call by its rate limit; nothing was done."""
 
     retry_after_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Missing:
     """There is no object with the key."""
 
     key: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Exists:
     """An object with the key exists already and is unchanged."""
 
@@ -205,7 +206,7 @@
     BACKEND = "backend"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ListedMachine:
     """One machine in the platform's list.
 
--- a/src/mulberrypass/online/attempt.py
+++ b/src/mulberrypass/online/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
     Tokens,
 )
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import FirstToken, Release, ReleaseOutcome
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
 GAP_QUANTILE = 0.95
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlainAnswer:
     """The complete answer of a plain service."""
 
@@ -40,7 +40,7 @@
 AttemptEvent = Tokens | Finished | PlainAnswer | EngineFailed
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AttemptMessage:
     """An event of an attempt, sent to the request's thread."""
 
--- a/src/mulberrypass/online/call.py
+++ b/src/mulberrypass/online/call.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from mulberrypass.model.objects import Customer, Route, Service
     from mulberrypass.model.outcome import Ran
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Call:
     """An accepted or recovered online request.
 
@@ -29,7 +30,7 @@
     route: Route | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StreamedTokens:
     """Tokens of the answer to stream to the caller.
 
@@ -40,7 +41,7 @@
     tokens: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Completed:
     """The complete answer.
 
@@ -57,7 +58,7 @@
     recorded: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Failed:
     """The request ended without an answer.
 
--- a/src/mulberrypass/online/execution.py
+++ b/src/mulberrypass/online/execution.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import itertools
 import queue
 import time
@@ -11,6 +10,7 @@
 from mulberrypass.engine.api import EngineFailed, Finished, Tokens
 from mulberrypass.model.objects import BackendKind, ServiceKind
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.online.attempt import Attempt, AttemptMessage, PlainAnswer
 from mulberrypass.online.call import Completed, StreamedTokens
 from mulberrypass.online.refusals import (
@@ -48,7 +48,7 @@
 PLAIN_CALL_TOKENS = 1
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PermitMessage:
     """The answer to a permit request, sent to the request's thread."""
 
@@ -56,7 +56,7 @@
     answer: Grant | Refuse
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OnlineDependencies:
     """Objects that all online requests of a process share.
 
--- a/src/mulberrypass/online/recorded.py
+++ b/src/mulberrypass/online/recorded.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from http import HTTPStatus
 import queue
 import threading
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.online.call import Completed, Failed, StreamedTokens
 from mulberrypass.online.execution import RequestExecution
 from mulberrypass.online.intent import Intent
@@ -43,7 +44,7 @@
 OUTCOME_POLL_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RecordedRunsState:
     """Counts of a process's recorded requests, for the state dump.
 
--- a/src/mulberrypass/online/records.py
+++ b/src/mulberrypass/online/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, replace
 import enum
 import json
 import time
@@ -21,6 +21,7 @@
     Row,
     VersionIs,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.online.call import Completed, Failed
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
     DONE = "done"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Record:
     """A recorded request.
 
@@ -71,14 +72,14 @@
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ExistingRecord:
     """The write conflicts with an existing record of the request."""
 
     record: Record
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StoreFailed:
     """The platform failed to read or write the record.
 
@@ -89,7 +90,7 @@
     maybe_applied: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RecordMissing:
     """The record has been removed."""
 
--- a/src/mulberrypass/online/shared.py
+++ b/src/mulberrypass/online/shared.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import threading
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.online.hedging import HedgeTimer
 from mulberrypass.policy.online.retry import RetryBudget
 
@@ -13,7 +13,7 @@
     from collections.abc import Mapping
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SharedState:
     """Values for the state dump.
 
--- a/src/mulberrypass/operator/app.py
+++ b/src/mulberrypass/operator/app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +12,7 @@
 from mulberrypass.model.jsonable import jsonable
 from mulberrypass.model.render import to_document, to_documents
 from mulberrypass.model.snapshot import KINDS
+from mulberrypass.model.value_class import value_class
 from mulberrypass.operator.changes import GenerationConflict, InvalidSet
 from mulberrypass.operator.messages import CheckBody, SubmitBody, read_body
 from mulberrypass.runtime.http import HttpRoute, Problem, json_answer
@@ -39,7 +39,7 @@
 SINGULAR_BY_PLURAL = {kind: kind[:-1] for kind in KINDS}
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OperatorDependencies:
     """Objects that the operator API is built on."""
 
--- a/src/mulberrypass/operator/changes.py
+++ b/src/mulberrypass/operator/changes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
@@ -19,6 +19,7 @@
 from mulberrypass.model.check import check
 from mulberrypass.model.diff import Action, Change, differences
 from mulberrypass.model.objects import Configuration
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from mulberrypass.configuration.follower import ConfigurationFollower
@@ -28,7 +29,7 @@
     from mulberrypass.operator.messages import SubmitBody
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LatestConfiguration:
     """The newest configuration that this process can see.
 
@@ -39,7 +40,7 @@
     doubt: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Plan:
     """What a submission would change.
 
@@ -52,14 +53,14 @@
     changes: tuple[Change, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class InvalidSet:
     """The set of objects is invalid."""
 
     faults: tuple[Fault, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ObjectConflict:
     """One object that other submissions changed since the base.
 
@@ -76,7 +77,7 @@
     mine: str | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class GenerationConflict:
     """The base generation of a submission is no longer in force."""
 
@@ -85,7 +86,7 @@
     objects: tuple[ObjectConflict, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Published:
     """The set is published.
 
--- a/src/mulberrypass/operator/client.py
+++ b/src/mulberrypass/operator/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
 import json
 from typing import Any
@@ -10,12 +9,14 @@
 
 from expression import Error, Ok, Result
 
+from mulberrypass.model.value_class import value_class
+
 TIMEOUT_S = 30.0
 MAX_ANSWER_BYTES = 268_435_456
 FIRST_ERROR_STATUS = 400
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoAnswer:
     """No control program answered."""
 
@@ -27,7 +28,7 @@
         return self.reason
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Refused:
     """A control program refused the request.
 
--- a/src/mulberrypass/operator/explain.py
+++ b/src/mulberrypass/operator/explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 from http.client import HTTPConnection, HTTPException
 import json
@@ -11,6 +10,7 @@
 
 from expression import Error, Ok, Result
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.cells import (
     CellKey,
     owner,
@@ -30,7 +30,7 @@
 OWNED_CELLS_FIELD = "owned_here"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ExplainFailure:
     """An entry process returned no explanation.
 
@@ -43,7 +43,7 @@
     document: dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PoolCell:
     """A cell of a pool, and the entry process that admits work to it."""
 
--- a/src/mulberrypass/operator/fleet.py
+++ b/src/mulberrypass/operator/fleet.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.member import MemberState
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.ports import PEER_PORTS
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
 PRESENT_STATES = frozenset({"alive", "suspect"})
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class MemberGeneration:
     """The last reported generation of one member."""
 
@@ -30,7 +30,7 @@
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FleetGenerations:
     """Generations held by all members.
 
--- a/src/mulberrypass/operator/recent_jobs.py
+++ b/src/mulberrypass/operator/recent_jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import time
 from typing import TYPE_CHECKING
 
@@ -10,6 +9,7 @@
 
 from mulberrypass.configuration.store import reason_of
 from mulberrypass.jobs.rows import JobRow, customer_prefix
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.jobs import view
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 MAX_JOBS_READ = 200
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RecentJob:
     """One job, with counts of its items by state.
 
@@ -46,7 +46,7 @@
         return bool(self.failed or self.indeterminate or self.late)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RecentJobs:
     """The jobs of the last day.
 
--- a/src/mulberrypass/operator/status.py
+++ b/src/mulberrypass/operator/status.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
@@ -16,7 +17,7 @@
     from mulberrypass.placement.engines import PoolState
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StatusReport:
     """State of the fleet, and what needs attention.
 
@@ -32,7 +33,7 @@
     decisions: Mapping[str, int]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StatusCollector:
     """Collects the status report from components of this process."""
 
--- a/src/mulberrypass/operator/trace.py
+++ b/src/mulberrypass/operator/trace.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import json
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -26,7 +27,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LogLine:
     """One parsed log line.
 
--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import field
 import random
 import time
 from typing import TYPE_CHECKING, Any
@@ -11,6 +11,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.api import Membership
 from mulberrypass.peer.datagrams import DatagramHandler, HeartbeatDatagrams
 from mulberrypass.peer.membership_calls import HeartbeatCalls
@@ -52,7 +53,7 @@
 OPEN_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _PublishedMembers:
     """Immutable members and backend servers for readers on other threads."""
 
--- a/src/mulberrypass/peer/membership_calls.py
+++ b/src/mulberrypass/peer/membership_calls.py
@@ -10,6 +10,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.peer_grpc import PeerStub
 from mulberrypass.peer.server import KEY_HEADER
 
@@ -24,7 +25,7 @@
 CALL_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PeerEndpoint:
     """Address and port of a peer server."""
 
--- a/src/mulberrypass/peer/membership_state.py
+++ b/src/mulberrypass/peer/membership_state.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.membership.messages import ViewSettings
 
 if TYPE_CHECKING:
     from mulberrypass.model.member import Member
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class MembershipSettings:
     """Settings of the membership.
 
@@ -36,7 +37,7 @@
     seeds: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class MembershipState:
     """State of the membership for a dump.
 
--- a/src/mulberrypass/peer/owner_events.py
+++ b/src/mulberrypass/peer/owner_events.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
     from concurrent.futures import Future
@@ -13,7 +15,7 @@
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OwnerReply:
     """A batch of messages from an owner to one holder.
 
@@ -35,21 +37,21 @@
     deliver: Callable[[OwnerReply], None]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HolderConnected:
     """A holder connected."""
 
     session: HolderSession
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HolderDisconnected:
     """A holder's connection ended."""
 
     session: HolderSession
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class MessagesReceived:
     """A holder sent messages."""
 
@@ -57,12 +59,12 @@
     messages: tuple[HolderMessage, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Refresh:
     """The members or the configuration may have changed."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class VersionsLoaded:
     """A backend server reported the versions that it has in memory."""
 
@@ -70,7 +72,7 @@
     versions: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CacheHint:
     """An engine reported that a prefix cache block was stored or removed."""
 
@@ -79,12 +81,12 @@
     block: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Stop:
     """The owner's thread must end."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StateRequest:
     """A caller waits for the owner's state."""
 
--- a/src/mulberrypass/placement/engines.py
+++ b/src/mulberrypass/placement/engines.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.placement.placement import EngineView
 
 if TYPE_CHECKING:
@@ -108,7 +109,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineState:
     """State of an engine for the dump and the status report."""
 
@@ -118,7 +119,7 @@
     error: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PoolState:
     """State of a pool for the dump and the status report.
 
--- a/src/mulberrypass/placement/lease.py
+++ b/src/mulberrypass/placement/lease.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Result
 from pydantic import BaseModel, ConfigDict
 
 from mulberrypass.model import store as api
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.placement import orders
 
 if TYPE_CHECKING:
@@ -31,7 +32,7 @@
     write: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _PendingWrite:
     write: str
     held: orders.HeldLease
--- a/src/mulberrypass/placement/pool.py
+++ b/src/mulberrypass/placement/pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from expression import Result
@@ -14,6 +13,7 @@
     StaleFence,
     UnloadOrder,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.placement.engines import (
     MAX_REPORT_LAG_S,
     EngineState,
@@ -38,7 +38,7 @@
 ROUTE_SETTLE_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PoolDependencies:
     """Objects that the placement of a pool uses.
 
--- a/src/mulberrypass/placement/runner.py
+++ b/src/mulberrypass/placement/runner.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 import threading
 import time
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import BackendKind
+from mulberrypass.model.value_class import value_class
 from mulberrypass.placement.lease import PoolLease
 from mulberrypass.placement.pool import PoolDependencies, PoolPlacer
 from mulberrypass.policy.placement.orders import preferred_member
@@ -32,7 +32,7 @@
 STOP_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlacementDependencies:
     """Objects that the placement of pools uses.
 
--- a/src/mulberrypass/platform/client.py
+++ b/src/mulberrypass/platform/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from http import HTTPStatus
 import json
 from typing import TYPE_CHECKING, Any
@@ -23,6 +22,7 @@
     Unavailable,
     WeightStore,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.http_client import HttpClient
 from mulberrypass.platform.wire import (
     WireError,
@@ -195,7 +195,7 @@
             return Error(Unavailable(f"bad answer: {exc!r}", True))
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlatformClients:
     """Clients of one platform, with a shared connection pool."""
 
--- a/src/mulberrypass/platform/http_client.py
+++ b/src/mulberrypass/platform/http_client.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok
 
 from mulberrypass.model.store import Unavailable
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.bounded import (
     MAX_FRAMING_BYTES,
     OversizeError,
@@ -34,7 +35,7 @@
 READ_BYTES = 65_536
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Endpoint:
     """Address of the platform, and how to connect to it.
 
@@ -52,7 +53,7 @@
     max_idle: int = 16
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HttpReply:
     """A complete response."""
 
--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import tomllib
 from typing import TYPE_CHECKING, Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_pascal
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -22,7 +23,7 @@
     """The settings file is missing or invalid."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HostPort:
     """Host and port of an address."""
 
@@ -30,7 +31,7 @@
     port: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Site:
     """Settings of one process, read from the settings file.
 
--- a/src/mulberrypass/platform/stand_in/caller.py
+++ b/src/mulberrypass/platform/stand_in/caller.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import base64
-from dataclasses import dataclass
 import http.client
 import json
 from typing import TYPE_CHECKING, Any
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform import headers as names
 from mulberrypass.platform.stand_in.engine import RESPONSE_STAMP
 
@@ -22,7 +22,7 @@
     """The answer is missing, incomplete or an error."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CallResult:
     """A complete answer.
 
@@ -36,7 +36,7 @@
     will_close: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ResultsPage:
     """Results of a job from a position on.
 
--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -11,6 +11,7 @@
 import threading
 import time
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform import headers as names
 from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.engine import (
@@ -82,7 +83,7 @@
         self._sock.sendall(data)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RawRequest:
     """A request as received.
 
--- a/src/mulberrypass/policy/admission/cells.py
+++ b/src/mulberrypass/policy/admission/cells.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy import rendezvous
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
 SEPARATOR = "#"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CellKey:
     """Identifies one cell of a pool."""
 
@@ -28,7 +28,7 @@
         return f"{self.pool}{SEPARATOR}{self.index}"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CellLoad:
     """Load of a cell, as last reported by its owner.
 
--- a/src/mulberrypass/policy/admission/decisions.py
+++ b/src/mulberrypass/policy/admission/decisions.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from mulberrypass.policy.messages import OwnerMessage
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CellDecision:
     """A message that the owner of a cell sends to a holder."""
 
--- a/src/mulberrypass/policy/admission/early_refusal.py
+++ b/src/mulberrypass/policy/admission/early_refusal.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.arrivals import ArrivalRate
 
 if TYPE_CHECKING:
@@ -23,7 +23,7 @@
 HASH_RANGE = 2**64
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EarlyRefusalSettings:
     """Settings of early refusal.
 
--- a/src/mulberrypass/policy/admission/queueing.py
+++ b/src/mulberrypass/policy/admission/queueing.py
@@ -6,6 +6,8 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterator, Mapping
 
@@ -16,7 +18,7 @@
 LATE_OFFSET_S = 3_600.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Lane:
     """Requirements that asks share; each lane is a queue of its own."""
 
--- a/src/mulberrypass/policy/admission/routing.py
+++ b/src/mulberrypass/policy/admission/routing.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import BackendKind
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import WorkClass
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 MIN_SHARE = 0.05
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Choice:
     """An engine for an ask, with its cost.
 
--- a/src/mulberrypass/policy/admission/settings.py
+++ b/src/mulberrypass/policy/admission/settings.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.early_refusal import EarlyRefusalSettings
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PacingSettings:
     """Pacing of batch prefill by the latency of online work.
 
@@ -33,7 +34,7 @@
     gap_memory: float = 0.95
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HealthSettings:
     """Detection of slow and failing engines.
 
@@ -64,7 +65,7 @@
     max_hold_s: float = 30.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RoutingSettings:
     """Cost model for choosing an engine, in steps of an empty engine.
 
@@ -82,7 +83,7 @@
     full_prefill_steps: float = 1.7
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BatchLimits:
     """Limits on the engine capacity that batch work may use.
 
@@ -98,7 +99,7 @@
     prefill_share: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CellSettings:
     """Settings of one cell.
 
--- a/src/mulberrypass/policy/batches/order.py
+++ b/src/mulberrypass/policy/batches/order.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from mulberrypass.model.value_class import value_class
 
 # Slack for runs that take longer than estimated, and for bursts of online
 # requests, which interrupt a run for two to three seconds.
@@ -19,7 +19,7 @@
 DECAY = 0.9
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ItemOrder:
     """The queue position of an item.
 
--- a/src/mulberrypass/policy/health/crash.py
+++ b/src/mulberrypass/policy/health/crash.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from mulberrypass.model.value_class import value_class
 
-@dataclass(frozen=True, slots=True)
+
+@value_class
 class Crash:
     """The crash of one engine, as all members together know it.
 
--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -14,6 +14,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.health.crash import Crash
 from mulberrypass.policy.health.requests import (
     CrashingRequest,
@@ -25,7 +26,7 @@
     from collections.abc import Collection, Iterable
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Quarantine:
     """A part that gets no engine, and the crashes that count against it."""
 
@@ -33,7 +34,7 @@
     engines: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class QuarantineSettings:
     """Settings of the quarantine of parts.
 
@@ -71,7 +72,7 @@
     known_at: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Verdict:
     """Parts that explain some crashes equally well, as always together.
 
--- a/src/mulberrypass/policy/health/requests.py
+++ b/src/mulberrypass/policy/health/requests.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import hashlib
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -19,7 +20,7 @@
 OFFSETS = float(1 << (8 * OFFSET_BYTES))
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RequestSettings:
     """Settings of the quarantine of requests.
 
@@ -40,7 +41,7 @@
     no_trial_crashes: int = 6
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CrashingRequest:
     """A request that gets no engine, and the crashes that count against it.
 
--- a/src/mulberrypass/policy/health/samples.py
+++ b/src/mulberrypass/policy/health/samples.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from statistics import median
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -45,7 +46,7 @@
         return self._median
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PeerMedians:
     """Sorted medians of the engines that have samples."""
 
--- a/src/mulberrypass/policy/health/tracker.py
+++ b/src/mulberrypass/policy/health/tracker.py
@@ -6,6 +6,7 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.health.samples import PeerMedians, Samples
 
 if TYPE_CHECKING:
@@ -18,7 +19,7 @@
 FULL_SHARE = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HealthState:
     """Health of an engine, as shown in the state dump.
 
--- a/src/mulberrypass/policy/jobs/commands.py
+++ b/src/mulberrypass/policy/jobs/commands.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -13,7 +14,7 @@
     from mulberrypass.policy.jobs.lots import LotKey, LotTerms
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FlushAges:
     """Age at which outcomes are flushed even if they are few.
 
@@ -31,7 +32,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HolderSettings:
     """Limits and timing of one holder.
 
@@ -73,7 +74,7 @@
     pause_s: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FleetView:
     """Members and capacity of the fleet, as one holder knows them.
 
@@ -89,7 +90,7 @@
     weights: Mapping[str, float]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobSnapshot:
     """The open jobs and the held lots at one time."""
 
@@ -97,12 +98,12 @@
     held: tuple[HeldLot, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Poll:
     """Read the open jobs and the held lots."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LeaseNext:
     """Lease a free lot of a job.
 
@@ -113,7 +114,7 @@
     skip: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class TakeOver:
     """Lease a lot whose holder is gone."""
 
@@ -121,7 +122,7 @@
     held: HeldLot
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StartItem:
     """Run one item.
 
@@ -136,14 +137,14 @@
     avoid: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StopRun:
     """Stop one run."""
 
     run: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RecordIntents:
     """Store intents to run non-idempotent items, before any of them is run.
 
@@ -154,7 +155,7 @@
     items: tuple[int, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotFlush:
     """One lot's part of a flush.
 
@@ -170,14 +171,14 @@
     returned: tuple[int, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Flush:
     """Write the outcomes of one or more lots together."""
 
     lots: tuple[LotFlush, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CloseJob:
     """Close a cancelled job of which no lot is held."""
 
--- a/src/mulberrypass/policy/jobs/holder.py
+++ b/src/mulberrypass/policy/jobs/holder.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.churn import ChurnDetector
 from mulberrypass.policy.jobs.commands import (
     FleetView,
@@ -29,7 +29,7 @@
     from mulberrypass.policy.jobs.lots import LotKey, LotLease, LotTerms
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HolderState:
     """State of a holder as shown in dumps."""
 
--- a/src/mulberrypass/policy/jobs/items.py
+++ b/src/mulberrypass/policy/jobs/items.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import enum
 from typing import Any
 
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 
 
 class ItemState(enum.StrEnum):
@@ -19,7 +19,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Outcome:
     """The final outcome of an item.
 
@@ -35,7 +35,7 @@
     tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunCompleted:
     """A run that returned the whole answer."""
 
@@ -43,7 +43,7 @@
     tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunFailed:
     """A run that failed.
 
@@ -60,7 +60,7 @@
     backend: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunStopped:
     """A run that was stopped before it ended.
 
@@ -73,7 +73,7 @@
 RunResult = RunCompleted | RunFailed | RunStopped
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RetryState:
     """State of an item between its runs.
 
@@ -88,14 +88,14 @@
     avoid: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Settled:
     """The item has its final outcome."""
 
     outcome: Outcome
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Retry:
     """The item is to be run again."""
 
--- a/src/mulberrypass/policy/jobs/jobs.py
+++ b/src/mulberrypass/policy/jobs/jobs.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 import enum
 import math
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.lots import LotKey
 from mulberrypass.policy.rendezvous import weight
 
@@ -27,7 +27,7 @@
     DONE = "done"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class OpenJob:
     """A job that hasn't ended.
 
@@ -45,7 +45,7 @@
     cancelled: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HeldLot:
     """A leased lot, as listed in the store."""
 
@@ -55,7 +55,7 @@
     incarnation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Holder:
     """A process that can lease lots."""
 
@@ -63,7 +63,7 @@
     incarnation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotCounts:
     """Number of a lot's flushed items by outcome."""
 
@@ -77,7 +77,7 @@
         return self.done + self.failed + self.indeterminate
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class JobView:
     """Progress of a job as shown to its customer.
 
--- a/src/mulberrypass/policy/jobs/lots.py
+++ b/src/mulberrypass/policy/jobs/lots.py
@@ -8,6 +8,7 @@
 import statistics
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.jobs.items import (
     ItemState,
     Outcome,
@@ -36,7 +37,7 @@
     lot: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotTerms:
     """Settings of a lot's items, from its service and its job.
 
@@ -50,7 +51,7 @@
     due: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LotLease:
     """A lease of a lot by this process.
 
@@ -68,7 +69,7 @@
     cancelled: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ActiveRun:
     """A run of an item that hasn't ended.
 
@@ -82,7 +83,7 @@
     sent_at: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NextItem:
     """The item to run next and its retry state."""
 
--- a/src/mulberrypass/policy/membership/backends.py
+++ b/src/mulberrypass/policy/membership/backends.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.store import ListedState
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.membership.gossip import GossipQueue
 
 if TYPE_CHECKING:
@@ -18,7 +19,7 @@
 MAX_LEFT = 1_024
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BackendUpdate:
     """Whether a backend server is leaving, as members gossip it.
 
--- a/src/mulberrypass/policy/membership/changes.py
+++ b/src/mulberrypass/policy/membership/changes.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.member import MemberState
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,7 +17,7 @@
 MAX_LOGGED_NAMES = 20
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Changes:
     """Names of the members that changed, each in one tuple only.
 
--- a/src/mulberrypass/policy/membership/messages.py
+++ b/src/mulberrypass/policy/membership/messages.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from mulberrypass.model.member import Member
     from mulberrypass.policy.health.crashes import Crash
     from mulberrypass.policy.membership.backends import BackendUpdate
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ViewSettings:
     """Settings of the membership protocol.
 
@@ -45,7 +46,7 @@
     programs: tuple[str, ...] = ("entry", "batch", "control")
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Contact:
     """The destination of a heartbeat.
 
@@ -57,7 +58,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Message:
     """The content of a heartbeat or of its reply."""
 
--- a/src/mulberrypass/policy/messages.py
+++ b/src/mulberrypass/policy/messages.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import enum
 
+from mulberrypass.model.value_class import value_class
+
 
 class WorkClass(enum.StrEnum):
     """Classes of work; online work takes precedence over batch work."""
@@ -34,7 +35,7 @@
     UNUSED = "unused"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Ask:
     """Requests a permit to send work to one backend server of a pool.
 
@@ -73,14 +74,14 @@
     subject: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Withdraw:
     """Cancels an ask that may still be queued."""
 
     ask_id: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FirstToken:
     """Reports that the prefill of a permit's work is done.
 
@@ -91,7 +92,7 @@
     after_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Release:
     """Reports that a permit is no longer in use.
 
@@ -107,7 +108,7 @@
     gap_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class LimitReport:
     """Reports the limit that a backend server names.
 
@@ -126,7 +127,7 @@
 HolderMessage = Ask | PermitMessage
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Grant:
     """Permits work to be sent to a backend server.
 
@@ -139,7 +140,7 @@
     limit_per_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Refuse:
     """Rejects an ask; the work did not run.
 
@@ -151,7 +152,7 @@
     retry_after_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Revoke:
     """Revokes a granted permit: the holder stops the work and releases."""
 
--- a/src/mulberrypass/policy/online/addresses.py
+++ b/src/mulberrypass/policy/online/addresses.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import math
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -16,7 +17,7 @@
 TTL_S = 10
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Candidate:
     """An entry instance whose address may be returned to a caller.
 
--- a/src/mulberrypass/policy/online/answer_times.py
+++ b/src/mulberrypass/policy/online/answer_times.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import math
 import statistics
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -14,7 +15,7 @@
 COVERED_SHARE = 0.9
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AnswerTime:
     """How long one answer took.
 
--- a/src/mulberrypass/policy/online/recovery.py
+++ b/src/mulberrypass/policy/online/recovery.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
 SWEEPER_COUNT = 2
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PendingRequest:
     """A recorded request without an outcome, and the process that runs it."""
 
--- a/src/mulberrypass/policy/online/retry.py
+++ b/src/mulberrypass/policy/online/retry.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 
 MIN_REMAINING_S = 0.02
 RETRIES_PER_REQUEST = 0.1
 BURST_RETRIES = 10.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Failure:
     """One failed attempt.
 
--- a/src/mulberrypass/policy/online/shares.py
+++ b/src/mulberrypass/policy/online/shares.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 
+from mulberrypass.model.value_class import value_class
 
-@dataclass(frozen=True, slots=True)
+
+@value_class
 class ThreadShareSettings:
     """Limits for one port of one process.
 
--- a/src/mulberrypass/policy/placement/canary.py
+++ b/src/mulberrypass/policy/placement/canary.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import math
 from typing import TYPE_CHECKING
 
 import xxhash
 
 from mulberrypass.model.objects import Route
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from mulberrypass.model.objects import Customer, Service
@@ -21,7 +21,7 @@
 MAX_SLOW_INCREASE = 0.04
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Stage:
     """Rollout stage of a new version.
 
@@ -33,7 +33,7 @@
     groups: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class VersionCounts:
     """Request counts of one version since the stage began.
 
@@ -46,17 +46,17 @@
     slow: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Advance:
     """The new version is not worse than the old one, within tolerances."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Stay:
     """There is not enough evidence to decide."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StopRollout:
     """The new version is worse and gets no more requests."""
 
@@ -128,7 +128,7 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _RateComparison:
     """Compares the rates of an event in the requests of two versions."""
 
--- a/src/mulberrypass/policy/placement/orders.py
+++ b/src/mulberrypass/policy/placement/orders.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import Fencing
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.rendezvous import pick
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 ORDER_SPACING_S = LEASE_S + 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ObservedLease:
     """A lease row, and since when it has been unchanged.
 
@@ -34,7 +34,7 @@
     seen_at: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HeldLease:
     """A lease, as known to its holder.
 
@@ -48,7 +48,7 @@
     renewed_at: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class TakeLease:
     """Write the row with the next epoch, if it is unchanged."""
 
@@ -56,7 +56,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RenewLease:
     """Write the row with the same epoch, if it is unchanged."""
 
@@ -64,7 +64,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoLeaseAction:
     """Do nothing."""
 
--- a/src/mulberrypass/policy/placement/placement.py
+++ b/src/mulberrypass/policy/placement/placement.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import field
 import math
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.objects import Role, version_key
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.rendezvous import weight
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
 MAX_LOADING_SHARE = 0.25
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RoutedVersion:
     """A version that services route to in a pool.
 
@@ -35,7 +36,7 @@
     size_bytes: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineView:
     """Known state of one engine.
 
@@ -60,7 +61,7 @@
     weights_bytes: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Load:
     """Load a version and its adapters on an engine."""
 
@@ -68,7 +69,7 @@
     wanted: RoutedVersion
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Unload:
     """Unload a version from an engine."""
 
@@ -77,7 +78,7 @@
     version: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SetRole:
     """Set the role of an engine."""
 
@@ -88,7 +89,7 @@
 Step = Load | Unload | SetRole
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PoolTarget:
     """Target placement of versions on engines.
 
--- a/src/mulberrypass/policy/storage/budget.py
+++ b/src/mulberrypass/policy/storage/budget.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -20,7 +21,7 @@
 MIN_BURST_CALLS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RateShare:
     """Rates at which one process may call the platform."""
 
@@ -28,7 +29,7 @@
     reads_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FleetBudget:
     """Rates at which the whole fleet may call the platform."""
 
@@ -98,7 +99,7 @@
         return max(MIN_BURST_CALLS, self._per_s * self._burst_s)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Backoff:
     """Exponential backoff with full jitter.
 
--- a/src/mulberrypass/policy/storage/commit.py
+++ b/src/mulberrypass/policy/storage/commit.py
@@ -17,6 +17,7 @@
     Throttled,
     Unavailable,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.storage.budget import Backoff
 
 if TYPE_CHECKING:
@@ -27,7 +28,7 @@
     from mulberrypass.model.store import Op, TableError
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class GroupLimits:
     """Limits of one merged transaction and of the queue.
 
@@ -46,7 +47,7 @@
     max_skipped: int = 4 * MAX_TRANSACTION_OPS
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Entry:
     """One small transaction that is queued for writing.
 
@@ -60,7 +61,7 @@
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Flight:
     """Entries that are sent together as one transaction."""
 
@@ -72,7 +73,7 @@
         return tuple(op for entry in self.entries for op in entry.ops)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EntryOutcome:
     """The outcome of one entry."""
 
--- a/src/mulberrypass/policy/storage/generation.py
+++ b/src/mulberrypass/policy/storage/generation.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -14,12 +15,12 @@
 JITTER_SHARE = 0.25
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class UpToDate:
     """No configuration newer than the one in force is known."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FromPeer:
     """Fetch from a member that has announced a newer configuration."""
 
@@ -27,14 +28,14 @@
     at_least: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class FromStore:
     """Fetch the snapshot that the head row names."""
 
     generation: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Unreachable:
     """A newer configuration exists, but no source of it is left."""
 
--- a/src/mulberrypass/programs/wiring.py
+++ b/src/mulberrypass/programs/wiring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import logging
 import random
 import sys
@@ -13,6 +12,7 @@
     FollowerDependencies,
 )
 from mulberrypass.configuration.store import ConfigurationStore
+from mulberrypass.model.value_class import value_class
 from mulberrypass.peer.configuration import ConfigurationPeers
 from mulberrypass.peer.loop import LoopThread
 from mulberrypass.peer.membership import GossipMembership, MembershipSettings
@@ -44,7 +44,7 @@
 SWITCH_INTERVAL_S = 0.0005
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CommonComponents:
     """The components that every program on an instance has.
 
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 import hashlib
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterable
 
@@ -17,7 +18,7 @@
 DIGEST_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RelayRequest:
     """A caller's request.
 
@@ -70,7 +71,7 @@
         return int.from_bytes(found.digest())
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineLoad:
     """An engine's load as reported in an answer.
 
@@ -83,7 +84,7 @@
     slowness: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineHead:
     """The head of an engine's answer.
 
@@ -163,7 +164,7 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AnswerHead:
     """The head of the answer to a caller."""
 
@@ -172,14 +173,14 @@
     length: int | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AnswerBody:
     """Part of the body of the answer to a caller."""
 
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Refused:
     """The request has not run and will not run.
 
@@ -191,7 +192,7 @@
     retry_after_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Unservable:
     """The request has not run, and no retry would succeed.
 
@@ -201,12 +202,12 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class NoRoute:
     """No route of the current configuration matches the request."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Failed:
     """The request ended without an answer; it may have run.
 
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import re
 
+from mulberrypass.model.value_class import value_class
+
 # Engines send no longer events; a larger one means a broken stream.
 MAX_EVENT_BYTES = 1_048_576
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
@@ -19,7 +20,7 @@
     """The bytes are not a valid sequence of events."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Event:
     """One complete event.
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import field, replace
 from http import HTTPStatus
 import time
 from typing import TYPE_CHECKING
@@ -11,6 +11,7 @@
 from mulberrypass.engine.wire import CUT, Deadline, WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
 from mulberrypass.relay.api import (
     AnswerBody,
@@ -65,7 +66,7 @@
 SILENCE_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RelayDependencies:
     """Objects that all relayed requests of a process share."""
 
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -37,7 +38,7 @@
 MIN_START_WITHIN_S = 0.001
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class WorkSpec:
     """Requirements of a request or batch item for an engine.
 
--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 import socket
 import threading
 import time
@@ -11,6 +11,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.sockets import reset_on_close
 
@@ -27,7 +28,7 @@
     """An application ended with a socket error before its answer began."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StopSteps:
     """Steps of a planned stop of a server, in this order.
 
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from http import HTTPStatus
 import json
 import re
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, unquote
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.in_flight import CallCounter
 from mulberrypass.runtime.logs import get_logger
 
@@ -23,7 +24,7 @@
 PROBLEM_TYPE = "application/problem+json"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Request:
     """An HTTP request with a body of known size.
 
@@ -42,7 +43,7 @@
     disconnected: Callable[[], bool]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Answer:
     """An HTTP answer with a complete body."""
 
@@ -52,7 +53,7 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Streamed:
     """An HTTP answer that is sent as it is generated.
 
@@ -65,7 +66,7 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Problem:
     """An error answer as in RFC 9457.
 
@@ -110,7 +111,7 @@
 Reply = Answer | Streamed | Problem
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class HttpRoute:
     """A handler for requests with a method and path.
 
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-from dataclasses import dataclass
 import socket
 import threading
 import time
@@ -11,6 +10,7 @@
 
 import waitress.server
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.connection import StopSteps, connection_class
 from mulberrypass.runtime.dispatcher import PooledDispatcher
 from mulberrypass.runtime.wakeup import Wakeup
@@ -27,7 +27,7 @@
 LAST_ANSWERS_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ClientLimits:
     """Limits on the size of requests and on the time clients may take.
 
--- a/src/mulberrypass/runtime/tls.py
+++ b/src/mulberrypass/runtime/tls.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import ssl
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -16,7 +17,7 @@
     """The TLS files can't be used."""
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class TlsFiles:
     """TLS files in PEM format.
 
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 import signal
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.stand_in.engine import event, output
 from mulberrypass.soak.records import STOP
 
@@ -40,7 +40,7 @@
 DISTURBANCE_MARGIN_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Violation:
     """One violation of a guarantee.
 
@@ -52,7 +52,7 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Observations:
     """Everything observed in a run.
 
@@ -87,7 +87,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Interval:
     """A period, both ends included."""
 
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass, field
 import threading
 
+from mulberrypass.model.value_class import value_class
+
 # Kinds of disturbance that must not interrupt requests.
 STOP = "stop"
 RELOAD = "reload"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class AttemptRecord:
     """One request of a caller.
 
@@ -89,7 +91,7 @@
             return all(job.done for job in self.jobs)
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Disturbance:
     """A fault, start, stop or reload that may affect requests.
 
@@ -105,7 +107,7 @@
     instance: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ReloadRecord:
     """A SIGHUP to an instance that was running and not stopping.
 
@@ -119,7 +121,7 @@
     taken: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class DrainPeriod:
     """Period during which an engine was leaving.
 
@@ -131,7 +133,7 @@
     until: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Departure:
     """Period during which an engine said in its answers that it leaves.
 
@@ -143,7 +145,7 @@
     until: float
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Halt:
     """Period during which an instance was stopped, killed or paused."""
 
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import itertools
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.stand_in.caller import CallFailedError, SiteCaller
 from mulberrypass.platform.stand_in.site import (
     ONLINE_HOST,
@@ -38,7 +38,7 @@
 NOT_FOUND = 404
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SoakPlan:
     """Parameters of a run.
 
@@ -55,7 +55,7 @@
     batch: int = 3
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class SoakReport:
     """Result of a run.
 
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 import enum
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -98,7 +100,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class ScheduledFault:
     """One scheduled fault.
 
--- a/src/mulberrypass/storage/committer.py
+++ b/src/mulberrypass/storage/committer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
-from dataclasses import dataclass
 import itertools
 import json
 import random
@@ -14,6 +13,7 @@
 from expression import Error
 
 from mulberrypass.model.store import MAX_SCAN_ROWS, Table, Unavailable
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.storage.commit import Entry, GroupCommit
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
@@ -44,7 +44,7 @@
 IDLE_WAIT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class CommitterState:
     """State of a committer, for the state dump.
 
@@ -69,7 +69,7 @@
     throttled: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class _Step:
     """What the committer's thread does next."""
 
--- a/src/mulberrypass/storage/metered.py
+++ b/src/mulberrypass/storage/metered.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
     Table,
     Throttled,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.storage.budget import FleetBudget, TokenBucket
 
 if TYPE_CHECKING:
@@ -35,7 +35,7 @@
 MAX_WAIT_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class BudgetState:
     """The current share of the rates, and the calls counted so far."""
 
--- a/src/mulberrypass/storage/retrying_table.py
+++ b/src/mulberrypass/storage/retrying_table.py
@@ -31,6 +31,7 @@
     Unavailable,
     VersionIs,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.storage.budget import Backoff
 from mulberrypass.runtime.metrics import Decision
 
@@ -55,7 +56,7 @@
 DUPLICATE_WRITER = "another process wrote under this writer's name"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RetryPolicy:
     """How often a call with a lost reply is repeated.
 
--- a/src/mulberrypass/storage/rows.py
+++ b/src/mulberrypass/storage/rows.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.store import Throttled, Unavailable
+from mulberrypass.model.value_class import value_class
 
 if TYPE_CHECKING:
     from expression import Result
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RowKey:
     """Identifies a row.
 
@@ -24,7 +24,7 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class StoredRow:
     """A row as read from the store.
 
@@ -38,7 +38,7 @@
     removed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Expected:
     """Condition on the version of a row; 0 means that there is no row."""
 
@@ -46,7 +46,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Transaction:
     """Changes to one part that apply together or not at all."""
 
@@ -55,7 +55,7 @@
     removes: tuple[RowKey, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RowsConflict:
     """A condition did not hold, and nothing was written.
 
@@ -65,7 +65,7 @@
     found: tuple[StoredRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RowPage:
     """Rows as of one point in time.
 
@@ -79,7 +79,7 @@
     version: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Lagged:
     """The history after the requested version is no longer kept."""
 
--- a/src/mulberrypass/testing/engine_http.py
+++ b/src/mulberrypass/testing/engine_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, field
 import json
 import time
 from typing import TYPE_CHECKING, Any
@@ -10,6 +10,7 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.http import (
     HttpRoute,
@@ -83,7 +84,7 @@
     blocks: tuple[int, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineOptions:
     """Options of a stand-in engine.
 
@@ -310,7 +311,7 @@
         return json_answer(asdict(self.runs.totals()))
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineServer:
     """A running server of a stand-in engine."""
 
--- a/src/mulberrypass/testing/engine_runs.py
+++ b/src/mulberrypass/testing/engine_runs.py
@@ -9,6 +9,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.testing.engine_step import Sequence, StepModel
 
 if TYPE_CHECKING:
@@ -22,7 +23,7 @@
 CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class RunProgress:
     """Progress of a run.
 
@@ -34,7 +35,7 @@
     reason: str | None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Dropped:
     """The engine has lost the run."""
 
@@ -80,7 +81,7 @@
     cancelled: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Totals:
     """Totals of an engine since its start, and its current load.
 
@@ -95,7 +96,7 @@
     waiting: int
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Report:
     """Load of the engine at a time of its own clock."""
 
--- a/src/mulberrypass/testing/engine_step.py
+++ b/src/mulberrypass/testing/engine_step.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.prefix import BLOCK_WORDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class EngineShape:
     """Size and speed of a modelled engine.
 
--- a/src/mulberrypass/testing/plain_http.py
+++ b/src/mulberrypass/testing/plain_http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 import json
 import threading
 import time
@@ -12,6 +11,7 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from mulberrypass.model.outcome import Ran
+from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.http import (
     JSON_TYPE,
     HttpRoute,
@@ -44,7 +44,7 @@
     payload: Any = None
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlainOptions:
     """Options of a stand-in plain service.
 
--- a/src/mulberrypass/testing/platform_faults.py
+++ b/src/mulberrypass/testing/platform_faults.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 import enum
 
+from mulberrypass.model.value_class import value_class
+
 
 class CallFault(enum.StrEnum):
     """Outcome of one write.
@@ -19,7 +20,7 @@
     REFUSE = "refuse"
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class Faults:
     """Current faults.
 
--- a/src/mulberrypass/testing/platform_state.py
+++ b/src/mulberrypass/testing/platform_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import field
 import random
 import threading
 import time
@@ -22,6 +22,7 @@
     Throttled,
     Unavailable,
 )
+from mulberrypass.model.value_class import value_class
 from mulberrypass.testing.platform_faults import CallFault, Faults, RateLimit
 from mulberrypass.testing.platform_rows import Rows
 
@@ -43,7 +44,7 @@
 DEFAULT_WEIGHTS_BYTES_PER_S = 1_000_000_000.0
 
 
-@dataclass(frozen=True, slots=True)
+@value_class
 class PlatformCounters:
     """Counters of the stand-in.
 
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import signal
 from typing import Any
 import unittest
@@ -37,14 +38,13 @@
 
 
 def attempt(
-    name: str = "r1", status: int = 200, **fields: object
+    name: str = "r1", status: int = 200, **fields: Any
 ) -> AttemptRecord:
     """Return a successful attempt, changed by the given fields."""
     made = AttemptRecord(
         name, 0, 10.0, 10.5, status, complete_body(name), True
     )
-    values = {field: getattr(made, field) for field in made.__slots__}
-    return AttemptRecord(**(values | fields))
+    return replace(made, **fields)
 
 
 def job(**fields: object) -> JobRecord:
