--- a/src/mulberrypass/runtime/log_metrics.py
+++ b/src/mulberrypass/runtime/log_metrics.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from collections import Counter
+from itertools import accumulate
+import threading
 from typing import TYPE_CHECKING, Any
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
-
 if TYPE_CHECKING:
-    from collections.abc import Callable, MutableMapping
+    from collections.abc import Callable, Iterator, MutableMapping
+
+    from prometheus_client.core import Metric
 
 MS_PER_S = 1_000.0
 # Cover the targets of a site: 300 ms to the first event, 18 s to a result.
@@ -27,29 +25,37 @@
 TIMED_EVENT = "answered"
 
 
+class _Latencies:
+    """Counts times by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count a time."""
+        self.counts[bisect_left(BUCKETS_S, seconds)] += 1
+        self.sum_s += seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return the cumulative counts by their upper bounds."""
+        bounds = [str(bound) for bound in BUCKETS_S] + ["+Inf"]
+        return list(zip(bounds, accumulate(self.counts), strict=True))
+
+
 class EventMetrics:
     """Counts events by name and reason, and the latencies of answers.
 
-    Events are counted before the log writer may drop their lines.
+    Events are counted before the log writer may drop their lines. Most
+    instances are never asked for metrics, so the library that writes them
+    is imported at the first request.
     """
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        self._events = Counter(
-            "mulberry_events",
-            "events as logged, by name and reason",
-            ("event", "reason"),
-            registry=self._registry,
-        )
-        self._histograms = {
-            field: Histogram(
-                f"mulberry_{field.removesuffix('_ms')}_seconds",
-                help_text,
-                buckets=BUCKETS_S,
-                registry=self._registry,
-            )
-            for field, help_text in TIME_FIELDS.items()
-        }
+        self._lock = threading.Lock()
+        self._events: Counter[tuple[str, str]] = Counter()
+        self._latencies = {field: _Latencies() for field in TIME_FIELDS}
+        self._gauges: list[tuple[str, str, Callable[[], float]]] = []
 
     def processor(
         self, _logger: Any, _method: str, event: MutableMapping[str, Any]
@@ -57,24 +63,58 @@
         """Count an event; a structlog processor."""
         name = str(event.get("event", ""))
         reason = str(event.get("reason", "")).partition(":")[0]
-        self._events.labels(name, reason).inc()
-        if name == TIMED_EVENT:
-            for field, histogram in self._histograms.items():
-                value = event.get(field)
-                if value is not None:
-                    histogram.observe(value / MS_PER_S)
+        with self._lock:
+            self._events[name, reason] += 1
+            if name == TIMED_EVENT:
+                for field, latencies in self._latencies.items():
+                    value = event.get(field)
+                    if value is not None:
+                        latencies.add(value / MS_PER_S)
         return event
 
     def gauge(
         self, name: str, help_text: str, read: Callable[[], float]
     ) -> None:
         """Add a gauge whose value is read on each collection."""
-        gauge = Gauge(f"mulberry_{name}", help_text, registry=self._registry)
-        gauge.set_function(read)
+        self._gauges.append((f"mulberry_{name}", help_text, read))
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics, as a collector of the library."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        events = CounterMetricFamily(
+            "mulberry_events",
+            "events as logged, by name and reason",
+            labels=("event", "reason"),
+        )
+        with self._lock:
+            for labels, count in self._events.items():
+                events.add_metric(labels, count)
+            histograms = [
+                HistogramMetricFamily(
+                    f"mulberry_{field.removesuffix('_ms')}_seconds",
+                    help_text,
+                    self._latencies[field].buckets(),
+                    self._latencies[field].sum_s,
+                )
+                for field, help_text in TIME_FIELDS.items()
+            ]
+        yield from (events, *histograms)
+        for name, help_text, read in self._gauges:
+            yield GaugeMetricFamily(name, help_text, read())
 
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
-        return generate_latest(self._registry)
+        from prometheus_client import generate_latest
+        from prometheus_client.registry import CollectorRegistry
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
 
 
 __all__ = ["CONTENT_TYPE", "EventMetrics"]
--- a/src/mulberrypass/runtime/metrics.py
+++ b/src/mulberrypass/runtime/metrics.py
@@ -7,8 +7,6 @@
 import threading
 from typing import TYPE_CHECKING
 
-import statsd
-
 if TYPE_CHECKING:
     from ipaddress import IPv4Address, IPv6Address
 
@@ -64,6 +62,8 @@
         self._counts: Counter[str] = Counter()
         self._client = None
         if address is not None:
+            import statsd
+
             self._client = statsd.StatsClient(
                 str(address), port, prefix=f"mulberry.{program}"
             )
