Spread work over the engines when all holders lose an owner

Cause: a holder whose owner can't be reached places online work by itself, on the least used engine by its own count; of equal ones it took the first by name. Nearly all holders use none yet, so at the loss of one owner 195 of them chose the same engine of the cell's 16, which runs 7 and queues 24 and refuses the rest; with 9 instances nobody noticed. Change: equal engines are ranked by a hash of the ask and the engine; the choice moves from peer/ to policy/admission/without_owner.py, as a decision.

--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.jsonable import jsonable
-from mulberrypass.peer.permit_fallback import LocalShare
 from mulberrypass.peer.permit_limits import KnownLimits
 from mulberrypass.peer.permit_request import PermitRequest, RequestState
+from mulberrypass.policy.admission.without_owner import LocalShare
 from mulberrypass.policy.messages import (
     FirstToken,
     Grant,
--- a/src/mulberrypass/peer/permit_fallback.py
+++ b/src/mulberrypass/policy/admission/without_owner.py
@@ -1,10 +1,12 @@
-"""A holder's local share of slots while an owner is unreachable."""
+"""Places online work while the owner of a cell can't be reached."""
 
 from __future__ import annotations
 
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from mulberrypass.policy import rendezvous
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -23,17 +25,22 @@
     ) -> str | None:
         """Return the least used backend server with a free local slot.
 
+        All holders lose an owner at the same moment, and most of them use no
+        backend server yet. So that they don't all choose the same one, equal
+        ones are ranked by the ask.
+
         :param backends: backend servers that are not leaving
         :param member_count: live members that share the slots
         """
         available = [
-            (self._running[backend.name] / share, backend.name)
+            (used, rendezvous.weight(ask.ask_id, backend.name), backend.name)
             for backend in backends
             if backend.name not in ask.avoid
             for share in (max(1, backend.slots // max(1, member_count)),)
-            if self._running[backend.name] < share
+            for used in (self._running[backend.name] / share,)
+            if used < 1
         ]
-        return min(available)[1] if available else None
+        return min(available)[2] if available else None
 
     def acquire(self, backend: str) -> None:
         """Count a unit of work that starts."""
