--- a/tests/policy/membership/fleet.py
+++ b/tests/policy/membership/fleet.py
@@ -63,6 +63,7 @@
         self.nodes: dict[str, Node] = {}
         self.listed: tuple[ListedMachine, ...] = ()
         self.exchanges = 0
+        self.entries = 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         for number in range(size):
@@ -176,11 +177,13 @@
         self.exchanges += 1
         peer = self.nodes.get(contact.address)
         message = node.view.heartbeat_for(contact.name)
+        self.entries += len(message.members)
         if peer is None or not peer.runs or peer.partition != node.partition:
             return False
         if self.rng.random() < self.loss:
             return False
         reply = peer.view.reply(message, self.now)
+        self.entries += len(reply.members)
         if self.rng.random() < self.loss:
             return False
         node.view.receive_reply(reply, self.now)
