Keep the rings of neighbours while the same members live

Cause: each stored state of a member, also an announced leave or a refuted suspicion, made a member sort all others on three rings at its next round: 0.32 ms at 195 members, on each of them, for each such change. Change: only a member that appears, dies or comes back changes the rings. Ruled out: full lists from one contact a round after a start instead of three: a simulated start of 200 read 17% fewer entries, but sent 40% more heartbeats and joined in 6 to 10 s, 2 to 6 before. Result: a leave leaves the rings of all others as they were; the test fails before.

--- a/src/mulberrypass/policy/membership/view.py
+++ b/src/mulberrypass/policy/membership/view.py
@@ -358,9 +358,11 @@
             self._discover_until = now + rounds * self._settings.heartbeat_s
 
     def _store(self, member: Member, now: float) -> None:
+        was_live = self.contact_of(member.name) is not None
+        if was_live != (member.state is not MemberState.DEAD):
+            self._neighbours = None
         self._table.store(member, now)
         self._unverified_deaths.pop(member.name, None)
-        self._neighbours = None
         self._changed = True
         self._touched.add(member.name)
         if member.state is not MemberState.DEAD:
--- a/tests/policy/membership/test_large_fleet.py
+++ b/tests/policy/membership/test_large_fleet.py
@@ -55,6 +55,7 @@
     def test_change_of_one_touches_one_member_in_each_view(self) -> None:
         self.fleet.run(CALM_S)
         leaver, *others = self.fleet.nodes.values()
+        neighbours = [node.view.neighbours() for node in others]
         for node in others:
             node.view.take_touched()
         leaver.view.leave()
@@ -62,3 +63,6 @@
         self.fleet.run(2 * math.log2(SIZE) * SETTINGS.heartbeat_s)
         for node in others:
             self.assertEqual([leaver.name], list(node.view.take_touched()))
+        # A leaving member still gets heartbeats: the rings stay as they are.
+        for node, before in zip(others, neighbours, strict=True):
+            self.assertIs(before, node.view.neighbours())
