Work out the owners of cells only where a change may matter

Cause: each change of the members made each of them hash all 195 for each cell, twice: in the routes of its own asks and on its owner thread (0.1 ms a cell each time). While all instances are rolled that is several times a second, on each of them. Change: CellOwners, used by both, compares one that comes with the owners, and works out anew only the cells of one that has gone. Result: 0 and 4 weights where each change took 800 (two cells, both places); 200 random sets of members give the owners of the direct way.

--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -8,7 +8,7 @@
 from mulberrypass.policy.admission.cell import Cell
 from mulberrypass.policy.admission.cells import (
     CellKey,
-    owner,
+    CellOwners,
     partition_backends,
 )
 from mulberrypass.policy.messages import WorkClass
@@ -39,7 +39,7 @@
         self._settings = settings
         self._cells: dict[CellKey, Cell] = {}
         self._live: tuple[str, ...] = ()
-        self._owners: dict[CellKey, str | None] = {}
+        self._owners = CellOwners()
         self._logged_shares: dict[str, float] = {}
         self._logged_limits: dict[str, float] = {}
         self.loaded: dict[str, frozenset[str]] = {}
@@ -69,7 +69,7 @@
             parts = partition_backends(pool.backends)
             for index, names in enumerate(parts):
                 key = CellKey(pool.name, index)
-                if self._owner_of(key) == self._me:
+                if self._owners.owner(key) == self._me:
                     owned.add(key)
                     zones = zones or self._zones(sessions)
                     yield from self._configure(
@@ -82,12 +82,7 @@
         live = tuple(m.name for m in self._membership.live(OWNER_PROGRAM))
         if live != self._live:
             self._live = live
-            self._owners.clear()
-
-    def _owner_of(self, key: CellKey) -> str | None:
-        if key not in self._owners:
-            self._owners[key] = owner(key, self._live)
-        return self._owners[key]
+            self._owners.set_members(live)
 
     def close(self) -> Iterator[CellDecision]:
         """Close and remove all cells."""
--- a/src/mulberrypass/peer/permit_routes.py
+++ b/src/mulberrypass/peer/permit_routes.py
@@ -7,8 +7,8 @@
 
 from mulberrypass.policy.admission.cells import (
     CellKey,
+    CellOwners,
     choose_cell,
-    owner,
     partition_backends,
     preferred_cells,
 )
@@ -43,7 +43,7 @@
         self._cfg: Configuration | None = None
         self._cell_backends: dict[str, tuple[tuple[str, ...], ...]] = {}
         self._preferred: dict[str, tuple[CellKey, ...]] = {}
-        self._owners: dict[CellKey, str] = {}
+        self._owners = CellOwners()
         self._live: list[str] | None = None
         self.loads: dict[str, CellLoad] = {}
 
@@ -67,20 +67,19 @@
 
     def owner(self, key: CellKey) -> str:
         """Return the name of the live member that owns a cell, or empty."""
-        if key not in self._owners:
-            self._owners[key] = owner(key, self.live_names()) or ""
-        return self._owners[key]
+        self.live_names()
+        return self._owners.owner(key) or ""
 
     def live_names(self) -> list[str]:
         """Return the names of the live members that may own cells."""
         if self._live is None:
             live = self._membership.live(OWNER_PROGRAM)
             self._live = [member.name for member in live]
+            self._owners.set_members(self._live)
         return self._live
 
     def invalidate_members(self) -> None:
-        """Drop cached members and owners after a change of the members."""
-        self._owners.clear()
+        """Read the members anew, after a change of them."""
         self._live = None
 
     def choose(
--- a/src/mulberrypass/policy/admission/cells.py
+++ b/src/mulberrypass/policy/admission/cells.py
@@ -73,6 +73,37 @@
     return rendezvous.pick(key.name, members)
 
 
+class CellOwners:
+    """The owners of cells, kept up to date change by change.
+
+    While the instances of a large site are rolled in turn, a member comes or
+    goes several times a second. Only the cells of one that has gone are
+    worked out anew from all members; one that has come is compared with the
+    owners.
+    """
+
+    def __init__(self) -> None:
+        self._members: frozenset[str] = frozenset()
+        self._owners: dict[CellKey, str | None] = {}
+
+    def set_members(self, names: Iterable[str]) -> None:
+        """Set the live members that may own cells."""
+        members = frozenset(names)
+        added = members - self._members
+        for key, known in tuple(self._owners.items()):
+            if known is None or known not in members:
+                del self._owners[key]
+            elif added:
+                self._owners[key] = owner(key, (known, *added))
+        self._members = members
+
+    def owner(self, key: CellKey) -> str | None:
+        """Return the owner of a cell; ``None`` without members."""
+        if key not in self._owners:
+            self._owners[key] = owner(key, self._members)
+        return self._owners[key]
+
+
 def preferred_cells(
     cells: Sequence[CellKey], holder: str, limit: int = MAX_PREFERRED_CELLS
 ) -> tuple[CellKey, ...]:
@@ -120,6 +151,7 @@
 __all__ = [
     "CellKey",
     "CellLoad",
+    "CellOwners",
     "MAX_CELL_BACKENDS",
     "MAX_PREFERRED_CELLS",
     "choose_cell",
--- a/tests/policy/admission/test_cells.py
+++ b/tests/policy/admission/test_cells.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+import random
 from typing import TYPE_CHECKING
 import unittest
+from unittest.mock import patch
 
+from mulberrypass.policy import rendezvous
 from mulberrypass.policy.admission.cells import (
     CellKey,
     CellLoad,
+    CellOwners,
     choose_cell,
     owner,
     parse_cell_name,
@@ -88,3 +92,36 @@
                         _fixed_draws(start, 0),
                     )
                     self.assertEqual(expected, got)
+
+
+class CellOwnersTest(unittest.TestCase):
+    """A large site whose instances are rolled in turn."""
+
+    def setUp(self) -> None:
+        self.members = [f"entry@{index}" for index in range(200)]
+        self.owners = CellOwners()
+        self.owners.set_members(self.members)
+
+    def test_equal_to_those_worked_out_from_all_members(self) -> None:
+        rng = random.Random(1)
+        keys = KEYS[:8]
+        for _ in range(200):
+            chosen = rng.sample(self.members, rng.choice((0, 1, 150, 199)))
+            self.owners.set_members(chosen)
+            for key in rng.sample(keys, 4):
+                self.assertEqual(owner(key, chosen), self.owners.owner(key))
+
+    def test_one_that_comes_or_goes_is_compared_with_the_owners(self) -> None:
+        keys = KEYS[:2]
+        owning = {self.owners.owner(key) for key in keys}
+        leaver = next(m for m in self.members if m not in owning)
+        left = [member for member in self.members if member != leaver]
+        weight = rendezvous.weight
+        with patch.object(rendezvous, "weight", side_effect=weight) as weighed:
+            self.owners.set_members(left)
+            self.assertEqual(owning, {self.owners.owner(k) for k in keys})
+            self.assertEqual(0, weighed.call_count)
+            self.owners.set_members(self.members)
+            self.assertEqual(owning, {self.owners.owner(k) for k in keys})
+            # Each cell's owner and the one that came.
+            self.assertEqual(2 * len(keys), weighed.call_count)
