--- a/tests/engine/test_repeated_refusal.py
+++ b/tests/engine/test_repeated_refusal.py
@@ -29,7 +29,7 @@
 class RepeatedRefusalTest(unittest.TestCase):
     """The copy of a refusal was taken for that of the next call."""
 
-    @known_red(27)
+    @known_red(33)
     def test_call_that_runs_is_not_said_not_to_have_run(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
--- a/tests/online/test_crashing_call.py
+++ b/tests/online/test_crashing_call.py
@@ -30,7 +30,7 @@
 
 
 class CrashingCallTest(unittest.TestCase):
-    @known_red(27)
+    @known_red(33)
     def test_call_that_crashes_engines_is_repeated_without_a_bound(
         self,
     ) -> None:
--- a/tests/policy/health/test_deadly_requests.py
+++ b/tests/policy/health/test_deadly_requests.py
@@ -85,7 +85,7 @@
             )
         self.assertTrue(self.held(DEADLY))
 
-    @known_red(27)
+    @known_red(33)
     def test_parts_of_two_deadly_requests_are_refused_for_long(self) -> None:
         """Sound requests and items that share the parts are owed."""
         parts = (SHARED, SUBJECT)
