Close the event loop of the tests of TLS

Cause: the entry in KNOWN-RED.txt says that TlsSettingsTest fails whenever its module runs alone, 4 lines on standard error in place of 1. The three others are the warning of an unclosed event loop: the tests before leave the loop of their thread open, and the collector finds it while standard error is redirected. Change: the test closes its loop.

--- a/tests/runtime/test_tls.py
+++ b/tests/runtime/test_tls.py
@@ -73,6 +73,9 @@
         self.ca = trustme.CA()
         self.identity = Identity(self, self.ca)
         self.loop = LoopThread()
+        # Else the warning of its destructor may end up in another test's
+        # standard error.
+        self.addCleanup(self.loop.loop.close)
         self.loop.start()
         self.addCleanup(self.loop.stop)
         handler = EmptyHandler()
