Reserve the subnet of a soak test for its whole run

Change: each run holds a socket of the subnet until it ends, taken before anything else; a subnet whose store port is in use is passed over as before. Only the soak changes, no program of the site.

--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -35,6 +35,9 @@
 SUBNETS = tuple(f"127.0.{number}" for number in range(60, 90))
 FRONT_PORT, READY_PORT, DIRECTORY_PORT = 8161, 8167, 8164
 STORE_PORT, ENGINE_PORT = 8169, 8080
+# Held for a whole run: a test whether the store's port is free would find
+# the same subnet as another run that starts at the same moment.
+RESERVATION_PORT = 8170
 # Last octets of the addresses; engines and links are numbered upwards.
 STORE_OCTET = 250
 STORE_LINK_OCTET = 200
@@ -72,17 +75,23 @@
 """
 
 
-def find_free_subnet() -> str:
-    """Return a loopback subnet on which no other soak test runs.
+def reserve_subnet() -> tuple[str, socket.socket]:
+    """Reserve a loopback subnet that no other soak test uses.
 
+    :returns: the subnet, and the socket that reserves it until it is closed
     :raises OSError: if all are in use
     """
     for subnet in SUBNETS:
+        host = f"{subnet}.{STORE_OCTET}"
         with contextlib.suppress(OSError):
-            socket.create_server(
-                (f"{subnet}.{STORE_OCTET}", STORE_PORT)
-            ).close()
-            return subnet
+            reservation = socket.create_server((host, RESERVATION_PORT))
+            try:
+                socket.create_server((host, STORE_PORT)).close()
+            except OSError:
+                # Another program listens there.
+                reservation.close()
+                raise
+            return subnet, reservation
     raise OSError("all loopback subnets are in use")
 
 
@@ -212,7 +221,7 @@
 
     def __init__(self, instances: int, engines: int) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="mulberry-soak-"))
-        self.subnet = find_free_subnet()
+        self.subnet, self._reservation = reserve_subnet()
         self.rows = RowState()
         self.loop = LoopThread("soak-links")
         self.version = 0
@@ -277,10 +286,10 @@
             instance.link.stop()
         for link in self.engine_links:
             link.stop()
-        # The store last: by its port other runs tell that the subnet is used.
         for server in (*self._engines, self._store):
             server.stop(0.0)
         self.loop.stop()
+        self._reservation.close()
 
     def publish(self) -> int:
         """Write the next configuration version and return its number."""
