--- a/tests/platform/test_late_in_a_stop.py
+++ b/tests/platform/test_late_in_a_stop.py
@@ -58,7 +58,8 @@
     def warm(self, path: str) -> None:
         """Let the instance see how long answers take."""
         for number in range(3):
-            self.assertEqual(200, self.answer(path, number).result().status)
+            reply = self.answer(path, number).result()
+            self.assertEqual(200, reply.status, reply.body)
 
     def stop(self) -> float:
         """Begin the stop, and return when."""
