Let only the connection end an answer in doubt

Callers got chunks and a last chunk, or a length, for an answer that an engine had ended with nothing but its connection: a doubtful end became a certain one. AnswerHead.ends_with_connection says so now; the server then sends neither a length nor chunks, also to HTTP/1.1 callers, and ends the answer with a FIN. Nobody sets it yet.

Such an end must not come by chance. The connection is set to be reset by any close from the head on, and to end plainly only once the whole answer is in the kernel. So a failure, a time-out, a caller that ends its side and the death of the process reset it. A whole answer is ended by a half-close, and what the caller still sends is read for up to 2 s: a close with unread bytes is a reset, which takes away what the caller hasn't read of a whole answer.

This holds for HTTP/1.0 callers of framed answers too.

--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -18,6 +18,7 @@
     TruncatedAnswerError,
     Unservable,
 )
+from mulberrypass.runtime.connection import END_WITH_CONNECTION
 from mulberrypass.runtime.http import ClosingChunks
 from mulberrypass.runtime.in_flight import CallCounter
 from mulberrypass.runtime.logs import get_logger
@@ -80,7 +81,8 @@
             return send_reply(reply, start_response)
         disconnected = environ.get("waitress.client_disconnected", _never)
         events = self._relay.run(req, disconnected)
-        return _chunks(events, start_response)
+        unframe = environ.get(END_WITH_CONNECTION, _nothing)
+        return _chunks(events, start_response, unframe)
 
 
 class Reply:
@@ -212,9 +214,14 @@
 
 
 def _chunks(
-    events: Generator[RelayEvent, None, None], start_response: Any
+    events: Generator[RelayEvent, None, None],
+    start_response: Any,
+    unframe: Callable[[], None],
 ) -> Iterator[bytes]:
-    """Start the response with the first event and yield its body."""
+    """Start the response with the first event and yield its body.
+
+    :param unframe: lets only the end of the connection end the response
+    """
     with contextlib.closing(events):
         first = next(events)
         reply = _reply(first)
@@ -222,7 +229,11 @@
             yield from send_reply(reply, start_response)
             return
         assert isinstance(first, AnswerHead)
-        _start(start_response, first.status, first.headers, first.length)
+        length = first.length
+        if first.ends_with_connection:
+            length = None
+            unframe()
+        _start(start_response, first.status, first.headers, length)
         for event in _abort_if_truncated(events):
             assert isinstance(event, AnswerBody)
             yield event.data
@@ -288,6 +299,10 @@
     return False
 
 
+def _nothing() -> None:
+    pass
+
+
 __all__ = [
     "AddressApp",
     "FrontApp",
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -166,11 +166,17 @@
 
 @value_class
 class AnswerHead:
-    """The head of the answer to a caller."""
+    """The head of the answer to a caller.
+
+    :param length: size of the body in bytes, if known
+    :param ends_with_connection: whether only the end of the connection may
+        end the body; the length isn't sent then
+    """
 
     status: int
     headers: Headers
     length: int | None
+    ends_with_connection: bool = False
 
 
 @value_class
--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -13,7 +13,7 @@
 
 from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.logs import get_logger
-from mulberrypass.runtime.sockets import reset_on_close
+from mulberrypass.runtime.sockets import end_on_close, reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +22,12 @@
 # A request that arrives in part ends a stop's wait after so much silence: a
 # lost segment is sent again within about a second.
 ARRIVAL_PAUSE_S = 2.0
+# What a caller still sends while it reads an answer is read so long: a close
+# with unread bytes is a reset. Time for a lost segment, as above.
+LINGER_S = 2.0
+# Name in the environment of a function of the server: called before the
+# answer starts, it lets only the end of the connection end the answer.
+END_WITH_CONNECTION = "mulberrypass.end_with_connection"
 
 
 class UnansweredError(Exception):
@@ -51,37 +57,88 @@
     """
 
     class ClosingTask(WSGITask):
+        channel: Any
+        _unframe = False
+        _in_unframed_head = False
+
         def execute(self) -> None:
             """Answer; waitress takes any OSError for the client's end."""
             try:
                 super().execute()
             except Exception as exc:
-                if self.wrote_header:
-                    self._break_off()
-                    raise
-                if not isinstance(exc, OSError):
+                if self.wrote_header or not isinstance(exc, OSError):
                     raise
                 LOG.exception("request failed outside of its handler")
                 raise UnansweredError(str(exc))
 
-        def _break_off(self) -> None:
-            """End an answer that only its connection ends with a reset."""
-            unframed = (
-                not self.chunked_response and self.content_length is None
-            )
-            if unframed and self.channel.socket is not None:
-                reset_on_close(self.channel.socket)
+        def finish(self) -> None:
+            """Note that the answer is whole."""
+            super().finish()
+            self.channel.whole = True
+
+        def get_environment(self) -> dict[str, Any]:
+            environ: dict[str, Any] = super().get_environment()
+            environ[END_WITH_CONNECTION] = self._end_with_connection
+            return environ
+
+        def _end_with_connection(self) -> None:
+            self._unframe = True
+
+        @property
+        def has_body(self) -> bool:
+            """Whether there is a body; a head with one names its end."""
+            return bool(super().has_body) and not self._in_unframed_head
 
         def build_response_header(self) -> bytes:
             if steps.closing.is_set():
                 self.set_close_on_finish()
-            return bytes(super().build_response_header())
+            self._in_unframed_head = self._unframe
+            head = bytes(super().build_response_header())
+            self._in_unframed_head = False
+            framed = self.chunked_response or self.content_length is not None
+            if self._unframe or (self.has_body and not framed):
+                self.channel.begin_unframed()
+            return head
 
     class LimitedChannel(HTTPChannel):
         task_class = ClosingTask
         _head_started_at: float | None = None
         _was_late = False
         _read_at = 0.0
+        whole = False
+        _unframed = False
+        _lingers_until: float | None = None
+
+        def begin_unframed(self) -> None:
+            """Make any end a reset until the whole answer is sent.
+
+            So is the end of the process, however it comes.
+            """
+            self._unframed = True
+            self.whole = False
+            sock = self.socket
+            if sock is not None:
+                reset_on_close(sock)
+
+        def handle_close(self) -> None:
+            """Close; a whole answer without framing is ended first."""
+            sent = self.whole and not self.total_outbufs_len
+            if self._unframed and sent and self._end_answer():
+                return
+            super().handle_close()
+
+        def _end_answer(self) -> bool:
+            """End what is sent, once; return whether to read on."""
+            if self._lingers_until is not None or self.socket is None:
+                return False
+            self._lingers_until = time.monotonic() + LINGER_S
+            self.will_close = False
+            try:
+                end_on_close(self.socket)
+                self.socket.shutdown(socket.SHUT_WR)
+            except OSError:
+                return False
+            return True
 
         def check_client_disconnected(self) -> Any:
             """Whether the request's work is no longer needed."""
@@ -90,6 +147,8 @@
         def received(self, data: bytes) -> bool:
             """Note when bytes of a request arrived, then read them."""
             self._read_at = time.monotonic()
+            if self._lingers_until is not None:
+                return False
             return bool(super().received(data))
 
         def readable(self) -> bool:
@@ -104,6 +163,9 @@
             self._was_late = late
             if steps.ending.is_set() and self._is_idle():
                 self.will_close = True
+            until = self._lingers_until
+            if until is not None and time.monotonic() >= until:
+                self.will_close = True
             return bool(super().readable())
 
         def _is_idle(self) -> bool:
@@ -139,4 +201,4 @@
         return False
 
 
-__all__ = ["StopSteps", "connection_class"]
+__all__ = ["END_WITH_CONNECTION", "StopSteps", "connection_class"]
--- a/src/mulberrypass/runtime/sockets.py
+++ b/src/mulberrypass/runtime/sockets.py
@@ -13,6 +13,7 @@
 USER_TIMEOUT_MS = 2_500
 # Closing with a linger time of 0 resets a connection.
 NO_LINGER = struct.pack("ii", 1, 0)
+DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
 
 def keep_alive(sock: socket.socket) -> None:
@@ -36,4 +37,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
-__all__ = ["keep_alive", "reset_on_close"]
+def end_on_close(sock: socket.socket) -> None:
+    """Make the close of a connection the end of its data again.
+
+    :raises OSError: if the connection has ended
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DEFAULT_LINGER)
+
+
+__all__ = ["end_on_close", "keep_alive", "reset_on_close"]
