Take a store's reply for whole only if its head tells its end

Callers of a batch job could get fewer outcomes than the job has: an object of the store that came without a length and was cut short passed for the object, as nothing but the end of its connection ended it. A reply whose head can't be read (no number as length, two lengths, an unknown coding, a line that is no header) counted as such a reply too.

The check of heads moves from the engines' client to runtime/framing.py and applies to the store's replies. Raw bytes need a length or chunks; a JSON document shows where it ends, whatever ends its reply.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from email.errors import MissingHeaderBodySeparatorDefect
 import http.client
 import json
-import re
 import socket
 import threading
 import time
@@ -16,6 +14,7 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
+from mulberrypass.runtime.framing import check_framing
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,7 +27,6 @@
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
-LENGTH = re.compile(r"[0-9]+")
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -159,7 +157,7 @@
             self._resp = self._conn.getresponse()
             if self._resp.status < FIRST_FINAL_STATUS:
                 raise http.client.BadStatusLine(str(self._resp.status))
-            _check_framing(self._resp.headers)
+            check_framing(self._resp.headers)
         except TimeoutError:
             raise WireError(
                 EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -275,28 +273,6 @@
     return doc
 
 
-def _check_framing(head: Message) -> None:
-    """Check that a head tells where the body ends, or names no end at all.
-
-    What can't be read counts as no length otherwise, and so as a body that
-    the connection ends.
-
-    :raises HTTPException: if it can't be read
-    """
-    # The lines after one that is no header are left out of the head.
-    for defect in head.defects:
-        if isinstance(defect, MissingHeaderBodySeparatorDefect):
-            raise http.client.HTTPException("a line that is no header")
-    codings = head.get_all("Transfer-Encoding", [])
-    if codings:
-        if [coding.lower() for coding in codings] != ["chunked"]:
-            raise http.client.HTTPException("an unknown transfer coding")
-        return
-    lengths = {text.strip() for text in head.get_all("Content-Length", [])}
-    if len(lengths) > 1 or not all(map(LENGTH.fullmatch, lengths)):
-        raise http.client.HTTPException("an unreadable length")
-
-
 __all__ = [
     "CUT",
     "Deadline",
--- a/src/mulberrypass/platform/client.py
+++ b/src/mulberrypass/platform/client.py
@@ -134,6 +134,9 @@
         if called.is_error():
             return Error(called.error)
         match called.ok.status:
+            case HTTPStatus.OK if not called.ok.framed:
+                # Raw bytes, which don't tell where they end.
+                return Error(Unavailable("an object without its size", False))
             case HTTPStatus.OK:
                 return Ok(called.ok.body)
             case HTTPStatus.NOT_FOUND:
--- a/src/mulberrypass/platform/http_client.py
+++ b/src/mulberrypass/platform/http_client.py
@@ -19,6 +19,7 @@
     ReadBound,
     bind,
 )
+from mulberrypass.runtime.framing import check_framing
 from mulberrypass.runtime.sockets import keep_alive
 
 if TYPE_CHECKING:
@@ -55,10 +56,14 @@
 
 @value_class
 class HttpReply:
-    """A complete response."""
+    """A response.
+
+    :param framed: whether more than the end of the connection ends the body
+    """
 
     status: int
     body: bytes
+    framed: bool = True
 
 
 @dataclass(slots=True)
@@ -117,13 +122,15 @@
             conn.request(method, target, body, headers)
             bound.allow(time.monotonic() + timeout_s, MAX_FRAMING_BYTES)
             resp = conn.getresponse()
+            check_framing(resp.headers)
+            framed = resp.chunked or resp.length is not None
             bound.allow(
                 time.monotonic() + MAX_TRANSFER_S,
                 MAX_REPLY_BYTES + MAX_FRAMING_BYTES,
                 may_end=not resp.chunked,
                 silence_s=timeout_s,
             )
-            reply = HttpReply(resp.status, _read_body(resp))
+            reply = HttpReply(resp.status, _read_body(resp), framed)
         except (OSError, http.client.HTTPException) as exc:
             conn.close()
             return Error(Unavailable(f"no answer: {exc!r}", True))
