Take rows of the store only if they were asked for

Replies of the store bear no id. A reply to an earlier call, read in place of the next one's on a kept connection, passed for it: rows of another table, or another job's head after a conflict, which the change was then tried on.

A page holds rows of the table, part and keys that were asked for, the feed those of its table, a conflict those that were expected; a row may name no part. Else the call counts as unanswered.

Before: tests.platform.test_ends.AnotherReplyTest, e.g. RowsConflict(found=(... key='l' ...)) is not Unavailable

--- a/src/mulberrypass/platform/row_client.py
+++ b/src/mulberrypass/platform/row_client.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok
 
 from mulberrypass.model.store import Throttled, Unavailable
+from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.http_client import Endpoint, HttpClient
 from mulberrypass.storage.rows import (
     Lagged,
@@ -23,6 +24,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from expression import Result
 
     from mulberrypass.platform.http_client import HttpReply
@@ -51,6 +54,28 @@
 )
 
 
+@value_class
+class RowRange:
+    """The rows of a part whose key is in ``[first, end)``.
+
+    :param end: empty for no end
+    """
+
+    table: str
+    part: str
+    first: str = ""
+    end: str = ""
+
+    def holds(self, at: RowKey) -> bool:
+        """Return whether a row is in the range; it may name no part."""
+        return (
+            at.table == self.table
+            and at.part in ("", self.part)
+            and self.first <= at.key
+            and (not self.end or at.key < self.end)
+        )
+
+
 class HttpRowStore(RowStore):
     """Rows of the metadata store. Safe on any thread."""
 
@@ -101,7 +126,10 @@
             doc = json.loads(reply.body)
             if reply.status == HTTPStatus.OK:
                 return Ok(int(doc["SchemaVersion"]))
-            return Error(RowsConflict(_rows(doc["Rows"])))
+            found = _rows(doc["Rows"])
+            asked = frozenset(e.at for e in change.expected)
+            _check_asked(found, lambda at: at in asked)
+            return Error(RowsConflict(found))
         except BAD_ANSWER as exc:
             return Error(Unavailable(f"bad answer: {exc!r}", True))
 
@@ -117,7 +145,8 @@
         called = self._read(self._client, "/rows-get", query)
         if called.is_error():
             return Error(called.error)
-        return _page(called.ok)
+        asked = RowRange(table, part, first, end)
+        return _page(called.ok, asked.holds)
 
     def parts(self, table: str) -> Result[tuple[str, ...], ReadFailure]:
         """List the parts of a table."""
@@ -157,7 +186,7 @@
             return Error(Lagged())
         if called.ok.status != HTTPStatus.OK:
             return Error(_error_from(called.ok, is_write=False))
-        return _page(called.ok)
+        return _page(called.ok, lambda at: at.table == table)
 
     def _read(
         self, client: HttpClient, path: str, query: dict[str, str]
@@ -174,12 +203,16 @@
     return {"Table": at.table, "part": at.part, "Key": at.key}
 
 
-def _page(reply: HttpReply) -> Result[RowPage, Unavailable]:
+def _page(
+    reply: HttpReply, asked: Callable[[RowKey], bool]
+) -> Result[RowPage, Unavailable]:
     try:
         doc = json.loads(reply.body)
+        found = _rows(doc["Rows"])
+        _check_asked(found, asked)
         return Ok(
             RowPage(
-                _rows(doc["Rows"]),
+                found,
                 bool(doc.get("HasMore", False)),
                 int(doc["SchemaVersion"]),
             )
@@ -188,6 +221,18 @@
         return Error(Unavailable(f"bad answer: {exc!r}", False))
 
 
+def _check_asked(
+    found: tuple[StoredRow, ...], asked: Callable[[RowKey], bool]
+) -> None:
+    """Check that a reply, which bears no id, is one to this call.
+
+    :raises ValueError: if a row is none that was asked for
+    """
+    other = next((row.at for row in found if not asked(row.at)), None)
+    if other is not None:
+        raise ValueError(f"{other} was not asked for")
+
+
 def _rows(docs: list[dict[str, Any]]) -> tuple[StoredRow, ...]:
     return tuple(_row(doc) for doc in docs)
 
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 from mulberrypass.model.store import Unavailable
@@ -9,7 +10,14 @@
 from mulberrypass.platform.http_client import Endpoint
 from mulberrypass.platform.row_client import HttpRowStore
 from mulberrypass.platform.site import HostPort
+from mulberrypass.storage.rows import (
+    Expected,
+    RowKey,
+    RowsConflict,
+    Transaction,
+)
 from tests.engine.endless import AnsweringServer
+from tests.platform.contract import maybe_applied
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 UNFRAMED = HEAD + b"\r\n"
@@ -69,6 +77,47 @@
                 self.assertIsInstance(got.error, Unavailable)
 
 
+class AnotherReplyTest(EndsCase):
+    """A reply bears no id, and any rows passed for those asked for."""
+
+    def page(self, **of_row: str) -> bytes:
+        """Return a reply with one row."""
+        row = {"Table": "t", "part": "p", "Key": "k", "SchemaVersion": 3}
+        doc = {"Rows": [row | of_row], "SchemaVersion": 7}
+        return framed(json.dumps(doc).encode())
+
+    def conflict(self, **of_row: str) -> bytes:
+        """Return the same row as a conflict."""
+        status = b"412 Precondition Failed"
+        return self.page(**of_row).replace(b"200 OK", status)
+
+    def test_rows_that_were_not_asked_for(self) -> None:
+        whole = self.rows(self.page()).scan("t", "p", "k", "l")
+        self.assertEqual("k", whole.ok.rows[0].at.key)
+        for of_row in (
+            {"Table": "u"},
+            {"part": "q"},
+            {"Key": "j"},
+            {"Key": "l"},
+        ):
+            with self.subTest(of_row):
+                rows = self.rows(self.page(**of_row))
+                got = rows.scan("t", "p", "k", "l")
+                self.assertIsInstance(got.error, Unavailable)
+
+    def test_changes_of_another_table(self) -> None:
+        self.assertTrue(self.rows(self.page()).feed("t", 1, 0.0).is_ok())
+        fed = self.rows(self.page(Table="u")).feed("t", 1, 0.0)
+        self.assertIsInstance(fed.error, Unavailable)
+
+    def test_conflict_of_another_change(self) -> None:
+        change = Transaction((Expected(RowKey("t", "p", "k"), 2),))
+        error = self.rows(self.conflict()).transact(change).error
+        self.assertIsInstance(error, RowsConflict)
+        error = self.rows(self.conflict(Key="l")).transact(change).error
+        self.assertTrue(maybe_applied(error))
+
+
 class CutDocumentTest(EndsCase):
     """A document shows where it ends, whatever ends its reply."""
 
