Match answers of services and model engines to their calls

A service that writes a refusal twice, the second time late, made the next call on the connection, which ran, look as if it had not run; the copy of a 422 made it look as if no repeat would help; the copy of an accepted order passed for the acceptance of the next one. Errors, load reports, tokens of a cancelled run and answers to orders named no call.

Each call of our own protocol bears an id of its own (X-Request-Id), and our servers write it into each answer. An answer with another id is none. One without an id counts if it is the first on its connection; on a kept one, a call that may be repeated is sent again on a new connection, and an error tells nothing about whether the work ran. Servers that write no id cost their callers a connection for each such repeat.

--- a/src/mulberrypass/engine/model_client.py
+++ b/src/mulberrypass/engine/model_client.py
@@ -208,7 +208,9 @@
         try:
             if exchange.status != HTTPStatus.OK:
                 answer = exchange.read_whole(MAX_ERROR_BYTES, deadline)
-                yield Error(parse_failure(exchange.status, answer))
+                yield Error(
+                    parse_failure(exchange.status, answer, exchange.is_own)
+                )
                 return
             for event in _sse_data(exchange, deadline):
                 yield Ok(validator.parse(event))
--- a/src/mulberrypass/engine/plain_client.py
+++ b/src/mulberrypass/engine/plain_client.py
@@ -68,7 +68,9 @@
         finally:
             exchange.finish()
         if exchange.status != HTTPStatus.OK:
-            raise WireError(parse_failure(exchange.status, answer))
+            raise WireError(
+                parse_failure(exchange.status, answer, exchange.is_own)
+            )
         return decode_object(answer)
 
 
--- a/src/mulberrypass/engine/pool.py
+++ b/src/mulberrypass/engine/pool.py
@@ -11,7 +11,7 @@
 from weakref import WeakKeyDictionary
 
 from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.wire import Deadline, Exchange, WireError
+from mulberrypass.engine.wire import WRONG_CALL, Deadline, Exchange, WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.sockets import keep_alive
 
@@ -62,18 +62,21 @@
         """Send a request and read the head of its answer.
 
         :param repeatable: whether to send the request again if a pooled
-            connection returned no answer
+            connection returned no answer, or none that is its own for certain
         :raises WireError: if it fails
         """
         conn = self.take_idle()
         pooled = conn is not None
-        exchange = Exchange(self, conn or self._connect(deadline))
+        exchange = Exchange(self, conn or self._connect(deadline), pooled)
         try:
             exchange.send(method, path, body, deadline)
-            return exchange
+            if exchange.is_own or not repeatable:
+                return exchange
+            exchange.close()
         except WireError as exc:
             exchange.close()
-            if not (pooled and repeatable and exc.unanswered):
+            unsure = exc.unanswered or exc.failed is WRONG_CALL
+            if not (pooled and repeatable and unsure):
                 raise
         exchange = Exchange(self, self._connect(deadline))
         try:
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -5,6 +5,7 @@
 import contextlib
 import http.client
 import json
+import secrets
 import socket
 import threading
 import time
@@ -15,6 +16,7 @@
 from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
 from mulberrypass.runtime.framing import check_framing
+from mulberrypass.runtime.http import CALL_ID
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,6 +31,8 @@
 UNPROCESSABLE = 422
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 JSON_HEADERS = {"Content-Type": "application/json"}
+CALL_ID_BYTES = 8
+WRONG_CALL = EngineFailed("an answer to another call", Ran.MAYBE)
 
 
 class WireError(Exception):
@@ -79,6 +83,8 @@
     """One request and its answer on a connection.
 
     :param reused: whether the connection has had an earlier request
+    :ivar is_own: whether the answer is that to this request: it bears the
+        id of the call, or is the first one on its connection
     """
 
     def __init__(
@@ -88,6 +94,7 @@
         reused: bool = False,
     ) -> None:
         self.reused = reused
+        self.is_own = not reused
         self._pool = pool
         self._conn = conn
         self._sock: socket.socket = conn.sock
@@ -144,11 +151,16 @@
     ) -> None:
         """Send the request and read the head of the answer.
 
-        :param headers: replace the default headers of a JSON body
-        :raises WireError: if either fails
+        :param headers: replace the default headers, which are those of a
+            JSON body and an id of the call
+        :raises WireError: if either fails, or the answer bears the id of
+            another call
         """
+        call_id = None
         if headers is None:
-            headers = {} if body is None else JSON_HEADERS
+            call_id = secrets.token_hex(CALL_ID_BYTES)
+            headers = {CALL_ID: call_id}
+            headers |= {} if body is None else JSON_HEADERS
         self._bound.allow(deadline.at, MAX_FRAMING_BYTES)
         bind(self._conn, self._bound)
         try:
@@ -170,6 +182,18 @@
                 closed=True,
             )
             raise WireError(failed, unanswered=not self._bound.received)
+        if call_id is not None:
+            self._check_call(call_id)
+
+    def _check_call(self, call_id: str) -> None:
+        """Check that an answer bears the id of its call, if any.
+
+        :raises WireError: if it bears another
+        """
+        found = set(self.head.get_all(CALL_ID, []))
+        if found - {call_id}:
+            raise WireError(WRONG_CALL)
+        self.is_own = self.is_own or bool(found)
 
     def read_some(self, size: int, deadline: Deadline) -> bytes:
         """Read the next part of the body; empty at its end.
@@ -242,8 +266,13 @@
         self._conn.close()
 
 
-def parse_failure(status: int, body: bytes) -> EngineFailed:
-    """Return the failure that an error answer describes."""
+def parse_failure(
+    status: int, body: bytes, is_own: bool = True
+) -> EngineFailed:
+    """Return the failure that an error answer describes.
+
+    :param is_own: whether it is the answer to this request for certain
+    """
     reason = f"status {status}"
     ran = Ran.MAYBE
     try:
@@ -253,9 +282,9 @@
     if isinstance(doc, dict):
         reason = str(doc.get("code", reason))
         reported_ran = doc.get("ran")
-        if reported_ran in (Ran.NO, Ran.YES):
+        if is_own and reported_ran in (Ran.NO, Ran.YES):
             ran = Ran(reported_ran)
-    permanent = status == UNPROCESSABLE
+    permanent = is_own and status == UNPROCESSABLE
     return EngineFailed(reason, ran, status=status, permanent=permanent)
 
 
@@ -279,6 +308,7 @@
     "Exchange",
     "MAX_ANSWER_BYTES",
     "MAX_ERROR_BYTES",
+    "WRONG_CALL",
     "WireError",
     "decode_object",
     "parse_failure",
--- a/src/mulberrypass/runtime/http.py
+++ b/src/mulberrypass/runtime/http.py
@@ -22,6 +22,11 @@
 LOG = get_logger(__name__)
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
+# An answer bears the value of its request, whose sender tells it apart from
+# an earlier answer that is written again.
+CALL_ID = "X-Request-Id"
+CALL_ID_KEY = "HTTP_X_REQUEST_ID"
+CALL_ID_TEXT = re.compile(r"[0-9A-Za-z._-]{1,64}")
 
 
 @value_class
@@ -149,7 +154,10 @@
         except BaseException:
             self.leave()
             raise
-        return self._send(reply, start_response)
+        call_id = environ.get(CALL_ID_KEY, "")
+        known = CALL_ID_TEXT.fullmatch(call_id)
+        extra = ((CALL_ID, call_id),) if known else ()
+        return self._send(reply, extra, start_response)
 
     def _reply(self, environ: dict[str, Any]) -> Answer | Streamed:
         method = environ["REQUEST_METHOD"]
@@ -186,10 +194,17 @@
         return reply.answer() if isinstance(reply, Problem) else reply
 
     def _send(
-        self, reply: Answer | Streamed, start_response: Any
+        self,
+        reply: Answer | Streamed,
+        extra: tuple[tuple[str, str], ...],
+        start_response: Any,
     ) -> Iterable[bytes]:
         status = f"{int(reply.status)} {HTTPStatus(reply.status).phrase}"
-        headers = [("Content-Type", reply.content_type), *reply.headers]
+        headers = [
+            ("Content-Type", reply.content_type),
+            *reply.headers,
+            *extra,
+        ]
         if isinstance(reply, Answer):
             headers.append(("Content-Length", str(len(reply.body))))
             start_response(status, headers)
@@ -269,6 +284,7 @@
 
 __all__ = [
     "Answer",
+    "CALL_ID",
     "ClosingChunks",
     "JSON_TYPE",
     "PROBLEM_TYPE",
--- a/tests/engine/test_model_client.py
+++ b/tests/engine/test_model_client.py
@@ -134,7 +134,11 @@
         for _ in range(3):
             _collect(self.engine.generate(_make_request("a"), DEADLINE_S))
         self.assertTrue(self.engine.load().is_ok())
-        self.assertEqual(1, len(self.engine._pool._idle))
+        first = self.engine._pool._idle[0][1]
+        self.assertTrue(self.engine.load().is_ok())
+        self.assertEqual(
+            [first], [conn for _, conn in self.engine._pool._idle]
+        )
 
     def test_runs_are_counted(self) -> None:
         _collect(self.engine.generate(_make_request("a"), DEADLINE_S))
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -13,6 +13,7 @@
 
 from mulberrypass.model.outcome import Ran
 from mulberrypass.runtime.http import (
+    CALL_ID,
     HttpRoute,
     Problem,
     Streamed,
@@ -94,6 +95,24 @@
     def test_stream_is_complete(self) -> None:
         self.assertEqual((200, b"ab"), self.get("GET", "/stream"))
 
+    def test_answers_bear_the_id_of_their_call(self) -> None:
+        for path in ("/echo/dock", "/refuse", "/fail", "/none", "/stream"):
+            for call_id, expected in (
+                ("a-1.b_2", "a-1.b_2"),
+                ("a b", None),
+                ("x" * 65, None),
+                ("", None),
+            ):
+                with self.subTest(path=path, call_id=call_id):
+                    conn = http.client.HTTPConnection(
+                        "127.0.0.1", self.server.port
+                    )
+                    self.addCleanup(conn.close)
+                    conn.request("GET", path, headers={CALL_ID: call_id})
+                    resp = conn.getresponse()
+                    resp.read()
+                    self.assertEqual(expected, resp.getheader(CALL_ID))
+
     def test_large_body_is_refused(self) -> None:
         status, _ = self.get("GET", "/echo/x", b"x" * 2_000)
         self.assertEqual(413, status)
