Take only an object for an answer to the operator's programs

An answer without a length that was cut short after its head, or any other document that is no object, ended mulberryctl with a traceback and an explanation with a status of 500, where another control program or an owner could have answered. It counts as no answer now.

--- a/src/mulberrypass/operator/client.py
+++ b/src/mulberrypass/operator/client.py
@@ -97,6 +97,8 @@
             document = json.loads(resp.read(MAX_ANSWER_BYTES))
         finally:
             conn.close()
+        if not isinstance(document, dict):
+            raise ValueError("the answer is not an object")
         if resp.status >= FIRST_ERROR_STATUS:
             return Error(Refused(resp.status, document))
         return Ok(document)
--- a/src/mulberrypass/operator/explain.py
+++ b/src/mulberrypass/operator/explain.py
@@ -115,7 +115,9 @@
         try:
             conn.request("GET", target, headers={"Authorization": key})
             resp = conn.getresponse()
-            document: dict[str, Any] = json.loads(resp.read(MAX_ANSWER_BYTES))
+            document = json.loads(resp.read(MAX_ANSWER_BYTES))
+            if not isinstance(document, dict):
+                raise ValueError("the answer is not an object")
         except (OSError, HTTPException, ValueError) as exc:
             reason = f"{member} gives no answer: {exc}"
             return Error(ExplainFailure(member, 0, {"detail": reason}))
