Take a chunk of another size than it says for a broken answer

http.client skips the two bytes after a chunk, whatever they are, and reads a size as int() does, with signs and underscores. An answer whose chunk sizes are wrong could lose bytes ("1 xab3 abc" became "xabc") or hold the sizes of chunks, and look whole. A caller would have got it with the engine's stamp; an item's output would have been listed.

The bytes after a chunk must end its line, and a size is hexadecimal digits. What came before was not yet handed on where answers are forwarded whole; events of a stream that came before are.

--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -5,6 +5,7 @@
 from functools import partial
 import http.client
 import io
+import re
 import time
 from typing import TYPE_CHECKING, Any, cast
 
@@ -14,6 +15,8 @@
 # Bytes of a head with its interim heads, or of the chunk sizes and trailers
 # around a part of a body: as many as http.client accepts in one line.
 MAX_FRAMING_BYTES = 65_536
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
+CHUNK_END = b"\r\n"
 
 
 class OversizeError(http.client.HTTPException):
@@ -135,6 +138,33 @@
         source = _BoundedSource(self.fp.detach(), sock, bound)
         self.fp = _BoundedReader(source, bound)
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk; ``None`` after the last one.
+
+        ``http.client`` skips the two bytes after a chunk, whatever they are.
+
+        :raises HTTPException: if the size of the last chunk was wrong
+        """
+        if self.chunk_left == 0:
+            if self.fp.read(len(CHUNK_END)) != CHUNK_END:
+                raise http.client.HTTPException("a chunk of another size")
+            self.chunk_left = None
+        left: int | None = cast("Any", super())._get_chunk_left()
+        return left
+
+    def _read_next_chunk_size(self) -> int:
+        """Read the size of a chunk.
+
+        ``http.client`` takes whatever ``int`` does, as a sign.
+
+        :raises HTTPException: if it can't be read
+        """
+        line = self.fp.readline(MAX_FRAMING_BYTES)
+        size = line.partition(b";")[0].strip()
+        if not line.endswith(b"\n") or not CHUNK_SIZE.fullmatch(size):
+            raise http.client.HTTPException("an unreadable chunk size")
+        return int(size, 16)
+
 
 def bind(conn: http.client.HTTPConnection, bound: ReadBound) -> None:
     """Bound the next answer on a connection."""
