--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-from email.errors import MissingHeaderBodySeparatorDefect
 import http.client
 import json
-import re
+import secrets
 import socket
 import threading
 import time
@@ -16,6 +15,8 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.value_class import value_class
 from mulberrypass.runtime.bounded import MAX_FRAMING_BYTES, ReadBound, bind
+from mulberrypass.runtime.framing import check_framing
+from mulberrypass.runtime.http import CALL_ID
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,9 +29,10 @@
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
-LENGTH = re.compile(r"[0-9]+")
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 JSON_HEADERS = {"Content-Type": "application/json"}
+CALL_ID_BYTES = 8
+WRONG_CALL = EngineFailed("an answer to another call", Ran.MAYBE)
 
 
 class WireError(Exception):
@@ -81,6 +83,8 @@
     """One request and its answer on a connection.
 
     :param reused: whether the connection has had an earlier request
+    :ivar is_own: whether the answer is that to this request: it bears the
+        id of the call, or is the first one on its connection
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         reused: bool = False,
     ) -> None:
         self.reused = reused
+        self.is_own = not reused
         self._pool = pool
         self._conn = conn
         self._sock: socket.socket = conn.sock
@@ -146,11 +151,16 @@
     ) -> None:
         """Send the request and read the head of the answer.
 
-        :param headers: replace the default headers of a JSON body
-        :raises WireError: if either fails
+        :param headers: replace the default headers, which are those of a
+            JSON body and an id of the call
+        :raises WireError: if either fails, or the answer bears the id of
+            another call
         """
+        call_id = None
         if headers is None:
-            headers = {} if body is None else JSON_HEADERS
+            call_id = secrets.token_hex(CALL_ID_BYTES)
+            headers = {CALL_ID: call_id}
+            headers |= {} if body is None else JSON_HEADERS
         self._bound.allow(deadline.at, MAX_FRAMING_BYTES)
         bind(self._conn, self._bound)
         try:
@@ -159,7 +169,7 @@
             self._resp = self._conn.getresponse()
             if self._resp.status < FIRST_FINAL_STATUS:
                 raise http.client.BadStatusLine(str(self._resp.status))
-            _check_framing(self._resp.headers)
+            check_framing(self._resp.headers)
         except TimeoutError:
             raise WireError(
                 EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -172,6 +182,18 @@
                 closed=True,
             )
             raise WireError(failed, unanswered=not self._bound.received)
+        if call_id is not None:
+            self._check_call(call_id)
+
+    def _check_call(self, call_id: str) -> None:
+        """Check that an answer bears the id of its call, if any.
+
+        :raises WireError: if it bears another
+        """
+        found = set(self.head.get_all(CALL_ID, []))
+        if found - {call_id}:
+            raise WireError(WRONG_CALL)
+        self.is_own = self.is_own or bool(found)
 
     def read_some(self, size: int, deadline: Deadline) -> bytes:
         """Read the next part of the body; empty at its end.
@@ -244,8 +266,13 @@
         self._conn.close()
 
 
-def parse_failure(status: int, body: bytes) -> EngineFailed:
-    """Return the failure that an error answer describes."""
+def parse_failure(
+    status: int, body: bytes, is_own: bool = True
+) -> EngineFailed:
+    """Return the failure that an error answer describes.
+
+    :param is_own: whether it is the answer to this request for certain
+    """
     reason = f"status {status}"
     ran = Ran.MAYBE
     try:
@@ -255,9 +282,9 @@
     if isinstance(doc, dict):
         reason = str(doc.get("code", reason))
         reported_ran = doc.get("ran")
-        if reported_ran in (Ran.NO, Ran.YES):
+        if is_own and reported_ran in (Ran.NO, Ran.YES):
             ran = Ran(reported_ran)
-    permanent = status == UNPROCESSABLE
+    permanent = is_own and status == UNPROCESSABLE
     return EngineFailed(reason, ran, status=status, permanent=permanent)
 
 
@@ -275,34 +302,13 @@
     return doc
 
 
-def _check_framing(head: Message) -> None:
-    """Check that a head tells where the body ends, or names no end at all.
-
-    What can't be read counts as no length otherwise, and so as a body that
-    the connection ends.
-
-    :raises HTTPException: if it can't be read
-    """
-    # The lines after one that is no header are left out of the head.
-    for defect in head.defects:
-        if isinstance(defect, MissingHeaderBodySeparatorDefect):
-            raise http.client.HTTPException("a line that is no header")
-    codings = head.get_all("Transfer-Encoding", [])
-    if codings:
-        if [coding.lower() for coding in codings] != ["chunked"]:
-            raise http.client.HTTPException("an unknown transfer coding")
-        return
-    lengths = {text.strip() for text in head.get_all("Content-Length", [])}
-    if len(lengths) > 1 or not all(map(LENGTH.fullmatch, lengths)):
-        raise http.client.HTTPException("an unreadable length")
-
-
 __all__ = [
     "CUT",
     "Deadline",
     "Exchange",
     "MAX_ANSWER_BYTES",
     "MAX_ERROR_BYTES",
+    "WRONG_CALL",
     "WireError",
     "decode_object",
     "parse_failure",
