Judge the end of an answer that nothing frames

An answer with neither a length nor chunks ends with its connection, so that an engine which dies between two events ends it like a whole one.

EndProof compares where the runs of one answer have ended. The first end at an event is in doubt, and the next run must bring that event again; a run that brings it and ends there too proves the end, and so does any framed end. A run that ends before an event which another has brought was broken off. A run without events proves nothing, as an engine that dies after the head ends like one.

Two runs that break off at the same event can't be told from two whole ones.

--- /dev/null
+++ b/src/mulberrypass/relay/end_proof.py
@@ -0,0 +1,71 @@
+"""Decides whether the end of an answer that nothing frames is its end."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class End(Enum):
+    """What the end of a run says about the answer.
+
+    :cvar FRAMED: the answer is whole, as its framing says
+    :cvar SECOND_RUN: it is whole, as another run ended at the same event
+    :cvar IN_DOUBT: another run must bring its last event and end there
+    :cvar BROKEN_OFF: an earlier run has brought more
+    """
+
+    FRAMED = "framed"
+    SECOND_RUN = "second run"
+    IN_DOUBT = "in doubt"
+    BROKEN_OFF = "broken off"
+
+
+class EndProof:
+    """Compares where the runs of an answer that may be resumed have ended.
+
+    It is told of ends at which no event was incomplete and nothing was known
+    to have broken. An engine that dies between two events ends an unframed
+    answer just so. Used by one thread.
+    """
+
+    def __init__(self) -> None:
+        self._doubted: int | None = None
+        self._ended: int | None = None
+
+    def judge(self, last: int | None, brought: int, unframed: bool) -> End:
+        """Judge the end of a run.
+
+        :param last: number of the last event that it brought, or of the one
+            after which it was resumed if it brought none; ``None`` at the
+            start
+        :param brought: number of events that it brought
+        :param unframed: whether only the end of its connection ended it
+        """
+        doubted = self._doubted
+        if last is None or (doubted is not None and last < doubted):
+            return End.BROKEN_OFF
+        if not unframed:
+            return End.FRAMED
+        self._doubted = last
+        if not brought:
+            # Any engine that dies right after the head ends like this.
+            return End.IN_DOUBT
+        if last == self._ended:
+            return End.SECOND_RUN
+        self._ended = last
+        return End.IN_DOUBT
+
+    def doubts(self, last: int | None) -> bool:
+        """Return whether the next run must bring this last event again.
+
+        It is to be resumed before the event, or run from the start if the
+        event is the first.
+        """
+        return last is not None and last == self._doubted
+
+    def forget(self) -> None:
+        """Forget all ends, as the answer begins anew."""
+        self._doubted = self._ended = None
+
+
+__all__ = ["End", "EndProof"]
