Let the raw engine end each run as a test says

Tests of ends that nothing proves need runs of one request that end at different events: plainly between two of them, inside one, with a reset, with or without framing, or with the whole answer written again.

--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 import contextlib
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -30,6 +30,24 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+@value_class
+class RunEnd:
+    """How one run ends.
+
+    :param events: number of events that it writes; ``None`` for all
+    :param more: bytes that it writes of the event after them
+    :param reset: whether it resets its connection instead of closing it
+    :param unframed: whether its answer has neither a length nor chunks
+    :param again: whether it writes its whole answer once more
+    """
+
+    events: int | None = None
+    more: int = 0
+    reset: bool = False
+    unframed: bool = True
+    again: bool = False
+
+
 @dataclass(slots=True)
 class RawFaults:
     """How the engine misbehaves.
@@ -50,6 +68,8 @@
     :param failures: number of requests to run and answer with status 500
     :param repeated: whether each answer is written once more when the next
         request arrives on its connection
+    :param ends: how the next runs end, in order, whatever engine runs them;
+        later ones end as the other faults say
     """
 
     crash_parts: frozenset[str] = frozenset()
@@ -64,6 +84,7 @@
     error: int | None = None
     failures: int = 0
     repeated: bool = False
+    ends: deque[RunEnd] = field(default_factory=deque)
 
 
 class _Answer:
@@ -82,6 +103,12 @@
         self.written += data
         self._sock.sendall(data)
 
+    def reset_on_close(self) -> None:
+        """Let the connection be reset when it is closed."""
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+
 
 @value_class
 class RawRequest:
@@ -216,6 +243,9 @@
         if after is not None and self.faults.error is not None:
             answer.sendall(self._error(req, self.faults.error))
             return True
+        end = self._next_end()
+        if end is not None:
+            answer.unframed = end.unframed
         head = self._head(req, answer.unframed)
         if self.faults.head_bytes is not None:
             answer.sendall(head[: self.faults.head_bytes])
@@ -224,7 +254,7 @@
         if self._crashes(req):
             self.end()
             return False
-        return self._send_events(answer, req, int(after or 0) + 1)
+        return self._send_events(answer, req, int(after or 0) + 1, end)
 
     def _fails(self) -> bool:
         """Return whether a failure is due."""
@@ -234,13 +264,18 @@
             self.faults.failures -= 1
             return True
 
+    def _next_end(self) -> RunEnd | None:
+        with self._lock:
+            ends = self.faults.ends
+            return ends.popleft() if ends else None
+
     def _crashes(self, req: RawRequest) -> bool:
         if self.faults.crash_parts.intersection(req.parts):
             return True
         return req.body in self.faults.crash_bodies
 
     def _send_events(
-        self, answer: _Answer, req: RawRequest, first: int
+        self, answer: _Answer, req: RawRequest, first: int, end: RunEnd | None
     ) -> bool:
         left = self.faults.break_after
         if first > 1:
@@ -248,6 +283,8 @@
         for number in range(first, self.events + 1):
             time.sleep(self.event_s)
             data = event(req.request_id, number)
+            if end is not None and end.events == number - first:
+                return self._end_early(answer, data, end)
             if left is not None and len(data) > left:
                 answer.sendall(_framed(answer, data[:left]))
                 return False
@@ -255,8 +292,19 @@
             left = None if left is None else left - len(data)
         if not answer.unframed:
             answer.sendall(_chunk(b""))
+        if end is not None and end.again:
+            answer.sendall(answer.written)
         return not answer.unframed
 
+    def _end_early(self, answer: _Answer, data: bytes, end: RunEnd) -> bool:
+        """End a run before this event; its connection doesn't go on."""
+        if end.more:
+            answer.sendall(_framed(answer, data[: end.more]))
+            time.sleep(self.event_s)
+        if end.reset:
+            answer.reset_on_close()
+        return False
+
     def _error(self, req: RawRequest, status: int) -> bytes:
         text = ERROR_TEXT.encode()
         lines = [
@@ -322,4 +370,4 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-__all__ = ["ERROR_TEXT", "RawEngine", "RawFaults", "RawRequest"]
+__all__ = ["ERROR_TEXT", "RawEngine", "RawFaults", "RawRequest", "RunEnd"]
