Run a failed item at its only engine again

An item whose run had failed at the only engine of its service was never run again: it asked for any other engine, was refused as there is none, and asked the same until it expired.

The new test failed before: '1\n2' != '' (abandoned as expired). Now an item that is refused for want of an engine no longer avoids one.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -12,7 +12,11 @@
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
 from mulberrypass.model.outcome import Ran
 from mulberrypass.policy.batches.order import order_item
-from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
+from mulberrypass.policy.messages import (
+    RefusalReason,
+    ReleaseOutcome,
+    WorkClass,
+)
 from mulberrypass.relay.api import framing, part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES, EngineLeavesError
@@ -104,6 +108,10 @@
                 self._log_held_back(exc)
                 return None
             except NoPermitError as exc:
+                if self._avoid and exc.reason == RefusalReason.NO_BACKEND:
+                    # The avoided engine is the only one.
+                    self._avoid = ()
+                    continue
                 time.sleep(max(RETRY_S, min(MAX_RETRY_S, exc.retry_after_s)))
                 continue
             self._log_permit(permit)
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -166,6 +166,22 @@
         return guard
 
 
+class OnlyEngineTest(unittest.TestCase):
+    """An item that failed waited for an engine other than the only one."""
+
+    def test_failed_item_runs_there_again(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[event(1), CUT]), Script(parts=[event(2)])
+        )
+        permits, item_run = make_run(engines, engine("e1"))
+        item_run._expires_at = time.monotonic() + FAST_S
+        outcome = item_run.run()
+        assert outcome is not None
+        self.assertEqual("1\n2", outcome.output)
+        avoided = [ask.avoid for ask in permits.asks]
+        self.assertEqual([(), ("e1",), ()], avoided)
+
+
 class EmptyStreamTest(unittest.TestCase):
     """An engine that ended before the first event completed an item."""
 
