Prove the end of an item's answer that has no framing

Jobs listed items as completed with three of eight events: their engine had ended an answer without a length or chunks between two events, which looks like its end.

Such an end is now in doubt. The item drops the event before it and runs on, preferably at another engine; it is done when a run that brings this event ends there too, or when any run ends with its last chunk. The permit of a doubtful end is released as done, as its engine may well be sound, and the next run follows at once. A run without events, unframed, proves nothing, so that the next is resumed before the last event; until now the item began anew. A framed run that lacks an event of another run begins anew. "item done" names the proof, and "item end in doubt" is a line, and so a counter, of its own.

Two runs that break off at the same event look like two whole ones. No test can tell them apart.

Changed tests: four in test_run let one unframed run complete an item, which is the fault. The sound engine of three of them is framed now, as it answers from the start whatever it is asked. The fourth resumed from the start after an empty run; it is resumed before the last event now and needs both runs that prove it.

--- a/src/mulberrypass/batches/progress.py
+++ b/src/mulberrypass/batches/progress.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from mulberrypass.relay.end_proof import End, EndProof
 from mulberrypass.relay.events import FIRST_NUMBERS, BadEventError
 
 if TYPE_CHECKING:
@@ -19,10 +20,11 @@
     """The output of an item so far, kept across attempts.
 
     :param event_texts: data of the events received
-    :param size: bytes of data in these events
+    :param size: bytes of these texts
     :param last: number of the last event; ``None`` before the first
     :param failures: attempts that ended with status 500 of the engine
     :param route_missing_since: monotonic time; ``None`` while it exists
+    :param proof: where the attempts have ended
     """
 
     event_texts: list[str] = field(default_factory=list)
@@ -30,6 +32,7 @@
     last: int | None = None
     failures: int = 0
     route_missing_since: float | None = None
+    proof: EndProof = field(default_factory=EndProof)
 
     def add(self, event: Event) -> None:
         """Add an event to the output.
@@ -37,9 +40,10 @@
         :raises BadEventError: if it makes the output too long; it begins
             anew
         """
+        text = event.data.decode("utf-8", "replace")
         self.last = event.number
-        self.size += len(event.data)
-        self.event_texts.append(event.data.decode("utf-8", "replace"))
+        self.size += len(text.encode())
+        self.event_texts.append(text)
         if self.size > MAX_OUTPUT_BYTES:
             self.begin_anew()
             raise BadEventError("the output is too long")
@@ -52,11 +56,38 @@
         missing = self.last + 1 - len(self.event_texts)
         return missing in FIRST_NUMBERS
 
+    def resume(self) -> int | None:
+        """Return the number of the event after which an attempt resumes.
+
+        It brings a last event again whose end is in doubt.
+        """
+        if self.last is not None and self.proof.doubts(self.last):
+            self.size -= len(self.event_texts.pop().encode())
+            self.last = self.last - 1 if self.event_texts else None
+        return self.last
+
+    def judge(self, brought: int, unframed: bool) -> End:
+        """Return what the end of an attempt says about the output.
+
+        :param brought: number of events that it brought
+        :param unframed: whether only the end of its connection ended it
+        :raises BadEventError: if events are missing; it begins anew
+        """
+        end = self.proof.judge(self.last, brought, unframed)
+        missing = end is not End.BROKEN_OFF and not self.whole
+        # A framed answer that lacks an event of another attempt is no output.
+        if missing or (end is End.BROKEN_OFF and not unframed):
+            self.begin_anew()
+        if missing:
+            raise BadEventError("events are missing in the output")
+        return end
+
     def begin_anew(self) -> None:
         """Forget the output, so that the next attempt runs from the start."""
         self.event_texts.clear()
         self.size = 0
         self.last = None
+        self.proof.forget()
 
 
 __all__ = ["MAX_OUTPUT_BYTES", "Progress"]
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -20,6 +20,7 @@
 from mulberrypass.relay.api import framing, part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES, EngineLeavesError
+from mulberrypass.relay.end_proof import End
 from mulberrypass.relay.events import (
     BadEventError,
     EventOrder,
@@ -116,7 +117,7 @@
                 continue
             self._log_permit(permit)
             try:
-                self._attempt(permit)
+                end = self._attempt(permit)
             except WireError as exc:
                 outcome = self._handle_failure(permit, exc.failed)
                 if outcome is not None:
@@ -125,7 +126,10 @@
                     time.sleep(delay_s)
                     delay_s = min(MAX_RETRY_S, delay_s * 2)
                 continue
-            return self._complete(ItemState.COMPLETED, permit.engine.name)
+            if end is not End.IN_DOUBT:
+                return self._complete(permit.engine.name, end)
+            self._log_doubt(permit)
+            self._avoid = (permit.engine.name,)
         return None
 
     def _acquire(self) -> HeldPermit:
@@ -215,9 +219,20 @@
             events=len(self._progress.event_texts),
         )
 
-    def _attempt(self, permit: HeldPermit) -> None:
+    def _log_doubt(self, permit: HeldPermit) -> None:
+        LOG.info(
+            "item end in doubt",
+            job=self._head.job_id,
+            item=self._item.item_id,
+            engine=permit.engine.name,
+            last=self._progress.last,
+            **self._framing,
+        )
+
+    def _attempt(self, permit: HeldPermit) -> End:
         """Run the item on an engine and record its events.
 
+        :returns: what proves the output whole, or that its end is in doubt
         :raises WireError: if the output is incomplete
         """
         self._progress.route_missing_since = None
@@ -237,7 +252,7 @@
                 abort()
 
         deadline = Deadline(time.monotonic() + MAX_ATTEMPT_S)
-        req = self._request(self._progress.last)
+        req = self._request(self._progress.resume())
         try:
             answer = self._dependencies.engines.send(
                 permit.engine,
@@ -249,15 +264,16 @@
             self._framing = framing(answer)
             permit.mark_limit(answer.head.limit_per_s)
             self._check_head(answer, deadline)
-            for count in self._read(answer, deadline, permit):
-                events += count
-            if not self._progress.whole:
-                self._progress.begin_anew()
-                raise BadEventError("events are missing in the output")
+            events = self._read(answer, deadline, permit)
+            unframed = answer.head.ends_with_connection
+            end = self._progress.judge(events, unframed)
+            if end is End.BROKEN_OFF or (unframed and not events):
+                raise WireError(CUT)
             outcome = ReleaseOutcome.DONE
-            if req.after_event is None:
+            if req.after_event is None and end is not End.IN_DOUBT:
                 elapsed_s = time.monotonic() - permit.sent_at
                 self._pace.observe(req.output_tokens, elapsed_s)
+            return end
         except BadEventError as exc:
             raise WireError(EngineFailed(str(exc), Ran.MAYBE))
         except WireError as exc:
@@ -290,8 +306,13 @@
 
     def _read(
         self, answer: EngineAnswer, deadline: Deadline, permit: HeldPermit
-    ) -> list[int]:
-        counts = []
+    ) -> int:
+        """Record the events of an answer; return their number.
+
+        :raises WireError: if the answer is cut
+        :raises BadEventError: if an event doesn't belong to the output
+        """
+        count = 0
         splitter = EventSplitter()
         order = EventOrder(self._progress.last)
         event_due = deadline.within(READ_TIMEOUT_S)
@@ -306,17 +327,11 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
-            counts.append(len(events))
+            count += len(events)
         if splitter.pending:
             reason = "cut in an event"
             raise WireError(EngineFailed(reason, Ran.YES, closed=True))
-        unframed = answer.head.ends_with_connection
-        if not sum(counts) and (unframed or self._progress.last is None):
-            # A run that resumes after its last event would end like this at
-            # each attempt.
-            self._progress.begin_anew()
-            raise WireError(CUT)
-        return counts
+        return count
 
     def _handle_failure(
         self, permit: HeldPermit, failed: EngineFailed
@@ -358,7 +373,7 @@
             self._index, self._item.item_id, ItemState.ABANDONED
         )
 
-    def _complete(self, state: ItemState, engine: str) -> ItemOutcome:
+    def _complete(self, engine: str, proof: End) -> ItemOutcome:
         LOG.info(
             "item done",
             job=self._head.job_id,
@@ -367,10 +382,13 @@
             events=len(self._progress.event_texts),
             last=self._progress.last,
             revoked=self._revoked,
+            proof=proof.value,
             **self._framing,
         )
         output = "\n".join(self._progress.event_texts)
-        return ItemOutcome(self._index, self._item.item_id, state, output)
+        return ItemOutcome(
+            self._index, self._item.item_id, ItemState.COMPLETED, output
+        )
 
 
 __all__ = ["ItemRun"]
--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -36,7 +36,7 @@
 
     :param events: number of events that it writes; ``None`` for all
     :param more: bytes that it writes of the event after them
-    :param reset: whether it resets its connection instead of closing it
+    :param reset: whether it resets its connection instead of ending it
     :param unframed: whether its answer has neither a length nor chunks
     :param again: whether it writes its whole answer once more
     """
@@ -290,6 +290,8 @@
                 return False
             answer.sendall(_framed(answer, data))
             left = None if left is None else left - len(data)
+        if end is not None and end.reset:
+            return self._end_early(answer, b"", end)
         if not answer.unframed:
             answer.sendall(_chunk(b""))
         if end is not None and end.again:
--- a/tests/batches/test_partial_output.py
+++ b/tests/batches/test_partial_output.py
@@ -71,10 +71,12 @@
             engine(each.name, address=f"{each.at.host}:{each.at.port}")
             for each in self.engines
         )
+        client = HttpEngineClient()
+        self.addCleanup(client.retain, frozenset())
         deps = RelayDependencies(
             directory,
             PermitAcquirer("entry@a", self.permits, directory),
-            HttpEngineClient(),
+            client,
             self.watch,
         )
         return ItemRun(
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -27,6 +27,7 @@
 from tests.batches import cases
 from tests.engine.endless import (
     NO_LENGTH,
+    OK_HEAD,
     AnsweringServer,
     Bytes,
     EndlessServer,
@@ -101,6 +102,11 @@
     )
 
 
+def framed(body: bytes) -> bytes:
+    """Return an answer whose end its length proves."""
+    return OK_HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 class CrashingItemTest(unittest.TestCase):
     """An item whose engine crashes each time was sent without a bound."""
 
@@ -192,24 +198,39 @@
         assert outcome is not None
         self.assertEqual("1\n2", outcome.output)
 
-    def test_item_begins_anew_if_its_end_cannot_be_told(self) -> None:
+    def test_item_is_resumed_before_its_last_event(self) -> None:
         """It was resumed after its last event for good."""
-        rest = Script(ends_with_connection=True)
         engines = ScriptedEngines(
             Script(parts=[WHOLE, CUT]),
-            rest,
+            Script(ends_with_connection=True),
+            Script(ends_with_connection=True, parts=[event(2)]),
+            Script(ends_with_connection=True, parts=[event(2)]),
+        )
+        self.assert_runs(engines, None, 2, 1, 1)
+
+    def test_framed_run_lacks_an_event_of_another(self) -> None:
+        """Its end would prove an output without its last event."""
+        engines = ScriptedEngines(
             Script(ends_with_connection=True, parts=[WHOLE]),
+            Script(),
+            Script(parts=[WHOLE]),
         )
+        self.assert_runs(engines, None, 1, None)
+
+    def assert_runs(
+        self, engines: ScriptedEngines, *after: int | None
+    ) -> None:
+        """Check the output and after which event each run was resumed."""
         _permits, item_run = make_run(engines, engine("e1"), engine("e2"))
         outcome = item_run.run()
         assert outcome is not None
         self.assertEqual("1\n2", outcome.output)
         resumed = [req.after_event for _name, req in engines.sent]
-        self.assertEqual([None, 2, None], resumed)
+        self.assertEqual(list(after), resumed)
 
     def test_item_goes_on_elsewhere(self) -> None:
         ended = AnsweringServer(self, NO_LENGTH, close=True)
-        sound = AnsweringServer(self, NO_LENGTH + WHOLE, close=True)
+        sound = AnsweringServer(self, framed(WHOLE), close=True)
         _permits, item_run = make_run(
             HttpEngineClient(),
             engine("e1", address=ended.address),
@@ -250,7 +271,7 @@
     ) -> tuple[ItemOutcome | None, list[str]]:
         """Run an item at an endless engine, and then at a sound one."""
         endless = EndlessServer(self, sent)
-        sound = AnsweringServer(self, NO_LENGTH + answer, close=True)
+        sound = AnsweringServer(self, framed(answer), close=True)
         permits, item_run = make_run(
             HttpEngineClient(),
             engine("e1", address=endless.address),
