Prove the end of a resumed stream by a second run

Callers saw a resumable stream end as complete after 3 of 8 events, when its engine sent neither a length nor chunks and ended the connection between two events, as an engine that is stopped or taken away does.

Only the end of the connection ends such an answer, so its bytes can't tell whether it is whole. Such an end is now in doubt. Another run is asked for the last event again, on another engine if there is one. If it brings the event and ends there too, the stream is whole. If it brings more, the first run was broken off, and a run that is asked for the rest goes on. A run without an event proves nothing, as an engine that dies after the head ends like one. Each run counts as an attempt; without one left, or without an engine within a second, the stream is cut visibly.

An end in doubt isn't held against the engine. What is read of a second run isn't passed on, as its events may not be joined behind another run's. If no second run may follow from the start (MaxAttempts 1), the head says that only the end of the connection ends the answer.

tests.platform.test_endless_answer: the sound engine that follows an endless one sent its answer without framing, on the last attempt, and to whatever event it was asked for. Nothing proves such an end, so it sends chunks now. The checks are the same.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -12,7 +12,11 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.model.value_class import value_class
-from mulberrypass.policy.messages import ReleaseOutcome, WorkClass
+from mulberrypass.policy.messages import (
+    RefusalReason,
+    ReleaseOutcome,
+    WorkClass,
+)
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
@@ -29,12 +33,9 @@
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.ending import PlannedEnd
-from mulberrypass.relay.events import (
-    BadEventError,
-    EventOrder,
-    EventSplitter,
-)
+from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.streams import BROKEN_OFF, IN_DOUBT, EventStream
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 from mulberrypass.runtime.logs import get_logger
@@ -64,6 +65,9 @@
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
 SILENCE_TIMEOUT_S = 1.0
+# Callers leave a stream after a gap of 2 s; half of it is for the second run.
+SECOND_RUN_WAIT_S = 1.0
+NO_SECOND_RUN = "no engine for a second run"
 
 
 @value_class
@@ -104,7 +108,9 @@
 class _ForwardedRequest:
     """One request while it is forwarded; used by one thread.
 
-    :ivar _last_event: id of the last event that was sent to the caller
+    :ivar _avoid: engines whose answer failed
+    :ivar _ended: engines whose run ended, which are asked again if there is
+        no other
     """
 
     def __init__(
@@ -126,11 +132,12 @@
         self._started_at = now
         self._deadline = Deadline(now + wait_s)
         self._avoid: tuple[str, ...] = ()
+        self._ended: tuple[str, ...] = ()
         self._attempts = 0
         self._maybe_ran = False
         self._head_sent = False
-        self._last_event = req.after_event
-        self._event_count = 0
+        self._as_it_came = False
+        self._stream = EventStream(req.after_event)
         self._permit: HeldPermit | None = None
         self._answer: EngineAnswer | None = None
         self._watched_call: WatchedCall | None = None
@@ -169,13 +176,13 @@
             request=self._digest,
         )
         try:
-            self._permit = self._deps.acquirer.acquire(
-                work, self._avoid, self._gives_up
-            )
+            self._permit = self._acquire(work)
         except NoRouteError:
             return self._not_admitted("no_route", 0.0)
         except NoPermitError as exc:
             reason = exc.reason if self._may_finish() else STOPPING
+            if self._stream.in_doubt:
+                reason = NO_SECOND_RUN
             return self._not_admitted(reason, exc.retry_after_s)
         except QuarantinedError as exc:
             return self._quarantined(exc)
@@ -184,6 +191,27 @@
             return self._not_admitted(STOPPING, 0.0)
         return None
 
+    def _acquire(self, work: WorkSpec) -> HeldPermit:
+        """Wait for a permit, for a second run not for long.
+
+        The owner of the pool would refuse a second run whose deadline were as
+        short, as it expects a whole one.
+        """
+        gives_up_at = self._deadline.at
+        if self._stream.in_doubt:
+            gives_up_at = time.monotonic() + SECOND_RUN_WAIT_S
+
+        def gives_up() -> bool:
+            return self._gives_up() or time.monotonic() >= gives_up_at
+
+        acquire = self._deps.acquirer.acquire
+        try:
+            return acquire(work, (*self._avoid, *self._ended), gives_up)
+        except NoPermitError as exc:
+            if not self._ended or exc.reason != RefusalReason.NO_BACKEND:
+                raise
+            return acquire(work, self._avoid, gives_up)
+
     def _may_finish(self) -> bool:
         """Return whether the answer may end before this process does.
 
@@ -258,7 +286,7 @@
         assert self._permit is not None
         permit = self._permit
         self._attempts += 1
-        req = replace(self._req, after_event=self._last_event)
+        req = replace(self._req, after_event=self._stream.resume_after)
         try:
             self._answer = self._deps.engines.send(
                 permit.engine,
@@ -318,36 +346,28 @@
             self._watched_call = None
 
     def _forward_stream(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
-        """Forward only whole events, so that a cut falls between two."""
+        """Forward only whole events, so that a cut falls between two.
+
+        An end in doubt is handed on as it came if no second run may follow.
+        """
         assert self._permit is not None
-        splitter = EventSplitter()
-        order = EventOrder(self._last_event)
         if not self._head_sent:
             self._head_sent = True
-            yield AnswerHead(answer.head.status, answer.head.headers, None)
-        count = 0
-        event_due = self._read_deadline()
-        while data := answer.read_some(event_due):
-            events = splitter.feed(data)
-            if not events:
-                continue
-            self._permit.mark_first_event()
-            valid, error = order.accept_leading(events)
-            count += len(valid)
-            self._event_count += len(valid)
-            self._last_event = order.last
-            if valid:
-                yield AnswerBody(b"".join(event.raw for event in valid))
-            if error is not None:
-                raise error
-            event_due = self._read_deadline()
-        if splitter.pending:
-            reason = "cut in an event"
-            raise WireError(EngineFailed(reason, Ran.YES, closed=True))
-        unframed = answer.head.ends_with_connection
-        if not count and (unframed or self._last_event is None):
-            # Nothing else shows that it ended too early.
-            raise WireError(CUT)
+            unframed = answer.head.ends_with_connection
+            self._as_it_came = unframed and not self._may_repeat()
+            yield AnswerHead(
+                answer.head.status,
+                answer.head.headers,
+                None,
+                ends_with_connection=self._as_it_came,
+            )
+        for data in self._stream.read(
+            answer,
+            self._read_deadline,
+            self._permit.mark_first_event,
+            self._as_it_came,
+        ):
+            yield AnswerBody(data)
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
@@ -377,7 +397,11 @@
         """Update the retry state and release the permit."""
         assert self._permit is not None
         self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
-        self._avoid = (*self._avoid, self._permit.engine.name)
+        engine = self._permit.engine.name
+        if failed is IN_DOUBT:
+            self._ended = (*self._ended, engine)
+        elif failed is not BROKEN_OFF:
+            self._avoid = (*self._avoid, engine)
         if failed.ran is Ran.NO:
             self._attempts -= 1
         outcome = self._release_outcome(failed)
@@ -389,9 +413,12 @@
     def _release_outcome(self, failed: EngineFailed) -> ReleaseOutcome:
         """Return the outcome; FAILED counts against the engine's health."""
         assert self._permit is not None
+        if failed is IN_DOUBT:
+            return ReleaseOutcome.DONE
         aborted = self._watched_call is not None and self._watched_call.ended
         late = time.monotonic() >= self._deadline.at
-        if aborted or (late and self._permit.first_at is not None):
+        had_events = self._permit.first_at is not None
+        if failed is BROKEN_OFF or aborted or (late and had_events):
             return ReleaseOutcome.CANCELLED
         if failed is LEAVES or (failed.status and failed.ran is Ran.NO):
             return ReleaseOutcome.UNUSED
@@ -425,7 +452,7 @@
             self._answer.finish()
             self._answer = None
         if self._permit is not None:
-            self._permit.release(outcome, self._event_count)
+            self._permit.release(outcome, self._stream.count)
             self._permit = None
 
     def _age_ms(self) -> int:
@@ -446,7 +473,7 @@
             reason=failed.reason,
             ran=failed.ran.value,
             status=failed.status,
-            shown=self._last_event,
+            shown=self._stream.last,
             **framing(self._answer),
             parts=part_names(self._req.shared_parts),
             left=self._disconnected(),
@@ -468,7 +495,7 @@
             queued_ms=round(self._permit.queued_s * 1_000),
             first_ms=first_ms,
             age_ms=self._age_ms(),
-            events=self._event_count,
+            events=self._stream.count,
             attempts=self._attempts,
             **framing(self._answer),
             parts=part_names(self._req.shared_parts),
--- a/tests/platform/test_endless_answer.py
+++ b/tests/platform/test_endless_answer.py
@@ -103,7 +103,8 @@
     ) -> Outcome:
         """Forward one request; the caller may leave before its end."""
         endless = EndlessServer(self, sent)
-        sound = AnsweringServer(self, NO_LENGTH + answer, close=True)
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(answer), answer)
+        sound = AnsweringServer(self, CHUNKED + chunk, close=True)
         directory = Directory()
         directory.apply_routes(table(to))
         directory.set_engines(
