--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -13,6 +13,7 @@
     from mulberrypass.relay.api import Headers
 
 REQUEST_ID = "X-Mulberrypass-Request-Id"
+RESPONSE_STAMP = "X-Mulberrypass-Response-Stamp"
 DEADLINE_MS = "X-Mulberrypass-Deadline-Ms"
 EXPECT_INSTANCE = "X-Mulberrypass-Expect-Instance"
 TOKEN_COUNTS = "X-Mulberrypass-Token-Counts"
@@ -69,6 +70,17 @@
     return tuple((k, v) for k, v in headers if k.lower() not in dropped)
 
 
+def answer_marks(headers: Headers) -> Headers:
+    """Return the id and the stamp, which only copies of an answer share.
+
+    :returns: nothing if the head doesn't have one of each
+    """
+    names = (REQUEST_ID.lower(), RESPONSE_STAMP.lower())
+    marks = tuple((k, v) for k, v in headers if k.lower() in names)
+    found = {name.lower() for name, value in marks if value.strip()}
+    return marks if len(marks) == len(found) == len(names) else ()
+
+
 def read_request(
     method: str,
     target: str,
@@ -192,9 +204,11 @@
     "LEAVING",
     "NOT_RUN",
     "REQUEST_ID",
+    "RESPONSE_STAMP",
     "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SERVER_LOAD",
+    "answer_marks",
     "end_to_end",
     "engine_headers",
     "parse_limit",
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
 
+if TYPE_CHECKING:
+    from mulberrypass.relay.second_answer import SecondAnswer
+
 # Engines send no longer events; a larger one means a broken stream.
 MAX_EVENT_BYTES = 1_048_576
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
@@ -38,29 +42,49 @@
     """Splits a byte stream into events.
 
     It looks at each byte once, however small the parts are.
+
+    :param second: tells a second answer, which ends the stream where it
+        begins between two events; ``None`` if none may follow
+    :ivar ended: whether the head of a second answer has ended the stream
     """
 
-    def __init__(self) -> None:
+    def __init__(self, second: SecondAnswer | None = None) -> None:
+        self.ended = False
+        self._second = second
         self._buffer = bytearray()
         self._searched = 0
 
     @property
     def pending(self) -> bool:
-        """Whether an incomplete event is buffered."""
-        return bool(self._buffer.strip())
+        """Whether an incomplete event is buffered.
+
+        The beginning of the head of a second answer isn't one.
+        """
+        if not self._buffer.strip():
+            return False
+        return self._second is None or not self._second.may_begin(
+            bytes(self._buffer)
+        )
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
         :raises BadEventError: if an event is too long
         """
+        if self.ended:
+            return []
         buffer = self._buffer
         buffer += data
-        events = []
+        events: list[Event] = []
         start, search = 0, self._searched
         while found := EVENT_END.search(buffer, search):
             search = found.end()
-            events.append(_parse_event(bytes(buffer[start:search])))
+            raw = bytes(buffer[start:search])
+            if self._second is not None and self._second.is_head(raw):
+                self.ended = True
+                buffer.clear()
+                return events
+            events.append(self._event(raw))
             start = search
         del buffer[:start]
         if len(buffer) > MAX_EVENT_BYTES:
@@ -68,6 +92,12 @@
         self._searched = max(0, len(buffer) - MAX_PARTIAL_END)
         return events
 
+    def _event(self, raw: bytes) -> Event:
+        if self._second is not None and self._second.is_within(raw):
+            # An event was cut; nothing of it may pass for whole.
+            return Event(raw, None, b"")
+        return _parse_event(raw)
+
 
 class EventOrder:
     """Checks that event numbers are consecutive.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -179,3 +179,29 @@
         ):
             with self.subTest(text), self.assertRaises(ValueError):
                 headers.parse_limit(text)
+
+
+class AnswerMarksTest(unittest.TestCase):
+    """A copy of an answer is known by its id and its stamp."""
+
+    own_id = ("x-mulberrypass-request-id", "9c41")
+    stamp = ("X-Mulberrypass-Response-Stamp", "3e1b.07")
+
+    def test_id_and_stamp(self) -> None:
+        head = (self.own_id, ("Date", "now"), self.stamp)
+        marks = headers.answer_marks(head)
+        self.assertEqual((self.own_id, self.stamp), marks)
+
+    def test_head_without_one_of_each_has_none(self) -> None:
+        own_id, stamp = self.own_id, self.stamp
+        empty = (stamp[0], " ")
+        for head in (
+            (),
+            (own_id,),
+            (stamp,),
+            (own_id, own_id),
+            (own_id, stamp, stamp),
+            (own_id, empty),
+        ):
+            with self.subTest(head):
+                self.assertEqual((), headers.answer_marks(head))
