List results that are too large for one transaction

The store takes a transaction of at most 1 MB. Up to eight results were written in one, whatever their size, and one whose output alone takes more, compressed, was written again for good: neither it nor any result of its job after it was ever listed. Known before by reading only.

As many results as fit go into a transaction. To write its pieces ahead isn't done: two holders could mix theirs.

Before: tests.batches.test_large_results, both tests: 'Result' object has no attribute 'ok' (status 413).

--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -17,6 +17,7 @@
 from mulberrypass.model.batch_jobs import (
     Accepted,
     ItemOutcome,
+    ItemState,
     JobHead,
     NoSuchJob,
     OverQuota,
@@ -52,6 +53,8 @@
 # The store limits a transaction to 1 MB, and base64 adds a third.
 MAX_TRANSACTION_BYTES = 600_000
 MAX_TRANSACTION_ROWS = 90
+# Bytes of a character in JSON: two escapes of six.
+MAX_JSON_BYTES = 12
 MAX_ATTEMPTS = 12
 MAX_UNAVAILABLE = 3
 UNAVAILABLE_RETRY_S = 0.05
@@ -191,10 +194,18 @@
         def change(
             head: JobHead,
         ) -> tuple[JobHead, tuple[ItemOutcome, ...]] | None:
-            changed, listed = policy.record_outcomes(head, outcomes)
+            _, unlisted = policy.record_outcomes(head, outcomes)
+            fitting = _fitting(unlisted)
+            changed, listed = policy.record_outcomes(head, fitting)
             return (changed, listed) if listed else None
 
-        return self._change(host, job_id, change, known)
+        while True:
+            result = self._change(host, job_id, change, known)
+            if result.is_error():
+                return result
+            known = result.ok
+            if not policy.record_outcomes(known.head, outcomes)[1]:
+                return result
 
     def replace_head(
         self,
@@ -352,6 +363,32 @@
     return batches
 
 
+def _fitting(outcomes: tuple[ItemOutcome, ...]) -> tuple[ItemOutcome, ...]:
+    """Return the leading outcomes that fit one transaction, at least one.
+
+    An item whose output doesn't fit one is given up: it could never be
+    listed, nor any result after it.
+    """
+    chars = sum(len(outcome.output) for outcome in outcomes)
+    if chars * MAX_JSON_BYTES <= MAX_TRANSACTION_BYTES // 2:
+        return outcomes
+    fitting: list[ItemOutcome] = []
+    size = count = 0
+    for outcome in outcomes:
+        rows = codec.result_rows("", "", 0, outcome)
+        size += sum(len(value) for _, value in rows)
+        count += len(rows)
+        fits = size <= MAX_TRANSACTION_BYTES and count <= MAX_TRANSACTION_ROWS
+        if not fits and fitting:
+            break
+        if not fits:
+            LOG.warning("output too large to list", item=outcome.item_id)
+            state = ItemState.ABANDONED
+            return (replace(outcome, state=state, output=""),)
+        fitting.append(outcome)
+    return tuple(fitting)
+
+
 def _conflicting_head(found: tuple[StoredRow, ...]) -> VersionedHead | None:
     for row in found:
         if row.at.table == codec.HEADS and row.version:
