Let the soak's engines end answers without framing

Two kinds of fault are drawn from a stream of their own, which leaves the faults of earlier seeds as they were: an engine sends its streams without framing, and it ends those that may be resumed after half of their events, as one that is stopped between two events does. What may not be resumed is left whole: nobody can find out how much is missing of it. The links reset connections now where they only closed them, which passes for the end of an answer without framing.

--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -11,6 +11,8 @@
 
 from mulberrypass.platform import headers as names
 from mulberrypass.platform.ingress import Reply, send_reply
+from mulberrypass.platform.stand_in.site import BATCH_PATH, RESUMABLE_PATH
+from mulberrypass.runtime.connection import END_WITH_CONNECTION
 from mulberrypass.runtime.in_flight import CallCounter
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
 
 RESPONSE_STAMP = "X-Mulberrypass-Response-Stamp"
 INSTANCE_ID = names.INSTANCE_ID
+RESUMABLE_PATHS = (BATCH_PATH, RESUMABLE_PATH)
 
 
 @dataclass(slots=True)
@@ -30,6 +33,9 @@
     :param skip: number of an event to leave out of streams
     :param other_id: answer with the id of another request
     :param leaving: say in all answers that it leaves
+    :param unframed: send streams with neither a length nor chunks
+    :param ends_after: number of events after which a stream without framing
+        ends with its connection, if the request may be resumed
     """
 
     full: bool = False
@@ -38,6 +44,8 @@
     skip: int | None = None
     other_id: bool = False
     leaving: bool = False
+    unframed: bool = False
+    ends_after: int | None = None
 
 
 @dataclass(slots=True)
@@ -115,6 +123,11 @@
             with self.log.lock:
                 resumed = self.log.resumed.setdefault(request_id, [])
                 resumed.append(int(after))
+        # Nobody can find out how much is missing of what runs once.
+        may_end = environ["REQUEST_URI"].startswith(RESUMABLE_PATHS)
+        ends_after = self.faults.ends_after if may_end else None
+        if self.faults.unframed or ends_after is not None:
+            environ[END_WITH_CONNECTION]()
         answer_id = "another" if self.faults.other_id else request_id
         start_response(
             "200 OK",
@@ -126,7 +139,7 @@
                 *self._leaving_headers(request_id),
             ],
         )
-        return self._events(request_id, first)
+        return self._events(request_id, first, ends_after)
 
     def _leaving_headers(self, request_id: str) -> list[tuple[str, str]]:
         if not self.faults.leaving:
@@ -135,12 +148,16 @@
             self.log.said.append((time.monotonic(), request_id))
         return [(names.SERVER_LEAVING, names.LEAVING)]
 
-    def _events(self, request_id: str, first: int) -> Iterator[bytes]:
+    def _events(
+        self, request_id: str, first: int, ends_after: int | None
+    ) -> Iterator[bytes]:
         produced = 0
         try:
             for number in range(first, self.events + 1):
                 if self.faults.cut_after == produced:
                     raise ConnectionAbortedError("cut")
+                if ends_after == produced:
+                    return
                 if self.event_s:
                     time.sleep(self.event_s)
                 produced += 1
--- a/src/mulberrypass/soak/injector.py
+++ b/src/mulberrypass/soak/injector.py
@@ -148,7 +148,12 @@
                 self._cluster.rows.forget_history()
             case FaultKind.ENGINE_RESET:
                 self._cluster.engine_links[fault.target].reset()
-            case FaultKind.ENGINE_FULL | FaultKind.ENGINE_BREAKS:
+            case (
+                FaultKind.ENGINE_FULL
+                | FaultKind.ENGINE_BREAKS
+                | FaultKind.ENGINE_UNFRAMED
+                | FaultKind.ENGINE_ENDS
+            ):
                 self._degrade_engine(fault, end)
             case FaultKind.ENGINE_DRAINS:
                 self._drain(fault.target, now, fault.duration_s)
@@ -295,12 +300,19 @@
 
     def _degrade_engine(self, fault: ScheduledFault, end: float) -> None:
         faults = self._cluster.apps[fault.target].faults
-        if fault.kind is FaultKind.ENGINE_FULL:
-            faults.full = True
-            self.schedule(end, lambda: setattr(faults, "full", False))
-        else:
-            faults.cut_after = EVENTS_PER_ANSWER // 2
-            self.schedule(end, lambda: setattr(faults, "cut_after", None))
+        match fault.kind:
+            case FaultKind.ENGINE_FULL:
+                faults.full = True
+                self.schedule(end, lambda: setattr(faults, "full", False))
+            case FaultKind.ENGINE_UNFRAMED:
+                faults.unframed = True
+                self.schedule(end, lambda: setattr(faults, "unframed", False))
+            case FaultKind.ENGINE_ENDS:
+                faults.ends_after = EVENTS_PER_ANSWER // 2
+                self.schedule(end, lambda: setattr(faults, "ends_after", None))
+            case _:
+                faults.cut_after = EVENTS_PER_ANSWER // 2
+                self.schedule(end, lambda: setattr(faults, "cut_after", None))
 
     def _set_link(self, fault: ScheduledFault, end: float) -> None:
         if fault.kind in STORE_LINK_KINDS:
--- a/src/mulberrypass/soak/proxy.py
+++ b/src/mulberrypass/soak/proxy.py
@@ -8,6 +8,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from mulberrypass.runtime.sockets import reset_on_close
+
 if TYPE_CHECKING:
     from mulberrypass.peer.loop import LoopThread
     from mulberrypass.platform.site import HostPort
@@ -40,9 +42,13 @@
     drop_replies: bool = False
 
     def reset(self) -> None:
+        for writer in (self.client, self.upstream):
+            _reset(writer)
+
+    def close(self) -> None:
         for writer in (self.client, self.upstream):
             with contextlib.suppress(OSError):
-                writer.transport.abort()
+                writer.close()
 
 
 @dataclass(eq=False)
@@ -111,7 +117,7 @@
                 self.target.host, self.target.port
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         conn = _Connection(
             writer, upstream, self._state is LinkState.DROP_REPLIES
@@ -124,7 +130,7 @@
             )
         finally:
             self._connections.discard(conn)
-            conn.reset()
+            conn.close()
 
     async def _forward(
         self,
@@ -150,4 +156,11 @@
             conn.reset()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without it, an abort may end it like a close."""
+    with contextlib.suppress(OSError):
+        reset_on_close(writer.get_extra_info("socket"))
+        writer.transport.abort()
+
+
 __all__ = ["Link", "LinkState"]
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -39,6 +39,8 @@
 FIRST_SAYS_S = 6.0
 MIN_SAYS_GAP_S = 4.0
 MAX_SAYS_GAP_S = 14.0
+# Gaps between two series of answers without framing.
+MAX_ENDS_GAP_S = 4.0
 
 
 class FaultKind(enum.StrEnum):
@@ -71,6 +73,8 @@
     RELOAD_STARTING = "reloads during a start"
     LOSS = "all instances lost at once"
     ENGINE_SAYS = "engine says that it leaves, store away"
+    ENGINE_UNFRAMED = "engine's answers end with their connections"
+    ENGINE_ENDS = "engine ends such answers between two events"
 
 
 RELOAD_KINDS = (
@@ -81,7 +85,10 @@
     FaultKind.RELOAD_STOPPING,
     FaultKind.RELOAD_STARTING,
 )
-LATER_KINDS = frozenset({*RELOAD_KINDS, FaultKind.LOSS, FaultKind.ENGINE_SAYS})
+END_KINDS = (FaultKind.ENGINE_UNFRAMED, FaultKind.ENGINE_ENDS)
+LATER_KINDS = frozenset(
+    {*RELOAD_KINDS, FaultKind.LOSS, FaultKind.ENGINE_SAYS, *END_KINDS}
+)
 # Drawn from the seed's first stream, which must not change: a seed that once
 # failed must give the same faults again.
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -177,6 +184,8 @@
         faults.append(_draw_loss(rng, end))
     third = random.Random(f"{seed}-third")
     faults += _draw_says(third, CALM_S, end, engines)
+    fourth = random.Random(f"{seed}-fourth")
+    faults += _draw_ends(fourth, CALM_S, end, engines)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -196,6 +205,23 @@
         at += duration_s + rng.uniform(MIN_SAYS_GAP_S, MAX_SAYS_GAP_S)
 
 
+def _draw_ends(
+    rng: random.Random, begin: float, end: float, engines: int
+) -> Iterator[ScheduledFault]:
+    """Draw overlapping series of answers without framing."""
+    at = begin + rng.uniform(0.0, MAX_ENDS_GAP_S)
+    while at < end:
+        for _ in range(rng.randint(1, MAX_SERIES)):
+            yield ScheduledFault(
+                at,
+                rng.choice(END_KINDS),
+                rng.randrange(engines),
+                rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
+            )
+            at += rng.uniform(0.0, SERIES_GAP_S)
+        at += rng.uniform(MIN_GAP_S, MAX_ENDS_GAP_S)
+
+
 def _draw_reloads(
     rng: random.Random,
     begin: float,
@@ -218,6 +244,7 @@
 
 
 __all__ = [
+    "END_KINDS",
     "CALM_S",
     "INSTANCE_KINDS",
     "LATER_KINDS",
