Cut off a copy's head that is cut short too

An engine may end in the middle of the copy's head: the caller got the part of it as the end of its answer. The part is cut off if it bears the id and the stamp; without them it could be the body's own.

--- a/src/mulberrypass/relay/second_answer.py
+++ b/src/mulberrypass/relay/second_answer.py
@@ -65,6 +65,11 @@
             and self._found(complete) is not None
         )
 
+    def is_cut_head(self, data: bytes) -> bool:
+        """Return whether bytes begin such a head and bear all marks."""
+        lines = data.split(b"\n")[:-1]
+        return self.may_begin(data) and self._all_in(lines)
+
     def _all_in(self, lines: list[bytes]) -> bool:
         found = self._found(lines)
         return bool(found and len(found) == len(self.marks))
@@ -91,7 +96,8 @@
     """Return a body without the second answers at its end.
 
     What follows the head of a second answer must be a beginning of what
-    comes before it, or all of it.
+    comes before it, or all of it. A head that is cut short must bear all
+    marks.
     """
     values = [value.strip().encode("latin-1") for _, value in second.marks]
     if not values or not all(value in body for value in values):
@@ -101,13 +107,19 @@
         end = body.rfind(HEAD_START, 0, end)
         if end < 0:
             break
-        head = HEAD.match(body, end, end + MAX_HEAD_BYTES)
-        if head is None or not second.is_head(head.group()):
-            continue
-        copied = body[head.end() :]
-        if body[:end].startswith(copied):
+        if _is_copy(body, end, second):
             body = body[:end]
     return body
 
 
+def _is_copy(body: bytes, at: int, second: SecondAnswer) -> bool:
+    """Return whether a copy of what comes before begins at a position."""
+    head = HEAD.match(body, at, at + MAX_HEAD_BYTES)
+    if head is not None:
+        copied = body[head.end() :]
+        return second.is_head(head.group()) and body[:at].startswith(copied)
+    rest = body[at : at + MAX_HEAD_BYTES + 1]
+    return len(rest) <= MAX_HEAD_BYTES and second.is_cut_head(rest)
+
+
 __all__ = ["SecondAnswer", "without_second_answer"]
--- a/tests/relay/test_second_answer.py
+++ b/tests/relay/test_second_answer.py
@@ -137,6 +137,9 @@
             "whole copy": whole,
             "three": whole + HEAD + BODY,
             "three, the last one cut": whole + HEAD + BODY[:3],
+            "head without its end": BODY + HEAD[:-2],
+            "head without its last line": BODY + HEAD[:-15],
+            "three, the last one in its head": whole + HEAD[:-7],
             **{f"{n} bytes": whole[: len(BODY + HEAD) + n] for n in range(9)},
         }
         for name, body in copies.items():
@@ -156,7 +159,7 @@
             "copy and more": BODY + HEAD + BODY + b"x",
             "other text behind": BODY + HEAD + b"other",
             "head at the start": HEAD + BODY,
-            "head without its end": BODY + HEAD[:-2],
+            "head without its stamp": BODY + HEAD[: HEAD.index(b"c9f2")],
             **{k: BODY + v + BODY for k, v in OTHER_HEADS.items()},
         }
         # A head that a word precedes is one behind a longer body.
