Let only its last event end a model engine's stream

A stream that ended with its marker but without its last event ended without an event or an error for its reader, and a second last event, or an error after it, was handed on as part of the answer. The last event tells how many tokens there are and proves the end; without it the answer is wrong, and what comes after it belongs to no request.

Before: tests.engine.test_ends.EndedStreamTest, 9 cases: Lists differ: [EngineFailed(reason='wrong answer' ...)] != []. EndedDocumentTest passed before too: it cuts each document at each byte.

--- a/src/mulberrypass/engine/model_client.py
+++ b/src/mulberrypass/engine/model_client.py
@@ -214,18 +214,26 @@
                 return
             for event in _sse_data(exchange, deadline):
                 yield Ok(validator.parse(event))
+            if not validator.finished:
+                yield Error(WRONG_ANSWER)
         except WireError as exc:
-            yield Error(exc.failed)
+            # What comes after the last event belongs to no request.
+            if not validator.finished:
+                yield Error(exc.failed)
         finally:
             exchange.finish()
 
 
 class _StreamValidator:
-    """Parses events and checks that they form one complete answer."""
+    """Parses events and checks that they form one complete answer.
+
+    :ivar finished: whether the last event of the answer has come
+    """
 
     def __init__(self, request_id: str, offset: int) -> None:
         self._request_id = request_id
         self._next = offset
+        self.finished = False
 
     def parse(self, data: bytes) -> StreamEvent:
         """Parse one event.
@@ -233,6 +241,8 @@
         :raises WireError: if the event is invalid, reports an error or
             doesn't follow the one before
         """
+        if self.finished:
+            raise WireError(WRONG_ANSWER)
         doc = decode_object(data)
         if doc.get("request_id") != self._request_id:
             raise WireError(WRONG_ANSWER)
@@ -248,6 +258,7 @@
             return None
         if doc["completion_tokens"] != self._next:
             raise WireError(WRONG_ANSWER)
+        self.finished = True
         return Finished(str(doc["finish_reason"]), self._next)
 
     def _parse_tokens(self, doc: dict[str, Any]) -> Tokens:
