Read a lot's inputs and outcomes with all their lines or not at all

An object that lacked its last lines gave fewer outcomes than its row says, and those items were listed as pending after they were done; fewer inputs than the manifest's count let a lot end without its last items.

Before: tests.jobs.test_reading, 10 cases, AttributeError: 'Result' object has no attribute 'error' (the read had succeeded).

--- a/src/mulberrypass/jobs/reading.py
+++ b/src/mulberrypass/jobs/reading.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
@@ -20,6 +19,7 @@
     manifest_key,
     open_from_row,
 )
+from mulberrypass.model.store import Unavailable
 from mulberrypass.policy.jobs.commands import JobSnapshot
 
 if TYPE_CHECKING:
@@ -110,9 +110,9 @@
         self, job: JobRow, lot: int
     ) -> Result[list[bytes], ObjectError]:
         """Read the lines of a lot's items."""
-        key = manifest_key(job.job, lot, job.lots[lot].digest)
-        found = self._objects.get(key)
-        return found.map(lambda data: data.split(b"\n"))
+        listed = job.lots[lot]
+        key = manifest_key(job.job, lot, listed.digest)
+        return self._lines(key, 0, listed.count)
 
     def outcomes(
         self, chunks: Iterable[Chunk]
@@ -120,13 +120,23 @@
         """Read the lines of a lot's outcomes, in the order of the flushes."""
         lines: list[bytes] = []
         for chunk in chunks:
-            data = self._objects.get(chunk.key)
-            if data.is_error():
-                return Error(data.error)
-            last = chunk.start + chunk.lines
-            found = data.ok.split(b"\n")
-            lines.extend(itertools.islice(found, chunk.start, last))
+            found = self._lines(chunk.key, chunk.start, chunk.lines)
+            if found.is_error():
+                return Error(found.error)
+            lines.extend(found.ok)
         return Ok(lines)
 
+    def _lines(
+        self, key: str, first: int, count: int
+    ) -> Result[list[bytes], ObjectError]:
+        """Read lines of an object, all of which must be there."""
+        data = self._objects.get(key)
+        if data.is_error():
+            return Error(data.error)
+        found = data.ok.split(b"\n")[first : first + count]
+        if len(found) < count:
+            return Error(Unavailable("lines are missing", False))
+        return Ok(found)
+
 
 __all__ = ["JobReader"]
