Hand an end that nothing proves on as it came

Callers of streams that may not be resumed got chunks and a last chunk, and callers of plain answers a Content-Length, for an answer that its engine had ended with nothing but its connection, also when the engine had died between two events.

Such an answer is handed on without framing now. Before its end, or before its head if it is held whole, the engine must keep a further connection open for 50 ms, as an engine that has just died ended its connections by dying. If it doesn't, the answer is cut, and a plain one is repeated where the route allows it. The connection is kept for the next request, which needs one, as the answer used its own up.

An engine that leaves and has closed its listener is taken for one that is gone: it ends the answers that it hasn't finished when its time is over, and nothing tells those from finished ones. A cut costs one answer, a part that looks whole breaks a promise.

The 50 ms: a process that ends closes its sockets one after another, so that a connection may still be taken and then reset.

--- a/src/mulberrypass/engine/pool.py
+++ b/src/mulberrypass/engine/pool.py
@@ -23,6 +23,9 @@
 MAX_IDLE_S = 20.0
 # Bounds the memory for the ids of the requests on a connection.
 MAX_REQUESTS_PER_CONNECTION = 512
+# How long a process that ends takes to close its sockets one by one: over
+# 10 ms on a busy machine.
+ENDING_MS = 50
 
 
 class ConnectionPool:
@@ -99,6 +102,18 @@
             self._request_ids.setdefault(conn, set()).add(request_id)
         return Exchange(self, conn, reused)
 
+    def add(self, deadline: Deadline) -> None:
+        """Open a connection and keep it for the next request.
+
+        :raises WireError: if connecting fails, or the server doesn't keep the
+            connection open; nothing ran
+        """
+        conn = self._connect(deadline)
+        if not _is_reusable(conn, ENDING_MS):
+            conn.close()
+            raise WireError(EngineFailed("connection not kept", Ran.NO))
+        self.put(conn)
+
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Return a connection to the pool after a complete answer."""
         now = time.monotonic()
@@ -175,13 +190,18 @@
         return conn
 
 
-def _is_reusable(conn: http.client.HTTPConnection) -> bool:
-    """Return whether an idle connection is open and has no unread data."""
+def _is_reusable(
+    conn: http.client.HTTPConnection, watched_ms: int = 0
+) -> bool:
+    """Return whether an idle connection is open and has no unread data.
+
+    :param watched_ms: how long it must stay so
+    """
     if conn.sock is None:
         return False
     poll = select.poll()
     poll.register(conn.sock, select.POLLIN)
-    return not poll.poll(0)
+    return not poll.poll(watched_ms)
 
 
 def _remaining_before_send(deadline: Deadline) -> float:
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -76,6 +76,12 @@
             exchange.close()
             raise
 
+    def check_alive(
+        self, engine: RegisteredEngine, deadline: Deadline
+    ) -> None:
+        """Open a further connection; see ``EngineClient``."""
+        self._pool(engine).add(deadline)
+
     def _note_leaving(
         self, engine: RegisteredEngine, req: RelayRequest, exchange: Exchange
     ) -> bool:
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -163,6 +163,15 @@
         :raises WireError: if no complete head arrives for this request
         """
 
+    @abstractmethod
+    def check_alive(
+        self, engine: RegisteredEngine, deadline: Deadline
+    ) -> None:
+        """Open a further connection, and keep it for the next request.
+
+        :raises WireError: if the engine doesn't keep it open
+        """
+
 
 @value_class
 class AnswerHead:
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -67,6 +67,12 @@
 SILENCE_TIMEOUT_S = 1.0
 # Callers leave a stream after a gap of 2 s; half of it is for the second run.
 SECOND_RUN_WAIT_S = 1.0
+# Work must stop within 0.5 s after its caller has left, and the check of an
+# engine doesn't see a caller leave.
+CHECK_TIMEOUT_S = 0.5
+ENGINE_GONE = EngineFailed(
+    "engine gone after an unframed answer", Ran.YES, closed=True
+)
 NO_SECOND_RUN = "no engine for a second run"
 
 
@@ -368,6 +374,8 @@
             self._as_it_came,
         ):
             yield AnswerBody(data)
+        if self._as_it_came:
+            self._check_engine(answer)
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
@@ -389,10 +397,34 @@
             raise WireError(EngineFailed(reason, Ran.YES, status=status))
         if self._head_sent:
             raise WireError(EngineFailed(f"status {status}", Ran.YES))
+        if unframed:
+            self._check_engine(answer)
         self._head_sent = True
-        yield AnswerHead(status, answer.head.headers, size)
+        yield AnswerHead(
+            status,
+            answer.head.headers,
+            None if unframed else size,
+            ends_with_connection=unframed,
+        )
         yield AnswerBody(b"".join(parts))
 
+    def _check_engine(self, answer: EngineAnswer) -> None:
+        """Check that an engine still runs whose answer nothing else proves.
+
+        An engine that has just ended has ended its connections by that, those
+        of a leaving one too: it leaves when its time is over, answers or not.
+
+        :raises WireError: if it doesn't
+        """
+        assert self._permit is not None
+        answer.finish()
+        try:
+            self._deps.engines.check_alive(
+                self._permit.engine, self._deadline.within(CHECK_TIMEOUT_S)
+            )
+        except WireError:
+            raise WireError(ENGINE_GONE)
+
     def _after_failure(self, failed: EngineFailed) -> EngineFailed:
         """Update the retry state and release the permit."""
         assert self._permit is not None
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -165,6 +165,8 @@
         self.sent: list[tuple[str, RelayRequest]] = []
         self.deadlines: list[Deadline] = []
         self.log: list[str] = []
+        self.checked: list[str] = []
+        self.alive = True
 
     def send(
         self,
@@ -185,6 +187,14 @@
             script.before()
         return ScriptedAnswer(script, self.log, self.deadlines)
 
+    def check_alive(
+        self, engine: RegisteredEngine, _deadline: Deadline
+    ) -> None:
+        """Record the call."""
+        self.checked.append(engine.name)
+        if not self.alive:
+            raise WireError(NOT_RUN)
+
 
 class ScriptedPermits(PermitClient):
     """Grants the first engine that the request doesn't avoid."""
