Log what proves the end of an answer

Nothing told an answer whose end is proven from one that only ended with its connection: the line "answered" says "proof" now: "framed", "second run" or "engine alive". A line "end in doubt" names the request, the engine and the number of the last event; such a run isn't logged as a failed attempt. That no engine is free for a second run has a reason of its own in "not placed".

The lines of a request move into a module of their own. They are the same otherwise.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -26,16 +26,19 @@
     Relay,
     TruncatedAnswerError,
     Unservable,
-    digest_name,
-    framing,
-    part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
-from mulberrypass.relay.streams import BROKEN_OFF, IN_DOUBT, EventStream
+from mulberrypass.relay.request_log import RequestLog
+from mulberrypass.relay.streams import (
+    BROKEN_OFF,
+    FRAMED,
+    IN_DOUBT,
+    EventStream,
+)
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 from mulberrypass.runtime.logs import get_logger
@@ -73,6 +76,7 @@
 ENGINE_GONE = EngineFailed(
     "engine gone after an unframed answer", Ran.YES, closed=True
 )
+ENGINE_ALIVE = "engine alive"
 NO_SECOND_RUN = "no engine for a second run"
 
 
@@ -133,6 +137,7 @@
         self._deps = deps
         self._req = req
         self._digest = req.digest()
+        self._log = RequestLog(req, self._digest, route.name, now)
         self._route = route
         self._disconnected = disconnected
         self._started_at = now
@@ -143,6 +148,7 @@
         self._maybe_ran = False
         self._head_sent = False
         self._as_it_came = False
+        self._proof = ""
         self._stream = EventStream(req.after_event)
         self._permit: HeldPermit | None = None
         self._answer: EngineAnswer | None = None
@@ -250,15 +256,8 @@
         self, reason: str, retry_after_s: float
     ) -> Refused | Failed | NoRoute:
         """Return the final event: a refusal only if the request never ran."""
-        LOG.info(
-            "not placed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            reason=reason,
-            attempts=self._attempts,
-            maybe_ran=self._maybe_ran,
-            age_ms=self._age_ms(),
+        self._log.not_placed(
+            reason, attempts=self._attempts, maybe_ran=self._maybe_ran
         )
         if self._maybe_ran:
             return Failed(reason, late=reason == "deadline")
@@ -268,17 +267,12 @@
 
     def _quarantined(self, exc: QuarantinedError) -> Unservable | Failed:
         """Return the final event of a request that crashes engines."""
-        LOG.info(
-            "not placed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            reason=exc.reason,
+        self._log.not_placed(
+            exc.reason,
             part=exc.part,
             engines=exc.engines,
             attempts=self._attempts,
             maybe_ran=self._maybe_ran,
-            age_ms=self._age_ms(),
         )
         if self._maybe_ran:
             return Failed(exc.reason)
@@ -320,7 +314,13 @@
             failed = EngineFailed(str(exc), Ran.YES)
             self._log_failure(failed)
             return self._after_failure(failed)
-        self._log_done()
+        self._log.answered(
+            permit,
+            self._answer,
+            self._stream.count,
+            self._attempts,
+            self._proof,
+        )
         if _is_success(head):
             self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
@@ -374,6 +374,7 @@
             self._as_it_came,
         ):
             yield AnswerBody(data)
+        self._proof = self._stream.proof
         if self._as_it_came:
             self._check_engine(answer)
 
@@ -397,6 +398,7 @@
             raise WireError(EngineFailed(reason, Ran.YES, status=status))
         if self._head_sent:
             raise WireError(EngineFailed(f"status {status}", Ran.YES))
+        self._proof = FRAMED
         if unframed:
             self._check_engine(answer)
         self._head_sent = True
@@ -424,6 +426,7 @@
             )
         except WireError:
             raise WireError(ENGINE_GONE)
+        self._proof = ENGINE_ALIVE
 
     def _after_failure(self, failed: EngineFailed) -> EngineFailed:
         """Update the retry state and release the permit."""
@@ -487,9 +490,6 @@
             self._permit.release(outcome, self._stream.count)
             self._permit = None
 
-    def _age_ms(self) -> int:
-        return round((time.monotonic() - self._started_at) * 1_000)
-
     def _note_time(self, permit: HeldPermit) -> None:
         seconds = time.monotonic() - permit.sent_at
         tokens = self._req.output_tokens
@@ -497,40 +497,12 @@
 
     def _log_failure(self, failed: EngineFailed) -> None:
         assert self._permit is not None
-        LOG.info(
-            "attempt failed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            engine=self._permit.engine.name,
-            reason=failed.reason,
-            ran=failed.ran.value,
-            status=failed.status,
-            shown=self._stream.last,
-            **framing(self._answer),
-            parts=part_names(self._req.shared_parts),
-            left=self._disconnected(),
-            age_ms=self._age_ms(),
-        )
-
-    def _log_done(self) -> None:
-        assert self._permit is not None
-        first_at = self._permit.first_at
-        first_ms = None
-        if first_at is not None:
-            first_ms = round((first_at - self._started_at) * 1_000)
-        LOG.info(
-            "answered",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            engine=self._permit.engine.name,
-            queued_ms=round(self._permit.queued_s * 1_000),
-            first_ms=first_ms,
-            age_ms=self._age_ms(),
-            events=self._stream.count,
-            attempts=self._attempts,
-            **framing(self._answer),
-            parts=part_names(self._req.shared_parts),
+        shown = self._stream.last
+        if failed is IN_DOUBT and shown is not None:
+            self._log.in_doubt(self._permit, self._answer, shown)
+            return
+        self._log.attempt_failed(
+            failed, self._permit, self._answer, shown, self._disconnected()
         )
 
 
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -36,7 +36,7 @@
     :ivar last: id of the last event that the caller has
     :ivar count: number of events that were passed on
     :ivar in_doubt: whether an unframed run has ended after the last event
-    :ivar proof: what has proven the end of the stream
+    :ivar proof: what has proven the end of the stream; empty if nothing has
     :ivar _ended_at: the last event of an unframed run that brought it
     """
 
@@ -159,4 +159,4 @@
         raise WireError(CUT_IN_EVENT)
 
 
-__all__ = ["BROKEN_OFF", "EventStream", "IN_DOUBT"]
+__all__ = ["BROKEN_OFF", "EventStream", "FRAMED", "IN_DOUBT"]
--- a/tests/relay/test_unframed_ends.py
+++ b/tests/relay/test_unframed_ends.py
@@ -7,22 +7,25 @@
 from typing import TYPE_CHECKING
 import unittest
 
+from mulberrypass.model.routes import RouteKind
 from mulberrypass.platform.engines import HttpEngineClient
 from mulberrypass.platform.headers import LAST_EVENT_ID, REQUEST_ID
 from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.engine import event
 from mulberrypass.platform.stand_in.raw_engine import RawEngine, RawFaults
+from mulberrypass.policy.messages import RefusalReason
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
     TruncatedAnswerError,
 )
 from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
 from mulberrypass.relay.watch import CallWatch
 from tests.engine.endless import HOST
-from tests.quiet import quiet_logs
+from tests.quiet import captured_logs, quiet_logs
 from tests.relay.fakes import (
     ScriptedPermits,
     engine,
@@ -32,6 +35,8 @@
 )
 
 if TYPE_CHECKING:
+    from structlog.typing import EventDict
+
     from mulberrypass.model.routes import RelayRoute
     from mulberrypass.relay.api import RelayEvent
 
@@ -101,12 +106,14 @@
         self.watch.start()
         self.addCleanup(self.watch.stop)
         self.permits = ScriptedPermits(*(e.name for e in self.engines))
+        self.ending = PlannedEnd()
 
     def forward(
         self,
         to: RelayRoute,
         leave_after_s: float = LONG_S,
         after: int | None = None,
+        wait_s: float = 5.0,
     ) -> Seen:
         directory = Directory()
         directory.apply_routes(table(to))
@@ -119,9 +126,12 @@
             PermitAcquirer("entry@a", self.permits, directory),
             self.client,
             self.watch,
+            self.ending,
         )
         started = time.monotonic()
-        req = request(headers=((REQUEST_ID, ID),), after_event=after)
+        req = request(
+            headers=((REQUEST_ID, ID),), after_event=after, wait_s=wait_s
+        )
         seen = Seen()
         try:
             seen.events.extend(
@@ -252,6 +262,20 @@
         self.assert_cut(seen, EVENTS)
         self.assertLess(seen.seconds, leaves_s + GONE_S)
 
+    def test_deadline_during_the_second_run(self) -> None:
+        self.engines[1].event_s = self.engines[2].event_s = LONG_S
+        seen = self.forward(self.resumable, wait_s=0.3)
+        self.assert_cut(seen, EVENTS)
+        self.assertLess(seen.seconds, 0.3 + GONE_S)
+
+    def test_planned_stop_during_the_second_run(self) -> None:
+        def stop() -> None:
+            if len(self.permits.asks) > 1:
+                self.ending.set(time.monotonic() + 0.1)
+
+        self.permits.on_ask = stop
+        self.assert_whole(self.forward(self.resumable))
+
     def test_resumed_run_ends_between_events(self) -> None:
         self.faults[0].break_after = EVENT_BYTES + 1
         self.faults[1].resumed_bytes = EVENT_BYTES
@@ -268,5 +292,49 @@
         self.assertEqual([[str(EVENTS)], [last], [last]], self.asked)
 
 
+class LogTest(UnframedTestCase):
+    """Nothing told a proven end from one in doubt."""
+
+    def lines(self, to: RelayRoute) -> list[EventDict]:
+        """Return the lines that tell how the runs of a request ended."""
+        with captured_logs() as lines:
+            self.forward(to)
+        names = ("end in doubt", "attempt failed", "answered", "not placed")
+        return [line for line in lines if line["event"] in names]
+
+    def test_second_run(self) -> None:
+        doubt, answered = self.lines(route(resumable=True))
+        found = {key: doubt[key] for key in ("id", "engine", "event_number")}
+        wanted = {"id": ID, "engine": "e0", "event_number": EVENTS}
+        self.assertEqual(wanted, found)
+        self.assertEqual("second run", answered["proof"])
+        self.assertEqual(2, answered["attempts"])
+
+    def test_framed(self) -> None:
+        self.faults[0].unframed = False
+        for kind in (RouteKind.STREAM, RouteKind.NON_IDEMPOTENT):
+            (answered,) = self.lines(route(kind=kind))
+            self.assertEqual("framed", answered["proof"])
+
+    def test_engine_alive(self) -> None:
+        for kind in (RouteKind.STREAM, RouteKind.NON_IDEMPOTENT):
+            (answered,) = self.lines(route(kind=kind))
+            self.assertEqual("engine alive", answered["proof"])
+
+    def test_broken_off(self) -> None:
+        self.faults[0].break_after = EVENT_BYTES
+        _, failed = self.lines(route(resumable=True))
+        self.assertEqual("an earlier run was broken off", failed["reason"])
+
+    def test_no_engine_for_a_second_run(self) -> None:
+        def refuse() -> None:
+            if len(self.permits.asks) > 1:
+                self.permits.refusal = (RefusalReason.QUEUE_FULL, 0.1)
+
+        self.permits.on_ask = refuse
+        _, placed = self.lines(route(resumable=True))
+        self.assertEqual("no engine for a second run", placed["reason"])
+
+
 if __name__ == "__main__":
     unittest.main()
