Bound the bytes of all answers that are held until they are whole

Callers on one instance lost their requests, whichever engine served them: an engine sent bytes without an end, the process kept them all and ran out of memory.

Each body had a bound of 8 MB, and their sum had none: 96 are forwarded at once, and each was held twice while its parts were joined.

Now one budget counts the bytes of all bodies of the process, a quarter of the smallest instance's memory, and half of that for one engine. When it is spent, the longest body of the engine that holds most ends: its bytes go at once, its attempt fails as one that may have run, and its engine's health counts a failure. Whole bodies never yield, and the first 64 KB of each aren't counted. Parts are handed on as blocks, without a joined copy; small parts are joined to blocks, since an object for each byte would take forty times its size.

Evidence: the new test forwards 96 endless answers in a process of its own, while four threads fetch 2 MB each from another engine.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -37,6 +37,7 @@
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
+from mulberrypass.relay.whole_body import HeldBodies, read_whole
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -60,7 +61,6 @@
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_LATENCY_S = 0.07
-MAX_BUFFERED_BYTES = 8_388_608
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
 SILENCE_TIMEOUT_S = 1.0
@@ -75,6 +75,7 @@
     engines: EngineClient
     watch: CallWatch
     ending: PlannedEnd = field(default_factory=PlannedEnd)
+    bodies: HeldBodies = field(default_factory=HeldBodies)
 
 
 class Forwarder(Relay):
@@ -351,14 +352,21 @@
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
-        parts = []
-        size = 0
-        body_due = self._body_deadline()
-        while data := answer.read_some(body_due):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_BYTES:
-                raise WireError(EngineFailed("answer too large", Ran.YES))
+        assert self._permit is not None
+        engine = self._permit.engine.name
+        with self._deps.bodies.open(engine, answer.abort) as body:
+            read_whole(answer, self._body_deadline(), body)
+            self._check_whole(answer, body.size)
+            self._head_sent = True
+            head = answer.head
+            yield AnswerHead(head.status, head.headers, body.size)
+            yield from map(AnswerBody, body.take_parts())
+
+    def _check_whole(self, answer: EngineAnswer, size: int) -> None:
+        """Check that a complete answer may be forwarded.
+
+        :raises WireError: if it may not
+        """
         unframed = answer.head.ends_with_connection
         if not size and unframed and _is_success(answer.head):
             # Nothing else shows that it ended too early.
@@ -369,9 +377,6 @@
             raise WireError(EngineFailed(reason, Ran.YES, status=status))
         if self._head_sent:
             raise WireError(EngineFailed(f"status {status}", Ran.YES))
-        self._head_sent = True
-        yield AnswerHead(status, answer.head.headers, size)
-        yield AnswerBody(b"".join(parts))
 
     def _after_failure(self, failed: EngineFailed) -> EngineFailed:
         """Update the retry state and release the permit."""
--- /dev/null
+++ b/src/mulberrypass/relay/whole_body.py
@@ -0,0 +1,190 @@
+"""Bodies that are held until they are whole, within a bound for all."""
+
+from __future__ import annotations
+
+from collections import deque
+import threading
+from typing import TYPE_CHECKING, Self
+
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import WireError
+from mulberrypass.model.outcome import Ran
+from mulberrypass.policy.held_bytes import ByteLimits, HeldBytes
+from mulberrypass.runtime.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from mulberrypass.engine.wire import Deadline
+    from mulberrypass.policy.held_bytes import Holding
+    from mulberrypass.relay.api import EngineAnswer
+
+LOG = get_logger(__name__)
+MAX_BODY_BYTES = 8_388_608
+# Small parts are joined, as each object takes memory of its own.
+BLOCK_BYTES = 65_536
+# The smallest instance of the users' sites has 200 MB.
+DEFAULT_MEMORY_BYTES = 200_000_000
+TOO_LARGE = EngineFailed("answer too large", Ran.YES)
+TURNED_AWAY = EngineFailed("too many bytes held", Ran.YES)
+
+
+class HeldBodies:
+    """All bodies that a process holds until they are whole.
+
+    Safe on any thread.
+
+    :ivar most: most bytes that were held at any time
+    :ivar turned_away: number of bodies that had to yield
+    """
+
+    def __init__(self, limits: ByteLimits | None = None) -> None:
+        if limits is None:
+            limits = ByteLimits.of_memory(DEFAULT_MEMORY_BYTES)
+        self._lock = threading.Lock()
+        self._held = HeldBytes(limits)
+        self._bodies: dict[Holding, HeldBody] = {}
+        self.most = 0
+        self.turned_away = 0
+
+    @property
+    def total(self) -> int:
+        """Bytes held now."""
+        return self._held.total
+
+    def open(self, source: str, abort: Callable[[], None]) -> HeldBody:
+        """Return an empty body.
+
+        :param source: the engine, or a name for work of another kind
+        :param abort: ends the answer if it has to yield; safe on any thread
+        """
+        with self._lock:
+            holding = self._held.open(source)
+            body = HeldBody(self, holding, abort)
+            self._bodies[holding] = body
+            return body
+
+    def append(self, body: HeldBody, data: bytes) -> None:
+        """Add bytes to a body; see ``HeldBody.append``."""
+        with self._lock:
+            if body.turned_away:
+                raise WireError(TURNED_AWAY)
+            body.store(data)
+            yielding = self._held.add(body.holding, len(data))
+            self.most = max(self.most, self._held.total)
+            self.turned_away += len(yielding)
+            bodies = [self._bodies.pop(holding) for holding in yielding]
+            for each in bodies:
+                each.drop()
+        for each in bodies:
+            self._turn_away(each)
+        if body in bodies:
+            raise WireError(TURNED_AWAY)
+
+    def complete(self, body: HeldBody) -> None:
+        """Keep a body; see ``HeldBody.complete``."""
+        with self._lock:
+            if body.turned_away:
+                raise WireError(TURNED_AWAY)
+            body.holding.may_yield = False
+
+    def release(self, body: HeldBody, count: int) -> None:
+        """Stop counting bytes that were handed on."""
+        with self._lock:
+            self._held.add(body.holding, -count)
+
+    def close(self, body: HeldBody) -> None:
+        """Stop counting a body."""
+        with self._lock:
+            self._bodies.pop(body.holding, None)
+            self._held.close(body.holding)
+
+    def _turn_away(self, body: HeldBody) -> None:
+        LOG.warning(
+            "answer turned away",
+            source=body.holding.source,
+            reason=TURNED_AWAY.reason,
+            size=body.holding.size,
+            held=self.total,
+        )
+        body.abort()
+
+
+class HeldBody:
+    """The bytes of one body; used by one thread, as a context.
+
+    :ivar size: number of bytes received
+    :ivar turned_away: whether it had to yield
+    """
+
+    def __init__(
+        self, bodies: HeldBodies, holding: Holding, abort: Callable[[], None]
+    ) -> None:
+        self.holding = holding
+        self.abort = abort
+        self.size = 0
+        self.turned_away = False
+        self._bodies = bodies
+        self._blocks: deque[bytearray] = deque()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self._blocks.clear()
+        self._bodies.close(self)
+
+    def append(self, data: bytes) -> None:
+        """Add bytes.
+
+        :raises WireError: if it has to yield
+        """
+        self._bodies.append(self, data)
+
+    def complete(self) -> None:
+        """Keep it: a whole body doesn't yield.
+
+        :raises WireError: if it had to yield before
+        """
+        self._bodies.complete(self)
+
+    def take_parts(self) -> Iterator[bytes]:
+        """Remove and yield its parts, in order."""
+        while self._blocks:
+            part = bytes(self._blocks.popleft())
+            yield part
+            self._bodies.release(self, len(part))
+
+    def store(self, data: bytes) -> None:
+        """Add bytes; called with the lock held."""
+        self.size += len(data)
+        blocks = self._blocks
+        if not blocks or len(blocks[-1]) + len(data) > BLOCK_BYTES:
+            blocks.append(bytearray())
+        blocks[-1] += data
+
+    def drop(self) -> None:
+        """Forget all bytes; called with the lock held."""
+        self.turned_away = True
+        self._blocks.clear()
+
+
+def read_whole(answer: EngineAnswer, due: Deadline, body: HeldBody) -> None:
+    """Read a body to its end.
+
+    :raises WireError: if it is truncated, too large or has to yield
+    """
+    try:
+        while data := answer.read_some(due):
+            body.append(data)
+            if body.size > MAX_BODY_BYTES:
+                raise WireError(TOO_LARGE)
+    except WireError:
+        # The thread that turned it away has ended its connection.
+        if body.turned_away:
+            raise WireError(TURNED_AWAY)
+        raise
+    body.complete()
+
+
+__all__ = ["HeldBodies", "HeldBody", "TURNED_AWAY", "read_whole"]
