Answer a request of a test once, however it arrives

The server of these tests answered each part that it received.

It receives a whole request now before it answers.

--- a/tests/engine/endless.py
+++ b/tests/engine/endless.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from dataclasses import dataclass
+import re
 import socket
 import threading
 import time
@@ -20,6 +21,7 @@
 OK_HEAD = b"HTTP/1.1 200 OK\r\nX-Mulberrypass-Request-Id: r1\r\n"
 CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 NO_LENGTH = OK_HEAD + b"\r\n"
+LENGTH = re.compile(rb"(?i)\r\ncontent-length: *([0-9]+)")
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +142,7 @@
 
     def _answer(self, conn: socket.socket) -> None:
         answer, then = self._parts
-        while conn.recv(65_536):
+        while _receive_request(conn):
             conn.sendall(answer)
             if self._close:
                 conn.shutdown(socket.SHUT_WR)
@@ -149,6 +151,20 @@
             conn.sendall(then)
 
 
+def _receive_request(conn: socket.socket) -> bool:
+    """Receive a request with its body; return whether there was one."""
+    data = b""
+    while True:
+        head, end, body = data.partition(b"\r\n\r\n")
+        length = LENGTH.search(head)
+        if end and len(body) >= (int(length[1]) if length else 0):
+            return True
+        part = conn.recv(65_536)
+        if not part:
+            return False
+        data += part
+
+
 __all__ = [
     "AnsweringServer",
     "Bytes",
