Play plain ends of answers without framing at random

The random test of items ended answers inside an event or not at all, so that it could not show an item that was done with the events before an end between two of them. Its engines now also end runs plainly after none, two, three or four events, reset them after any, and break off resumed ones inside an event.

--- a/tests/batches/test_random_answers.py
+++ b/tests/batches/test_random_answers.py
@@ -15,7 +15,11 @@
 from mulberrypass.platform.headers import REQUEST_ID
 from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.engine import event
-from mulberrypass.platform.stand_in.raw_engine import RawEngine, RawFaults
+from mulberrypass.platform.stand_in.raw_engine import (
+    RawEngine,
+    RawFaults,
+    RunEnd,
+)
 from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.forward import RelayDependencies
@@ -37,6 +41,7 @@
 CALM_AFTER_S = 1.5
 GIVE_UP_S = 20.0
 MAX_ATTEMPTS = 1_000
+QUEUED_ENDS = 2
 
 
 class RandomAnswersTest(unittest.TestCase):
@@ -101,11 +106,15 @@
             faults.ids_in_refusals = rng.random() < 0.5
             # In the middle of an event, or never.
             faults.break_after = rng.choice((None, None, 12, 33))
+            faults.resumed_bytes = rng.choice((None, None, None, 12))
+            if len(faults.ends) < QUEUED_ENDS:
+                faults.ends.append(random_end(rng))
             time.sleep(rng.random() * 0.01)
         for faults in self.faults:
             faults.unframed = faults.repeated = False
             faults.failures = faults.refusals = 0
-            faults.break_after = None
+            faults.break_after = faults.resumed_bytes = None
+            faults.ends.clear()
 
     def revoke(
         self, rng: random.Random, permits: list[ScriptedPermits], until: float
@@ -153,6 +162,18 @@
                     self.assertEqual(whole(item_id), outcome.output)
 
 
+def random_end(rng: random.Random) -> RunEnd:
+    """Return how a run ends.
+
+    Two runs that end plainly at the same event can't be told from whole
+    ones, so a run that ends so has brought at least one new event, or none.
+    """
+    unframed = rng.random() < 0.8
+    if rng.random() < 0.2:
+        return RunEnd(rng.randrange(EVENTS), reset=True, unframed=unframed)
+    return RunEnd(rng.choice((None, 0, 2, 3, 4)), unframed=unframed)
+
+
 def whole(item_id: str) -> str:
     """Return the whole output of an item."""
     return "\n".join(
