End an item's output where a second answer begins

An engine that writes each answer without framing twice held an item until it expired: the head of the second copy was an event without a number, at each run, so that no run came to its end.

The head of an answer now carries the id and stamp that only its copies share, and an item's run ends at a head that bears them. The end there is in doubt like the end of the connection.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -313,10 +313,10 @@
         :raises BadEventError: if an event doesn't belong to the output
         """
         count = 0
-        splitter = EventSplitter()
+        splitter = EventSplitter(answer.head.second)
         order = EventOrder(self._progress.last)
         event_due = deadline.within(READ_TIMEOUT_S)
-        while True:
+        while not splitter.ended:
             data = answer.read_some(event_due)
             if not data:
                 break
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -131,9 +131,10 @@
         is_own = answer_ids == {req.request_id}
         if not is_own and (exchange.reused or not lacks_id):
             raise WireError(WRONG_REQUEST_ID)
+        headers = names.end_to_end(tuple(head.items()))
         self.head = EngineHead(
             status=exchange.status,
-            headers=names.end_to_end(tuple(head.items())),
+            headers=headers,
             not_run=not_run or moved,
             moved=moved,
             length=exchange.length,
@@ -142,6 +143,7 @@
             reused=exchange.reused,
             load=names.parse_load(head.get(names.SERVER_LOAD)),
             leaving=leaving,
+            marks=names.answer_marks(headers),
         )
 
     def _limit(self) -> float | None:
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.relay.second_answer import SecondAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterable
@@ -99,6 +100,7 @@
         the body
     :param reused: whether the connection had carried another request before
     :param leaving: whether the engine says that it leaves
+    :param marks: headers that only copies of this answer share
     """
 
     status: int
@@ -111,6 +113,17 @@
     ends_with_connection: bool = False
     reused: bool = False
     leaving: bool = False
+    marks: Headers = ()
+
+    @property
+    def second(self) -> SecondAnswer | None:
+        """What tells a copy of the answer in its body.
+
+        ``None`` if the body has a known end, or nothing would tell a copy.
+        """
+        if not self.ends_with_connection or not self.marks:
+            return None
+        return SecondAnswer(self.marks)
 
 
 class EngineAnswer(ABC):
--- a/tests/batches/test_random_answers.py
+++ b/tests/batches/test_random_answers.py
@@ -171,7 +171,8 @@
     unframed = rng.random() < 0.8
     if rng.random() < 0.2:
         return RunEnd(rng.randrange(EVENTS), reset=True, unframed=unframed)
-    return RunEnd(rng.choice((None, 0, 2, 3, 4)), unframed=unframed)
+    events = rng.choice((None, None, 0, 2, 3, 4))
+    return RunEnd(events, unframed=unframed, again=rng.random() < 0.5)
 
 
 def whole(item_id: str) -> str:
--- a/tests/batches/test_unproven_ends.py
+++ b/tests/batches/test_unproven_ends.py
@@ -28,6 +28,8 @@
 
 LAST = EVENTS - 1
 IN_EVENT = len(event(ITEM_ID, 1)) // 2
+# More runs than an item has in its time.
+MANY = 100
 FRAMED = RunEnd(unframed=False)
 
 
@@ -123,9 +125,6 @@
         self.assertEqual(output(ITEM_ID, 1), outcome.output)
         self.assert_resumed(None, None)
 
-    def test_answer_is_written_again(self) -> None:
-        self.play(RunEnd(again=True), FRAMED)
-
     def test_second_run_is_at_another_engine(self) -> None:
         self.play()
         self.assertEqual([1, 1], [len(e.requests) for e in self.engines])
@@ -135,6 +134,18 @@
         self.assertEqual(["done"] * 4, self.permits.released)
 
 
+class SecondAnswerTest(UnprovenEndTest):
+    """No run of an item ended if all answers were written twice."""
+
+    def test_framed_run_proves_the_end(self) -> None:
+        self.play(RunEnd(again=True), FRAMED)
+        self.assert_resumed(None, LAST)
+
+    def test_all_answers_are_written_twice(self) -> None:
+        self.play(*[RunEnd(again=True)] * MANY)
+        self.assert_resumed(None, LAST)
+
+
 class EmptyResumedRunTest(UnprovenEndTest):
     """A run that was resumed after the last event had nothing to show."""
 
