--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -26,18 +26,22 @@
     Relay,
     TruncatedAnswerError,
     Unservable,
-    digest_name,
-    framing,
-    part_names,
 )
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
-from mulberrypass.relay.streams import BROKEN_OFF, IN_DOUBT, EventStream
+from mulberrypass.relay.request_log import RequestLog
+from mulberrypass.relay.streams import (
+    BROKEN_OFF,
+    FRAMED,
+    IN_DOUBT,
+    EventStream,
+)
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
+from mulberrypass.relay.whole_body import HeldBodies, read_whole
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -61,12 +65,18 @@
 MIN_RETRY_AFTER_S = 0.2
 # From a free engine slot to the caller's first byte: prefill and two hops.
 FIRST_EVENT_LATENCY_S = 0.07
-MAX_BUFFERED_BYTES = 8_388_608
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
 SILENCE_TIMEOUT_S = 1.0
 # Callers leave a stream after a gap of 2 s; half of it is for the second run.
 SECOND_RUN_WAIT_S = 1.0
+# Work must stop within 0.5 s after its caller has left, and the check of an
+# engine doesn't see a caller leave.
+CHECK_TIMEOUT_S = 0.5
+ENGINE_GONE = EngineFailed(
+    "engine gone after an unframed answer", Ran.YES, closed=True
+)
+ENGINE_ALIVE = "engine alive"
 NO_SECOND_RUN = "no engine for a second run"
 
 
@@ -79,6 +89,7 @@
     engines: EngineClient
     watch: CallWatch
     ending: PlannedEnd = field(default_factory=PlannedEnd)
+    bodies: HeldBodies = field(default_factory=HeldBodies)
 
 
 class Forwarder(Relay):
@@ -127,6 +138,7 @@
         self._deps = deps
         self._req = req
         self._digest = req.digest()
+        self._log = RequestLog(req, self._digest, route.name, now)
         self._route = route
         self._disconnected = disconnected
         self._started_at = now
@@ -137,6 +149,7 @@
         self._maybe_ran = False
         self._head_sent = False
         self._as_it_came = False
+        self._proof = ""
         self._stream = EventStream(req.after_event)
         self._permit: HeldPermit | None = None
         self._answer: EngineAnswer | None = None
@@ -244,15 +257,8 @@
         self, reason: str, retry_after_s: float
     ) -> Refused | Failed | NoRoute:
         """Return the final event: a refusal only if the request never ran."""
-        LOG.info(
-            "not placed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            reason=reason,
-            attempts=self._attempts,
-            maybe_ran=self._maybe_ran,
-            age_ms=self._age_ms(),
+        self._log.not_placed(
+            reason, attempts=self._attempts, maybe_ran=self._maybe_ran
         )
         if self._maybe_ran:
             return Failed(reason, late=reason == "deadline")
@@ -262,17 +268,12 @@
 
     def _quarantined(self, exc: QuarantinedError) -> Unservable | Failed:
         """Return the final event of a request that crashes engines."""
-        LOG.info(
-            "not placed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            reason=exc.reason,
+        self._log.not_placed(
+            exc.reason,
             part=exc.part,
             engines=exc.engines,
             attempts=self._attempts,
             maybe_ran=self._maybe_ran,
-            age_ms=self._age_ms(),
         )
         if self._maybe_ran:
             return Failed(exc.reason)
@@ -314,7 +315,13 @@
             failed = EngineFailed(str(exc), Ran.YES)
             self._log_failure(failed)
             return self._after_failure(failed)
-        self._log_done()
+        self._log.answered(
+            permit,
+            self._answer,
+            self._stream.count,
+            self._attempts,
+            self._proof,
+        )
         if _is_success(head):
             self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
@@ -368,17 +375,36 @@
             self._as_it_came,
         ):
             yield AnswerBody(data)
+        self._proof = self._stream.proof
+        if self._as_it_came:
+            self._check_engine(answer)
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
-        parts = []
-        size = 0
-        body_due = self._body_deadline()
-        while data := answer.read_some(body_due):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_BYTES:
-                raise WireError(EngineFailed("answer too large", Ran.YES))
+        assert self._permit is not None
+        engine = self._permit.engine.name
+        with self._deps.bodies.open(engine, answer.abort) as body:
+            read_whole(answer, self._body_deadline(), body)
+            self._check_whole(answer, body.size)
+            self._proof = FRAMED
+            head = answer.head
+            unframed = head.ends_with_connection
+            if unframed:
+                self._check_engine(answer)
+            self._head_sent = True
+            yield AnswerHead(
+                head.status,
+                head.headers,
+                None if unframed else body.size,
+                ends_with_connection=unframed,
+            )
+            yield from map(AnswerBody, body.take_parts())
+
+    def _check_whole(self, answer: EngineAnswer, size: int) -> None:
+        """Check that a complete answer may be forwarded.
+
+        :raises WireError: if it may not
+        """
         unframed = answer.head.ends_with_connection
         if not size and unframed and _is_success(answer.head):
             # Nothing else shows that it ended too early.
@@ -389,9 +415,24 @@
             raise WireError(EngineFailed(reason, Ran.YES, status=status))
         if self._head_sent:
             raise WireError(EngineFailed(f"status {status}", Ran.YES))
-        self._head_sent = True
-        yield AnswerHead(status, answer.head.headers, size)
-        yield AnswerBody(b"".join(parts))
+
+    def _check_engine(self, answer: EngineAnswer) -> None:
+        """Check that an engine still runs whose answer nothing else proves.
+
+        An engine that has just ended has ended its connections by that, those
+        of a leaving one too: it leaves when its time is over, answers or not.
+
+        :raises WireError: if it doesn't
+        """
+        assert self._permit is not None
+        answer.finish()
+        try:
+            self._deps.engines.check_alive(
+                self._permit.engine, self._deadline.within(CHECK_TIMEOUT_S)
+            )
+        except WireError:
+            raise WireError(ENGINE_GONE)
+        self._proof = ENGINE_ALIVE
 
     def _after_failure(self, failed: EngineFailed) -> EngineFailed:
         """Update the retry state and release the permit."""
@@ -455,9 +496,6 @@
             self._permit.release(outcome, self._stream.count)
             self._permit = None
 
-    def _age_ms(self) -> int:
-        return round((time.monotonic() - self._started_at) * 1_000)
-
     def _note_time(self, permit: HeldPermit) -> None:
         seconds = time.monotonic() - permit.sent_at
         tokens = self._req.output_tokens
@@ -465,40 +503,12 @@
 
     def _log_failure(self, failed: EngineFailed) -> None:
         assert self._permit is not None
-        LOG.info(
-            "attempt failed",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            engine=self._permit.engine.name,
-            reason=failed.reason,
-            ran=failed.ran.value,
-            status=failed.status,
-            shown=self._stream.last,
-            **framing(self._answer),
-            parts=part_names(self._req.shared_parts),
-            left=self._disconnected(),
-            age_ms=self._age_ms(),
-        )
-
-    def _log_done(self) -> None:
-        assert self._permit is not None
-        first_at = self._permit.first_at
-        first_ms = None
-        if first_at is not None:
-            first_ms = round((first_at - self._started_at) * 1_000)
-        LOG.info(
-            "answered",
-            id=self._req.request_id,
-            request=digest_name(self._digest),
-            route=self._route.name,
-            engine=self._permit.engine.name,
-            queued_ms=round(self._permit.queued_s * 1_000),
-            first_ms=first_ms,
-            age_ms=self._age_ms(),
-            events=self._stream.count,
-            attempts=self._attempts,
-            **framing(self._answer),
-            parts=part_names(self._req.shared_parts),
+        shown = self._stream.last
+        if failed is IN_DOUBT and shown is not None:
+            self._log.in_doubt(self._permit, self._answer, shown)
+            return
+        self._log.attempt_failed(
+            failed, self._permit, self._answer, shown, self._disconnected()
         )
 
 
