Bound the bytes that the servers hold for slow callers

What a caller had taken of a long answer was kept too, up to 16 MB. With an engine whose events don't end, 96 such callers hold more than a process has.

The cause are two defaults of waitress: the high watermark of the out buffers, at which an answer waits and buffers are changed, and the size from which buffers go to files.

The watermark is 512 KB now, and neither answers nor bodies go to files. Since an answer now waits for its caller, a caller that takes no byte for the idle time of connections is reset; it would hold a thread for ever.

Evidence, tests on the code before:

test_sent_bytes_are_let_go: not less than 3000000 test_answer_waits_for_its_caller: 0 != 2 (files) test_body_takes_no_file: 0 != 1 test_caller_that_takes_nothing_ends: still in flight after 10 s

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -82,6 +82,7 @@
         _head_started_at: float | None = None
         _was_late = False
         _read_at = 0.0
+        _taken_at = 0.0
 
         def check_client_disconnected(self) -> Any:
             """Whether the request's work is no longer needed."""
@@ -98,14 +99,40 @@
             A late head closes only on the second late poll in a row, so that
             a process that was paused first reads what has arrived.
             """
-            late = self._head_is_late()
+            stuck = self._is_stuck()
+            late = stuck or self._head_is_late()
             if late and self._was_late:
+                if stuck:
+                    # The client's socket won't be ready for a close.
+                    self._reset()
+                    return False
                 self.will_close = True
             self._was_late = late
             if steps.ending.is_set() and self._is_idle():
                 self.will_close = True
             return bool(super().readable())
 
+        def send(self, data: bytes, do_close: bool = True) -> int:
+            """Send; note when the client took bytes."""
+            count = int(super().send(data, do_close))
+            if count:
+                self._taken_at = time.monotonic()
+            return count
+
+        def _is_stuck(self) -> bool:
+            """Whether the client has taken no byte for too long."""
+            now = time.monotonic()
+            if not self.total_outbufs_len:
+                self._taken_at = now
+            return bool(now - self._taken_at > self.adj.channel_timeout)
+
+        def _reset(self) -> None:
+            """End an answer that its client doesn't take, as a cut."""
+            LOG.info("client takes no bytes", waiting=self.total_outbufs_len)
+            if self.socket is not None:
+                reset_on_close(self.socket)
+            self.handle_close()
+
         def _is_idle(self) -> bool:
             """Whether no request is read, answered, sent or left to be read.
 
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import sys
 import threading
 import time
 from typing import TYPE_CHECKING, Any, Protocol, cast
@@ -22,6 +23,12 @@
 # A client that sends a head slowly occupies a connection, but no thread.
 HEAD_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.02
+# An answer waits while so many of its bytes wait for their client: a quarter
+# of the smallest instance's 200 MB, by the 96 requests answered at once.
+MAX_WAITING_BYTES = 524_288
+# No files for what is sent and received: the sites' machines have no disk,
+# and /tmp counts as memory.
+NO_FILES = sys.maxsize
 # For answers to requests that the end of the grace time breaks off: work that
 # nobody waits for ends within 0.05 s.
 LAST_ANSWERS_S = 0.3
@@ -32,7 +39,8 @@
     """Limits on the size of requests and on the time clients may take.
 
     :param head_s: from the first byte of a request's head to its last
-    :param idle_s: time after which an idle connection is closed
+    :param idle_s: time after which an idle connection is closed, and one
+        whose client takes no byte of its answer
     """
 
     head_bytes: int = MAX_HEADER_BYTES
@@ -88,6 +96,9 @@
             max_request_body_size=max_body_bytes,
             max_request_header_size=MAX_HEADER_BYTES,
             clear_untrusted_proxy_headers=True,
+            outbuf_high_watermark=MAX_WAITING_BYTES,
+            outbuf_overflow=NO_FILES,
+            inbuf_overflow=NO_FILES,
             asyncore_use_poll=True,
             log_socket_errors=False,
             ident=None,
--- /dev/null
+++ b/tests/runtime/test_bytes_for_callers.py
@@ -0,0 +1,160 @@
+"""Tests of the bytes that a server holds for its callers."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import time
+import tracemalloc
+from typing import TYPE_CHECKING, Any
+import unittest
+from unittest.mock import patch
+
+from waitress.buffers import TempfileBasedBuffer
+
+from mulberrypass.runtime.http import ClosingChunks
+from mulberrypass.runtime.http_server import ClientLimits, HttpServer
+from mulberrypass.runtime.in_flight import CallCounter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+TIMEOUT_S = 10.0
+POLL_S = 0.02
+# Until a server that doesn't stop would have made the whole answer.
+FULL_S = 1.5
+IDLE_S = 0.5
+SMALL_BUFFER = 4_096
+PART = b"x" * 65_536
+PARTS = 600
+BODY = b"y" * 2_000_000
+# A share of the smallest instance's 200 MB for each of 96 requests.
+HELD_BYTES = 1_000_000
+# The kernel's own buffers of a connection on the loopback device.
+KERNEL_BYTES = 6_500_000
+
+
+class LongAnswerApp(CallCounter):
+    """Answers with many parts, and reads bodies.
+
+    :ivar made_bytes: bytes of all parts made
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.made_bytes = 0
+        self.body_bytes = 0
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answer a request."""
+        self.enter()
+        self.body_bytes += len(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return ClosingChunks(self._parts(), self.leave)
+
+    def _parts(self) -> Iterator[bytes]:
+        for _ in range(PARTS):
+            self.made_bytes += len(PART)
+            yield PART
+
+
+class CallerTestCase(unittest.TestCase):
+    """Runs a server with long answers."""
+
+    def setUp(self) -> None:
+        self.app = LongAnswerApp()
+        self.server = HttpServer(self.app, "127.0.0.1", 0, 2, 2 * len(BODY))
+        self.server.start()
+        self.addCleanup(self.server.stop, 0.0)
+
+    def connect(
+        self, receive_bytes: int | None = None
+    ) -> http.client.HTTPConnection:
+        conn = http.client.HTTPConnection(
+            "127.0.0.1", self.server.port, timeout=TIMEOUT_S
+        )
+        self.addCleanup(conn.close)
+        conn.connect()
+        if receive_bytes is not None:
+            conn.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        return conn
+
+    def until(self, reached: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        end = time.monotonic() + TIMEOUT_S
+        while not reached():
+            self.assertLess(time.monotonic(), end)
+            time.sleep(POLL_S)
+
+
+class SlowCallerTest(CallerTestCase):
+    """A caller that read nothing was sent 16 MB, into files from 1 MB on."""
+
+    def test_answer_waits_for_its_caller(self) -> None:
+        with patch(
+            "waitress.buffers.TempfileBasedBuffer",
+            side_effect=TempfileBasedBuffer,
+        ) as files:
+            self.connect(SMALL_BUFFER).request("GET", "/")
+            time.sleep(FULL_S)
+        self.assertEqual(0, files.call_count)
+        self.assertLess(self.app.made_bytes, HELD_BYTES + KERNEL_BYTES)
+
+    def test_caller_that_takes_nothing_ends(self) -> None:
+        self.server.limit(ClientLimits(idle_s=IDLE_S))
+        conn = self.connect(SMALL_BUFFER)
+        conn.request("GET", "/")
+        self.until(lambda: self.app.in_flight == 1)
+        self.until(lambda: self.app.in_flight == 0)
+        with self.assertRaises((ConnectionError, http.client.HTTPException)):
+            conn.getresponse().read()
+
+    def test_slow_caller_gets_all(self) -> None:
+        self.server.limit(ClientLimits(idle_s=IDLE_S))
+        conn = self.connect()
+        conn.request("GET", "/")
+        resp = conn.getresponse()
+        size = 0
+        for _ in range(8):
+            time.sleep(IDLE_S / 2)
+            size += len(resp.read(len(PART)))
+        self.assertEqual(PARTS * len(PART), size + len(resp.read()))
+
+
+class SentBytesTest(CallerTestCase):
+    """Bytes that a caller had taken were kept up to 16 MB."""
+
+    def test_sent_bytes_are_let_go(self) -> None:
+        conn = self.connect()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        conn.request("GET", "/")
+        resp = conn.getresponse()
+        size = 0
+        while part := resp.read1(len(PART)):
+            size += len(part)
+        self.assertEqual(PARTS * len(PART), size)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 3 * HELD_BYTES)
+
+
+class LargeBodyTest(CallerTestCase):
+    """Bodies went to files, of which a machine without a disk has 64 MB."""
+
+    def test_body_takes_no_file(self) -> None:
+        with patch(
+            "waitress.buffers.TempfileBasedBuffer",
+            side_effect=TempfileBasedBuffer,
+        ) as files:
+            conn = self.connect()
+            conn.request("POST", "/", BODY)
+            self.assertEqual(200, conn.getresponse().status)
+        self.assertEqual(len(BODY), self.app.body_bytes)
+        self.assertEqual(0, files.call_count)
+
+
+if __name__ == "__main__":
+    unittest.main()
