Work the budget out from the process's memory, and show it

The bound on bytes of answers came from the smallest instance alone. It is a quarter of Limits.MemoryMb of the settings file now, and of 200 MB where the file names none. A change needs a restart.

Gauges tell the bytes held, the most so far and the answers turned away; each of these has been one line in the log.

--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -16,6 +16,7 @@
 SETTINGS_VARIABLE = "MULBERRYPASS_SETTINGS"
 PEER_KEY_VARIABLE = "MULBERRYPASS_PEER_KEY"
 
+BYTES_PER_MB = 1_000_000
 Port = Annotated[int, Field(ge=1, le=65_535)]
 
 
@@ -47,6 +48,8 @@
     :param apply_s: seconds within which a new configuration is in force
     :param max_ttl_s: maximum time that callers cache addresses
     :param cancel_s: seconds within which a cancellation is noticed
+    :param memory_bytes: memory of the process, from which it is killed;
+        ``None`` if it isn't known
     """
 
     name: str
@@ -64,6 +67,7 @@
     apply_s: float
     max_ttl_s: float
     cancel_s: float
+    memory_bytes: int | None = None
 
 
 class _Model(BaseModel):
@@ -85,6 +89,10 @@
     ttl_max_s: float = Field(default=5, alias="ttl_max_s")
 
 
+class _Limits(_Model):
+    memory_mb: float | None = Field(default=None, allow_inf_nan=False)
+
+
 class _Store(_Model):
     address: str
 
@@ -97,6 +105,7 @@
     bootstrap: bool = False
     listen: _Listen
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Store
 
 
@@ -148,9 +157,17 @@
         apply_s=bounds.config_apply_ms / 1_000,
         max_ttl_s=bounds.ttl_max_s,
         cancel_s=bounds.cancel_ms / 1_000,
+        memory_bytes=_memory_bytes(settings.limits),
     )
 
 
+def _memory_bytes(limits: _Limits) -> int | None:
+    """Return the memory of the process; 0 names no limit."""
+    if not limits.memory_mb or limits.memory_mb < 0:
+        return None
+    return int(limits.memory_mb * BYTES_PER_MB)
+
+
 __all__ = [
     "PEER_KEY_VARIABLE",
     "HostPort",
--- a/src/mulberrypass/policy/held_bytes.py
+++ b/src/mulberrypass/policy/held_bytes.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+# The smallest instance of the users' sites.
+DEFAULT_MEMORY_BYTES = 200_000_000
 # Of the memory of an instance, for the bytes of answers that are held until
 # they are whole. An idle process takes a third of the smallest instance, and
 # callers and the kernel hold bytes of the same answers.
@@ -37,8 +39,13 @@
     free: int = FREE_BYTES
 
     @classmethod
-    def of_memory(cls, memory_bytes: int) -> ByteLimits:
-        """Return the bounds for a process with so much memory."""
+    def of_memory(cls, memory_bytes: int | None = None) -> ByteLimits:
+        """Return the bounds for a process with so much memory.
+
+        :param memory_bytes: ``None`` if it isn't known
+        """
+        if memory_bytes is None:
+            memory_bytes = DEFAULT_MEMORY_BYTES
         total = int(memory_bytes * ANSWERS_SHARE)
         return cls(total, int(total * SOURCE_SHARE))
 
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -40,6 +40,7 @@
     SiteError,
     read_site,
 )
+from mulberrypass.policy.held_bytes import ByteLimits
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
@@ -59,6 +60,7 @@
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
 from mulberrypass.relay.watch import CallWatch
+from mulberrypass.relay.whole_body import HeldBodies
 from mulberrypass.runtime.dump import StateDump
 from mulberrypass.runtime.http_server import ClientLimits, HttpServer
 from mulberrypass.runtime.log_lines import LineWriter
@@ -220,12 +222,14 @@
             self._me.name, self._permits, self._directory, self._guard
         )
         self._ending = PlannedEnd()
+        self._bodies = HeldBodies(ByteLimits.of_memory(site.memory_bytes))
         deps = RelayDependencies(
             self._directory,
             acquirer,
             self._engines,
             self._watch,
             self._ending,
+            self._bodies,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -276,6 +280,7 @@
             self._followers,
             self._holder,
             self._lines,
+            self._bodies,
         )
         self._dump = self._make_dump()
 
--- a/src/mulberrypass/programs/site_gauges.py
+++ b/src/mulberrypass/programs/site_gauges.py
@@ -11,6 +11,7 @@
 
     from mulberrypass.batches.holder import JobHolder
     from mulberrypass.relay.directory import Directory
+    from mulberrypass.relay.whole_body import HeldBodies
     from mulberrypass.runtime.log_lines import LineWriter
     from mulberrypass.runtime.log_metrics import EventMetrics
     from mulberrypass.storage.follow import TableFollower
@@ -23,6 +24,7 @@
     followers: Sequence[TableFollower],
     holder: JobHolder,
     lines: LineWriter,
+    bodies: HeldBodies,
 ) -> None:
     """Register gauges that read the components on each scrape."""
     add_gauge = events.gauge
@@ -71,6 +73,21 @@
         "log lines that were dropped",
         lambda: float(lines.dropped),
     )
+    add_gauge(
+        "answer_bytes_held",
+        "bytes of answers that are held until they are whole",
+        lambda: float(bodies.total),
+    )
+    add_gauge(
+        "answer_bytes_held_most",
+        "most of these bytes since the start",
+        lambda: float(bodies.most),
+    )
+    add_gauge(
+        "answers_turned_away",
+        "answers that had to yield their bytes to others",
+        lambda: float(bodies.turned_away),
+    )
 
 
 __all__ = ["register_gauges"]
--- a/src/mulberrypass/programs/site_reload.py
+++ b/src/mulberrypass/programs/site_reload.py
@@ -12,7 +12,8 @@
     from pathlib import Path
 
 LOG = get_logger(__name__)
-# The process listens at these addresses, or is known to others by them.
+# The process listens at these addresses, is known to others by them, or
+# shares its memory out at its start.
 FIXED_FIELDS = frozenset(
     {
         "name",
@@ -23,6 +24,7 @@
         "directory",
         "peer_port",
         "store",
+        "memory_bytes",
     }
 )
 
--- a/src/mulberrypass/relay/whole_body.py
+++ b/src/mulberrypass/relay/whole_body.py
@@ -23,8 +23,6 @@
 MAX_BODY_BYTES = 8_388_608
 # Small parts are joined, as each object takes memory of its own.
 BLOCK_BYTES = 65_536
-# The smallest instance of the users' sites has 200 MB.
-DEFAULT_MEMORY_BYTES = 200_000_000
 TOO_LARGE = EngineFailed("answer too large", Ran.YES)
 TURNED_AWAY = EngineFailed("too many bytes held", Ran.YES)
 
@@ -39,10 +37,8 @@
     """
 
     def __init__(self, limits: ByteLimits | None = None) -> None:
-        if limits is None:
-            limits = ByteLimits.of_memory(DEFAULT_MEMORY_BYTES)
         self._lock = threading.Lock()
-        self._held = HeldBytes(limits)
+        self._held = HeldBytes(limits or ByteLimits.of_memory())
         self._bodies: dict[Holding, HeldBody] = {}
         self.most = 0
         self.turned_away = 0
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -84,6 +84,17 @@
         self.assertEqual((9, 4), (site.grace_s, site.max_ttl_s))
         self.assertEqual(2.0, site.drain_s)
 
+    def test_memory_may_be_unknown(self) -> None:
+        limits = "[Limits]\nMemoryMb = %s\n"
+        for text, expected in (
+            ("", None),
+            (limits % "350", 350_000_000),
+            (limits % "0", None),
+        ):
+            with self.subTest(text):
+                site = self._read(SETTINGS + text)
+                self.assertEqual(expected, site.memory_bytes)
+
     def test_errors_name_the_field(self) -> None:
         cases = {
             "NodeName": SETTINGS.replace('NodeName = "frontend-a-1"', ""),
