Show a whole stream that is cut as its only engine is full

Callers get all events and a cut, within some ms.

Cause: relay/forward.py `_after_failure` puts an engine that says "not run" to the second run among those to avoid for good; `_acquire` falls back on `_ended` engines only. With one engine, or with all of them full once, no second run follows although SECOND_RUN_WAIT_S is left.

(events 1 to 8, False) != (events 1 to 8, True)

--- a/tests/relay/test_doubt_costs.py
+++ b/tests/relay/test_doubt_costs.py
@@ -16,5 +16,18 @@
         self.assert_whole(self.forward(route(resumable=True, max_attempts=2)))
 
 
+class OnlyEngineTest(UnframedTestCase):
+    """A whole stream was cut, as its only engine was full for a moment."""
+
+    def test_second_run_is_refused_once(self) -> None:
+        def refuse_next() -> None:
+            if len(self.permits.asks) == 2:
+                self.faults[0].refusals = 1
+
+        self.permits.grant_only("e0")
+        self.permits.on_ask = refuse_next
+        self.assert_whole(self.forward(route(resumable=True, max_attempts=3)))
+
+
 if __name__ == "__main__":
     unittest.main()
