Show a second run that holds the caller to the deadline

Callers have all events, and wait 5 s (the route's whole time) for the end, on a slot of an engine that is silent. They leave after 2 s.

Cause: relay/forward.py `_read_deadline`: the last attempt has no limit of silence, as it was the only hope of an answer. A second run isn't. SECOND_RUN_WAIT_S bounds the permit only.

--- a/tests/relay/test_doubt_costs.py
+++ b/tests/relay/test_doubt_costs.py
@@ -5,7 +5,11 @@
 import unittest
 
 from tests.relay.fakes import route
-from tests.relay.test_unframed_ends import UnframedTestCase
+from tests.relay.test_unframed_ends import (
+    GAP_S,
+    LONG_S,
+    UnframedTestCase,
+)
 
 
 class LastAttemptTest(UnframedTestCase):
@@ -29,5 +33,14 @@
         self.assert_whole(self.forward(route(resumable=True, max_attempts=3)))
 
 
+class SilentLastRunTest(UnframedTestCase):
+    """A second run without an event held the caller to the deadline."""
+
+    def test_end_comes_while_callers_wait(self) -> None:
+        self.engines[1].event_s = LONG_S
+        seen = self.forward(route(resumable=True, max_attempts=2))
+        self.assertLess(seen.seconds, GAP_S)
+
+
 if __name__ == "__main__":
     unittest.main()
