Show a run that died after its head and costs two attempts

Callers get 3 of 8 events and a cut with MaxAttempts 3.

Cause: relay/streams.py `_check_end`: a resumed run without an event sets `in_doubt`, so that the next one is asked for the event before and then dropped as "an earlier run was broken off"; the rest needs a fourth.

(events 1 to 8, False) != (events 1 to 3, True)

--- a/tests/relay/test_doubt_costs.py
+++ b/tests/relay/test_doubt_costs.py
@@ -6,6 +6,7 @@
 
 from tests.relay.fakes import route
 from tests.relay.test_unframed_ends import (
+    EVENT_BYTES,
     GAP_S,
     LONG_S,
     UnframedTestCase,
@@ -42,5 +43,16 @@
         self.assertLess(seen.seconds, GAP_S)
 
 
+class EmptyRunWithinTest(UnframedTestCase):
+    """A run that died after its head cost two attempts instead of one."""
+
+    def test_later_run_goes_on(self) -> None:
+        # The first ends inside event 4, the second before any event.
+        self.faults[0].break_after = 3 * EVENT_BYTES + 1
+        self.faults[1].resumed_bytes = 0
+        self.faults[2].unframed = False
+        self.assert_whole(self.forward(route(resumable=True, max_attempts=3)))
+
+
 if __name__ == "__main__":
     unittest.main()
