Show a sound engine that counts as failing for an empty run

An engine is asked for what comes after the last event, and answers rightly, unframed and without an event. It counts as FAILED, and several of these in a row hold it back, with all its slots.

Cause: relay/streams.py NO_EVENT (`closed`, not IN_DOUBT) in `_check_end`; relay/forward.py `_release_outcome`. batches/run.py `_attempt` does the same: CUT for `unframed and not events`. Callers see less capacity, after resumptions that begin at the end.

'failed' unexpectedly found in ['failed', 'done', 'done']

--- a/tests/relay/test_doubt_costs.py
+++ b/tests/relay/test_doubt_costs.py
@@ -7,6 +7,7 @@
 from tests.relay.fakes import route
 from tests.relay.test_unframed_ends import (
     EVENT_BYTES,
+    EVENTS,
     GAP_S,
     LONG_S,
     UnframedTestCase,
@@ -54,5 +55,15 @@
         self.assert_whole(self.forward(route(resumable=True, max_attempts=3)))
 
 
+class EmptyRunTest(UnframedTestCase):
+    """A sound engine counted as failing, as it had nothing to add."""
+
+    def test_stream_whose_events_had_all_come(self) -> None:
+        to = route(resumable=True, max_attempts=3)
+        seen = self.forward(to, after=EVENTS)
+        self.assertEqual((b"", False), (seen.body, seen.truncated))
+        self.assertNotIn("failed", self.permits.released)
+
+
 if __name__ == "__main__":
     unittest.main()
