Say why no engine was free for a second run

The line "not placed" held only that there was none, also when the caller had left meanwhile. It names the owner's reason behind it now.

A test with a whole site: a resumable stream of two engines that ends between two events isn't whole to its caller.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -193,8 +193,8 @@
             return self._not_admitted("no_route", 0.0)
         except NoPermitError as exc:
             reason = exc.reason if self._may_finish() else STOPPING
-            if self._stream.in_doubt:
-                reason = NO_SECOND_RUN
+            if self._stream.in_doubt and not self._disconnected():
+                reason = f"{NO_SECOND_RUN}: {reason}"
             return self._not_admitted(reason, exc.retry_after_s)
         except QuarantinedError as exc:
             return self._quarantined(exc)
@@ -209,7 +209,7 @@
         The owner of the pool would refuse a second run whose deadline were as
         short, as it expects a whole one.
         """
-        gives_up_at = self._deadline.at
+        gives_up_at = float("inf")
         if self._stream.in_doubt:
             gives_up_at = time.monotonic() + SECOND_RUN_WAIT_S
 
--- a/tests/platform/test_misbehaving_engine.py
+++ b/tests/platform/test_misbehaving_engine.py
@@ -102,6 +102,13 @@
         reply = self.ask("/lookup/1", 1)
         self.assert_not_whole(reply, 1)
 
+    def test_resumable_answer_that_ends_between_events(self) -> None:
+        self.faults.unframed = True
+        self.faults.break_after = 2 * len(event("r1", 1))
+        reply = self.ask("/slip/1", 1)
+        self.assert_not_whole(reply, 1)
+        self.assertEqual(event("r1", 1) + event("r1", 2), reply.body)
+
     def test_resumed_answer_that_ends_after_its_head(self) -> None:
         """It looked like a stream of which all had been received."""
         self.faults.unframed = True
--- a/tests/relay/test_unframed_ends.py
+++ b/tests/relay/test_unframed_ends.py
@@ -333,7 +333,9 @@
 
         self.permits.on_ask = refuse
         _, placed = self.lines(route(resumable=True))
-        self.assertEqual("no engine for a second run", placed["reason"])
+        self.assertEqual(
+            "no engine for a second run: queue_full", placed["reason"]
+        )
 
 
 if __name__ == "__main__":
