Count events and outputs of items toward the bytes that may be held

Bytes that are no answer are held on a stream's route too, up to 1 MB for an event that doesn't end, and each of 48 items held up to 8 MB of output: 384 MB, where instances have 200 to 350.

Both count toward the budget of the process now; items share one half of it, so that they never take what online work needs. An item that yields begins anew. Between two attempts of an item its output isn't counted.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -24,6 +24,7 @@
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
+from mulberrypass.relay.whole_body import TURNED_AWAY
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -35,8 +36,11 @@
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit
+    from mulberrypass.relay.whole_body import HeldBody
 
 LOG = get_logger(__name__)
+# All items share one part of the bytes that a process may hold.
+ITEMS = "items"
 MAX_ATTEMPT_S = 120.0
 # Events come every 25 to 300 ms, and items don't queue inside engines, so
 # that a longer silence is a fault.
@@ -241,8 +245,10 @@
             self._framing = framing(answer)
             permit.mark_limit(answer.head.limit_per_s)
             self._check_head(answer, deadline)
-            for count in self._read(answer, deadline, permit):
-                events += count
+            bodies = self._dependencies.bodies
+            with bodies.open(ITEMS, answer.abort) as held:
+                for count in self._read(answer, deadline, permit, held):
+                    events += count
             if not self._progress.whole:
                 self._progress.begin_anew()
                 raise BadEventError("events are missing in the output")
@@ -281,7 +287,11 @@
         )
 
     def _read(
-        self, answer: EngineAnswer, deadline: Deadline, permit: HeldPermit
+        self,
+        answer: EngineAnswer,
+        deadline: Deadline,
+        permit: HeldPermit,
+        held: HeldBody,
     ) -> list[int]:
         counts = []
         splitter = EventSplitter()
@@ -298,6 +308,7 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
+            held.resize(self._progress.size + splitter.size)
             counts.append(len(events))
         if splitter.pending:
             reason = "cut in an event"
@@ -325,6 +336,8 @@
             **self._framing,
             parts=part_names(self._request(None).shared_parts),
         )
+        if failed is TURNED_AWAY:
+            self._progress.begin_anew()
         if failed.status == HTTPStatus.UNPROCESSABLE_ENTITY:
             return self._abandon("can't be done")
         if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -49,6 +49,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def size(self) -> int:
+        """Number of bytes buffered."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -53,6 +53,7 @@
     from mulberrypass.relay.directory import Directory
     from mulberrypass.relay.permits import HeldPermit, PermitAcquirer
     from mulberrypass.relay.watch import CallWatch
+    from mulberrypass.relay.whole_body import HeldBody
 
 LOG = get_logger(__name__)
 FinalEvent = Refused | Unservable | Failed | NoRoute
@@ -277,7 +278,8 @@
                 status = head.status if sound else 0
                 raise WireError(EngineFailed(reason, Ran.NO, status=status))
             if self._route.kind is RouteKind.STREAM and _is_success(head):
-                yield from self._forward_stream(self._answer)
+                with self._hold(self._answer) as held:
+                    yield from self._forward_stream(self._answer, held)
             else:
                 yield from self._forward_buffered(self._answer)
         except WireError as exc:
@@ -318,7 +320,14 @@
             self._deps.watch.remove(self._watched_call)
             self._watched_call = None
 
-    def _forward_stream(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
+    def _hold(self, answer: EngineAnswer) -> HeldBody:
+        """Return what counts the bytes that are held of an answer."""
+        assert self._permit is not None
+        return self._deps.bodies.open(self._permit.engine.name, answer.abort)
+
+    def _forward_stream(
+        self, answer: EngineAnswer, held: HeldBody
+    ) -> Iterator[RelayEvent]:
         """Forward only whole events, so that a cut falls between two."""
         assert self._permit is not None
         splitter = EventSplitter()
@@ -330,6 +339,7 @@
         event_due = self._read_deadline()
         while data := answer.read_some(event_due):
             events = splitter.feed(data)
+            held.resize(splitter.size)
             if not events:
                 continue
             self._permit.mark_first_event()
@@ -352,9 +362,7 @@
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
-        assert self._permit is not None
-        engine = self._permit.engine.name
-        with self._deps.bodies.open(engine, answer.abort) as body:
+        with self._hold(answer) as body:
             read_whole(answer, self._body_deadline(), body)
             self._check_whole(answer, body.size)
             self._head_sent = True
--- a/src/mulberrypass/relay/whole_body.py
+++ b/src/mulberrypass/relay/whole_body.py
@@ -1,4 +1,4 @@
-"""Bodies that are held until they are whole, within a bound for all."""
+"""Bodies and events that are held until whole, within a bound for all."""
 
 from __future__ import annotations
 
@@ -66,16 +66,16 @@
             if body.turned_away:
                 raise WireError(TURNED_AWAY)
             body.store(data)
-            yielding = self._held.add(body.holding, len(data))
-            self.most = max(self.most, self._held.total)
-            self.turned_away += len(yielding)
-            bodies = [self._bodies.pop(holding) for holding in yielding]
-            for each in bodies:
-                each.drop()
-        for each in bodies:
-            self._turn_away(each)
-        if body in bodies:
-            raise WireError(TURNED_AWAY)
+            bodies = self._count(body, len(data))
+        self._turn_away(body, bodies)
+
+    def resize(self, body: HeldBody, size: int) -> None:
+        """Count another number of bytes; see ``HeldBody.resize``."""
+        with self._lock:
+            if body.turned_away:
+                raise WireError(TURNED_AWAY)
+            bodies = self._count(body, size - body.holding.size)
+        self._turn_away(body, bodies)
 
     def complete(self, body: HeldBody) -> None:
         """Keep a body; see ``HeldBody.complete``."""
@@ -95,15 +95,32 @@
             self._bodies.pop(body.holding, None)
             self._held.close(body.holding)
 
-    def _turn_away(self, body: HeldBody) -> None:
-        LOG.warning(
-            "answer turned away",
-            source=body.holding.source,
-            reason=TURNED_AWAY.reason,
-            size=body.holding.size,
-            held=self.total,
-        )
-        body.abort()
+    def _count(self, body: HeldBody, count: int) -> list[HeldBody]:
+        """Count bytes; return the bodies that yield, without their bytes."""
+        yielding = self._held.add(body.holding, count)
+        self.most = max(self.most, self._held.total)
+        self.turned_away += len(yielding)
+        bodies = [self._bodies.pop(holding) for holding in yielding]
+        for each in bodies:
+            each.drop()
+        return bodies
+
+    def _turn_away(self, body: HeldBody, bodies: list[HeldBody]) -> None:
+        """End the answers that yield.
+
+        :raises WireError: if the given one is among them
+        """
+        for each in bodies:
+            LOG.warning(
+                "answer turned away",
+                source=each.holding.source,
+                reason=TURNED_AWAY.reason,
+                size=each.holding.size,
+                held=self.total,
+            )
+            each.abort()
+        if body in bodies:
+            raise WireError(TURNED_AWAY)
 
 
 class HeldBody:
@@ -126,9 +143,14 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(self, *_exc: object) -> None:
+    def __exit__(
+        self, _kind: object, exc: BaseException | None, _trace: object
+    ) -> None:
         self._blocks.clear()
         self._bodies.close(self)
+        if self.turned_away and isinstance(exc, WireError):
+            # The thread that turned it away has ended its connection.
+            raise WireError(TURNED_AWAY) from exc
 
     def append(self, data: bytes) -> None:
         """Add bytes.
@@ -137,6 +159,13 @@
         """
         self._bodies.append(self, data)
 
+    def resize(self, size: int) -> None:
+        """Count bytes that the caller keeps itself.
+
+        :raises WireError: if it has to yield
+        """
+        self._bodies.resize(self, size)
+
     def complete(self) -> None:
         """Keep it: a whole body doesn't yield.
 
@@ -170,16 +199,10 @@
 
     :raises WireError: if it is truncated, too large or has to yield
     """
-    try:
-        while data := answer.read_some(due):
-            body.append(data)
-            if body.size > MAX_BODY_BYTES:
-                raise WireError(TOO_LARGE)
-    except WireError:
-        # The thread that turned it away has ended its connection.
-        if body.turned_away:
-            raise WireError(TURNED_AWAY)
-        raise
+    while data := answer.read_some(due):
+        body.append(data)
+        if body.size > MAX_BODY_BYTES:
+            raise WireError(TOO_LARGE)
     body.complete()
 
 
--- a/tests/platform/flooded.py
+++ b/tests/platform/flooded.py
@@ -1,7 +1,8 @@
 """A process that forwards endless answers while others are served.
 
-Run as ``python -m tests.platform.flooded ENDLESS SOUND``, with the addresses
-of two engines. Prints a ``Report`` as JSON.
+Run as ``python -m tests.platform.flooded ENDLESS SOUND KIND``, with the
+addresses of two engines and the kind of the first one's route. Prints a
+``Report`` as JSON.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.platform.engines import HttpEngineClient
-from mulberrypass.relay.api import AnswerBody, Failed
+from mulberrypass.relay.api import AnswerBody, Failed, TruncatedAnswerError
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
@@ -69,12 +70,20 @@
 
     :param endless: address of the engine that sends bytes without an end
     :param sound: address of the engine that answers
+    :param kind: of the route to the endless engine
     """
 
-    def __init__(self, endless: str, sound: str) -> None:
+    def __init__(self, endless: str, sound: str, kind: str) -> None:
         directory = Directory()
         directory.apply_routes(
-            table(route(kind=RouteKind.NON_IDEMPOTENT, timeout_s=WAIT_S))
+            table(
+                route(prefix="/e1/", kind=RouteKind(kind), timeout_s=WAIT_S),
+                route(
+                    prefix="/e2/",
+                    kind=RouteKind.NON_IDEMPOTENT,
+                    timeout_s=WAIT_S,
+                ),
+            )
         )
         directory.set_engines(
             [engine("e1", address=endless), engine("e2", address=sound)]
@@ -115,15 +124,16 @@
     def _forward(self, name: str) -> str:
         """Return the reason of a failure, or the number of bytes."""
         size = 0
-        req = request(wait_s=WAIT_S)
-        for each in self._forwarders[name].run(req, lambda: False):
-            match each:
-                case AnswerBody(data=data):
-                    size += len(data)
-                case Failed(reason=reason):
-                    return reason
-                case _:
-                    pass
+        req = request(target=f"/{name}/", wait_s=WAIT_S)
+        try:
+            for each in self._forwarders[name].run(req, lambda: False):
+                match each:
+                    case AnswerBody(data=data):
+                        size += len(data)
+                    case Failed(reason=reason):
+                        return reason
+        except TruncatedAnswerError:
+            return "truncated"
         return str(size)
 
     def run(self) -> Report:
@@ -146,7 +156,7 @@
 def main() -> None:
     """Play, and print the report."""
     quiet_logs()
-    report = Flooded(*sys.argv[1:3]).run()
+    report = Flooded(*sys.argv[1:4]).run()
     print(json.dumps(asdict(report)))
 
 
--- a/tests/platform/test_bytes_held.py
+++ b/tests/platform/test_bytes_held.py
@@ -7,6 +7,7 @@
 import sys
 import unittest
 
+from mulberrypass.model.routes import RouteKind
 from tests.engine.endless import (
     CHUNKED,
     NO_LENGTH,
@@ -16,6 +17,7 @@
     EndlessServer,
 )
 from tests.platform.flooded import FLOODS, Report
+from tests.relay.fakes import event
 
 MB = 1_000_000
 # The smallest instance of the pages, and what an idle one holds of it.
@@ -34,6 +36,11 @@
     ),
 }
 
+EVENTS = {
+    "an event": Bytes(NO_LENGTH + b"data: ", b"x"),
+    "an event after events": Bytes(NO_LENGTH + event(1) + b"data: ", b"x"),
+}
+
 
 class EndlessAnswersTest(unittest.TestCase):
     """Endless answers of one engine took all memory of the process.
@@ -41,7 +48,7 @@
     Each had its bound, and their sum had none.
     """
 
-    def play(self, sent: Bytes) -> Report:
+    def play(self, sent: Bytes, kind: RouteKind) -> Report:
         endless = EndlessServer(self, sent)
         sound = AnsweringServer(self, SOUND + b"y" * SOUND_BYTES)
         done = subprocess.run(
@@ -51,6 +58,7 @@
                 "tests.platform.flooded",
                 endless.address,
                 sound.address,
+                kind.value,
             ],
             capture_output=True,
             timeout=TIMEOUT_S,
@@ -58,14 +66,22 @@
         )
         return Report(**json.loads(done.stdout))
 
-    def test_process_holds_its_bound_and_serves_others(self) -> None:
+    def check(self, sent: Bytes, kind: RouteKind) -> None:
+        report = self.play(sent, kind)
+        growth = report.most_bytes - report.idle_bytes
+        self.assertLess(growth, SMALLEST_BYTES - IDLE_BYTES)
+        self.assertEqual({str(SOUND_BYTES)}, set(report.others))
+        self.assertEqual(FLOODS, sum(report.floods.values()))
+
+    def test_bodies_hold_their_bound_and_others_are_served(self) -> None:
         for name, sent in FLOODS_BY_FRAMING.items():
             with self.subTest(name):
-                report = self.play(sent)
-                growth = report.most_bytes - report.idle_bytes
-                self.assertLess(growth, SMALLEST_BYTES - IDLE_BYTES)
-                self.assertEqual({str(SOUND_BYTES)}, set(report.others))
-                self.assertEqual(FLOODS, sum(report.floods.values()))
+                self.check(sent, RouteKind.NON_IDEMPOTENT)
+
+    def test_events_hold_their_bound_and_others_are_served(self) -> None:
+        for name, sent in EVENTS.items():
+            with self.subTest(name):
+                self.check(sent, RouteKind.STREAM)
 
 
 if __name__ == "__main__":
--- a/tests/relay/test_whole_body.py
+++ b/tests/relay/test_whole_body.py
@@ -72,8 +72,8 @@
     def test_end_of_its_connection_is_no_cut(self) -> None:
         for end in (CUT, EngineFailed("deadline", Ran.MAYBE)):
             answer = EvictedAnswer(self.bodies, end)
-            with self.assertRaises(WireError) as caught:
-                read_whole(answer, DUE, answer.body)
+            with self.assertRaises(WireError) as caught, answer.body as body:
+                read_whole(answer, DUE, body)
             self.assertIs(TURNED_AWAY, caught.exception.failed)
             self.assertEqual(0, self.bodies.total)
 
@@ -98,6 +98,15 @@
             self.assertEqual(0, bodies.total)
             self.open("e4").append(b"z" * 60)
 
+    def test_kept_bytes_may_shrink(self) -> None:
+        with self.open("e1") as event, self.open("e2") as other:
+            event.resize(80)
+            event.resize(5)
+            other.append(b"y" * 90)
+            with self.assertRaises(WireError):
+                event.resize(105)
+            self.assertEqual(90, self.bodies.total)
+
     def test_small_parts_are_joined(self) -> None:
         bodies = HeldBodies()
         with bodies.open("e1", lambda: None) as body:
