--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -29,6 +29,7 @@
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
+from mulberrypass.relay.whole_body import TURNED_AWAY
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -40,8 +41,11 @@
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit
+    from mulberrypass.relay.whole_body import HeldBody
 
 LOG = get_logger(__name__)
+# All items share one part of the bytes that a process may hold.
+ITEMS = "items"
 MAX_ATTEMPT_S = 120.0
 # Events come every 25 to 300 ms, and items don't queue inside engines, so
 # that a longer silence is a fault.
@@ -264,7 +268,9 @@
             self._framing = framing(answer)
             permit.mark_limit(answer.head.limit_per_s)
             self._check_head(answer, deadline)
-            events = self._read(answer, deadline, permit)
+            bodies = self._dependencies.bodies
+            with bodies.open(ITEMS, answer.abort) as held:
+                events = self._read(answer, deadline, permit, held)
             unframed = answer.head.ends_with_connection
             end = self._progress.judge(events, unframed)
             if end is End.BROKEN_OFF or (unframed and not events):
@@ -305,7 +311,11 @@
         )
 
     def _read(
-        self, answer: EngineAnswer, deadline: Deadline, permit: HeldPermit
+        self,
+        answer: EngineAnswer,
+        deadline: Deadline,
+        permit: HeldPermit,
+        held: HeldBody,
     ) -> int:
         """Record the events of an answer; return their number.
 
@@ -327,6 +337,7 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
+            held.resize(self._progress.size + splitter.size)
             count += len(events)
         if splitter.pending:
             reason = "cut in an event"
@@ -348,6 +359,8 @@
             **self._framing,
             parts=part_names(self._request(None).shared_parts),
         )
+        if failed is TURNED_AWAY:
+            self._progress.begin_anew()
         if failed.status == HTTPStatus.UNPROCESSABLE_ENTITY:
             return self._abandon("can't be done")
         if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -66,6 +66,11 @@
             bytes(self._buffer)
         )
 
+    @property
+    def size(self) -> int:
+        """Number of bytes buffered."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -62,18 +62,20 @@
         answer: EngineAnswer,
         due: Callable[[], Deadline],
         on_events: Callable[[], None],
+        hold: Callable[[int], None],
         as_it_came: bool,
     ) -> Iterator[bytes]:
         """Read a run; yield the events that it adds, only whole ones.
 
         :param due: returns until when the next event is due
         :param on_events: called when events have arrived
+        :param hold: called with the number of bytes that are held
         :param as_it_came: whether an end in doubt is handed on as such, which
             leaves ``proof`` empty
         :raises WireError: if the stream hasn't ended, or nothing proves it
         :raises BadEventError: if events are missing or twice
         """
-        run = _read_events(answer, due, on_events)
+        run = _read_events(answer, due, on_events, hold)
         if self.in_doubt:
             self._prove(run, answer.head.ends_with_connection)
             return
@@ -142,6 +144,7 @@
     answer: EngineAnswer,
     due: Callable[[], Deadline],
     on_events: Callable[[], None],
+    hold: Callable[[int], None],
 ) -> Iterator[list[Event]]:
     """Read the events of a run as they arrive.
 
@@ -151,6 +154,7 @@
     event_due = due()
     while data := answer.read_some(event_due):
         events = splitter.feed(data)
+        hold(splitter.size)
         if events:
             on_events()
             yield events
