Ask whether the engine that proves an item's end still runs

Two engines that die of the same event, one after the other, end its runs alike. The item was then done with the events up to there.

A second run proves the end only if its engine accepts a new connection after it, which is kept for the next request. Otherwise the run counts as failed, and another one must end there too.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -269,6 +269,11 @@
             end = self._progress.judge(events, unframed)
             if end is End.BROKEN_OFF or (unframed and not events):
                 raise WireError(CUT)
+            if end is End.SECOND_RUN:
+                # Engines that die of the same output end alike.
+                self._dependencies.engines.check_alive(
+                    permit.engine, deadline.within(READ_TIMEOUT_S)
+                )
             outcome = ReleaseOutcome.DONE
             if req.after_event is None and end is not End.IN_DOUBT:
                 elapsed_s = time.monotonic() - permit.sent_at
--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -39,6 +39,7 @@
     :param reset: whether it resets its connection instead of ending it
     :param unframed: whether its answer has neither a length nor chunks
     :param again: whether it writes its whole answer once more
+    :param gone: whether its engine takes no connections from then on
     """
 
     events: int | None = None
@@ -46,6 +47,7 @@
     reset: bool = False
     unframed: bool = True
     again: bool = False
+    gone: bool = False
 
 
 @dataclass(slots=True)
@@ -174,10 +176,7 @@
         """End as a crash does: reset all connections, refuse new ones."""
         with self._lock:
             self.ended.set()
-            if self._listening is not None:
-                with contextlib.suppress(OSError):
-                    self._listening.shutdown(socket.SHUT_RDWR)
-                self._listening.close()
+            self._stop_listening()
             for conn in self._open:
                 with contextlib.suppress(OSError):
                     conn.setsockopt(
@@ -187,6 +186,12 @@
                     conn.close()
             self._open.clear()
 
+    def _stop_listening(self) -> None:
+        if self._listening is not None:
+            with contextlib.suppress(OSError):
+                self._listening.shutdown(socket.SHUT_RDWR)
+            self._listening.close()
+
     def _accept(self) -> None:
         assert self._listening is not None
         while not self.ended.is_set():
@@ -303,6 +308,8 @@
         if end.more:
             answer.sendall(_framed(answer, data[: end.more]))
             time.sleep(self.event_s)
+        if end.gone:
+            self._stop_listening()
         if end.reset:
             answer.reset_on_close()
         return False
--- a/tests/batches/test_unproven_ends.py
+++ b/tests/batches/test_unproven_ends.py
@@ -146,6 +146,20 @@
         self.assert_resumed(None, LAST)
 
 
+class DyingEnginesTest(UnprovenEndTest):
+    """Two engines that died at the same event proved an item whole."""
+
+    def test_second_engine_must_have_outlived_its_answer(self) -> None:
+        self.engines += [self.start_engine(f"e{n}") for n in (2, 3)]
+        names = iter([each.name for each in self.engines])
+        self.permits.on_ask = lambda: self.permits.grant_only(next(names))
+        self.play(RunEnd(3, gone=True), RunEnd(1, gone=True))
+        self.assert_resumed(None, 2, 2, LAST)
+        self.assertEqual(
+            ["done", "failed", "done", "done"], self.permits.released
+        )
+
+
 class EmptyResumedRunTest(UnprovenEndTest):
     """A run that was resumed after the last event had nothing to show."""
 
