Take only a refused connection for the end of an engine

Callers got 502 for a whole plain answer, and a reset after a whole stream, of an engine without framing that had all its connections in use: it resets further ones, which counted as its end. Each check took a connection, too.

An engine that has ended refuses connections. A reset one, or silence, says nothing, so the answer goes on as it came. A connection that is idle and stays open shows that the engine lives, without asking for another.

tests.relay.test_full_engine failed before: Failed is not an instance of AnswerHead.

--- a/src/mulberrypass/engine/pool.py
+++ b/src/mulberrypass/engine/pool.py
@@ -26,6 +26,8 @@
 # How long a process that ends takes to close its sockets one by one: over
 # 10 ms on a busy machine.
 ENDING_MS = 50
+# A server that is ending may still have reset the first.
+CHECKS = 2
 
 
 class ConnectionPool:
@@ -105,17 +107,27 @@
             self._request_ids.setdefault(conn, set()).add(request_id)
         return Exchange(self, conn, reused)
 
-    def add(self, deadline: Deadline) -> None:
-        """Open a connection and keep it for the next request.
+    def check_listening(self, deadline: Deadline) -> None:
+        """Check that the server has not ended.
 
-        :raises WireError: if connecting fails, or the server doesn't keep the
-            connection open; nothing ran
+        A connection that stays open shows it, an idle one too. A server with
+        all its connections in use resets a new one, and so does one that is
+        ending, which refuses the next.
+
+        :raises WireError: if it refuses connections
         """
-        conn = self._connect(deadline)
-        if not _is_reusable(conn, ENDING_MS):
+        for _ in range(CHECKS):
+            conn = self.take_idle()
+            try:
+                conn = conn or self._connect(deadline)
+            except WireError as exc:
+                if exc.refused:
+                    raise
+                return
+            if _is_reusable(conn, ENDING_MS):
+                self.put(conn)
+                return
             conn.close()
-            raise WireError(EngineFailed("connection not kept", Ran.NO))
-        self.put(conn)
 
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Return a connection to the pool after a complete answer."""
@@ -189,7 +201,8 @@
         except OSError as exc:
             conn.close()
             reason = f"no connection: {type(exc).__name__}"
-            raise WireError(EngineFailed(reason, Ran.NO))
+            refused = isinstance(exc, ConnectionRefusedError)
+            raise WireError(EngineFailed(reason, Ran.NO), refused=refused)
         return conn
 
 
--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -40,12 +40,19 @@
 
     :param failed: the failure to report to the caller
     :param unanswered: whether no byte of an answer was received
+    :param refused: whether the server doesn't listen
     """
 
-    def __init__(self, failed: EngineFailed, unanswered: bool = False) -> None:
+    def __init__(
+        self,
+        failed: EngineFailed,
+        unanswered: bool = False,
+        refused: bool = False,
+    ) -> None:
         super().__init__(failed.reason)
         self.failed = failed
         self.unanswered = unanswered
+        self.refused = refused
 
 
 @value_class
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -79,8 +79,8 @@
     def check_alive(
         self, engine: RegisteredEngine, deadline: Deadline
     ) -> None:
-        """Open a further connection; see ``EngineClient``."""
-        self._pool(engine).add(deadline)
+        """Look at a connection, or open one; see ``EngineClient``."""
+        self._pool(engine).check_listening(deadline)
 
     def _note_leaving(
         self, engine: RegisteredEngine, req: RelayRequest, exchange: Exchange
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -180,9 +180,9 @@
     def check_alive(
         self, engine: RegisteredEngine, deadline: Deadline
     ) -> None:
-        """Open a further connection, and keep it for the next request.
+        """Check that the process of an engine has not ended.
 
-        :raises WireError: if the engine doesn't keep it open
+        :raises WireError: if the engine refuses connections
         """
 
 
