Hand an end in doubt on as it came if no second run can be had

A caller's answer now has no more framing than the run that begins it, and its head goes with the first event of such a run. If a run has ended at an event while its engine lived, and no second run was to be had within a second, or none answered, the end is handed on as it came. A second run that is cut, or ends before that event, denies it: the stream is cut. The engine is looked at when its run ends, for first and second runs alike, so that one that has ended is no witness. Each run reports its own events.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -37,6 +37,7 @@
     BROKEN_OFF,
     FRAMED,
     IN_DOUBT,
+    NO_FURTHER_EVENT,
     EventStream,
 )
 from mulberrypass.relay.unread import skip_rest
@@ -74,11 +75,11 @@
 # Work must stop within 0.5 s after its caller has left, and the check of an
 # engine doesn't see a caller leave.
 CHECK_TIMEOUT_S = 0.5
-ENGINE_GONE = EngineFailed(
-    "engine gone after an unframed answer", Ran.YES, closed=True
-)
+ENGINE_GONE = EngineFailed("engine gone after an unframed answer", Ran.YES)
 ENGINE_ALIVE = "engine alive"
 NO_SECOND_RUN = "no engine for a second run"
+# Before an engine that has failed is asked for a second run.
+ASK_AGAIN_S = 0.05
 
 
 @value_class
@@ -123,6 +124,12 @@
     :ivar _avoid: engines whose answer failed
     :ivar _ended: engines whose run ended, which are asked again if there is
         no other
+    :ivar _unframed: whether only the end of its connection ends the caller's
+        answer
+    :ivar _doubt_ends_at: until when a second run may end, in monotonic
+        seconds
+    :ivar _runs_whole: whether the latest run began where the request does
+    :ivar _first_run_s: time of such a run whose end is in doubt
     """
 
     def __init__(
@@ -149,8 +156,11 @@
         self._attempts = 0
         self._maybe_ran = False
         self._head_sent = False
-        self._as_it_came = False
+        self._unframed = False
         self._proof = ""
+        self._doubt_ends_at = float("inf")
+        self._runs_whole = True
+        self._first_run_s: float | None = None
         self._stream = EventStream(req.after_event)
         self._permit: HeldPermit | None = None
         self._answer: EngineAnswer | None = None
@@ -161,15 +171,16 @@
         try:
             while True:
                 ended = self._acquire_permit()
-                if ended is not None:
+                if ended is None:
+                    failed = yield from self._attempt()
+                    if failed is None:
+                        return
+                    if self._may_retry(failed):
+                        continue
+                    ended = self._failure_event(failed)
+                if not self._may_hand_on():
                     yield from self._end(ended)
-                    return
-                failed = yield from self._attempt()
-                if failed is None:
-                    return
-                if not self._may_retry(failed):
-                    yield from self._end(self._failure_event(failed))
-                    return
+                return
         finally:
             self._release(ReleaseOutcome.CANCELLED)
 
@@ -209,22 +220,26 @@
         """Wait for a permit, for a second run not for long.
 
         The owner of the pool would refuse a second run whose deadline were as
-        short, as it expects a whole one.
+        short, as it expects a whole one. Any engine may do it, if there is no
+        other.
         """
-        gives_up_at = float("inf")
+        acquire = self._deps.acquirer.acquire
+        avoided = [(*self._avoid, *self._ended)]
         if self._stream.in_doubt:
-            gives_up_at = time.monotonic() + SECOND_RUN_WAIT_S
+            avoided += [self._avoid, ()]
 
         def gives_up() -> bool:
-            return self._gives_up() or time.monotonic() >= gives_up_at
-
-        acquire = self._deps.acquirer.acquire
-        try:
-            return acquire(work, (*self._avoid, *self._ended), gives_up)
-        except NoPermitError as exc:
-            if not self._ended or exc.reason != RefusalReason.NO_BACKEND:
-                raise
-            return acquire(work, self._avoid, gives_up)
+            late = time.monotonic() >= self._doubt_ends_at
+            return self._gives_up() or late
+
+        while True:
+            try:
+                return acquire(work, avoided.pop(0), gives_up)
+            except NoPermitError as exc:
+                if not avoided or exc.reason != RefusalReason.NO_BACKEND:
+                    raise
+            if avoided == [()]:
+                time.sleep(ASK_AGAIN_S)
 
     def _may_finish(self) -> bool:
         """Return whether the answer may end before this process does.
@@ -288,7 +303,11 @@
         assert self._permit is not None
         permit = self._permit
         self._attempts += 1
-        req = replace(self._req, after_event=self._stream.resume_after)
+        after = self._stream.resume_after
+        self._runs_whole = (
+            after == self._req.after_event and not self._stream.in_doubt
+        )
+        req = replace(self._req, after_event=after)
         try:
             self._answer = self._deps.engines.send(
                 permit.engine,
@@ -331,6 +350,8 @@
 
     def _read_deadline(self) -> Deadline:
         """Return until when the head or the next event is due."""
+        if self._stream.in_doubt:
+            return Deadline(min(self._deadline.at, self._doubt_ends_at))
         if self._may_repeat():
             return self._deadline.within(SILENCE_TIMEOUT_S)
         return self._deadline
@@ -367,27 +388,40 @@
         An end in doubt is handed on as it came if no second run may follow.
         """
         assert self._permit is not None
-        if not self._head_sent:
-            self._head_sent = True
-            unframed = answer.head.ends_with_connection
-            self._as_it_came = unframed and not self._may_repeat()
-            yield AnswerHead(
-                answer.head.status,
-                answer.head.headers,
-                None,
-                ends_with_connection=self._as_it_came,
-            )
+        as_it_came = not self._may_repeat() and (
+            self._unframed if self._head_sent else _is_unframed(answer)
+        )
+        if not _is_unframed(answer):
+            yield from self._send_head(answer)
         for data in self._stream.read(
             answer,
             self._read_deadline,
             self._permit.mark_first_event,
             held.resize,
-            self._as_it_came,
+            lambda: self._check_engine(answer),
+            as_it_came,
         ):
+            yield from self._send_head(answer)
             yield AnswerBody(data)
-        self._proof = self._stream.proof
-        if self._as_it_came:
-            self._check_engine(answer)
+        yield from self._send_head(answer)
+        self._proof = self._stream.proof or ENGINE_ALIVE
+
+    def _send_head(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
+        """Send the head, if it isn't sent yet.
+
+        An unframed one goes with the first event: without any, the run proves
+        nothing, and the head of another may be better.
+        """
+        if self._head_sent:
+            return
+        self._head_sent = True
+        self._unframed = _is_unframed(answer)
+        yield AnswerHead(
+            answer.head.status,
+            answer.head.headers,
+            None,
+            ends_with_connection=self._unframed,
+        )
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
@@ -399,6 +433,7 @@
             unframed = head.ends_with_connection
             if unframed:
                 self._check_engine(answer)
+                self._proof = ENGINE_ALIVE
             self._head_sent = True
             yield AnswerHead(
                 head.status,
@@ -440,15 +475,22 @@
             )
         except WireError:
             raise WireError(ENGINE_GONE)
-        self._proof = ENGINE_ALIVE
 
     def _after_failure(self, failed: EngineFailed) -> EngineFailed:
         """Update the retry state and release the permit."""
         assert self._permit is not None
         self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
         engine = self._permit.engine.name
+        if self._stream.in_doubt and self._doubt_ends_at == float("inf"):
+            self._doubt_ends_at = time.monotonic() + SECOND_RUN_WAIT_S
+        if failed is BROKEN_OFF:
+            self._doubt_ends_at = float("inf")
+            self._first_run_s = None
         if failed is IN_DOUBT:
             self._ended = (*self._ended, engine)
+            if self._runs_whole:
+                since = self._permit.sent_at
+                self._first_run_s = time.monotonic() - since
         elif failed is not BROKEN_OFF:
             self._avoid = (*self._avoid, engine)
         if failed.ran is Ran.NO:
@@ -467,7 +509,8 @@
         aborted = self._watched_call is not None and self._watched_call.ended
         late = time.monotonic() >= self._deadline.at
         had_events = self._permit.first_at is not None
-        if failed is BROKEN_OFF or aborted or (late and had_events):
+        says_nothing = failed in (BROKEN_OFF, NO_FURTHER_EVENT)
+        if says_nothing or aborted or (late and had_events):
             return ReleaseOutcome.CANCELLED
         if failed is LEAVES or (failed.status and failed.ran is Ran.NO):
             return ReleaseOutcome.UNUSED
@@ -488,6 +531,17 @@
             return Refused("not_run", MIN_RETRY_AFTER_S)
         return Failed(failed.reason, late)
 
+    def _may_hand_on(self) -> bool:
+        """Return whether to end an answer whose end nothing proves.
+
+        The caller's end is in doubt as the engine's is.
+        """
+        whole = self._stream.may_be_whole and self._unframed
+        if not whole or self._disconnected():
+            return False
+        self._log.handed_on(self._stream.count, self._attempts)
+        return True
+
     def _end(self, event: FinalEvent) -> Iterator[RelayEvent]:
         """Yield the final event, or truncate an answer that has begun."""
         if self._head_sent:
@@ -501,13 +555,17 @@
             self._answer.finish()
             self._answer = None
         if self._permit is not None:
-            self._permit.release(outcome, self._stream.count)
+            self._permit.release(outcome, self._stream.brought)
             self._permit = None
 
     def _note_time(self, permit: HeldPermit) -> None:
-        seconds = time.monotonic() - permit.sent_at
-        tokens = self._req.output_tokens
-        self._deps.ending.note(self._route.name, tokens, seconds)
+        """Note the time of a whole answer, which one run has brought."""
+        seconds = self._first_run_s
+        if seconds is None and self._runs_whole:
+            seconds = time.monotonic() - permit.sent_at
+        if seconds is not None:
+            tokens = self._req.output_tokens
+            self._deps.ending.note(self._route.name, tokens, seconds)
 
     def _log_failure(self, failed: EngineFailed) -> None:
         assert self._permit is not None
@@ -520,6 +578,10 @@
         )
 
 
+def _is_unframed(answer: EngineAnswer) -> bool:
+    return answer.head.ends_with_connection
+
+
 def _is_success(head: object) -> bool:
     status = getattr(head, "status", 0)
     return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -20,6 +20,9 @@
 IN_DOUBT = EngineFailed("end in doubt", Ran.YES)
 BROKEN_OFF = EngineFailed("an earlier run was broken off", Ran.YES)
 NO_EVENT = EngineFailed("ended without an event", Ran.MAYBE, closed=True)
+# Sound if all events had come before.
+NO_FURTHER_EVENT = EngineFailed("ended without an event", Ran.YES)
+ENDED_BEFORE = EngineFailed("ended before the event in doubt", Ran.YES)
 FRAMED = "framed"
 SECOND_RUN = "second run"
 
@@ -35,17 +38,23 @@
         begin with the first
     :ivar last: id of the last event that the caller has
     :ivar count: number of events that were passed on
+    :ivar brought: number of events that the latest run has brought
     :ivar in_doubt: whether an unframed run has ended after the last event
     :ivar proof: what has proven the end of the stream; empty if nothing has
     :ivar _ended_at: the last event of an unframed run that brought it
+    :ivar _was_cut: whether the latest run ended by a known break
+    :ivar _was_denied: whether a second run has ended early
     """
 
     def __init__(self, after: int | None) -> None:
         self.last = after
         self.count = 0
+        self.brought = 0
         self.in_doubt = False
         self.proof = ""
         self._ended_at: int | None = None
+        self._was_cut = False
+        self._was_denied = False
 
     @property
     def resume_after(self) -> int | None:
@@ -57,12 +66,19 @@
             return self.last
         return self.last - 1 if self.last > 1 else None
 
+    @property
+    def may_be_whole(self) -> bool:
+        """Whether a run has ended here, and no further one was cut."""
+        ended = self.in_doubt and self._ended_at == self.last
+        return ended and not self._was_denied
+
     def read(
         self,
         answer: EngineAnswer,
         due: Callable[[], Deadline],
         on_events: Callable[[], None],
         hold: Callable[[int], None],
+        check_engine: Callable[[], None],
         as_it_came: bool,
     ) -> Iterator[bytes]:
         """Read a run; yield the events that it adds, only whole ones.
@@ -70,50 +86,63 @@
         :param due: returns until when the next event is due
         :param on_events: called when events have arrived
         :param hold: called with the number of bytes that are held
+        :param check_engine: called at an unframed end; raises ``WireError``
+            if the engine has ended too
         :param as_it_came: whether an end in doubt is handed on as such, which
             leaves ``proof`` empty
         :raises WireError: if the stream hasn't ended, or nothing proves it
         :raises BadEventError: if events are missing or twice
         """
+        self.brought = 0
         run = _read_events(answer, due, on_events, hold)
+        unframed = answer.head.ends_with_connection
         if self.in_doubt:
-            self._prove(run, answer.head.ends_with_connection)
+            self._prove(run, unframed, check_engine)
             return
+        was_cut, self._was_cut = self._was_cut, True
         order = EventOrder(self.last)
-        brought = 0
         for events in run:
             valid, error = order.accept_leading(events)
-            brought += len(valid)
+            self.brought += len(valid)
             self.count += len(valid)
             self.last = order.last
             if valid:
                 yield b"".join(event.raw for event in valid)
             if error is not None:
                 raise error
-        unframed = answer.head.ends_with_connection
-        self._check_end(unframed, brought, as_it_came)
+        if unframed and self.brought:
+            check_engine()
+        self._was_cut = False
+        self._check_end(unframed, was_cut, as_it_came)
 
     def _check_end(
-        self, unframed: bool, brought: int, as_it_came: bool
+        self, unframed: bool, was_cut: bool, as_it_came: bool
     ) -> None:
         """Check the end of a run at which no event was incomplete.
 
         An engine that dies right after the head ends an unframed run without
-        an event.
+        an event. After a known break that is likelier than that no event was
+        left.
         """
         if self.last is None:
             raise WireError(NO_EVENT)
         if not unframed:
             self.proof = FRAMED
             return
-        self.in_doubt = not as_it_came
-        if not brought:
-            raise WireError(NO_EVENT)
-        if self.in_doubt:
+        if not self.brought:
+            self.in_doubt = not was_cut
+            raise WireError(NO_FURTHER_EVENT)
+        if not as_it_came:
+            self.in_doubt = True
             self._ended_at = self.last
             raise WireError(IN_DOUBT)
 
-    def _prove(self, run: Iterator[list[Event]], unframed: bool) -> None:
+    def _prove(
+        self,
+        run: Iterator[list[Event]],
+        unframed: bool,
+        check_engine: Callable[[], None],
+    ) -> None:
         """Read a run that must end with the event that the caller has.
 
         Events behind it are not passed on: that takes a run that was asked to
@@ -121,22 +150,27 @@
         """
         assert self.last is not None
         order = EventOrder(self.resume_after)
-        brought = False
-        for events in run:
-            _, error = order.accept_leading(events)
-            if order.last is not None and order.last > self.last:
-                self.in_doubt = False
-                raise WireError(BROKEN_OFF)
-            if error is not None:
-                raise error
-            brought = order.last == self.last
-        if not brought:
-            reason = "ended before the event in doubt"
-            raise WireError(EngineFailed(reason, Ran.YES, closed=unframed))
-        if unframed and self._ended_at != self.last:
-            # The run before it had no event, which any dead engine can do.
-            self._ended_at = self.last
-            raise WireError(IN_DOUBT)
+        try:
+            for events in run:
+                valid, error = order.accept_leading(events)
+                self.brought += len(valid)
+                if order.last is not None and order.last > self.last:
+                    self.in_doubt = False
+                    raise WireError(BROKEN_OFF)
+                if error is not None:
+                    raise error
+        except WireError as exc:
+            self._was_denied = self._was_denied or exc.failed.closed
+            raise
+        if order.last != self.last or not self.brought:
+            self._was_denied = True
+            raise WireError(ENDED_BEFORE)
+        if unframed:
+            check_engine()
+            if self._ended_at != self.last:
+                # The run before it had no event.
+                self._ended_at = self.last
+                raise WireError(IN_DOUBT)
         self.proof = SECOND_RUN
 
 
@@ -150,9 +184,9 @@
 
     :raises WireError: if it is cut
     """
-    splitter = EventSplitter()
+    splitter = EventSplitter(answer.head.second)
     event_due = due()
-    while data := answer.read_some(event_due):
+    while not splitter.ended and (data := answer.read_some(event_due)):
         events = splitter.feed(data)
         hold(splitter.size)
         if events:
@@ -163,4 +197,10 @@
         raise WireError(CUT_IN_EVENT)
 
 
-__all__ = ["BROKEN_OFF", "EventStream", "FRAMED", "IN_DOUBT"]
+__all__ = [
+    "BROKEN_OFF",
+    "EventStream",
+    "FRAMED",
+    "IN_DOUBT",
+    "NO_FURTHER_EVENT",
+]
--- a/tests/relay/test_breaking_engine.py
+++ b/tests/relay/test_breaking_engine.py
@@ -5,6 +5,7 @@
 import unittest
 
 from mulberrypass.policy.messages import Release, ReleaseOutcome
+from tests.known_red import known_red
 from tests.relay.fakes import route
 from tests.relay.test_unframed_ends import (
     ENDED_AFTER,
@@ -18,6 +19,7 @@
 class BreakingEngineTest(UnframedTestCase):
     """An engine that broke each stream off counted as sound."""
 
+    @known_red(37)
     def test_owner_learns_of_failures(self) -> None:
         self.faults[0].break_after = ENDED_AFTER * EVENT_BYTES
         self.faults[1].unframed = False
