Take an event with a line that is no field for a broken answer

The size of a chunk that is longer than its chunk became a line of the event, or ended its data early. The number of the event was right, so that it was forwarded, or listed in an item's output, and the rest resumed after it. Such an event has no number now, and follows none.

--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -17,6 +17,8 @@
 MAX_PARTIAL_END = 3
 # Numbers with which a run from the start may begin.
 FIRST_NUMBERS = (0, 1)
+# Fields that a line may name without a value.
+BARE_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
 NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
@@ -139,10 +141,16 @@
 
 
 def _parse_event(raw: bytes) -> Event:
+    """Parse an event; it has no number if a line, as a chunk's size, is none.
+
+    Such an event follows none, and so isn't accepted.
+    """
     number = None
     data = []
     for line in raw.splitlines():
-        name, _, value = line.partition(b":")
+        name, colon, value = line.partition(b":")
+        if name and not colon and name not in BARE_FIELDS:
+            return Event(raw, None, b"")
         value = value.removeprefix(b" ")
         if name == b"id" and NUMBER.fullmatch(value.strip()):
             number = int(value)
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -88,6 +88,22 @@
         raw = b"id: " + b"1" * 5_000 + b"\ndata: x\n\n"
         self.assertIsNone(EventSplitter().feed(raw)[0].number)
 
+    def test_size_of_a_chunk_is_no_line_of_an_event(self) -> None:
+        """It was a part of the event, or ended its data early."""
+        for raw in (
+            b"\r\n1f\r\nid: 2\ndata: b\n\n",
+            b"id: 2\ndata: b\r\n1f\r\nc\n\n",
+            b"id: 2\r\n1f\r\n\ndata: b\n\n",
+        ):
+            with self.subTest(raw), self.assertRaises(BadEventError):
+                order = EventOrder(1)
+                for found in EventSplitter().feed(b"id: 1\n\n" + raw)[1:]:
+                    order.accept(found)
+
+    def test_field_without_a_value(self) -> None:
+        (event,) = EventSplitter().feed(b"id: 2\ndata\ndata: b\n: c\n\n")
+        self.assertEqual((2, b"\nb"), (event.number, event.data))
+
     def test_event_over_size_limit_is_rejected(self) -> None:
         splitter = EventSplitter()
         with self.assertRaises(BadEventError):
