Don't pass on a status that promises more than the engine says

408, 421, 429 and 503 promise the caller that its request has not run and will not run. An engine's answer says so only by its own header. Without it such an answer was passed on where the request can't be repeated, and the caller sent the request again. It fails now as one that may have run.

Before: tests.relay.test_forward, 12 cases: AnswerHead(status=503 ...) is not an instance of Failed.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -61,6 +61,15 @@
     from mulberrypass.relay.whole_body import HeldBody
 
 LOG = get_logger(__name__)
+# Statuses that promise a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 FinalEvent = Refused | Unservable | Failed | NoRoute
 NO_CONFIGURATION_RETRY_S = 0.5
 STOPPING = "stopping"
@@ -453,6 +462,10 @@
             # Nothing else shows that it ended too early.
             raise WireError(CUT)
         status = answer.head.status
+        if status in NOT_RUN_STATUSES:
+            # The engine doesn't say so itself.
+            reason = f"engine answered {status}"
+            raise WireError(EngineFailed(reason, Ran.MAYBE, status=status))
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR and self._may_repeat():
             reason = f"engine answered {status}"
             raise WireError(EngineFailed(reason, Ran.YES, status=status))
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -374,6 +374,19 @@
         )
         self.assertEqual(AnswerHead(404, (("X-Stamp", "s"),), 4), events[0])
 
+    def test_status_that_promises_what_the_engine_does_not_say(self) -> None:
+        """The caller took it for a promise, and sent the request again."""
+        for status in (408, 421, 429, 503):
+            for kind in (self.CALL, route(), self.REPEATABLE):
+                with self.subTest(status, kind=kind.kind):
+                    scripts = [Script(status, parts=[b"full"])] * 2
+                    engines = ScriptedEngines(*scripts)
+                    permits = ScriptedPermits("e1", "e2")
+                    events, _ = run(make_dependencies(engines, permits, kind))
+                    self.assertIsInstance(events[0], Failed)
+                    repeats = kind is self.REPEATABLE
+                    self.assertEqual(1 + repeats, len(engines.sent))
+
     def test_deadline_during_the_call(self) -> None:
         late = EngineFailed("deadline", Ran.MAYBE)
         engines = ScriptedEngines(late)
