End an answer where its second copy begins

A head with the id and stamp of the answer's own head begins a copy. Bodies end there if only copies follow. Another answer behind such a head shows that the first one wasn't whole, so the body is broken; so far it was kept, engine's head and all, also where the last of three copies was cut in its head.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import field, replace
+from functools import partial
 from http import HTTPStatus
 import time
 from typing import TYPE_CHECKING
@@ -33,6 +34,10 @@
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 from mulberrypass.relay.request_log import RequestLog
+from mulberrypass.relay.second_answer import (
+    BrokenBodyError,
+    without_second_answer,
+)
 from mulberrypass.relay.streams import (
     BROKEN_OFF,
     FRAMED,
@@ -341,7 +346,7 @@
         except WireError as exc:
             self._log_failure(exc.failed)
             return self._after_failure(exc.failed)
-        except BadEventError as exc:
+        except (BadEventError, BrokenBodyError) as exc:
             failed = EngineFailed(str(exc), Ran.YES)
             self._log_failure(failed)
             return self._after_failure(failed)
@@ -436,6 +441,9 @@
         """Forward an answer once it is complete."""
         with self._hold(answer) as body:
             read_whole(answer, self._body_deadline(), body)
+            second = answer.head.second
+            if second is not None:
+                body.shorten(partial(without_second_answer, second=second))
             self._check_whole(answer, body.size)
             self._proof = FRAMED
             head = answer.head
--- a/src/mulberrypass/relay/second_answer.py
+++ b/src/mulberrypass/relay/second_answer.py
@@ -92,34 +92,56 @@
         return frozenset(found)
 
 
+class BrokenBodyError(Exception):
+    """A second answer in a body shows that the first one wasn't whole."""
+
+
 def without_second_answer(body: bytes, second: SecondAnswer) -> bytes:
-    """Return a body without the second answers at its end.
+    """Return a body without the answers that were written behind it.
 
-    What follows the head of a second answer must be a beginning of what
-    comes before it, or all of it. A head that is cut short must bear all
-    marks.
+    Each must be the first one again; the last may be cut short, even in its
+    head if that bears all marks.
+
+    :raises BrokenBodyError: if one differs from the first
     """
     values = [value.strip().encode("latin-1") for _, value in second.marks]
     if not values or not all(value in body for value in values):
         return body
-    end = len(body)
+    start = 0
     for _ in range(MAX_HEADS):
-        end = body.rfind(HEAD_START, 0, end)
-        if end < 0:
-            break
-        if _is_copy(body, end, second):
-            body = body[:end]
+        start = body.find(HEAD_START, start)
+        if start < 0:
+            return body
+        if second.is_head(_head_at(body, start)):
+            _check_copies(body, start, second)
+            return body[:start]
+        rest = body[start : start + MAX_HEAD_BYTES + 1]
+        if len(rest) <= MAX_HEAD_BYTES and second.is_cut_head(rest):
+            return body[:start]
+        start += 1
     return body
 
 
-def _is_copy(body: bytes, at: int, second: SecondAnswer) -> bool:
-    """Return whether a copy of what comes before begins at a position."""
-    head = HEAD.match(body, at, at + MAX_HEAD_BYTES)
-    if head is not None:
-        copied = body[head.end() :]
-        return second.is_head(head.group()) and body[:at].startswith(copied)
-    rest = body[at : at + MAX_HEAD_BYTES + 1]
-    return len(rest) <= MAX_HEAD_BYTES and second.is_cut_head(rest)
+def _head_at(body: bytes, start: int) -> bytes:
+    """Return the complete head that begins at a position, if any."""
+    found = HEAD.match(body, start, start + MAX_HEAD_BYTES)
+    return found.group() if found is not None else b""
+
+
+def _check_copies(body: bytes, size: int, second: SecondAnswer) -> None:
+    """Check that only copies follow the first bytes of a body."""
+    at = size
+    while head := _head_at(body, at):
+        if not second.is_head(head):
+            break
+        at += len(head)
+        copied = body[at : at + size]
+        if not body.startswith(copied):
+            raise BrokenBodyError("a second answer differs from the first")
+        at += len(copied)
+    rest = body[at:]
+    if rest and not second.may_begin(rest):
+        raise BrokenBodyError("a second answer is longer than the first")
 
 
-__all__ = ["SecondAnswer", "without_second_answer"]
+__all__ = ["BrokenBodyError", "SecondAnswer", "without_second_answer"]
--- a/src/mulberrypass/relay/whole_body.py
+++ b/src/mulberrypass/relay/whole_body.py
@@ -173,6 +173,18 @@
         """
         self._bodies.complete(self)
 
+    def shorten(self, to: Callable[[bytes], bytes]) -> None:
+        """Drop the end of a complete body.
+
+        :param to: returns the part to keep
+        """
+        kept = to(b"".join(self._blocks))
+        surplus = self.size - len(kept)
+        if surplus:
+            self.size = len(kept)
+            self._blocks = deque([bytearray(kept)])
+            self._bodies.release(self, surplus)
+
     def take_parts(self) -> Iterator[bytes]:
         """Remove and yield its parts, in order."""
         while self._blocks:
--- a/tests/relay/test_second_answer.py
+++ b/tests/relay/test_second_answer.py
@@ -13,6 +13,7 @@
 )
 from mulberrypass.relay.second_answer import (
     MAX_HEAD_BYTES,
+    BrokenBodyError,
     SecondAnswer,
     without_second_answer,
 )
@@ -156,9 +157,6 @@
             "no head": BODY,
             "empty": b"",
             "values only": BODY + b"r1 3e1b.07.c9f2",
-            "copy and more": BODY + HEAD + BODY + b"x",
-            "other text behind": BODY + HEAD + b"other",
-            "head at the start": HEAD + BODY,
             "head without its stamp": BODY + HEAD[: HEAD.index(b"c9f2")],
             **{k: BODY + v + BODY for k, v in OTHER_HEADS.items()},
         }
@@ -168,6 +166,17 @@
             with self.subTest(name):
                 self.assertEqual(body, without_second_answer(body, SECOND))
 
+    def test_other_answer_behind_a_body_breaks_it(self) -> None:
+        bodies = {
+            "copy and more": BODY + HEAD + BODY + b"x",
+            "other text behind": BODY + HEAD + b"other",
+            "head at the start": HEAD + BODY,
+            "longer copy": BODY[:3] + HEAD + BODY,
+        }
+        for name, body in bodies.items():
+            with self.subTest(name), self.assertRaises(BrokenBodyError):
+                without_second_answer(body, SECOND)
+
     def test_without_marks_nothing_is_cut(self) -> None:
         body = BODY + HEAD + BODY
         self.assertEqual(body, without_second_answer(body, SecondAnswer(())))
