Bound the bytes that a server holds for all its clients

Each connection had its bound, 8 MB of a body and 512 KB of an answer, and 2,000 connections together had none.

The server's loop sums them up five times a second now. If they are more than a quarter of the process's memory, the largest connection that waits for its client is reset: one whose body is incomplete, or whose answer isn't taken. Requests that are being answered go on.

Evidence, the tests with the check switched off:

test_longest_bodies_end: all five connections still open after 10 s test_answers_that_wait_end: TimeoutError, no thread for another caller

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -222,7 +222,10 @@
             self._me.name, self._permits, self._directory, self._guard
         )
         self._ending = PlannedEnd()
-        self._bodies = HeldBodies(ByteLimits.of_memory(site.memory_bytes))
+        limits = ByteLimits.of_memory(site.memory_bytes)
+        self._bodies = HeldBodies(limits)
+        # As much again for callers.
+        self._client_bytes = limits.total
         deps = RelayDependencies(
             self._directory,
             acquirer,
@@ -287,7 +290,14 @@
     def _make_server(
         self, app: ServedApp, at: HostPort, threads: int
     ) -> HttpServer:
-        return HttpServer(app, at.host, at.port, threads, MAX_BODY_BYTES)
+        return HttpServer(
+            app,
+            at.host,
+            at.port,
+            threads,
+            MAX_BODY_BYTES,
+            client_bytes=self._client_bytes,
+        )
 
     def _make_dump(self) -> StateDump:
         dump = StateDump()
--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -6,18 +6,21 @@
 import socket
 import threading
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.runtime.client_bytes import Holder
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.sockets import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.runtime.client_bytes import ClientBytes
+
 LOG = get_logger(__name__)
 # A request that arrives in part ends a stop's wait after so much silence: a
 # lost segment is sent again within about a second.
@@ -43,11 +46,14 @@
 
 
 def connection_class(
-    steps: StopSteps, head_s: Callable[[], float]
+    steps: StopSteps,
+    head_s: Callable[[], float],
+    client_bytes: ClientBytes,
 ) -> type[HTTPChannel]:
     """Return a channel class for a server.
 
     :param head_s: returns the seconds that a request's head may take
+    :param client_bytes: bounds the bytes held for all connections
     """
 
     class ClosingTask(WSGITask):
@@ -99,12 +105,16 @@
             A late head closes only on the second late poll in a row, so that
             a process that was paused first reads what has arrived.
             """
+            if client_bytes.due():
+                self._check_bytes()
+            if self.socket is None:
+                return False
             stuck = self._is_stuck()
             late = stuck or self._head_is_late()
             if late and self._was_late:
                 if stuck:
                     # The client's socket won't be ready for a close.
-                    self._reset()
+                    self.reset("client takes no bytes")
                     return False
                 self.will_close = True
             self._was_late = late
@@ -126,13 +136,32 @@
                 self._taken_at = now
             return bool(now - self._taken_at > self.adj.channel_timeout)
 
-        def _reset(self) -> None:
-            """End an answer that its client doesn't take, as a cut."""
-            LOG.info("client takes no bytes", waiting=self.total_outbufs_len)
+        def reset(self, reason: str) -> None:
+            """End the connection; an answer on it is cut."""
+            LOG.info(
+                "client reset", reason=reason, waiting=self.total_outbufs_len
+            )
             if self.socket is not None:
                 reset_on_close(self.socket)
             self.handle_close()
 
+        def holder(self) -> Holder[LimitedChannel]:
+            """Return the bytes held of bodies and answers."""
+            arriving = self.request
+            requests = [*self.requests, arriving]
+            bodies = [r.body_rcv for r in requests if r is not None]
+            size = sum(len(body) for body in bodies if body is not None)
+            size += self.total_outbufs_len
+            may_end = arriving is not None or self.total_outbufs_len > 0
+            return Holder(self, size, may_end)
+
+        def _check_bytes(self) -> None:
+            """End the connections that hold most, if all hold too much."""
+            channels = cast("Any", self.server).active_channels
+            holders = [each.holder() for each in list(channels.values())]
+            for each in client_bytes.excess(holders):
+                each.channel.reset("too many bytes held")
+
         def _is_idle(self) -> bool:
             """Whether no request is read, answered, sent or left to be read.
 
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -12,6 +12,7 @@
 import waitress.server
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.runtime.client_bytes import MAX_CLIENT_BYTES, ClientBytes
 from mulberrypass.runtime.connection import StopSteps, connection_class
 from mulberrypass.runtime.dispatcher import PooledDispatcher
 from mulberrypass.runtime.wakeup import Wakeup
@@ -69,6 +70,7 @@
     :param threads: maximum number of requests answered at once
     :param max_body_bytes: larger bodies are refused before they are read
     :param idle_s: time after which an idle connection is closed
+    :param client_bytes: held at once of bodies and answers of all clients
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         threads: int,
         max_body_bytes: int,
         idle_s: int = 60,
+        client_bytes: int = MAX_CLIENT_BYTES,
     ) -> None:
         self._app = app
         self._steps = StopSteps()
@@ -105,7 +108,7 @@
         )
         self._wakeup = Wakeup(self._server)
         self._server.channel_class = connection_class(
-            self._steps, lambda: self._head_s
+            self._steps, lambda: self._head_s, ClientBytes(client_bytes)
         )
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
--- a/tests/runtime/test_bytes_for_callers.py
+++ b/tests/runtime/test_bytes_for_callers.py
@@ -24,6 +24,8 @@
 # Until a server that doesn't stop would have made the whole answer.
 FULL_S = 1.5
 IDLE_S = 0.5
+SETTLE_S = 0.3
+THREADS = 4
 SMALL_BUFFER = 4_096
 PART = b"x" * 65_536
 PARTS = 600
@@ -52,7 +54,9 @@
         self.enter()
         self.body_bytes += len(environ["wsgi.input"].read())
         start_response("200 OK", [("Content-Type", "text/event-stream")])
-        return ClosingChunks(self._parts(), self.leave)
+        short = environ["PATH_INFO"] == "/short"
+        parts = iter((b"x",)) if short else self._parts()
+        return ClosingChunks(parts, self.leave)
 
     def _parts(self) -> Iterator[bytes]:
         for _ in range(PARTS):
@@ -63,9 +67,18 @@
 class CallerTestCase(unittest.TestCase):
     """Runs a server with long answers."""
 
+    client_bytes = 100 * len(BODY)
+
     def setUp(self) -> None:
         self.app = LongAnswerApp()
-        self.server = HttpServer(self.app, "127.0.0.1", 0, 2, 2 * len(BODY))
+        self.server = HttpServer(
+            self.app,
+            "127.0.0.1",
+            0,
+            THREADS,
+            2 * len(BODY),
+            client_bytes=self.client_bytes,
+        )
         self.server.start()
         self.addCleanup(self.server.stop, 0.0)
 
@@ -141,6 +154,51 @@
         self.assertLess(tracemalloc.get_traced_memory()[1], 3 * HELD_BYTES)
 
 
+class ManyCallersTest(CallerTestCase):
+    """Each caller had its bound, and 2,000 of them had none together."""
+
+    client_bytes = 1_000_000
+
+    def still_open(self, conns: list[http.client.HTTPConnection]) -> int:
+        """Count the connections that the server hasn't reset."""
+        count = 0
+        for conn in conns:
+            conn.sock.setblocking(False)
+            try:
+                conn.sock.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                count += 1
+            except ConnectionError:
+                pass
+            conn.sock.settimeout(TIMEOUT_S)
+        return count
+
+    def check_served(self) -> None:
+        """Check that a small request is answered."""
+        resp = self.connect()
+        resp.request("GET", "/short")
+        self.assertEqual(200, resp.getresponse().status)
+
+    def test_longest_bodies_end(self) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n"
+        sizes = (300_000, 100_000, 400_000, 200_000, 350_000)
+        conns = [self.connect() for _ in sizes]
+        for conn, size in zip(conns, sizes, strict=True):
+            conn.sock.sendall(head + b"y" * size)
+        self.until(lambda: self.still_open(conns) < len(conns))
+        time.sleep(SETTLE_S)
+        self.assertEqual(4, self.still_open(conns))
+        self.assertEqual(0, self.still_open([conns[2]]))
+        self.check_served()
+
+    def test_answers_that_wait_end(self) -> None:
+        conns = [self.connect(SMALL_BUFFER) for _ in range(THREADS)]
+        for conn in conns:
+            conn.request("GET", "/")
+        self.until(lambda: self.app.in_flight < THREADS)
+        self.check_served()
+
+
 class LargeBodyTest(CallerTestCase):
     """Bodies went to files, of which a machine without a disk has 64 MB."""
 
