Settle the end of a stream at engines that were asked before

Callers take an answer that ends with its connection for complete (RFC 9112, section 6.3), so that nothing told them of the doubt.

Such a stream is proven or cut again. Runs that settle where it ends are no attempts: once no other engine may be asked, they go to those that were, and so does the run for the rest of one that was broken off. An engine that refuses may be asked again within the second that a caller waits; half of what is left of it goes to each run.

Which engines to ask is decided in policy/online/runs.py.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -18,6 +18,7 @@
     ReleaseOutcome,
     WorkClass,
 )
+from mulberrypass.policy.online.runs import Runs
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
@@ -135,11 +136,8 @@
 class _ForwardedRequest:
     """One request while it is forwarded; used by one thread.
 
-    :ivar _avoid: engines whose answer failed
-    :ivar _ended: engines whose run ended, which are asked again if there is
-        no other
-    :ivar _unframed: whether only the end of its connection ends the caller's
-        answer
+    :ivar _settles: whether the latest run, or the next one, settles where
+        the stream ends
     :ivar _doubt_ends_at: until when a second run may end, in monotonic
         seconds
     :ivar _runs_whole: whether the latest run began where the request does
@@ -165,12 +163,10 @@
         self._disconnected = disconnected
         self._started_at = now
         self._deadline = Deadline(now + wait_s)
-        self._avoid: tuple[str, ...] = ()
-        self._ended: tuple[str, ...] = ()
-        self._attempts = 0
+        self._runs = Runs(route.max_attempts, route.repeatable)
+        self._settles = False
         self._maybe_ran = False
         self._head_sent = False
-        self._unframed = False
         self._proof = ""
         self._doubt_ends_at = float("inf")
         self._runs_whole = True
@@ -185,16 +181,15 @@
         try:
             while True:
                 ended = self._acquire_permit()
-                if ended is None:
-                    failed = yield from self._attempt()
-                    if failed is None:
-                        return
-                    if self._may_retry(failed):
-                        continue
-                    ended = self._failure_event(failed)
-                if not self._may_hand_on():
+                if ended is not None:
                     yield from self._end(ended)
-                return
+                    return
+                failed = yield from self._attempt()
+                if failed is None:
+                    return
+                if not self._may_retry(failed):
+                    yield from self._end(self._failure_event(failed))
+                    return
         finally:
             self._release(ReleaseOutcome.CANCELLED)
 
@@ -238,9 +233,8 @@
         other.
         """
         acquire = self._deps.acquirer.acquire
-        avoided = [(*self._avoid, *self._ended)]
-        if self._stream.in_doubt:
-            avoided += [self._avoid, ()]
+        engines = self._deps.directory.engine_names()
+        avoided = self._runs.avoided(self._settles, engines)
 
         def gives_up() -> bool:
             late = time.monotonic() >= self._doubt_ends_at
@@ -252,7 +246,7 @@
             except NoPermitError as exc:
                 if not avoided or exc.reason != RefusalReason.NO_BACKEND:
                     raise
-            if avoided == [()]:
+            if len(avoided) == 1:
                 time.sleep(ASK_AGAIN_S)
 
     def _may_finish(self) -> bool:
@@ -288,7 +282,7 @@
     ) -> Refused | Failed | NoRoute:
         """Return the final event: a refusal only if the request never ran."""
         self._log.not_placed(
-            reason, attempts=self._attempts, maybe_ran=self._maybe_ran
+            reason, attempts=self._runs.attempts, maybe_ran=self._maybe_ran
         )
         if self._maybe_ran:
             return Failed(reason, late=reason == "deadline")
@@ -302,7 +296,7 @@
             exc.reason,
             part=exc.part,
             engines=exc.engines,
-            attempts=self._attempts,
+            attempts=self._runs.attempts,
             maybe_ran=self._maybe_ran,
         )
         if self._maybe_ran:
@@ -316,7 +310,7 @@
         """
         assert self._permit is not None
         permit = self._permit
-        self._attempts += 1
+        self._runs.begin(self._settles)
         after = self._stream.resume_after
         self._runs_whole = (
             after == self._req.after_event and not self._stream.in_doubt
@@ -354,7 +348,7 @@
             permit,
             self._answer,
             self._stream.count,
-            self._attempts,
+            self._runs.attempts,
             self._proof,
         )
         if _is_success(head):
@@ -365,7 +359,9 @@
     def _read_deadline(self) -> Deadline:
         """Return until when the head or the next event is due."""
         if self._stream.in_doubt:
-            return Deadline(min(self._deadline.at, self._doubt_ends_at))
+            # Half is left for another run.
+            left_s = self._doubt_ends_at - time.monotonic()
+            return self._deadline.within(left_s / 2)
         if self._may_repeat():
             return self._deadline.within(SILENCE_TIMEOUT_S)
         return self._deadline
@@ -402,40 +398,29 @@
         An end in doubt is handed on as it came if no second run may follow.
         """
         assert self._permit is not None
-        as_it_came = not self._may_repeat() and (
-            self._unframed if self._head_sent else _is_unframed(answer)
-        )
-        if not _is_unframed(answer):
-            yield from self._send_head(answer)
+        if not self._head_sent:
+            self._head_sent = True
+            yield AnswerHead(
+                answer.head.status,
+                answer.head.headers,
+                None,
+                ends_with_connection=self._ends_as_it_came(answer),
+            )
         for data in self._stream.read(
             answer,
             self._read_deadline,
             self._permit.mark_first_event,
             held.resize,
             lambda: self._check_engine(answer),
-            as_it_came,
+            self._ends_as_it_came(answer),
         ):
-            yield from self._send_head(answer)
             yield AnswerBody(data)
-        yield from self._send_head(answer)
         self._proof = self._stream.proof or ENGINE_ALIVE
 
-    def _send_head(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
-        """Send the head, if it isn't sent yet.
-
-        An unframed one goes with the first event: without any, the run proves
-        nothing, and the head of another may be better.
-        """
-        if self._head_sent:
-            return
-        self._head_sent = True
-        self._unframed = _is_unframed(answer)
-        yield AnswerHead(
-            answer.head.status,
-            answer.head.headers,
-            None,
-            ends_with_connection=self._unframed,
-        )
+    def _ends_as_it_came(self, answer: EngineAnswer) -> bool:
+        """Return whether nobody can find out where an answer ends."""
+        unframed = answer.head.ends_with_connection
+        return unframed and not self._route.repeatable
 
     def _forward_buffered(self, answer: EngineAnswer) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
@@ -502,20 +487,23 @@
         assert self._permit is not None
         self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
         engine = self._permit.engine.name
-        if self._stream.in_doubt and self._doubt_ends_at == float("inf"):
-            self._doubt_ends_at = time.monotonic() + SECOND_RUN_WAIT_S
-        if failed is BROKEN_OFF:
-            self._doubt_ends_at = float("inf")
-            self._first_run_s = None
         if failed is IN_DOUBT:
-            self._ended = (*self._ended, engine)
+            self._runs.note_ended(engine)
             if self._runs_whole:
                 since = self._permit.sent_at
                 self._first_run_s = time.monotonic() - since
-        elif failed is not BROKEN_OFF:
-            self._avoid = (*self._avoid, engine)
-        if failed.ran is Ran.NO:
-            self._attempts -= 1
+        elif failed.ran is Ran.NO:
+            self._runs.note_not_run(engine, self._settles)
+        elif failed is BROKEN_OFF:
+            self._runs.note_more(engine)
+            self._first_run_s = None
+        else:
+            self._runs.note_failed(engine)
+        self._settles = self._stream.in_doubt or failed is BROKEN_OFF
+        if not self._stream.in_doubt:
+            self._doubt_ends_at = float("inf")
+        elif self._doubt_ends_at == float("inf"):
+            self._doubt_ends_at = time.monotonic() + SECOND_RUN_WAIT_S
         outcome = self._release_outcome(failed)
         if failed.closed and outcome is ReleaseOutcome.FAILED:
             self._permit.mark_connection_ended()
@@ -540,11 +528,12 @@
     def _may_retry(self, failed: EngineFailed) -> bool:
         if self._disconnected() or time.monotonic() >= self._deadline.at:
             return False
+        if self._settles:
+            return self._runs.may_settle()
         return failed.ran is Ran.NO or self._may_repeat()
 
     def _may_repeat(self) -> bool:
-        repeatable = self._route.repeatable
-        return repeatable and self._attempts < self._route.max_attempts
+        return self._runs.may_repeat()
 
     def _failure_event(self, failed: EngineFailed) -> Failed | Refused:
         late = time.monotonic() >= self._deadline.at
@@ -552,17 +541,6 @@
             return Refused("not_run", MIN_RETRY_AFTER_S)
         return Failed(failed.reason, late)
 
-    def _may_hand_on(self) -> bool:
-        """Return whether to end an answer whose end nothing proves.
-
-        The caller's end is in doubt as the engine's is.
-        """
-        whole = self._stream.may_be_whole and self._unframed
-        if not whole or self._disconnected():
-            return False
-        self._log.handed_on(self._stream.count, self._attempts)
-        return True
-
     def _end(self, event: FinalEvent) -> Iterator[RelayEvent]:
         """Yield the final event, or truncate an answer that has begun."""
         if self._head_sent:
@@ -599,10 +577,6 @@
         )
 
 
-def _is_unframed(answer: EngineAnswer) -> bool:
-    return answer.head.ends_with_connection
-
-
 def _is_success(head: object) -> bool:
     status = getattr(head, "status", 0)
     return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/mulberrypass/relay/request_log.py
+++ b/src/mulberrypass/relay/request_log.py
@@ -73,15 +73,6 @@
             **framing(answer),
         )
 
-    def handed_on(self, events: int, attempts: int) -> None:
-        """Write that the answer ends though nothing proves its end."""
-        self._write(
-            "end handed on in doubt",
-            route=self._route,
-            events=events,
-            attempts=attempts,
-        )
-
     def answered(
         self,
         permit: HeldPermit,
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -43,7 +43,6 @@
     :ivar proof: what has proven the end of the stream; empty if nothing has
     :ivar _ended_at: the last event of an unframed run that brought it
     :ivar _was_cut: whether the latest run ended by a known break
-    :ivar _was_denied: whether a second run has ended early
     """
 
     def __init__(self, after: int | None) -> None:
@@ -54,7 +53,6 @@
         self.proof = ""
         self._ended_at: int | None = None
         self._was_cut = False
-        self._was_denied = False
 
     @property
     def resume_after(self) -> int | None:
@@ -66,12 +64,6 @@
             return self.last
         return self.last - 1 if self.last > 1 else None
 
-    @property
-    def may_be_whole(self) -> bool:
-        """Whether a run has ended here, and no further one was cut."""
-        ended = self.in_doubt and self._ended_at == self.last
-        return ended and not self._was_denied
-
     def read(
         self,
         answer: EngineAnswer,
@@ -150,20 +142,15 @@
         """
         assert self.last is not None
         order = EventOrder(self.resume_after)
-        try:
-            for events in run:
-                valid, error = order.accept_leading(events)
-                self.brought += len(valid)
-                if order.last is not None and order.last > self.last:
-                    self.in_doubt = False
-                    raise WireError(BROKEN_OFF)
-                if error is not None:
-                    raise error
-        except WireError as exc:
-            self._was_denied = self._was_denied or exc.failed.closed
-            raise
+        for events in run:
+            valid, error = order.accept_leading(events)
+            self.brought += len(valid)
+            if order.last is not None and order.last > self.last:
+                self.in_doubt = False
+                raise WireError(BROKEN_OFF)
+            if error is not None:
+                raise error
         if order.last != self.last or not self.brought:
-            self._was_denied = True
             raise WireError(ENDED_BEFORE)
         if unframed:
             check_engine()
