Be ready only once the list of engines was read

A caller that came right after an instance was ready got 503, "no_backend", though its engines were in the store: readiness looked at the configuration only, which is read by a thread of its own, or comes from a peer, some milliseconds before the engines.

tests.platform.test_ready, with a list that comes 0.5 s late, failed before: 200 != 503, "no_backend".

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -421,6 +421,8 @@
             return "the process is being stopped"
         if self._directory.routes().version == 0:
             return "no configuration is known"
+        if not self._engine_rows.read:
+            return "no list of engines was read"
         return ""
 
     def _addresses(self, zone: str) -> tuple[str, ...]:
--- a/src/mulberrypass/relay/followers.py
+++ b/src/mulberrypass/relay/followers.py
@@ -95,6 +95,7 @@
     after it, because their engines may still be running.
 
     :param decode: decodes an entry's name and value
+    :ivar read: whether the list of engines has been read
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         decode: Callable[[str, bytes], RegisteredEngine],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.read = False
         self._directory = directory
         self._decode = decode
         self._clock = clock
@@ -119,6 +121,7 @@
             for name in self._entries.keys() - present:
                 self._drop(name)
         self.on_changed_rows(rows)
+        self.read = True
 
     def on_changed_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply changed entries."""
