Take an empty run of an item for no fault of its engine

An engine that is asked for what comes after the last event, and rightly has nothing to add, counted as failing, unframed as its answer was. Enough of these hold an engine back with all its slots.

Such a run is released as cancelled, which says nothing; a run from the start without an event still fails. The test of an empty resumed run in tests.batches.test_unproven_ends looks at what is released: before, "failed" in place of "cancelled".

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -274,6 +274,9 @@
             unframed = answer.head.ends_with_connection
             end = self._progress.judge(events, unframed)
             if end is End.BROKEN_OFF or (unframed and not events):
+                if end is End.IN_DOUBT:
+                    # Sound if all events had come before.
+                    outcome = ReleaseOutcome.CANCELLED
                 raise WireError(CUT)
             if end is End.SECOND_RUN:
                 # Engines that die of the same output end alike.
--- a/tests/batches/test_unproven_ends.py
+++ b/tests/batches/test_unproven_ends.py
@@ -171,6 +171,10 @@
         """The item ran from the start once more."""
         self.play(RunEnd(reset=True))
         self.assert_resumed(None, EVENTS, LAST, LAST)
+        # The empty run says nothing of its engine.
+        self.assertEqual(
+            ["failed", "cancelled", "done", "done"], self.permits.released
+        )
 
 
 class OnlyEngineTest(UnprovenEndTest):
