Move the admission of a request's runs to a module of its own

Which permit a run needs is one value, and how long to wait, when to give up and what to answer then stand together in relay/admission.py.

--- /dev/null
+++ b/src/mulberrypass/relay/admission.py
@@ -0,0 +1,196 @@
+"""Waits for the permits of one request, and says why there is none."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypass.model.value_class import value_class
+from mulberrypass.policy.messages import RefusalReason, WorkClass
+from mulberrypass.relay.api import Failed, NoRoute, Refused, Unservable
+from mulberrypass.relay.crash_guard import QuarantinedError
+from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.wire import Deadline
+    from mulberrypass.model.routes import RelayRoute
+    from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.relay.directory import Directory
+    from mulberrypass.relay.ending import PlannedEnd
+    from mulberrypass.relay.permits import HeldPermit, PermitAcquirer
+    from mulberrypass.relay.request_log import RequestLog
+
+STOPPING = "stopping"
+NO_SECOND_RUN = "no engine for a second run"
+MIN_RETRY_AFTER_S = 0.2
+# From a free engine slot to the caller's first byte: prefill and two hops.
+FIRST_EVENT_LATENCY_S = 0.07
+# Before an engine that has failed is asked for a second run.
+ASK_AGAIN_S = 0.05
+
+FinalEvent = Refused | Unservable | Failed | NoRoute
+
+
+@value_class
+class PermitNeed:
+    """What the next run of a request needs.
+
+    :param avoided: engines not to ask; each entry if none is left
+    :param doubt_ends_at: until when a second run may end, in monotonic
+        seconds
+    :param attempts: attempts so far, for the log
+    :param maybe_ran: whether the request may have run
+    :param begun: whether its answer has begun
+    """
+
+    avoided: list[tuple[str, ...]]
+    doubt_ends_at: float
+    attempts: int
+    maybe_ran: bool
+    begun: bool
+
+
+class Admission:
+    """Admits the runs of one request; used by one thread.
+
+    :param deadline: when the caller gives up
+    :param disconnected: returns whether the caller has left
+    :param started_at: when the request came, in monotonic seconds
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        acquirer: PermitAcquirer,
+        ending: PlannedEnd,
+        req: RelayRequest,
+        route: RelayRoute,
+        deadline: Deadline,
+        disconnected: Callable[[], bool],
+        log: RequestLog,
+        started_at: float,
+    ) -> None:
+        self._directory = directory
+        self._acquirer = acquirer
+        self._ending = ending
+        self._req = req
+        self._digest = req.digest()
+        self._route = route
+        self._deadline = deadline
+        self._disconnected = disconnected
+        self._log = log
+        self._started_at = started_at
+
+    def acquire(self, need: PermitNeed) -> HeldPermit | FinalEvent:
+        """Wait for a permit; return the final event if there is none."""
+        if not self._may_finish(need):
+            return self._not_admitted(need, STOPPING, 0.0)
+        try:
+            permit = self._wait(need)
+        except NoRouteError:
+            return self._not_admitted(need, "no_route", 0.0)
+        except NoPermitError as exc:
+            reason = exc.reason if self._may_finish(need) else STOPPING
+            in_doubt = need.doubt_ends_at != float("inf")
+            if in_doubt and not self._disconnected():
+                reason = f"{NO_SECOND_RUN}: {reason}"
+            return self._not_admitted(need, reason, exc.retry_after_s)
+        except QuarantinedError as exc:
+            return self._quarantined(need, exc)
+        if not self._may_finish(need):
+            permit.release_unused()
+            return self._not_admitted(need, STOPPING, 0.0)
+        return permit
+
+    def _wait(self, need: PermitNeed) -> HeldPermit:
+        """Wait for a permit, for a second run not for long.
+
+        The owner of the pool would refuse a second run whose deadline were as
+        short, as it expects a whole one. Any engine may do it, if there is no
+        other.
+        """
+        work = self._work(need)
+        avoided = list(need.avoided)
+
+        def gives_up() -> bool:
+            late = time.monotonic() >= need.doubt_ends_at
+            return late or self._disconnected() or not self._may_finish(need)
+
+        while True:
+            try:
+                return self._acquirer.acquire(work, avoided.pop(0), gives_up)
+            except NoPermitError as exc:
+                if not avoided or exc.reason != RefusalReason.NO_BACKEND:
+                    raise
+            if len(avoided) == 1:
+                time.sleep(ASK_AGAIN_S)
+
+    def _work(self, need: PermitNeed) -> WorkSpec:
+        return WorkSpec(
+            find=self._find_route,
+            routing_key=self._req.request_id,
+            customer=f"priority-{self._route.priority}",
+            work_class=WorkClass.ONLINE,
+            deadline=self._deadline.at,
+            prompt_tokens=self._req.prompt_tokens,
+            output_tokens=self._req.output_tokens,
+            prefix=self._req.prefix,
+            start_by=self._start_by(need),
+            request=self._digest,
+        )
+
+    def _may_finish(self, need: PermitNeed) -> bool:
+        """Return whether the answer may end before this process does.
+
+        A request that may have run goes on: it can't be refused any more.
+        """
+        goes_on = need.maybe_ran or need.begun
+        if goes_on or self._deadline.at <= self._ending.at:
+            return True
+        return self._ending.allows(self._route.name, self._req.output_tokens)
+
+    def _start_by(self, need: PermitNeed) -> float | None:
+        """Return the latest start that meets the target.
+
+        ``None`` once the request may have run.
+        """
+        if need.maybe_ran or need.begun:
+            return None
+        return self._started_at + self._route.target_s - FIRST_EVENT_LATENCY_S
+
+    def _find_route(self) -> RelayRoute | None:
+        table = self._directory.routes()
+        return table.find(self._req.host, self._req.path)
+
+    def _not_admitted(
+        self, need: PermitNeed, reason: str, retry_after_s: float
+    ) -> Refused | Failed | NoRoute:
+        """Return the final event: a refusal only if the request never ran."""
+        self._log.not_placed(
+            reason, attempts=need.attempts, maybe_ran=need.maybe_ran
+        )
+        if need.maybe_ran:
+            return Failed(reason, late=reason == "deadline")
+        if reason == "no_route":
+            return NoRoute()
+        return Refused(reason, max(MIN_RETRY_AFTER_S, retry_after_s))
+
+    def _quarantined(
+        self, need: PermitNeed, exc: QuarantinedError
+    ) -> Unservable | Failed:
+        """Return the final event of a request that crashes engines."""
+        self._log.not_placed(
+            exc.reason,
+            part=exc.part,
+            engines=exc.engines,
+            attempts=need.attempts,
+            maybe_ran=need.maybe_ran,
+        )
+        if need.maybe_ran:
+            return Failed(exc.reason)
+        return Unservable(exc.reason)
+
+
+__all__ = ["Admission", "FinalEvent", "MIN_RETRY_AFTER_S", "PermitNeed"]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -13,12 +13,13 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.model.value_class import value_class
-from mulberrypass.policy.messages import (
-    RefusalReason,
-    ReleaseOutcome,
-    WorkClass,
-)
+from mulberrypass.policy.messages import ReleaseOutcome
 from mulberrypass.policy.online.runs import Runs
+from mulberrypass.relay.admission import (
+    MIN_RETRY_AFTER_S,
+    Admission,
+    PermitNeed,
+)
 from mulberrypass.relay.api import (
     AnswerBody,
     AnswerHead,
@@ -27,13 +28,11 @@
     Refused,
     Relay,
     TruncatedAnswerError,
-    Unservable,
 )
-from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
-from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.permits import HeldPermit
 from mulberrypass.relay.request_log import RequestLog
 from mulberrypass.relay.second_answer import (
     BrokenBodyError,
@@ -55,6 +54,7 @@
     from collections.abc import Callable, Generator, Iterator
 
     from mulberrypass.model.routes import RelayRoute
+    from mulberrypass.relay.admission import FinalEvent
     from mulberrypass.relay.api import (
         EngineAnswer,
         EngineClient,
@@ -62,7 +62,7 @@
         RelayRequest,
     )
     from mulberrypass.relay.directory import Directory
-    from mulberrypass.relay.permits import HeldPermit, PermitAcquirer
+    from mulberrypass.relay.permits import PermitAcquirer
     from mulberrypass.relay.watch import CallWatch
     from mulberrypass.relay.whole_body import HeldBody
 
@@ -76,12 +76,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
-FinalEvent = Refused | Unservable | Failed | NoRoute
 NO_CONFIGURATION_RETRY_S = 0.5
-STOPPING = "stopping"
-MIN_RETRY_AFTER_S = 0.2
-# From a free engine slot to the caller's first byte: prefill and two hops.
-FIRST_EVENT_LATENCY_S = 0.07
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
 SILENCE_TIMEOUT_S = 1.0
@@ -92,9 +87,6 @@
 CHECK_TIMEOUT_S = 0.5
 ENGINE_GONE = EngineFailed("engine gone after an unframed answer", Ran.YES)
 ENGINE_ALIVE = "engine alive"
-NO_SECOND_RUN = "no engine for a second run"
-# Before an engine that has failed is asked for a second run.
-ASK_AGAIN_S = 0.05
 
 
 @value_class
@@ -157,14 +149,23 @@
             wait_s = min(wait_s, req.wait_s)
         self._deps = deps
         self._req = req
-        self._digest = req.digest()
-        self._log = RequestLog(req, self._digest, route.name, now)
+        self._log = RequestLog(req, req.digest(), route.name, now)
         self._route = route
         self._disconnected = disconnected
-        self._started_at = now
         self._deadline = Deadline(now + wait_s)
         self._runs = Runs(route.max_attempts, route.repeatable)
         self._settles = False
+        self._admission = Admission(
+            deps.directory,
+            deps.acquirer,
+            deps.ending,
+            req,
+            route,
+            self._deadline,
+            disconnected,
+            self._log,
+            now,
+        )
         self._maybe_ran = False
         self._head_sent = False
         self._proof = ""
@@ -180,10 +181,11 @@
         """Yield the events of the answer."""
         try:
             while True:
-                ended = self._acquire_permit()
-                if ended is not None:
-                    yield from self._end(ended)
+                found = self._admission.acquire(self._need())
+                if not isinstance(found, HeldPermit):
+                    yield from self._end(found)
                     return
+                self._permit = found
                 failed = yield from self._attempt()
                 if failed is None:
                     return
@@ -193,115 +195,15 @@
         finally:
             self._release(ReleaseOutcome.CANCELLED)
 
-    def _acquire_permit(self) -> FinalEvent | None:
-        """Acquire a permit; return the final event if there is none."""
-        if not self._may_finish():
-            return self._not_admitted(STOPPING, 0.0)
-        work = WorkSpec(
-            find=self._find_route,
-            routing_key=self._req.request_id,
-            customer=f"priority-{self._route.priority}",
-            work_class=WorkClass.ONLINE,
-            deadline=self._deadline.at,
-            prompt_tokens=self._req.prompt_tokens,
-            output_tokens=self._req.output_tokens,
-            prefix=self._req.prefix,
-            start_by=self._start_by(),
-            request=self._digest,
-        )
-        try:
-            self._permit = self._acquire(work)
-        except NoRouteError:
-            return self._not_admitted("no_route", 0.0)
-        except NoPermitError as exc:
-            reason = exc.reason if self._may_finish() else STOPPING
-            if self._stream.in_doubt and not self._disconnected():
-                reason = f"{NO_SECOND_RUN}: {reason}"
-            return self._not_admitted(reason, exc.retry_after_s)
-        except QuarantinedError as exc:
-            return self._quarantined(exc)
-        if not self._may_finish():
-            self._release(ReleaseOutcome.UNUSED)
-            return self._not_admitted(STOPPING, 0.0)
-        return None
-
-    def _acquire(self, work: WorkSpec) -> HeldPermit:
-        """Wait for a permit, for a second run not for long.
-
-        The owner of the pool would refuse a second run whose deadline were as
-        short, as it expects a whole one. Any engine may do it, if there is no
-        other.
-        """
-        acquire = self._deps.acquirer.acquire
+    def _need(self) -> PermitNeed:
         engines = self._deps.directory.engine_names()
-        avoided = self._runs.avoided(self._settles, engines)
-
-        def gives_up() -> bool:
-            late = time.monotonic() >= self._doubt_ends_at
-            return self._gives_up() or late
-
-        while True:
-            try:
-                return acquire(work, avoided.pop(0), gives_up)
-            except NoPermitError as exc:
-                if not avoided or exc.reason != RefusalReason.NO_BACKEND:
-                    raise
-            if len(avoided) == 1:
-                time.sleep(ASK_AGAIN_S)
-
-    def _may_finish(self) -> bool:
-        """Return whether the answer may end before this process does.
-
-        A request that may have run goes on: it can't be refused any more.
-        """
-        ending = self._deps.ending
-        goes_on = self._maybe_ran or self._head_sent
-        if goes_on or self._deadline.at <= ending.at:
-            return True
-        return ending.allows(self._route.name, self._req.output_tokens)
-
-    def _gives_up(self) -> bool:
-        """Return whether to wait for an engine no longer."""
-        return self._disconnected() or not self._may_finish()
-
-    def _start_by(self) -> float | None:
-        """Return the latest start that meets the target.
-
-        ``None`` once the request may have run.
-        """
-        if self._maybe_ran or self._head_sent:
-            return None
-        return self._started_at + self._route.target_s - FIRST_EVENT_LATENCY_S
-
-    def _find_route(self) -> RelayRoute | None:
-        table = self._deps.directory.routes()
-        return table.find(self._req.host, self._req.path)
-
-    def _not_admitted(
-        self, reason: str, retry_after_s: float
-    ) -> Refused | Failed | NoRoute:
-        """Return the final event: a refusal only if the request never ran."""
-        self._log.not_placed(
-            reason, attempts=self._runs.attempts, maybe_ran=self._maybe_ran
-        )
-        if self._maybe_ran:
-            return Failed(reason, late=reason == "deadline")
-        if reason == "no_route":
-            return NoRoute()
-        return Refused(reason, max(MIN_RETRY_AFTER_S, retry_after_s))
-
-    def _quarantined(self, exc: QuarantinedError) -> Unservable | Failed:
-        """Return the final event of a request that crashes engines."""
-        self._log.not_placed(
-            exc.reason,
-            part=exc.part,
-            engines=exc.engines,
-            attempts=self._runs.attempts,
-            maybe_ran=self._maybe_ran,
+        return PermitNeed(
+            self._runs.avoided(self._settles, engines),
+            self._doubt_ends_at,
+            self._runs.attempts,
+            self._maybe_ran,
+            self._head_sent,
         )
-        if self._maybe_ran:
-            return Failed(exc.reason)
-        return Unservable(exc.reason)
 
     def _attempt(self) -> Generator[RelayEvent, None, EngineFailed | None]:
         """Send the request to the engine and forward its answer.
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -145,6 +145,10 @@
         service_s = time.monotonic() - self.sent_at
         self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
 
+    def release_unused(self) -> None:
+        """Release the permit without a run."""
+        self.release(ReleaseOutcome.UNUSED)
+
 
 class PermitAcquirer:
     """Requests permits from pool owners. Safe on any thread.
