Free the engine of a plain answer before its caller reads it

Since answers wait for slow callers in place of filling buffers, a body of over 512 KB kept the permit of its engine until the caller had taken it: a slot of the engine stood empty meanwhile, for online work too.

The answer has come whole by then, so the run ends before the first byte goes to the caller.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -237,6 +237,7 @@
             if self._route.kind is RouteKind.STREAM and _is_success(head):
                 with self._hold(self._answer) as held:
                     yield from self._forward_stream(self._answer, held)
+                self._complete(self._answer)
             else:
                 yield from self._forward_buffered(self._answer)
         except WireError as exc:
@@ -246,17 +247,22 @@
             failed = EngineFailed(str(exc), Ran.YES)
             self._log_failure(failed)
             return self._after_failure(failed)
+        return None
+
+    def _complete(self, answer: EngineAnswer) -> None:
+        """Note that the whole answer has come, and release its engine."""
+        permit = self._permit
+        assert permit is not None
         self._log.answered(
             permit,
-            self._answer,
+            answer,
             self._stream.count,
             self._runs.attempts,
             self._proof,
         )
-        if _is_success(head):
+        if _is_success(answer.head):
             self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
-        return None
 
     def _read_deadline(self) -> Deadline:
         """Return until when the head or the next event is due."""
@@ -338,6 +344,8 @@
             if unframed:
                 self._check_engine(answer)
                 self._proof = ENGINE_ALIVE
+            # A slow caller must not keep the engine's slot.
+            self._complete(answer)
             self._head_sent = True
             yield AnswerHead(
                 head.status,
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -91,6 +91,23 @@
         self.assertGreater(self.longest_read_s(engines), 2 * SILENCE_TIMEOUT_S)
 
 
+class SlowCallerTest(unittest.TestCase):
+    """A caller that read its answer slowly kept the slot of an engine."""
+
+    def test_engine_is_free_once_the_body_has_come(self) -> None:
+        permits = ScriptedPermits("e1")
+        deps = make_dependencies(
+            ScriptedEngines(Script(parts=[b"body"])),
+            permits,
+            route(kind=RouteKind.NON_IDEMPOTENT),
+        )
+        events = Forwarder(deps).run(request(), lambda: False)
+        self.assertIsInstance(next(events), AnswerHead)
+        self.assertEqual(["done"], permits.released)
+        self.assertEqual(b"body", body(list(events)))
+        self.assertEqual(["done"], permits.released)
+
+
 class StreamTest(unittest.TestCase):
     def test_complete_stream(self) -> None:
         engines = ScriptedEngines(Script(parts=list(WHOLE)))
