Don't pass on a 2xx of an engine without its stamp

A 2xx answer counts only with the engine's stamp. One without was passed on, even where another engine could have answered. It fails now as one that may have run, unless it continues an answer that has begun, which keeps the stamp of its first engine.

The answers of tests/relay/test_departures.py bear a stamp, as engines' do; its checks are unchanged.

--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -150,6 +150,7 @@
             load=names.parse_load(head.get(names.SERVER_LOAD)),
             leaving=leaving,
             marks=names.answer_marks(headers),
+            stamped=head.get(names.RESPONSE_STAMP) is not None,
         )
 
     def _limit(self) -> float | None:
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-RESPONSE_STAMP = "X-Mulberrypass-Response-Stamp"
+RESPONSE_STAMP = names.RESPONSE_STAMP
 INSTANCE_ID = names.INSTANCE_ID
 RESUMABLE_PATHS = (BATCH_PATH, RESUMABLE_PATH)
 
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -101,6 +101,7 @@
     :param reused: whether the connection had carried another request before
     :param leaving: whether the engine says that it leaves
     :param marks: headers that only copies of this answer share
+    :param stamped: whether it bears the stamp of an engine
     """
 
     status: int
@@ -114,6 +115,7 @@
     reused: bool = False
     leaving: bool = False
     marks: Headers = ()
+    stamped: bool = True
 
     @property
     def second(self) -> SecondAnswer | None:
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -76,6 +76,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
+NO_STAMP = EngineFailed("an answer without a stamp", Ran.MAYBE)
 NO_CONFIGURATION_RETRY_S = 0.5
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
@@ -234,6 +235,8 @@
                 sound = skip_rest(self._answer, self._deadline)
                 status = head.status if sound else 0
                 raise WireError(EngineFailed(reason, Ran.NO, status=status))
+            if _is_success(head) and not (head.stamped or self._head_sent):
+                raise WireError(NO_STAMP)
             if self._route.kind is RouteKind.STREAM and _is_success(head):
                 with self._hold(self._answer) as held:
                     yield from self._forward_stream(self._answer, held)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -113,6 +113,7 @@
     not_run: bool = False
     ends_with_connection: bool = False
     leaving: bool = False
+    stamped: bool = True
     parts: list[bytes | EngineFailed] = field(default_factory=list)
     before: Callable[[], None] | None = None
 
@@ -133,6 +134,7 @@
             None,
             ends_with_connection=script.ends_with_connection,
             leaving=script.leaving,
+            stamped=script.stamped,
         )
         self._parts = deque(script.parts)
         self._log = log
--- a/tests/relay/test_departures.py
+++ b/tests/relay/test_departures.py
@@ -46,6 +46,7 @@
     head = [
         f"HTTP/1.1 {status}",
         f"Content-Length: {len(BODY)}",
+        "X-Mulberrypass-Response-Stamp: s",
         *lines,
     ]
     if request_id:
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -385,6 +385,32 @@
         )
         self.assertEqual(AnswerHead(404, (("X-Stamp", "s"),), 4), events[0])
 
+    def test_answer_without_a_stamp(self) -> None:
+        """It was passed on, and counted for nothing."""
+        stream = route(resumable=True, max_attempts=3)
+        whole = Script(parts=[event(1)])
+        for kind in (self.CALL, self.REPEATABLE, route(), stream):
+            with self.subTest(kind=kind.kind, resumable=kind.resumable):
+                bare = Script(stamped=False, parts=[event(1)])
+                engines = ScriptedEngines(bare, whole)
+                permits = ScriptedPermits("e1", "e2")
+                events, _ = run(make_dependencies(engines, permits, kind))
+                self.assertEqual(1 + kind.repeatable, len(engines.sent))
+                if kind.repeatable:
+                    self.assertEqual(event(1), body(events))
+                else:
+                    self.assertIsInstance(events[0], Failed)
+
+    def test_resumed_stream_keeps_the_stamp_of_its_first_engine(self) -> None:
+        engines = ScriptedEngines(
+            Script(parts=[event(1), CUT]),
+            Script(stamped=False, parts=[event(2)]),
+        )
+        permits = ScriptedPermits("e1", "e2")
+        events, cut = run(make_dependencies(engines, permits, RESUMABLE))
+        self.assertFalse(cut)
+        self.assertEqual(event(1) + event(2), body(events))
+
     def test_status_that_promises_what_the_engine_does_not_say(self) -> None:
         """The caller took it for a promise, and sent the request again."""
         for status in (408, 421, 429, 503):
