Ask for a new connection when the idle ones of an engine have ended

An engine that died with two idle connections in the pool counted as alive, so that its part of an answer was handed on: each of the two checks took an idle connection, and no new one was tried. Only the first check looks at an idle one now.

tests.engine.test_ending_idle failed before in 5 of its 8 cases.

--- a/src/mulberrypass/engine/pool.py
+++ b/src/mulberrypass/engine/pool.py
@@ -116,8 +116,8 @@
 
         :raises WireError: if it refuses connections
         """
-        for _ in range(CHECKS):
-            conn = self.take_idle()
+        conn = self.take_idle()
+        for _ in range(CHECKS if conn is None else CHECKS + 1):
             try:
                 conn = conn or self._connect(deadline)
             except WireError as exc:
@@ -128,6 +128,7 @@
                 self.put(conn)
                 return
             conn.close()
+            conn = None
 
     def put(self, conn: http.client.HTTPConnection) -> None:
         """Return a connection to the pool after a complete answer."""
