Remember how far any run of a stream has come, and how many engines

A stream ended as whole though a run had shown more: after an end had been refuted, an empty run and one that ended there proved it again, and bytes of the next event that a break cut were forgotten. The last event of which any run has brought a byte is kept now, and an end before it is none.

Attempts that followed a settling run went to further engines, three for a MaxAttempts of 2. They go to engines that were asked, too.

--- a/src/mulberrypass/policy/online/runs.py
+++ b/src/mulberrypass/policy/online/runs.py
@@ -76,16 +76,13 @@
 
         :param engines: the known engines
         """
-        if not settles:
-            return [(*self._failed, *self._ended)]
         others: tuple[str, ...] = ()
         if len(self._asked) >= self._max_attempts:
             others = tuple(e for e in engines if e not in self._asked)
-        return [
-            (*others, *self._failed, *self._ended),
-            (*others, *self._failed),
-            others,
-        ]
+        avoided = [(*others, *self._failed, *self._ended)]
+        if self._ended:
+            avoided.append((*others, *self._failed))
+        return [*avoided, others] if settles else avoided
 
 
 __all__ = ["Runs"]
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -42,6 +42,7 @@
     :ivar in_doubt: whether an unframed run has ended after the last event
     :ivar proof: what has proven the end of the stream; empty if nothing has
     :ivar _ended_at: the last event of an unframed run that brought it
+    :ivar _shown: the last event of which any run has brought a byte
     :ivar _was_cut: whether the latest run ended by a known break
     """
 
@@ -52,6 +53,8 @@
         self.in_doubt = False
         self.proof = ""
         self._ended_at: int | None = None
+        self._shown = -1
+        self._order = EventOrder(after)
         self._was_cut = False
 
     @property
@@ -86,13 +89,14 @@
         :raises BadEventError: if events are missing or twice
         """
         self.brought = 0
-        run = _read_events(answer, due, on_events, hold)
+        run = self._read_run(answer, due, on_events, hold)
         unframed = answer.head.ends_with_connection
         if self.in_doubt:
             self._prove(run, unframed, check_engine)
             return
         was_cut, self._was_cut = self._was_cut, True
         order = EventOrder(self.last)
+        self._order = order
         for events in run:
             valid, error = order.accept_leading(events)
             self.brought += len(valid)
@@ -107,6 +111,23 @@
         self._was_cut = False
         self._check_end(unframed, was_cut, as_it_came)
 
+    def _read_run(
+        self,
+        answer: EngineAnswer,
+        due: Callable[[], Deadline],
+        on_events: Callable[[], None],
+        hold: Callable[[int], None],
+    ) -> Iterator[list[Event]]:
+        """Read the events of a run; note one that it has only begun."""
+        splitter = EventSplitter(answer.head.second)
+        try:
+            yield from _read_events(answer, splitter, due, on_events, hold)
+        except WireError:
+            order = self._order
+            if splitter.pending and order.last is not None:
+                self._shown = max(self._shown, order.last + 1)
+            raise
+
     def _check_end(
         self, unframed: bool, was_cut: bool, as_it_came: bool
     ) -> None:
@@ -118,6 +139,8 @@
         """
         if self.last is None:
             raise WireError(NO_EVENT)
+        if self.last < self._shown:
+            raise WireError(ENDED_BEFORE)
         if not unframed:
             self.proof = FRAMED
             return
@@ -142,15 +165,18 @@
         """
         assert self.last is not None
         order = EventOrder(self.resume_after)
+        self._order = order
         for events in run:
             valid, error = order.accept_leading(events)
             self.brought += len(valid)
             if order.last is not None and order.last > self.last:
                 self.in_doubt = False
+                self._shown = max(self._shown, order.last)
                 raise WireError(BROKEN_OFF)
             if error is not None:
                 raise error
-        if order.last != self.last or not self.brought:
+        short = self.last < self._shown
+        if order.last != self.last or not self.brought or short:
             raise WireError(ENDED_BEFORE)
         if unframed:
             check_engine()
@@ -163,6 +189,7 @@
 
 def _read_events(
     answer: EngineAnswer,
+    splitter: EventSplitter,
     due: Callable[[], Deadline],
     on_events: Callable[[], None],
     hold: Callable[[int], None],
@@ -171,7 +198,6 @@
 
     :raises WireError: if it is cut
     """
-    splitter = EventSplitter(answer.head.second)
     event_due = due()
     while not splitter.ended and (data := answer.read_some(event_due)):
         events = splitter.feed(data)
