Reset only callers that hold bytes for nothing, and let a stop end

Found by a review of the bound on the bytes of all callers: - A caller whose request ran was reset, as it had begun to send its next one, and so was any whose answer had a byte in the buffer at that moment. Only one that has taken nothing for 0.2 s, or whose only request is arriving, may be reset. - Requests of callers that had left kept their bodies in the queue of the threads, uncounted. They are dropped with their connection. - In a planned stop, a slow caller that sent more lost the tail of an answer without framing, and one that kept sending held the stop up for 2 s. A connection whose answer is sent closes once all of it is acknowledged.

test_callers_with_requests, test_departed_callers and test_lingering_stop of tests.runtime failed before.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import field
+import fcntl
 import socket
+import sys
+import termios
 import threading
 import time
 from typing import TYPE_CHECKING, Any, cast
@@ -28,6 +31,8 @@
 # What a caller still sends while it reads an answer is read so long: a close
 # with unread bytes is a reset. Time for a lost segment, as above.
 LINGER_S = 2.0
+# A caller that reads takes bytes more often.
+TAKING_S = 0.2
 # Name in the environment of a function of the server: called before the
 # answer starts, it lets only the end of the connection end the answer.
 END_WITH_CONNECTION = "mulberrypass.end_with_connection"
@@ -108,6 +113,7 @@
 
     class LimitedChannel(HTTPChannel):
         task_class = ClosingTask
+        requests_lock: threading.Lock
         _head_started_at: float | None = None
         _was_late = False
         _read_at = 0.0
@@ -115,6 +121,7 @@
         _unframed = False
         _lingers_until: float | None = None
         _taken_at = 0.0
+        _serving = False
 
         def begin_unframed(self) -> None:
             """Make any end a reset until the whole answer is sent.
@@ -133,6 +140,27 @@
             if self._unframed and sent and self._end_answer():
                 return
             super().handle_close()
+            # The loop may hold the lock, as it sends "100 Continue".
+            if not self.requests_lock.acquire(blocking=False):
+                return
+            try:
+                if not self._serving:
+                    for each in self.requests:
+                        each.close()
+                    self.requests = []
+            finally:
+                self.requests_lock.release()
+
+        def service(self) -> None:
+            """Answer a request, unless its connection has closed before."""
+            with self.requests_lock:
+                self._serving = bool(self.requests)
+            if not self._serving:
+                return
+            try:
+                super().service()
+            finally:
+                self._serving = False
 
         def _end_answer(self) -> bool:
             """End what is sent, once; return whether to read on."""
@@ -177,10 +205,13 @@
                     return False
                 self.will_close = True
             self._was_late = late
-            if steps.ending.is_set() and self._is_idle():
-                self.will_close = True
             until = self._lingers_until
-            if until is not None and time.monotonic() >= until:
+            if until is None:
+                done = steps.ending.is_set() and self._is_idle()
+            else:
+                taken = steps.ending.is_set() and not _unsent(self.socket)
+                done = taken or time.monotonic() >= until
+            if done:
                 self.will_close = True
             return bool(super().readable())
 
@@ -210,11 +241,13 @@
         def holder(self) -> Holder[LimitedChannel]:
             """Return the bytes held of bodies and answers."""
             arriving = self.request
-            requests = [*self.requests, arriving]
-            bodies = [r.body_rcv for r in requests if r is not None]
+            requests = list(self.requests)
+            bodies = [r.body_rcv for r in [*requests, arriving] if r]
             size = sum(len(body) for body in bodies if body is not None)
             size += self.total_outbufs_len
-            may_end = arriving is not None or self.total_outbufs_len > 0
+            pause_s = time.monotonic() - self._taken_at
+            slow = self.total_outbufs_len > 0 and pause_s > TAKING_S
+            may_end = slow or (arriving is not None and not requests)
             return Holder(self, size, may_end)
 
         def _check_bytes(self) -> None:
@@ -249,6 +282,15 @@
     return LimitedChannel
 
 
+def _unsent(sock: socket.socket) -> int:
+    """Return how many bytes the peer hasn't acknowledged."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def _has_bytes(sock: socket.socket) -> bool:
     """Whether a socket that doesn't block has something to read."""
     try:
