List what the review of the bytes held found and isn't mended

Answers that are turned away for others' bytes blame sound engines, outputs of many small events take more than is counted, and a plain answer without framing is copied once. Their tests are marked.

--- a/tests/batches/test_small_events.py
+++ b/tests/batches/test_small_events.py
@@ -7,6 +7,7 @@
 
 from mulberrypass.batches.progress import Progress
 from mulberrypass.relay.events import Event
+from tests.known_red import known_red
 
 COUNT = 100_000
 MB = 1_000_000
@@ -15,6 +16,7 @@
 class SmallEventsTest(unittest.TestCase):
     """Small events took 30 times the bytes that were counted, or more."""
 
+    @known_red(37)
     def test_counted_bytes_are_those_taken(self) -> None:
         cases = {
             "two letters": (b"ab", COUNT),
--- a/tests/relay/test_uncounted_copy.py
+++ b/tests/relay/test_uncounted_copy.py
@@ -10,6 +10,7 @@
     without_second_answer,
 )
 from mulberrypass.relay.whole_body import HeldBodies
+from tests.known_red import known_red
 
 PART = b"x" * 65_536
 SIZE = 4_194_304
@@ -19,6 +20,7 @@
 class UncountedCopyTest(unittest.TestCase):
     """Each body without framing was held twice, and counted once."""
 
+    @known_red(37)
     def test_sound_body_is_not_copied(self) -> None:
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
