Count an engine's word only if the answer is surely the engine's

Its log shows that the case is allowed: the answer that said so, to o0-46, never reached instance 1 (reason "deadline" after 1,004 ms at engine 0, whose answers were cut off), and its request was answered by another engine. The check took the caller's 200 for the moment at which the instance had heard the word; the instance first read it at o3-50, the request that it was blamed for.

A request that ran at other engines too says nothing of this any more.

--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -231,8 +231,10 @@
     """Check that an instance heeds an engine's word that it leaves.
 
     Only what a requester has sent after the instance had passed on such an
-    answer counts, and nothing after a halt of the instance.
+    answer counts, and nothing after a halt of the instance. The answer to a
+    request that ran at other engines too may be theirs.
     """
+    runs = observed.count_runs()
     for departure in observed.departures:
         log = observed.logs[departure.engine]
         during = Interval(departure.at, departure.until)
@@ -241,7 +243,9 @@
         told: dict[int, float] = {}
         attempts = sorted(observed.records.attempts, key=lambda a: a.ended)
         for attempt in attempts:
-            if attempt.status == 200 and attempt.request_id in said:
+            name = attempt.request_id
+            own = name in said and runs[name] == log.runs[name]
+            if attempt.status == 200 and own:
                 told.setdefault(attempt.instance, attempt.ended)
         for attempt in attempts:
             told_at = told.get(attempt.instance, departure.until)
