--- a/tests/batches/test_small_events.py
+++ b/tests/batches/test_small_events.py
@@ -16,7 +16,7 @@
 class SmallEventsTest(unittest.TestCase):
     """Small events took 30 times the bytes that were counted, or more."""
 
-    @known_red(37)
+    @known_red(33)
     def test_counted_bytes_are_those_taken(self) -> None:
         cases = {
             "two letters": (b"ab", COUNT),
--- a/tests/relay/test_breaking_engine.py
+++ b/tests/relay/test_breaking_engine.py
@@ -19,7 +19,7 @@
 class BreakingEngineTest(UnframedTestCase):
     """An engine that broke each stream off counted as sound."""
 
-    @known_red(37)
+    @known_red(33)
     def test_owner_learns_of_failures(self) -> None:
         self.faults[0].break_after = ENDED_AFTER * EVENT_BYTES
         self.faults[1].unframed = False
--- a/tests/relay/test_turned_away.py
+++ b/tests/relay/test_turned_away.py
@@ -32,7 +32,7 @@
 class SlowCallersTest(unittest.TestCase):
     """Whole answers that wait for their callers took an engine's share."""
 
-    @known_red(37)
+    @known_red(33)
     def test_their_engine_has_not_failed(self) -> None:
         quiet_logs()
         bodies = HeldBodies(LIMITS)
@@ -55,7 +55,7 @@
 class OtherItemsTest(unittest.TestCase):
     """An item yielded to the outputs of items at other engines."""
 
-    @known_red(37)
+    @known_red(33)
     def test_its_engine_has_not_failed(self) -> None:
         quiet_logs()
         bodies = HeldBodies(LIMITS)
--- a/tests/relay/test_uncounted_copy.py
+++ b/tests/relay/test_uncounted_copy.py
@@ -20,7 +20,7 @@
 class UncountedCopyTest(unittest.TestCase):
     """Each body without framing was held twice, and counted once."""
 
-    @known_red(37)
+    @known_red(33)
     def test_sound_body_is_not_copied(self) -> None:
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
