--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -185,7 +185,10 @@
     third = random.Random(f"{seed}-third")
     faults += _draw_says(third, CALM_S, end, engines)
     fourth = random.Random(f"{seed}-fourth")
-    faults += _draw_ends(fourth, CALM_S, end, engines)
+    gaps_s = (MIN_GAP_S, MAX_ENDS_GAP_S)
+    faults += _draw_series(
+        fourth, (CALM_S, end), MAX_ENDS_GAP_S, gaps_s, END_KINDS, engines
+    )
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -205,21 +208,32 @@
         at += duration_s + rng.uniform(MIN_SAYS_GAP_S, MAX_SAYS_GAP_S)
 
 
-def _draw_ends(
-    rng: random.Random, begin: float, end: float, engines: int
+def _draw_series(
+    rng: random.Random,
+    span: tuple[float, float],
+    first_gap_s: float,
+    gaps_s: tuple[float, float],
+    kinds: tuple[FaultKind, ...],
+    targets: int,
 ) -> Iterator[ScheduledFault]:
-    """Draw overlapping series of answers without framing."""
-    at = begin + rng.uniform(0.0, MAX_ENDS_GAP_S)
+    """Draw overlapping series of faults, a single one now and then.
+
+    :param span: begin and end
+    :param first_gap_s: longest time before the first series
+    :param gaps_s: shortest and longest gap between two series
+    """
+    begin, end = span
+    at = begin + rng.uniform(0.0, first_gap_s)
     while at < end:
         for _ in range(rng.randint(1, MAX_SERIES)):
             yield ScheduledFault(
                 at,
-                rng.choice(END_KINDS),
-                rng.randrange(engines),
+                rng.choice(kinds),
+                rng.randrange(targets),
                 rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
             )
             at += rng.uniform(0.0, SERIES_GAP_S)
-        at += rng.uniform(MIN_GAP_S, MAX_ENDS_GAP_S)
+        at += rng.uniform(*gaps_s)
 
 
 def _draw_reloads(
@@ -229,22 +243,12 @@
     kinds: tuple[FaultKind, ...],
     instances: int,
 ) -> Iterator[ScheduledFault]:
-    """Draw overlapping series of reloads, a single one now and then."""
-    at = begin + rng.uniform(0.0, MIN_SERIES_GAP_S)
-    while at < end:
-        for _ in range(rng.randint(1, MAX_SERIES)):
-            yield ScheduledFault(
-                at,
-                rng.choice(kinds),
-                rng.randrange(instances),
-                rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
-            )
-            at += rng.uniform(0.0, SERIES_GAP_S)
-        at += rng.uniform(MIN_SERIES_GAP_S, MAX_SERIES_GAP_S)
+    gaps_s = (MIN_SERIES_GAP_S, MAX_SERIES_GAP_S)
+    span = (begin, end)
+    return _draw_series(rng, span, MIN_SERIES_GAP_S, gaps_s, kinds, instances)
 
 
 __all__ = [
-    "END_KINDS",
     "CALM_S",
     "INSTANCE_KINDS",
     "LATER_KINDS",
