Let the threads of an instance share the memory that they free

The C library gives threads arenas of their own, up to eight a core, and what one thread frees stays with its arena: a bound on the bytes held at a time doesn't bound what was held at different times, and a busy machine spreads these times.

The program asks for two when it starts, before its threads. The flooded process of tests.platform.test_bytes_held does as the program does; its bound is the same.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -66,6 +66,7 @@
 from mulberrypass.runtime.log_lines import LineWriter
 from mulberrypass.runtime.log_metrics import CONTENT_TYPE, EventMetrics
 from mulberrypass.runtime.logs import configure, get_logger
+from mulberrypass.runtime.memory import limit_arenas
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.runtime.thread_times import thread_times
 from mulberrypass.storage.crashes import CRASHES_TABLE, RowCrashes
@@ -442,6 +443,7 @@
 
 def main() -> None:
     """Serve the site until a stop signal arrives."""
+    limit_arenas()
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         sys.exit(f"mulberry-site: {SETTINGS_VARIABLE} is not set")
--- a/tests/platform/flooded.py
+++ b/tests/platform/flooded.py
@@ -24,6 +24,7 @@
 from mulberrypass.relay.permits import PermitAcquirer
 from mulberrypass.relay.watch import CallWatch
 from mulberrypass.relay.whole_body import HeldBodies
+from mulberrypass.runtime.memory import limit_arenas
 from tests.quiet import quiet_logs
 from tests.relay.fakes import (
     ScriptedPermits,
@@ -156,6 +157,7 @@
 def main() -> None:
     """Play, and print the report."""
     quiet_logs()
+    limit_arenas()
     report = Flooded(*sys.argv[1:4]).run()
     print(json.dumps(asdict(report)))
 
