Count what the outputs of items take in memory

Outputs of many small events took 30 times the bytes that were counted, and events without data counted nothing. The budget of bytes held counts the memory of each text and its entry now; the bound on one output stays one on its bytes. An item that yields to others says nothing of its engine.

tests.batches.test_small_events was marked red and passes; its check looks at the new count.

--- a/src/mulberrypass/batches/progress.py
+++ b/src/mulberrypass/batches/progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import sys
 from typing import TYPE_CHECKING
 
 from mulberrypass.relay.end_proof import End, EndProof
@@ -13,6 +14,8 @@
 
 # As much as an answer that is forwarded whole may have.
 MAX_OUTPUT_BYTES = 8_388_608
+# Of an entry of a list.
+POINTER_BYTES = 8
 
 
 @dataclass(slots=True)
@@ -21,6 +24,7 @@
 
     :param event_texts: data of the events received
     :param size: bytes of these texts
+    :param taken: bytes of memory that they take
     :param last: number of the last event; ``None`` before the first
     :param failures: attempts that ended with status 500 of the engine
     :param route_missing_since: monotonic time; ``None`` while it exists
@@ -29,6 +33,7 @@
 
     event_texts: list[str] = field(default_factory=list)
     size: int = 0
+    taken: int = 0
     last: int | None = None
     failures: int = 0
     route_missing_since: float | None = None
@@ -43,6 +48,7 @@
         text = event.data.decode("utf-8", "replace")
         self.last = event.number
         self.size += len(text.encode())
+        self.taken += _taken(text)
         self.event_texts.append(text)
         if self.size > MAX_OUTPUT_BYTES:
             self.begin_anew()
@@ -62,7 +68,9 @@
         It brings a last event again whose end is in doubt.
         """
         if self.last is not None and self.proof.doubts(self.last):
-            self.size -= len(self.event_texts.pop().encode())
+            text = self.event_texts.pop()
+            self.size -= len(text.encode())
+            self.taken -= _taken(text)
             self.last = self.last - 1 if self.event_texts else None
         return self.last
 
@@ -85,9 +93,13 @@
     def begin_anew(self) -> None:
         """Forget the output, so that the next attempt runs from the start."""
         self.event_texts.clear()
-        self.size = 0
+        self.size = self.taken = 0
         self.last = None
         self.proof.forget()
 
 
+def _taken(text: str) -> int:
+    return sys.getsizeof(text) + POINTER_BYTES
+
+
 __all__ = ["MAX_OUTPUT_BYTES", "Progress"]
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -29,7 +29,7 @@
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
-from mulberrypass.relay.whole_body import TURNED_AWAY
+from mulberrypass.relay.whole_body import NO_ROOM, TURNED_AWAY
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -46,6 +46,7 @@
 LOG = get_logger(__name__)
 # All items share one part of the bytes that a process may hold.
 ITEMS = "items"
+YIELDED = (TURNED_AWAY, NO_ROOM)
 MAX_ATTEMPT_S = 120.0
 # Events come every 25 to 300 ms, and items don't queue inside engines, so
 # that a longer silence is a fault.
@@ -294,6 +295,9 @@
             closed = exc.failed.closed
             if exc.failed is LEAVES:
                 outcome = ReleaseOutcome.UNUSED
+            elif exc.failed in YIELDED:
+                # Items at other engines may hold the bytes.
+                outcome = ReleaseOutcome.CANCELLED
             raise
         finally:
             if watched is not None:
@@ -345,7 +349,7 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
-            held.resize(self._progress.size + splitter.size)
+            held.resize(self._progress.taken + splitter.size)
             count += len(events)
         if splitter.pending:
             reason = "cut in an event"
@@ -367,7 +371,7 @@
             **self._framing,
             parts=part_names(self._request(None).shared_parts),
         )
-        if failed is TURNED_AWAY:
+        if failed in YIELDED:
             self._progress.begin_anew()
         if failed.status == HTTPStatus.UNPROCESSABLE_ENTITY:
             return self._abandon("can't be done")
--- a/tests/batches/test_small_events.py
+++ b/tests/batches/test_small_events.py
@@ -7,7 +7,6 @@
 
 from mulberrypass.batches.progress import Progress
 from mulberrypass.relay.events import Event
-from tests.known_red import known_red
 
 COUNT = 100_000
 MB = 1_000_000
@@ -16,7 +15,6 @@
 class SmallEventsTest(unittest.TestCase):
     """Small events took 30 times the bytes that were counted, or more."""
 
-    @known_red(33)
     def test_counted_bytes_are_those_taken(self) -> None:
         cases = {
             "two letters": (b"ab", COUNT),
@@ -31,7 +29,7 @@
                 for number in range(count):
                     progress.add(Event(b"", number, data))
                 taken, _ = tracemalloc.get_traced_memory()
-                self.assertLess(taken, 2 * progress.size)
+                self.assertLess(taken, 2 * progress.taken)
 
 
 if __name__ == "__main__":
