End trailers without an end at the size of a head

It is no matter of load alone: each such reply took 0.83 s of processor time, read line by line up to the 16 MB that the body of a store's reply may have.

TrailersTest failed before: 6553600 bytes received of 131072.

--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -62,6 +62,10 @@
         self._may_end = may_end
         self._silence_s = silence_s
 
+    def narrow(self, size: int) -> None:
+        """Let the next reads receive no more than so many bytes."""
+        self._allowed = min(self._allowed, size)
+
     def read_into(
         self, source: io.RawIOBase, sock: socket.socket, buffer: memoryview
     ) -> int:
@@ -137,6 +141,15 @@
         super().__init__(sock, *args, **kwargs)
         source = _BoundedSource(self.fp.detach(), sock, bound)
         self.fp = _BoundedReader(source, bound)
+        self._bound = bound
+
+    def _read_and_discard_trailer(self) -> None:
+        """Read the trailers, which have no share in the bound of the body.
+
+        :raises OversizeError: if they are longer than a head may be
+        """
+        self._bound.narrow(MAX_FRAMING_BYTES)
+        cast("Any", super())._read_and_discard_trailer()
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of a chunk; ``None`` after the last one.
--- a/tests/runtime/test_bounded.py
+++ b/tests/runtime/test_bounded.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import threading
+import time
 import unittest
 
 from mulberrypass.engine.pool import ConnectionPool
 from mulberrypass.engine.wire import Deadline, WireError
+from mulberrypass.runtime.bounded import (
+    MAX_FRAMING_BYTES,
+    BoundedResponse,
+    OversizeError,
+    ReadBound,
+)
 from tests.engine.endless import CHUNKED, AnsweringServer
 
 DEADLINE_S = 2.0
@@ -61,3 +71,31 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TrailersTest(unittest.TestCase):
+    """Trailers without an end took as many bytes as a body may have."""
+
+    def test_they_end_at_the_size_of_a_head(self) -> None:
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+
+        def flood() -> None:
+            with far, contextlib.suppress(OSError):
+                far.sendall(CHUNKED + LAST[:3])
+                while True:
+                    far.sendall(b"X-A: b\r\n" * 1_000)
+
+        writer = threading.Thread(target=flood)
+        writer.start()
+        self.addCleanup(writer.join)
+        self.addCleanup(near.shutdown, socket.SHUT_RDWR)
+        bound = ReadBound()
+        bound.allow(time.monotonic() + DEADLINE_S, 100 * MAX_FRAMING_BYTES)
+        resp = BoundedResponse(near, bound=bound)
+        self.addCleanup(resp.close)
+        resp.begin()
+        with self.assertRaises(OversizeError):
+            resp.read()
+        # With what had come in the same reads as the head.
+        self.assertLessEqual(bound.received, 2 * MAX_FRAMING_BYTES)
