--- a/src/mulberrypass/platform/stand_in/site.py
+++ b/src/mulberrypass/platform/stand_in/site.py
@@ -9,7 +9,7 @@
 ONCE_PATH = "/lookup/1"
 RESUMABLE_PATH = "/slip/1"
 BATCH_PATH = "/crates/1"
-SERVICE = "rackmind"
+SERVICE = "generation"
 BASE_TIMEOUT_MS = 8_000
 
 
@@ -100,6 +100,7 @@
     "ONCE_PATH",
     "ONLINE_HOST",
     "RESUMABLE_PATH",
+    "SERVICE",
     "desired_document",
     "engine_document",
     "settings_text",
--- a/tests/platform/raw_site.py
+++ b/tests/platform/raw_site.py
@@ -15,7 +15,7 @@
 
 from mulberrypass.platform.site import HostPort, Site
 from mulberrypass.platform.stand_in.raw_engine import RawEngine, RawFaults
-from mulberrypass.platform.stand_in.site import engine_document
+from mulberrypass.platform.stand_in.site import SERVICE, engine_document
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.programs.site import SiteProcess
 from mulberrypass.runtime.http_server import HttpServer
@@ -219,7 +219,7 @@
         self.rows.apply(Transaction(puts=(put,)))
 
     def _desired(self) -> bytes:
-        services = [{"Name": "rackmind", "Engine": {"Stride": 1}}]
+        services = [{"Name": SERVICE, "Engine": {"Stride": 1}}]
         doc = {"Version": 3, "Routes": self.routes, "Services": services}
         return json.dumps(doc).encode()
 
@@ -247,7 +247,7 @@
         "Host": HOST,
         "Prefix": f"/{name}/",
         "RouteType": "streaming",
-        "Service": "rackmind",
+        "Service": SERVICE,
         "TimeoutMs": 4_000,
         "TargetLatencyMs": 2_000,
         "MaxAttempts": 2,
--- a/tests/platform/test_odd_entries_site.py
+++ b/tests/platform/test_odd_entries_site.py
@@ -12,7 +12,7 @@
 from tests.platform.raw_site import RawSiteTest, Reply, stream_route
 
 REQUESTS = 6
-ENGINE = engine_document("127.0.0.1:9", 8) | {"Service": "rackmind"}
+ENGINE = engine_document("127.0.0.1:9", 8)
 ODD_ENGINES = {
     f"odd-{number}": value
     for number, value in enumerate(
