Judge the ends of items and streams by one rule

An item was done with 3 of 8 events though a run had brought a part of the fourth: its second run ended inside event 4, which was forgotten, and a third one that ended at event 3 proved the end.

EndProof holds it for both now: where runs have ended, and the last event of which any run has shown a part. A stream only swallows the event that its caller has, an item drops it. Bytes that are no event, and never come again, make an item begin anew after three ends that deny them, so that none waits until it expires.

--- a/src/mulberrypass/batches/progress.py
+++ b/src/mulberrypass/batches/progress.py
@@ -14,6 +14,8 @@
 
 # As much as an answer that is forwarded whole may have.
 MAX_OUTPUT_BYTES = 8_388_608
+# Ends before a part of an event that never comes again; it was none then.
+MAX_DENIALS = 3
 # Of an entry of a list.
 POINTER_BYTES = 8
 
@@ -29,6 +31,7 @@
     :param failures: attempts that ended with status 500 of the engine
     :param route_missing_since: monotonic time; ``None`` while it exists
     :param proof: where the attempts have ended
+    :param denials: attempts that ended before an event that was shown
     """
 
     event_texts: list[str] = field(default_factory=list)
@@ -38,6 +41,7 @@
     failures: int = 0
     route_missing_since: float | None = None
     proof: EndProof = field(default_factory=EndProof)
+    denials: int = 0
 
     def add(self, event: Event) -> None:
         """Add an event to the output.
@@ -54,6 +58,11 @@
             self.begin_anew()
             raise BadEventError("the output is too long")
 
+    def note_begun(self) -> None:
+        """Note that an attempt was cut inside the event after the last."""
+        if self.last is not None:
+            self.proof.note_shown(self.last + 1)
+
     @property
     def whole(self) -> bool:
         """Whether no event is missing before the last one."""
@@ -82,9 +91,12 @@
         :raises BadEventError: if events are missing; it begins anew
         """
         end = self.proof.judge(self.last, brought, unframed)
-        missing = end is not End.BROKEN_OFF and not self.whole
+        broken_off = end is End.BROKEN_OFF
+        missing = not broken_off and not self.whole
+        self.denials += broken_off
         # A framed answer that lacks an event of another attempt is no output.
-        if missing or (end is End.BROKEN_OFF and not unframed):
+        denied = broken_off and not unframed
+        if missing or denied or self.denials >= MAX_DENIALS:
             self.begin_anew()
         if missing:
             raise BadEventError("events are missing in the output")
@@ -95,6 +107,7 @@
         self.event_texts.clear()
         self.size = self.taken = 0
         self.last = None
+        self.denials = 0
         self.proof.forget()
 
 
@@ -102,4 +115,4 @@
     return sys.getsizeof(text) + POINTER_BYTES
 
 
-__all__ = ["MAX_OUTPUT_BYTES", "Progress"]
+__all__ = ["MAX_DENIALS", "MAX_OUTPUT_BYTES", "Progress"]
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -27,6 +27,7 @@
     EventSplitter,
 )
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.streams import CUT_IN_EVENT
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 from mulberrypass.relay.whole_body import NO_ROOM, TURNED_AWAY
@@ -334,8 +335,26 @@
         :raises WireError: if the answer is cut
         :raises BadEventError: if an event doesn't belong to the output
         """
-        count = 0
         splitter = EventSplitter(answer.head.second)
+        try:
+            count = self._read_events(answer, splitter, deadline, permit, held)
+            if splitter.pending:
+                raise WireError(CUT_IN_EVENT)
+        except WireError:
+            if splitter.pending:
+                self._progress.note_begun()
+            raise
+        return count
+
+    def _read_events(
+        self,
+        answer: EngineAnswer,
+        splitter: EventSplitter,
+        deadline: Deadline,
+        permit: HeldPermit,
+        held: HeldBody,
+    ) -> int:
+        count = 0
         order = EventOrder(self._progress.last)
         event_due = deadline.within(READ_TIMEOUT_S)
         while not splitter.ended:
@@ -351,9 +370,6 @@
                 self._progress.add(event)
             held.resize(self._progress.taken + splitter.size)
             count += len(events)
-        if splitter.pending:
-            reason = "cut in an event"
-            raise WireError(EngineFailed(reason, Ran.YES, closed=True))
         return count
 
     def _handle_failure(
--- a/src/mulberrypass/relay/end_proof.py
+++ b/src/mulberrypass/relay/end_proof.py
@@ -31,6 +31,11 @@
     def __init__(self) -> None:
         self._doubted: int | None = None
         self._ended: int | None = None
+        self._shown = -1
+
+    def note_shown(self, event: int) -> None:
+        """Note that a run has brought an event, or a part of it."""
+        self._shown = max(self._shown, event)
 
     def judge(self, last: int | None, brought: int, unframed: bool) -> End:
         """Judge the end of a run.
@@ -41,11 +46,11 @@
         :param brought: number of events that it brought
         :param unframed: whether only the end of its connection ended it
         """
-        doubted = self._doubted
-        if last is None or (doubted is not None and last < doubted):
+        if last is None or last < self._shown:
             return End.BROKEN_OFF
         if not unframed:
             return End.FRAMED
+        self.note_shown(last)
         self._doubted = last
         if not brought:
             # Any engine that dies right after the head ends like this.
@@ -61,11 +66,12 @@
         It is to be resumed before the event, or run from the start if the
         event is the first.
         """
-        return last is not None and last == self._doubted
+        return last is not None and last == self._doubted == self._shown
 
     def forget(self) -> None:
         """Forget all ends, as the answer begins anew."""
         self._doubted = self._ended = None
+        self._shown = -1
 
 
 __all__ = ["End", "EndProof"]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -29,6 +29,7 @@
     TruncatedAnswerError,
 )
 from mulberrypass.relay.departures import LEAVES
+from mulberrypass.relay.end_proof import End
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import HeldPermit
@@ -36,7 +37,6 @@
 from mulberrypass.relay.second_answer import BrokenBodyError
 from mulberrypass.relay.streams import (
     BROKEN_OFF,
-    FRAMED,
     IN_DOUBT,
     NO_FURTHER_EVENT,
     EventStream,
@@ -337,7 +337,7 @@
             if second is not None:
                 body.shorten(second)
             self._check_whole(answer, body.size)
-            self._proof = FRAMED
+            self._proof = End.FRAMED.value
             head = answer.head
             unframed = head.ends_with_connection
             if unframed:
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -7,6 +7,7 @@
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import WireError
 from mulberrypass.model.outcome import Ran
+from mulberrypass.relay.end_proof import End, EndProof
 from mulberrypass.relay.events import EventOrder, EventSplitter
 
 if TYPE_CHECKING:
@@ -23,8 +24,6 @@
 # Sound if all events had come before.
 NO_FURTHER_EVENT = EngineFailed("ended without an event", Ran.YES)
 ENDED_BEFORE = EngineFailed("ended before the event in doubt", Ran.YES)
-FRAMED = "framed"
-SECOND_RUN = "second run"
 
 
 class EventStream:
@@ -39,10 +38,8 @@
     :ivar last: id of the last event that the caller has
     :ivar count: number of events that were passed on
     :ivar brought: number of events that the latest run has brought
-    :ivar in_doubt: whether an unframed run has ended after the last event
     :ivar proof: what has proven the end of the stream; empty if nothing has
-    :ivar _ended_at: the last event of an unframed run that brought it
-    :ivar _shown: the last event of which any run has brought a byte
+    :ivar _ends: where the runs have ended
     :ivar _was_cut: whether the latest run ended by a known break
     """
 
@@ -50,13 +47,16 @@
         self.last = after
         self.count = 0
         self.brought = 0
-        self.in_doubt = False
         self.proof = ""
-        self._ended_at: int | None = None
-        self._shown = -1
+        self._ends = EndProof()
         self._order = EventOrder(after)
         self._was_cut = False
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the next run must bring the last event again."""
+        return self._ends.doubts(self.last)
+
     @property
     def resume_after(self) -> int | None:
         """The event after which the next run begins; ``None`` at the start.
@@ -125,7 +125,7 @@
         except WireError:
             order = self._order
             if splitter.pending and order.last is not None:
-                self._shown = max(self._shown, order.last + 1)
+                self._ends.note_shown(order.last + 1)
             raise
 
     def _check_end(
@@ -139,18 +139,18 @@
         """
         if self.last is None:
             raise WireError(NO_EVENT)
-        if self.last < self._shown:
-            raise WireError(ENDED_BEFORE)
-        if not unframed:
-            self.proof = FRAMED
-            return
-        if not self.brought:
-            self.in_doubt = not was_cut
+        if unframed and not self.brought and (was_cut or as_it_came):
             raise WireError(NO_FURTHER_EVENT)
-        if not as_it_came:
-            self.in_doubt = True
-            self._ended_at = self.last
-            raise WireError(IN_DOUBT)
+        if unframed and as_it_came:
+            return
+        match self._ends.judge(self.last, self.brought, unframed):
+            case End.BROKEN_OFF:
+                raise WireError(ENDED_BEFORE)
+            case End.FRAMED:
+                self.proof = End.FRAMED.value
+            case _:
+                failed = IN_DOUBT if self.brought else NO_FURTHER_EVENT
+                raise WireError(failed)
 
     def _prove(
         self,
@@ -166,25 +166,32 @@
         assert self.last is not None
         order = EventOrder(self.resume_after)
         self._order = order
-        for events in run:
-            valid, error = order.accept_leading(events)
-            self.brought += len(valid)
-            if order.last is not None and order.last > self.last:
-                self.in_doubt = False
-                self._shown = max(self._shown, order.last)
+        last = self.last
+        try:
+            for events in run:
+                valid, error = order.accept_leading(events)
+                self.brought += len(valid)
+                if order.last is not None and order.last > last:
+                    self._ends.note_shown(order.last)
+                    raise WireError(BROKEN_OFF)
+                if error is not None:
+                    raise error
+        except WireError:
+            if not self.in_doubt:
+                # It has shown more, if only a part of an event.
                 raise WireError(BROKEN_OFF)
-            if error is not None:
-                raise error
-        short = self.last < self._shown
-        if order.last != self.last or not self.brought or short:
+            raise
+        if order.last != last or not self.brought:
             raise WireError(ENDED_BEFORE)
         if unframed:
             check_engine()
-            if self._ended_at != self.last:
-                # The run before it had no event.
-                self._ended_at = self.last
+        match self._ends.judge(last, self.brought, unframed):
+            case End.BROKEN_OFF:
+                raise WireError(ENDED_BEFORE)
+            case End.IN_DOUBT:
                 raise WireError(IN_DOUBT)
-        self.proof = SECOND_RUN
+            case _:
+                self.proof = End.SECOND_RUN.value
 
 
 def _read_events(
@@ -212,8 +219,8 @@
 
 __all__ = [
     "BROKEN_OFF",
+    "CUT_IN_EVENT",
     "EventStream",
-    "FRAMED",
     "IN_DOUBT",
     "NO_FURTHER_EVENT",
 ]
--- a/tests/batches/test_unproven_ends.py
+++ b/tests/batches/test_unproven_ends.py
@@ -71,13 +71,17 @@
         self.play(RunEnd(3), RunEnd(4))
         self.assert_resumed(None, 2, 5, LAST)
 
+    def test_part_of_a_further_event_denies_the_end(self) -> None:
+        self.play(RunEnd(3), RunEnd(1, more=IN_EVENT), RunEnd(1))
+        self.assert_resumed(None, 2, 3, 3, LAST)
+
     def test_end_of_the_first_event(self) -> None:
         self.play(RunEnd(1))
         self.assert_resumed(None, None, LAST)
 
     def test_second_run_is_cut_in_the_next_event(self) -> None:
         self.play(RunEnd(3), RunEnd(1, more=IN_EVENT), FRAMED)
-        self.assert_resumed(None, 2, 2)
+        self.assert_resumed(None, 2, 3)
 
     def test_second_run_is_reset_after_the_event(self) -> None:
         self.play(RunEnd(3), RunEnd(1, reset=True), FRAMED)
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -153,7 +153,6 @@
         cuts: dict[str, list[bytes | EngineFailed]] = {
             "after the event": [event(2), CUT],
             "inside the event": [event(2)[:5]],
-            "inside the next event": [event(2), event(3)[:5]],
             "by another id": [OTHER_ID],
         }
         for name, parts in cuts.items():
@@ -162,6 +161,17 @@
                 self.assertIsInstance(self.read(stream, script), EngineFailed)
                 self.assertEqual((True, ""), (stream.in_doubt, stream.proof))
 
+    def test_second_run_that_is_cut_in_a_further_event(self) -> None:
+        for end in (CUT, b""):
+            stream = EventStream(None)
+            self.read(stream, unframed(1, 2))
+            parts = [event(2), event(3)[:5], end]
+            script = Script(parts=parts, ends_with_connection=True)
+            self.assertIs(BROKEN_OFF, self.read(stream, script))
+            self.assertEqual((False, 2), (stream.in_doubt, stream.last))
+            self.assertIsInstance(self.read(stream, unframed()), EngineFailed)
+            self.assertIs(IN_DOUBT, self.read(stream, unframed(3)))
+
     def test_second_run_with_other_numbers_proves_nothing(self) -> None:
         stream = EventStream(None)
         self.read(stream, unframed(1, 2, 3))
