--- a/tests/platform/test_site_session.py
+++ b/tests/platform/test_site_session.py
@@ -19,7 +19,7 @@
 
 from mulberrypass.platform.site import HostPort, Site
 from mulberrypass.platform.stand_in.engine import EngineApp
-from mulberrypass.platform.stand_in.site import engine_document
+from mulberrypass.platform.stand_in.site import SERVICE, engine_document
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.programs.site import SiteProcess
 from mulberrypass.runtime.http_server import HttpServer
@@ -63,7 +63,7 @@
 def desired(version: int, *routes: dict[str, Any]) -> bytes:
     """Return a desired state."""
     engine = {"KvCapacityTokens": 100_000, "Stride": 1}
-    services = [{"Name": "rackmind", "MaxConns": 50, "Engine": engine}]
+    services = [{"Name": SERVICE, "MaxConns": 50, "Engine": engine}]
     doc = {"Version": version, "Routes": routes, "Services": services}
     return json.dumps(doc).encode()
 
@@ -75,7 +75,7 @@
         "Host": host,
         "Prefix": f"/{name}/",
         "RouteType": "streaming",
-        "Service": "rackmind",
+        "Service": SERVICE,
         "TimeoutMs": 8_000,
         "TargetLatencyMs": 5_000,
         "MaxAttempts": 2,
