Keep callers that read slowly, and end stuck ones for those that wait

Cause, measured at the server: no byte was taken for 4.0 idle times, all eight reads, as a kernel tells of space in steps of a sixteenth of its receive buffer. The look twice a second apart hid that at 0.5 s.

A caller that takes nothing is now reset after eight idle times, which covers a buffer of 16 MB. So that such callers can't keep all threads for so long, one idle time is enough while requests wait for a thread; StuckCallersTest shows it, and guards against the longer patience alone.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -33,6 +33,9 @@
 LINGER_S = 2.0
 # A caller that reads takes bytes more often.
 TAKING_S = 0.2
+# A caller's kernel tells of space in steps of a 16th of its receive buffer. Of
+# 16 MB, that is 16 reads of 64 KB, each of them in half of the idle time.
+IDLE_TIMES_OF_STEP = 8
 # Name in the environment of a function of the server: called before the
 # answer starts, it lets only the end of the connection end the answer.
 END_WITH_CONNECTION = "mulberrypass.end_with_connection"
@@ -60,11 +63,13 @@
     steps: StopSteps,
     head_s: Callable[[], float],
     client_bytes: ClientBytes,
+    requests_wait: Callable[[], bool],
 ) -> type[HTTPChannel]:
     """Return a channel class for a server.
 
     :param head_s: returns the seconds that a request's head may take
     :param client_bytes: bounds the bytes held for all connections
+    :param requests_wait: returns whether requests wait for a thread
     """
 
     class ClosingTask(WSGITask):
@@ -223,11 +228,18 @@
             return count
 
         def _is_stuck(self) -> bool:
-            """Whether the client has taken no byte for too long."""
+            """Whether the client has taken no byte for too long.
+
+            A client that reads slowly may look like this for a while, and
+            keeps its thread unless other requests wait for one.
+            """
             now = time.monotonic()
             if not self.total_outbufs_len:
                 self._taken_at = now
-            return bool(now - self._taken_at > self.adj.channel_timeout)
+            patience_s = self.adj.channel_timeout
+            if not requests_wait():
+                patience_s *= IDLE_TIMES_OF_STEP
+            return bool(now - self._taken_at > patience_s)
 
         def reset(self, reason: str) -> None:
             """End the connection; an answer on it is cut."""
--- a/src/mulberrypass/runtime/dispatcher.py
+++ b/src/mulberrypass/runtime/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
+import threading
 from typing import Protocol
 
 from mulberrypass.runtime.logs import get_logger
@@ -29,11 +30,20 @@
 
     def __init__(self, name: str, threads: int) -> None:
         self._pool = ThreadPoolExecutor(threads, name)
+        self._lock = threading.Lock()
+        self._waiting = 0
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a thread."""
+        return self._waiting
 
     def add_task(self, task: Task) -> None:
         """Answer a request on an idle thread, or on a new one."""
+        with self._lock:
+            self._waiting += 1
         try:
-            self._pool.submit(_serve, task)
+            self._pool.submit(self._serve, task)
         except RuntimeError as exc:
             # The pool or interpreter has shut down; the connection ends too.
             LOG.info("request dropped at the end", reason=str(exc))
@@ -48,6 +58,11 @@
         self._pool.shutdown(wait=False, cancel_futures=cancel_pending)
         return True
 
+    def _serve(self, task: Task) -> None:
+        with self._lock:
+            self._waiting -= 1
+        _serve(task)
+
 
 def _serve(task: Task) -> None:
     try:
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -40,8 +40,9 @@
     """Limits on the size of requests and on the time clients may take.
 
     :param head_s: from the first byte of a request's head to its last
-    :param idle_s: time after which an idle connection is closed, and one
-        whose client takes no byte of its answer
+    :param idle_s: time after which an idle connection is closed, and, while
+        requests wait for a thread, one whose client takes no byte of its
+        answer
     """
 
     head_bytes: int = MAX_HEADER_BYTES
@@ -86,9 +87,10 @@
         self._app = app
         self._steps = StopSteps()
         self._head_s = HEAD_TIMEOUT_S
+        dispatcher = PooledDispatcher(f"http-{port}", threads)
         self._server = cast("Any", waitress.server.create_server)(
             app,
-            _dispatcher=PooledDispatcher(f"http-{port}", threads),
+            _dispatcher=dispatcher,
             host=host,
             port=port,
             backlog=1_024,
@@ -108,7 +110,10 @@
         )
         self._wakeup = Wakeup(self._server)
         self._server.channel_class = connection_class(
-            self._steps, lambda: self._head_s, ClientBytes(client_bytes)
+            self._steps,
+            lambda: self._head_s,
+            ClientBytes(client_bytes),
+            lambda: dispatcher.waiting > 0,
         )
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
--- a/tests/runtime/test_bytes_for_callers.py
+++ b/tests/runtime/test_bytes_for_callers.py
@@ -25,6 +25,8 @@
 FULL_S = 1.5
 IDLE_S = 0.5
 SETTLE_S = 0.3
+# When callers that take nothing end though no request waits.
+THREAD_WAIT_S = 8 * IDLE_S
 THREADS = 4
 SMALL_BUFFER = 4_096
 PART = b"x" * 65_536
@@ -138,6 +140,22 @@
         self.assertEqual(PARTS * len(PART), size + len(resp.read()))
 
 
+class StuckCallersTest(CallerTestCase):
+    """Callers that took nothing kept each thread from other callers."""
+
+    def test_another_caller_is_served(self) -> None:
+        self.server.limit(ClientLimits(idle_s=IDLE_S))
+        stuck = [self.connect(SMALL_BUFFER) for _ in range(THREADS)]
+        for conn in stuck:
+            conn.request("GET", "/")
+        self.until(lambda: self.app.in_flight == THREADS)
+        started_at = time.monotonic()
+        conn = self.connect()
+        conn.request("GET", "/short")
+        self.assertEqual(200, conn.getresponse().status)
+        self.assertLess(time.monotonic() - started_at, THREAD_WAIT_S)
+
+
 class SentBytesTest(CallerTestCase):
     """Bytes that a caller had taken were kept up to 16 MB."""
 
