Count outputs of items between attempts and until they are stored

An instance could be killed for its memory by the outputs of its items: they were counted only while an answer was read. 48 items may wait for their next attempt with up to 8 MB each, and while the store is silent each item that ends adds an outcome (the rows "none" in docs/design/memory.md; suspected, no test until now).

Now an output is counted from the item's start until its outcome is stored. It yields also between two attempts, at once; a whole one doesn't yield. Once outcomes take half of what all items may, no attempt begins, so that running items don't yield to them again and again.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.batches import codec
+from mulberrypass.batches.held_output import WaitingOutcome
 from mulberrypass.batches.run import ItemRun
 from mulberrypass.batches.takeover import Members, Takeover
 from mulberrypass.model.batch_jobs import StoreUnavailable, VersionedHead
@@ -23,7 +24,7 @@
     from collections.abc import Callable
 
     from mulberrypass.batches.store import BatchStore
-    from mulberrypass.model.batch_jobs import BatchItem, ItemOutcome, JobHead
+    from mulberrypass.model.batch_jobs import BatchItem, JobHead
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.storage.rows import StoredRow
@@ -54,7 +55,7 @@
     running: set[int] = field(default_factory=set)
     finished: set[int] = field(default_factory=set)
     held_back: set[int] = field(default_factory=set)
-    outcomes: deque[ItemOutcome] = field(default_factory=deque)
+    outcomes: deque[WaitingOutcome] = field(default_factory=deque)
     committing: bool = False
 
     @property
@@ -337,7 +338,7 @@
             LOG.exception("item failed", job=job.head.job_id, item=index)
         with self._lock:
             if outcome is not None:
-                job.outcomes.append(outcome)
+                job.outcomes.append(WaitingOutcome(outcome, run.output))
                 job.finished.add(index)
             if run.held_back:
                 job.held_back.add(index)
@@ -371,7 +372,8 @@
     def _commit_batch(self, job: HeldJob) -> bool:
         with self._lock:
             count = min(MAX_COMMIT_OUTCOMES, len(job.outcomes))
-            outcomes = tuple(job.outcomes[i] for i in range(count))
+            waiting = tuple(job.outcomes[i] for i in range(count))
+        outcomes = tuple(each.outcome for each in waiting)
         head = job.head
         result = self._store.record_outcomes(
             job.stored, head.host, head.job_id, outcomes
@@ -380,8 +382,9 @@
             time.sleep(COMMIT_RETRY_S)
             return False
         with self._lock:
-            for _ in range(count):
+            for each in waiting:
                 job.outcomes.popleft()
+                each.output.close()
         if result.is_ok():
             LOG.info(
                 "results listed",
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.batches.held_output import HeldOutput
 from mulberrypass.batches.progress import Progress
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import CUT, Deadline, WireError
@@ -42,11 +43,8 @@
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit
-    from mulberrypass.relay.whole_body import HeldBody
 
 LOG = get_logger(__name__)
-# All items share one part of the bytes that a process may hold.
-ITEMS = "items"
 YIELDED = (TURNED_AWAY, NO_ROOM)
 MAX_ATTEMPT_S = 120.0
 # Events come every 25 to 300 ms, and items don't queue inside engines, so
@@ -66,6 +64,8 @@
     :param should_stop: whether the outcome isn't needed any more
     :param pace: run time per token, updated by this run
     :param expires_at: monotonic time from which the item may be abandoned
+    :ivar output: counts the output; of a completed item, it is to be closed
+        once the outcome is stored
     """
 
     def __init__(
@@ -93,6 +93,7 @@
         self._framing: dict[str, bool] = {}
         self._avoid: tuple[str, ...] = ()
         self.held_back = False
+        self.output = HeldOutput(dependencies.bodies)
 
     def run(self) -> ItemOutcome | None:
         """Run to an outcome.
@@ -100,10 +101,27 @@
         :returns: ``None`` if it isn't needed any more or, as ``held_back``
             tells, if the item would crash engines
         """
+        completed = False
+        try:
+            outcome = self._run()
+            if outcome is not None:
+                completed = outcome.state is ItemState.COMPLETED
+            return outcome
+        finally:
+            if not completed:
+                self.output.close()
+
+    def _run(self) -> ItemOutcome | None:
         delay_s = RETRY_S
         while not self._should_stop():
             if self._expired():
                 return self._abandon("expired")
+            if self.output.yielded:
+                self._progress.begin_anew()
+                self.output.renew()
+            if not self.output.has_room:
+                time.sleep(RETRY_S)
+                continue
             try:
                 permit = self._acquire()
             except NoRouteError:
@@ -119,7 +137,8 @@
                     # The avoided engine is the only one.
                     self._avoid = ()
                     continue
-                time.sleep(max(RETRY_S, min(MAX_RETRY_S, exc.retry_after_s)))
+                pause_s = max(RETRY_S, min(MAX_RETRY_S, exc.retry_after_s))
+                self.output.wait(pause_s)
                 continue
             self._log_permit(permit)
             try:
@@ -129,7 +148,7 @@
                 if outcome is not None:
                     return outcome
                 if not self._revoked and exc.failed is not LEAVES:
-                    time.sleep(delay_s)
+                    self.output.wait(delay_s)
                     delay_s = min(MAX_RETRY_S, delay_s * 2)
                 continue
             if end is not End.IN_DOUBT:
@@ -164,7 +183,10 @@
             revocable=True,
         )
         return self._dependencies.acquirer.acquire(
-            spec, self._avoid, self._should_stop, self._on_revoke
+            spec,
+            self._avoid,
+            lambda: self._should_stop() or self.output.yielded,
+            self._on_revoke,
         )
 
     def _request(self, after_event: int | None) -> RelayRequest:
@@ -270,9 +292,8 @@
             self._framing = framing(answer)
             permit.mark_limit(answer.head.limit_per_s)
             self._check_head(answer, deadline)
-            bodies = self._dependencies.bodies
-            with bodies.open(ITEMS, answer.abort) as held:
-                events = self._read(answer, deadline, permit, held)
+            with self.output.attempt(answer.abort):
+                events = self._read(answer, deadline, permit)
             unframed = answer.head.ends_with_connection
             end = self._progress.judge(events, unframed)
             if end is End.BROKEN_OFF or (unframed and not events):
@@ -285,6 +306,8 @@
                 self._dependencies.engines.check_alive(
                     permit.engine, deadline.within(READ_TIMEOUT_S)
                 )
+            if end is not End.IN_DOUBT:
+                self.output.complete()
             outcome = ReleaseOutcome.DONE
             if req.after_event is None and end is not End.IN_DOUBT:
                 elapsed_s = time.monotonic() - permit.sent_at
@@ -328,7 +351,6 @@
         answer: EngineAnswer,
         deadline: Deadline,
         permit: HeldPermit,
-        held: HeldBody,
     ) -> int:
         """Record the events of an answer; return their number.
 
@@ -337,7 +359,7 @@
         """
         splitter = EventSplitter(answer.head.second)
         try:
-            count = self._read_events(answer, splitter, deadline, permit, held)
+            count = self._read_events(answer, splitter, deadline, permit)
             if splitter.pending:
                 raise WireError(CUT_IN_EVENT)
         except WireError:
@@ -352,7 +374,6 @@
         splitter: EventSplitter,
         deadline: Deadline,
         permit: HeldPermit,
-        held: HeldBody,
     ) -> int:
         count = 0
         order = EventOrder(self._progress.last)
@@ -368,7 +389,7 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
-            held.resize(self._progress.taken + splitter.size)
+            self.output.resize(self._progress.taken + splitter.size)
             count += len(events)
         return count
 
--- a/src/mulberrypass/policy/held_bytes.py
+++ b/src/mulberrypass/policy/held_bytes.py
@@ -87,6 +87,19 @@
         self._holdings.add(holding)
         return holding
 
+    def has_room(self, source: str) -> bool:
+        """Return whether whole answers leave a source half of its bytes.
+
+        They don't yield, so that incomplete ones would yield to them again
+        and again. Small ones count, as any number of them may wait.
+        """
+        whole = sum(
+            h.size
+            for h in self._holdings
+            if h.source == source and not h.may_yield
+        )
+        return 2 * whole <= self._limits.source
+
     def add(self, holding: Holding, count: int) -> tuple[Holding, ...]:
         """Count more bytes of an answer, or fewer if ``count`` is negative.
 
--- a/src/mulberrypass/relay/whole_body.py
+++ b/src/mulberrypass/relay/whole_body.py
@@ -64,6 +64,11 @@
             self._bodies[holding] = body
             return body
 
+    def has_room(self, source: str) -> bool:
+        """Return whether a source's whole bodies leave it room for others."""
+        with self._lock:
+            return self._held.has_room(source)
+
     def append(self, body: HeldBody, data: bytes) -> None:
         """Add bytes to a body; see ``HeldBody.append``."""
         with self._lock:
--- a/tests/batches/test_held_output.py
+++ b/tests/batches/test_held_output.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
+import threading
 import time
-from typing import TYPE_CHECKING
+import tracemalloc
+from typing import TYPE_CHECKING, Any
 import unittest
 
+from mulberrypass.batches.holder import JobHolder, Members
 from mulberrypass.batches.run import ItemRun
+from mulberrypass.batches.store import BatchStore
 from mulberrypass.model.batch_jobs import ItemState
+from mulberrypass.platform.lots import item_request
 from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.policy.held_bytes import ByteLimits
 from mulberrypass.relay.whole_body import HeldBodies
+from mulberrypass.testing.row_state import RowState
 from tests.batches import cases
 from tests.relay.fakes import (
+    CUT,
     Script,
     ScriptedEngines,
     ScriptedPermits,
@@ -23,11 +31,57 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.api import EngineFailed
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
-    from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.forward import RelayDependencies
 
 LIMITS = ByteLimits(total=100_000, source=50_000, free=1_000)
 GIVE_UP_S = 10.0
+ITEMS = 30
+OUTPUT = "x" * 50_000
+# Of all outputs at once, with as much again for parts and copies of some.
+ALLOWED_BYTES = 2 * LIMITS.total + 10 * len(OUTPUT)
+ENGINE = "e1"
+# Until items that nothing holds back would all have ended.
+SETTLE_S = 1.0
+
+
+def until(reached: Callable[[], bool]) -> bool:
+    """Wait for a condition; return whether it held in time."""
+    end = time.monotonic() + GIVE_UP_S
+    while not reached() and time.monotonic() < end:
+        time.sleep(0.01)
+    return reached()
+
+
+class LargeOutputs(ScriptedEngines):
+    """Answers each request with one large event.
+
+    :param before_cut: called before an answer that breaks off after it; if
+        absent, the answers are whole
+    """
+
+    def __init__(self, before_cut: Callable[[], None] | None = None) -> None:
+        super().__init__()
+        self._before_cut = before_cut
+
+    def send(self, *args: Any) -> EngineAnswer:
+        """Answer a request."""
+        large = f"id: 1\ndata: {OUTPUT}\n\n".encode()
+        parts: list[bytes | EngineFailed] = [large]
+        if self._before_cut is not None:
+            parts.append(CUT)
+        self._scripts.append(Script(parts=parts, before=self._before_cut))
+        return super().send(*args)
+
+
+def limited(engines: ScriptedEngines, permits: Any) -> RelayDependencies:
+    """Return dependencies that may hold few bytes."""
+    deps = make_dependencies(engines, permits, cases.route())
+    return replace(deps, bodies=HeldBodies(LIMITS))
 
 
 def make_request(
@@ -53,7 +107,7 @@
             ),
             bodies=bodies,
         )
-        outcome = ItemRun(
+        run = ItemRun(
             deps,
             cases.head(first_s=time.time()),
             0,
@@ -62,7 +116,9 @@
             lambda: False,
             ItemPace(),
             time.monotonic() + GIVE_UP_S,
-        ).run()
+        )
+        outcome = run.run()
+        run.output.close()
         assert outcome is not None
         self.assertIs(ItemState.COMPLETED, outcome.state)
         self.assertEqual("1\n2", outcome.output)
@@ -73,5 +129,78 @@
         self.assertEqual((0, 1), (bodies.total, bodies.turned_away))
 
 
+class OutputBetweenAttemptsTest(unittest.TestCase):
+    """Outputs that waited for their next attempt were counted nowhere."""
+
+    def test_outputs_that_wait_are_bounded(self) -> None:
+        permits = ScriptedPermits(ENGINE, "e2")
+        engines = LargeOutputs(lambda: setattr(permits, "silent", True))
+        stopped = threading.Event()
+        deps = limited(engines, permits)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+        def asked_again(before: int) -> bool:
+            return len(permits.asks) >= before + 2
+
+        for number in range(ITEMS):
+            run = ItemRun(
+                deps,
+                cases.head(first_s=time.time()),
+                0,
+                cases.item(number),
+                make_request,
+                stopped.is_set,
+                ItemPace(),
+                time.monotonic() + GIVE_UP_S,
+            )
+            permits.silent = False
+            thread = threading.Thread(target=run.run, daemon=True)
+            asked = len(permits.asks)
+            thread.start()
+            self.addCleanup(thread.join, GIVE_UP_S)
+            self.addCleanup(stopped.set)
+            self.assertTrue(until(partial(asked_again, asked)))
+        held = tracemalloc.get_traced_memory()[0]
+        self.assertLess(held, ALLOWED_BYTES)
+
+
+class WaitingOutcomeTest(unittest.TestCase):
+    """Outcomes that waited for the store had no bound on their sum."""
+
+    def test_outcomes_that_wait_are_bounded(self) -> None:
+        rows = RowState()
+        store = BatchStore(rows, sleep=lambda _s: None)
+        engines = LargeOutputs()
+        holder = JobHolder(
+            "entry@a",
+            store,
+            limited(engines, ScriptedPermits(ENGINE)),
+            lambda: Members(frozenset({"entry@a"}), frozenset({"entry@a"})),
+            item_request,
+        )
+        job = cases.job(items=ITEMS)
+        accepted = store.accept(job, cases.route(), "entry@a").ok
+        rows.faults.down = True
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        holder.start()
+        self.addCleanup(holder.stop)
+        assert accepted.head is not None
+        holder.add_accepted(accepted.head, job.items)
+        self.assertTrue(until(lambda: bool(engines.sent)))
+        time.sleep(SETTLE_S)
+        held = tracemalloc.get_traced_memory()[0]
+        self.assertLess(held, ALLOWED_BYTES)
+        rows.faults.down = False
+
+        def outputs() -> list[str]:
+            page = store.results(cases.HOST, job.job_id, 0, None).ok
+            return [outcome.output for outcome in page.outcomes]
+
+        self.assertTrue(until(lambda: len(outputs()) == ITEMS))
+        self.assertEqual([OUTPUT] * ITEMS, outputs())
+
+
 if __name__ == "__main__":
     unittest.main()
