Test when whole answers leave room to others

Cause: HeldBytes.has_room was tested through items and the holder only, not at its bound. Change: a test of the policy itself, that small whole answers count and incomplete ones and those of other sources don't.

--- a/tests/policy/test_held_bytes.py
+++ b/tests/policy/test_held_bytes.py
@@ -50,6 +50,17 @@
         grows = self.hold("a", 12)
         self.assertEqual((grows,), self.held.add(grows, 10))
 
+    def test_whole_answers_leave_half_to_others(self) -> None:
+        self.hold("b", 60)
+        self.hold("a", 25)
+        self.hold("a", 30).may_yield = False
+        self.assertTrue(self.held.has_room("a"))
+        small = self.hold("a", 1)
+        small.may_yield = False
+        self.assertFalse(self.held.has_room("a"))
+        self.held.close(small)
+        self.assertTrue(self.held.has_room("a"))
+
     def test_bytes_that_were_handed_on_make_room(self) -> None:
         whole = self.hold("a", 65)
         whole.may_yield = False
