Note a part of an event that a second answer's head hides

Cause: a run that is cut inside an event counts as having shown more, but only if its end is a cut. If the engine writes its answer again right behind the part, the bytes are a bad event, and the part was forgotten. Two ends before it, at engines that live, then proved the stream or item whole. Change: the error of such a bad event says that it holds a part of one, and streams and items note that the event was begun.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -366,6 +366,10 @@
             if splitter.pending:
                 self._progress.note_begun()
             raise
+        except BadEventError as exc:
+            if exc.more:
+                self._progress.note_begun()
+            raise
         return count
 
     def _read_events(
--- a/src/mulberrypass/relay/events.py
+++ b/src/mulberrypass/relay/events.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.relay.second_answer import HEAD_START
 
 if TYPE_CHECKING:
     from mulberrypass.relay.second_answer import SecondAnswer
@@ -23,7 +24,14 @@
 
 
 class BadEventError(Exception):
-    """The bytes are not a valid sequence of events."""
+    """The bytes are not a valid sequence of events.
+
+    :ivar more: whether they hold a part of the event after the valid ones
+    """
+
+    def __init__(self, reason: str, more: bool = False) -> None:
+        super().__init__(reason)
+        self.more = more
 
 
 @value_class
@@ -125,7 +133,8 @@
         last = self.last
         follows = FIRST_NUMBERS if last is None else (last + 1,)
         if event.number not in follows:
-            raise BadEventError(f"event {event.number} came after {last}")
+            reason = f"event {event.number} came after {last}"
+            raise BadEventError(reason, _holds_part(event))
         self.last = event.number
 
     def accept_leading(
@@ -140,6 +149,13 @@
         return events, None
 
 
+def _holds_part(event: Event) -> bool:
+    """Return whether an event is a part of one with a head behind it."""
+    raw = event.raw.lstrip()
+    hidden = HEAD_START in raw and not raw.startswith(HEAD_START)
+    return hidden and event.number is None
+
+
 def _parse_event(raw: bytes) -> Event:
     """Parse an event; it has no number if a line, as a chunk's size, is none.
 
--- a/src/mulberrypass/relay/second_answer.py
+++ b/src/mulberrypass/relay/second_answer.py
@@ -151,4 +151,9 @@
         raise BrokenBodyError("a second answer is longer than the first")
 
 
-__all__ = ["BrokenBodyError", "SecondAnswer", "without_second_answer"]
+__all__ = [
+    "HEAD_START",
+    "BrokenBodyError",
+    "SecondAnswer",
+    "without_second_answer",
+]
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -8,7 +8,11 @@
 from mulberrypass.engine.wire import WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.relay.end_proof import End, EndProof
-from mulberrypass.relay.events import EventOrder, EventSplitter
+from mulberrypass.relay.events import (
+    BadEventError,
+    EventOrder,
+    EventSplitter,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -105,6 +109,7 @@
             if valid:
                 yield b"".join(event.raw for event in valid)
             if error is not None:
+                self._note_bad(error)
                 raise error
         if unframed and self.brought:
             check_engine()
@@ -128,6 +133,11 @@
                 self._ends.note_shown(order.last + 1)
             raise
 
+    def _note_bad(self, error: BadEventError) -> None:
+        """Note whether bytes that are no event are a part of one."""
+        if error.more and self._order.last is not None:
+            self._ends.note_shown(self._order.last + 1)
+
     def _check_end(
         self, unframed: bool, was_cut: bool, as_it_came: bool
     ) -> None:
@@ -175,8 +185,9 @@
                     self._ends.note_shown(order.last)
                     raise WireError(BROKEN_OFF)
                 if error is not None:
+                    self._note_bad(error)
                     raise error
-        except WireError:
+        except (WireError, BadEventError):
             if not self.in_doubt:
                 # It has shown more, if only a part of an event.
                 raise WireError(BROKEN_OFF)
