Look for second answers behind any text that names the protocol

A plain body without framing and its copy were handed on as one body if the body named the protocol 16 times, as request lines do. Cause: the bound on the work counted each "HTTP/1." in the body, not the status lines that it is meant for. A body of 16 status lines before its copy remains.

--- a/src/mulberrypass/relay/second_answer.py
+++ b/src/mulberrypass/relay/second_answer.py
@@ -23,6 +23,7 @@
 HEAD = re.compile(rb"[^\n]*\n(?:[^\r\n]+\r?\n)+\r?\n")
 # A longer head isn't read from an engine either.
 MAX_HEAD_BYTES = 65_536
+HEAD_BEGIN = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 # Bounds the work on a body that is full of status lines.
 MAX_HEADS = 16
 
@@ -116,9 +117,10 @@
         return body
     start = 0
     for _ in range(MAX_HEADS):
-        start = body.find(HEAD_START, start)
-        if start < 0:
+        found = HEAD_BEGIN.search(body, start)
+        if found is None:
             return body
+        start = found.start()
         if second.is_head(_head_at(body, start)):
             _check_copies(body, start, second)
             return body[:start]
--- a/tests/relay/test_heads_in_body.py
+++ b/tests/relay/test_heads_in_body.py
@@ -5,7 +5,6 @@
 import unittest
 
 from mulberrypass.relay.second_answer import without_second_answer
-from tests.known_red import known_red
 from tests.relay.test_second_answer import HEAD, SECOND
 
 LINE = b"GET / HTTP/1.1 is a request line\n"
@@ -19,7 +18,6 @@
         found = without_second_answer(body + HEAD + body, SECOND)
         self.assertEqual(body, found)
 
-    @known_red(33)
     def test_many_lines(self) -> None:
         body = LINE * 16
         found = without_second_answer(body + HEAD + body, SECOND)
