Blame no engine for a settling run that is left early

A sound engine counted as failing if its first event took over half a second: the run that settles the end of a stream has half of what is left of a second, and its deadline was released as FAILED. Cause: the bound is ours, and says nothing of the engine below the silence that others are allowed (1 s). Such a run is released as CANCELLED now.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -30,6 +30,7 @@
 FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
+LATE = EngineFailed("deadline", Ran.MAYBE, resumable=True)
 JSON_HEADERS = {"Content-Type": "application/json"}
 CALL_ID_BYTES = 8
 WRONG_CALL = EngineFailed("an answer to another call", Ran.MAYBE)
@@ -80,9 +81,7 @@
         """
         left = self.at - time.monotonic()
         if left <= 0:
-            raise WireError(
-                EngineFailed("deadline", Ran.MAYBE, resumable=True)
-            )
+            raise WireError(LATE)
         return max(left, MIN_TIMEOUT_S)
 
 
@@ -178,9 +177,7 @@
                 raise http.client.BadStatusLine(str(self._resp.status))
             check_framing(self._resp.headers)
         except TimeoutError:
-            raise WireError(
-                EngineFailed("deadline", Ran.MAYBE, resumable=True)
-            )
+            raise WireError(LATE)
         except (OSError, http.client.HTTPException) as exc:
             failed = EngineFailed(
                 f"no answer: {type(exc).__name__}",
@@ -216,9 +213,7 @@
         try:
             data = self._resp.read1(size)
         except TimeoutError:
-            raise WireError(
-                EngineFailed("deadline", Ran.MAYBE, resumable=True)
-            )
+            raise WireError(LATE)
         except (OSError, ValueError, http.client.HTTPException):
             raise WireError(CUT)
         if not data and self._shut_down and self.ends_with_connection:
@@ -313,6 +308,7 @@
     "CUT",
     "Deadline",
     "Exchange",
+    "LATE",
     "MAX_ANSWER_BYTES",
     "MAX_ERROR_BYTES",
     "WRONG_CALL",
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.wire import CUT, Deadline, WireError
+from mulberrypass.engine.wire import CUT, LATE, Deadline, WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.model.value_class import value_class
@@ -396,6 +396,7 @@
         assert self._permit is not None
         self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
         engine = self._permit.engine.name
+        outcome = self._release_outcome(failed)
         if failed is IN_DOUBT:
             self._runs.note_ended(engine)
             if self._runs_whole:
@@ -413,7 +414,6 @@
             self._doubt_ends_at = float("inf")
         elif self._doubt_ends_at == float("inf"):
             self._doubt_ends_at = time.monotonic() + SECOND_RUN_WAIT_S
-        outcome = self._release_outcome(failed)
         if failed.closed and outcome is ReleaseOutcome.FAILED:
             self._permit.mark_connection_ended()
         self._release(outcome)
@@ -427,7 +427,11 @@
         aborted = self._watched_call is not None and self._watched_call.ended
         late = time.monotonic() >= self._deadline.at
         had_events = self._permit.first_at is not None
-        says_nothing = failed in (BROKEN_OFF, NO_FURTHER_EVENT, NO_ROOM)
+        run_s = time.monotonic() - self._permit.sent_at
+        hurried = self._settles and run_s < SILENCE_TIMEOUT_S
+        says_nothing = failed in (BROKEN_OFF, NO_FURTHER_EVENT, NO_ROOM) or (
+            hurried and failed == LATE
+        )
         if says_nothing or aborted or (late and had_events):
             return ReleaseOutcome.CANCELLED
         if failed is LEAVES or (failed.status and failed.ran is Ran.NO):
--- a/tests/relay/test_second_runs_denied.py
+++ b/tests/relay/test_second_runs_denied.py
@@ -44,7 +44,6 @@
 class SlowSecondRunTest(UnframedTestCase):
     """A sound engine counted as failing, as its second run had 0.5 s."""
 
-    @known_red(33)
     def test_run_that_is_left_early_says_nothing(self) -> None:
         self.engines[1].event_s = FIRST_EVENT_S
         self.assert_whole(self.forward(route(resumable=True, max_attempts=3)))
