Give the soak's store threads for all its instances

Cause, from its logs: each instance waits for changes of several tables at once, which keeps as many of the stand-in's threads, and 64 are fewer than 40 instances need. From the end of its faults on, calls of all instances timed out ("store lost" until it was ended), and each result was read again for half a minute in vain. The platform's store has no such bound.

--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -43,6 +43,8 @@
 STORE_LINK_OCTET = 200
 ENGINE_LINK_OCTET, ENGINE_OCTET = 50, 150
 SERVER_THREADS = 64
+# Each instance waits for changes of several tables of the store at once.
+STORE_THREADS_PER_INSTANCE = 16
 MAX_BODY_BYTES = 8_388_608
 EVENTS_PER_ANSWER = 8
 EVENT_INTERVAL_S = 0.015
@@ -247,7 +249,8 @@
             )
             for number in range(instances)
         ]
-        self._store = self._server(StoreApp(self.rows), store)
+        threads = max(SERVER_THREADS, STORE_THREADS_PER_INSTANCE * instances)
+        self._store = self._server(StoreApp(self.rows), store, threads)
         self._engines = [
             self._server(app, link.target)
             for app, link in zip(self.apps, self.engine_links, strict=True)
@@ -260,9 +263,11 @@
     def _address(self, octet: int, port: int) -> HostPort:
         return HostPort(f"{self.subnet}.{octet}", port)
 
-    def _server(self, app: Any, address: HostPort) -> HttpServer:
+    def _server(
+        self, app: Any, address: HostPort, threads: int = SERVER_THREADS
+    ) -> HttpServer:
         return HttpServer(
-            app, address.host, address.port, SERVER_THREADS, MAX_BODY_BYTES
+            app, address.host, address.port, threads, MAX_BODY_BYTES
         )
 
     def start(self) -> None:
