Decode no more results than a page of them takes

An instance could be killed for its memory by one call for results. The store keeps results compressed, a thousand to one if an engine repeats itself, and a call decoded all results of a page of 500 rows, up to 200 outputs of 8 MB, though it answers with 900 KB of them. The caller's next call then went to another instance. The test that failed before: a call for the first of 40 results of 1 MB each held 42.0 MB at its peak, of 10 MB allowed.

Now decoding ends with the output by which a page is full. A single result may still inflate to 64 MB.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import math
 from typing import TYPE_CHECKING, Annotated, TypeVar
 import zlib
 
@@ -211,10 +212,13 @@
 
 
 def decode_results(
-    rows: Iterable[StoredRow], position: int
+    rows: Iterable[StoredRow], position: int, max_chars: float = math.inf
 ) -> list[ItemOutcome]:
     """Decode results in order from a position up to the first incomplete one.
 
+    A row may hold a thousand times as many characters as it has bytes.
+
+    :param max_chars: of all outputs; the one that exceeds it is the last
     :raises CorruptRowError: if a row is corrupt
     """
     by_position: dict[int, list[StoredRow]] = {}
@@ -222,11 +226,14 @@
         digits = row.at.key.rpartition("/")[2].partition(".")[0]
         by_position.setdefault(_number(digits), []).append(row)
     outcomes = []
-    while position in by_position:
+    chars = 0
+    while position in by_position and chars <= max_chars:
         pieces = by_position[position]
         if not _is_whole(pieces):
             break
-        outcomes.append(_decode_outcome(pieces))
+        outcome = _decode_outcome(pieces)
+        outcomes.append(outcome)
+        chars += len(outcome.output)
         position += 1
     return outcomes
 
--- a/src/mulberrypass/batches/manager.py
+++ b/src/mulberrypass/batches/manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from expression import Error, Ok
@@ -79,11 +80,18 @@
         return Ok(accepted)
 
     def results(
-        self, host: str, job_id: str, position: int
+        self,
+        host: str,
+        job_id: str,
+        position: int,
+        max_chars: float = math.inf,
     ) -> Result[ResultPage, NoSuchJob | StoreUnavailable]:
-        """Read the results from a position on."""
+        """Read the results from a position on.
+
+        :param max_chars: of all outputs; the one that exceeds it is the last
+        """
         total = self._holder.total(host, job_id)
-        return self._store.results(host, job_id, position, total)
+        return self._store.results(host, job_id, position, total, max_chars)
 
     def body(
         self, host: str, job_id: str, item_id: str
--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -130,11 +131,17 @@
         return read_head(scanned.ok[0])
 
     def results(
-        self, host: str, job_id: str, position: int, total: int | None
+        self,
+        host: str,
+        job_id: str,
+        position: int,
+        total: int | None,
+        max_chars: float = math.inf,
     ) -> Result[ResultPage, NoSuchJob | StoreUnavailable]:
         """Read the results from a position on.
 
         :param total: number of items of the job, ``None`` if unknown
+        :param max_chars: of all outputs; the one that exceeds it is the last
         """
         if total is None:
             read = self.read(host, job_id)
@@ -148,7 +155,7 @@
         if paged.is_error():
             return Error(_store_unavailable(paged.error))
         try:
-            outcomes = codec.decode_results(paged.ok.rows, position)
+            outcomes = codec.decode_results(paged.ok.rows, position, max_chars)
         except codec.CorruptRowError as exc:
             return Error(unreadable(exc))
         return Ok(ResultPage(total, tuple(outcomes)))
--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -130,7 +130,8 @@
         if after is None:
             doc = {"reason": "After is not a position"}
             return json_reply(doc, HTTPStatus.BAD_REQUEST)
-        read = self._manager.results(req.host, job_id, after)
+        # Encoded, an output is at least as long.
+        read = self._manager.results(req.host, job_id, after, MAX_PAGE_BYTES)
         if read.is_error():
             return _error_reply(read.error)
         results: list[dict[str, str]] = []
