Let go of jobs that their callers end while items run

A holder kept a job that its caller had ended while items ran, with the bodies of all items, up to 8 MB a job, until the process ended: the end came while items ran, and they end without an outcome, so that nothing looked again. The test failed before: the job was still held 5 s after its only item had stopped.

Now the last item that ends looks too.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -343,8 +343,14 @@
             if run.held_back:
                 job.held_back.add(index)
             job.running.discard(index)
+            self._drop_done(job)
         self._wake.set()
 
+    def _drop_done(self, job: HeldJob) -> None:
+        """Drop a job if nothing is left to do; the caller holds the lock."""
+        if not job.head.open and not job.outcomes and not job.running:
+            self._held.pop(job.head.key, None)
+
     def _should_stop(self, job: HeldJob, index: int) -> bool:
         head = job.head
         return self._stopped or head.ended or index in head.done
@@ -366,8 +372,7 @@
             LOG.exception("outcomes were not listed", job=job.head.job_id)
         with self._lock:
             job.committing = False
-            if not job.head.open and not job.outcomes and not job.running:
-                self._held.pop(job.head.key, None)
+            self._drop_done(job)
 
     def _commit_batch(self, job: HeldJob) -> bool:
         with self._lock:
