Tell the run of an item to yield whose bytes went

An output that had to yield loses its bytes under a lock and is told after it, on the thread whose bytes were too many. An item that looked between the two began anew, and its new attempt was aborted for the bytes of the one before: its engine was blamed for a cut, as the output hadn't yielded, and each later wait between two attempts ended at once, until the next yield.

Now each run from the start has an event and an abort of its own.

--- a/src/mulberrypass/batches/held_output.py
+++ b/src/mulberrypass/batches/held_output.py
@@ -19,6 +19,27 @@
 ITEMS = "items"
 
 
+class _Run:
+    """One run of an item from its start, which may be told to yield.
+
+    It may be told late, when the item has begun anew.
+
+    :ivar yields: set once it is told
+    :ivar abort: ends its attempt, if one is going on
+    """
+
+    def __init__(self) -> None:
+        self.yields = threading.Event()
+        self.abort: Callable[[], None] | None = None
+
+    def end(self) -> None:
+        """Tell it to yield; safe on any thread."""
+        self.yields.set()
+        abort = self.abort
+        if abort is not None:
+            abort()
+
+
 class HeldOutput:
     """The bytes that the output of an item takes, over all attempts.
 
@@ -28,9 +49,8 @@
 
     def __init__(self, bodies: HeldBodies) -> None:
         self._bodies = bodies
-        self._abort: Callable[[], None] | None = None
-        self._yields = threading.Event()
-        self._body = bodies.open(ITEMS, self._end_attempt)
+        self._run = _Run()
+        self._body = bodies.open(ITEMS, self._run.end)
 
     @property
     def yielded(self) -> bool:
@@ -44,12 +64,12 @@
 
     def wait(self, seconds: float) -> None:
         """Wait, but no longer than until the output has to yield."""
-        self._yields.wait(seconds)
+        self._run.yields.wait(seconds)
 
     def renew(self) -> None:
         """Count the output of an item that begins anew."""
-        self._yields.clear()
-        self._body = self._bodies.open(ITEMS, self._end_attempt)
+        self._run = _Run()
+        self._body = self._bodies.open(ITEMS, self._run.end)
 
     @contextlib.contextmanager
     def attempt(self, abort: Callable[[], None]) -> Iterator[None]:
@@ -58,7 +78,7 @@
         :param abort: ends the attempt's answer; safe on any thread
         :raises WireError: if the attempt was aborted
         """
-        self._abort = abort
+        self._run.abort = abort
         try:
             yield
         except WireError as exc:
@@ -66,7 +86,7 @@
                 raise WireError(self._body.failure) from exc
             raise
         finally:
-            self._abort = None
+            self._run.abort = None
 
     def resize(self, size: int) -> None:
         """Count another number of bytes.
@@ -86,12 +106,6 @@
         """Stop counting, as the output is stored or not needed."""
         self._bodies.close(self._body)
 
-    def _end_attempt(self) -> None:
-        self._yields.set()
-        abort = self._abort
-        if abort is not None:
-            abort()
-
 
 @dataclass(frozen=True, slots=True)
 class WaitingOutcome:
