Encode outputs for the store in parts

An instance could be killed for its memory by outputs that its items bring: JSON takes six bytes for a control character, and the encoding was held twice, on up to four threads, counted nowhere. The test that failed before: an outcome of 4,000,000 such characters took 48.0 MB at its peak while it was recorded, of 4 MB allowed; an output may have 8 MB.

Now an output is encoded and compressed by 65,536 characters. The document is the same, which a test shows that passed before too.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -29,7 +29,7 @@
 from mulberrypass.storage.rows import RowKey
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from mulberrypass.storage.rows import StoredRow
 
@@ -40,6 +40,8 @@
 # The store limits a row to 65,536 bytes.
 MAX_PIECE_BYTES = 49_152
 COMPRESSION_LEVEL = 1
+# Characters of an output that are encoded at once.
+PART_CHARS = 65_536
 POSITION_DIGITS = 5
 PIECE_DIGITS = 3
 # The character after "/": ends the range of keys that start with "job/".
@@ -182,7 +184,7 @@
         }
         for item in items
     ]
-    return _split(ITEMS, host, f"{job_id}/", docs)
+    return _split(ITEMS, host, f"{job_id}/", _compress((_dump(docs),)))
 
 
 def decode_items(rows: Iterable[StoredRow]) -> tuple[BatchItem, ...]:
@@ -205,10 +207,9 @@
         "index": outcome.index,
         "id": outcome.item_id,
         "state": outcome.state.value,
-        "output": outcome.output,
     }
     prefix = f"{job_id}/{position:0{POSITION_DIGITS}}."
-    return _split(RESULTS, host, prefix, doc)
+    return _split(RESULTS, host, prefix, _compress(_parts(doc, outcome)))
 
 
 def decode_results(
@@ -254,13 +255,31 @@
     return ItemOutcome(doc.index, doc.id, doc.state, doc.output)
 
 
+def _parts(doc: dict[str, object], outcome: ItemOutcome) -> Iterator[str]:
+    """Yield the JSON of a document and its output, which may be large.
+
+    JSON takes up to twelve bytes a character, and each copy as much.
+    """
+    yield _dump(doc)[:-1] + ',"output":"'
+    for first in range(0, len(outcome.output), PART_CHARS):
+        yield _dump(outcome.output[first : first + PART_CHARS])[1:-1]
+    yield '"}'
+
+
+def _dump(doc: object) -> str:
+    return json.dumps(doc, separators=(",", ":"))
+
+
+def _compress(parts: Iterable[str]) -> bytes:
+    deflater = zlib.compressobj(COMPRESSION_LEVEL)
+    data = b"".join(deflater.compress(part.encode()) for part in parts)
+    return data + deflater.flush()
+
+
 def _split(
-    table: str, part: str, prefix: str, doc: object
+    table: str, part: str, prefix: str, data: bytes
 ) -> list[tuple[RowKey, bytes]]:
     """Split a document into rows whose keys end in "number-count"."""
-    data = zlib.compress(
-        json.dumps(doc, separators=(",", ":")).encode(), COMPRESSION_LEVEL
-    )
     offsets = range(0, len(data), MAX_PIECE_BYTES)
     count = len(offsets)
     return [
