Poll no connection that is closed

A sound caller was reset when another one was that took nothing: the reset closes a file while the loop lists what to poll, the thread of the request then asks for the close of a connection that is closed already, and the number of the file was polled. A caller that was accepted in the same pass had this number and was closed.

Now a closed connection is never writable. By reading only: if the check of all bytes falls in the midst of a pass, it closes connections that are listed already.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -220,6 +220,14 @@
                 self.will_close = True
             return bool(super().readable())
 
+        def writable(self) -> bool:
+            """Return whether to send or close, never once it is closed.
+
+            The number of its file may be that of the next caller's by the
+            time the poll tells of it.
+            """
+            return self.socket is not None and bool(super().writable())
+
         def send(self, data: bytes, do_close: bool = True) -> int:
             """Send; note when the client took bytes."""
             count = int(super().send(data, do_close))
