Show that the bodies of waiting jobs have no bound

A holder keeps the manifests of all its jobs in memory, each up to MaxBodyBytes, from their acceptance to their end, and a job of 0 tokens passes any quota. Not mended: manifests must be read again when their items run, and jobs whose items are held back must not keep the room of others.

--- a/tests/batches/test_jobs_in_memory.py
+++ b/tests/batches/test_jobs_in_memory.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import threading
+import tracemalloc
 from typing import TYPE_CHECKING
 import unittest
 
 from tests.batches import cases
 from tests.batches.test_holder import A, HolderCase, wait_until
+from tests.known_red import known_red
 from tests.relay.fakes import CUT, Script, event
 
 if TYPE_CHECKING:
     from mulberrypass.batches.holder import JobHolder
 
 WAIT_S = 5.0
+BODY_BYTES = 1_000_000
+JOBS = 30
 
 
 class EndedJobTest(HolderCase):
@@ -44,5 +48,26 @@
         self.assertTrue(wait_until(lambda: not holder.state()))
 
 
+class WaitingBodiesTest(HolderCase):
+    """The bodies of items that wait had no bound on their sum."""
+
+    @known_red(issue=33)
+    def test_bodies_of_waiting_jobs_are_bounded(self) -> None:
+        holder = self.holder()
+        self.permits.silent = True
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(JOBS):
+            body = bytes([number]) * BODY_BYTES
+            # Any quota lets a job of no tokens in.
+            new_job = cases.job(f"job-{number}", items=1, tokens=0, body=body)
+            accepted = self.store.accept(new_job, cases.route(), A).ok
+            assert accepted.head is not None
+            holder.add_accepted(accepted.head, new_job.items)
+            del body, new_job, accepted
+        held = tracemalloc.get_traced_memory()[0]
+        self.assertLess(held, JOBS * BODY_BYTES // 2)
+
+
 if __name__ == "__main__":
     unittest.main()
