Judge runs whose end was in doubt once a further run shows it

Cause: a run that ended in doubt was released as DONE. An engine that lives and ends each unframed answer between two events so counted as sound, and reset its count of failures; no message could report it once a later run had shown the break, as its permit was gone.

Change: such a run is released as CANCELLED, which frees its slot and says nothing of health. A second Release for the same permit is the verdict: FAILED once a further run has brought a further whole event (DoubtfulRuns), DONE once the end is proven, none otherwise. Those on unknown, judged, expired or locally granted permits are ignored. The messages on the wire are the same.

Tests that were changed: three lists of releases (test_unframed_ends, test_unproven_ends) now name the release and the verdict of each permit, and so hold more than before. test_engines_count_as_sound was wrong: it required that two runs that were broken off after 3 and 4 events count as sound. A test of whole answers, judged DONE, and one of these two runs, judged FAILED, replace it. The random test of cells sends second releases too.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -21,6 +21,7 @@
 from mulberrypass.relay.api import framing, part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES, EngineLeavesError
+from mulberrypass.relay.doubts import DoubtfulRuns
 from mulberrypass.relay.end_proof import End
 from mulberrypass.relay.events import (
     BadEventError,
@@ -88,6 +89,7 @@
         self._pace = pace
         self._expires_at = expires_at
         self._progress = Progress()
+        self._doubts = DoubtfulRuns()
         self._revoked = False
         self._abort: Callable[[], None] | None = None
         self._framing: dict[str, bool] = {}
@@ -152,8 +154,11 @@
                     delay_s = min(MAX_RETRY_S, delay_s * 2)
                 continue
             if end is not End.IN_DOUBT:
+                self._doubts.judge(self._progress.last, whole=True)
                 return self._complete(permit.engine.name, end)
             self._log_doubt(permit)
+            if not self._revoked:
+                self._doubts.add(permit, self._progress.last)
             self._avoid = (permit.engine.name,)
         return None
 
@@ -306,10 +311,12 @@
                 self._dependencies.engines.check_alive(
                     permit.engine, deadline.within(READ_TIMEOUT_S)
                 )
-            if end is not End.IN_DOUBT:
-                self.output.complete()
+            if end is End.IN_DOUBT:
+                outcome = ReleaseOutcome.CANCELLED
+                return end
+            self.output.complete()
             outcome = ReleaseOutcome.DONE
-            if req.after_event is None and end is not End.IN_DOUBT:
+            if req.after_event is None:
                 elapsed_s = time.monotonic() - permit.sent_at
                 self._pace.observe(req.output_tokens, elapsed_s)
             return end
@@ -389,6 +396,8 @@
             for event in events:
                 order.accept(event)
                 self._progress.add(event)
+            if self._progress.whole:
+                self._doubts.judge(self._progress.last)
             self.output.resize(self._progress.taken + splitter.size)
             count += len(events)
         return count
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -20,6 +20,7 @@
     Revoke,
     Withdraw,
 )
+from mulberrypass.policy.verdicts import AwaitedVerdicts
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.runtime.metrics import Decision
 
@@ -71,6 +72,7 @@
         self._local_share = LocalShare()
         self._limits = KnownLimits()
         self._requests: dict[str, PermitRequest] = {}
+        self._unjudged: AwaitedVerdicts[str] = AwaitedVerdicts()
         self._timer: asyncio.TimerHandle | None = None
         self._stopped = False
 
@@ -121,9 +123,18 @@
             self._sessions.send(request.owner, message)
 
     def _on_release(self, ask_id: str, message: Release) -> None:
+        """Release a permit, or pass a verdict on to its last owner."""
         request = self._requests.get(ask_id)
-        if request is not None and not request.waiting:
+        now = self._clock()
+        if request is None:
+            owner = self._unjudged.take(message, now)
+            if owner is not None:
+                self._sessions.send(owner, message)
+        elif not request.waiting:
             self._sessions.send(request.owner, message)
+            cancelled = message.outcome is ReleaseOutcome.CANCELLED
+            if cancelled and not request.local:
+                self._unjudged.put(ask_id, request.owner, now)
             self._finish(request)
 
     def _on_limit(self, report: LimitReport) -> None:
--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -39,6 +39,7 @@
     Withdraw,
     WorkClass,
 )
+from mulberrypass.policy.verdicts import AwaitedVerdicts
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -66,6 +67,7 @@
         self.batch_pacer = BatchPacer(self.settings.pacing)
         self.health = HealthTracker(self.settings.health)
         self._ledger = Ledger(self.settings)
+        self._unjudged: AwaitedVerdicts[Permit] = AwaitedVerdicts()
         self._dispatcher = Dispatcher(
             self.settings,
             self._ledger,
@@ -197,8 +199,8 @@
         return self._ledger.limits.running()
 
     def knows(self, ask_id: str) -> bool:
-        """Return whether an ask is queued or has a permit."""
-        if self.permits.get(ask_id) is not None:
+        """Return whether an ask is queued, has a permit, or may be judged."""
+        if self.permits.get(ask_id) is not None or ask_id in self._unjudged:
             return True
         return any(ask_id in queue for queue in self._dispatcher.queues)
 
@@ -333,9 +335,16 @@
 
     def _on_release(self, message: Release, now: float) -> None:
         permit = self.permits.get(message.ask_id)
-        if permit is None:
-            return
-        self._ledger.end(permit)
+        if permit is not None:
+            self._ledger.end(permit)
+            if message.outcome is ReleaseOutcome.CANCELLED:
+                self._unjudged.put(message.ask_id, permit, now)
+                return
+        else:
+            # A verdict on a run that was released as cancelled.
+            permit = self._unjudged.take(message, now)
+            if permit is None:
+                return
         match message.outcome:
             case ReleaseOutcome.DONE:
                 self._on_done(permit, message, now)
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -29,6 +29,7 @@
     TruncatedAnswerError,
 )
 from mulberrypass.relay.departures import LEAVES
+from mulberrypass.relay.doubts import DoubtfulRuns
 from mulberrypass.relay.end_proof import End
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
@@ -170,6 +171,7 @@
         self._runs_whole = True
         self._first_run_s: float | None = None
         self._stream = EventStream(req.after_event)
+        self._doubts = DoubtfulRuns()
         self._permit: HeldPermit | None = None
         self._answer: EngineAnswer | None = None
         self._watched_call: WatchedCall | None = None
@@ -262,6 +264,7 @@
         if _is_success(answer.head):
             self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
+        self._doubts.judge(self._stream.seen, bool(self._stream.proof))
 
     def _read_deadline(self) -> Deadline:
         """Return until when the head or the next event is due."""
@@ -321,6 +324,7 @@
             lambda: self._check_engine(answer),
             self._ends_as_it_came(answer),
         ):
+            self._doubts.judge(self._stream.seen)
             yield AnswerBody(data)
         self._proof = self._stream.proof or ENGINE_ALIVE
 
@@ -397,6 +401,7 @@
         self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
         engine = self._permit.engine.name
         if failed is IN_DOUBT:
+            self._doubts.add(self._permit, self._stream.last)
             self._runs.note_ended(engine)
             if self._runs_whole:
                 since = self._permit.sent_at
@@ -417,18 +422,17 @@
         if failed.closed and outcome is ReleaseOutcome.FAILED:
             self._permit.mark_connection_ended()
         self._release(outcome)
+        self._doubts.judge(self._stream.seen)
         return failed
 
     def _release_outcome(self, failed: EngineFailed) -> ReleaseOutcome:
         """Return the outcome; FAILED counts against the engine's health."""
         assert self._permit is not None
-        if failed is IN_DOUBT:
-            return ReleaseOutcome.DONE
         aborted = self._watched_call is not None and self._watched_call.ended
         late = time.monotonic() >= self._deadline.at
         had_events = self._permit.first_at is not None
-        says_nothing = failed in (BROKEN_OFF, NO_FURTHER_EVENT, NO_ROOM)
-        if says_nothing or aborted or (late and had_events):
+        says_nothing = (IN_DOUBT, BROKEN_OFF, NO_FURTHER_EVENT, NO_ROOM)
+        if failed in says_nothing or aborted or (late and had_events):
             return ReleaseOutcome.CANCELLED
         if failed is LEAVES or (failed.status and failed.ran is Ran.NO):
             return ReleaseOutcome.UNUSED
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 import itertools
 import time
 from typing import TYPE_CHECKING
@@ -85,7 +85,7 @@
 
 @dataclass(slots=True, eq=False)
 class HeldPermit:
-    """A granted permit; released exactly once.
+    """A granted permit; released exactly once, and perhaps judged later.
 
     :param queued_s: how long the permit request waited
     :param parts: parts of the prompt that other requests may share
@@ -107,6 +107,7 @@
     first_at: float | None = None
     succeeded: bool = True
     released: bool = False
+    _unjudged: Release | None = field(default=None, init=False)
     revoked: Callable[[], bool] = lambda: False
 
     def mark_first_event(self) -> None:
@@ -143,7 +144,16 @@
         if done and self.first_at is None:
             self._mark_begun()
         service_s = time.monotonic() - self.sent_at
-        self.permits.tell(Release(self.ask_id, outcome, service_s, tokens))
+        message = Release(self.ask_id, outcome, service_s, tokens)
+        self.permits.tell(message)
+        if outcome is ReleaseOutcome.CANCELLED:
+            self._unjudged = message
+
+    def judge(self, outcome: ReleaseOutcome) -> None:
+        """Tell the outcome of a run that was released as cancelled, once."""
+        message, self._unjudged = self._unjudged, None
+        if message is not None:
+            self.permits.tell(replace(message, outcome=outcome))
 
     def release_unused(self) -> None:
         """Release the permit without a run."""
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -38,13 +38,14 @@
     :ivar last: id of the last event that the caller has
     :ivar count: number of events that were passed on
     :ivar brought: number of events that the latest run has brought
+    :ivar seen: number of the last whole event that a run has brought
     :ivar proof: what has proven the end of the stream; empty if nothing has
     :ivar _ends: where the runs have ended
     :ivar _was_cut: whether the latest run ended by a known break
     """
 
     def __init__(self, after: int | None) -> None:
-        self.last = after
+        self.last = self.seen = after
         self.count = 0
         self.brought = 0
         self.proof = ""
@@ -101,7 +102,7 @@
             valid, error = order.accept_leading(events)
             self.brought += len(valid)
             self.count += len(valid)
-            self.last = order.last
+            self.last = self.seen = order.last
             if valid:
                 yield b"".join(event.raw for event in valid)
             if error is not None:
@@ -173,6 +174,7 @@
                 self.brought += len(valid)
                 if order.last is not None and order.last > last:
                     self._ends.note_shown(order.last)
+                    self.seen = order.last
                     raise WireError(BROKEN_OFF)
                 if error is not None:
                     raise error
--- a/tests/batches/test_unproven_ends.py
+++ b/tests/batches/test_unproven_ends.py
@@ -133,9 +133,52 @@
         self.play()
         self.assertEqual([1, 1], [len(e.requests) for e in self.engines])
 
-    def test_engines_count_as_sound(self) -> None:
+    def test_engine_counts_as_sound(self) -> None:
+        self.play()
+        self.assertEqual(
+            [["cancelled", "done"], ["done"]], self.permits.outcomes
+        )
+
+
+class BreakingEngineTest(UnprovenEndTest):
+    """An engine that broke an item off counted as sound."""
+
+    def test_ends_at_different_events(self) -> None:
         self.play(RunEnd(3), RunEnd(4))
-        self.assertEqual(["done"] * 4, self.permits.released)
+        broken = ["cancelled", "failed"]
+        self.assertEqual(
+            [broken, broken, ["cancelled", "done"], ["done"]],
+            self.permits.outcomes,
+        )
+
+    def test_verdict_comes_with_the_next_event(self) -> None:
+        """It came too late if the next run took its time."""
+        self.play(RunEnd(3), FRAMED)
+        self.assertEqual(
+            [["cancelled", "failed"], ["done"]], self.permits.outcomes
+        )
+        self.assertEqual(
+            ["cancelled", "failed", "done"], self.permits.released
+        )
+
+    def test_run_that_brings_no_event_is_no_verdict(self) -> None:
+        self.play(RunEnd(), RunEnd(0), FRAMED)
+        self.assertEqual(
+            [["cancelled", "done"], ["failed"], ["done"]],
+            self.permits.outcomes,
+        )
+
+    def test_unproven_end_is_no_verdict(self) -> None:
+        self.permits.on_ask = self.stop_at_the_second
+        self.faults.unframed = True
+        self.assertIsNone(self.make_run().run())
+        self.assertEqual([["cancelled"]], self.permits.outcomes)
+
+    def stop_at_the_second(self) -> None:
+        """Let nobody need the item once its first run is over."""
+        if len(self.permits.asks) > 1:
+            self.permits.silent = True
+            self.unneeded.set()
 
 
 class SecondAnswerTest(UnprovenEndTest):
@@ -160,7 +203,13 @@
         self.play(RunEnd(3, gone=True), RunEnd(1, gone=True))
         self.assert_resumed(None, 2, 2, LAST)
         self.assertEqual(
-            ["done", "failed", "done", "done"], self.permits.released
+            [
+                ["cancelled", "failed"],
+                ["failed"],
+                ["cancelled", "done"],
+                ["done"],
+            ],
+            self.permits.outcomes,
         )
 
 
@@ -177,7 +226,8 @@
         self.assert_resumed(None, EVENTS, LAST, LAST)
         # The empty run says nothing of its engine.
         self.assertEqual(
-            ["failed", "cancelled", "done", "done"], self.permits.released
+            [["failed"], ["cancelled"], ["cancelled", "done"], ["done"]],
+            self.permits.outcomes,
         )
 
 
--- a/tests/policy/admission/test_random.py
+++ b/tests/policy/admission/test_random.py
@@ -122,9 +122,11 @@
             return
         name = self.rng.choice(names)
         del self.running[name]
-        outcome = self.rng.choice(OUTCOMES)
-        message = Release(name, outcome, self.rng.random(), 20, 0.03)
-        self.check(self.cell.handle(message, self.now))
+        # A second one may be a verdict.
+        for _ in range(self.rng.choice((1, 1, 2, 3))):
+            outcome = self.rng.choice(OUTCOMES)
+            message = Release(name, outcome, self.rng.random(), 20, 0.03)
+            self.check(self.cell.handle(message, self.now))
 
     def first_token(self) -> None:
         if self.running:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -248,6 +248,16 @@
             if isinstance(message, Release)
         ]
 
+    @property
+    def outcomes(self) -> list[list[str]]:
+        """The release and any verdicts of each permit that was released."""
+        found: dict[str, list[str]] = {}
+        for message in self.told:
+            if isinstance(message, Release):
+                outcomes = found.setdefault(message.ask_id, [])
+                outcomes.append(message.outcome.value)
+        return list(found.values())
+
 
 def make_dependencies(
     engines: EngineClient,
--- a/tests/relay/test_unframed_ends.py
+++ b/tests/relay/test_unframed_ends.py
@@ -190,7 +190,9 @@
                 self.assert_whole(self.forward(self.resumable))
                 last = str(EVENTS - 1)
                 self.assertEqual([[None], [last], []], self.asked)
-                self.assertEqual(["done", "done"], self.permits.released)
+                self.assertEqual(
+                    [["cancelled", "done"], ["done"]], self.permits.outcomes
+                )
 
     def test_framed_stream_needs_no_proof(self) -> None:
         self.faults[0].unframed = False
