Reset slow callers early only if requests wait for long

A caller that reads slowly could be reset after one idle time, not eight, though threads were idle: a request that an idle thread takes counted as waiting until it ran, and one that came while the thread of its last answer ended counted too. With three callers that come again and again on four threads, BusyServerTest failed in 9 of 9 runs. With the first of these mended alone it failed in 3 of 3.

Now requests count beyond the number of threads, until they end, and must have waited for 0.2 s without a pause. BusyServerTest passes (5 of 5 runs), and so do StuckCallersTest and the tests of the dispatcher (7) and of the server.

--- a/src/mulberrypass/runtime/dispatcher.py
+++ b/src/mulberrypass/runtime/dispatcher.py
@@ -4,6 +4,7 @@
 
 from concurrent.futures import ThreadPoolExecutor
 import threading
+import time
 from typing import Protocol
 
 from mulberrypass.runtime.logs import get_logger
@@ -31,20 +32,29 @@
     def __init__(self, name: str, threads: int) -> None:
         self._pool = ThreadPoolExecutor(threads, name)
         self._lock = threading.Lock()
-        self._waiting = 0
+        self._threads = threads
+        # Those that wait for a thread or are answered.
+        self._open = 0
+        self._waits_since: float | None = None
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait for a thread."""
-        return self._waiting
+        return max(0, self._open - self._threads)
+
+    @property
+    def waits_s(self) -> float:
+        """Seconds for which requests have been waiting without a pause."""
+        since = self._waits_since
+        return 0.0 if since is None else time.monotonic() - since
 
     def add_task(self, task: Task) -> None:
         """Answer a request on an idle thread, or on a new one."""
-        with self._lock:
-            self._waiting += 1
+        self._count(1)
         try:
-            self._pool.submit(self._serve, task)
+            self._pool.submit(_serve, task).add_done_callback(self._note_end)
         except RuntimeError as exc:
+            self._note_end()
             # The pool or interpreter has shut down; the connection ends too.
             LOG.info("request dropped at the end", reason=str(exc))
 
@@ -58,10 +68,17 @@
         self._pool.shutdown(wait=False, cancel_futures=cancel_pending)
         return True
 
-    def _serve(self, task: Task) -> None:
+    def _note_end(self, _served: object = None) -> None:
+        """Count a request that was answered or dropped."""
+        self._count(-1)
+
+    def _count(self, count: int) -> None:
         with self._lock:
-            self._waiting -= 1
-        _serve(task)
+            self._open += count
+            if not self.waiting:
+                self._waits_since = None
+            elif self._waits_since is None:
+                self._waits_since = time.monotonic()
 
 
 def _serve(task: Task) -> None:
--- a/src/mulberrypass/runtime/http_server.py
+++ b/src/mulberrypass/runtime/http_server.py
@@ -27,6 +27,8 @@
 # An answer waits while so many of its bytes wait for their client: a quarter
 # of the smallest instance's 200 MB, by the 96 requests answered at once.
 MAX_WAITING_BYTES = 524_288
+# A request waits a moment if it comes while a thread still ends another one.
+THREAD_WAIT_S = 0.2
 # No files for what is sent and received: the sites' machines have no disk,
 # and /tmp counts as memory.
 NO_FILES = sys.maxsize
@@ -113,7 +115,7 @@
             self._steps,
             lambda: self._head_s,
             ClientBytes(client_bytes),
-            lambda: dispatcher.waiting > 0,
+            lambda: dispatcher.waits_s > THREAD_WAIT_S,
         )
         self._thread = threading.Thread(
             target=self._server.run, name=f"http-{port}", daemon=True
--- a/tests/runtime/test_bytes_for_callers.py
+++ b/tests/runtime/test_bytes_for_callers.py
@@ -156,6 +156,24 @@
         self.assertLess(time.monotonic() - started_at, THREAD_WAIT_S)
 
 
+class BusyServerTest(CallerTestCase):
+    """A slow caller ended early as requests came, though threads were idle."""
+
+    def test_slow_caller_is_kept(self) -> None:
+        self.server.limit(ClientLimits(idle_s=IDLE_S))
+        self.connect(SMALL_BUFFER).request("GET", "/")
+        self.until(lambda: self.app.in_flight == 1)
+        conns = [self.connect() for _ in range(THREADS - 1)]
+        busy_until = time.monotonic() + THREAD_WAIT_S / 2
+        while time.monotonic() < busy_until:
+            for conn in conns:
+                conn.request("GET", "/short")
+            for conn in conns:
+                conn.getresponse().read()
+        self.until(lambda: self.app.in_flight <= 1)
+        self.assertEqual(1, self.app.in_flight)
+
+
 class SentBytesTest(CallerTestCase):
     """Bytes that a caller had taken were kept up to 16 MB."""
 
