--- a/tests/batches/test_results_in_memory.py
+++ b/tests/batches/test_results_in_memory.py
@@ -26,8 +26,11 @@
 ALLOWED_BYTES = 10 * len(OUTPUT)
 
 
-class ResultsInMemoryTest(unittest.TestCase):
-    """One call for results took the memory of all results of a job."""
+class ResultsCase(unittest.TestCase):
+    """The API of a job with equal results."""
+
+    items = ITEMS
+    output = OUTPUT
 
     def setUp(self) -> None:
         store = BatchStore(RowState(), sleep=lambda _s: None)
@@ -41,17 +44,27 @@
         directory = dependencies.directory
         manager = BatchJobManager("entry@a", store, holder, directory)
         self.api = BatchJobApi(manager, directory)
-        store.accept(cases.job(items=ITEMS), cases.route(), "entry@a")
-        outcomes = tuple(cases.outcome(i, OUTPUT) for i in range(ITEMS))
+        store.accept(cases.job(items=self.items), cases.route(), "entry@a")
+        outcomes = tuple(
+            cases.outcome(i, self.output) for i in range(self.items)
+        )
         store.record_outcomes(None, cases.HOST, "job-1", outcomes)
 
-    def page(self, after: int) -> tuple[list[str], int]:
-        """Return the outputs on a page, and where the next one begins."""
+    def call(self, after: int) -> bytes:
+        """Return the body of the answer to a call for results."""
         headers = {"host": cases.HOST}
         target = f"/lots/job-1?After={after}"
         reply = self.api.handle(read_request("GET", target, headers, b""))
         assert reply is not None
-        doc = json.loads(reply.body)
+        return reply.body
+
+
+class ResultsInMemoryTest(ResultsCase):
+    """One call for results took the memory of all results of a job."""
+
+    def page(self, after: int) -> tuple[list[str], int]:
+        """Return the outputs on a page, and where the next one begins."""
+        doc = json.loads(self.call(after))
         return [each["Output"] for each in doc["Results"]], doc["Next"]
 
     def test_one_page_takes_the_memory_of_one_page(self) -> None:
