Count an output as its joined text takes memory

A whole output was counted as its events took memory, and kept as one string until it was stored: one wide character widens all others of a string, so that it took four times what was counted, and an output of small events a twentieth. Three outputs of 8 MB with one emoji each took 96 MB of 25 MB allowed, by reading.

Now the joined string is counted, and its events are let go first.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+import sys
 import time
 from typing import TYPE_CHECKING
 
@@ -448,6 +449,9 @@
             **self._framing,
         )
         output = "\n".join(self._progress.event_texts)
+        self._progress.event_texts.clear()
+        # One wide character widens all others of a string.
+        self.output.resize(sys.getsizeof(output))
         return ItemOutcome(
             self._index, self._item.item_id, ItemState.COMPLETED, output
         )
