Close no connection that the loop has listed to poll

The check of all bytes closed other connections while the loop lists what to poll: a listed one was polled after its close, and its number could be that of the next caller, who was closed too.

Now each ends itself when it is next polled.

--- a/src/mulberrypass/runtime/connection.py
+++ b/src/mulberrypass/runtime/connection.py
@@ -127,6 +127,7 @@
         _lingers_until: float | None = None
         _taken_at = 0.0
         _serving = False
+        _is_over = False
 
         def begin_unframed(self) -> None:
             """Make any end a reset until the whole answer is sent.
@@ -201,6 +202,11 @@
                 self._check_bytes()
             if self.socket is None:
                 return False
+            if self._is_over:
+                self._is_over = False
+                if self.holder().may_end:
+                    self.reset("too many bytes held")
+                    return False
             stuck = self._is_stuck()
             late = stuck or self._head_is_late()
             if late and self._was_late:
@@ -270,12 +276,21 @@
             may_end = slow or (arriving is not None and not requests)
             return Holder(self, size, may_end)
 
+        def note_over(self) -> None:
+            """End when next polled, as too many bytes are held."""
+            self._is_over = True
+            cast("Any", self.server).pull_trigger()
+
         def _check_bytes(self) -> None:
-            """End the connections that hold most, if all hold too much."""
+            """End the connections that hold most, if all hold too much.
+
+            Each ends itself when it is next polled: the loop may have listed
+            it already, and polls no closed file.
+            """
             channels = cast("Any", self.server).active_channels
             holders = [each.holder() for each in list(channels.values())]
             for each in client_bytes.excess(holders):
-                each.channel.reset("too many bytes held")
+                each.channel.note_over()
 
         def _is_idle(self) -> bool:
             """Whether no request is read, answered, sent or left to be read.
