--- a/review/site_standin.py
+++ b/review/site_standin.py
@@ -31,6 +31,10 @@
 )  # fmt: skip
 
 
+def drop_none(doc):
+    return {name: value for name, value in doc.items() if value is not None}
+
+
 class Site:
     """A store, engines and instances.
 
@@ -144,7 +148,7 @@
             "Routes": [
                 route | lookup,
                 route | slip,
-                route | crates | batch,
+                drop_none(route | crates | batch),
                 *(route | each for each in more),
             ],
             "Services": [
