--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,7 +46,7 @@
 
 def hand_in(number, path, count=ITEMS):
     """Hand in a job until it is accepted; return its id."""
-    job = "%016x" % random.getrandbits(64)
+    job = f"{random.getrandbits(64):016x}"
     items = [f"{job}{n:02d}" for n in range(count)]
     for _ in range(5):
         status = site.submit(number, job, items, path=path)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -51,7 +51,7 @@
 
 jobs = []
 for n in range(JOBS):
-    job = "%016x" % random.getrandbits(64)
+    job = f"{random.getrandbits(64):016x}"
     items = [f"{job}{index:02d}" for index in range(ITEMS)]
     status = site.submit(n % 3 + 1, job, items)
     site.note(f"job {job} at i{n % 3 + 1}: {status}")
--- a/review/site_standin.py
+++ b/review/site_standin.py
@@ -265,9 +265,7 @@
             pass
         return 0
 
-    def call(
-        self, number, method, path, headers, body=None, timeout=4.0
-    ):
+    def call(self, number, method, path, headers, body=None, timeout=4.0):
         """Make a call on a new channel; return status and body, or None."""
         conn = http.client.HTTPConnection(
             self.address(number), FRONT, timeout=timeout
@@ -314,9 +312,7 @@
             "X-Mulberrypass-Request-Id": job,
             "Content-Type": "application/json",
         }
-        answer = self.call(
-            number, "POST", path, headers, body, timeout
-        )
+        answer = self.call(number, "POST", path, headers, body, timeout)
         return None if answer is None else answer[0]
 
     def results(self, number, job, after=0):
