--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,10 @@
 CALM_S = 5
 
 site = Site(
-    Path(__file__).parent, instances=3, engines=1, services=(SERVICE, OTHER)
+    Path(__file__).parent,
+    instances=3,
+    engines={SERVICE: 1, OTHER: 5},
+    services=(SERVICE, OTHER),
 )
 site.configure(
     services=(SERVICE, OTHER),
@@ -28,7 +31,7 @@
     site.start(number)
 site.wait_ready()
 time.sleep(1)
-lost, sound = site.engines
+lost, *others = site.engines
 
 
 def count_listed(job):
@@ -67,7 +70,7 @@
     listed = [count_listed(job) for job in jobs]
     site.note(
         f"listed {listed} of {ITEMS}, runs at {lost.name} {len(lost.runs)}, "
-        f"at {sound.name} {len(sound.runs)}"
+        f"at the others {sum(len(engine.runs) for engine in others)}"
     )
     if not site.trouble and listed == [ITEMS] * JOBS:
         break
@@ -77,12 +80,15 @@
 if min(listed) < 0:
     site.note("results could not be read: the case couldn't run")
     site.finish(2)
-recent = [run for run in sound.runs if run[0] > now - CALM_S]
+runs = [run for engine in others for run in engine.runs]
+recent = [run for run in runs if run[0] > now - CALM_S]
+running = sum(engine.running for engine in others)
+slots = 8 * len(others)
 missing = sum(ITEMS - count for count in listed)
 site.note(
-    f"listed {listed} of {ITEMS}; engine {sound.name}: running "
-    f"{sound.running} of 8, runs of the last {CALM_S} s {len(recent)}"
+    f"listed {listed} of {ITEMS}; engines of {OTHER}: running {running} of "
+    f"{slots}, runs of the last {CALM_S} s {len(recent)}"
 )
-excused = sound.running >= 4 or bool(recent)
+excused = 2 * running >= slots or bool(recent)
 site.note(f"items listed neither way: {missing}; excused: {excused}")
 site.finish(1 if missing and not excused else 0)
