Count no success without an engine's stamp, whatever run it answers

Cause: each reader of an answer held the rule by itself. batches/run.py looked at the status alone; relay/forward.py asked for the stamp until the head was sent to the caller, so that runs that resume a stream or settle its end needed none.

Ruled out: an end without proof; the answers have a length and all their bytes.

Change: EngineClient.send, which all runs of requests and items pass, raises for a success without a stamp, or with an empty one. It says nothing about whether the request ran, so what may be repeated runs elsewhere and the rest ends with 502. A connection that ends right behind such a head remains evidence of a crash.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -344,7 +344,7 @@
 
     def _check_head(self, answer: EngineAnswer, deadline: Deadline) -> None:
         head = answer.head
-        if HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES:
+        if head.is_success:
             return
         skip_rest(answer, deadline)
         if head.leaving and head.not_run:
--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -51,7 +51,7 @@
         for pool in pools:
             pool.close()
 
-    def send(
+    def exchange(
         self,
         engine: RegisteredEngine,
         req: RelayRequest,
@@ -150,7 +150,7 @@
             load=names.parse_load(head.get(names.SERVER_LOAD)),
             leaving=leaving,
             marks=names.answer_marks(headers),
-            stamped=head.get(names.RESPONSE_STAMP) is not None,
+            stamped=bool(head.get(names.RESPONSE_STAMP, "").strip()),
         )
 
     def _limit(self) -> float | None:
--- a/src/mulberrypass/platform/stand_in/raw_engine.py
+++ b/src/mulberrypass/platform/stand_in/raw_engine.py
@@ -68,6 +68,8 @@
     :param resumed_bytes: the same of requests that resume a stream
     :param error: status of its answers to requests that resume a stream
     :param failures: number of requests to run and answer with status 500
+    :param unstamped: number of requests to answer with a framed success that
+        has one event and no stamp
     :param repeated: whether each answer is written once more when the next
         request arrives on its connection
     :param ends: how the next runs end, in order, whatever engine runs them;
@@ -85,6 +87,7 @@
     resumed_bytes: int | None = None
     error: int | None = None
     failures: int = 0
+    unstamped: int = 0
     repeated: bool = False
     ends: deque[RunEnd] = field(default_factory=deque)
 
@@ -241,10 +244,13 @@
     def _answer(self, answer: _Answer, req: RawRequest) -> bool:
         """Run a request; return whether the connection goes on."""
         self.runs[req.request_id] += 1
-        if self._fails():
+        if self._is_due("failures"):
             answer.sendall(self._error(req, HTTPStatus.INTERNAL_SERVER_ERROR))
             return True
         after = req.headers.get(names.LAST_EVENT_ID.lower())
+        if self._is_due("unstamped"):
+            answer.sendall(_unstamped(req, int(after or 0) + 1))
+            return True
         if after is not None and self.faults.error is not None:
             answer.sendall(self._error(req, self.faults.error))
             return True
@@ -261,12 +267,13 @@
             return False
         return self._send_events(answer, req, int(after or 0) + 1, end)
 
-    def _fails(self) -> bool:
-        """Return whether a failure is due."""
+    def _is_due(self, fault: str) -> bool:
+        """Return whether a fault that is counted down is due."""
         with self._lock:
-            if self.faults.failures <= 0:
+            left = getattr(self.faults, fault)
+            if left <= 0:
                 return False
-            self.faults.failures -= 1
+            setattr(self.faults, fault, left - 1)
             return True
 
     def _next_end(self) -> RunEnd | None:
@@ -367,6 +374,18 @@
     return RawRequest(at, headers, body)
 
 
+def _unstamped(req: RawRequest, number: int) -> bytes:
+    """Return an answer with one event, which looks whole but for its stamp."""
+    data = event(req.request_id, number)
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        f"Content-Length: {len(data)}",
+        f"{names.REQUEST_ID}: {req.request_id}",
+    ]
+    return _head(lines) + data
+
+
 def _head(lines: list[str]) -> bytes:
     return "\r\n".join(lines).encode() + HEAD_END
 
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import replace
 import hashlib
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import WireError
+from mulberrypass.model.outcome import Ran
 from mulberrypass.model.value_class import value_class
 from mulberrypass.relay.second_answer import SecondAnswer
+from mulberrypass.relay.unread import ends_at_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterable
@@ -17,6 +23,7 @@
 
 Headers = tuple[tuple[str, str], ...]
 DIGEST_BYTES = 8
+NO_STAMP = EngineFailed("an answer without a stamp", Ran.MAYBE)
 
 
 @value_class
@@ -117,6 +124,11 @@
     marks: Headers = ()
     stamped: bool = True
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status says that the request succeeded."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
     @property
     def second(self) -> SecondAnswer | None:
         """What tells a copy of the answer in its body.
@@ -160,7 +172,6 @@
 class EngineClient(ABC):
     """Sends requests to engines. Safe on any thread."""
 
-    @abstractmethod
     def send(
         self,
         engine: RegisteredEngine,
@@ -171,10 +182,35 @@
     ) -> EngineAnswer:
         """Send a request and read the head of the answer.
 
+        All runs of requests and items go through here, those that resume or
+        settle an earlier one too.
+
         :param deadline: deadline of the work, which is sent to the engine
         :param on_open: called before the request is sent, with a function
             that closes the connection
         :param head_deadline: until when to wait for the head
+        :raises WireError: if no complete head arrives for this request, or
+            that of a success lacks the stamp of an engine
+        """
+        answer = self.exchange(engine, req, deadline, on_open, head_deadline)
+        if answer.head.is_success and not answer.head.stamped:
+            closed = ends_at_head(answer, deadline)
+            # Closes the connection, which makes most engines stop.
+            answer.finish()
+            raise WireError(replace(NO_STAMP, closed=closed))
+        return answer
+
+    @abstractmethod
+    def exchange(
+        self,
+        engine: RegisteredEngine,
+        req: RelayRequest,
+        deadline: Deadline,
+        on_open: Callable[[Callable[[], None]], None],
+        head_deadline: Deadline,
+    ) -> EngineAnswer:
+        """Send a request and read any head; the parameters are ``send``'s.
+
         :raises WireError: if no complete head arrives for this request
         """
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -73,7 +73,6 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     }
 )
-NO_STAMP = EngineFailed("an answer without a stamp", Ran.MAYBE)
 NO_CONFIGURATION_RETRY_S = 0.5
 # A request that may continue elsewhere leaves an engine that completes no
 # head or event for this long. Callers give up on a silent stream after 2 s.
@@ -227,15 +226,13 @@
             )
             head = self._answer.head
             permit.mark_limit(head.limit_per_s)
-            permit.succeeded = _is_success(head)
+            permit.succeeded = head.is_success
             if head.not_run:
                 reason = f"engine says not run: {head.status}"
                 sound = skip_rest(self._answer, self._deadline)
                 status = head.status if sound else 0
                 raise WireError(EngineFailed(reason, Ran.NO, status=status))
-            if _is_success(head) and not (head.stamped or self._head_sent):
-                raise WireError(NO_STAMP)
-            if self._route.kind is RouteKind.STREAM and _is_success(head):
+            if self._route.kind is RouteKind.STREAM and head.is_success:
                 with self._hold(self._answer) as held:
                     yield from self._forward_stream(self._answer, held)
                 self._complete(self._answer)
@@ -261,7 +258,7 @@
             self._runs.attempts,
             self._proof,
         )
-        if _is_success(answer.head):
+        if answer.head.is_success:
             self._note_time(permit)
         self._release(ReleaseOutcome.DONE)
         self._doubts.judge(self._stream.seen, bool(self._stream.proof))
@@ -364,7 +361,7 @@
         :raises WireError: if it may not
         """
         unframed = answer.head.ends_with_connection
-        if not size and unframed and _is_success(answer.head):
+        if not size and unframed and answer.head.is_success:
             # Nothing else shows that it ended too early.
             raise WireError(CUT)
         status = answer.head.status
@@ -499,9 +496,4 @@
         )
 
 
-def _is_success(head: object) -> bool:
-    status = getattr(head, "status", 0)
-    return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
-
-
 __all__ = ["Forwarder", "RelayDependencies"]
--- a/src/mulberrypass/relay/unread.py
+++ b/src/mulberrypass/relay/unread.py
@@ -1,4 +1,4 @@
-"""Reads what is left of an answer that nobody needs."""
+"""Reads what is left of an answer that doesn't count."""
 
 from __future__ import annotations
 
@@ -33,4 +33,16 @@
     return False
 
 
-__all__ = ["skip_rest"]
+def ends_at_head(answer: EngineAnswer, deadline: Deadline) -> bool:
+    """Return whether the connection ends right behind the head.
+
+    An engine that crashes ends its connections like this.
+    """
+    try:
+        data = answer.read_some(deadline.within(SKIP_TIMEOUT_S))
+    except WireError as exc:
+        return exc.failed.closed
+    return not data and answer.head.ends_with_connection
+
+
+__all__ = ["ends_at_head", "skip_rest"]
--- a/tests/batches/test_random_answers.py
+++ b/tests/batches/test_random_answers.py
@@ -107,12 +107,13 @@
             # In the middle of an event, or never.
             faults.break_after = rng.choice((None, None, 12, 33))
             faults.resumed_bytes = rng.choice((None, None, None, 12))
+            faults.unstamped = rng.choice((0, 0, 1))
             if len(faults.ends) < QUEUED_ENDS:
                 faults.ends.append(random_end(rng))
             time.sleep(rng.random() * 0.01)
         for faults in self.faults:
             faults.unframed = faults.repeated = False
-            faults.failures = faults.refusals = 0
+            faults.failures = faults.refusals = faults.unstamped = 0
             faults.break_after = faults.resumed_bytes = None
             faults.ends.clear()
 
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -57,10 +57,13 @@
 # Of the users' pages: engines that may crash before the part is known.
 MAX_CRASHES = 5
 # An answer that ends before its first event.
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-    b"X-Mulberrypass-Request-Id: r1\r\n\r\n"
-)
+HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HEADS = {
+    "stamped": HEAD,
+    "no stamp": HEAD.replace(b"X-Mulberrypass-Response-Stamp", b"X-Other"),
+    "no stamp, unframed": b"HTTP/1.1 200 OK\r\n"
+    b"X-Mulberrypass-Request-Id: r1\r\n\r\n",
+}
 
 
 def make_request(
@@ -124,7 +127,12 @@
         self.assertEqual([], engines.sent)
 
     def test_item_whose_engine_crashes_each_time(self) -> None:
-        servers = [AnsweringServer(self, HEAD, close=True) for _ in range(6)]
+        for name, head in HEADS.items():
+            with self.subTest(name):
+                self.assert_held_back(head)
+
+    def assert_held_back(self, head: bytes) -> None:
+        servers = [AnsweringServer(self, head, close=True) for _ in range(6)]
         names = [f"e{number}" for number in range(6)]
         permits, item_run = make_run(
             HttpEngineClient(),
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -114,6 +114,7 @@
     ends_with_connection: bool = False
     leaving: bool = False
     stamped: bool = True
+    stamp: str = "s"
     parts: list[bytes | EngineFailed] = field(default_factory=list)
     before: Callable[[], None] | None = None
 
@@ -124,7 +125,7 @@
     def __init__(
         self, script: Script, log: list[str], deadlines: list[Deadline]
     ) -> None:
-        headers = (("X-Stamp", "s"),)
+        headers = (("X-Stamp", script.stamp),)
         self.head = EngineHead(
             script.status,
             headers,
@@ -170,7 +171,7 @@
         self.checked: list[str] = []
         self.alive = True
 
-    def send(
+    def exchange(
         self,
         engine: RegisteredEngine,
         req: RelayRequest,
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -404,12 +404,14 @@
     def test_resumed_stream_keeps_the_stamp_of_its_first_engine(self) -> None:
         engines = ScriptedEngines(
             Script(parts=[event(1), CUT]),
-            Script(stamped=False, parts=[event(2)]),
+            Script(stamp="t", parts=[event(2)]),
         )
         permits = ScriptedPermits("e1", "e2")
         events, cut = run(make_dependencies(engines, permits, RESUMABLE))
         self.assertFalse(cut)
         self.assertEqual(event(1) + event(2), body(events))
+        heads = [each for each in events if isinstance(each, AnswerHead)]
+        self.assertEqual([(("X-Stamp", "s"),)], [h.headers for h in heads])
 
     def test_status_that_promises_what_the_engine_does_not_say(self) -> None:
         """The caller took it for a promise, and sent the request again."""
--- a/tests/relay/test_random_streams.py
+++ b/tests/relay/test_random_streams.py
@@ -145,6 +145,7 @@
             faults = rng.choice(self.faults)
             faults.repeated = rng.random() < 0.3
             faults.failures = rng.choice((0, 0, 0, 1))
+            faults.unstamped = rng.choice((0, 0, 0, 1))
             faults.refusals = rng.choice((0, 0, 1))
             faults.ids_in_refusals = rng.random() < 0.5
 
