Ask another service of a route while one takes no work

Online, such requests were refused.

Cause: the service was a hash of the id of the work, and nothing else was asked: not whether it has an engine, nor whether it had refused the work before.

Ruled out: places that are held (30 items are fewer than the 48 of one member).

Change: an id ranks the services of its route by weighted rendezvous hashing, and work goes to the first that takes work: it has an engine that doesn't leave and hasn't failed this work, and hasn't refused it. An ask of an item that waits for a second goes on to another service. So only the work of a lost service moves, and only that comes back. An answer is of one service: a stream that has begun goes on there or is cut (a route that moved let another service end it), and an item begins anew. The tokens of an event are those of the item's service.

--- a/src/mulberrypass/batches/dispatch.py
+++ b/src/mulberrypass/batches/dispatch.py
@@ -20,6 +20,7 @@
 
     from mulberrypass.batches.run import ItemRun
     from mulberrypass.model.batch_jobs import ItemOutcome
+    from mulberrypass.model.objects import Configuration
     from mulberrypass.relay.directory import Directory
     from mulberrypass.relay.whole_body import HeldBodies
 
@@ -28,6 +29,9 @@
 # How soon an ended job, an expired item or an output that must yield is seen.
 SWEEP_S = 0.25
 RETRY_S = 0.05
+# After which an item without output tries another service of its route; the
+# engines of the first may be gone, though they are still listed.
+SERVICE_WAIT_S = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -36,8 +40,8 @@
 
     :param due_at: Unix time at which it is due; orders the items
     :param is_needed: whether it waits for its outcome, and may run
-    :param find_service: returns the service that is to run it; empty
-        without a route
+    :param find_service: returns the service for its first ask; empty without
+        a route
     :param make_run: called before the first ask
     :param on_begun: called when it has its first permit
     :param on_ended: called with its outcome, once
@@ -62,6 +66,12 @@
         """Whether it has run at an engine."""
         return self.run is not None and self.run.begun
 
+    @property
+    def service(self) -> str:
+        """The service to ask next; empty without a route."""
+        run = self.run
+        return self.find_service() if run is None else run.find_service()
+
 
 class ItemDispatcher:
     """Runs items in order of due time, as their services take work.
@@ -86,6 +96,7 @@
         self._asked: dict[str, set[QueuedItem]] = {}
         self._running = 0
         self._sweep_at = 0.0
+        self._directory_changed = False
         self._stopped = False
         self._pool = ThreadPoolExecutor(MAX_RUNNING_ITEMS, "item")
         self._thread = threading.Thread(
@@ -94,7 +105,7 @@
 
     def start(self) -> None:
         """Start asking for engines."""
-        self._directory.subscribe(lambda _configuration: self._wake.set())
+        self._directory.subscribe(self._on_directory)
         self._thread.start()
 
     def stop(self) -> None:
@@ -119,6 +130,10 @@
                 self._settle(item, Ended(None))
             self._forget_ended()
 
+    def _on_directory(self, _configuration: Configuration) -> None:
+        self._directory_changed = True
+        self._wake.set()
+
     def _loop(self) -> None:
         while not self._stopped:
             self._wake.wait(self._idle_s())
@@ -143,6 +158,9 @@
             item, news = self._news.popleft()
             if not item.ended:
                 self._handle(item, news)
+        if self._directory_changed:
+            self._directory_changed = False
+            self._leave_lost_services()
         now = time.monotonic()
         for _, item in self._waiting.resumed(now):
             self._enqueue(item)
@@ -151,6 +169,13 @@
             self._sweep(now)
         self._ask()
 
+    def _leave_lost_services(self) -> None:
+        """Let items whose service takes no work wait for another one."""
+        for service in self._waiting.services:
+            if not self._directory.takes_work(service):
+                for item in self._waiting.pop_service(service):
+                    self._enqueue(item)
+
     def _handle(
         self, item: QueuedItem, news: PendingPermit | Pause | Ended
     ) -> None:
@@ -211,7 +236,7 @@
                 item.on_ended(item.run, outcome)
 
     def _enqueue(self, item: QueuedItem) -> None:
-        self._waiting.add(item.find_service(), item.due_at, item)
+        self._waiting.add(item.service, item.due_at, item)
 
     def _ask(self) -> None:
         """Ask for engines for the items that are due first."""
@@ -242,7 +267,7 @@
             item = self._waiting.pop(service)
             if item is None:
                 return
-            chosen = item.find_service()
+            chosen = item.service
             if chosen == service:
                 self._ask_for(item)
             else:
@@ -302,6 +327,9 @@
         elif run.yielded or now >= pending.work.deadline:
             self._withdraw(item)
             self._settle(item, Pause(RETRY_S))
+        elif now >= pending.since + SERVICE_WAIT_S and run.pass_over(pending):
+            self._withdraw(item)
+            self._enqueue(item)
 
     def _forget_ended(self) -> None:
         self._waiting.keep(lambda item: not item.ended)
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -18,7 +18,6 @@
 from mulberrypass.policy.batches import heads as policy
 from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.policy.batches.times import JobTimes
-from mulberrypass.relay.permits import choose_service
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.follow import TableReader
 
@@ -339,7 +338,7 @@
             route = table.find(job.head.host, item.path)
             if route is None or not route.services:
                 return ""
-            return choose_service(route, item.item_id)
+            return self._dependencies.acquirer.choose(route, item.item_id)
 
         return QueuedItem(
             due_at=_due_at(job),
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -119,6 +119,8 @@
         self._abort: Callable[[], None] | None = None
         self._framing: dict[str, bool] = {}
         self._avoid: tuple[str, ...] = ()
+        self._refused: tuple[str, ...] = ()
+        self._service = ""
         self.held_back = False
         self.output = HeldOutput(dependencies.bodies)
 
@@ -155,6 +157,46 @@
         except QuarantinedError as exc:
             return self._hold_back(exc)
 
+    def find_service(self) -> str:
+        """Return the service to ask next; empty without a route.
+
+        That which has begun the output is first, while it takes work.
+        """
+        route = self._find_route()
+        if route is None or not route.services:
+            return ""
+        return self._dependencies.acquirer.choose(
+            route,
+            self._item.item_id,
+            self._avoid,
+            self._refused,
+            self._service,
+        )
+
+    def pass_over(self, pending: PendingPermit) -> bool:
+        """Prefer another service to one that keeps an ask waiting.
+
+        An output that has begun waits, as another would begin it anew.
+
+        :returns: whether another takes work
+        """
+        return self._progress.last is None and self._refuse(pending)
+
+    def _refuse(self, pending: PendingPermit) -> bool:
+        refused = (*self._refused, pending.service)
+        acquirer = self._dependencies.acquirer
+        others = acquirer.has_other(pending.work, self._avoid, refused)
+        self._refused = refused if others else ()
+        if others:
+            LOG.info(
+                "another service is asked",
+                job=self._head.job_id,
+                item=self._item.item_id,
+                ask=pending.ask_id,
+                refused=list(refused),
+            )
+        return others
+
     def renew_output(self) -> None:
         """Begin anew if the output had to yield."""
         if self.output.yielded:
@@ -172,10 +214,13 @@
                 # The avoided engine is the only one.
                 self._avoid = ()
                 return Pause(0.0)
+            if self._refuse(pending):
+                return Pause(0.0)
             return Pause(max(RETRY_S, min(MAX_RETRY_S, exc.retry_after_s)))
         if isinstance(permit, str):
             self._avoid = (*self._avoid, permit)
             return Pause(0.0)
+        self._refused = ()
         self._log_permit(permit)
         self._begun = True
         return permit
@@ -222,6 +267,20 @@
     def _ask(self) -> PendingPermit:
         self._revoked = False
         self._abort = None
+        service = self.find_service()
+        if not service:
+            raise NoRouteError
+        if service != self._service and self._progress.last is not None:
+            LOG.info(
+                "item begins anew",
+                job=self._head.job_id,
+                item=self._item.item_id,
+                former=self._service,
+                service=service,
+                events=len(self._progress.event_texts),
+            )
+            self._progress.begin_anew()
+        self._service = service
         req = self._request(None)
         remaining_tokens = self._remaining_tokens(req)
         due_in_s = self._head.first_s + self._head.due_s - time.time()
@@ -243,6 +302,7 @@
             output_tokens=remaining_tokens,
             prefix=req.prefix,
             revocable=True,
+            service=service,
         )
         return self._dependencies.acquirer.ask(
             spec, self._avoid, self._on_revoke
@@ -259,9 +319,9 @@
     def _event_tokens(self) -> int:
         table = self._dependencies.directory.routes()
         route = table.find(self._head.host, self._item.path)
-        if route is None or not route.services:
+        if route is None:
             return 1
-        service = table.services.get(route.services[0].service)
+        service = table.services.get(self._service)
         return service.event_tokens if service is not None else 1
 
     def _find_route(self) -> RelayRoute | None:
--- a/src/mulberrypass/policy/batches/waiting.py
+++ b/src/mulberrypass/policy/batches/waiting.py
@@ -50,6 +50,11 @@
             del self._by_service[service]
         return item
 
+    def pop_service(self, service: str) -> list[T]:
+        """Remove and return all items of a service, in order."""
+        waiting = self._by_service.pop(service, [])
+        return [item for _, _, item in sorted(waiting)]
+
     def first_due(self, service: str) -> float:
         """Return when the first item of a service is due; else infinity."""
         waiting = self._by_service.get(service)
--- a/src/mulberrypass/relay/admission.py
+++ b/src/mulberrypass/relay/admission.py
@@ -42,14 +42,19 @@
         seconds
     :param attempts: attempts so far, for the log
     :param maybe_ran: whether the request may have run
-    :param begun: whether its answer has begun
+    :param service: the service that has begun its answer; empty before
     """
 
     avoided: list[tuple[str, ...]]
     doubt_ends_at: float
     attempts: int
     maybe_ran: bool
-    begun: bool
+    service: str
+
+    @property
+    def begun(self) -> bool:
+        """Whether its answer has begun."""
+        return bool(self.service)
 
 
 class Admission:
@@ -139,6 +144,7 @@
             prefix=self._req.prefix,
             start_by=self._start_by(need),
             request=self._digest,
+            service=need.service,
         )
 
     def _may_finish(self, need: PermitNeed) -> bool:
--- a/src/mulberrypass/relay/directory.py
+++ b/src/mulberrypass/relay/directory.py
@@ -18,7 +18,7 @@
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from mulberrypass.model.routes import RegisteredEngine
 
@@ -62,10 +62,13 @@
             return None
         return found
 
-    def takes_work(self, service: str) -> bool:
-        """Return whether any engine of a service may get new work."""
+    def takes_work(self, service: str, avoid: Collection[str] = ()) -> bool:
+        """Return whether a service has an engine that may get new work.
+
+        :param avoid: engines that don't count
+        """
         pool = self._current.pools.get(service)
-        return pool is not None and bool(pool.backends)
+        return pool is not None and any(e not in avoid for e in pool.backends)
 
     def engine_names(self) -> frozenset[str]:
         """Return the registered engines that haven't said that they leave."""
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -125,6 +125,8 @@
 class _ForwardedRequest:
     """One request while it is forwarded; used by one thread.
 
+    :ivar _service: the service whose answer the caller has got the head of;
+        another one may answer otherwise
     :ivar _settles: whether the latest run, or the next one, settles where
         the stream ends
     :ivar _doubt_ends_at: until when a second run may end, in monotonic
@@ -165,6 +167,7 @@
         )
         self._maybe_ran = False
         self._head_sent = False
+        self._service = ""
         self._proof = ""
         self._doubt_ends_at = float("inf")
         self._runs_whole = True
@@ -200,7 +203,7 @@
             self._doubt_ends_at,
             self._runs.attempts,
             self._maybe_ran,
-            self._head_sent,
+            self._service,
         )
 
     def _attempt(self) -> Generator[RelayEvent, None, EngineFailed | None]:
@@ -307,6 +310,7 @@
         assert self._permit is not None
         if not self._head_sent:
             self._head_sent = True
+            self._service = self._permit.engine.service
             yield AnswerHead(
                 answer.head.status,
                 answer.head.headers,
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -9,8 +9,6 @@
 import time
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.messages import (
     Ask,
@@ -23,7 +21,12 @@
     ReleaseOutcome,
     Withdraw,
 )
+from mulberrypass.policy.online.services import (
+    choose_service,
+    rank_services,
+)
 from mulberrypass.relay.crash_guard import CrashGuard, QuarantinedError
+from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -34,9 +37,9 @@
     from mulberrypass.policy.messages import WorkClass
     from mulberrypass.relay.directory import Directory
 
+LOG = get_logger(__name__)
 # How often a waiting permit request checks whether it was abandoned.
 ABANDONED_POLL_S = 0.05
-HASH_RANGE = 2**64
 MIN_START_WITHIN_S = 0.001
 
 
@@ -45,10 +48,12 @@
     """Requirements of a request or batch item for an engine.
 
     :param find: returns the route that is currently in force for the work
-    :param routing_key: hashed to choose among the services of a route
+    :param routing_key: ranks the services of a route
     :param deadline: monotonic time by which the work must have ended
     :param start_by: monotonic time by which it should have started
     :param request: digest of a request; ``None`` for an item
+    :param service: the service that has begun the answer, which no other may
+        go on with; empty for any of the route
     """
 
     find: Callable[[], RelayRoute | None]
@@ -62,6 +67,7 @@
     revocable: bool = False
     start_by: float | None = None
     request: int | None = None
+    service: str = ""
 
     @property
     def shared_parts(self) -> tuple[int, ...]:
@@ -212,14 +218,26 @@
         :raises QuarantinedError: if the work would crash the engine
         """
         since = time.monotonic()
+        refused: tuple[str, ...] = ()
         while True:
-            pending = self.ask(work, avoid, on_revoke, since)
+            pending = self.ask(work, avoid, on_revoke, since, refused)
             self._wait(pending, abandoned)
-            match self.take(pending):
-                case HeldPermit() as permit:
-                    return permit
-                case backend:
-                    avoid = (*avoid, backend)
+            try:
+                match self.take(pending):
+                    case HeldPermit() as permit:
+                        return permit
+                    case backend:
+                        avoid = (*avoid, backend)
+            except NoPermitError as exc:
+                refused = (*refused, pending.service)
+                if work.service or not self.has_other(work, avoid, refused):
+                    raise
+                LOG.info(
+                    "another service is asked",
+                    ask=pending.ask_id,
+                    refused=list(refused),
+                    reason=exc.reason,
+                )
 
     def ask(
         self,
@@ -227,23 +245,71 @@
         avoid: tuple[str, ...],
         on_revoke: Callable[[], None] | None = None,
         since: float | None = None,
+        refused: tuple[str, ...] = (),
     ) -> PendingPermit:
         """Ask for a permit without waiting for the answer.
 
         :param since: when the work began to wait; by default now
+        :param refused: services to ask only if no other takes work
         :raises NoRouteError: if no route matches the work any more
         :raises QuarantinedError: if the work would crash the engine
         """
         route = work.find()
         if route is None or not route.services:
             raise NoRouteError
-        service = choose_service(route, work.routing_key)
+        service = self._choose(route, work, avoid, refused)
         self._guard.check(service, work.shared_parts, work.request)
         ask = self._make_ask(work, service, avoid)
         answer = self._permits.ask(ask, on_revoke or _ignore_revocation)
         asked_at = time.monotonic() if since is None else since
         return PendingPermit(ask.ask_id, work, service, answer, asked_at)
 
+    def choose(
+        self,
+        route: RelayRoute,
+        key: str,
+        avoid: tuple[str, ...] = (),
+        refused: tuple[str, ...] = (),
+        first: str = "",
+    ) -> str:
+        """Choose the service of a route that is to run work now.
+
+        :param key: ranks the services
+        :param avoid: engines that may not run it
+        :param refused: services to choose only if no other takes work
+        :param first: the service to prefer to all others
+        """
+        ranked = rank_services(route.services, key)
+        ranked.sort(key=lambda name: (name in refused, name != first))
+        return choose_service(
+            ranked, lambda name: self._directory.takes_work(name, avoid)
+        )
+
+    def has_other(
+        self, work: WorkSpec, avoid: tuple[str, ...], refused: tuple[str, ...]
+    ) -> bool:
+        """Return whether a service that has not refused work takes it."""
+        route = work.find()
+        if route is None:
+            return False
+        return any(
+            name not in refused and self._directory.takes_work(name, avoid)
+            for name in rank_services(route.services, work.routing_key)
+        )
+
+    def _choose(
+        self,
+        route: RelayRoute,
+        work: WorkSpec,
+        avoid: tuple[str, ...],
+        refused: tuple[str, ...],
+    ) -> str:
+        if not work.service:
+            return self.choose(route, work.routing_key, avoid, refused)
+        if not route.leads_to(work.service):
+            raise NoRouteError
+        return work.service
+
     def take(self, pending: PendingPermit) -> HeldPermit | str:
         """Return the permit of an ask that is answered.
 
@@ -289,7 +355,7 @@
         """Return whether work with these parts would crash an engine."""
         if route is None or not route.services:
             return False
-        service = choose_service(route, routing_key)
+        service = self.choose(route, routing_key)
         try:
             self._guard.check(service, parts)
         except QuarantinedError:
@@ -364,17 +430,6 @@
     return max(MIN_START_WITHIN_S, work.start_by - time.monotonic())
 
 
-def choose_service(route: RelayRoute, routing_key: str) -> str:
-    """Choose a service by weight; the same key gives the same service."""
-    total = sum(share.weight for share in route.services)
-    point = xxhash.xxh3_64_intdigest(routing_key.encode()) / HASH_RANGE * total
-    for share in route.services:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return route.services[-1].service
-
-
 def _ignore_revocation() -> None:
     """Do nothing; online permits are not revocable."""
 
@@ -386,5 +441,4 @@
     "PendingPermit",
     "PermitAcquirer",
     "WorkSpec",
-    "choose_service",
 ]
