Read manifests and claim jobs beside the holder's loop

By a test: while the store doesn't answer for the rows of one job, no item of a job accepted meanwhile runs.

Cause: the holder's loop read manifests of jobs taken over and claimed jobs of lost members by itself, one after the other, before it looked at other jobs and had outcomes stored.

Change: four threads of their own do both; a job is read or claimed by one of them at a time. A member that leaves keeps the items that wait if there is no other member to hand them to.

--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -49,6 +49,7 @@
     :param outcomes: outcomes that aren't stored yet
     :param held_back: indexes of items that would crash engines
     :param committing: whether a thread stores outcomes
+    :param loading: whether a thread reads the manifest
     """
 
     stored: VersionedHead
@@ -59,6 +60,7 @@
     held_back: set[int] = field(default_factory=set)
     outcomes: deque[WaitingOutcome] = field(default_factory=deque)
     committing: bool = False
+    loading: bool = False
 
     @property
     def head(self) -> JobHead:
@@ -100,6 +102,9 @@
         self._wake = threading.Event()
         self._pace = ItemPace()
         self._commit_pool = ThreadPoolExecutor(4, "commit")
+        # Claims and manifests: a store that is silent holds no other work.
+        self._store_pool = ThreadPoolExecutor(4, "job-store")
+        self._claiming: set[tuple[str, str]] = set()
         self._dispatcher = ItemDispatcher(
             dependencies.directory, dependencies.bodies
         )
@@ -224,8 +229,9 @@
 
     def _hand_over(self) -> None:
         """Hand over the held jobs, but not the items that have begun."""
-        self._dispatcher.drop_waiting()
         live = self._members().live
+        if live - {self._me}:
+            self._dispatcher.drop_waiting()
         left_s = max(0.0, self._exit_at - time.monotonic())
         for job in self._jobs():
             if not job.head.open or job.head.holder != self._me:
@@ -259,9 +265,23 @@
         with self._lock:
             heads = [stored.head for stored in self._heads.values()]
         for head in self._takeover.due(heads):
-            self._claim(head)
+            with self._lock:
+                if head.key in self._claiming:
+                    continue
+                self._claiming.add(head.key)
+            self._store_pool.submit(self._claim, head)
 
     def _claim(self, seen: JobHead) -> None:
+        """Claim a job; called on a pool thread."""
+        try:
+            self._try_claim(seen)
+        except Exception:
+            LOG.exception("job not taken over", job=seen.job_id)
+        with self._lock:
+            self._claiming.discard(seen.key)
+        self._wake.set()
+
+    def _try_claim(self, seen: JobHead) -> None:
         def change(head: JobHead) -> JobHead | None:
             if head.holder != seen.holder:
                 return None
@@ -283,7 +303,10 @@
         known = self._members().known
         now = time.monotonic()
         for job in sorted(self._jobs(), key=_due_at):
-            if job.head.holder != self._me or not self._load_items(job):
+            if job.head.holder != self._me:
+                continue
+            if job.items is None:
+                self._load_items(job)
                 continue
             waited_s = self._times.since_hand_over(job.head, now)
             for index in policy.runnable(
@@ -316,12 +339,27 @@
         acquirer = self._dependencies.acquirer
         return acquirer.is_quarantined(route, item.item_id, parts)
 
-    def _load_items(self, job: HeldJob) -> bool:
-        if job.items is None and job.head.open:
+    def _load_items(self, job: HeldJob) -> None:
+        """Read the manifest of a job, unless that goes on already."""
+        with self._lock:
+            if job.loading or not job.head.open:
+                return
+            job.loading = True
+        self._store_pool.submit(self._read_items, job)
+
+    def _read_items(self, job: HeldJob) -> None:
+        """Read the manifest of a job; called on a pool thread."""
+        try:
             read = self._store.items(job.head.host, job.head.job_id)
-            if read.is_ok():
-                job.items = read.ok
-        return job.items is not None
+            with self._lock:
+                if read.is_ok() and job.items is None:
+                    job.items = read.ok
+        except Exception:
+            LOG.exception("manifest can't be read", job=job.head.job_id)
+        with self._lock:
+            job.loading = False
+        if job.items is not None:
+            self._wake.set()
 
     def _queued_item(self, job: HeldJob, index: int) -> QueuedItem:
         """Return an item of a job for the dispatcher."""
