Count an item as begun once it has a place, not a permit

Cause, by reading the change before: an item whose permit found no place free counted as begun for the dispatcher and as waiting for the holder, so that a member that leaves would have kept it and handed it over. An error in handling an answer left an item in neither state. An item without output preferred the service that it had asked before, and not its share's.

Change: the dispatcher notes the begin when it starts an item; an answer that can't be handled ends the run, and the holder gives the item in again.

Result: a test of two services that grant 96 permits for 48 places: each item runs once, surplus permits are given back.

--- a/src/mulberrypass/batches/dispatch.py
+++ b/src/mulberrypass/batches/dispatch.py
@@ -43,10 +43,11 @@
     :param find_service: returns the service for its first ask; empty without
         a route
     :param make_run: called before the first ask
-    :param on_begun: called when it has its first permit
+    :param on_begun: called when it runs for the first time
     :param on_ended: called with its outcome, once
     :ivar pending: the ask that waits for its answer
-    :ivar running: whether it runs at an engine
+    :ivar begun: whether it has run at an engine
+    :ivar running: whether it runs at one now
     :ivar ended: whether it has left the dispatcher
     """
 
@@ -58,14 +59,10 @@
     on_ended: Callable[[ItemRun | None, ItemOutcome | None], None]
     run: ItemRun | None = field(default=None, init=False)
     pending: PendingPermit | None = field(default=None, init=False)
+    begun: bool = field(default=False, init=False)
     running: bool = field(default=False, init=False)
     ended: bool = field(default=False, init=False)
 
-    @property
-    def begun(self) -> bool:
-        """Whether it has run at an engine."""
-        return self.run is not None and self.run.begun
-
     @property
     def service(self) -> str:
         """The service to ask next; empty without a route."""
@@ -77,8 +74,8 @@
     """Runs items in order of due time, as their services take work.
 
     Only items that run at an engine take one of the places of this member.
-    Those that wait for an engine are asks of which nothing else waits: each
-    service has no more of them than there are free places.
+    Each service has at most as many asks for engines as there are free
+    places; its other items wait, and none waits for those of another service.
 
     Callbacks run on its threads and must not block. Safe on any thread.
     """
@@ -190,12 +187,19 @@
                 self._settle(item, news)
 
     def _on_answer(self, item: QueuedItem, pending: PendingPermit) -> None:
-        assert item.run is not None
+        run = item.run
+        assert run is not None
         self._forget_ask(item)
-        match item.run.take(pending):
+        try:
+            result = run.take(pending)
+        except Exception:
+            LOG.exception("answer not handled", ask=pending.ask_id)
+            run.close()
+            result = Ended(None)
+        match result:
             case HeldPermit() as permit:
-                self._start(item, item.run, permit)
-            case result:
+                self._start(item, run, permit)
+            case _:
                 self._settle(item, result)
 
     def _start(
@@ -208,7 +212,9 @@
             return
         self._running += 1
         item.running = True
-        item.on_begun()
+        if not item.begun:
+            item.begun = True
+            item.on_begun()
         self._pool.submit(self._attempt, item, run, permit)
 
     def _attempt(
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -114,7 +114,6 @@
         self._progress = Progress()
         self._doubts = DoubtfulRuns()
         self._revoked = False
-        self._begun = False
         self._delay_s = RETRY_S
         self._abort: Callable[[], None] | None = None
         self._framing: dict[str, bool] = {}
@@ -124,11 +123,6 @@
         self.held_back = False
         self.output = HeldOutput(dependencies.bodies)
 
-    @property
-    def begun(self) -> bool:
-        """Whether the item has run at an engine."""
-        return self._begun
-
     @property
     def is_needed(self) -> bool:
         """Whether a run may still bring the outcome."""
@@ -170,7 +164,7 @@
             self._item.item_id,
             self._avoid,
             self._refused,
-            self._service,
+            self._service if self._progress.last is not None else "",
         )
 
     def pass_over(self, pending: PendingPermit) -> bool:
@@ -183,6 +177,7 @@
         return self._progress.last is None and self._refuse(pending)
 
     def _refuse(self, pending: PendingPermit) -> bool:
+        """Note that a service didn't grant; return whether another may."""
         refused = (*self._refused, pending.service)
         acquirer = self._dependencies.acquirer
         others = acquirer.has_other(pending.work, self._avoid, refused)
@@ -222,7 +217,6 @@
             return Pause(0.0)
         self._refused = ()
         self._log_permit(permit)
-        self._begun = True
         return permit
 
     def withdraw(self, pending: PendingPermit) -> None:
--- a/tests/batches/test_lost_service.py
+++ b/tests/batches/test_lost_service.py
@@ -233,11 +233,11 @@
         self.permits.full.add(LOST)
         self.accept(LOST, "full", MAX_ITEMS)
         self.assertTrue(wait_until(lambda: bool(self.permits.waiting)))
-        asked = {ask.ask_id for ask in self.permits.asks}
         ended_at = time.monotonic()
         self.end("full")
         self.assertTrue(wait_until(lambda: not self.permits.waiting))
         self.assertLess(time.monotonic() - ended_at, CANCEL_S)
+        asked = {ask.ask_id for ask in self.permits.asks}
         self.assertEqual(asked, set(self.permits.withdrawn))
         self.permits.full.clear()
         time.sleep(SOME_S)
@@ -270,6 +270,30 @@
         self.assertEqual({}, self.permits.waiting)
 
 
+class TwoServicesAtOnceTest(LostServiceCase):
+    """A permit beyond the places of a member kept an engine idle."""
+
+    def test_permit_without_a_place_is_given_back(self) -> None:
+        for script in self.engines._scripts:
+            assert isinstance(script, Script)
+            script.before = lambda: time.sleep(0.02)
+        self.register(LOST, SOUND)
+        self.permits.full.update((LOST, SOUND))
+        self.accept(LOST, "one", MAX_ITEMS)
+        self.accept(SOUND, "two", MAX_ITEMS)
+        both = 2 * MAX_RUNNING_ITEMS
+        self.assertTrue(wait_until(lambda: len(self.permits.waiting) == both))
+        self.permits.full.clear()
+        self.permits.answer(LOST)
+        self.permits.answer(SOUND)
+        self.assert_done("one", MAX_ITEMS)
+        self.assert_done("two", MAX_ITEMS)
+        self.assertNotEqual([], self.permits.unused)
+        sent = [req.request_id for _, req in self.engines.sent]
+        self.assertEqual(2 * MAX_ITEMS, len(set(sent)))
+        self.assertEqual(2 * MAX_ITEMS, len(sent))
+
+
 class DueOrderTest(LostServiceCase):
     """A job that was due later ran first."""
 
