Let the demo's route lead to the service of its engines

By the log of an instance: "engine ready" names the one, "not placed" comes for a route to the other. No test runs the demo.

Change: the demo's configuration names the same service.

--- a/scripts/demo_site.py
+++ b/scripts/demo_site.py
@@ -33,7 +33,7 @@
         "Host": host,
         "Prefix": f"/{name}/",
         "RouteType": "streaming",
-        "Service": "rackmind",
+        "Service": "generation",
         "TimeoutMs": 8_000,
         "TargetLatencyMs": 2_000,
         "MaxAttempts": 2,
@@ -46,7 +46,7 @@
         route("lookup", ONLINE),
         route("crates", BATCH, RouteType="batch", Cap=100_000),
     ],
-    "Services": [{"Name": "rackmind", "Engine": {"Stride": 1}}],
+    "Services": [{"Name": "generation", "Engine": {"Stride": 1}}],
 }
 
 
