--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -28,6 +28,7 @@
     Ask,
     Grant,
     LimitReport,
+    PaceReport,
     RefusalReason,
     Refuse,
     Revoke,
@@ -224,7 +225,7 @@
                 self._outgoing.setdefault(session.holder, [])
                 self._on_ask(message, now)
                 continue
-            if isinstance(message, LimitReport):
+            if isinstance(message, LimitReport | PaceReport):
                 for cell in self._cells:
                     self._queue_decisions(cell.handle(message, now))
                 continue
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -13,6 +13,7 @@
     FirstToken,
     Grant,
     LimitReport,
+    PaceReport,
     RefusalReason,
     Refuse,
     Release,
@@ -96,6 +97,8 @@
                 self._on_release(ask_id, call)
             case LimitReport():
                 self._on_limit(call)
+            case PaceReport():
+                pass
 
     def flush(self) -> None:
         """Send the messages queued by the calls handled."""
@@ -172,6 +175,9 @@
         if self._is_responsive(key):
             request.owner = self._routes.owner(key)
             self._send(request)
+        elif ask.repeat:
+            # Nobody knows whether there is room to spare.
+            self._refuse(request, RefusalReason.NO_SPARE)
         else:
             self._fail_open(request)
 
@@ -191,6 +197,10 @@
         """Grant online work a slot of the local share; batch work waits."""
         if not request.online or request.cell is None:
             return False
+        if request.ask.repeat:
+            self._sessions.send(request.owner, Withdraw(request.ask.ask_id))
+            self._refuse(request, RefusalReason.NO_SPARE)
+            return True
         backends = self._routes.backends(request.cell)
         members = len(self._routes.live_names())
         now = self._clock()
--- a/src/mulberrypass/peer/permit_codec.py
+++ b/src/mulberrypass/peer/permit_codec.py
@@ -11,6 +11,7 @@
     FirstToken,
     Grant,
     LimitReport,
+    PaceReport,
     RefusalReason,
     Refuse,
     Release,
@@ -35,8 +36,10 @@
             return pb.HolderMessage(ask=_encode_ask(message))
         case Withdraw(ask_id=ask_id):
             return pb.HolderMessage(withdraw=pb.Withdraw(ask_id=ask_id))
-        case FirstToken(ask_id=ask_id, after_s=after_s):
-            first_token = pb.FirstToken(ask_id=ask_id, after_s=after_s)
+        case FirstToken(ask_id=ask_id, after_s=after_s, slowness=slowness):
+            first_token = pb.FirstToken(
+                ask_id=ask_id, after_s=after_s, slowness=slowness
+            )
             return pb.HolderMessage(first_token=first_token)
         case Release():
             return pb.HolderMessage(release=_encode_release(message))
@@ -45,6 +48,9 @@
                 ask_id=ask_id, backend=backend, requests_per_s=per_s
             )
             return pb.HolderMessage(limit=limit)
+        case PaceReport(backend=backend, pace=pace, age_s=age_s):
+            report = pb.PaceReport(backend=backend, pace=pace, age_s=age_s)
+            return pb.HolderMessage(pace=report)
 
 
 def decode_holder(
@@ -61,7 +67,9 @@
             return Withdraw(message.withdraw.ask_id)
         case "first_token":
             first_token = message.first_token
-            return FirstToken(first_token.ask_id, first_token.after_s)
+            return FirstToken(
+                first_token.ask_id, first_token.after_s, first_token.slowness
+            )
         case "release":
             return _decode_release(message.release)
         case "limit":
@@ -69,6 +77,9 @@
             return LimitReport(
                 limit.ask_id, limit.backend, limit.requests_per_s
             )
+        case "pace":
+            report = message.pace
+            return PaceReport(report.backend, report.pace, report.age_s)
         case _:
             return None
 
@@ -76,9 +87,12 @@
 def encode_owner(message: OwnerMessage) -> pb.OwnerMessage:
     """Encode an owner's message."""
     match message:
-        case Grant(ask_id=ask_id, backend=backend, limit_per_s=limit_per_s):
+        case Grant():
             grant = pb.Grant(
-                ask_id=ask_id, backend=backend, limit_per_s=limit_per_s
+                ask_id=message.ask_id,
+                backend=message.backend,
+                limit_per_s=message.limit_per_s,
+                pace=message.pace,
             )
             return pb.OwnerMessage(grant=grant)
         case Refuse(ask_id=ask_id, reason=reason, retry_after_s=after_s):
@@ -95,7 +109,9 @@
     match message.WhichOneof("kind"):
         case "grant":
             grant = message.grant
-            return Grant(grant.ask_id, grant.backend, grant.limit_per_s)
+            return Grant(
+                grant.ask_id, grant.backend, grant.limit_per_s, grant.pace
+            )
         case "refuse":
             refuse = message.refuse
             return Refuse(
@@ -145,6 +161,7 @@
         granted=ask.granted,
         start_within_s=ask.start_within_s,
         subject=ask.subject,
+        repeat=ask.repeat,
     )
 
 
@@ -165,6 +182,7 @@
         revocable=ask.revocable,
         version=ask.version,
         granted=ask.granted,
+        repeat=ask.repeat,
     )
 
 
--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -31,6 +31,7 @@
     FirstToken,
     Grant,
     LimitReport,
+    PaceReport,
     RefusalReason,
     Refuse,
     Release,
@@ -126,6 +127,8 @@
                 self._on_release(message, now)
             case LimitReport():
                 self._on_limit(message, now)
+            case PaceReport():
+                pass
         return self._run(now)
 
     def holder_lost(self, holder: str, now: float) -> list[CellDecision]:
@@ -229,6 +232,9 @@
         if not self._ledger.servable(ask):
             self._refuse(ask, RefusalReason.NO_BACKEND, RETRY_AFTER_S)
             return
+        if ask.repeat and not self._has_spare(ask, now):
+            self._refuse(ask, RefusalReason.NO_SPARE, 0.0)
+            return
         online = ask.work_class is WorkClass.ONLINE
         if online:
             wait = self._ledger.limits.take_rate_token(ask.customer, now)
@@ -248,6 +254,21 @@
         self._sequence += 1
         self._enqueue(self._make_queued(ask, work, needed_s, now))
 
+    def _has_spare(self, ask: Ask, now: float) -> bool:
+        """Return whether a second run of an ask would delay no other work.
+
+        Batch work that runs doesn't give up its slot for it.
+        """
+        if len(self.queued(WorkClass.ONLINE)):
+            return False
+        return any(
+            engine.running < engine.cap
+            and engine.admits(False, now)
+            and engine.serves(ask)
+            and engine.fits(ask)
+            for engine in self.engines.values()
+        )
+
     def _refuse_early(self, ask: Ask, now: float) -> bool:
         """Refuse online work that would start too late."""
         self._early.count_arrival(now)
--- a/src/mulberrypass/policy/messages.py
+++ b/src/mulberrypass/policy/messages.py
@@ -22,6 +22,7 @@
     QUEUE_FULL = "queue_full"
     CUSTOMER_LIMIT = "customer_limit"
     NO_BACKEND = "no_backend"
+    NO_SPARE = "no_spare"
     NOT_OWNER = "not_owner"
     DRAINING = "draining"
 
@@ -55,6 +56,8 @@
         no limit
     :param subject: identifies a caller's request across its attempts; 0
         if unknown
+    :param repeat: whether this is a second run beside one that is late,
+        which is granted only with room to spare
     """
 
     ask_id: str
@@ -72,6 +75,7 @@
     granted: str = ""
     start_within_s: float = 0.0
     subject: int = 0
+    repeat: bool = False
 
 
 @value_class
@@ -86,10 +90,13 @@
     """Reports that the prefill of a permit's work is done.
 
     :param after_s: seconds from dispatch to the first token
+    :param slowness: how long work takes on the server's machine at the
+        moment, relative to its usual time; 0 if unknown
     """
 
     ask_id: str
     after_s: float
+    slowness: float = 0.0
 
 
 @value_class
@@ -123,7 +130,20 @@
     requests_per_s: float
 
 
-PermitMessage = Withdraw | FirstToken | Release | LimitReport
+@value_class
+class PaceReport:
+    """Reports the lasting pace of a backend server to a new owner.
+
+    :param pace: time of a step relative to the median of its peers
+    :param age_s: seconds since an owner has told it
+    """
+
+    backend: str
+    pace: float
+    age_s: float
+
+
+PermitMessage = Withdraw | FirstToken | Release | LimitReport | PaceReport
 HolderMessage = Ask | PermitMessage
 
 
@@ -133,11 +153,14 @@
 
     :param limit_per_s: known limit of the server in requests per second; 0
         for none. The holder reports what the answer says of it.
+    :param pace: lasting pace of the server relative to its peers; 0 while
+        it is unknown
     """
 
     ask_id: str
     backend: str
     limit_per_s: float = 0.0
+    pace: float = 0.0
 
 
 @value_class
@@ -168,8 +191,9 @@
     "Grant",
     "HolderMessage",
     "LimitReport",
-    "PermitMessage",
     "OwnerMessage",
+    "PaceReport",
+    "PermitMessage",
     "Refuse",
     "RefusalReason",
     "Release",
