Serve customers with keys on the site's path

Change: one module decides who may use a route or a job (policy/access.py). It is asked on arrival and again when the engine is granted. The key never enters a forwarded header, and the customer's name replaces what a caller sent. Jobs have an owner, and the token limit of a route holds for each customer. The fair queue gets the customer, weighted by priority.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -107,6 +107,7 @@
     busy_by: str
     busy_for_s: Seconds = 0.0
     busy_until: Seconds
+    customer: str = ""
 
 
 def head_key(host: str, job_id: str) -> RowKey:
@@ -140,6 +141,8 @@
         "busy_for_s": head.busy_for_s,
         "busy_until": head.busy_until,
     }
+    if head.customer:
+        doc["customer"] = head.customer
     return json.dumps(doc, separators=(",", ":")).encode()
 
 
@@ -167,6 +170,7 @@
         busy_by=doc.busy_by,
         busy_for_s=doc.busy_for_s,
         busy_until=doc.busy_until,
+        customer=doc.customer,
     )
 
 
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -128,10 +128,10 @@
                 job.items = items
         self._wake.set()
 
-    def total(self, host: str, job_id: str) -> int | None:
-        """Return the number of items of a job, ``None`` if it's unknown."""
+    def head(self, host: str, job_id: str) -> JobHead | None:
+        """Return the head of a job as last read, ``None`` if it's unknown."""
         stored = self._heads.get((host, job_id))
-        return stored.head.total if stored is not None else None
+        return stored.head if stored is not None else None
 
     def update_head(self, stored: VersionedHead) -> None:
         """Handle a head that was read or written."""
--- a/src/mulberrypass/batches/manager.py
+++ b/src/mulberrypass/batches/manager.py
@@ -9,11 +9,13 @@
 
 from mulberrypass.model.batch_jobs import (
     Accepted,
+    JobIdTaken,
     NoSuchJob,
     OverQuota,
     StoreUnavailable,
 )
 from mulberrypass.model.routes import RouteKind
+from mulberrypass.policy.access import may_see_job
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -48,7 +50,9 @@
 
     def submit(
         self, job: NewJob
-    ) -> Result[Accepted, OverQuota | NoSuchJob | StoreUnavailable]:
+    ) -> Result[
+        Accepted, OverQuota | NoSuchJob | JobIdTaken | StoreUnavailable
+    ]:
         """Accept a job; on success it has been stored."""
         table = self._directory.routes()
         if table.version == 0:
@@ -61,6 +65,7 @@
             LOG.info(
                 "job refused",
                 job=job.job_id,
+                customer=job.customer,
                 items=len(job.items),
                 tokens=job.tokens,
                 why=repr(result.error),
@@ -70,6 +75,7 @@
         LOG.info(
             "job accepted",
             job=job.job_id,
+            customer=job.customer,
             route=route.name,
             items=len(job.items),
             tokens=job.tokens,
@@ -85,23 +91,33 @@
         job_id: str,
         position: int,
         max_chars: float = math.inf,
+        caller: str | None = None,
     ) -> Result[ResultPage, NoSuchJob | StoreUnavailable]:
         """Read the results from a position on.
 
         :param max_chars: of all outputs; the one that exceeds it is the last
+        :param caller: see ``JobCaller``
         """
-        total = self._holder.total(host, job_id)
+        checked = self._check_owner(host, job_id, caller)
+        if checked.is_error():
+            return Error(checked.error)
+        known = self._holder.head(host, job_id)
+        total = None if known is None else known.total
         return self._store.results(host, job_id, position, total, max_chars)
 
     def body(
-        self, host: str, job_id: str, item_id: str
+        self,
+        host: str,
+        job_id: str,
+        item_id: str,
+        caller: str | None = None,
     ) -> Result[bytes, NoSuchJob | StoreUnavailable]:
         """Return the body of an item that has no result yet."""
         read = self._store.read(host, job_id)
         if read.is_error():
             return Error(read.error)
         head = read.ok.head
-        if head.ended:
+        if head.ended or not may_see_job(head.customer, caller):
             return Error(NoSuchJob())
         items = self._store.items(host, job_id)
         if items.is_error():
@@ -112,9 +128,12 @@
         return Error(NoSuchJob())
 
     def end(
-        self, host: str, job_id: str
+        self, host: str, job_id: str, caller: str | None = None
     ) -> Result[VersionedHead, NoSuchJob | StoreUnavailable]:
         """End a job at its caller's request."""
+        checked = self._check_owner(host, job_id, caller)
+        if checked.is_error():
+            return Error(checked.error)
         ended = self._store.end(host, job_id)
         if ended.is_ok():
             self._holder.update_head(ended.ok)
@@ -126,5 +145,25 @@
             )
         return ended
 
+    def _check_owner(
+        self, host: str, job_id: str, caller: str | None
+    ) -> Result[None, NoSuchJob | StoreUnavailable]:
+        """Check that a caller may use a job; whose it is never changes.
+
+        To others, a job doesn't exist.
+        """
+        if caller is None:
+            return Ok(None)
+        head = self._holder.head(host, job_id)
+        if head is None:
+            read = self._store.read(host, job_id)
+            if read.is_error():
+                return Error(read.error)
+            head = read.ok.head
+        if may_see_job(head.customer, caller):
+            return Ok(None)
+        LOG.info("job of another customer", job=job_id, caller=caller)
+        return Error(NoSuchJob())
+
 
 __all__ = ["BatchJobManager"]
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -283,7 +283,7 @@
         spec = WorkSpec(
             find=self._find_route,
             routing_key=self._item.item_id,
-            customer=self._head.host,
+            customer=self._head.customer or self._head.host,
             work_class=WorkClass.BATCH,
             deadline=now + order.budget_s,
             start_by=(
--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -20,6 +20,7 @@
     ItemOutcome,
     ItemState,
     JobHead,
+    JobIdTaken,
     NoSuchJob,
     OverQuota,
     ResultPage,
@@ -27,6 +28,7 @@
     VersionedHead,
 )
 from mulberrypass.model.store import Throttled, Unavailable
+from mulberrypass.policy.access import may_see_job
 from mulberrypass.policy.batches import heads as policy
 from mulberrypass.runtime.logs import get_logger
 from mulberrypass.storage.rows import (
@@ -77,8 +79,8 @@
 
     def accept(
         self, job: NewJob, route: RelayRoute, holder: str
-    ) -> Result[Accepted, OverQuota | StoreUnavailable]:
-        """Store a job, unless it exceeds its route's quota.
+    ) -> Result[Accepted, OverQuota | JobIdTaken | StoreUnavailable]:
+        """Store a job, unless it exceeds the quota on its route.
 
         Every acceptance writes the gate row of its route on condition of
         the version read, so that the quota can't be exceeded by jobs that
@@ -93,11 +95,14 @@
                 return Error(_store_unavailable(scanned.error, maybe_done))
             rows = scanned.ok
             heads = readable_heads(rows)
-            if any(head.job_id == job.job_id for head in heads):
+            owners = [h.customer for h in heads if h.job_id == job.job_id]
+            if any(not may_see_job(name, job.customer) for name in owners):
+                return Error(JobIdTaken())
+            if owners:
                 return Ok(Accepted(job.job_id, again=True))
             if any(row.at.key == job.job_id for row in rows):
                 return Error(StoreUnavailable(UNREADABLE_HEAD, maybe_done))
-            waiting = policy.waiting_tokens(heads, route.name)
+            waiting = policy.waiting_tokens(heads, route.name, job.customer)
             if not policy.within_quota(
                 waiting, job.tokens, route.quota_tokens
             ):
@@ -315,6 +320,7 @@
             retention_s=route.retention_s,
             tokens=tuple(item.tokens for item in job.items),
             holder=holder,
+            customer=job.customer or "",
         )
         pieces = codec.item_rows(job.host, job.job_id, job.items)
         *before, last = _split(pieces)
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -30,12 +30,15 @@
     """One job that a caller submits.
 
     :param host: selects the route, together with the path
+    :param customer: whose job it is; empty if it is no customer's, ``None``
+        if no customers are configured
     """
 
     job_id: str
     host: str
     path: str
     items: tuple[BatchItem, ...]
+    customer: str | None = None
 
     @property
     def tokens(self) -> int:
@@ -81,6 +84,7 @@
     :param busy_for_s: time from the hand-over by which that member has
         stopped
     :param busy_until: the end of that time as Unix time of that member
+    :param customer: whose job it is; empty if it is no customer's
     """
 
     job_id: str
@@ -98,6 +102,7 @@
     busy_by: str = ""
     busy_for_s: float = 0.0
     busy_until: float = 0.0
+    customer: str = ""
 
     @property
     def key(self) -> JobKey:
@@ -168,6 +173,11 @@
     waiting_tokens: int
 
 
+@value_class
+class JobIdTaken:
+    """Another customer has a job with this id."""
+
+
 @value_class
 class NoSuchJob:
     """The job does not exist, or the requested item is not available."""
@@ -190,6 +200,7 @@
     "ItemOutcome",
     "ItemState",
     "JobHead",
+    "JobIdTaken",
     "JobKey",
     "NewJob",
     "NoSuchJob",
--- a/src/mulberrypass/model/routes.py
+++ b/src/mulberrypass/model/routes.py
@@ -4,6 +4,7 @@
 
 from dataclasses import field
 import enum
+import hashlib
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
@@ -45,6 +46,9 @@
         for no limit
     :param due_s: time from the first submission until batch results are due
     :param retention_s: time after which batch items may be abandoned
+    :param gap_s: longest pause between two events of an answer in time; 0
+        if the route names none
+    :param public: whether requests need no key
     """
 
     name: str
@@ -60,6 +64,8 @@
     quota_tokens: int = 0
     due_s: float = 60.0
     retention_s: float = 3600.0
+    gap_s: float = 0.0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -88,6 +94,23 @@
     event_tokens: int = 1
 
 
+@value_class
+class RelayCustomer:
+    """A customer whose requests are relayed.
+
+    :param priority: takes precedence over that of a route, 0 is the most
+        urgent; ``None`` if the customer has none of its own
+    :param rate_per_s: limit of requests per second over all instances; 0
+        for no limit
+    :param burst: requests that may come at once beyond the rate
+    """
+
+    name: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @value_class
 class CallerLimits:
     """Limits on the size and duration of callers' requests.
@@ -103,17 +126,29 @@
     idle_s: float = 60.0
 
 
+def key_digest(key: str) -> bytes:
+    """Return the digest by which a customer's key is looked up.
+
+    The time of a look-up by digest tells nothing of similar keys.
+    """
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
+
+
 @value_class
 class RouteTable:
     """A complete published set of routes.
 
     :param version: rises with each published set; 0 is empty
+    :param customers: by name; ``None`` if requests need no key
+    :param keys: names of the customers, by ``key_digest``
     """
 
     version: int = 0
     routes: tuple[RelayRoute, ...] = ()
     services: Mapping[str, RelayService] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    customers: Mapping[str, RelayCustomer] | None = None
+    keys: Mapping[bytes, str] = field(default_factory=dict, repr=False)
     _by_prefix: dict[tuple[str, str], RelayRoute] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
@@ -143,6 +178,13 @@
                 return found
         return None
 
+    def customer_of(self, key: str) -> RelayCustomer | None:
+        """Return the customer that holds a key."""
+        if not key or not self.customers:
+            return None
+        name = self.keys.get(key_digest(key))
+        return None if name is None else self.customers.get(name)
+
 
 @value_class
 class RegisteredEngine:
@@ -172,9 +214,11 @@
 __all__ = [
     "CallerLimits",
     "RegisteredEngine",
+    "RelayCustomer",
     "RelayRoute",
     "RelayService",
     "RouteKind",
     "RouteTable",
     "ServiceShare",
+    "key_digest",
 ]
--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -18,11 +18,13 @@
 from mulberrypass.model.routes import (
     CallerLimits,
     RegisteredEngine,
+    RelayCustomer,
     RelayRoute,
     RelayService,
     RouteKind,
     RouteTable,
     ServiceShare,
+    key_digest,
 )
 from mulberrypass.relay.followers import DocumentError
 
@@ -38,8 +40,10 @@
 MAX_WEIGHT = 1e9
 # 31 years; ``threading`` can't wait for more than 292.
 MAX_MS = 1e12
-# A name is sent to its engine as a header.
+# Names are sent to engines as headers.
 ENGINE_NAME = re.compile(r"[!-~]{1,255}")
+CUSTOMER_NAME = r"^[!-~]([ -~]{0,253}[!-~])?$"
+MAX_RATE_PER_S = 1e9
 
 ROUTE_KINDS = {
     "streaming": RouteKind.STREAM,
@@ -92,6 +96,8 @@
     cap: Int = 0
     target_completion_ms: Ms = 60_000
     retention_s: Ms = 3_600
+    target_gap_ms: Ms = 0
+    public: bool = False
 
 
 class _Engine(_Model):
@@ -106,6 +112,14 @@
     engine: _Engine = _Engine()
 
 
+class _Customer(_Model):
+    name: str = Field(pattern=CUSTOMER_NAME)
+    api_keys: list[str] = Field(default_factory=list)
+    priority: Int | None = None
+    rate_per_s: float = Field(default=0.0, ge=0, le=MAX_RATE_PER_S)
+    burst: float = Field(default=0.0, ge=0, le=MAX_RATE_PER_S)
+
+
 class _Limits(_Model):
     max_header_bytes: Int = 16_384
     max_body_bytes: Int = 4_194_304
@@ -118,6 +132,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    # Without this field, requests need no key.
+    tenants: list[_Customer] | None = None
 
 
 class _Entry(_Model):
@@ -166,6 +182,8 @@
             head_s=desired.limits.header_timeout_ms / MS_PER_S,
             idle_s=desired.limits.idle_timeout_ms / MS_PER_S,
         ),
+        customers=_customers(desired.tenants),
+        keys=_keys(desired.tenants or []),
     )
 
 
@@ -189,6 +207,31 @@
     )
 
 
+def _customers(
+    customers: list[_Customer] | None,
+) -> dict[str, RelayCustomer] | None:
+    if customers is None:
+        return None
+    return {
+        customer.name: RelayCustomer(
+            customer.name,
+            customer.priority,
+            customer.rate_per_s,
+            customer.burst,
+        )
+        for customer in customers
+    }
+
+
+def _keys(customers: list[_Customer]) -> dict[bytes, str]:
+    """Return the holders of all keys; the first one named holds a key."""
+    keys: dict[bytes, str] = {}
+    for customer in customers:
+        for key in filter(None, customer.api_keys):
+            keys.setdefault(key_digest(key), customer.name)
+    return keys
+
+
 def _route(route: _Route) -> RelayRoute:
     kind = ROUTE_KINDS.get(route.route_type)
     if kind is None:
@@ -214,6 +257,8 @@
         quota_tokens=route.cap,
         due_s=route.target_completion_ms / MS_PER_S,
         retention_s=route.retention_s,
+        gap_s=max(0.0, route.target_gap_ms) / MS_PER_S,
+        public=route.public,
     )
 
 
--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -18,6 +18,8 @@
 EXPECT_INSTANCE = "X-Mulberrypass-Expect-Instance"
 TOKEN_COUNTS = "X-Mulberrypass-Token-Counts"
 PROMPT_PREFIX = "X-Mulberrypass-Prompt-Prefix"
+CUSTOMER_KEY = "X-Mulberrypass-Key"
+CUSTOMER = "X-Mulberrypass-Tenant"
 LENGTH_HINT = "X-Mulberrypass-Length-Hint"
 NOT_RUN = "X-Mulberrypass-Not-Run"
 SERVER_LOAD = "X-Mulberrypass-Server-Load"
@@ -52,6 +54,9 @@
         "upgrade",
     }
 )
+# Never forwarded: the key is a secret between the caller and this system,
+# which alone says to an engine whose request it is.
+WITHHELD = frozenset(name.lower() for name in (CUSTOMER_KEY, CUSTOMER))
 # Replaced for each engine, or set by the HTTP library.
 REPLACED = frozenset(
     name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID)
@@ -98,18 +103,24 @@
         output_tokens = min(output_tokens, max_tokens)
     wait_ms = _number(headers, DEADLINE_MS)
     after = _number(headers, LAST_EVENT_ID)
+    forwarded = tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in WITHHELD
+    )
     return RelayRequest(
         request_id=headers.get(REQUEST_ID.lower(), ""),
         method=method,
         host=headers.get("host", "").lower(),
         target=target,
-        headers=end_to_end(tuple(headers.items())),
+        headers=end_to_end(forwarded),
         body=body,
         wait_s=None if wait_ms is None else wait_ms / MS_PER_S,
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         prefix=_prefix_ids(headers.get(PROMPT_PREFIX.lower(), "")),
         after_event=None if after is None else int(after),
+        key=headers.get(CUSTOMER_KEY.lower(), "").strip(),
     )
 
 
@@ -127,6 +138,8 @@
         if name.lower() not in REPLACED
     }
     headers["Host"] = req.host
+    if req.customer:
+        headers[CUSTOMER] = req.customer
     headers[DEADLINE_MS] = str(max(1, int(left_s * MS_PER_S)))
     headers[EXPECT_INSTANCE] = instance
     if req.after_event is not None:
@@ -197,6 +210,8 @@
 
 
 __all__ = [
+    "CUSTOMER",
+    "CUSTOMER_KEY",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "INSTANCE_ID",
--- a/src/mulberrypass/platform/ingress.py
+++ b/src/mulberrypass/platform/ingress.py
@@ -14,8 +14,10 @@
     AnswerHead,
     Failed,
     NoRoute,
+    QuotaExceeded,
     Refused,
     TruncatedAnswerError,
+    Unauthorized,
     Unservable,
 )
 from mulberrypass.runtime.connection import END_WITH_CONNECTION
@@ -264,6 +266,13 @@
             return json_reply(doc, HTTPStatus.BAD_GATEWAY)
         case NoRoute():
             return json_reply({"reason": "no_route"}, HTTPStatus.NOT_FOUND)
+        case Unauthorized():
+            doc = {"reason": "unknown_key", "ran": "no"}
+            return json_reply(doc, HTTPStatus.UNAUTHORIZED)
+        case QuotaExceeded(retry_after_s=retry_after_s):
+            body = json.dumps({"reason": "quota", "ran": "no"}).encode()
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            return Reply(status, body, retry_after_s)
         case Failed(reason=reason, late=late):
             status = (
                 HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from dataclasses import replace
 from http import HTTPStatus
 import json
 import re
@@ -16,6 +17,7 @@
 from mulberrypass.model.batch_jobs import (
     BatchItem,
     ItemState,
+    JobIdTaken,
     NewJob,
     NoSuchJob,
     OverQuota,
@@ -28,6 +30,14 @@
     read_request,
 )
 from mulberrypass.platform.ingress import Reply, json_reply
+from mulberrypass.policy.access import (
+    Allowed,
+    JobCaller,
+    UnknownKey,
+    check_access,
+    check_job_caller,
+)
+from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from mulberrypass.batches.manager import BatchJobManager
@@ -35,6 +45,7 @@
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.directory import Directory
 
+LOG = get_logger(__name__)
 LOT_PATH = re.compile(r"/lots/([^/]+)")
 ITEM_PATH = re.compile(r"/items/([^/]+)")
 POSITION = re.compile(r"[0-9]{1,9}")
@@ -85,15 +96,25 @@
 
     def handle(self, req: RelayRequest) -> Reply | None:
         """Answer a request; ``None`` if it isn't about batch jobs."""
+        table = self._directory.routes()
         lot = LOT_PATH.fullmatch(req.path)
         item = ITEM_PATH.fullmatch(req.path)
-        if lot and req.method == "GET":
-            return self._results(req, unquote(lot[1]))
-        if lot and req.method == "DELETE":
-            return self._cancel(req, unquote(lot[1]))
-        if item and req.method == "GET":
-            return self._item_body(req, unquote(item[1]))
-        route = self._directory.routes().find(req.host, req.path)
+        about_lot = lot is not None and req.method in ("GET", "DELETE")
+        if about_lot or (item is not None and req.method == "GET"):
+            if table.version == 0:
+                return _error_reply(StoreUnavailable("no configuration"))
+            match check_job_caller(table, req.host, req.key):
+                case UnknownKey():
+                    return self._unknown_key(req)
+                case JobCaller(name=caller):
+                    pass
+            if item is not None:
+                return self._item_body(req, unquote(item[1]), caller)
+            assert lot is not None
+            if req.method == "GET":
+                return self._results(req, unquote(lot[1]), caller)
+            return self._cancel(req, unquote(lot[1]), caller)
+        route = table.find(req.host, req.path)
         if route is None or route.kind is not RouteKind.BATCH:
             return None
         if req.method != "POST":
@@ -101,11 +122,25 @@
                 {"reason": "a batch job is handed in by POST"},
                 HTTPStatus.METHOD_NOT_ALLOWED,
             )
-        return self._submit(req)
+        access = check_access(table, req.host, req.path, req.key)
+        if not isinstance(access, Allowed):
+            return self._unknown_key(req)
+        named = table.customers is not None
+        return self._submit(req, access.name if named else None)
+
+    def _unknown_key(self, req: RelayRequest) -> Reply:
+        LOG.info(
+            "unknown key",
+            id=req.request_id,
+            path=req.path,
+            version=self._directory.routes().version,
+        )
+        doc = {"reason": "unknown_key"}
+        return json_reply(doc, HTTPStatus.UNAUTHORIZED)
 
-    def _submit(self, req: RelayRequest) -> Reply:
+    def _submit(self, req: RelayRequest, customer: str | None) -> Reply:
         try:
-            job = read_job(req)
+            job = read_job(req, customer)
         except ValueError as exc:
             doc = {"reason": str(exc)}
             return json_reply(doc, HTTPStatus.BAD_REQUEST)
@@ -122,16 +157,23 @@
             case NoSuchJob():
                 doc = {"reason": "no_route"}
                 return json_reply(doc, HTTPStatus.NOT_FOUND)
+            case JobIdTaken():
+                doc = {"reason": "the id is taken"}
+                return json_reply(doc, HTTPStatus.CONFLICT)
             case StoreUnavailable() as lost:
                 return _submit_error_reply(lost)
 
-    def _results(self, req: RelayRequest, job_id: str) -> Reply:
+    def _results(
+        self, req: RelayRequest, job_id: str, caller: str | None
+    ) -> Reply:
         after = _read_after(req)
         if after is None:
             doc = {"reason": "After is not a position"}
             return json_reply(doc, HTTPStatus.BAD_REQUEST)
         # Encoded, an output is at least as long.
-        read = self._manager.results(req.host, job_id, after, MAX_PAGE_BYTES)
+        read = self._manager.results(
+            req.host, job_id, after, MAX_PAGE_BYTES, caller
+        )
         if read.is_error():
             return _error_reply(read.error)
         results: list[dict[str, str]] = []
@@ -154,24 +196,29 @@
             }
         )
 
-    def _cancel(self, req: RelayRequest, job_id: str) -> Reply:
-        cancelled = self._manager.end(req.host, job_id)
+    def _cancel(
+        self, req: RelayRequest, job_id: str, caller: str | None
+    ) -> Reply:
+        cancelled = self._manager.end(req.host, job_id, caller)
         if cancelled.is_error():
             return _error_reply(cancelled.error)
         return json_reply({})
 
-    def _item_body(self, req: RelayRequest, job_id: str) -> Reply:
+    def _item_body(
+        self, req: RelayRequest, job_id: str, caller: str | None
+    ) -> Reply:
         query = parse_qs(req.target.partition("?")[2])
         item_id = query.get("Id", [""])[0]
-        read = self._manager.body(req.host, job_id, item_id)
+        read = self._manager.body(req.host, job_id, item_id, caller)
         if read.is_error():
             return _error_reply(read.error)
         return Reply(HTTPStatus.OK, read.ok, content_type=OCTET_STREAM)
 
 
-def read_job(req: RelayRequest) -> NewJob:
+def read_job(req: RelayRequest, customer: str | None = None) -> NewJob:
     """Read a new batch job from a request.
 
+    :param customer: whose job it is, see ``NewJob``
     :raises ValueError: if it is invalid; the message names the field
     """
     if not req.request_id or len(req.request_id) > MAX_ID_LENGTH:
@@ -187,7 +234,7 @@
     items = tuple(map(_read_item, lot.items))
     if len({item.item_id for item in items}) != len(items):
         raise ValueError("two items have the same Id")
-    return NewJob(req.request_id, req.host, req.path, items)
+    return NewJob(req.request_id, req.host, req.path, items, customer)
 
 
 def item_request(
@@ -202,7 +249,9 @@
     headers[REQUEST_ID.lower()] = item.item_id
     if after is not None:
         headers[LAST_EVENT_ID.lower()] = str(after)
-    return read_request("POST", item.path, headers, item.body)
+    req = read_request("POST", item.path, headers, item.body)
+    # The job may have been accepted with a key that is withdrawn by now.
+    return replace(req, customer=head.customer)
 
 
 def _read_item(item: _Item) -> BatchItem:
--- a/src/mulberrypass/policy/batches/heads.py
+++ b/src/mulberrypass/policy/batches/heads.py
@@ -41,9 +41,18 @@
     return changed, tuple(recorded)
 
 
-def waiting_tokens(heads: Iterable[JobHead], route: str) -> int:
-    """Return the number of tokens in unfinished items on a route."""
-    return sum(h.waiting_tokens for h in heads if h.route == route)
+def waiting_tokens(
+    heads: Iterable[JobHead], route: str, customer: str | None = None
+) -> int:
+    """Return the number of tokens in unfinished items on a route.
+
+    :param customer: whose items to count; ``None`` for all
+    """
+    return sum(
+        head.waiting_tokens
+        for head in heads
+        if head.route == route and customer in (None, head.customer)
+    )
 
 
 def within_quota(waiting: int, tokens: int, quota: int) -> bool:
--- a/src/mulberrypass/relay/admission.py
+++ b/src/mulberrypass/relay/admission.py
@@ -6,8 +6,19 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.policy.access import (
+    Allowed,
+    UnknownKey,
+    check_access,
+)
 from mulberrypass.policy.messages import RefusalReason, WorkClass
-from mulberrypass.relay.api import Failed, NoRoute, Refused, Unservable
+from mulberrypass.relay.api import (
+    Failed,
+    NoRoute,
+    Refused,
+    Unauthorized,
+    Unservable,
+)
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
 
@@ -16,7 +27,7 @@
 
     from mulberrypass.engine.wire import Deadline
     from mulberrypass.model.routes import RelayRoute
-    from mulberrypass.relay.api import RelayRequest
+    from mulberrypass.relay.api import FinalEvent, RelayRequest
     from mulberrypass.relay.directory import Directory
     from mulberrypass.relay.ending import PlannedEnd
     from mulberrypass.relay.permits import HeldPermit, PermitAcquirer
@@ -30,8 +41,6 @@
 # Before an engine that has failed is asked for a second run.
 ASK_AGAIN_S = 0.05
 
-FinalEvent = Refused | Unservable | Failed | NoRoute
-
 
 @value_class
 class PermitNeed:
@@ -61,6 +70,7 @@
     """Admits the runs of one request; used by one thread.
 
     :param deadline: when the caller gives up
+    :param access: under which the request was admitted
     :param disconnected: returns whether the caller has left
     :param started_at: when the request came, in monotonic seconds
     """
@@ -71,7 +81,7 @@
         acquirer: PermitAcquirer,
         ending: PlannedEnd,
         req: RelayRequest,
-        route: RelayRoute,
+        access: Allowed,
         deadline: Deadline,
         disconnected: Callable[[], bool],
         log: RequestLog,
@@ -82,7 +92,8 @@
         self._ending = ending
         self._req = req
         self._digest = req.digest()
-        self._route = route
+        self._access = access
+        self._route = access.route
         self._deadline = deadline
         self._disconnected = disconnected
         self._log = log
@@ -134,9 +145,9 @@
 
     def _work(self, need: PermitNeed) -> WorkSpec:
         return WorkSpec(
-            find=self._find_route,
+            find=lambda: self._find_route(need),
             routing_key=self._req.request_id,
-            customer=f"priority-{self._route.priority}",
+            customer=self._access.name or f"priority-{self._route.priority}",
             work_class=WorkClass.ONLINE,
             deadline=self._deadline.at,
             prompt_tokens=self._req.prompt_tokens,
@@ -166,13 +177,36 @@
             return None
         return self._started_at + self._route.target_s - FIRST_EVENT_LATENCY_S
 
-    def _find_route(self) -> RelayRoute | None:
+    def _find_route(self, need: PermitNeed) -> RelayRoute | None:
+        """Return the route in force, if the request may still use it.
+
+        A key that is withdrawn or given to another customer ends only what
+        has not run.
+        """
+        table = self._directory.routes()
+        req = self._req
+        if need.maybe_ran or need.begun:
+            return table.find(req.host, req.path)
+        found = check_access(table, req.host, req.path, req.key)
+        if isinstance(found, Allowed) and found.name == self._access.name:
+            return found.route
+        return None
+
+    def _not_allowed(self) -> Refused | NoRoute | Unauthorized:
+        """Return the final event of a request that has no route any more."""
         table = self._directory.routes()
-        return table.find(self._req.host, self._req.path)
+        req = self._req
+        match check_access(table, req.host, req.path, req.key):
+            case UnknownKey():
+                return Unauthorized()
+            case Allowed():
+                return Refused("access changed", MIN_RETRY_AFTER_S)
+            case _:
+                return NoRoute()
 
     def _not_admitted(
         self, need: PermitNeed, reason: str, retry_after_s: float
-    ) -> Refused | Failed | NoRoute:
+    ) -> Refused | Failed | NoRoute | Unauthorized:
         """Return the final event: a refusal only if the request never ran."""
         self._log.not_placed(
             reason, attempts=need.attempts, maybe_ran=need.maybe_ran
@@ -180,7 +214,7 @@
         if need.maybe_ran:
             return Failed(reason, late=reason == "deadline")
         if reason == "no_route":
-            return NoRoute()
+            return self._not_allowed()
         return Refused(reason, max(MIN_RETRY_AFTER_S, retry_after_s))
 
     def _quarantined(
@@ -199,4 +233,4 @@
         return Unservable(exc.reason)
 
 
-__all__ = ["Admission", "FinalEvent", "MIN_RETRY_AFTER_S", "PermitNeed"]
+__all__ = ["Admission", "MIN_RETRY_AFTER_S", "PermitNeed"]
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import replace
+from dataclasses import field, replace
 import hashlib
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -37,6 +37,9 @@
     :param output_tokens: estimated number of tokens to generate
     :param prefix: 64-bit ids of the prompt's parts, outermost first
     :param after_event: id of the last event received, to resume a stream
+    :param key: secret key that the caller sent; empty if none
+    :param customer: name of the customer, as engines are told; empty if the
+        request is no customer's
     """
 
     request_id: str
@@ -50,6 +53,8 @@
     output_tokens: int = 0
     prefix: tuple[int, ...] = ()
     after_event: int | None = None
+    key: str = field(default="", repr=False)
+    customer: str = ""
 
     @property
     def path(self) -> str:
@@ -273,6 +278,21 @@
     """No route of the current configuration matches the request."""
 
 
+@value_class
+class Unauthorized:
+    """The request bears no key of a customer; it has not run."""
+
+
+@value_class
+class QuotaExceeded:
+    """The customer's limit is used up; the request has not run.
+
+    :param retry_after_s: delay after which the limit has room again
+    """
+
+    retry_after_s: float
+
+
 @value_class
 class Failed:
     """The request ended without an answer; it may have run.
@@ -294,7 +314,10 @@
     return f"{digest:016x}"
 
 
-RelayEvent = AnswerHead | AnswerBody | Refused | Unservable | NoRoute | Failed
+FinalEvent = (
+    Refused | Unservable | NoRoute | Unauthorized | QuotaExceeded | Failed
+)
+RelayEvent = AnswerHead | AnswerBody | FinalEvent
 
 
 class TruncatedAnswerError(Exception):
@@ -326,13 +349,16 @@
     "EngineHead",
     "EngineLoad",
     "Failed",
+    "FinalEvent",
     "Headers",
     "NoRoute",
+    "QuotaExceeded",
     "Refused",
     "Relay",
     "RelayEvent",
     "RelayRequest",
     "TruncatedAnswerError",
+    "Unauthorized",
     "Unservable",
     "framing",
     "digest_name",
--- a/src/mulberrypass/relay/directory.py
+++ b/src/mulberrypass/relay/directory.py
@@ -10,10 +10,12 @@
     Backend,
     BackendKind,
     Configuration,
+    Customer,
     Pool,
 )
 from mulberrypass.model.routes import RouteTable
 from mulberrypass.model.source import ConfigurationSource
+from mulberrypass.policy.access import priority_weight
 from mulberrypass.relay.departures import DepartureGuard
 from mulberrypass.runtime.logs import get_logger
 
@@ -122,6 +124,7 @@
             "version": table.version,
             "age_s": round(self._clock() - self._applied_at, 3),
             "routes": [route.name for route in table.routes],
+            "customers": sorted(table.customers or ()),
             "engines": {
                 name: self._state_of(engine)
                 for name, engine in self._engines.items()
@@ -185,8 +188,15 @@
             )
             for name in services
         }
+        customers = {
+            name: Customer(name, (), priority_weight(customer.priority))
+            for name, customer in (self._routes.customers or {}).items()
+        }
         return Configuration(
-            generation=self._generation, pools=pools, backends=backends
+            generation=self._generation,
+            pools=pools,
+            backends=backends,
+            customers=customers,
         )
 
 
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -12,6 +12,12 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.model.value_class import value_class
+from mulberrypass.policy.access import (
+    Allowed,
+    UnknownKey,
+    UnknownRoute,
+    check_access,
+)
 from mulberrypass.policy.messages import ReleaseOutcome
 from mulberrypass.policy.online.runs import Runs
 from mulberrypass.relay.admission import (
@@ -27,6 +33,7 @@
     Refused,
     Relay,
     TruncatedAnswerError,
+    Unauthorized,
 )
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.doubts import DoubtfulRuns
@@ -50,11 +57,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterator
 
-    from mulberrypass.model.routes import RelayRoute
-    from mulberrypass.relay.admission import FinalEvent
     from mulberrypass.relay.api import (
         EngineAnswer,
         EngineClient,
+        FinalEvent,
         RelayEvent,
         RelayRequest,
     )
@@ -112,14 +118,20 @@
         if table.version == 0:
             yield Refused("no_configuration", NO_CONFIGURATION_RETRY_S)
             return
-        route = table.find(req.host, req.path)
-        if route is None:
-            LOG.info("no route", id=req.request_id, version=table.version)
-            yield NoRoute()
-            return
-        yield from _ForwardedRequest(
-            self._deps, req, route, disconnected
-        ).events()
+        match check_access(table, req.host, req.path, req.key):
+            case UnknownRoute():
+                LOG.info("no route", id=req.request_id, version=table.version)
+                yield NoRoute()
+            case UnknownKey():
+                LOG.info(
+                    "unknown key", id=req.request_id, version=table.version
+                )
+                yield Unauthorized()
+            case Allowed() as access:
+                req = replace(req, customer=access.name)
+                yield from _ForwardedRequest(
+                    self._deps, req, access, disconnected
+                ).events()
 
 
 class _ForwardedRequest:
@@ -139,10 +151,11 @@
         self,
         deps: RelayDependencies,
         req: RelayRequest,
-        route: RelayRoute,
+        access: Allowed,
         disconnected: Callable[[], bool],
     ) -> None:
         now = time.monotonic()
+        route = access.route
         wait_s = route.timeout_s
         if req.wait_s is not None:
             wait_s = min(wait_s, req.wait_s)
@@ -159,7 +172,7 @@
             deps.acquirer,
             deps.ending,
             req,
-            route,
+            access,
             self._deadline,
             disconnected,
             self._log,
