Ask for room in a customer's limit before asking for an engine

The interface between the relay and the limits of customers, so that both can be built side by side: one request is counted once, and returned if no engine has run it. Nothing is limited yet.

--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -30,6 +30,7 @@
     AnswerHead,
     Failed,
     NoRoute,
+    QuotaExceeded,
     Refused,
     Relay,
     TruncatedAnswerError,
@@ -41,6 +42,13 @@
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import HeldPermit
+from mulberrypass.relay.quotas import (
+    CustomerQuotas,
+    Exceeded,
+    NoQuotas,
+    Taken,
+    Undecided,
+)
 from mulberrypass.relay.request_log import RequestLog
 from mulberrypass.relay.second_answer import BrokenBodyError
 from mulberrypass.relay.streams import (
@@ -102,6 +110,7 @@
     watch: CallWatch
     ending: PlannedEnd = field(default_factory=PlannedEnd)
     bodies: HeldBodies = field(default_factory=HeldBodies)
+    quotas: CustomerQuotas = field(default_factory=NoQuotas)
 
 
 class Forwarder(Relay):
@@ -163,6 +172,7 @@
         self._req = req
         self._log = RequestLog(req, req.digest(), route.name, now)
         self._route = route
+        self._customer = access.customer
         self._disconnected = disconnected
         self._deadline = Deadline(now + wait_s)
         self._runs = Runs(route.max_attempts, route.repeatable)
@@ -179,6 +189,7 @@
             now,
         )
         self._maybe_ran = False
+        self._answered = False
         self._head_sent = False
         self._service = ""
         self._proof = ""
@@ -193,6 +204,10 @@
 
     def events(self) -> Iterator[RelayEvent]:
         """Yield the events of the answer."""
+        refusal = self._take_quota()
+        if refusal is not None:
+            yield refusal
+            return
         try:
             while True:
                 found = self._admission.acquire(self._need())
@@ -208,6 +223,34 @@
                     return
         finally:
             self._release(ReleaseOutcome.CANCELLED)
+            self._return_quota()
+
+    def _take_quota(self) -> Refused | QuotaExceeded | None:
+        """Count the request against its customer's limit.
+
+        :returns: the final event if there is no room
+        """
+        customer = self._customer
+        if customer is None or customer.rate_per_s <= 0:
+            return None
+        match self._deps.quotas.take(customer, self._deadline):
+            case Taken():
+                return None
+            case Exceeded(retry_after_s=retry_after_s):
+                self._log.not_placed("quota", customer=customer.name)
+                return QuotaExceeded(max(MIN_RETRY_AFTER_S, retry_after_s))
+            case Undecided(retry_after_s=retry_after_s):
+                reason = "quota undecided"
+                self._log.not_placed(reason, customer=customer.name)
+                return Refused(reason, max(MIN_RETRY_AFTER_S, retry_after_s))
+
+    def _return_quota(self) -> None:
+        """Return what was counted for a request that no engine has run."""
+        customer = self._customer
+        if customer is None or customer.rate_per_s <= 0:
+            return
+        if not self._maybe_ran and not self._answered:
+            self._deps.quotas.give_back(customer.name)
 
     def _need(self) -> PermitNeed:
         engines = self._deps.directory.engine_names()
@@ -248,6 +291,7 @@
                 sound = skip_rest(self._answer, self._deadline)
                 status = head.status if sound else 0
                 raise WireError(EngineFailed(reason, Ran.NO, status=status))
+            self._answered = True
             if self._route.kind is RouteKind.STREAM and head.is_success:
                 with self._hold(self._answer) as held:
                     yield from self._forward_stream(self._answer, held)
