Split the forwarding of requests by responsibility

Second runs need the same run at an engine beside the first.

forward.py keeps the access check, forwarded.py the loop over runs, engine_run.py one run with its permit and connection, request_quota.py the customer's limit, answer_rules.py the whole answers, run_outcome.py what a run says of its engine, and dependencies.py the shared objects. SILENCE_TIMEOUT_S moves to forwarded.py, and two tests name it there.

No change of behaviour: the 222 tests of tests/relay pass as before (two known failures), and tests.platform.test_endless_answer and test_customers.

--- /dev/null
+++ b/src/mulberrypass/relay/engine_run.py
@@ -0,0 +1,121 @@
+"""One run of a request at one engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypass.engine.api import EngineFailed
+from mulberrypass.engine.wire import WireError
+from mulberrypass.model.outcome import Ran
+from mulberrypass.relay.unread import skip_rest
+from mulberrypass.relay.watch import WatchedCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypass.engine.wire import Deadline
+    from mulberrypass.policy.messages import ReleaseOutcome
+    from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.dependencies import RelayDependencies
+    from mulberrypass.relay.permits import HeldPermit
+    from mulberrypass.relay.whole_body import HeldBody
+
+# Work must stop within 0.5 s after its caller has left, and the check of an
+# engine doesn't see a caller leave.
+CHECK_TIMEOUT_S = 0.5
+ENGINE_GONE = EngineFailed("engine gone after an unframed answer", Ran.YES)
+
+
+class EngineRun:
+    """Holds the permit and the connection of one run; used by one thread.
+
+    :param disconnected: returns whether the caller has left, which ends the
+        connection
+    :ivar answer: the engine's answer, once its head has come
+    """
+
+    def __init__(
+        self,
+        deps: RelayDependencies,
+        permit: HeldPermit,
+        disconnected: Callable[[], bool],
+    ) -> None:
+        self.permit = permit
+        self.answer: EngineAnswer | None = None
+        self._deps = deps
+        self._disconnected = disconnected
+        self._watched_call: WatchedCall | None = None
+
+    @property
+    def engine(self) -> str:
+        """Name of the engine."""
+        return self.permit.engine.name
+
+    @property
+    def aborted(self) -> bool:
+        """Whether the connection was closed because the caller had left."""
+        return self._watched_call is not None and self._watched_call.ended
+
+    def send(
+        self, req: RelayRequest, deadline: Deadline, head_deadline: Deadline
+    ) -> EngineAnswer:
+        """Send the request and read the head of the answer.
+
+        :raises WireError: if there is none, or the engine says that the
+            request did not run
+        """
+        permit = self.permit
+        answer = self._deps.engines.send(
+            permit.engine, req, deadline, self._watch, head_deadline
+        )
+        self.answer = answer
+        head = answer.head
+        permit.mark_limit(head.limit_per_s)
+        permit.succeeded = head.is_success
+        if head.not_run:
+            reason = f"engine says not run: {head.status}"
+            sound = skip_rest(answer, deadline)
+            status = head.status if sound else 0
+            raise WireError(EngineFailed(reason, Ran.NO, status=status))
+        return answer
+
+    def hold(self, answer: EngineAnswer) -> HeldBody:
+        """Return what counts the bytes that are held of an answer."""
+        return self._deps.bodies.open(self.engine, answer.abort)
+
+    def check_engine(self, answer: EngineAnswer, deadline: Deadline) -> None:
+        """Check that an engine still runs whose answer nothing else proves.
+
+        An engine that has just ended has ended its connections by that, those
+        of a leaving one too: it leaves when its time is over, answers or not.
+
+        :raises WireError: if it doesn't
+        """
+        answer.finish()
+        try:
+            self._deps.engines.check_alive(
+                self.permit.engine, deadline.within(CHECK_TIMEOUT_S)
+            )
+        except WireError:
+            raise WireError(ENGINE_GONE)
+
+    def release(self, outcome: ReleaseOutcome, tokens: int) -> None:
+        """Release the connection and the permit."""
+        self._unwatch()
+        if self.answer is not None:
+            self.answer.finish()
+            self.answer = None
+        self.permit.release(outcome, tokens)
+
+    def _watch(self, abort: Callable[[], None]) -> None:
+        self._unwatch()
+        self._watched_call = WatchedCall(self._disconnected, abort)
+        self._deps.watch.add(self._watched_call)
+
+    def _unwatch(self) -> None:
+        if self._watched_call is not None:
+            self._deps.watch.remove(self._watched_call)
+            self._watched_call = None
+
+
+__all__ = ["EngineRun"]
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -19,11 +19,8 @@
     TruncatedAnswerError,
 )
 from mulberrypass.relay.directory import Directory
-from mulberrypass.relay.forward import (
-    SILENCE_TIMEOUT_S,
-    Forwarder,
-    RelayDependencies,
-)
+from mulberrypass.relay.forward import Forwarder, RelayDependencies
+from mulberrypass.relay.forwarded import SILENCE_TIMEOUT_S
 from mulberrypass.relay.permits import PermitAcquirer
 from mulberrypass.relay.watch import CallWatch
 from tests.relay.fakes import (
