Run a late request a second time at another engine

A few silent or slow engines held requests for a second or more before the request moved on: a run is left only after 1 s without an event.

The request's own thread then reads on, so that events of two runs are never mixed. run_record.py and due_times.py take the account of runs and the waiting times out of forwarded.py.

The owner of the cell is asked with Ask.repeat, the customer's limit is charged one more token, and the loser's connection is closed at once. Without a share (the default) no thread is created and nothing changes.

--- a/src/mulberrypass/policy/online/retry.py
+++ b/src/mulberrypass/policy/online/retry.py
@@ -44,23 +44,32 @@
 
     Each request adds ``RETRIES_PER_REQUEST`` to the budget, which holds at
     most ``BURST_RETRIES``.
+
+    :param tokens: attempts that it holds at first; all by default
     """
 
     def __init__(
-        self, share: float = RETRIES_PER_REQUEST, burst: float = BURST_RETRIES
+        self,
+        share: float = RETRIES_PER_REQUEST,
+        burst: float = BURST_RETRIES,
+        tokens: float | None = None,
     ) -> None:
         self._share = share
         self._burst = burst
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
 
     @property
     def tokens(self) -> float:
         """Number of attempts left in the budget."""
         return self._tokens
 
-    def earn(self) -> None:
-        """Add the share of one request to the budget."""
-        self._tokens = min(self._burst, self._tokens + self._share)
+    def earn(self, share: float | None = None) -> None:
+        """Add the share of one request to the budget.
+
+        :param share: another share than the budget's own
+        """
+        earned = self._share if share is None else share
+        self._tokens = min(self._burst, self._tokens + earned)
 
     def take(self) -> bool:
         """Consume one attempt of the budget.
--- a/src/mulberrypass/policy/online/runs.py
+++ b/src/mulberrypass/policy/online/runs.py
@@ -61,6 +61,10 @@
         """Note that a run has shown that an earlier one was broken off."""
         self._asked.add(engine)
 
+    def note_lost(self, engine: str) -> None:
+        """Note that another run was ahead of one."""
+        self._asked.add(engine)
+
     def may_repeat(self) -> bool:
         """Return whether another attempt may follow."""
         return self._repeatable and self.attempts < self._max_attempts
--- a/src/mulberrypass/relay/admission.py
+++ b/src/mulberrypass/relay/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import time
 from typing import TYPE_CHECKING
 
@@ -120,6 +121,23 @@
             return self._not_admitted(need, STOPPING, 0.0)
         return permit
 
+    def acquire_repeat(
+        self,
+        service: str,
+        avoided: tuple[str, ...],
+        abandoned: Callable[[], bool],
+    ) -> HeldPermit:
+        """Wait for the permit of a second run; safe on any thread.
+
+        :param service: that of the run beside it
+        :raises NoPermitError: if none is granted
+        :raises NoRouteError: if no route matches any more
+        :raises QuarantinedError: if the request would crash the engine
+        """
+        need = PermitNeed([], float("inf"), 0, True, service)
+        work = replace(self._work(need), repeat=True)
+        return self._acquirer.acquire(work, avoided, abandoned)
+
     def _wait(self, need: PermitNeed) -> HeldPermit:
         """Wait for a permit, for a second run not for long.
 
--- a/src/mulberrypass/relay/dependencies.py
+++ b/src/mulberrypass/relay/dependencies.py
@@ -8,6 +8,7 @@
 from mulberrypass.model.value_class import value_class
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.quotas import CustomerQuotas, NoQuotas
+from mulberrypass.relay.repeats import Repeats
 from mulberrypass.relay.whole_body import HeldBodies
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
     ending: PlannedEnd = field(default_factory=PlannedEnd)
     bodies: HeldBodies = field(default_factory=HeldBodies)
     quotas: CustomerQuotas = field(default_factory=NoQuotas)
+    repeats: Repeats = field(default_factory=Repeats)
 
 
 __all__ = ["RelayDependencies"]
--- a/src/mulberrypass/relay/engine_run.py
+++ b/src/mulberrypass/relay/engine_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
@@ -27,11 +28,14 @@
 
 
 class EngineRun:
-    """Holds the permit and the connection of one run; used by one thread.
+    """Holds the permit and the connection of one run.
+
+    Used by one thread, but for ``stop``.
 
     :param disconnected: returns whether the caller has left, which ends the
         connection
     :ivar answer: the engine's answer, once its head has come
+    :ivar stopped: whether ``stop`` was called
     """
 
     def __init__(
@@ -45,6 +49,9 @@
         self._deps = deps
         self._disconnected = disconnected
         self._watched_call: WatchedCall | None = None
+        self._lock = threading.Lock()
+        self._abort: Callable[[], None] | None = None
+        self.stopped = False
 
     @property
     def engine(self) -> str:
@@ -99,9 +106,19 @@
         except WireError:
             raise WireError(ENGINE_GONE)
 
+    def stop(self) -> None:
+        """Close the connection, now or once it opens; safe on any thread."""
+        with self._lock:
+            self.stopped = True
+            abort = self._abort
+        if abort is not None:
+            abort()
+
     def release(self, outcome: ReleaseOutcome, tokens: int) -> None:
         """Release the connection and the permit."""
         self._unwatch()
+        with self._lock:
+            self._abort = None
         if self.answer is not None:
             self.answer.finish()
             self.answer = None
@@ -111,6 +128,11 @@
         self._unwatch()
         self._watched_call = WatchedCall(self._disconnected, abort)
         self._deps.watch.add(self._watched_call)
+        with self._lock:
+            self._abort = abort
+            stopped = self.stopped
+        if stopped:
+            abort()
 
     def _unwatch(self) -> None:
         if self._watched_call is not None:
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -11,11 +11,9 @@
 from mulberrypass.model.outcome import Ran
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.policy.messages import ReleaseOutcome
-from mulberrypass.policy.online.runs import Runs
 from mulberrypass.relay.admission import (
     MIN_RETRY_AFTER_S,
     Admission,
-    PermitNeed,
 )
 from mulberrypass.relay.answer_rules import check_whole
 from mulberrypass.relay.api import (
@@ -26,21 +24,26 @@
     TruncatedAnswerError,
 )
 from mulberrypass.relay.doubts import DoubtfulRuns
+from mulberrypass.relay.due_times import DueTimes
 from mulberrypass.relay.end_proof import End
 from mulberrypass.relay.engine_run import EngineRun
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import HeldPermit
+from mulberrypass.relay.race import FirstRun, Race
+from mulberrypass.relay.repeated_run import RepeatPlan
 from mulberrypass.relay.request_log import RequestLog
 from mulberrypass.relay.request_quota import RequestQuota
-from mulberrypass.relay.run_outcome import release_outcome
+from mulberrypass.relay.run_outcome import overtaken_outcome, release_outcome
+from mulberrypass.relay.run_record import RunRecord
 from mulberrypass.relay.second_answer import BrokenBodyError
-from mulberrypass.relay.streams import BROKEN_OFF, IN_DOUBT, EventStream
+from mulberrypass.relay.streams import IN_DOUBT, EventStream
 from mulberrypass.relay.whole_body import read_whole
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator, Iterator
 
     from mulberrypass.policy.access import Allowed
+    from mulberrypass.relay.admission import PermitNeed
     from mulberrypass.relay.api import (
         EngineAnswer,
         FinalEvent,
@@ -50,11 +53,6 @@
     from mulberrypass.relay.dependencies import RelayDependencies
     from mulberrypass.relay.whole_body import HeldBody
 
-# A request that may continue elsewhere leaves an engine that completes no
-# head or event for this long. Callers give up on a silent stream after 2 s.
-SILENCE_TIMEOUT_S = 1.0
-# Callers leave a stream after a gap of 2 s; half of it is for the second run.
-SECOND_RUN_WAIT_S = 1.0
 ENGINE_ALIVE = "engine alive"
 
 
@@ -63,12 +61,6 @@
 
     :ivar _service: the service whose answer the caller has got the head of;
         another one may answer otherwise
-    :ivar _settles: whether the latest run, or the next one, settles where
-        the stream ends
-    :ivar _doubt_ends_at: until when a second run may end, in monotonic
-        seconds
-    :ivar _runs_whole: whether the latest run began where the request does
-    :ivar _first_run_s: time of such a run whose end is in doubt
     """
 
     def __init__(
@@ -92,8 +84,6 @@
         self._quota = RequestQuota(
             deps.quotas, access.customer, self._deadline, self._log
         )
-        self._runs = Runs(route.max_attempts, route.repeatable)
-        self._settles = False
         self._admission = Admission(
             deps.directory,
             deps.acquirer,
@@ -105,17 +95,24 @@
             self._log,
             now,
         )
-        self._maybe_ran = False
         self._answered = False
         self._head_sent = False
         self._service = ""
         self._proof = ""
-        self._doubt_ends_at = float("inf")
-        self._runs_whole = True
-        self._first_run_s: float | None = None
         self._stream = EventStream(req.after_event)
+        self._runs = RunRecord(route, self._stream, req.after_event)
+        self._due = DueTimes(self._deadline, self._runs)
         self._doubts = DoubtfulRuns()
         self._run: EngineRun | None = None
+        self._race = Race(
+            deps,
+            req.request_id,
+            route,
+            route.kind is RouteKind.STREAM,
+            req.output_tokens,
+            self._deadline,
+            disconnected,
+        )
 
     def events(self) -> Iterator[RelayEvent]:
         """Yield the events of the answer."""
@@ -137,19 +134,14 @@
                     yield from self._end(self._failure_event(failed))
                     return
         finally:
+            self._race.close()
             self._release(ReleaseOutcome.CANCELLED)
-            if not self._maybe_ran and not self._answered:
+            if not self._runs.maybe_ran and not self._answered:
                 self._quota.give_back()
 
     def _need(self) -> PermitNeed:
         engines = self._deps.directory.engine_names()
-        return PermitNeed(
-            self._runs.avoided(self._settles, engines),
-            self._doubt_ends_at,
-            self._runs.attempts,
-            self._maybe_ran,
-            self._service,
-        )
+        return self._runs.need(engines, self._service)
 
     def _attempt(
         self, run: EngineRun
@@ -158,14 +150,41 @@
 
         :returns: the failure, unless the whole answer was forwarded
         """
-        self._runs.begin(self._settles)
-        after = self._stream.resume_after
-        self._runs_whole = (
-            after == self._req.after_event and not self._stream.in_doubt
+        self._runs.begin()
+        req = replace(self._req, after_event=self._stream.resume_after)
+        self._race.begin(self._first_run(run, begun=False))
+        failed = yield from self._forward(
+            run,
+            lambda: run.send(req, self._deadline, self._due.event()),
         )
-        req = replace(self._req, after_event=after)
+        while failed is not None:
+            second = self._race.take()
+            if second is not None:
+                self._runs.count_second(second)
+            if second is None or not second.goes_on:
+                return self._after_failure(run, failed)
+            if run.stopped:
+                self._after_overtaken(run)
+            else:
+                self._after_failure(run, failed)
+            assert second.run is not None
+            run = self._run = second.run
+            self._runs.take_over()
+            self._race.begin(
+                self._first_run(run, begun=second.won), is_second=True
+            )
+            failed = yield from self._forward(run, second.take_answer)
+        return None
+
+    def _forward(
+        self, run: EngineRun, get_answer: Callable[[], EngineAnswer]
+    ) -> Generator[RelayEvent, None, EngineFailed | None]:
+        """Forward the answer of a run; return why it has failed, if so.
+
+        :param get_answer: returns the answer once its head has come
+        """
         try:
-            answer = run.send(req, self._deadline, self._read_deadline())
+            answer = get_answer()
             self._answered = True
             if self._route.kind is RouteKind.STREAM and answer.head.is_success:
                 with run.hold(answer) as held:
@@ -174,13 +193,60 @@
             else:
                 yield from self._forward_buffered(run, answer)
         except WireError as exc:
-            self._log_failure(run, exc.failed)
-            return self._after_failure(run, exc.failed)
+            failed = exc.failed
         except (BadEventError, BrokenBodyError) as exc:
             failed = EngineFailed(str(exc), Ran.YES)
+        else:
+            return None
+        if not run.stopped:
             self._log_failure(run, failed)
-            return self._after_failure(run, failed)
-        return None
+        return failed
+
+    def _first_run(self, run: EngineRun, begun: bool) -> FirstRun:
+        """Return what may get a second run beside it."""
+        return FirstRun(
+            run, self._runs.may_race, begun, lambda: self._repeat_plan(run)
+        )
+
+    def _repeat_plan(self, run: EngineRun) -> RepeatPlan:
+        """Return what a second run needs while the first waits."""
+        engines = self._deps.directory.engine_names()
+        avoided = self._runs.avoided(run.engine, engines)
+        service = run.permit.engine.service
+        is_last = self._runs.attempts + 1 >= self._route.max_attempts
+        stream = self._route.kind is RouteKind.STREAM
+
+        return RepeatPlan(
+            replace(self._req, after_event=self._stream.last),
+            service,
+            stream,
+            self._deadline,
+            lambda abandoned: self._admission.acquire_repeat(
+                service, avoided, abandoned
+            ),
+            lambda: self._due.second(stream, is_last),
+            self._quota,
+        )
+
+    def _after_overtaken(self, run: EngineRun) -> None:
+        """Release a run that a second one was ahead of."""
+        self._runs.note_overtaken(run)
+        outcome = overtaken_outcome(run, self._route.target_s)
+        run.permit.mark_overtaken()
+        self._release(outcome)
+
+    def _on_events(self, run: EngineRun) -> None:
+        """Note that events of a run have come.
+
+        :raises WireError: if a second run was ahead
+        """
+        self._count_event()
+        run.permit.mark_first_event()
+
+    def _event_due(self) -> Deadline:
+        """Begin to wait for the next event; return until when it is due."""
+        self._race.wait()
+        return self._due.event()
 
     def _complete(self, run: EngineRun, answer: EngineAnswer) -> None:
         """Note that the whole answer has come, and release its engine."""
@@ -192,29 +258,10 @@
             self._proof,
         )
         if answer.head.is_success:
-            self._note_time(run.permit)
+            self._note_time(run)
         self._release(ReleaseOutcome.DONE)
         self._doubts.judge(self._stream.seen, bool(self._stream.proof))
 
-    def _read_deadline(self) -> Deadline:
-        """Return until when the head or the next event is due."""
-        if self._stream.in_doubt:
-            # Half is left for another run.
-            left_s = self._doubt_ends_at - time.monotonic()
-            return self._deadline.within(left_s / 2)
-        if self._may_repeat():
-            return self._deadline.within(SILENCE_TIMEOUT_S)
-        return self._deadline
-
-    def _body_deadline(self) -> Deadline:
-        """Return until when a body is due that is forwarded whole.
-
-        If the request may continue elsewhere, time is left for that.
-        """
-        if self._may_repeat():
-            return self._deadline.within(self._deadline.left_s() / 2)
-        return self._deadline
-
     def _forward_stream(
         self, run: EngineRun, answer: EngineAnswer, held: HeldBody
     ) -> Iterator[RelayEvent]:
@@ -224,6 +271,7 @@
         """
         if not self._head_sent:
             self._head_sent = True
+            self._race.hold()
             self._service = run.permit.engine.service
             yield AnswerHead(
                 answer.head.status,
@@ -233,8 +281,8 @@
             )
         for data in self._stream.read(
             answer,
-            self._read_deadline,
-            run.permit.mark_first_event,
+            self._event_due,
+            lambda: self._on_events(run),
             held.resize,
             lambda: run.check_engine(answer, self._deadline),
             self._ends_as_it_came(answer),
@@ -253,12 +301,15 @@
     ) -> Iterator[RelayEvent]:
         """Forward an answer once it is complete."""
         with run.hold(answer) as body:
-            read_whole(answer, self._body_deadline(), body)
+            read_whole(answer, self._due.body(), body)
             second = answer.head.second
             if second is not None:
                 body.shorten(second)
             head = answer.head
-            check_whole(head, body.size, self._may_repeat(), self._head_sent)
+            check_whole(
+                head, body.size, self._runs.may_repeat, self._head_sent
+            )
+            self._count_event()
             self._proof = End.FRAMED.value
             unframed = head.ends_with_connection
             if unframed:
@@ -275,32 +326,25 @@
             )
             yield from map(AnswerBody, body.take_parts())
 
+    def _count_event(self) -> None:
+        """Note an event of the first run, or its whole answer.
+
+        :raises WireError: if a second run was ahead
+        """
+        second = self._race.on_event()
+        if second is not None:
+            self._runs.count_second(second)
+            self._race.allow(self._runs.may_race)
+
     def _after_failure(
         self, run: EngineRun, failed: EngineFailed
     ) -> EngineFailed:
         """Update the retry state and release the permit."""
-        self._maybe_ran = self._maybe_ran or failed.ran is not Ran.NO
-        run_s = time.monotonic() - run.permit.sent_at
-        hurried = self._settles and run_s < SILENCE_TIMEOUT_S
+        hurried = self._due.was_hurried(run)
         outcome = release_outcome(run, failed, self._deadline, hurried)
         if failed is IN_DOUBT:
             self._doubts.add(run.permit, self._stream.last)
-            self._runs.note_ended(run.engine)
-            if self._runs_whole:
-                since = run.permit.sent_at
-                self._first_run_s = time.monotonic() - since
-        elif failed.ran is Ran.NO:
-            self._runs.note_not_run(run.engine, self._settles)
-        elif failed is BROKEN_OFF:
-            self._runs.note_more(run.engine)
-            self._first_run_s = None
-        else:
-            self._runs.note_failed(run.engine)
-        self._settles = self._stream.in_doubt or failed is BROKEN_OFF
-        if not self._stream.in_doubt:
-            self._doubt_ends_at = float("inf")
-        elif self._doubt_ends_at == float("inf"):
-            self._doubt_ends_at = time.monotonic() + SECOND_RUN_WAIT_S
+        self._runs.note_failure(run, failed)
         if failed.closed and outcome is ReleaseOutcome.FAILED:
             run.permit.mark_connection_ended()
         self._release(outcome)
@@ -310,16 +354,11 @@
     def _may_retry(self, failed: EngineFailed) -> bool:
         if self._disconnected() or time.monotonic() >= self._deadline.at:
             return False
-        if self._settles:
-            return self._runs.may_settle()
-        return failed.ran is Ran.NO or self._may_repeat()
-
-    def _may_repeat(self) -> bool:
-        return self._runs.may_repeat()
+        return self._runs.may_follow(failed)
 
     def _failure_event(self, failed: EngineFailed) -> Failed | Refused:
         late = time.monotonic() >= self._deadline.at
-        if not self._maybe_ran and not late:
+        if not self._runs.maybe_ran and not late:
             return Refused("not_run", MIN_RETRY_AFTER_S)
         return Failed(failed.reason, late)
 
@@ -335,11 +374,9 @@
             self._run.release(outcome, self._stream.brought)
             self._run = None
 
-    def _note_time(self, permit: HeldPermit) -> None:
+    def _note_time(self, run: EngineRun) -> None:
         """Note the time of a whole answer, which one run has brought."""
-        seconds = self._first_run_s
-        if seconds is None and self._runs_whole:
-            seconds = time.monotonic() - permit.sent_at
+        seconds = self._runs.whole_s(run)
         if seconds is not None:
             tokens = self._req.output_tokens
             self._deps.ending.note(self._route.name, tokens, seconds)
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -54,6 +54,7 @@
     :param request: digest of a request; ``None`` for an item
     :param service: the service that has begun the answer, which no other may
         go on with; empty for any of the route
+    :param repeat: whether this is a second run beside one that is late
     """
 
     find: Callable[[], RelayRoute | None]
@@ -68,6 +69,7 @@
     start_by: float | None = None
     request: int | None = None
     service: str = ""
+    repeat: bool = False
 
     @property
     def shared_parts(self) -> tuple[int, ...]:
@@ -126,6 +128,12 @@
             self.permits.tell(FirstToken(self.ask_id, after_s))
             self._mark_begun()
 
+    def mark_overtaken(self) -> None:
+        """Report that the first event takes longer than until now."""
+        if self.first_at is None:
+            after_s = time.monotonic() - self.sent_at
+            self.permits.tell(FirstToken(self.ask_id, after_s))
+
     def mark_limit(self, per_s: float | None) -> None:
         """Report the limit that the answer names, or that it ends."""
         if per_s is not None and (per_s > 0 or self.limit_per_s > 0):
@@ -389,6 +397,7 @@
             revocable=work.revocable,
             start_within_s=_start_within_s(work),
             subject=work.prefix[-1] if work.prefix else 0,
+            repeat=work.repeat,
         )
 
     def _wait(
--- a/src/mulberrypass/relay/request_quota.py
+++ b/src/mulberrypass/relay/request_quota.py
@@ -52,8 +52,15 @@
                 self._log.not_placed(reason, customer=customer.name)
                 return Refused(reason, max(MIN_RETRY_AFTER_S, retry_after_s))
 
+    def take_another(self) -> bool:
+        """Count a second run of the request; return whether there is room."""
+        customer = self._customer
+        if customer is None or customer.rate_per_s <= 0:
+            return True
+        return isinstance(self._quotas.take(customer, self._deadline), Taken)
+
     def give_back(self) -> None:
-        """Return what was counted for a request that no engine has run."""
+        """Return what was counted for a run that no engine has begun."""
         customer = self._customer
         if customer is not None and customer.rate_per_s > 0:
             self._quotas.give_back(customer.name)
--- a/src/mulberrypass/relay/run_outcome.py
+++ b/src/mulberrypass/relay/run_outcome.py
@@ -47,4 +47,16 @@
     return ReleaseOutcome.FAILED
 
 
-__all__ = ["release_outcome"]
+def overtaken_outcome(run: EngineRun, target_s: float) -> ReleaseOutcome:
+    """Return the outcome of a run that a second one was ahead of.
+
+    That alone is no fault. An engine that has given no first event in the
+    time in which it is due has failed, as one that is left for its silence.
+    """
+    run_s = time.monotonic() - run.permit.sent_at
+    if run.permit.first_at is None and run_s >= target_s:
+        return ReleaseOutcome.FAILED
+    return ReleaseOutcome.CANCELLED
+
+
+__all__ = ["overtaken_outcome", "release_outcome"]
--- a/src/mulberrypass/relay/streams.py
+++ b/src/mulberrypass/relay/streams.py
@@ -235,5 +235,6 @@
     "CUT_IN_EVENT",
     "EventStream",
     "IN_DOUBT",
+    "NO_EVENT",
     "NO_FURTHER_EVENT",
 ]
--- a/tests/platform/test_endless_answer.py
+++ b/tests/platform/test_endless_answer.py
@@ -10,7 +10,7 @@
 
 from mulberrypass.model.routes import RouteKind
 from mulberrypass.platform.engines import HttpEngineClient
-from mulberrypass.relay import forwarded
+from mulberrypass.relay import due_times
 from mulberrypass.relay.api import (
     AnswerBody,
     Failed,
@@ -86,7 +86,7 @@
     """Forwards requests to an endless engine, and then to a sound one."""
 
     def setUp(self) -> None:
-        silence = patch.object(forwarded, "SILENCE_TIMEOUT_S", SILENCE_S)
+        silence = patch.object(due_times, "SILENCE_TIMEOUT_S", SILENCE_S)
         silence.start()
         self.addCleanup(silence.stop)
         self.watch = CallWatch()
--- a/tests/relay/test_forward.py
+++ b/tests/relay/test_forward.py
@@ -19,8 +19,8 @@
     TruncatedAnswerError,
 )
 from mulberrypass.relay.directory import Directory
+from mulberrypass.relay.due_times import SILENCE_TIMEOUT_S
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
-from mulberrypass.relay.forwarded import SILENCE_TIMEOUT_S
 from mulberrypass.relay.permits import PermitAcquirer
 from mulberrypass.relay.watch import CallWatch
 from tests.relay.fakes import (
