Bound hedges of the product's interface by repeat_share

Hedges drew on the retry budget of the whole process, so that a slow service used up the retries of all others, and an operator could only switch them on or off.

A service has repeat_share beside hedge: second runs as a share of its runs, 0 to 1, by default 0.1 where hedge is on. A hedge asks its owner for room to spare (Ask.repeat), and none follows a connection that has ended. A call whose only attempt fails while its hedge is refused is retried.

--- a/src/mulberrypass/model/document.py
+++ b/src/mulberrypass/model/document.py
@@ -67,6 +67,7 @@
 Name = Annotated[str, AfterValidator(_name)]
 Address = Annotated[str, AfterValidator(_address)]
 Digest = Annotated[str, AfterValidator(_digest)]
+Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
 Weight = Annotated[float, Field(ge=0, le=1_000_000, allow_inf_nan=False)]
 Count = Annotated[int, Field(ge=0, le=1_000_000_000)]
 Positive = Annotated[int, Field(ge=1, le=1_000_000_000)]
@@ -139,6 +140,7 @@
     idempotent: bool = True
     streams: bool = False
     hedge: bool | None = None
+    repeat_share: Share | None = None
     timeout_ms: Positive = 30_000
     max_timeout_ms: Positive = 300_000
     max_output_tokens: Positive = 1_024
@@ -155,6 +157,9 @@
         attempts = self.max_attempts
         if hedge is None:
             hedge = self.idempotent
+        repeat_share = self.repeat_share
+        if repeat_share is None:
+            repeat_share = objects.REPEAT_SHARE if hedge else 0.0
         if attempts is None:
             attempts = 3 if self.idempotent else 1
         return objects.Service(
@@ -167,6 +172,7 @@
             idempotent=self.idempotent,
             streams=self.streams,
             hedge=hedge,
+            repeat_share=repeat_share,
             timeout_ms=self.timeout_ms,
             max_timeout_ms=self.max_timeout_ms,
             max_output_tokens=self.max_output_tokens,
--- a/src/mulberrypass/model/objects.py
+++ b/src/mulberrypass/model/objects.py
@@ -11,6 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+# Second runs of late requests, as a share of the runs: what hedges could use
+# of the retry budget before they had a limit of their own.
+REPEAT_SHARE = 0.1
+
 
 class ServiceKind(enum.StrEnum):
     """Kind of backend servers that a service uses."""
@@ -173,6 +177,9 @@
     """One service that callers send requests to.
 
     :param idempotent: whether a request may run more than once
+    :param hedge: whether a late request may be sent a second time
+    :param repeat_share: most of these second runs, as a share of the runs; 0
+        for none
     :param streams: whether answers are streamed to callers
     :param timeout_ms: default timeout of a request
     :param max_timeout_ms: longest timeout that a request may set
@@ -191,6 +198,7 @@
     idempotent: bool = True
     streams: bool = False
     hedge: bool = True
+    repeat_share: float = REPEAT_SHARE
     timeout_ms: int = 30_000
     max_timeout_ms: int = 300_000
     max_output_tokens: int = 1_024
--- a/src/mulberrypass/model/rules.py
+++ b/src/mulberrypass/model/rules.py
@@ -200,6 +200,10 @@
         problem = "work that is not idempotent can't be hedged"
         remedy = 'write "hedge: false", or leave it out'
         yield located.fault("hedge", problem, remedy)
+    if service.repeat_share:
+        problem = "work that is not idempotent gets no second run"
+        remedy = 'write "repeat_share: 0", or leave it out'
+        yield located.fault("repeat_share", problem, remedy)
     if (service.max_attempts or 1) > 1:
         problem = "work that is not idempotent can't be retried"
         remedy = 'write "max_attempts: 1", or leave it out'
--- a/src/mulberrypass/online/execution.py
+++ b/src/mulberrypass/online/execution.py
@@ -29,6 +29,7 @@
     Withdraw,
     WorkClass,
 )
+from mulberrypass.policy.online.repeats import LateRun
 from mulberrypass.policy.online.retry import Failure, may_retry
 from mulberrypass.policy.prefix import prefix_hashes
 from mulberrypass.runtime.metrics import Decision
@@ -107,11 +108,14 @@
         self._winner = ""
         self._dispatched_at = time.monotonic()
         self._hedged = False
+        self._hedge_ask = ""
+        self._connection_ended = False
+        self._failed: EngineFailed | None = None
         self._maybe_ran = False
 
     def events(self) -> Iterator[CallEvent]:
         """Yield the request's events; the last one is its outcome."""
-        self._deps.policy.earn()
+        self._deps.policy.earn(self._call.service)
         self._ask()
         try:
             while True:
@@ -164,7 +168,11 @@
             self._hedge()
         return None
 
-    def _ask(self) -> None:
+    def _ask(self, repeat: bool = False) -> str:
+        """Ask for a permit; return the id of the ask.
+
+        :param repeat: whether for a second run, which needs room to spare
+        """
         deps = self._deps
         call = self._call
         ask_id = f"{deps.member}/{next(deps.ask_numbers)}"
@@ -182,6 +190,7 @@
             prefix=prefix_hashes(prompt),
             avoid=self._avoid,
             version=call.route.version if call.route else "",
+            repeat=repeat,
         )
         fut = deps.permits.ask(ask, _ignore_revocation)
         self._pending_permits[ask_id] = fut
@@ -190,6 +199,7 @@
                 PermitMessage(ask_id, done.result())
             )
         )
+        return ask_id
 
     def _on_grant(self, ask_id: str, grant: Grant) -> CallEvent | None:
         self._pending_permits.pop(ask_id, None)
@@ -232,8 +242,13 @@
 
     def _on_refusal(self, ask_id: str, refusal: Refuse) -> CallEvent | None:
         self._pending_permits.pop(ask_id, None)
+        if ask_id == self._hedge_ask:
+            self._deps.policy.return_hedge(self._call.service)
         if self._attempts or self._pending_permits:
             return None
+        if ask_id == self._hedge_ask and self._failed is not None:
+            # The first attempt has failed while its hedge waited.
+            return self._retry_or_end(self._failed)
         return from_refusal(refusal, self._ran())
 
     def _release_unused(self, ask_id: str) -> None:
@@ -264,7 +279,7 @@
             return
         self._winner = ask_id
         self._deps.policy.observe(
-            self._call.service.name, time.monotonic() - self._dispatched_at
+            self._call.service, time.monotonic() - self._dispatched_at
         )
         for other in [k for k in self._attempts if k != ask_id]:
             self._cancel(other)
@@ -301,8 +316,14 @@
         self._attempts.pop(ask_id, None)
         if failed.ran is not Ran.NO:
             self._maybe_ran = True
+        self._connection_ended = self._connection_ended or failed.closed
+        self._failed = failed
         if self._attempts or self._pending_permits:
             return None
+        return self._retry_or_end(failed)
+
+    def _retry_or_end(self, failed: EngineFailed) -> CallEvent | None:
+        """Retry a call of which no attempt is left, or end it."""
         if time.monotonic() >= self._call.deadline:
             return expired(self._ran())
         failure = Failure(
@@ -325,6 +346,7 @@
         return (
             service.idempotent
             and service.hedge
+            and service.repeat_share > 0
             and not self._hedged
             and not self._winner
             and len(self._attempts) == 1
@@ -333,15 +355,20 @@
 
     def _hedge_due(self) -> float:
         return self._dispatched_at + self._deps.policy.hedge_after_s(
-            self._call.service.name
+            self._call.service
         )
 
     def _hedge(self) -> None:
         self._hedged = True
-        if not self._deps.policy.take_retry():
+        late = LateRun(
+            repeatable=self._call.service.idempotent,
+            ended=self._connection_ended,
+            left_s=self._call.deadline - time.monotonic(),
+        )
+        if self._deps.policy.start_hedge(self._call.service, late):
             return
         self._deps.metrics.count(Decision.HEDGED)
-        self._ask()
+        self._hedge_ask = self._ask(repeat=True)
 
     def _ran(self) -> Ran:
         at_risk = self._maybe_ran or bool(self._attempts)
--- a/tests/model/test_check.py
+++ b/tests/model/test_check.py
@@ -162,6 +162,13 @@
         'service "booking", field "hedge": work that is not idempotent '
         'can\'t be hedged; write "hedge: false", or leave it out',
     ),
+    (
+        "second runs, not idempotent",
+        edited_set("booking", repeat_share=0.05),
+        'service "booking", field "repeat_share": work that is not '
+        'idempotent gets no second run; write "repeat_share: 0", or leave '
+        "it out",
+    ),
     (
         "retried, not idempotent",
         edited_set("booking", max_attempts=2),
--- a/tests/online/test_execution.py
+++ b/tests/online/test_execution.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import replace
+import threading
 import time
 from typing import TYPE_CHECKING
 import unittest
@@ -17,8 +18,15 @@
     new_ask_numbers,
 )
 from mulberrypass.online.shared import SharedPolicy
-from mulberrypass.policy.messages import RefusalReason, Refuse, ReleaseOutcome
+from mulberrypass.policy.messages import (
+    Ask,
+    Grant,
+    RefusalReason,
+    Refuse,
+    ReleaseOutcome,
+)
 from mulberrypass.policy.online.hedging import INITIAL_HEDGE_S
+from mulberrypass.policy.online.repeats import LateRun, NoRepeat
 from mulberrypass.runtime.metrics import Metrics
 from tests.online.fakes import (
     BOOKING,
@@ -35,11 +43,14 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypass.model.objects import Service
     from mulberrypass.online.call import Call, CallEvent
     from tests.online.fakes import Script
 
 REFUSED = Refuse("", RefusalReason.QUEUE_FULL, 0.5)
+NO_SPARE = Refuse("", RefusalReason.NO_SPARE, 0.0)
 
 
 class RequestExecutionTest(unittest.TestCase):
@@ -164,6 +175,54 @@
         self.assertEqual(slow.started, slow.cancelled)
         self.assertEqual(2, len(self.permits.releases()))
 
+    def test_hedge_asks_for_room_to_spare(self) -> None:
+        slow = ScriptedEngine(delay_s=INITIAL_HEDGE_S + 0.3)
+        self.backends.engines["e-1"] = slow
+        self.permits = ScriptedPermits("e-1", NO_SPARE)
+        outcome = self.outcome(make_call())
+        assert isinstance(outcome, Completed)
+        self.assertEqual("e-1", outcome.backend)
+        self.assertEqual([False, True], [a.repeat for a in self.permits.asks])
+
+    def test_share_0_hedges_nothing(self) -> None:
+        slow = ScriptedEngine(delay_s=INITIAL_HEDGE_S + 0.2)
+        self.backends.engines["e-1"] = slow
+        call = make_call(replace(DOCK, repeat_share=0.0))
+        self.assertIsInstance(self.outcome(call), Completed)
+        self.assertEqual(1, len(self.permits.asks))
+
+    def test_hedges_are_bounded_by_their_share(self) -> None:
+        policy = SharedPolicy(clock=lambda: 0.0)
+        service = replace(DOCK, repeat_share=0.05)
+        found = []
+        for _ in range(100):
+            policy.earn(service)
+            found.append(policy.start_hedge(service, LateRun()))
+        self.assertIn(found.count(None), (5, 6))
+        self.assertEqual(NoRepeat.BUDGET, found[-2])
+
+    def test_failed_call_is_retried_if_its_hedge_is_refused(self) -> None:
+        """A hedge without room to spare ended a call that may be retried."""
+        broken = ScriptedEngine([[BROKEN]], delay_s=INITIAL_HEDGE_S + 0.2)
+        self.backends.engines["e-1"] = broken
+        self.permits = ScriptedPermits("e-1", "e-2")
+        refusal: Future[Grant | Refuse] = Future()
+        ask_now = self.permits.ask
+
+        def ask_and_wait(
+            ask: Ask, on_revoke: Callable[[], None]
+        ) -> Future[Grant | Refuse]:
+            if not ask.repeat:
+                return ask_now(ask, on_revoke)
+            timer = threading.Timer(0.4, refusal.set_result, (NO_SPARE,))
+            timer.start()
+            return refusal
+
+        self.permits.ask = ask_and_wait  # type: ignore[method-assign]
+        outcome = self.outcome(make_call())
+        assert isinstance(outcome, Completed)
+        self.assertEqual("e-2", outcome.backend)
+
     def test_non_idempotent_call_is_neither_hedged_nor_retried(self) -> None:
         plain = ScriptedPlain([BROKEN])
         self.backends.plains["p-1"] = plain
