Read the limits on second runs from the environment of the site

mulberry-site had no way to switch second runs on.

The counts by service are a metric, mulberry_second_runs_total, for which EventMetrics takes counters with labels, and the figures are in the state dump.

--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -45,6 +45,7 @@
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
 from mulberrypass.programs.site_reload import reload_site
+from mulberrypass.programs.site_repeats import read_repeat_shares
 from mulberrypass.programs.site_settings import (
     CELLS,
     MEMBERSHIP,
@@ -59,6 +60,7 @@
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
+from mulberrypass.relay.repeats import Repeats
 from mulberrypass.relay.watch import CallWatch
 from mulberrypass.relay.whole_body import HeldBodies
 from mulberrypass.runtime.dump import StateDump
@@ -76,6 +78,7 @@
 if TYPE_CHECKING:
     from mulberrypass.platform.site import Site
     from mulberrypass.policy.health.crashes import Crash
+    from mulberrypass.policy.online.repeats import RepeatShares
     from mulberrypass.runtime.http_server import ServedApp
 
 LOG = get_logger(__name__)
@@ -102,6 +105,7 @@
     """Builds and runs the components of an instance.
 
     :param settings: file that the settings were read from
+    :param shares: limits on second runs; none may start by default
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         site: Site,
         log_to: TextIO = sys.stdout,
         settings: Path | None = None,
+        shares: RepeatShares | None = None,
     ) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self._lines = LineWriter(log_to)
@@ -227,6 +232,7 @@
         self._bodies = HeldBodies(limits)
         # As much again for callers.
         self._client_bytes = limits.total
+        self._repeats = Repeats(shares)
         deps = RelayDependencies(
             self._directory,
             acquirer,
@@ -234,6 +240,7 @@
             self._watch,
             self._ending,
             self._bodies,
+            repeats=self._repeats,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -285,6 +292,7 @@
             self._holder,
             self._lines,
             self._bodies,
+            self._repeats,
         )
         self._dump = self._make_dump()
 
@@ -312,6 +320,7 @@
         dump.register("jobs", self._holder.state)
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
+        dump.register("repeats", self._repeats.state)
         dump.register("threads", thread_times)
         dump.register("followers", lambda: [f.state for f in self._followers])
         return dump
@@ -370,6 +379,7 @@
         while self._holder.busy and time.monotonic() < deadline:
             time.sleep(STOP_POLL_S)
         self._holder.stop()
+        self._repeats.stop()
         self._guard.stop()
         self._crashes.stop()
         LOG.info("stopped", whole=finished)
@@ -449,9 +459,10 @@
         sys.exit(f"mulberry-site: {SETTINGS_VARIABLE} is not set")
     try:
         site = read_site(Path(path))
+        shares = read_repeat_shares(os.environ)
     except SiteError as exc:
         sys.exit(f"mulberry-site: {exc}")
-    run(lambda: SiteProcess(site, settings=Path(path)))
+    run(lambda: SiteProcess(site, settings=Path(path), shares=shares))
 
 
 if __name__ == "__main__":
--- a/src/mulberrypass/programs/site_gauges.py
+++ b/src/mulberrypass/programs/site_gauges.py
@@ -11,6 +11,7 @@
 
     from mulberrypass.batches.holder import JobHolder
     from mulberrypass.relay.directory import Directory
+    from mulberrypass.relay.repeats import Repeats
     from mulberrypass.relay.whole_body import HeldBodies
     from mulberrypass.runtime.log_lines import LineWriter
     from mulberrypass.runtime.log_metrics import EventMetrics
@@ -25,6 +26,7 @@
     holder: JobHolder,
     lines: LineWriter,
     bodies: HeldBodies,
+    repeats: Repeats,
 ) -> None:
     """Register gauges that read the components on each scrape."""
     add_gauge = events.gauge
@@ -88,6 +90,12 @@
         "answers that had to yield their bytes to others",
         lambda: float(bodies.turned_away),
     )
+    events.counter(
+        "second_runs",
+        "second runs of late requests, by service and what became of them",
+        ("service", "result"),
+        repeats.counts,
+    )
 
 
 __all__ = ["register_gauges"]
--- a/src/mulberrypass/relay/repeats.py
+++ b/src/mulberrypass/relay/repeats.py
@@ -47,7 +47,7 @@
         self._shares = shares or RepeatShares()
         self._lock = threading.Lock()
         self._policy = RepeatPolicy()
-        self._counts: Counter[tuple[str, str]] = Counter()
+        self._counts: Counter[tuple[str, ...]] = Counter()
         self._busy = threading.BoundedSemaphore(MAX_THREADS)
         self._timer: Timer | None = None
         self._threads: ThreadPoolExecutor | None = None
@@ -113,7 +113,7 @@
         with self._lock:
             self._counts[service, counted] += 1
 
-    def counts(self) -> Mapping[tuple[str, str], int]:
+    def counts(self) -> Mapping[tuple[str, ...], int]:
         """Return the counts by service and event."""
         with self._lock:
             return dict(self._counts)
--- a/src/mulberrypass/runtime/log_metrics.py
+++ b/src/mulberrypass/runtime/log_metrics.py
@@ -9,10 +9,17 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, MutableMapping
+    from collections.abc import (
+        Callable,
+        Iterator,
+        Mapping,
+        MutableMapping,
+    )
 
     from prometheus_client.core import Metric
 
+    Counts = Mapping[tuple[str, ...], int]
+
 MS_PER_S = 1_000.0
 # Cover the targets of a site: 300 ms to the first event, 18 s to a result.
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
@@ -56,6 +63,9 @@
         self._events: Counter[tuple[str, str]] = Counter()
         self._latencies = {field: _Latencies() for field in TIME_FIELDS}
         self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+        self._counters: list[
+            tuple[str, str, tuple[str, ...], Callable[[], Counts]]
+        ] = []
 
     def processor(
         self, _logger: Any, _method: str, event: MutableMapping[str, Any]
@@ -78,6 +88,20 @@
         """Add a gauge whose value is read on each collection."""
         self._gauges.append((f"mulberry_{name}", help_text, read))
 
+    def counter(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Counts],
+    ) -> None:
+        """Add a counter that is read on each collection.
+
+        :param read: returns the counts by the values of the labels
+        """
+        counter = (f"mulberry_{name}", help_text, labels, read)
+        self._counters.append(counter)
+
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics, as a collector of the library."""
         from prometheus_client.core import (
@@ -106,6 +130,11 @@
         yield from (events, *histograms)
         for name, help_text, read in self._gauges:
             yield GaugeMetricFamily(name, help_text, read())
+        for name, help_text, label_names, read_counts in self._counters:
+            counter = CounterMetricFamily(name, help_text, labels=label_names)
+            for values, count in read_counts().items():
+                counter.add_metric(values, count)
+            yield counter
 
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
