End the first run before its second is waited for

Random races found that a first run which failed by itself kept its connection and its permit until the second had answered, so that its engine went on working beside the second for up to a second. A first run whose end was in doubt would have gone on with a second that resumes behind the event in doubt. An ask for a second run could wait in the owner's queue, and an owner could use it as a probe of a slow engine.

The first run is released at once; a second beside an end in doubt is given up, and the end is settled as before. An ask is given up after 0.1 s, and Engine.serves keeps second runs from engines whose share is reduced.

--- a/src/mulberrypass/policy/admission/engines.py
+++ b/src/mulberrypass/policy/admission/engines.py
@@ -16,6 +16,9 @@
     from mulberrypass.policy.messages import Ask
 
 
+FULL_SHARE = 1.0
+
+
 class PrefixTable:
     """LRU set of the prefix blocks that an engine has probably cached."""
 
@@ -128,6 +131,9 @@
         """Return whether this backend server can ever serve an ask."""
         if self.leaving or self.backend.name in ask.avoid:
             return False
+        if ask.repeat and self.share < FULL_SHARE:
+            # Nor is it a probe of a slow engine.
+            return False
         if not ask.version or self.loaded is None:
             return True
         return ask.version in self.loaded
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -158,15 +158,18 @@
             lambda: run.send(req, self._deadline, self._due.event()),
         )
         while failed is not None:
-            second = self._race.take()
-            if second is not None:
-                self._runs.count_second(second)
-            if second is None or not second.goes_on:
-                return self._after_failure(run, failed)
+            second = self._race.end(not self._stream.in_doubt)
             if run.stopped:
                 self._after_overtaken(run)
             else:
                 self._after_failure(run, failed)
+            if second is None:
+                return failed
+            if not second.cancelled:
+                second.done.wait()
+            self._runs.count_second(second)
+            if second.cancelled or not second.goes_on:
+                return failed
             assert second.run is not None
             run = self._run = second.run
             self._runs.take_over()
@@ -336,9 +339,7 @@
             self._runs.count_second(second)
             self._race.allow(self._runs.may_race)
 
-    def _after_failure(
-        self, run: EngineRun, failed: EngineFailed
-    ) -> EngineFailed:
+    def _after_failure(self, run: EngineRun, failed: EngineFailed) -> None:
         """Update the retry state and release the permit."""
         hurried = self._due.was_hurried(run)
         outcome = release_outcome(run, failed, self._deadline, hurried)
@@ -349,7 +350,6 @@
             run.permit.mark_connection_ended()
         self._release(outcome)
         self._doubts.judge(self._stream.seen)
-        return failed
 
     def _may_retry(self, failed: EngineFailed) -> bool:
         if self._disconnected() or time.monotonic() >= self._deadline.at:
--- a/src/mulberrypass/relay/race.py
+++ b/src/mulberrypass/relay/race.py
@@ -166,12 +166,15 @@
         with self._lock:
             self._allowed = allowed
 
-    def take(self) -> RepeatedRun | None:
-        """End the race as the first run has ended; wait for the second.
+    def end(self, may_go_on: bool) -> RepeatedRun | None:
+        """End the race as the first run has ended.
 
-        One that no engine has got is given up: the request goes on itself.
+        A second run that no engine has got is given up: the request goes on
+        itself.
 
-        :returns: a second run that an engine has got. If ``goes_on`` is set,
+        :param may_go_on: whether the request may go on with the second run
+        :returns: a second run that an engine has got; its ``done`` is to be
+            waited for, unless it was cancelled. If ``goes_on`` is set then,
             its answer or failure is the request's; else it has failed before
             the first
         """
@@ -181,13 +184,13 @@
             self._due = float("inf")
             self._first_gone = True
             second, self._second = self._second, None
-            if second is not None and not second.sent:
-                second.cancelled = True
+            if second is None:
                 return None
-        if second is None:
-            return None
-        second.done.wait()
-        return second
+            gives_up = not second.sent or not may_go_on
+            second.cancelled = second.cancelled or gives_up
+        if gives_up:
+            self._drop(second)
+        return second if second.sent else None
 
     def close(self) -> None:
         """End the race as the request has ended."""
@@ -199,10 +202,14 @@
             second, self._second = self._second, None
             if second is None:
                 return
-            goes_on = second.goes_on
             second.cancelled = True
+        self._drop(second)
+
+    def _drop(self, second: RepeatedRun) -> None:
+        """Stop a run that was cancelled, and that may have won before."""
         second.stop()
-        if goes_on and second.run is not None:
+        if second.goes_on and second.run is not None:
+            second.done.wait()
             second.run.release(ReleaseOutcome.CANCELLED, 0)
 
     def is_over(self, second: RepeatedRun) -> bool:
--- a/src/mulberrypass/relay/repeated_run.py
+++ b/src/mulberrypass/relay/repeated_run.py
@@ -5,6 +5,7 @@
 from collections import deque
 from enum import StrEnum
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
@@ -40,6 +41,8 @@
     from mulberrypass.relay.request_quota import RequestQuota
 
 LOG = get_logger(__name__)
+# An owner answers at once; one that doesn't has no room to spare.
+MAX_ASK_S = 0.1
 NOT_A_STREAM = "engine answered {}"
 
 
@@ -203,8 +206,13 @@
 
     def _acquire(self) -> EngineRun | None:
         """Wait for a permit; return ``None`` if the run doesn't start."""
+        until = time.monotonic() + MAX_ASK_S
+
+        def gives_up() -> bool:
+            return self._race.is_over(self) or time.monotonic() >= until
+
         try:
-            permit = self._plan.acquire(lambda: self._race.is_over(self))
+            permit = self._plan.acquire(gives_up)
         except NoPermitError as exc:
             pressure = exc.reason == RefusalReason.NO_SPARE
             counted = Counted.NO_SPARE if pressure else Counted.REFUSED
--- a/src/mulberrypass/relay/run_record.py
+++ b/src/mulberrypass/relay/run_record.py
@@ -115,7 +115,7 @@
         self._runs.begin(False)
         if failed is None or failed.ran is not Ran.NO:
             self.maybe_ran = True
-        if second.goes_on:
+        if second.goes_on and not second.cancelled:
             return
         if failed is None:
             self._runs.note_lost(second.engine)
--- a/tests/relay/test_race.py
+++ b/tests/relay/test_race.py
@@ -435,6 +435,37 @@
         self.assertEqual(WHOLE, body)
         self.assertEqual(["e1", "e2"], [c.engine for c in engines.calls])
 
+    def test_second_is_given_up_once_the_end_is_in_doubt(self) -> None:
+        """Events behind the one in doubt would come without it."""
+        unframed = Timed([(0.0, WHOLE), (0.25, b"")], unframed=True)
+        proof = Timed([(0.0, event(3))], unframed=True)
+        engines = TimedEngines(e1=[unframed], e2=[SILENT], e3=[proof])
+        self.names = ("e1", "e2", "e3")
+        self.permits = ScriptedPermits(*self.names)
+        self.permits.on_ask = lambda: (
+            self.permits.grant_only("e3")
+            if len(self.permits.asks) == 3
+            else None
+        )
+        patient = replace(STREAM, max_attempts=3)
+        body, _, cut = self.run_one(self.make(engines, patient))
+        self.assertFalse(cut)
+        self.assertEqual(WHOLE, body)
+        asked = [(c.engine, c.req.after_event) for c in engines.calls]
+        self.assertEqual([("e1", None), ("e2", 3), ("e3", 2)], asked)
+        self.assertIsNotNone(engines.of("e2")[0].closed_at)
+
+    def test_failed_first_run_is_closed_while_the_second_works(self) -> None:
+        """Its engine went on for as long as the second took."""
+        failing = Timed([(DELAY_S + 0.05, CRASH)])
+        late = Timed([(0.5, WHOLE)])
+        engines = TimedEngines(e1=[failing], e2=[late])
+        body, _, _ = self.run_one(self.make(engines))
+        self.assertEqual(WHOLE, body)
+        first, second = engines.calls
+        assert first.ended_at is not None
+        self.assertLess(first.ended_at - second.sent_at, 0.05 + SLACK_S)
+
 
 class CallerLeavesTest(RaceCase):
     """A caller leaves while two engines work for it."""
--- a/tests/relay/timed_engines.py
+++ b/tests/relay/timed_engines.py
@@ -41,6 +41,8 @@
     """A call of an engine.
 
     :ivar closed_at: when somebody closed its connection
+    :ivar ended_at: when its caller was done with it
+    :ivar ran: whether the engine may have run it
     """
 
     engine: str
@@ -49,6 +51,7 @@
     closed: threading.Event = field(default_factory=threading.Event)
     closed_at: float | None = None
     ended_at: float | None = None
+    ran: bool = True
 
     def close(self) -> None:
         """Close the connection."""
