Cut connecting short where second runs are on

A run that is connecting can't be stopped, as its connection has no socket to close yet: a request to a machine that is cut off waited a second even if its second run had an event.

With a share above 0, engines of the site have 0.3 s to accept a connection; without one it stays 1 s.

tests.platform.test_connecting, tests.programs.test_site_repeats, test_site_start and tests.platform.test_site_session pass.

--- a/src/mulberrypass/platform/engines.py
+++ b/src/mulberrypass/platform/engines.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.pool import ConnectionPool
+from mulberrypass.engine.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from mulberrypass.engine.wire import CUT, WireError
 from mulberrypass.model.outcome import Ran
 from mulberrypass.platform import headers as names
@@ -36,9 +36,16 @@
     """Sends requests to engines, one at a time per connection.
 
     :param departures: is told of engines that leave, which get no request
+    :param connect_timeout_s: how long an engine may take to accept a
+        connection
     """
 
-    def __init__(self, departures: DepartureGuard | None = None) -> None:
+    def __init__(
+        self,
+        departures: DepartureGuard | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
         self._departures = departures or DepartureGuard()
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
@@ -104,7 +111,9 @@
         with self._lock:
             pool = self._pools.get(engine.name)
             if pool is None or pool.address != engine.address:
-                pool = ConnectionPool(engine.address)
+                pool = ConnectionPool(
+                    engine.address, connect_timeout_s=self._connect_timeout_s
+                )
                 self._pools[engine.name] = pool
             return pool
 
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -45,7 +45,10 @@
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
 from mulberrypass.programs.site_reload import reload_site
-from mulberrypass.programs.site_repeats import read_repeat_shares
+from mulberrypass.programs.site_repeats import (
+    connect_timeout_s,
+    read_repeat_shares,
+)
 from mulberrypass.programs.site_settings import (
     CELLS,
     MEMBERSHIP,
@@ -206,7 +209,10 @@
         self._membership.subscribe(
             lambda: self._departures.learn(self._membership.leaving_backends())
         )
-        self._engines = HttpEngineClient(self._departures)
+        self._repeats = Repeats(shares)
+        self._engines = HttpEngineClient(
+            self._departures, connect_timeout_s(shares)
+        )
         self._directory.subscribe(
             lambda _cfg: self._engines.retain(self._directory.engine_names())
         )
@@ -232,7 +238,6 @@
         self._bodies = HeldBodies(limits)
         # As much again for callers.
         self._client_bytes = limits.total
-        self._repeats = Repeats(shares)
         deps = RelayDependencies(
             self._directory,
             acquirer,
--- a/src/mulberrypass/programs/site_repeats.py
+++ b/src/mulberrypass/programs/site_repeats.py
@@ -12,12 +12,17 @@
     ValidationError,
 )
 
+from mulberrypass.engine.pool import CONNECT_TIMEOUT_S
 from mulberrypass.platform.site import SiteError
 from mulberrypass.policy.online.repeats import RepeatShares
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+# A run that is connecting can't be stopped: its request would get the events
+# of a second run only after that. Engines are 2 to 5 ms away, and a lost SYN
+# is sent again after 1 s, so that waiting longer gains nothing.
+RACED_CONNECT_TIMEOUT_S = 0.3
 SHARE_VARIABLE = "MULBERRYPASS_REPEAT_SHARE"
 SHARES_VARIABLE = "MULBERRYPASS_REPEAT_SHARES"
 VARIABLES = {"share": SHARE_VARIABLE, "shares": SHARES_VARIABLE}
@@ -69,9 +74,17 @@
     return RepeatShares(settings.share, settings.shares)
 
 
+def connect_timeout_s(shares: RepeatShares | None) -> float:
+    """Return how long an engine may take to accept a connection."""
+    if shares is None or not shares.any:
+        return CONNECT_TIMEOUT_S
+    return RACED_CONNECT_TIMEOUT_S
+
+
 __all__ = [
     "RepeatSettings",
     "SHARES_VARIABLE",
     "SHARE_VARIABLE",
+    "connect_timeout_s",
     "read_repeat_shares",
 ]
--- a/tests/programs/test_site_repeats.py
+++ b/tests/programs/test_site_repeats.py
@@ -6,11 +6,14 @@
 import tomllib
 import unittest
 
+from mulberrypass.engine.pool import CONNECT_TIMEOUT_S
 from mulberrypass.platform.site import SiteError
 from mulberrypass.policy.online.repeats import RepeatShares
 from mulberrypass.programs.site_repeats import (
+    RACED_CONNECT_TIMEOUT_S,
     SHARE_VARIABLE,
     SHARES_VARIABLE,
+    connect_timeout_s,
     read_repeat_shares,
 )
 
@@ -54,6 +57,18 @@
                     read_repeat_shares(environ)
                 self.assertIn(expected, str(caught.exception))
 
+    def test_connecting_is_cut_short_only_with_second_runs(self) -> None:
+        """A request whose second run had won waited for a connection."""
+        cases = (
+            (None, CONNECT_TIMEOUT_S),
+            (RepeatShares(), CONNECT_TIMEOUT_S),
+            (RepeatShares(0.05), RACED_CONNECT_TIMEOUT_S),
+            (RepeatShares(0.0, {"a": 0.1}), RACED_CONNECT_TIMEOUT_S),
+        )
+        for shares, expected in cases:
+            with self.subTest(shares=shares):
+                self.assertEqual(expected, connect_timeout_s(shares))
+
     def test_deployed_value_is_a_share(self) -> None:
         text = (ROOT / "deploy" / "system.toml").read_text()
         environ = tomllib.loads(text)["roles"]["site"]["env"]
