--- a/src/mulberrypass/programs/site_gauges.py
+++ b/src/mulberrypass/programs/site_gauges.py
@@ -90,7 +90,7 @@
         "answers that had to yield their bytes to others",
         lambda: float(bodies.turned_away),
     )
-    events.counter(
+    events.labelled_counter(
         "second_runs",
         "second runs of late requests, by service and what became of them",
         ("service", "result"),
--- a/src/mulberrypass/runtime/log_metrics.py
+++ b/src/mulberrypass/runtime/log_metrics.py
@@ -63,7 +63,7 @@
         self._events: Counter[tuple[str, str]] = Counter()
         self._latencies = {field: _Latencies() for field in TIME_FIELDS}
         self._gauges: list[tuple[str, str, Callable[[], float]]] = []
-        self._counters: list[
+        self._labelled: list[
             tuple[str, str, tuple[str, ...], Callable[[], Counts]]
         ] = []
 
@@ -88,7 +88,7 @@
         """Add a gauge whose value is read on each collection."""
         self._gauges.append((f"mulberry_{name}", help_text, read))
 
-    def counter(
+    def labelled_counter(
         self,
         name: str,
         help_text: str,
@@ -100,7 +100,7 @@
         :param read: returns the counts by the values of the labels
         """
         counter = (f"mulberry_{name}", help_text, labels, read)
-        self._counters.append(counter)
+        self._labelled.append(counter)
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics, as a collector of the library."""
@@ -130,7 +130,7 @@
         yield from (events, *histograms)
         for name, help_text, read in self._gauges:
             yield GaugeMetricFamily(name, help_text, read())
-        for name, help_text, label_names, read_counts in self._counters:
+        for name, help_text, label_names, read_counts in self._labelled:
             counter = CounterMetricFamily(name, help_text, labels=label_names)
             for values, count in read_counts().items():
                 counter.add_metric(values, count)
--- a/tests/runtime/test_log_metrics.py
+++ b/tests/runtime/test_log_metrics.py
@@ -14,7 +14,7 @@
         events = EventMetrics()
         counts: dict[tuple[str, ...], int]
         counts = {("chat", "won"): 2, ("chat", "lost"): 1}
-        events.counter(
+        events.labelled_counter(
             "second_runs", "help", ("service", "result"), lambda: counts
         )
         for count in (2, 5):
