--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -45,6 +45,10 @@
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
 from mulberrypass.programs.site_reload import reload_site
+from mulberrypass.programs.site_repeats import (
+    connect_timeout_s,
+    read_repeat_shares,
+)
 from mulberrypass.programs.site_settings import (
     CELLS,
     MEMBERSHIP,
@@ -59,6 +63,7 @@
 from mulberrypass.relay.followers import EngineReader, RouteReader
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.permits import PermitAcquirer
+from mulberrypass.relay.repeats import Repeats
 from mulberrypass.relay.watch import CallWatch
 from mulberrypass.relay.whole_body import HeldBodies
 from mulberrypass.runtime.dump import StateDump
@@ -76,6 +81,7 @@
 if TYPE_CHECKING:
     from mulberrypass.platform.site import Site
     from mulberrypass.policy.health.crashes import Crash
+    from mulberrypass.policy.online.repeats import RepeatShares
     from mulberrypass.runtime.http_server import ServedApp
 
 LOG = get_logger(__name__)
@@ -102,6 +108,7 @@
     """Builds and runs the components of an instance.
 
     :param settings: file that the settings were read from
+    :param shares: limits on second runs; none may start by default
     """
 
     def __init__(
@@ -109,6 +116,7 @@
         site: Site,
         log_to: TextIO = sys.stdout,
         settings: Path | None = None,
+        shares: RepeatShares | None = None,
     ) -> None:
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self._lines = LineWriter(log_to)
@@ -201,7 +209,10 @@
         self._membership.subscribe(
             lambda: self._departures.learn(self._membership.leaving_backends())
         )
-        self._engines = HttpEngineClient(self._departures)
+        self._repeats = Repeats(shares)
+        self._engines = HttpEngineClient(
+            self._departures, connect_timeout_s(shares)
+        )
         self._directory.subscribe(
             lambda _cfg: self._engines.retain(self._directory.engine_names())
         )
@@ -234,6 +245,7 @@
             self._watch,
             self._ending,
             self._bodies,
+            repeats=self._repeats,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -285,6 +297,7 @@
             self._holder,
             self._lines,
             self._bodies,
+            self._repeats,
         )
         self._dump = self._make_dump()
 
@@ -312,6 +325,7 @@
         dump.register("jobs", self._holder.state)
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
+        dump.register("repeats", self._repeats.state)
         dump.register("threads", thread_times)
         dump.register("followers", lambda: [f.state for f in self._followers])
         return dump
@@ -370,6 +384,7 @@
         while self._holder.busy and time.monotonic() < deadline:
             time.sleep(STOP_POLL_S)
         self._holder.stop()
+        self._repeats.stop()
         self._guard.stop()
         self._crashes.stop()
         LOG.info("stopped", whole=finished)
@@ -449,9 +464,10 @@
         sys.exit(f"mulberry-site: {SETTINGS_VARIABLE} is not set")
     try:
         site = read_site(Path(path))
+        shares = read_repeat_shares(os.environ)
     except SiteError as exc:
         sys.exit(f"mulberry-site: {exc}")
-    run(lambda: SiteProcess(site, settings=Path(path)))
+    run(lambda: SiteProcess(site, settings=Path(path), shares=shares))
 
 
 if __name__ == "__main__":
