Reject answers whose status is none

Cause: http.client takes each number from 100 to 999 for a status, and each text that int() does: 600, 999, +200, 0200 and 2_00 were taken for answers. The client of model engines and that of plain services reported a failure with the status 600; the store's client checked none below 200 either. Statuses 000, 099, negative ones and words were refused before.

Change: BoundedResponse, which all of these clients read, reads the first line of a head itself and takes only 100 and 200 to 599, written in three digits. The check for 1xx in engine/wire.py is part of that now.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -27,7 +27,6 @@
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
-FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 LATE = EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -173,8 +172,6 @@
             self._sock.settimeout(deadline.left_s())
             self._conn.request(method, path, body, dict(headers))
             self._resp = self._conn.getresponse()
-            if self._resp.status < FIRST_FINAL_STATUS:
-                raise http.client.BadStatusLine(str(self._resp.status))
             check_framing(self._resp.headers)
         except TimeoutError:
             raise WireError(LATE)
--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -15,8 +15,14 @@
 # Bytes of a head with its interim heads, or of the chunk sizes and trailers
 # around a part of a body: as many as http.client accepts in one line.
 MAX_FRAMING_BYTES = 65_536
+# ``http.client`` takes whatever ``int`` does, as a sign, and any number from
+# 100 to 999. No final answer has a status below 200.
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[01]) +(100|[2-5][0-9]{2})(?:[ \t]+([^\r\n]*))?\r?\n"
+)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 CHUNK_END = b"\r\n"
+MAX_SHOWN_BYTES = 80
 
 
 class OversizeError(http.client.HTTPException):
@@ -143,6 +149,19 @@
         self.fp = _BoundedReader(source, bound)
         self._bound = bound
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the first line of a head.
+
+        :raises HTTPException: if it is that of no answer
+        """
+        line = self.fp.readline(MAX_FRAMING_BYTES)
+        found = STATUS_LINE.fullmatch(line)
+        if found is None:
+            self._close_conn()
+            raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
+        version, status, reason = found.groups(b"")
+        return version.decode(), int(status), reason.decode("latin-1").strip()
+
     def _read_and_discard_trailer(self) -> None:
         """Read the trailers, which have no share in the bound of the body.
 
