Refuse answers that end before their request was read

Cause: an answer without a length ends with its connection, and a peer that shuts its side down and closes while our upload is unread makes two events of this: an end, and a reset right behind it. After the end a read returns no bytes whatever follows, and the kernel's buffers hold an upload of 3 MB, so that no write failed. The part that came was a complete answer.

Change: where a connection ends, ReadBound looks at the socket. It must not be reset, and all bytes of the request must have been received.

A reset or close alone was seen before, as an error of the write or of the read. Sound answers that come early and end once the request was read still count.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -167,6 +167,7 @@
             headers = {CALL_ID: call_id}
             headers |= {} if body is None else JSON_HEADERS
         self._bound.allow(deadline.at, MAX_FRAMING_BYTES)
+        self._bound.request_bytes = len(body or b"")
         bind(self._conn, self._bound)
         try:
             self._sock.settimeout(deadline.left_s())
--- a/src/mulberrypass/platform/http_client.py
+++ b/src/mulberrypass/platform/http_client.py
@@ -116,6 +116,7 @@
     ) -> Result[HttpReply, Unavailable]:
         timeout_s = self._endpoint.read_timeout_s
         bound = ReadBound()
+        bound.request_bytes = len(body)
         bind(conn, bound)
         try:
             conn.sock.settimeout(timeout_s)
--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -9,6 +9,8 @@
 import time
 from typing import TYPE_CHECKING, Any, cast
 
+from mulberrypass.runtime.peer_end import check_closed
+
 if TYPE_CHECKING:
     import socket
 
@@ -32,11 +34,13 @@
 class ReadBound:
     """Bounds all reads of one answer, however its bytes are spread.
 
+    :ivar request_bytes: size of the body of the request
     :ivar received: number of bytes received
     :ivar surplus: whether bytes arrived after the end of the answer
     """
 
     def __init__(self) -> None:
+        self.request_bytes = 0
         self.received = 0
         self.surplus = False
         self._until = 0.0
@@ -80,6 +84,7 @@
         :raises TimeoutError: if the time has passed
         :raises OversizeError: if all allowed bytes were received before
         :raises RemoteDisconnected: if the answer ends too early
+        :raises ConnectionResetError: if it was broken off
         """
         if self._ended:
             return 0
@@ -92,6 +97,9 @@
         count: int = source.readinto(buffer[: self._allowed]) or 0
         if not count and not self._may_end:
             raise http.client.RemoteDisconnected("an answer ended early")
+        if not count:
+            left_s = self._until - time.monotonic()
+            check_closed(sock, self.request_bytes, left_s)
         self.received += count
         self._allowed -= count
         return count
