Refuse bodies that are longer than their length

Cause: the bytes behind the length of a body were only a reason not to use the connection again. A body with too small a length was handed on as a whole answer without its end.

Change: at the end of a body with a length, BoundedResponse looks at the bytes that have arrived behind it, without waiting. They must begin another answer, which some servers write, or be an empty line. Else it is no answer. Bytes that come later can't be known, nor those of a TLS connection that weren't received yet.

--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -9,7 +9,11 @@
 import time
 from typing import TYPE_CHECKING, Any, cast
 
-from mulberrypass.runtime.peer_end import check_closed
+from mulberrypass.runtime.peer_end import (
+    check_closed,
+    may_begin_answer,
+    received_beyond,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -138,11 +142,15 @@
         super().__init__(source)
         self._bound = bound
 
+    def surplus(self) -> bytes:
+        """Receive nothing more; return what was received but not read."""
+        self._bound.end()
+        return self.peek()
+
     def close(self) -> None:
         """Release the socket."""
         if not self.closed:
-            self._bound.end()
-            self._bound.surplus = bool(self.peek())
+            self._bound.surplus = bool(self.surplus())
         super().close()
 
 
@@ -156,6 +164,26 @@
         source = _BoundedSource(self.fp.detach(), sock, bound)
         self.fp = _BoundedReader(source, bound)
         self._bound = bound
+        self._sock = sock
+
+    def read1(self, n: int = -1) -> bytes:
+        """Read the next part of the body; see ``HTTPResponse``.
+
+        :raises HTTPException: if the body is longer than its length, as far
+            as it has arrived
+        """
+        data = super().read1(n)
+        if not data and n and self._is_at_length():
+            more = self.fp.surplus() or received_beyond(self._sock)
+            if not may_begin_answer(more):
+                raise http.client.HTTPException("a body beyond its length")
+        return data
+
+    def _is_at_length(self) -> bool:
+        """Return whether all bytes were read that the length names."""
+        is_open = self.fp is not None and not self.chunked
+        method = cast("Any", self)._method
+        return is_open and self.length == 0 and method != "HEAD"
 
     def _read_status(self) -> tuple[str, int, str]:
         """Read the first line of a head.
--- a/src/mulberrypass/runtime/peer_end.py
+++ b/src/mulberrypass/runtime/peer_end.py
@@ -10,8 +10,10 @@
 import fcntl
 import select
 import socket
+import ssl
 import termios
 
+HEAD_START = b"HTTP/1."
 # A longer request may wait unread in the buffers of the peer's kernel. Its
 # close then resets the connection, a moment after it ended its side.
 LONG_REQUEST_BYTES = 65_536
@@ -43,4 +45,31 @@
         raise ConnectionResetError("ended before its request was received")
 
 
-__all__ = ["check_closed"]
+def received_beyond(sock: socket.socket) -> bytes:
+    """Return the first bytes that have arrived and weren't read, if any.
+
+    Bytes of a TLS connection can't be looked at.
+    """
+    if sock.fileno() < 0 or isinstance(sock, ssl.SSLSocket):
+        return b""
+    # ``recv`` waits for bytes, also without blocking, if there is a time-out.
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    if not poll.poll(0):
+        return b""
+    try:
+        return sock.recv(len(HEAD_START), socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
+def may_begin_answer(data: bytes) -> bool:
+    """Return whether bytes behind an answer may begin another one.
+
+    Some servers write an answer twice, or an empty line behind it.
+    """
+    begun = data.lstrip(b"\r\n")[: len(HEAD_START)]
+    return HEAD_START.startswith(begun)
+
+
+__all__ = ["check_closed", "may_begin_answer", "received_beyond"]
