Refuse a body that is longer than its length by a line end

Cause: a single line end behind a body was let pass, as some programs write one. Bodies that end with an empty line, as streams of events do, lost it to a length that is one too small.

Change: only bytes that may begin another answer may follow a body.

--- a/src/mulberrypass/runtime/peer_end.py
+++ b/src/mulberrypass/runtime/peer_end.py
@@ -66,10 +66,9 @@
 def may_begin_answer(data: bytes) -> bool:
     """Return whether bytes behind an answer may begin another one.
 
-    Some servers write an answer twice, or an empty line behind it.
+    Some servers write an answer twice.
     """
-    begun = data.lstrip(b"\r\n")[: len(HEAD_START)]
-    return HEAD_START.startswith(begun)
+    return HEAD_START.startswith(data[: len(HEAD_START)])
 
 
 __all__ = ["check_closed", "may_begin_answer", "received_beyond"]
