--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -27,7 +27,6 @@
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
-FIRST_FINAL_STATUS = 200
 UNPROCESSABLE = 422
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 LATE = EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -168,13 +167,12 @@
             headers = {CALL_ID: call_id}
             headers |= {} if body is None else JSON_HEADERS
         self._bound.allow(deadline.at, MAX_FRAMING_BYTES)
+        self._bound.request_bytes = len(body or b"")
         bind(self._conn, self._bound)
         try:
             self._sock.settimeout(deadline.left_s())
             self._conn.request(method, path, body, dict(headers))
             self._resp = self._conn.getresponse()
-            if self._resp.status < FIRST_FINAL_STATUS:
-                raise http.client.BadStatusLine(str(self._resp.status))
             check_framing(self._resp.headers)
         except TimeoutError:
             raise WireError(LATE)
--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -9,14 +9,26 @@
 import time
 from typing import TYPE_CHECKING, Any, cast
 
+from mulberrypass.runtime.peer_end import (
+    check_closed,
+    may_begin_answer,
+    received_beyond,
+)
+
 if TYPE_CHECKING:
     import socket
 
 # Bytes of a head with its interim heads, or of the chunk sizes and trailers
 # around a part of a body: as many as http.client accepts in one line.
 MAX_FRAMING_BYTES = 65_536
+# ``http.client`` takes whatever ``int`` does, as a sign, and any number from
+# 100 to 999. No final answer has a status below 200.
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[01]) +(100|[2-5][0-9]{2})(?:[ \t]+([^\r\n]*))?\r?\n"
+)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 CHUNK_END = b"\r\n"
+MAX_SHOWN_BYTES = 80
 
 
 class OversizeError(http.client.HTTPException):
@@ -26,11 +38,13 @@
 class ReadBound:
     """Bounds all reads of one answer, however its bytes are spread.
 
+    :ivar request_bytes: size of the body of the request
     :ivar received: number of bytes received
     :ivar surplus: whether bytes arrived after the end of the answer
     """
 
     def __init__(self) -> None:
+        self.request_bytes = 0
         self.received = 0
         self.surplus = False
         self._until = 0.0
@@ -74,6 +88,7 @@
         :raises TimeoutError: if the time has passed
         :raises OversizeError: if all allowed bytes were received before
         :raises RemoteDisconnected: if the answer ends too early
+        :raises ConnectionResetError: if it was broken off
         """
         if self._ended:
             return 0
@@ -86,6 +101,9 @@
         count: int = source.readinto(buffer[: self._allowed]) or 0
         if not count and not self._may_end:
             raise http.client.RemoteDisconnected("an answer ended early")
+        if not count:
+            left_s = self._until - time.monotonic()
+            check_closed(sock, self.request_bytes, left_s)
         self.received += count
         self._allowed -= count
         return count
@@ -124,11 +142,15 @@
         super().__init__(source)
         self._bound = bound
 
+    def surplus(self) -> bytes:
+        """Receive nothing more; return what was received but not read."""
+        self._bound.end()
+        return self.peek()
+
     def close(self) -> None:
         """Release the socket."""
         if not self.closed:
-            self._bound.end()
-            self._bound.surplus = bool(self.peek())
+            self._bound.surplus = bool(self.surplus())
         super().close()
 
 
@@ -142,6 +164,39 @@
         source = _BoundedSource(self.fp.detach(), sock, bound)
         self.fp = _BoundedReader(source, bound)
         self._bound = bound
+        self._sock = sock
+
+    def read1(self, n: int = -1) -> bytes:
+        """Read the next part of the body; see ``HTTPResponse``.
+
+        :raises HTTPException: if the body is longer than its length, as far
+            as it has arrived
+        """
+        data = super().read1(n)
+        if not data and n and self._is_at_length():
+            more = self.fp.surplus() or received_beyond(self._sock)
+            if not may_begin_answer(more):
+                raise http.client.HTTPException("a body beyond its length")
+        return data
+
+    def _is_at_length(self) -> bool:
+        """Return whether all bytes were read that the length names."""
+        is_open = self.fp is not None and not self.chunked
+        method = cast("Any", self)._method
+        return is_open and self.length == 0 and method != "HEAD"
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the first line of a head.
+
+        :raises HTTPException: if it is that of no answer
+        """
+        line = self.fp.readline(MAX_FRAMING_BYTES)
+        found = STATUS_LINE.fullmatch(line)
+        if found is None:
+            self._close_conn()
+            raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
+        version, status, reason = found.groups(b"")
+        return version.decode(), int(status), reason.decode("latin-1").strip()
 
     def _read_and_discard_trailer(self) -> None:
         """Read the trailers, which have no share in the bound of the body.
