Limit customers' requests over all instances

Cause: no limit on requests per second was enforced. Most customers send 1.4 requests per second over 64 instances, so neither a share for each instance nor a count at each of them can hold a limit.

--- a/src/mulberrypass/peer/datagrams.py
+++ b/src/mulberrypass/peer/datagrams.py
@@ -9,13 +9,16 @@
 import hmac
 import secrets
 import struct
-from typing import Any
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 from google.protobuf.message import DecodeError
 
 from mulberrypass.peer.peer_pb2 import HeartbeatReply, HeartbeatRequest
 from mulberrypass.runtime.logs import get_logger
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LOG = get_logger(__name__)
 # Datagram kind and call ID.
 HEADER = struct.Struct("!BQ")
@@ -28,6 +31,7 @@
 CALL_ID_LIMIT = 2**63
 
 Address = tuple[str, int]
+Receiver: TypeAlias = "Callable[[int, bytes, Address], None]"
 
 
 class Kind(enum.IntEnum):
@@ -40,6 +44,8 @@
     REQUEST = 1
     REPLY = 2
     USE_STREAM = 3
+    QUOTA_REQUEST = 4
+    QUOTA_REPLY = 5
 
 
 class DatagramHandler(ABC):
@@ -64,6 +70,26 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._call_id = secrets.randbelow(CALL_ID_LIMIT)
         self._pending: dict[int, asyncio.Future[HeartbeatReply | None]] = {}
+        self._receivers: dict[int, Receiver] = {}
+
+    def register(self, kind: Kind, receiver: Receiver) -> None:
+        """Pass datagrams of another kind to a receiver, on the peer loop.
+
+        :param receiver: gets the call ID, the message and the sender; a
+            datagram is dropped at a ``DecodeError``
+        """
+        self._receivers[kind] = receiver
+
+    def new_call_id(self) -> int:
+        """Return a call ID that this process hasn't used."""
+        self._call_id = (self._call_id + 1) % CALL_ID_LIMIT
+        return self._call_id
+
+    def send(
+        self, to: Address, kind: Kind, call_id: int, message: bytes
+    ) -> None:
+        """Send a datagram of a registered kind, if the socket is open."""
+        self._send(to, kind, call_id, message)
 
     async def start(self, host: str, port: int) -> None:
         """Listen for datagrams."""
@@ -90,8 +116,7 @@
         data = req.SerializeToString()
         if self._transport is None or len(data) > MAX_MESSAGE_BYTES:
             return None
-        self._call_id = (self._call_id + 1) % CALL_ID_LIMIT
-        call_id = self._call_id
+        call_id = self.new_call_id()
         loop = asyncio.get_running_loop()
         reply: asyncio.Future[HeartbeatReply | None] = loop.create_future()
         self._pending[call_id] = reply
@@ -147,6 +172,8 @@
                 self._resolve(call_id, HeartbeatReply.FromString(message))
             case Kind.USE_STREAM:
                 self._resolve(call_id, None)
+            case _ if kind in self._receivers:
+                self._receivers[kind](call_id, message, addr)
 
     def _resolve(self, call_id: int, reply: HeartbeatReply | None) -> None:
         fut = self._pending.get(call_id)
--- a/src/mulberrypass/peer/membership.py
+++ b/src/mulberrypass/peer/membership.py
@@ -119,6 +119,7 @@
         self._subscribers: list[Callable[[], None]] = []
         self._crash_subscribers: list[Callable[[Crash], object]] = []
         self._published = _PublishedMembers()
+        self._listed: tuple[ListedMachine, ...] | None = None
         self._reported_failures = (0, 0)
         self._handling_s = 0.0
         self._stopped = False
@@ -155,6 +156,15 @@
         """Return the members that are alive and not leaving, by name."""
         return self._published.live.get(program, ())
 
+    def listed(self) -> tuple[ListedMachine, ...] | None:
+        """Return the platform's list; ``None`` before it was read."""
+        return self._listed
+
+    @property
+    def datagrams(self) -> HeartbeatDatagrams | None:
+        """The socket of heartbeats, which other datagrams may share."""
+        return self._datagrams
+
     def leaving_backends(self) -> frozenset[str]:
         """Return the backend servers that any source reports as leaving."""
         return self._published.leaving_backends
@@ -399,6 +409,7 @@
         self._loop.call(self._apply_list, listed)
 
     def _apply_list(self, listed: tuple[ListedMachine, ...]) -> None:
+        self._listed = listed
         self._view.apply_list(listed, self._now())
         self._handle_changes()
 
--- a/src/mulberrypass/platform/site.py
+++ b/src/mulberrypass/platform/site.py
@@ -50,6 +50,9 @@
     :param cancel_s: seconds within which a cancellation is noticed
     :param memory_bytes: memory of the process, from which it is killed;
         ``None`` if it isn't known
+    :param quota_window_s: sliding window in which customers' limits hold
+    :param quota_overage: share by which a window may exceed a limit
+    :param quota_slack: requests by which it may exceed it besides
     """
 
     name: str
@@ -68,6 +71,9 @@
     max_ttl_s: float
     cancel_s: float
     memory_bytes: int | None = None
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class _Model(BaseModel):
@@ -87,6 +93,9 @@
     config_apply_ms: float = 2_000
     cancel_ms: float = 3_000
     ttl_max_s: float = Field(default=5, alias="ttl_max_s")
+    quota_window_s: float = Field(default=5, gt=0, allow_inf_nan=False)
+    quota_overage: float = Field(default=0.1, ge=0, allow_inf_nan=False)
+    quota_slack: float = Field(default=20, ge=0, allow_inf_nan=False)
 
 
 class _Limits(_Model):
@@ -158,6 +167,9 @@
         max_ttl_s=bounds.ttl_max_s,
         cancel_s=bounds.cancel_ms / 1_000,
         memory_bytes=_memory_bytes(settings.limits),
+        quota_window_s=bounds.quota_window_s,
+        quota_overage=bounds.quota_overage,
+        quota_slack=bounds.quota_slack,
     )
 
 
--- /dev/null
+++ b/src/mulberrypass/policy/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of customers' requests per second over all instances."""
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -44,6 +44,7 @@
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
+from mulberrypass.programs.site_quotas import make_quotas, register_counters
 from mulberrypass.programs.site_reload import reload_site
 from mulberrypass.programs.site_settings import (
     CELLS,
@@ -223,6 +224,13 @@
             self._me.name, self._permits, self._directory, self._guard
         )
         self._ending = PlannedEnd()
+        self._quotas = make_quotas(
+            site,
+            self._me.name,
+            self._loop,
+            self._membership,
+            self._directory.routes,
+        )
         limits = ByteLimits.of_memory(site.memory_bytes)
         self._bodies = HeldBodies(limits)
         # As much again for callers.
@@ -234,6 +242,7 @@
             self._watch,
             self._ending,
             self._bodies,
+            self._quotas,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -286,6 +295,7 @@
             self._lines,
             self._bodies,
         )
+        register_counters(self._events, self._quotas)
         self._dump = self._make_dump()
 
     def _make_server(
@@ -312,6 +322,7 @@
         dump.register("jobs", self._holder.state)
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
+        dump.register("quotas", self._quotas.state)
         dump.register("threads", thread_times)
         dump.register("followers", lambda: [f.state for f in self._followers])
         return dump
@@ -329,6 +340,7 @@
         ).start()
         self._membership.start()
         self._owner.start()
+        self._quotas.start()
         self._permits.start()
         self._watch.start()
         self._guard.start()
@@ -370,6 +382,7 @@
         while self._holder.busy and time.monotonic() < deadline:
             time.sleep(STOP_POLL_S)
         self._holder.stop()
+        self._quotas.stop()
         self._guard.stop()
         self._crashes.stop()
         LOG.info("stopped", whole=finished)
--- a/src/mulberrypass/programs/site_reload.py
+++ b/src/mulberrypass/programs/site_reload.py
@@ -13,7 +13,8 @@
 
 LOG = get_logger(__name__)
 # The process listens at these addresses, is known to others by them, or
-# shares its memory out at its start.
+# shares its memory out at its start. Buckets of limits are sized by the quota
+# fields.
 FIXED_FIELDS = frozenset(
     {
         "name",
@@ -25,6 +26,9 @@
         "peer_port",
         "store",
         "memory_bytes",
+        "quota_window_s",
+        "quota_overage",
+        "quota_slack",
     }
 )
 
--- a/src/mulberrypass/runtime/log_metrics.py
+++ b/src/mulberrypass/runtime/log_metrics.py
@@ -56,6 +56,7 @@
         self._events: Counter[tuple[str, str]] = Counter()
         self._latencies = {field: _Latencies() for field in TIME_FIELDS}
         self._gauges: list[tuple[str, str, Callable[[], float]]] = []
+        self._counters: list[tuple[str, str, Callable[[], int]]] = []
 
     def processor(
         self, _logger: Any, _method: str, event: MutableMapping[str, Any]
@@ -78,6 +79,12 @@
         """Add a gauge whose value is read on each collection."""
         self._gauges.append((f"mulberry_{name}", help_text, read))
 
+    def counter(
+        self, name: str, help_text: str, read: Callable[[], int]
+    ) -> None:
+        """Add a counter whose value is read on each collection."""
+        self._counters.append((f"mulberry_{name}", help_text, read))
+
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics, as a collector of the library."""
         from prometheus_client.core import (
@@ -106,6 +113,8 @@
         yield from (events, *histograms)
         for name, help_text, read in self._gauges:
             yield GaugeMetricFamily(name, help_text, read())
+        for name, help_text, read_count in self._counters:
+            yield CounterMetricFamily(name, help_text, read_count())
 
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
