--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -95,6 +95,19 @@
                 site = self._read(SETTINGS + text)
                 self.assertEqual(expected, site.memory_bytes)
 
+    def test_quota_bounds_may_be_missing(self) -> None:
+        bounds = "[Bounds]\n"
+        self.assertIn(bounds, SETTINGS)
+        given = "QuotaWindowS = 4\nQuotaOverage = 0.2\nQuotaSlack = 7\n"
+        for text, expected in (
+            (SETTINGS, (5.0, 0.1, 20.0)),
+            (SETTINGS.replace(bounds, bounds + given), (4.0, 0.2, 7.0)),
+        ):
+            with self.subTest(expected):
+                site = self._read(text)
+                found = site.quota_window_s, site.quota_overage
+                self.assertEqual(expected, (*found, site.quota_slack))
+
     def test_errors_name_the_field(self) -> None:
         cases = {
             "NodeName": SETTINGS.replace('NodeName = "frontend-a-1"', ""),
