--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -44,6 +44,7 @@
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
+from mulberrypass.programs.site_quotas import make_quotas, register_counters
 from mulberrypass.programs.site_reload import reload_site
 from mulberrypass.programs.site_repeats import (
     connect_timeout_s,
@@ -234,6 +235,13 @@
             self._me.name, self._permits, self._directory, self._guard
         )
         self._ending = PlannedEnd()
+        self._quotas = make_quotas(
+            site,
+            self._me.name,
+            self._loop,
+            self._membership,
+            self._directory.routes,
+        )
         limits = ByteLimits.of_memory(site.memory_bytes)
         self._bodies = HeldBodies(limits)
         # As much again for callers.
@@ -245,7 +253,8 @@
             self._watch,
             self._ending,
             self._bodies,
-            repeats=self._repeats,
+            self._quotas,
+            self._repeats,
         )
         store = BatchStore(self._rows)
         self._holder = JobHolder(
@@ -299,6 +308,7 @@
             self._bodies,
             self._repeats,
         )
+        register_counters(self._events, self._quotas)
         self._dump = self._make_dump()
 
     def _make_server(
@@ -326,6 +336,7 @@
         dump.register("owner", self._owner.state)
         dump.register("permits", self._permits.state)
         dump.register("repeats", self._repeats.state)
+        dump.register("quotas", self._quotas.state)
         dump.register("threads", thread_times)
         dump.register("followers", lambda: [f.state for f in self._followers])
         return dump
@@ -343,6 +354,7 @@
         ).start()
         self._membership.start()
         self._owner.start()
+        self._quotas.start()
         self._permits.start()
         self._watch.start()
         self._guard.start()
@@ -385,6 +397,7 @@
             time.sleep(STOP_POLL_S)
         self._holder.stop()
         self._repeats.stop()
+        self._quotas.stop()
         self._guard.stop()
         self._crashes.stop()
         LOG.info("stopped", whole=finished)
--- a/src/mulberrypass/runtime/log_metrics.py
+++ b/src/mulberrypass/runtime/log_metrics.py
@@ -66,6 +66,7 @@
         self._labelled: list[
             tuple[str, str, tuple[str, ...], Callable[[], Counts]]
         ] = []
+        self._counters: list[tuple[str, str, Callable[[], int]]] = []
 
     def processor(
         self, _logger: Any, _method: str, event: MutableMapping[str, Any]
@@ -102,6 +103,12 @@
         counter = (f"mulberry_{name}", help_text, labels, read)
         self._labelled.append(counter)
 
+    def counter(
+        self, name: str, help_text: str, read: Callable[[], int]
+    ) -> None:
+        """Add a counter whose value is read on each collection."""
+        self._counters.append((f"mulberry_{name}", help_text, read))
+
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics, as a collector of the library."""
         from prometheus_client.core import (
@@ -135,6 +142,8 @@
             for values, count in read_counts().items():
                 counter.add_metric(values, count)
             yield counter
+        for name, help_text, read_count in self._counters:
+            yield CounterMetricFamily(name, help_text, read_count())
 
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
