--- a/src/mulberrypass/policy/quotas/fleet.py
+++ b/src/mulberrypass/policy/quotas/fleet.py
@@ -59,7 +59,9 @@
         self._listed: frozenset[str] = frozenset()
         self._alive_at: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
+        self._came_at: dict[str, float] = {}
         self._started_at = ALWAYS
+        self._joined = False
         self._shares: deque[tuple[float, float]] = deque()
         self._share = 0.0
         self._share_history: deque[tuple[float, float]] = deque()
@@ -96,6 +98,7 @@
         heard_of: Iterable[str],
         listed: frozenset[str] | None,
         now: float,
+        lead_s: float | None = None,
     ) -> None:
         """Take over the members as they are now.
 
@@ -103,6 +106,8 @@
             are not known any longer
         :param heard_of: members that are not known to be dead
         :param listed: names in the list; ``None`` while it wasn't read
+        :param lead_s: how long before this instance the first of the other
+            live ones started; ``None`` if none is known
         """
         seen = frozenset(live) | {self.me}
         left = frozenset(leaving)
@@ -110,8 +115,14 @@
             self._listed = listed
             if self._started_at == ALWAYS:
                 self._started_at = now
+        if self._started_at < ALWAYS:
+            self._note_lead(seen, lead_s, now)
         for name in self._live - seen:
             self._gone_at[name] = now
+            self._came_at.pop(name, None)
+        if self._joined:
+            for name in seen - self._live:
+                self._came_at[name] = now
         for name in seen:
             self._gone_at.pop(name, None)
             self._alive_at[name] = now
@@ -134,6 +145,26 @@
             self._started_at = now
             self._forget_rankings()
 
+    def _note_lead(
+        self, seen: frozenset[str], lead_s: float | None, now: float
+    ) -> None:
+        """Note whether all instances have started together.
+
+        Nobody has lent since then, so that owners needn't settle.
+        """
+        settle_s = self._settings.settle_s
+        if self._joined or now >= self._started_at + settle_s:
+            self._joined = True
+        elif lead_s is None or lead_s > self._settings.restart_s:
+            self._joined = lead_s is not None
+        elif len(seen) * 2 > len(self._listed):
+            self._joined = True
+            self._started_at -= settle_s
+            self._shares.clear()
+            self._share_history.clear()
+            self._share = 0.0
+            self._forget_rankings()
+
     def ranking(self, customer: str) -> Ranking:
         """Return the instances that decide on a customer."""
         found = self._rankings.get(customer)
@@ -145,6 +176,7 @@
 
     def role(self, customer: str, now: float) -> tuple[Role, float]:
         """Return what this instance does for a customer, and since when."""
+        self.forget_newcomers(now)
         ranking = self.ranking(customer)
         owner_since = ranking.first_since + self._settings.settle_s
         if owner_since <= now:
@@ -162,7 +194,11 @@
             ((weight(key, name), name) for name in decide), reverse=True
         )
         names = [name for _weight, name in ranked[:2]] + ["", ""]
-        above = [ALWAYS for rank in ranked[:2] if rank > own]
+        above = [
+            ALWAYS
+            for rank in ranked
+            if rank > own and rank[1] not in self._came_at
+        ][:2]
         above += [
             gone_at
             for name, gone_at in self._gone_at.items()
@@ -175,6 +211,15 @@
             names[0], names[1], max(first, start), max(second, start)
         )
 
+    def forget_newcomers(self, now: float) -> None:
+        """Let newcomers take over what they rank first for."""
+        before = now - self._settings.hand_over_s
+        old = [name for name, at in self._came_at.items() if at <= before]
+        for name in old:
+            del self._came_at[name]
+        if old:
+            self._forget_rankings()
+
     def _forget_rankings(self) -> None:
         self._rankings.clear()
         self.changes += 1
--- a/src/mulberrypass/policy/quotas/ledger.py
+++ b/src/mulberrypass/policy/quotas/ledger.py
@@ -16,6 +16,7 @@
     BucketSize,
     bucket_size,
     deputy_tokens,
+    start_tokens,
 )
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
         self._settings = settings
         self._buckets: dict[str, _Bucket] = {}
         self._by_deputy: dict[str, deque[tuple[float, int]]] = {}
+        self._started: dict[str, float] = {}
         self._ticked_at: float | None = None
         self._changes = fleet.changes
         self.counts: Counter[str] = Counter()
@@ -81,6 +83,7 @@
         """
         self._note_pause(now)
         self._ticked_at = now
+        self._fleet.forget_newcomers(now)
         lost = self._drop_lost(now)
         for customer, bucket in tuple(self._buckets.items()):
             _forget(bucket.recent, now - self._settings.window_s)
@@ -92,6 +95,10 @@
             _forget(recent, now - self._settings.window_s)
             if not recent:
                 del self._by_deputy[customer]
+        before = now - self._settings.window_s
+        for customer, at in tuple(self._started.items()):
+            if at < before:
+                del self._started[customer]
         return lost
 
     def lend(self, want: Want, limit: Limit, now: float) -> Lent:
@@ -192,25 +199,33 @@
         size = bucket_size(limit, self._fleet.share, self._settings)
         bucket = self._buckets.get(customer)
         if bucket is None or since > bucket.since:
-            bucket = self._new_bucket(limit, since, now)
+            bucket = self._new_bucket(customer, limit, since, now)
             self._buckets[customer] = bucket
         bucket.fill(now)
         bucket.resize(size)
         return bucket
 
-    def _new_bucket(self, limit: Limit, since: float, now: float) -> _Bucket:
+    def _new_bucket(
+        self, customer: str, limit: Limit, since: float, now: float
+    ) -> _Bucket:
         """Return the bucket of an owner that has lent nothing so far.
 
         A new owner doesn't know what the former one has lent, so its bucket
-        is empty when it becomes the owner. From then on it has filled, at the
-        rate and up to the capacity that each share allowed.
+        has next to nothing when it becomes the owner, and nothing if that was
+        so within this window before. From then on it has filled, at the rate
+        and up to the capacity that each share allowed.
         """
         shares = tuple(self._fleet.share_history)
         empty_at = max(since, shares[0][0])
         bucket = _Bucket(since, BucketSize(0.0, 0.0), 0.0, empty_at)
-        for at, share in shares:
+        for number, (at, share) in enumerate(shares):
             bucket.fill(max(at, empty_at))
-            bucket.resize(bucket_size(limit, share, self._settings))
+            size = bucket_size(limit, share, self._settings)
+            bucket.resize(size)
+            if not number and customer not in self._started:
+                tokens = start_tokens(limit, share, self._settings)
+                bucket.tokens = min(size.capacity, tokens)
+        self._started[customer] = now
         bucket.fill(now)
         return bucket
 
--- a/src/mulberrypass/policy/quotas/messages.py
+++ b/src/mulberrypass/policy/quotas/messages.py
@@ -23,8 +23,13 @@
     :param overage: share by which the bound exceeds the limit of a window
     :param slack: requests by which the bound exceeds it besides
     :param settle_s: time for which an instance is first in the ranking before
-        it lends as owner; covers the time in which a change of the members
-        spreads, since two owners would otherwise lend at once
+        it lends as owner; with ``hand_over_s`` it covers the time in which a
+        change of the members spreads, since two owners would otherwise lend
+        at once
+    :param hand_over_s: time for which an owner goes on beside a newcomer that
+        ranks above it, as that one doesn't lend yet
+    :param restart_s: instances that started within this time of each other
+        have started together, after a loss of all
     :param pause_s: an event loop that stood still for this long is taken for
         a pause, in which other instances may have become owners
     :param known_s: time for which a lost member that isn't listed is known
@@ -34,7 +39,9 @@
     window_s: float = 5.0
     overage: float = 0.1
     slack: float = 20.0
-    settle_s: float = 1.0
+    settle_s: float = 0.75
+    hand_over_s: float = 0.25
+    restart_s: float = 2.0
     pause_s: float = 1.0
     known_s: float = 60.0
     valid_s: float = 0.25
--- a/src/mulberrypass/relay/quota_lender.py
+++ b/src/mulberrypass/relay/quota_lender.py
@@ -28,6 +28,7 @@
 # The members are looked at this often without a change, for those that are
 # forgotten and for shares that rise.
 SEE_INTERVAL_S = 1.0
+US_PER_S = 1_000_000
 
 
 class QuotaMembership(ABC):
@@ -192,8 +193,20 @@
             [m.name for m in members],
             listed,
             now,
+            self._lead_s(live),
         )
 
+    def _lead_s(self, live: tuple[Member, ...]) -> float | None:
+        """Return how long before this instance another one started.
+
+        Clocks may differ between machines, by little as a rule.
+        """
+        starts = [m.incarnation for m in live if m.name != self._me]
+        own = [m.incarnation for m in live if m.name == self._me]
+        if not starts or not own:
+            return None
+        return (own[0] - min(starts)) / US_PER_S
+
 
 def _limit(customer: RelayCustomer) -> Limit:
     return Limit(customer.rate_per_s, customer.burst)
