--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -162,7 +162,7 @@
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         source = _BoundedSource(self.fp.detach(), sock, bound)
-        self.fp = _BoundedReader(source, bound)
+        self.fp = self._reader = _BoundedReader(source, bound)
         self._bound = bound
         self._sock = sock
 
@@ -174,7 +174,7 @@
         """
         data = super().read1(n)
         if not data and n and self._is_at_length():
-            more = self.fp.surplus() or received_beyond(self._sock)
+            more = self._reader.surplus() or received_beyond(self._sock)
             if not may_begin_answer(more):
                 raise http.client.HTTPException("a body beyond its length")
         return data
@@ -193,7 +193,7 @@
         line = self.fp.readline(MAX_FRAMING_BYTES)
         found = STATUS_LINE.fullmatch(line)
         if found is None:
-            self._close_conn()
+            cast("Any", self)._close_conn()
             raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
         version, status, reason = found.groups(b"")
         return version.decode(), int(status), reason.decode("latin-1").strip()
--- a/tests/batches/test_unacceptable_answers.py
+++ b/tests/batches/test_unacceptable_answers.py
@@ -8,7 +8,6 @@
 
 from mulberrypass.platform.headers import REQUEST_ID
 from mulberrypass.platform.stand_in.engine import event
-from tests.batches import test_partial_output
 from tests.batches.cases import run_item
 from tests.batches.test_partial_output import (
     EVENTS,
@@ -39,6 +38,7 @@
 PART = event(ITEM_ID, 1) + event(ITEM_ID, 2)
 FIELDS = OK_HEAD.partition(b"\r\n")[2]
 MAX_S = 8.0
+MAKE_REQUEST = "tests.batches.test_partial_output.make_request"
 
 
 def plays() -> Iterator[tuple[str, Play, int]]:
@@ -78,7 +78,7 @@
 
         names = [each.name for each in self.engines]
         self.permits = ScriptedPermits("bad", *names)
-        with patch.object(test_partial_output, "make_request", make_request):
+        with patch(MAKE_REQUEST, make_request):
             run = self.make_run()
         directory = run._dependencies.directory
         directory.set_engines(
--- a/tests/relay/test_unacceptable_answers.py
+++ b/tests/relay/test_unacceptable_answers.py
@@ -121,7 +121,7 @@
     before = 0
 
     def assert_not_whole(self, events: list[RelayEvent], cut: bool) -> None:
-        """Check that a caller got a failure, or sees that its answer is cut."""
+        """Check that a caller got a failure, or an answer seen to be cut."""
         head = events[0]
         if isinstance(head, AnswerHead):
             self.assertEqual(200, head.status)
