Send retries past engines whose latest run failed

Cause: engines that fail each run at once are idle, so that their owner grants them first, and it takes at most half of the engines of a cell out. With two of these among three engines, both attempts of an idempotent call went to them, and it ended in 502 beside the engine that answered.

Attempts after the first ask them last. First attempts go where the owner says, as before, and MaxAttempts holds.

--- a/src/mulberrypass/policy/online/runs.py
+++ b/src/mulberrypass/policy/online/runs.py
@@ -70,11 +70,16 @@
         return self._repeatable and self._settling_runs < MAX_SETTLING_RUNS
 
     def avoided(
-        self, settles: bool, engines: Iterable[str]
+        self,
+        settles: bool,
+        engines: Iterable[str],
+        failing: tuple[str, ...] = (),
     ) -> list[tuple[str, ...]]:
         """Return which engines not to ask; each entry if none is left.
 
         :param engines: the known engines
+        :param failing: those whose latest run has failed, which another
+            attempt asks last
         """
         others: tuple[str, ...] = ()
         if len(self._asked) >= self._max_attempts:
@@ -82,7 +87,12 @@
         avoided = [(*others, *self._failed, *self._ended)]
         if self._ended:
             avoided.append((*others, *self._failed))
-        return [*avoided, others] if settles else avoided
+        if settles:
+            return [*avoided, others]
+        new = tuple(e for e in failing if e not in avoided[0])
+        if self._failed and new:
+            return [(*avoided[0], *new), *avoided]
+        return avoided
 
 
 __all__ = ["Runs"]
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -19,6 +19,7 @@
     check_access,
 )
 from mulberrypass.policy.messages import ReleaseOutcome
+from mulberrypass.policy.online.failing import FailingEngines
 from mulberrypass.policy.online.runs import Runs
 from mulberrypass.relay.admission import (
     MIN_RETRY_AFTER_S,
@@ -111,6 +112,7 @@
     ending: PlannedEnd = field(default_factory=PlannedEnd)
     bodies: HeldBodies = field(default_factory=HeldBodies)
     quotas: CustomerQuotas = field(default_factory=NoQuotas)
+    failing: FailingEngines = field(default_factory=FailingEngines)
 
 
 class Forwarder(Relay):
@@ -254,8 +256,9 @@
 
     def _need(self) -> PermitNeed:
         engines = self._deps.directory.engine_names()
+        failing = self._deps.failing.names(time.monotonic())
         return PermitNeed(
-            self._runs.avoided(self._settles, engines),
+            self._runs.avoided(self._settles, engines, failing),
             self._doubt_ends_at,
             self._runs.attempts,
             self._maybe_ran,
@@ -534,6 +537,12 @@
             self._answer.finish()
             self._answer = None
         if self._permit is not None:
+            if outcome in (ReleaseOutcome.DONE, ReleaseOutcome.FAILED):
+                self._deps.failing.note(
+                    self._permit.engine.name,
+                    outcome is ReleaseOutcome.DONE,
+                    time.monotonic(),
+                )
             self._permit.release(outcome, self._stream.brought)
             self._permit = None
 
