Read the refusal of a request that was still being written

Cause: a server that refuses a long request closes before it has read all of it. Our write failed and the answer was dropped unread, so that a request that had not run for certain counted as one that may have: it ended in 502, and the failure counted against the server.

Change: after a write that failed by the connection, Exchange reads what had come. Only a failure (400 and above) counts whose length or chunks prove it whole: the error of the write has used up the reset, so that an end without framing says nothing, and a success of a request that wasn't read is none.

--- a/src/mulberrypass/engine/wire.py
+++ b/src/mulberrypass/engine/wire.py
@@ -27,6 +27,7 @@
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ERROR_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
+FIRST_ERROR_STATUS = 400
 UNPROCESSABLE = 422
 CUT = EngineFailed("cut", Ran.MAYBE, resumable=True, closed=True)
 LATE = EngineFailed("deadline", Ran.MAYBE, resumable=True)
@@ -171,9 +172,11 @@
         bind(self._conn, self._bound)
         try:
             self._sock.settimeout(deadline.left_s())
-            self._conn.request(method, path, body, dict(headers))
+            written = self._write(method, path, body, headers)
             self._resp = self._conn.getresponse()
             check_framing(self._resp.headers)
+            if not (written or self._is_framed_error):
+                raise ConnectionResetError("the request was not read")
         except TimeoutError:
             raise WireError(LATE)
         except (OSError, http.client.HTTPException) as exc:
@@ -187,6 +190,32 @@
         if call_id is not None:
             self._check_call(call_id)
 
+    def _write(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> bool:
+        """Write the request; return whether all of it could be written.
+
+        A server may refuse a request before it has read all of it, and close.
+        What it wrote can still be read, but after the error of the write its
+        reset looks like an end.
+        """
+        try:
+            self._conn.request(method, path, body, dict(headers))
+        except ConnectionError:
+            if not body or self._shut_down:
+                raise
+            return False
+        return True
+
+    @property
+    def _is_framed_error(self) -> bool:
+        is_error = self.status >= FIRST_ERROR_STATUS
+        return is_error and not self.ends_with_connection
+
     def _check_call(self, call_id: str) -> None:
         """Check that an answer bears the id of its call, if any.
 
