Read documents of peers and controllers as other answers

Cause: mulberryctl and the explain proxy read answers with a plain HTTPConnection, without the checks of framing, status and end that the clients of engines and of the store pass.

Change: runtime/bounded.py read_answer, which both use.

Result: 11 cases of tests/operator/test_ends.py failed on (statuses 600, 700, 999, +200, 0200, 2_00, a length that is too small) and pass.

--- a/src/mulberrypass/operator/client.py
+++ b/src/mulberrypass/operator/client.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.runtime.bounded import read_answer
 
 TIMEOUT_S = 30.0
 MAX_ANSWER_BYTES = 268_435_456
@@ -93,14 +94,14 @@
             headers["Content-Type"] = "application/json"
         try:
             conn.request(method, path, body, headers)
-            resp = conn.getresponse()
-            document = json.loads(resp.read(MAX_ANSWER_BYTES))
+            status, answer = read_answer(conn, TIMEOUT_S, MAX_ANSWER_BYTES)
+            document = json.loads(answer)
         finally:
             conn.close()
         if not isinstance(document, dict):
             raise ValueError("the answer is not an object")
-        if resp.status >= FIRST_ERROR_STATUS:
-            return Error(Refused(resp.status, document))
+        if status >= FIRST_ERROR_STATUS:
+            return Error(Refused(status, document))
         return Ok(document)
 
 
--- a/src/mulberrypass/operator/explain.py
+++ b/src/mulberrypass/operator/explain.py
@@ -16,6 +16,7 @@
     owner,
     partition_backends,
 )
+from mulberrypass.runtime.bounded import read_answer
 from mulberrypass.runtime.http import Problem, json_answer
 from mulberrypass.runtime.ports import ENTRY_PORT
 
@@ -114,8 +115,8 @@
         target = f"/debug/explain?{urlencode(req.query)}"
         try:
             conn.request("GET", target, headers={"Authorization": key})
-            resp = conn.getresponse()
-            document = json.loads(resp.read(MAX_ANSWER_BYTES))
+            status, body = read_answer(conn, TIMEOUT_S, MAX_ANSWER_BYTES)
+            document = json.loads(body)
             if not isinstance(document, dict):
                 raise ValueError("the answer is not an object")
         except (OSError, HTTPException, ValueError) as exc:
@@ -123,8 +124,8 @@
             return Error(ExplainFailure(member, 0, {"detail": reason}))
         finally:
             conn.close()
-        if resp.status != HTTPStatus.OK:
-            return Error(ExplainFailure(member, resp.status, document))
+        if status != HTTPStatus.OK:
+            return Error(ExplainFailure(member, status, document))
         return Ok(document)
 
 
--- a/src/mulberrypass/runtime/bounded.py
+++ b/src/mulberrypass/runtime/bounded.py
@@ -9,6 +9,7 @@
 import time
 from typing import TYPE_CHECKING, Any, cast
 
+from mulberrypass.runtime.framing import check_framing
 from mulberrypass.runtime.peer_end import (
     check_closed,
     may_begin_answer,
@@ -29,6 +30,7 @@
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 CHUNK_END = b"\r\n"
 MAX_SHOWN_BYTES = 80
+READ_BYTES = 65_536
 
 
 class OversizeError(http.client.HTTPException):
@@ -239,10 +241,37 @@
     cast("Any", conn).response_class = partial(BoundedResponse, bound=bound)
 
 
+def read_answer(
+    conn: http.client.HTTPConnection, silence_s: float, limit: int
+) -> tuple[int, bytes]:
+    """Read the answer to the request that was sent on a connection.
+
+    :param silence_s: longest wait for a byte
+    :param limit: most bytes of the body
+    :returns: status and body
+    :raises OSError, HTTPException: if it isn't whole, or too large
+    """
+    bound = ReadBound()
+    bound.allow(float("inf"), MAX_FRAMING_BYTES, silence_s=silence_s)
+    bind(conn, bound)
+    resp = conn.getresponse()
+    check_framing(resp.headers)
+    size = limit + MAX_FRAMING_BYTES
+    bound.allow(float("inf"), size, not resp.chunked, silence_s)
+    parts = []
+    with resp:
+        while part := resp.read1(READ_BYTES):
+            parts.append(part)
+        if resp.length:
+            raise http.client.IncompleteRead(b"", resp.length)
+    return resp.status, b"".join(parts)
+
+
 __all__ = [
     "BoundedResponse",
     "MAX_FRAMING_BYTES",
     "OversizeError",
     "ReadBound",
     "bind",
+    "read_answer",
 ]
--- a/tests/operator/test_ends.py
+++ b/tests/operator/test_ends.py
@@ -13,6 +13,7 @@
 from mulberrypass.operator.explain import ExplainProxy
 from mulberrypass.runtime.http import Answer, Problem, Request
 from tests.engine.endless import AnsweringServer
+from tests.engine.played import BAD_STATUSES
 from tests.operator.static_membership import StaticMembership
 
 if TYPE_CHECKING:
@@ -53,6 +54,11 @@
                 for body in NO_OBJECTS
             ),
             (HEAD + b"Transfer-Encoding: chunked\r\n\r\n7\r\n{", False),
+            *(
+                (b"HTTP/1.1 %s\r\n" % status + LENGTH + DOCUMENT, False)
+                for status in BAD_STATUSES
+            ),
+            (HEAD + LENGTH + DOCUMENT + b" {}", False),
         ]
 
     def test_command(self) -> None:
