Split the run of an item by responsibility

An attempt uses the relay's EngineRun for its permit and its connection, which second runs of items need; EngineRun.exchange reads the head without the check of online runs. READ_TIMEOUT_S moves to item_attempt.py, and three tests name it there.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -8,51 +8,32 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.batches.held_output import HeldOutput
+from mulberrypass.batches.item_attempt import YIELDED, ItemAttempt
+from mulberrypass.batches.item_log import ItemLog
 from mulberrypass.batches.progress import Progress
-from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.wire import CUT, Deadline, WireError
+from mulberrypass.engine.wire import WireError
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
-from mulberrypass.model.outcome import Ran
 from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.batches.order import order_item
-from mulberrypass.policy.messages import (
-    RefusalReason,
-    ReleaseOutcome,
-    WorkClass,
-)
-from mulberrypass.relay.api import framing, part_names
+from mulberrypass.policy.messages import RefusalReason, WorkClass
+from mulberrypass.relay.api import part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
-from mulberrypass.relay.departures import LEAVES, EngineLeavesError
+from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.doubts import DoubtfulRuns
 from mulberrypass.relay.end_proof import End
-from mulberrypass.relay.events import (
-    BadEventError,
-    EventOrder,
-    EventSplitter,
-)
 from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
-from mulberrypass.relay.streams import CUT_IN_EVENT
-from mulberrypass.relay.unread import skip_rest
-from mulberrypass.relay.watch import WatchedCall
-from mulberrypass.relay.whole_body import NO_ROOM, TURNED_AWAY
-from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.engine.api import EngineFailed
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
     from mulberrypass.model.routes import RelayRoute
     from mulberrypass.policy.batches.order import ItemPace
-    from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit, PendingPermit
 
-LOG = get_logger(__name__)
-YIELDED = (TURNED_AWAY, NO_ROOM)
-MAX_ATTEMPT_S = 120.0
-# Events come every 25 to 300 ms, and items don't queue inside engines, so
-# that a longer silence is a fault.
-READ_TIMEOUT_S = 3.0
 RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 # The route of a job may be missing briefly while the configuration changes.
@@ -115,8 +96,9 @@
         self._doubts = DoubtfulRuns()
         self._revoked = False
         self._delay_s = RETRY_S
-        self._abort: Callable[[], None] | None = None
+        self._attempt: ItemAttempt | None = None
         self._framing: dict[str, bool] = {}
+        self._log = ItemLog(head.job_id, item.item_id)
         self._avoid: tuple[str, ...] = ()
         self._refused: tuple[str, ...] = ()
         self._service = ""
@@ -183,10 +165,8 @@
         others = acquirer.has_other(pending.work, self._avoid, refused)
         self._refused = refused if others else ()
         if others:
-            LOG.info(
+            self._log.write(
                 "another service is asked",
-                job=self._head.job_id,
-                item=self._item.item_id,
                 ask=pending.ask_id,
                 refused=list(refused),
             )
@@ -216,7 +196,7 @@
             self._avoid = (*self._avoid, permit)
             return Pause(0.0)
         self._refused = ()
-        self._log_permit(permit)
+        self._log.placed(permit, len(self._progress.event_texts))
         return permit
 
     def withdraw(self, pending: PendingPermit) -> None:
@@ -226,7 +206,7 @@
     def attempt(self, permit: HeldPermit) -> Pause | Ended:
         """Run on an engine; blocks until that has ended."""
         try:
-            end = self._attempt(permit)
+            end = self._run(permit)
         except WireError as exc:
             outcome = self._handle_failure(permit, exc.failed)
             if outcome is not None:
@@ -239,7 +219,7 @@
         if end is not End.IN_DOUBT:
             self._doubts.judge(self._progress.last, whole=True)
             return self._end(self._complete(permit.engine.name, end))
-        self._log_doubt(permit)
+        self._log.in_doubt(permit, self._progress.last, self._framing)
         if not self._revoked:
             self._doubts.add(permit, self._progress.last)
         self._avoid = (permit.engine.name,)
@@ -255,20 +235,39 @@
         return Ended(outcome)
 
     def _hold_back(self, exc: QuarantinedError) -> Ended:
-        self._log_held_back(exc)
+        self.held_back = True
+        self._log.write("item held back", part=exc.part, engines=exc.engines)
         return self._end(None)
 
+    def _run(self, permit: HeldPermit) -> End:
+        """Run on an engine; see ``ItemAttempt.run``."""
+        self._progress.route_missing_since = None
+        attempt = ItemAttempt(
+            self._dependencies,
+            permit,
+            self._progress,
+            self.output,
+            self._doubts,
+            self._pace,
+            self._should_stop,
+        )
+        self._attempt = attempt
+        if self._revoked:
+            attempt.revoke()
+        try:
+            return attempt.run(self._request(self._progress.resume()))
+        finally:
+            self._framing = attempt.framing
+            self._attempt = None
+
     def _ask(self) -> PendingPermit:
         self._revoked = False
-        self._abort = None
         service = self.find_service()
         if not service:
             raise NoRouteError
         if service != self._service and self._progress.last is not None:
-            LOG.info(
+            self._log.write(
                 "item begins anew",
-                job=self._head.job_id,
-                item=self._item.item_id,
                 former=self._service,
                 service=service,
                 events=len(self._progress.event_texts),
@@ -335,193 +334,16 @@
 
     def _on_revoke(self) -> None:
         self._revoked = True
-        abort = self._abort
-        if abort is not None:
-            abort()
-
-    def _log_held_back(self, exc: QuarantinedError) -> None:
-        self.held_back = True
-        LOG.info(
-            "item held back",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            part=exc.part,
-            engines=exc.engines,
-        )
-
-    def _log_permit(self, permit: HeldPermit) -> None:
-        LOG.info(
-            "item placed",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            engine=permit.engine.name,
-            ask=permit.ask_id,
-            queued_ms=round(permit.queued_s * 1_000),
-            events=len(self._progress.event_texts),
-        )
-
-    def _log_doubt(self, permit: HeldPermit) -> None:
-        LOG.info(
-            "item end in doubt",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            engine=permit.engine.name,
-            last=self._progress.last,
-            **self._framing,
-        )
-
-    def _attempt(self, permit: HeldPermit) -> End:
-        """Run the item on an engine and record its events.
-
-        :returns: what proves the output whole, or that its end is in doubt
-        :raises WireError: if the output is incomplete
-        """
-        self._progress.route_missing_since = None
-        self._framing = {}
-        watched: WatchedCall | None = None
-        answer: EngineAnswer | None = None
-        outcome = ReleaseOutcome.FAILED
-        closed = False
-        events = 0
-
-        def on_open(abort: Callable[[], None]) -> None:
-            nonlocal watched
-            self._abort = abort
-            watched = WatchedCall(self._should_stop, abort)
-            self._dependencies.watch.add(watched)
-            if self._revoked:
-                abort()
-
-        deadline = Deadline(time.monotonic() + MAX_ATTEMPT_S)
-        req = self._request(self._progress.resume())
-        try:
-            answer = self._dependencies.engines.send(
-                permit.engine,
-                req,
-                deadline,
-                on_open,
-                deadline.within(READ_TIMEOUT_S),
-            )
-            self._framing = framing(answer)
-            permit.mark_limit(answer.head.limit_per_s)
-            self._check_head(answer, deadline)
-            with self.output.attempt(answer.abort):
-                events = self._read(answer, deadline, permit)
-            unframed = answer.head.ends_with_connection
-            end = self._progress.judge(events, unframed)
-            if end is End.BROKEN_OFF or (unframed and not events):
-                if end is End.IN_DOUBT:
-                    # Sound if all events had come before.
-                    outcome = ReleaseOutcome.CANCELLED
-                raise WireError(CUT)
-            if end is End.SECOND_RUN:
-                # Engines that die of the same output end alike.
-                self._dependencies.engines.check_alive(
-                    permit.engine, deadline.within(READ_TIMEOUT_S)
-                )
-            if end is End.IN_DOUBT:
-                outcome = ReleaseOutcome.CANCELLED
-                return end
-            self.output.complete()
-            outcome = ReleaseOutcome.DONE
-            if req.after_event is None:
-                elapsed_s = time.monotonic() - permit.sent_at
-                self._pace.observe(req.output_tokens, elapsed_s)
-            return end
-        except BadEventError as exc:
-            raise WireError(EngineFailed(str(exc), Ran.MAYBE))
-        except WireError as exc:
-            closed = exc.failed.closed
-            if exc.failed is LEAVES:
-                outcome = ReleaseOutcome.UNUSED
-            elif exc.failed in YIELDED:
-                # Items at other engines may hold the bytes.
-                outcome = ReleaseOutcome.CANCELLED
-            raise
-        finally:
-            if watched is not None:
-                self._dependencies.watch.remove(watched)
-            if answer is not None:
-                answer.finish()
-            if self._revoked or (watched is not None and watched.ended):
-                outcome = ReleaseOutcome.CANCELLED
-            if closed and outcome is ReleaseOutcome.FAILED:
-                permit.mark_connection_ended()
-            permit.release(outcome, events)
-
-    def _check_head(self, answer: EngineAnswer, deadline: Deadline) -> None:
-        head = answer.head
-        if head.is_success:
-            return
-        skip_rest(answer, deadline)
-        if head.leaving and head.not_run:
-            raise EngineLeavesError
-        ran = Ran.NO if head.not_run else Ran.YES
-        raise WireError(
-            EngineFailed(f"status {head.status}", ran, status=head.status)
-        )
-
-    def _read(
-        self,
-        answer: EngineAnswer,
-        deadline: Deadline,
-        permit: HeldPermit,
-    ) -> int:
-        """Record the events of an answer; return their number.
-
-        :raises WireError: if the answer is cut
-        :raises BadEventError: if an event doesn't belong to the output
-        """
-        splitter = EventSplitter(answer.head.second)
-        try:
-            count = self._read_events(answer, splitter, deadline, permit)
-            if splitter.pending:
-                raise WireError(CUT_IN_EVENT)
-        except WireError:
-            if splitter.pending:
-                self._progress.note_begun()
-            raise
-        except BadEventError as exc:
-            if exc.more:
-                self._progress.note_begun()
-            raise
-        return count
-
-    def _read_events(
-        self,
-        answer: EngineAnswer,
-        splitter: EventSplitter,
-        deadline: Deadline,
-        permit: HeldPermit,
-    ) -> int:
-        count = 0
-        order = EventOrder(self._progress.last)
-        event_due = deadline.within(READ_TIMEOUT_S)
-        while not splitter.ended:
-            data = answer.read_some(event_due)
-            if not data:
-                break
-            events = splitter.feed(data)
-            if events:
-                permit.mark_first_event()
-                event_due = deadline.within(READ_TIMEOUT_S)
-            for event in events:
-                order.accept(event)
-                self._progress.add(event)
-            if self._progress.whole:
-                self._doubts.judge(self._progress.last)
-            self.output.resize(self._progress.taken + splitter.size)
-            count += len(events)
-        return count
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.revoke()
 
     def _handle_failure(
         self, permit: HeldPermit, failed: EngineFailed
     ) -> ItemOutcome | None:
         """Return the outcome if the failure is final, ``None`` to retry."""
-        LOG.info(
+        self._log.write(
             "item attempt failed",
-            job=self._head.job_id,
-            item=self._item.item_id,
             engine=permit.engine.name,
             reason=failed.reason,
             revoked=self._revoked,
@@ -545,10 +367,8 @@
         return None
 
     def _abandon(self, reason: str) -> ItemOutcome:
-        LOG.info(
+        self._log.write(
             "item given up",
-            job=self._head.job_id,
-            item=self._item.item_id,
             reason=reason,
             failures=self._progress.failures,
         )
@@ -557,10 +377,8 @@
         )
 
     def _complete(self, engine: str, proof: End) -> ItemOutcome:
-        LOG.info(
+        self._log.write(
             "item done",
-            job=self._head.job_id,
-            item=self._item.item_id,
             engine=engine,
             events=len(self._progress.event_texts),
             last=self._progress.last,
--- a/src/mulberrypass/relay/engine_run.py
+++ b/src/mulberrypass/relay/engine_run.py
@@ -63,22 +63,32 @@
         """Whether the connection was closed because the caller had left."""
         return self._watched_call is not None and self._watched_call.ended
 
-    def send(
+    def exchange(
         self, req: RelayRequest, deadline: Deadline, head_deadline: Deadline
     ) -> EngineAnswer:
         """Send the request and read the head of the answer.
 
-        :raises WireError: if there is none, or the engine says that the
-            request did not run
+        :raises WireError: if there is none
         """
         permit = self.permit
         answer = self._deps.engines.send(
             permit.engine, req, deadline, self._watch, head_deadline
         )
         self.answer = answer
+        permit.mark_limit(answer.head.limit_per_s)
+        permit.succeeded = answer.head.is_success
+        return answer
+
+    def send(
+        self, req: RelayRequest, deadline: Deadline, head_deadline: Deadline
+    ) -> EngineAnswer:
+        """Send the request and read the head of an answer of a run.
+
+        :raises WireError: if there is none, or the engine says that the
+            request did not run
+        """
+        answer = self.exchange(req, deadline, head_deadline)
         head = answer.head
-        permit.mark_limit(head.limit_per_s)
-        permit.succeeded = head.is_success
         if head.not_run:
             reason = f"engine says not run: {head.status}"
             sound = skip_rest(answer, deadline)
--- a/tests/batches/test_holder.py
+++ b/tests/batches/test_holder.py
@@ -11,7 +11,7 @@
 from unittest.mock import patch
 
 from mulberrypass.batches.holder import JobHolder, Members
-from mulberrypass.batches.run import READ_TIMEOUT_S
+from mulberrypass.batches.item_attempt import READ_TIMEOUT_S
 from mulberrypass.batches.store import BatchStore
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.platform.lots import item_request
--- a/tests/batches/test_holders_side_by_side.py
+++ b/tests/batches/test_holders_side_by_side.py
@@ -16,8 +16,8 @@
 from mulberrypass.batches import holder as holder_module
 from mulberrypass.batches import run as run_module
 from mulberrypass.batches.holder import JobHolder, Members
+from mulberrypass.batches.item_attempt import READ_TIMEOUT_S
 from mulberrypass.batches.manager import BatchJobManager
-from mulberrypass.batches.run import READ_TIMEOUT_S
 from mulberrypass.batches.store import BatchStore
 from mulberrypass.model.batch_jobs import ItemState, NewJob
 from mulberrypass.platform.engines import HttpEngineClient
--- a/tests/batches/test_run.py
+++ b/tests/batches/test_run.py
@@ -10,8 +10,7 @@
 import unittest
 from unittest.mock import patch
 
-from mulberrypass.batches import progress
-from mulberrypass.batches import run as run_module
+from mulberrypass.batches import item_attempt, progress
 from mulberrypass.batches.run import ItemRun
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
@@ -271,7 +270,7 @@
     """An engine that sends bytes without an end held an item for 120 s."""
 
     def setUp(self) -> None:
-        read = patch.object(run_module, "READ_TIMEOUT_S", READ_S)
+        read = patch.object(item_attempt, "READ_TIMEOUT_S", READ_S)
         read.start()
         self.addCleanup(read.stop)
 
