Run a stalled item a second time near its due time

An item whose engine fell silent waited for 3 s, also when it was due within that time.

While an item is expected to end within 2 s of its due time, a pause of more than four times its service's 95th percentile starts a second run, resumed after the last event, with the race of online requests. Its permit may be revoked like the first, and it takes no token. ItemAttempt goes on with the run that was ahead.

--- a/src/mulberrypass/batches/item_attempt.py
+++ b/src/mulberrypass/batches/item_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import time
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
     EventOrder,
     EventSplitter,
 )
+from mulberrypass.relay.race import FirstRun, Race, RaceTerms
+from mulberrypass.relay.repeated_run import RepeatPlan
 from mulberrypass.relay.streams import CUT_IN_EVENT
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.whole_body import NO_ROOM, TURNED_AWAY
@@ -26,12 +29,14 @@
     from collections.abc import Callable
 
     from mulberrypass.batches.held_output import HeldOutput
+    from mulberrypass.batches.item_repeats import ItemRepeats
     from mulberrypass.batches.progress import Progress
     from mulberrypass.policy.batches.order import ItemPace
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.dependencies import RelayDependencies
     from mulberrypass.relay.doubts import DoubtfulRuns
     from mulberrypass.relay.permits import HeldPermit
+    from mulberrypass.relay.repeated_run import RepeatedRun
 
 YIELDED = (TURNED_AWAY, NO_ROOM)
 MAX_ATTEMPT_S = 120.0
@@ -46,8 +51,8 @@
     :param doubts: earlier attempts whose ends are in doubt
     :param pace: run time per token, updated by a whole run
     :param should_stop: whether the outcome isn't needed any more
+    :param repeats: what a second run needs; ``None`` if there may be none
     :ivar framing: how the answer came, as it is logged
-    :ivar revoked: whether the owner has taken the permit back
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         doubts: DoubtfulRuns,
         pace: ItemPace,
         should_stop: Callable[[], bool],
+        repeats: ItemRepeats | None,
     ) -> None:
         self._deps = deps
         self._permit = permit
@@ -66,14 +72,30 @@
         self._output = output
         self._doubts = doubts
         self._pace = pace
+        self._should_stop = should_stop
+        self._repeats = repeats
+        self._race: Race | None = None
         self._run = EngineRun(deps, permit, should_stop)
+        self._second: RepeatedRun | None = None
+        self._revoked = False
         self.framing: dict[str, bool] = {}
-        self.revoked = False
+
+    @property
+    def revoked(self) -> bool:
+        """Whether the owner has taken the permit back."""
+        second = self._second
+        return self._revoked or (second is not None and second.revoked)
+
+    @property
+    def permit(self) -> HeldPermit:
+        """The permit of the run that the item goes on with."""
+        return self._permit
 
     def revoke(self) -> None:
-        """End the attempt, as its permit is revoked; safe on any thread."""
-        self.revoked = True
-        self._run.stop()
+        """End the first run, as its permit is revoked; safe on any thread."""
+        if self._second is None:
+            self._revoked = True
+            self._run.stop()
 
     def run(self, req: RelayRequest) -> End:
         """Run the item on the engine and record its events.
@@ -82,15 +104,104 @@
         :returns: what proves the output whole, or that its end is in doubt
         :raises WireError: if the output is incomplete
         """
+        deadline = Deadline(time.monotonic() + MAX_ATTEMPT_S)
+        run = self._run
+        self._race = self._begin_race(req, deadline)
+
+        def send() -> EngineAnswer:
+            due = deadline.within(READ_TIMEOUT_S)
+            return run.exchange(req, deadline, due)
+
+        try:
+            return self._record(send, req, deadline)
+        except WireError:
+            second = self._end_race()
+            if second is None:
+                raise
+            self._take_over(second)
+            after = replace(req, after_event=self._progress.last)
+            return self._record(second.take_answer, after, deadline)
+        finally:
+            if self._race is not None:
+                self._race.close()
+
+    def _begin_race(
+        self, req: RelayRequest, deadline: Deadline
+    ) -> Race | None:
+        """Begin to look for pauses of the run."""
+        repeats = self._repeats
+        if repeats is None:
+            return None
+        race = Race(
+            self._deps,
+            RaceTerms(req.request_id, "", True, req.output_tokens, None, None),
+            deadline,
+            self._should_stop,
+        )
+        first = FirstRun(
+            self._run,
+            allowed=False,
+            begun=False,
+            make_plan=lambda: self._plan(repeats, deadline),
+        )
+        race.begin(first)
+        return race
+
+    def _plan(self, repeats: ItemRepeats, deadline: Deadline) -> RepeatPlan:
+        """Return what a second run needs while the first waits."""
+        engine = self._run.permit.engine
+        return RepeatPlan(
+            repeats.make_request(self._progress.last),
+            engine.service,
+            True,
+            deadline,
+            lambda abandoned, on_revoke: repeats.acquire(
+                engine.name, abandoned, on_revoke
+            ),
+            lambda: deadline.within(READ_TIMEOUT_S),
+        )
+
+    def _end_race(self) -> RepeatedRun | None:
+        """Return the second run if the item goes on with it."""
+        progress = self._progress
+        if self._race is None:
+            return None
+        fits = not (
+            self._revoked
+            or self._output.yielded
+            or progress.last is None
+            or progress.proof.doubts(progress.last)
+        )
+        second = self._race.end(fits)
+        if second is None or second.cancelled:
+            return None
+        second.done.wait()
+        return second if second.goes_on else None
+
+    def _take_over(self, second: RepeatedRun) -> None:
+        """Go on with a second run."""
+        assert second.run is not None
+        self._second = second
+        self._run = second.run
+        self._permit = second.run.permit
+        self._race = None
+
+    def _record(
+        self,
+        get_answer: Callable[[], EngineAnswer],
+        req: RelayRequest,
+        deadline: Deadline,
+    ) -> End:
+        """Record the events of the current run, and release its permit.
+
+        :param get_answer: returns the answer once its head has come
+        """
         run, progress = self._run, self._progress
         outcome = ReleaseOutcome.FAILED
         closed = False
         events = 0
-        deadline = Deadline(time.monotonic() + MAX_ATTEMPT_S)
         try:
-            answer = run.exchange(
-                req, deadline, deadline.within(READ_TIMEOUT_S)
-            )
+            answer = get_answer()
             self.framing = framing(answer)
             self._check_head(answer, deadline)
             with self._output.attempt(answer.abort):
@@ -127,7 +238,7 @@
                 outcome = ReleaseOutcome.CANCELLED
             raise
         finally:
-            if self.revoked or run.aborted:
+            if run.stopped or run.aborted:
                 outcome = ReleaseOutcome.CANCELLED
             if closed and outcome is ReleaseOutcome.FAILED:
                 self._permit.mark_connection_ended()
@@ -179,7 +290,7 @@
                 break
             events = splitter.feed(data)
             if events:
-                self._permit.mark_first_event()
+                self._on_events()
                 event_due = deadline.within(READ_TIMEOUT_S)
             for event in events:
                 order.accept(event)
@@ -188,7 +299,25 @@
                 self._doubts.judge(progress.last)
             self._output.resize(progress.taken + splitter.size)
             count += len(events)
+            if events:
+                self._wait()
         return count
 
+    def _on_events(self) -> None:
+        """Note that events have come.
+
+        :raises WireError: if a second run was ahead
+        """
+        if self._race is not None:
+            self._race.on_event()
+        self._permit.mark_first_event()
+
+    def _wait(self) -> None:
+        """Wait for the next event, which may be late near the due time."""
+        race, repeats = self._race, self._repeats
+        if race is not None and repeats is not None:
+            race.allow(repeats.is_near_due())
+            race.wait()
+
 
 __all__ = ["ItemAttempt", "READ_TIMEOUT_S", "YIELDED"]
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -10,6 +10,7 @@
 from mulberrypass.batches.held_output import HeldOutput
 from mulberrypass.batches.item_attempt import YIELDED, ItemAttempt
 from mulberrypass.batches.item_log import ItemLog
+from mulberrypass.batches.item_repeats import ItemRepeats
 from mulberrypass.batches.progress import Progress
 from mulberrypass.engine.wire import WireError
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
@@ -97,6 +98,8 @@
         self._revoked = False
         self._delay_s = RETRY_S
         self._attempt: ItemAttempt | None = None
+        self._permit: HeldPermit | None = None
+        self._connection_ended = False
         self._framing: dict[str, bool] = {}
         self._log = ItemLog(head.job_id, item.item_id)
         self._avoid: tuple[str, ...] = ()
@@ -205,9 +208,12 @@
 
     def attempt(self, permit: HeldPermit) -> Pause | Ended:
         """Run on an engine; blocks until that has ended."""
+        self._permit = permit
         try:
             end = self._run(permit)
         except WireError as exc:
+            permit = self._permit
+            self._connection_ended |= exc.failed.closed and not self._revoked
             outcome = self._handle_failure(permit, exc.failed)
             if outcome is not None:
                 return self._end(outcome)
@@ -216,6 +222,8 @@
             delay_s = self._delay_s
             self._delay_s = min(MAX_RETRY_S, delay_s * 2)
             return Pause(delay_s)
+        # That of a second run, if it was ahead.
+        permit = self._permit
         if end is not End.IN_DOUBT:
             self._doubts.judge(self._progress.last, whole=True)
             return self._end(self._complete(permit.engine.name, end))
@@ -250,6 +258,7 @@
             self._doubts,
             self._pace,
             self._should_stop,
+            self._make_repeats(),
         )
         self._attempt = attempt
         if self._revoked:
@@ -258,8 +267,31 @@
             return attempt.run(self._request(self._progress.resume()))
         finally:
             self._framing = attempt.framing
+            self._permit = attempt.permit
+            self._revoked = self._revoked or attempt.revoked
             self._attempt = None
 
+    def _make_repeats(self) -> ItemRepeats | None:
+        """Return what a second run needs; ``None`` if there may be none.
+
+        The item may be the reason why an engine has ended its connection.
+        """
+        deps = self._dependencies
+        if self._connection_ended or not deps.repeats.are_on(self._service):
+            return None
+        req = self._request(None)
+        return ItemRepeats(
+            deps.acquirer,
+            lambda: self._make_work(req),
+            self._request,
+            self._due_in_s,
+            lambda: self._remaining_tokens(req) * self._pace.token_s,
+            self._avoid,
+        )
+
+    def _due_in_s(self) -> float:
+        return self._head.first_s + self._head.due_s - time.time()
+
     def _ask(self) -> PendingPermit:
         self._revoked = False
         service = self.find_service()
@@ -274,12 +306,18 @@
             )
             self._progress.begin_anew()
         self._service = service
-        req = self._request(None)
+        work = self._make_work(self._request(None))
+        return self._dependencies.acquirer.ask(
+            work, self._avoid, self._on_revoke
+        )
+
+    def _make_work(self, req: RelayRequest) -> WorkSpec:
+        """Return what the rest of the item needs of an engine."""
         remaining_tokens = self._remaining_tokens(req)
-        due_in_s = self._head.first_s + self._head.due_s - time.time()
-        order = order_item(due_in_s, remaining_tokens * self._pace.token_s)
+        remaining_s = remaining_tokens * self._pace.token_s
+        order = order_item(self._due_in_s(), remaining_s)
         now = time.monotonic()
-        spec = WorkSpec(
+        return WorkSpec(
             find=self._find_route,
             routing_key=self._item.item_id,
             customer=self._head.customer or self._head.host,
@@ -295,10 +333,7 @@
             output_tokens=remaining_tokens,
             prefix=req.prefix,
             revocable=True,
-            service=service,
-        )
-        return self._dependencies.acquirer.ask(
-            spec, self._avoid, self._on_revoke
+            service=self._service,
         )
 
     def _request(self, after_event: int | None) -> RelayRequest:
--- a/src/mulberrypass/policy/batches/order.py
+++ b/src/mulberrypass/policy/batches/order.py
@@ -13,6 +13,8 @@
 # requests, which interrupt a run for two to three seconds.
 SLACK_SHARE = 0.2
 SLACK_S = 1.0
+# An item that stalls is left after 3 s at most.
+NEAR_DUE_S = 2.0
 # Puts items that are late anyway behind all others.
 LATE_BUDGET_S = 600.0
 INITIAL_TOKEN_S = 0.004
@@ -65,4 +67,16 @@
     return ItemOrder(due_in_s, max(SLACK_S / 2, latest_start_s))
 
 
-__all__ = ["ItemOrder", "ItemPace", "order_item"]
+def is_near_due(due_in_s: float, remaining_s: float) -> bool:
+    """Return whether an item is expected to end near its due time.
+
+    A stall decides whether such an item is late; others have time, or are
+    late anyway.
+
+    :param due_in_s: seconds until it is due
+    :param remaining_s: estimated seconds that it still has to run
+    """
+    return abs(due_in_s - remaining_s) <= NEAR_DUE_S
+
+
+__all__ = ["ItemOrder", "ItemPace", "is_near_due", "order_item"]
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -29,7 +29,7 @@
 from mulberrypass.relay.engine_run import EngineRun
 from mulberrypass.relay.events import BadEventError
 from mulberrypass.relay.permits import HeldPermit
-from mulberrypass.relay.race import FirstRun, Race
+from mulberrypass.relay.race import FirstRun, Race, RaceTerms
 from mulberrypass.relay.repeated_run import RepeatPlan
 from mulberrypass.relay.request_log import RequestLog
 from mulberrypass.relay.request_quota import RequestQuota
@@ -106,10 +106,14 @@
         self._run: EngineRun | None = None
         self._race = Race(
             deps,
-            req.request_id,
-            route,
-            route.kind is RouteKind.STREAM,
-            req.output_tokens,
+            RaceTerms(
+                req.request_id,
+                route.name,
+                route.kind is RouteKind.STREAM,
+                req.output_tokens,
+                route.target_s,
+                route.gap_s if route.gap_s > 0 else None,
+            ),
             self._deadline,
             disconnected,
         )
@@ -224,7 +228,7 @@
             service,
             stream,
             self._deadline,
-            lambda abandoned: self._admission.acquire_repeat(
+            lambda abandoned, _on_revoke: self._admission.acquire_repeat(
                 service, avoided, abandoned
             ),
             lambda: self._due.second(stream, is_last),
--- a/src/mulberrypass/relay/race.py
+++ b/src/mulberrypass/relay/race.py
@@ -25,7 +25,6 @@
     from collections.abc import Callable
 
     from mulberrypass.engine.wire import Deadline
-    from mulberrypass.model.routes import RelayRoute
     from mulberrypass.relay.dependencies import RelayDependencies
     from mulberrypass.relay.engine_run import EngineRun
     from mulberrypass.relay.repeated_run import RepeatPlan
@@ -51,32 +50,46 @@
     make_plan: Callable[[], RepeatPlan]
 
 
+@value_class
+class RaceTerms:
+    """What a request's second runs depend on.
+
+    :param route: name of its route
+    :param stream: whether the answer is a stream of events
+    :param output_tokens: expected length of the answer
+    :param target_s: time in which the first event is due; ``None`` if a first
+        event is never late
+    :param pause_s: longest pause in time; ``None`` if none is set
+    """
+
+    request_id: str
+    route: str
+    stream: bool
+    output_tokens: int
+    target_s: float | None
+    pause_s: float | None
+
+
 class Race:
     """Starts second runs of one request and settles which run is ahead.
 
     Three threads use it: that of the request, which waits for the first run,
     that of the second run, and the timer. Without a share for the service of
     the run it does nothing.
-
-    :param stream: whether the answer is a stream of events
     """
 
     def __init__(
         self,
         deps: RelayDependencies,
-        request_id: str,
-        route: RelayRoute,
-        stream: bool,
-        output_tokens: int,
+        terms: RaceTerms,
         deadline: Deadline,
         disconnected: Callable[[], bool],
     ) -> None:
         self._deps = deps
         self._repeats = deps.repeats
-        self._request_id = request_id
-        self._route = route
-        self._stream = stream
-        self._output_tokens = output_tokens
+        self._terms = terms
+        self._request_id = terms.request_id
+        self._stream = terms.stream
         self._deadline = deadline
         self._disconnected = disconnected
         self._lock = threading.Lock()
@@ -155,7 +168,8 @@
             self._repeats.observe_pause(self._service, waited_s)
         else:
             self._begun = True
-            self._repeats.observe(self._service, waited_s, not self._stream)
+            if self._terms.target_s is not None:
+                self._observe_first(waited_s)
         if second is None:
             return None
         second.stop()
@@ -278,24 +292,27 @@
         if second.cause is Cause.PAUSE:
             self._repeats.observe_pause(self._service, waited_s)
             return
-        whole = not self._stream
-        self._repeats.observe(self._service, waited_s, whole)
+        self._observe_first(waited_s)
         if second.run is not None:
-            own_s = time.monotonic() - second.run.permit.sent_at
-            self._repeats.observe(self._service, own_s, whole)
+            self._observe_first(time.monotonic() - second.run.permit.sent_at)
+
+    def _observe_first(self, latency_s: float) -> None:
+        whole = not self._stream
+        self._repeats.observe(self._service, latency_s, whole)
 
     def _delay_s(self) -> float:
-        route, service = self._route, self._service
+        terms, service = self._terms, self._service
         if self._begun:
-            gap_s = route.gap_s if route.gap_s > 0 else None
-            return self._repeats.pause_delay_s(service, gap_s)
-        whole = not self._stream
-        return self._repeats.first_delay_s(service, whole, route.target_s)
+            return self._repeats.pause_delay_s(service, terms.pause_s)
+        if terms.target_s is None:
+            return float("inf")
+        whole = not terms.stream
+        return self._repeats.first_delay_s(service, whole, terms.target_s)
 
     def _wait_until(self, due: float) -> None:
         """Look again when an event is late; at most one call is pending."""
         with self._lock:
-            if not self._allowed:
+            if not self._allowed or due == float("inf"):
                 return
             self._due = due
             if due >= self._called_at:
@@ -358,7 +375,7 @@
         ending = self._deps.ending
         if self._deadline.at <= ending.at:
             return True
-        return ending.allows(self._route.name, self._output_tokens)
+        return ending.allows(self._terms.route, self._terms.output_tokens)
 
     def _stop_first(self, second: RepeatedRun) -> None:
         """Stop the first run, which was given its time beside the second."""
@@ -378,4 +395,4 @@
             LOG.info("no second run", id=self._request_id, reason=reason)
 
 
-__all__ = ["FirstRun", "OVERTAKEN", "Race"]
+__all__ = ["FirstRun", "OVERTAKEN", "Race", "RaceTerms"]
--- a/src/mulberrypass/relay/repeated_run.py
+++ b/src/mulberrypass/relay/repeated_run.py
@@ -62,18 +62,20 @@
     :param service: that of the first run; another may answer otherwise
     :param stream: whether its answer is a stream of events
     :param acquire: waits for a permit of an engine that the request has not
-        been sent to, until its argument returns true
+        been sent to, until its first argument returns true; its second is
+        called if the owner takes the permit back
     :param due: returns until when the first event, or the whole answer, is
         due
+    :param quota: the limit of the customer; ``None`` if it doesn't count
     """
 
     req: RelayRequest
     service: str
     stream: bool
     deadline: Deadline
-    acquire: Callable[[Callable[[], bool]], HeldPermit]
+    acquire: Callable[[Callable[[], bool], Callable[[], None]], HeldPermit]
     due: Callable[[], Deadline]
-    quota: RequestQuota
+    quota: RequestQuota | None = None
 
 
 class PrefetchedAnswer(EngineAnswer):
@@ -116,6 +118,7 @@
     :ivar cancelled: whether it isn't needed any more
     :ivar won: whether it was ahead of the first run
     :ivar goes_alone: whether it has failed as the only run left
+    :ivar revoked: whether the owner has taken the permit back
     :ivar done: set once the thread has ended
     """
 
@@ -139,6 +142,7 @@
         self.cancelled = False
         self.won = False
         self.goes_alone = False
+        self.revoked = False
         self.done = threading.Event()
 
     def work(self) -> None:
@@ -174,6 +178,11 @@
         assert self.answer is not None
         return self.answer
 
+    def revoke(self) -> None:
+        """End the run, as its permit is revoked; safe on any thread."""
+        self.revoked = True
+        self.stop()
+
     def stop(self) -> None:
         """Close the connection; safe on any thread."""
         if self.run is not None:
@@ -185,12 +194,12 @@
 
     def _work(self) -> None:
         plan = self._plan
-        if not plan.quota.take_another():
+        if plan.quota is not None and not plan.quota.take_another():
             self._refuse(Counted.REFUSED, "quota")
             return
         run = self._acquire()
         if run is None:
-            plan.quota.give_back()
+            self._return_token()
             return
         try:
             self._read(run)
@@ -212,7 +221,7 @@
             return self._race.is_over(self) or time.monotonic() >= until
 
         try:
-            permit = self._plan.acquire(gives_up)
+            permit = self._plan.acquire(gives_up, self.revoke)
         except NoPermitError as exc:
             pressure = exc.reason == RefusalReason.NO_SPARE
             counted = Counted.NO_SPARE if pressure else Counted.REFUSED
@@ -226,6 +235,8 @@
             permit.release_unused()
             self._refuse(Counted.REFUSED, "first run has answered")
             return None
+        if self.revoked:
+            run.stop()
         return run
 
     def _read(self, run: EngineRun) -> None:
@@ -283,7 +294,7 @@
         """Leave the failure to the request, or release the permit."""
         service = self._plan.service
         if failed.ran is Ran.NO:
-            self._plan.quota.give_back()
+            self._return_token()
             self._deps.repeats.give_back(service)
         if self._race.on_failure(self, failed):
             return
@@ -309,6 +320,11 @@
         LOG.info("second run lost", id=self._id, engine=run.engine)
         run.release(ReleaseOutcome.CANCELLED, 0)
 
+    def _return_token(self) -> None:
+        """Return the token of a run that no engine has begun."""
+        if self._plan.quota is not None:
+            self._plan.quota.give_back()
+
     def _refuse(self, counted: Counted, reason: str) -> None:
         """Note that the run doesn't start, which changes nothing else."""
         service = self._plan.service
