--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -11,25 +11,24 @@
 from mulberrypass.batches.item_attempt import YIELDED, ItemAttempt
 from mulberrypass.batches.item_log import ItemLog
 from mulberrypass.batches.item_repeats import ItemRepeats
+from mulberrypass.batches.item_work import ItemWork
 from mulberrypass.batches.progress import Progress
 from mulberrypass.engine.wire import WireError
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
 from mulberrypass.model.value_class import value_class
-from mulberrypass.policy.batches.order import order_item
-from mulberrypass.policy.messages import RefusalReason, WorkClass
+from mulberrypass.policy.messages import RefusalReason
 from mulberrypass.relay.api import part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
 from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.doubts import DoubtfulRuns
 from mulberrypass.relay.end_proof import End
-from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
+from mulberrypass.relay.permits import NoPermitError, NoRouteError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from mulberrypass.engine.api import EngineFailed
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
-    from mulberrypass.model.routes import RelayRoute
     from mulberrypass.policy.batches.order import ItemPace
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
@@ -94,6 +93,9 @@
         self._pace = pace
         self._expires_at = expires_at
         self._progress = Progress()
+        self._work = ItemWork(
+            dependencies.directory, head, item, self._progress, pace
+        )
         self._doubts = DoubtfulRuns()
         self._revoked = False
         self._delay_s = RETRY_S
@@ -141,7 +143,7 @@
 
         That which has begun the output is first, while it takes work.
         """
-        route = self._find_route()
+        route = self._work.find_route()
         if route is None or not route.services:
             return ""
         return self._dependencies.acquirer.choose(
@@ -279,19 +281,16 @@
         deps = self._dependencies
         if self._connection_ended or not deps.repeats.are_on(self._service):
             return None
-        req = self._request(None)
+        req, service, work = self._request(None), self._service, self._work
         return ItemRepeats(
             deps.acquirer,
-            lambda: self._make_work(req),
+            lambda: work.spec(req, service),
             self._request,
-            self._due_in_s,
-            lambda: self._remaining_tokens(req) * self._pace.token_s,
+            work.due_in_s,
+            lambda: work.remaining_s(req, service),
             self._avoid,
         )
 
-    def _due_in_s(self) -> float:
-        return self._head.first_s + self._head.due_s - time.time()
-
     def _ask(self) -> PendingPermit:
         self._revoked = False
         service = self.find_service()
@@ -306,56 +305,14 @@
             )
             self._progress.begin_anew()
         self._service = service
-        work = self._make_work(self._request(None))
+        work = self._work.spec(self._request(None), service)
         return self._dependencies.acquirer.ask(
             work, self._avoid, self._on_revoke
         )
 
-    def _make_work(self, req: RelayRequest) -> WorkSpec:
-        """Return what the rest of the item needs of an engine."""
-        remaining_tokens = self._remaining_tokens(req)
-        remaining_s = remaining_tokens * self._pace.token_s
-        order = order_item(self._due_in_s(), remaining_s)
-        now = time.monotonic()
-        return WorkSpec(
-            find=self._find_route,
-            routing_key=self._item.item_id,
-            customer=self._head.customer or self._head.host,
-            work_class=WorkClass.BATCH,
-            deadline=now + order.budget_s,
-            start_by=(
-                None
-                if order.start_within_s is None
-                else now + order.start_within_s
-            ),
-            prompt_tokens=req.prompt_tokens
-            + len(self._progress.event_texts) * self._event_tokens(),
-            output_tokens=remaining_tokens,
-            prefix=req.prefix,
-            revocable=True,
-            service=self._service,
-        )
-
     def _request(self, after_event: int | None) -> RelayRequest:
         return self._make_request(self._head, self._item, after_event)
 
-    def _remaining_tokens(self, req: RelayRequest) -> int:
-        """Estimate the number of tokens still to be generated."""
-        generated = len(self._progress.event_texts) * self._event_tokens()
-        return max(self._event_tokens(), req.output_tokens - generated)
-
-    def _event_tokens(self) -> int:
-        table = self._dependencies.directory.routes()
-        route = table.find(self._head.host, self._item.path)
-        if route is None:
-            return 1
-        service = table.services.get(self._service)
-        return service.event_tokens if service is not None else 1
-
-    def _find_route(self) -> RelayRoute | None:
-        table = self._dependencies.directory.routes()
-        return table.find(self._head.host, self._item.path)
-
     def _route_is_missing(self) -> bool:
         if self._dependencies.directory.routes().version == 0:
             return False
@@ -392,7 +349,7 @@
             return self._abandon("can't be done")
         if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
             self._progress.failures += 1
-            route = self._find_route()
+            route = self._work.find_route()
             limit = route.max_attempts if route is not None else 1
             if self._progress.failures >= limit:
                 return self._abandon("failed at each run")
