--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -8,51 +8,32 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.batches.held_output import HeldOutput
+from mulberrypass.batches.item_attempt import YIELDED, ItemAttempt
+from mulberrypass.batches.item_log import ItemLog
+from mulberrypass.batches.item_repeats import ItemRepeats
+from mulberrypass.batches.item_work import ItemWork
 from mulberrypass.batches.progress import Progress
-from mulberrypass.engine.api import EngineFailed
-from mulberrypass.engine.wire import CUT, Deadline, WireError
+from mulberrypass.engine.wire import WireError
 from mulberrypass.model.batch_jobs import ItemOutcome, ItemState
-from mulberrypass.model.outcome import Ran
 from mulberrypass.model.value_class import value_class
-from mulberrypass.policy.batches.order import order_item
-from mulberrypass.policy.messages import (
-    RefusalReason,
-    ReleaseOutcome,
-    WorkClass,
-)
-from mulberrypass.relay.api import framing, part_names
+from mulberrypass.policy.messages import RefusalReason
+from mulberrypass.relay.api import part_names
 from mulberrypass.relay.crash_guard import QuarantinedError
-from mulberrypass.relay.departures import LEAVES, EngineLeavesError
+from mulberrypass.relay.departures import LEAVES
 from mulberrypass.relay.doubts import DoubtfulRuns
 from mulberrypass.relay.end_proof import End
-from mulberrypass.relay.events import (
-    BadEventError,
-    EventOrder,
-    EventSplitter,
-)
-from mulberrypass.relay.permits import NoPermitError, NoRouteError, WorkSpec
-from mulberrypass.relay.streams import CUT_IN_EVENT
-from mulberrypass.relay.unread import skip_rest
-from mulberrypass.relay.watch import WatchedCall
-from mulberrypass.relay.whole_body import NO_ROOM, TURNED_AWAY
-from mulberrypass.runtime.logs import get_logger
+from mulberrypass.relay.permits import NoPermitError, NoRouteError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from mulberrypass.engine.api import EngineFailed
     from mulberrypass.model.batch_jobs import BatchItem, JobHead
-    from mulberrypass.model.routes import RelayRoute
     from mulberrypass.policy.batches.order import ItemPace
-    from mulberrypass.relay.api import EngineAnswer, RelayRequest
+    from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit, PendingPermit
 
-LOG = get_logger(__name__)
-YIELDED = (TURNED_AWAY, NO_ROOM)
-MAX_ATTEMPT_S = 120.0
-# Events come every 25 to 300 ms, and items don't queue inside engines, so
-# that a longer silence is a fault.
-READ_TIMEOUT_S = 3.0
 RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 # The route of a job may be missing briefly while the configuration changes.
@@ -112,11 +93,17 @@
         self._pace = pace
         self._expires_at = expires_at
         self._progress = Progress()
+        self._work = ItemWork(
+            dependencies.directory, head, item, self._progress, pace
+        )
         self._doubts = DoubtfulRuns()
         self._revoked = False
         self._delay_s = RETRY_S
-        self._abort: Callable[[], None] | None = None
+        self._attempt: ItemAttempt | None = None
+        self._permit: HeldPermit | None = None
+        self._connection_ended = False
         self._framing: dict[str, bool] = {}
+        self._log = ItemLog(head.job_id, item.item_id)
         self._avoid: tuple[str, ...] = ()
         self._refused: tuple[str, ...] = ()
         self._service = ""
@@ -156,7 +143,7 @@
 
         That which has begun the output is first, while it takes work.
         """
-        route = self._find_route()
+        route = self._work.find_route()
         if route is None or not route.services:
             return ""
         return self._dependencies.acquirer.choose(
@@ -183,10 +170,8 @@
         others = acquirer.has_other(pending.work, self._avoid, refused)
         self._refused = refused if others else ()
         if others:
-            LOG.info(
+            self._log.write(
                 "another service is asked",
-                job=self._head.job_id,
-                item=self._item.item_id,
                 ask=pending.ask_id,
                 refused=list(refused),
             )
@@ -216,7 +201,7 @@
             self._avoid = (*self._avoid, permit)
             return Pause(0.0)
         self._refused = ()
-        self._log_permit(permit)
+        self._log.placed(permit, len(self._progress.event_texts))
         return permit
 
     def withdraw(self, pending: PendingPermit) -> None:
@@ -225,9 +210,12 @@
 
     def attempt(self, permit: HeldPermit) -> Pause | Ended:
         """Run on an engine; blocks until that has ended."""
+        self._permit = permit
         try:
-            end = self._attempt(permit)
+            end = self._run(permit)
         except WireError as exc:
+            permit = self._permit
+            self._connection_ended |= exc.failed.closed and not self._revoked
             outcome = self._handle_failure(permit, exc.failed)
             if outcome is not None:
                 return self._end(outcome)
@@ -236,10 +224,12 @@
             delay_s = self._delay_s
             self._delay_s = min(MAX_RETRY_S, delay_s * 2)
             return Pause(delay_s)
+        # That of a second run, if it was ahead.
+        permit = self._permit
         if end is not End.IN_DOUBT:
             self._doubts.judge(self._progress.last, whole=True)
             return self._end(self._complete(permit.engine.name, end))
-        self._log_doubt(permit)
+        self._log.in_doubt(permit, self._progress.last, self._framing)
         if not self._revoked:
             self._doubts.add(permit, self._progress.last)
         self._avoid = (permit.engine.name,)
@@ -255,73 +245,74 @@
         return Ended(outcome)
 
     def _hold_back(self, exc: QuarantinedError) -> Ended:
-        self._log_held_back(exc)
+        self.held_back = True
+        self._log.write("item held back", part=exc.part, engines=exc.engines)
         return self._end(None)
 
+    def _run(self, permit: HeldPermit) -> End:
+        """Run on an engine; see ``ItemAttempt.run``."""
+        self._progress.route_missing_since = None
+        attempt = ItemAttempt(
+            self._dependencies,
+            permit,
+            self._progress,
+            self.output,
+            self._doubts,
+            self._pace,
+            self._should_stop,
+            self._make_repeats(),
+        )
+        self._attempt = attempt
+        if self._revoked:
+            attempt.revoke()
+        try:
+            return attempt.run(self._request(self._progress.resume()))
+        finally:
+            self._framing = attempt.framing
+            self._permit = attempt.permit
+            self._revoked = self._revoked or attempt.revoked
+            self._attempt = None
+
+    def _make_repeats(self) -> ItemRepeats | None:
+        """Return what a second run needs; ``None`` if there may be none.
+
+        The item may be the reason why an engine has ended its connection.
+        """
+        deps = self._dependencies
+        if self._connection_ended or not deps.repeats.are_on(self._service):
+            return None
+        req, service, work = self._request(None), self._service, self._work
+        return ItemRepeats(
+            deps.acquirer,
+            lambda: work.spec(req, service),
+            self._request,
+            work.due_in_s,
+            lambda: work.remaining_s(req, service),
+            self._avoid,
+        )
+
     def _ask(self) -> PendingPermit:
         self._revoked = False
-        self._abort = None
         service = self.find_service()
         if not service:
             raise NoRouteError
         if service != self._service and self._progress.last is not None:
-            LOG.info(
+            self._log.write(
                 "item begins anew",
-                job=self._head.job_id,
-                item=self._item.item_id,
                 former=self._service,
                 service=service,
                 events=len(self._progress.event_texts),
             )
             self._progress.begin_anew()
         self._service = service
-        req = self._request(None)
-        remaining_tokens = self._remaining_tokens(req)
-        due_in_s = self._head.first_s + self._head.due_s - time.time()
-        order = order_item(due_in_s, remaining_tokens * self._pace.token_s)
-        now = time.monotonic()
-        spec = WorkSpec(
-            find=self._find_route,
-            routing_key=self._item.item_id,
-            customer=self._head.customer or self._head.host,
-            work_class=WorkClass.BATCH,
-            deadline=now + order.budget_s,
-            start_by=(
-                None
-                if order.start_within_s is None
-                else now + order.start_within_s
-            ),
-            prompt_tokens=req.prompt_tokens
-            + len(self._progress.event_texts) * self._event_tokens(),
-            output_tokens=remaining_tokens,
-            prefix=req.prefix,
-            revocable=True,
-            service=service,
-        )
+        work = self._work.spec(self._request(None), service)
         return self._dependencies.acquirer.ask(
-            spec, self._avoid, self._on_revoke
+            work, self._avoid, self._on_revoke
         )
 
     def _request(self, after_event: int | None) -> RelayRequest:
         return self._make_request(self._head, self._item, after_event)
 
-    def _remaining_tokens(self, req: RelayRequest) -> int:
-        """Estimate the number of tokens still to be generated."""
-        generated = len(self._progress.event_texts) * self._event_tokens()
-        return max(self._event_tokens(), req.output_tokens - generated)
-
-    def _event_tokens(self) -> int:
-        table = self._dependencies.directory.routes()
-        route = table.find(self._head.host, self._item.path)
-        if route is None:
-            return 1
-        service = table.services.get(self._service)
-        return service.event_tokens if service is not None else 1
-
-    def _find_route(self) -> RelayRoute | None:
-        table = self._dependencies.directory.routes()
-        return table.find(self._head.host, self._item.path)
-
     def _route_is_missing(self) -> bool:
         if self._dependencies.directory.routes().version == 0:
             return False
@@ -335,193 +326,16 @@
 
     def _on_revoke(self) -> None:
         self._revoked = True
-        abort = self._abort
-        if abort is not None:
-            abort()
-
-    def _log_held_back(self, exc: QuarantinedError) -> None:
-        self.held_back = True
-        LOG.info(
-            "item held back",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            part=exc.part,
-            engines=exc.engines,
-        )
-
-    def _log_permit(self, permit: HeldPermit) -> None:
-        LOG.info(
-            "item placed",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            engine=permit.engine.name,
-            ask=permit.ask_id,
-            queued_ms=round(permit.queued_s * 1_000),
-            events=len(self._progress.event_texts),
-        )
-
-    def _log_doubt(self, permit: HeldPermit) -> None:
-        LOG.info(
-            "item end in doubt",
-            job=self._head.job_id,
-            item=self._item.item_id,
-            engine=permit.engine.name,
-            last=self._progress.last,
-            **self._framing,
-        )
-
-    def _attempt(self, permit: HeldPermit) -> End:
-        """Run the item on an engine and record its events.
-
-        :returns: what proves the output whole, or that its end is in doubt
-        :raises WireError: if the output is incomplete
-        """
-        self._progress.route_missing_since = None
-        self._framing = {}
-        watched: WatchedCall | None = None
-        answer: EngineAnswer | None = None
-        outcome = ReleaseOutcome.FAILED
-        closed = False
-        events = 0
-
-        def on_open(abort: Callable[[], None]) -> None:
-            nonlocal watched
-            self._abort = abort
-            watched = WatchedCall(self._should_stop, abort)
-            self._dependencies.watch.add(watched)
-            if self._revoked:
-                abort()
-
-        deadline = Deadline(time.monotonic() + MAX_ATTEMPT_S)
-        req = self._request(self._progress.resume())
-        try:
-            answer = self._dependencies.engines.send(
-                permit.engine,
-                req,
-                deadline,
-                on_open,
-                deadline.within(READ_TIMEOUT_S),
-            )
-            self._framing = framing(answer)
-            permit.mark_limit(answer.head.limit_per_s)
-            self._check_head(answer, deadline)
-            with self.output.attempt(answer.abort):
-                events = self._read(answer, deadline, permit)
-            unframed = answer.head.ends_with_connection
-            end = self._progress.judge(events, unframed)
-            if end is End.BROKEN_OFF or (unframed and not events):
-                if end is End.IN_DOUBT:
-                    # Sound if all events had come before.
-                    outcome = ReleaseOutcome.CANCELLED
-                raise WireError(CUT)
-            if end is End.SECOND_RUN:
-                # Engines that die of the same output end alike.
-                self._dependencies.engines.check_alive(
-                    permit.engine, deadline.within(READ_TIMEOUT_S)
-                )
-            if end is End.IN_DOUBT:
-                outcome = ReleaseOutcome.CANCELLED
-                return end
-            self.output.complete()
-            outcome = ReleaseOutcome.DONE
-            if req.after_event is None:
-                elapsed_s = time.monotonic() - permit.sent_at
-                self._pace.observe(req.output_tokens, elapsed_s)
-            return end
-        except BadEventError as exc:
-            raise WireError(EngineFailed(str(exc), Ran.MAYBE))
-        except WireError as exc:
-            closed = exc.failed.closed
-            if exc.failed is LEAVES:
-                outcome = ReleaseOutcome.UNUSED
-            elif exc.failed in YIELDED:
-                # Items at other engines may hold the bytes.
-                outcome = ReleaseOutcome.CANCELLED
-            raise
-        finally:
-            if watched is not None:
-                self._dependencies.watch.remove(watched)
-            if answer is not None:
-                answer.finish()
-            if self._revoked or (watched is not None and watched.ended):
-                outcome = ReleaseOutcome.CANCELLED
-            if closed and outcome is ReleaseOutcome.FAILED:
-                permit.mark_connection_ended()
-            permit.release(outcome, events)
-
-    def _check_head(self, answer: EngineAnswer, deadline: Deadline) -> None:
-        head = answer.head
-        if head.is_success:
-            return
-        skip_rest(answer, deadline)
-        if head.leaving and head.not_run:
-            raise EngineLeavesError
-        ran = Ran.NO if head.not_run else Ran.YES
-        raise WireError(
-            EngineFailed(f"status {head.status}", ran, status=head.status)
-        )
-
-    def _read(
-        self,
-        answer: EngineAnswer,
-        deadline: Deadline,
-        permit: HeldPermit,
-    ) -> int:
-        """Record the events of an answer; return their number.
-
-        :raises WireError: if the answer is cut
-        :raises BadEventError: if an event doesn't belong to the output
-        """
-        splitter = EventSplitter(answer.head.second)
-        try:
-            count = self._read_events(answer, splitter, deadline, permit)
-            if splitter.pending:
-                raise WireError(CUT_IN_EVENT)
-        except WireError:
-            if splitter.pending:
-                self._progress.note_begun()
-            raise
-        except BadEventError as exc:
-            if exc.more:
-                self._progress.note_begun()
-            raise
-        return count
-
-    def _read_events(
-        self,
-        answer: EngineAnswer,
-        splitter: EventSplitter,
-        deadline: Deadline,
-        permit: HeldPermit,
-    ) -> int:
-        count = 0
-        order = EventOrder(self._progress.last)
-        event_due = deadline.within(READ_TIMEOUT_S)
-        while not splitter.ended:
-            data = answer.read_some(event_due)
-            if not data:
-                break
-            events = splitter.feed(data)
-            if events:
-                permit.mark_first_event()
-                event_due = deadline.within(READ_TIMEOUT_S)
-            for event in events:
-                order.accept(event)
-                self._progress.add(event)
-            if self._progress.whole:
-                self._doubts.judge(self._progress.last)
-            self.output.resize(self._progress.taken + splitter.size)
-            count += len(events)
-        return count
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.revoke()
 
     def _handle_failure(
         self, permit: HeldPermit, failed: EngineFailed
     ) -> ItemOutcome | None:
         """Return the outcome if the failure is final, ``None`` to retry."""
-        LOG.info(
+        self._log.write(
             "item attempt failed",
-            job=self._head.job_id,
-            item=self._item.item_id,
             engine=permit.engine.name,
             reason=failed.reason,
             revoked=self._revoked,
@@ -535,7 +349,7 @@
             return self._abandon("can't be done")
         if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
             self._progress.failures += 1
-            route = self._find_route()
+            route = self._work.find_route()
             limit = route.max_attempts if route is not None else 1
             if self._progress.failures >= limit:
                 return self._abandon("failed at each run")
@@ -545,10 +359,8 @@
         return None
 
     def _abandon(self, reason: str) -> ItemOutcome:
-        LOG.info(
+        self._log.write(
             "item given up",
-            job=self._head.job_id,
-            item=self._item.item_id,
             reason=reason,
             failures=self._progress.failures,
         )
@@ -557,10 +369,8 @@
         )
 
     def _complete(self, engine: str, proof: End) -> ItemOutcome:
-        LOG.info(
+        self._log.write(
             "item done",
-            job=self._head.job_id,
-            item=self._item.item_id,
             engine=engine,
             events=len(self._progress.event_texts),
             last=self._progress.last,
