--- a/src/mulberrypass/relay/dependencies.py
+++ b/src/mulberrypass/relay/dependencies.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
+from mulberrypass.policy.online.failing import FailingEngines
 from mulberrypass.relay.ending import PlannedEnd
 from mulberrypass.relay.quotas import CustomerQuotas, NoQuotas
 from mulberrypass.relay.repeats import Repeats
@@ -30,6 +31,7 @@
     bodies: HeldBodies = field(default_factory=HeldBodies)
     quotas: CustomerQuotas = field(default_factory=NoQuotas)
     repeats: Repeats = field(default_factory=Repeats)
+    failing: FailingEngines = field(default_factory=FailingEngines)
 
 
 __all__ = ["RelayDependencies"]
--- a/src/mulberrypass/relay/engine_run.py
+++ b/src/mulberrypass/relay/engine_run.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from mulberrypass.engine.api import EngineFailed
 from mulberrypass.engine.wire import WireError
 from mulberrypass.model.outcome import Ran
+from mulberrypass.policy.messages import ReleaseOutcome
 from mulberrypass.relay.unread import skip_rest
 from mulberrypass.relay.watch import WatchedCall
 
@@ -15,7 +17,6 @@
     from collections.abc import Callable
 
     from mulberrypass.engine.wire import Deadline
-    from mulberrypass.policy.messages import ReleaseOutcome
     from mulberrypass.relay.api import EngineAnswer, RelayRequest
     from mulberrypass.relay.dependencies import RelayDependencies
     from mulberrypass.relay.permits import HeldPermit
@@ -132,6 +133,9 @@
         if self.answer is not None:
             self.answer.finish()
             self.answer = None
+        if outcome in (ReleaseOutcome.DONE, ReleaseOutcome.FAILED):
+            done = outcome is ReleaseOutcome.DONE
+            self._deps.failing.note(self.engine, done, time.monotonic())
         self.permit.release(outcome, tokens)
 
     def _watch(self, abort: Callable[[], None]) -> None:
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -145,7 +145,8 @@
 
     def _need(self) -> PermitNeed:
         engines = self._deps.directory.engine_names()
-        return self._runs.need(engines, self._service)
+        failing = self._deps.failing.names(time.monotonic())
+        return self._runs.need(engines, self._service, failing)
 
     def _attempt(
         self, run: EngineRun
--- a/src/mulberrypass/relay/run_record.py
+++ b/src/mulberrypass/relay/run_record.py
@@ -82,14 +82,20 @@
         )
         return reason_against(late) is None
 
-    def need(self, engines: Iterable[str], service: str) -> PermitNeed:
+    def need(
+        self,
+        engines: Iterable[str],
+        service: str,
+        failing: tuple[str, ...] = (),
+    ) -> PermitNeed:
         """Return what the next run needs.
 
         :param engines: the known engines
         :param service: the service that has begun the answer
+        :param failing: engines whose latest run has failed
         """
         return PermitNeed(
-            self._runs.avoided(self.settles, engines),
+            self._runs.avoided(self.settles, engines, failing),
             self.doubt_ends_at,
             self._runs.attempts,
             self.maybe_ran,
