Report what an engine says of its moment with its first event

Cause: the fourth figure of the load header was parsed and then dropped, and a missing figure was taken for the usual one. Change: HeldPermit.mark_first_event passes the figure on to the owner of the cell. A missing figure is 0, which means unknown. A percentage outside 1 to 10,000 is treated like one that can't be parsed.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -503,7 +503,7 @@
                 break
             events = splitter.feed(data)
             if events:
-                permit.mark_first_event()
+                permit.mark_first_event(answer.head.slowness)
                 event_due = deadline.within(READ_TIMEOUT_S)
             for event in events:
                 order.accept(event)
--- a/src/mulberrypass/platform/headers.py
+++ b/src/mulberrypass/platform/headers.py
@@ -39,6 +39,9 @@
 COUNT = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 MS_PER_S = 1_000.0
 NORMAL_SLOWNESS_PERCENT = 100.0
+# The platform names no other bounds; a figure outside is damaged.
+MIN_PERCENT = 1.0
+MAX_PERCENT = 10_000.0
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -159,7 +162,10 @@
         return EngineLoad(running, waiting, slots)
     if not DECIMAL.fullmatch(fields[3]) or len(fields[3]) > MAX_DIGITS:
         return None
-    slowness = float(fields[3]) / NORMAL_SLOWNESS_PERCENT
+    percent = float(fields[3])
+    if not MIN_PERCENT <= percent <= MAX_PERCENT:
+        return None
+    slowness = percent / NORMAL_SLOWNESS_PERCENT
     return EngineLoad(running, waiting, slots, slowness)
 
 
--- a/src/mulberrypass/relay/api.py
+++ b/src/mulberrypass/relay/api.py
@@ -88,13 +88,14 @@
 class EngineLoad:
     """An engine's load as reported in an answer.
 
-    :param slowness: current service time relative to normal, which is 1.0
+    :param slowness: current service time relative to normal, which is 1.0;
+        0 if unknown
     """
 
     running: int
     waiting: int
     slots: int
-    slowness: float = 1.0
+    slowness: float = 0.0
 
 
 @value_class
@@ -134,6 +135,11 @@
         """Whether the status says that the request succeeded."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
+    @property
+    def slowness(self) -> float:
+        """The engine's service time relative to normal; 0 if unknown."""
+        return self.load.slowness if self.load is not None else 0.0
+
     @property
     def second(self) -> SecondAnswer | None:
         """What tells a copy of the answer in its body.
--- a/src/mulberrypass/relay/forward.py
+++ b/src/mulberrypass/relay/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import field, replace
+from functools import partial
 from http import HTTPStatus
 import time
 from typing import TYPE_CHECKING
@@ -377,7 +378,7 @@
         for data in self._stream.read(
             answer,
             self._read_deadline,
-            self._permit.mark_first_event,
+            partial(self._permit.mark_first_event, answer.head.slowness),
             held.resize,
             lambda: self._check_engine(answer),
             self._ends_as_it_came(answer),
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -118,12 +118,16 @@
     _unjudged: Release | None = field(default=None, init=False)
     revoked: Callable[[], bool] = lambda: False
 
-    def mark_first_event(self) -> None:
-        """Report the latency of the first event to the owner."""
+    def mark_first_event(self, slowness: float = 0.0) -> None:
+        """Report the latency of the first event to the owner.
+
+        :param slowness: what the answer says of the engine's moment; 0 if
+            unknown
+        """
         if self.first_at is None:
             self.first_at = time.monotonic()
             after_s = self.first_at - self.sent_at
-            self.permits.tell(FirstToken(self.ask_id, after_s))
+            self.permits.tell(FirstToken(self.ask_id, after_s, slowness))
             self._mark_begun()
 
     def mark_limit(self, per_s: float | None) -> None:
