Choose engines by their lasting and momentary paces

Cause: engines of one service that differ in speed for good were chosen as if they were alike, and one that was slow for a moment kept getting work. Health took an engine out that is slower for good, if it passed the limit. Change: the owner of a cell keeps two figures for each engine (policy/health/paces.py). The score of an engine is its expected time to first event times its pace. If engines differ, batch work goes to the slowest ones that are in no prefill, as long as the item ends in time. Health compares each engine's latencies after dividing them by its lasting pace, and paces aren't learned from reduced engines.

--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -23,9 +23,11 @@
     estimate_work,
     lane_of,
 )
+from mulberrypass.policy.admission.routing import decode_steps
 from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.health.holder_baselines import HolderBaselines
-from mulberrypass.policy.health.tracker import HealthTracker
+from mulberrypass.policy.health.paces import EnginePaces
+from mulberrypass.policy.health.tracker import FULL_SHARE, HealthTracker
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
@@ -67,6 +69,7 @@
         self.settings = settings or CellSettings()
         self.batch_pacer = BatchPacer(self.settings.pacing)
         self.health = HealthTracker(self.settings.health)
+        self.paces = EnginePaces()
         self._ledger = Ledger(self.settings)
         self._unjudged: AwaitedVerdicts[Permit] = AwaitedVerdicts()
         self._dispatcher = Dispatcher(
@@ -74,6 +77,7 @@
             self._ledger,
             self.health,
             self.batch_pacer,
+            self.paces,
             now + self.settings.settle_s,
         )
         self._service = ServiceEstimate()
@@ -102,7 +106,11 @@
         :param loaded: versions that backend servers have loaded, if known
         """
         self._ledger.set_engines(backends, leaving, loaded or {})
-        self.health.set_engines(self._ledger.usable())
+        usable = self._ledger.usable()
+        self.health.set_engines(usable)
+        self.paces.set_engines(
+            {name: self.engines[name].backend.address for name in usable}
+        )
         self._dispatcher.apply_health(now)
         weights = {name: c.weight for name, c in customers.items()}
         for queue in self._dispatcher.queues:
@@ -127,8 +135,8 @@
                 self._on_release(message, now)
             case LimitReport():
                 self._on_limit(message, now)
-            case PaceReport():
-                pass
+            case PaceReport(backend=backend, pace=pace, age_s=age_s):
+                self.paces.lasting.hint(backend, pace, age_s, now)
         return self._run(now)
 
     def holder_lost(self, holder: str, now: float) -> list[CellDecision]:
@@ -146,7 +154,10 @@
             self._ledger.end(permit)
         self.batch_pacer.tick(now)
         if self.health.due(now):
-            self.health.evaluate(now, self._ledger.first_token_ages(now))
+            ages = self._ledger.first_token_ages(now)
+            self.paces.evaluate(now, ages)
+            paces = self.paces.lasting.for_health(self.health.reduced())
+            self.health.evaluate(now, ages, paces)
         self._dispatcher.apply_health(now)
         return self._run(now)
 
@@ -224,7 +235,9 @@
         """Answer a repeated ask, as the first answer may have been lost."""
         self._ledger.confirm(permit)
         if not ask.granted:
-            self._send(permit.ask, Grant(ask.ask_id, permit.backend))
+            pace = self.paces.lasting.known(permit.backend)
+            grant = Grant(ask.ask_id, permit.backend, pace=pace)
+            self._send(permit.ask, grant)
         if permit.revoked:
             self._send(permit.ask, Revoke(ask.ask_id))
 
@@ -334,6 +347,9 @@
         self.engines[permit.backend].finish_prefill(permit)
         steps = message.after_s / permit.expected_steps
         self.health.record_first_token(permit.backend, steps, now)
+        self.paces.momentary.note(permit.backend, message.slowness, now)
+        if self._may_learn(permit.backend):
+            self.paces.lasting.record_first_token(permit.backend, steps, now)
         if not permit.is_batch:
             self.batch_pacer.observe_first_token(message.after_s)
 
@@ -385,10 +401,27 @@
             token_s = decode_s / message.tokens
             ratio = self._baselines.normalize(permit.ask.holder, token_s)
             self.health.record_token_time(permit.backend, ratio, now)
+            self.paces.note_token_s(token_s)
+            if self._may_learn(permit.backend):
+                ratio /= self._decode_steps(permit.backend)
+                self.paces.lasting.record_token_time(
+                    permit.backend, ratio, now
+                )
         work = estimate_work(permit.ask.prompt_tokens, message.tokens)
         queue = self.queued(permit.ask.work_class)
         queue.adjust_charge(permit.ask.customer, work - permit.work)
 
+    def _may_learn(self, backend: str) -> bool:
+        """Return whether an engine is neither held back nor reduced."""
+        return self.health.share(backend) >= FULL_SHARE
+
+    def _decode_steps(self, backend: str) -> float:
+        """Return the expected steps per token beside an engine's work."""
+        engine = self.engines.get(backend)
+        if engine is None:
+            return 1.0
+        return decode_steps(engine, self.settings.routing)
+
     def _wait_s(self, ask: Ask, now: float) -> float:
         """Estimate how long a new online ask waits for a slot."""
         queue = self.queued(WorkClass.ONLINE)
--- a/src/mulberrypass/policy/admission/dispatch.py
+++ b/src/mulberrypass/policy/admission/dispatch.py
@@ -22,6 +22,7 @@
     from mulberrypass.policy.admission.queueing import Lane, QueuedAsk
     from mulberrypass.policy.admission.routing import Choice
     from mulberrypass.policy.admission.settings import CellSettings
+    from mulberrypass.policy.health.paces import EnginePaces
     from mulberrypass.policy.health.tracker import HealthTracker
     from mulberrypass.policy.messages import Ask
 
@@ -50,16 +51,18 @@
         ledger: Ledger,
         health: HealthTracker,
         pacer: BatchPacer,
+        paces: EnginePaces,
         batch_start_at: float,
     ) -> None:
         self._settings = settings
         self._ledger = ledger
         self._health = health
         self._pacer = pacer
+        self._paces = paces
         self._batch_start_at = batch_start_at
         self._last_online_at = 0.0
         self._last_burst_at = -inf
-        self._router = Router(settings)
+        self._router = Router(settings, paces)
         self._revoker = Revoker(settings, ledger)
         self.zones: Mapping[str, str] = {}
         self.online_headroom = 0
@@ -167,7 +170,8 @@
         if limit is not None:
             limit.take(now)
         per_s = max(MIN_PER_S, limit.per_s) if limit is not None else 0.0
-        return Grant(ask.ask_id, choice.engine.backend.name, per_s)
+        name = choice.engine.backend.name
+        return Grant(ask.ask_id, name, per_s, self._paces.lasting.known(name))
 
     def _has_batch_slot(self) -> bool:
         """Return whether batch work may take another slot.
--- a/src/mulberrypass/policy/admission/routing.py
+++ b/src/mulberrypass/policy/admission/routing.py
@@ -7,6 +7,7 @@
 
 from mulberrypass.model.objects import BackendKind
 from mulberrypass.model.value_class import value_class
+from mulberrypass.policy.health.paces import EnginePaces
 from mulberrypass.policy.messages import WorkClass
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
     from mulberrypass.policy.messages import Ask
 
 MIN_SHARE = 0.05
+# Multiple of an item's expected time that must fit before its deadline, as
+# estimates of its tokens are rough.
+END_MARGIN = 1.5
 
 
 @value_class
@@ -38,10 +42,17 @@
 
 
 class Router:
-    """Scores engines by prefill, running work, cached prefixes and health."""
+    """Scores engines by the expected time to first token, and by health.
 
-    def __init__(self, settings: CellSettings) -> None:
+    If engines differ in speed, batch work goes to those that online work
+    would not choose.
+    """
+
+    def __init__(
+        self, settings: CellSettings, paces: EnginePaces | None = None
+    ) -> None:
         self._settings = settings
+        self._paces = paces or EnginePaces()
         self._batch_limits = settings.beside_online
 
     def set_batch_alone(self, alone: bool) -> None:
@@ -65,8 +76,9 @@
         """
         online = ask.work_class is WorkClass.ONLINE
         may_spread = online or self.may_spread_batch(ask, engines)
+        uneven = not online and self._paces.lasting.uneven()
         best = None
-        best_rank = (True, inf, 0)
+        best_rank: tuple[bool, int, float, int] = (True, 0, inf, 0)
         for engine in engines:
             if not self.has_slot(engine, ask.work_class, now):
                 continue
@@ -78,8 +90,11 @@
                 continue
             uncached = self._uncached(engine, ask)
             steps = expected_steps(engine, uncached, self._settings.routing)
-            score = self._score(engine, steps, zone)
-            rank = (not engine.probe, score, engine.last_chosen)
+            score = self._score(ask, engine, steps, zone, now)
+            tier = 0
+            if uneven:
+                tier, score = self._rank_batch(ask, engine, steps)
+            rank = (not engine.probe, tier, score, engine.last_chosen)
             if rank < best_rank:
                 best_rank = rank
                 best = Choice(engine, uncached, steps, score)
@@ -163,23 +178,55 @@
         cached = blocks * self._settings.routing.block_tokens
         return max(0, ask.prompt_tokens - cached)
 
-    def _score(self, engine: Engine, steps: float, zone: str) -> float:
-        score = steps / max(MIN_SHARE, engine.share)
+    def _rank_batch(
+        self, ask: Ask, engine: Engine, steps: float
+    ) -> tuple[int, float]:
+        """Rank engines for batch work, the slowest for online work first.
+
+        Prefills that wait for each other would delay the online work that is
+        granted there later, so that engines in a prefill come after, with
+        the reduced ones. Engines on which the item would end too late come
+        last, the fastest of them first.
+
+        :returns: tier and score, both to be minimized
+        """
+        name = engine.backend.name
+        ends_s = self._paces.completion_s(name, steps, ask.output_tokens)
+        pace = self._paces.lasting.pace(name)
+        if ends_s * END_MARGIN > ask.budget_s:
+            return 2, ends_s
+        if engine.share < 1.0 or engine.prefill_tokens:
+            return 1, steps * pace / max(MIN_SHARE, engine.share)
+        return 0, -decode_steps(engine, self._settings.routing) * pace
+
+    def _score(
+        self, ask: Ask, engine: Engine, steps: float, zone: str, now: float
+    ) -> float:
+        name = engine.backend.name
+        if ask.work_class is WorkClass.ONLINE:
+            pace = self._paces.online(name, now)
+        else:
+            pace = self._paces.lasting.pace(name)
+        score = steps * pace / max(MIN_SHARE, engine.share)
         if zone and zone != engine.backend.zone:
             score += self._settings.routing.zone_steps
         return score
 
 
+def decode_steps(engine: Engine, settings: RoutingSettings) -> float:
+    """Estimate the time per token, in steps of an empty engine."""
+    occupancy = engine.running / max(1, engine.backend.slots)
+    return 1.0 + settings.occupancy_steps * occupancy
+
+
 def expected_steps(
     engine: Engine, uncached_tokens: int, settings: RoutingSettings
 ) -> float:
     """Estimate the time to first token, in steps of an empty engine."""
-    backend = engine.backend
-    occupancy = engine.running / max(1, backend.slots)
-    decode = 1.0 + settings.occupancy_steps * occupancy
+    decode = decode_steps(engine, settings)
     tokens = engine.prefill_tokens + uncached_tokens
-    chunks = tokens / max(1, backend.prefill_tokens)
+    chunks = tokens / max(1, engine.backend.prefill_tokens)
     return decode + chunks * (decode + settings.full_prefill_steps)
 
 
-__all__ = ["Choice", "Router", "expected_steps"]
+__all__ = ["Choice", "Router", "decode_steps", "expected_steps"]
--- a/src/mulberrypass/policy/health/samples.py
+++ b/src/mulberrypass/policy/health/samples.py
@@ -53,15 +53,19 @@
     medians: tuple[float, ...]
 
     @classmethod
-    def of(cls, engines: Iterable[Samples]) -> PeerMedians:
-        """Return the medians of all engines."""
-        return cls(tuple(sorted(e.median() for e in engines if len(e))))
+    def of(cls, engines: Iterable[tuple[Samples, float]]) -> PeerMedians:
+        """Return the medians of all engines, divided by their paces."""
+        medians = (e.median() / pace for e, pace in engines if len(e))
+        return cls(tuple(sorted(medians)))
 
-    def excluding(self, own: Samples) -> float:
-        """Return the median of the other engines' medians; 0 if unknown."""
+    def excluding(self, own: Samples, pace: float) -> float:
+        """Return the median of the other engines' medians; 0 if unknown.
+
+        :param pace: pace of the engine that is left out
+        """
         others = list(self.medians)
         if len(own):
-            others.remove(own.median())
+            others.remove(own.median() / pace)
         if not others:
             return 0.0
         middle = len(others) // 2
--- a/src/mulberrypass/policy/health/tracker.py
+++ b/src/mulberrypass/policy/health/tracker.py
@@ -48,6 +48,7 @@
     probe_wait_s: float = 0.0
     ratio: float = 0.0
     why: str = ""
+    pace: float = 1.0
     pending_ages: Sequence[float] = field(default_factory=tuple)
 
     def clear(self) -> None:
@@ -59,6 +60,7 @@
 class HealthTracker:
     """Compares each engine of a cell with the median of its peers.
 
+    An engine that is slower for good is judged by its own lasting pace.
     At most half of the engines have a reduced share at any time.
     """
 
@@ -155,27 +157,31 @@
         return now >= self._next_at
 
     def evaluate(
-        self, now: float, pending_ages: Mapping[str, Sequence[float]]
+        self,
+        now: float,
+        pending_ages: Mapping[str, Sequence[float]],
+        paces: Mapping[str, float] | None = None,
     ) -> None:
         """Adjust the shares by the samples since the last change.
 
         :param pending_ages: ages of work without a first token, relative
             to the expected time to first token
+        :param paces: lasting paces of engines; 1 for others
         """
         self._next_at = now + self._settings.interval_s
         oldest = now - self._settings.sample_age_s
         for name, record in self._records.items():
             record.pending_ages = pending_ages.get(name, ())
+            record.pace = (paces or {}).get(name, 1.0)
             record.first_tokens.drop_old(oldest)
             record.token_times.drop_old(oldest)
             record.calls.drop_old(oldest)
+        records = self._records.values()
         first_tokens = PeerMedians.of(
-            r.first_tokens for r in self._records.values()
-        )
-        token_times = PeerMedians.of(
-            r.token_times for r in self._records.values()
+            (r.first_tokens, r.pace) for r in records
         )
-        calls = PeerMedians.of(r.calls for r in self._records.values())
+        token_times = PeerMedians.of((r.token_times, r.pace) for r in records)
+        calls = PeerMedians.of((r.calls, 1.0) for r in records)
         ratios = {
             name: self._ratio(record, first_tokens, token_times, calls)
             for name, record in self._records.items()
@@ -230,7 +236,8 @@
         ratios: list[tuple[float, str]] = []
         weight = self._settings.first_weight
         min_samples = MIN_SLOW_SAMPLES if record.share == FULL_SHARE else 1
-        peer_median = first_tokens.excluding(record.first_tokens)
+        pace = record.pace
+        peer_median = first_tokens.excluding(record.first_tokens, pace) * pace
         if peer_median and len(record.first_tokens) >= min_samples:
             ratio = record.first_tokens.median() / peer_median * weight
             ratios.append((ratio, "first token"))
@@ -240,10 +247,10 @@
             late = median(record.pending_ages) / peer_median * weight
             if late > self._settings.slow_ratio:
                 ratios.append((late, "overdue"))
-        peer_median = token_times.excluding(record.token_times)
+        peer_median = token_times.excluding(record.token_times, pace) * pace
         if peer_median and len(record.token_times) >= min_samples:
             ratios.append((record.token_times.median() / peer_median, "pace"))
-        peer_median = calls.excluding(record.calls)
+        peer_median = calls.excluding(record.calls, 1.0)
         plain = not token_times.medians and not first_tokens.medians
         if plain and peer_median and len(record.calls) >= min_samples:
             ratios.append((record.calls.median() / peer_median, "call"))
