Tell a new owner the lasting paces of engines

Cause: a new owner of a cell started without knowledge of which engines are slower for good. The two kinds of reports are in peer/owner_reports.py, which the agent asks. Owners log a changed pace ("engine pace") and show both figures in the state dump.

--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -268,6 +268,7 @@
             self._queue_decisions(cell.tick(now))
         self._cells.log_health()
         self._cells.log_limits()
+        self._cells.log_paces(now)
         if now >= self._loads_logged_at + LOAD_LOG_INTERVAL_S:
             self._loads_logged_at = now
             self._cells.log_loads()
@@ -290,7 +291,7 @@
 
     def _state(self) -> dict[str, Any]:
         return {
-            "cells": self._cells.state(),
+            "cells": self._cells.state(self._clock()),
             "holders": sorted(self._sessions),
             "inbox": self._inbox.qsize(),
         }
--- a/src/mulberrypass/peer/permit_agent.py
+++ b/src/mulberrypass/peer/permit_agent.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.jsonable import jsonable
-from mulberrypass.peer.permit_limits import KnownLimits
+from mulberrypass.peer.owner_reports import OwnerReports
 from mulberrypass.peer.permit_request import PermitRequest, RequestState
 from mulberrypass.policy.admission.without_owner import LocalShare
 from mulberrypass.policy.messages import (
@@ -71,7 +71,7 @@
         self._clock = clock
         self._metrics = metrics
         self._local_share = LocalShare()
-        self._limits = KnownLimits()
+        self._reports = OwnerReports()
         self._requests: dict[str, PermitRequest] = {}
         self._unjudged: AwaitedVerdicts[str] = AwaitedVerdicts()
         self._timer: asyncio.TimerHandle | None = None
@@ -142,26 +142,17 @@
 
     def _on_limit(self, report: LimitReport) -> None:
         now = self._clock()
-        self._limits.note(report.backend, report.requests_per_s, now)
+        self._reports.limits.note(report.backend, report.requests_per_s, now)
         request = self._requests.get(report.ask_id)
         if request is not None and not request.waiting:
             self._sessions.send(request.owner, report)
 
-    def _compare_limits(self, session: OwnerSession, grant: Grant) -> None:
-        """Learn a limit from a grant, or tell an owner that is new to it."""
+    def _compare(self, session: OwnerSession, grant: Grant) -> None:
+        """Learn from a grant, and tell its owner what it doesn't know."""
         now = self._clock()
-        known = self._limits.per_s(grant.backend, now)
-        if grant.limit_per_s > 0:
-            self._limits.note(grant.backend, grant.limit_per_s, now)
-        elif known > 0:
-            report = LimitReport("", grant.backend, known)
+        for report in self._reports.on_grant(session.owner, grant, now):
             self._sessions.send(session.owner, report)
 
-    def _send_limits(self, owner: str) -> None:
-        """Tell an owner of the known limits; it may be new to its cells."""
-        for backend, per_s in self._limits.current(self._clock()).items():
-            self._sessions.send(owner, LimitReport("", backend, per_s))
-
     def _route(self, request: PermitRequest) -> None:
         """Send a request to a cell's owner, or fail open without one."""
         ask = request.ask
@@ -207,12 +198,12 @@
         allowed = [
             backend
             for backend in backends
-            if self._limits.admits_local(backend.name, members, now)
+            if self._reports.limits.admits_local(backend.name, members, now)
         ]
         backend = self._local_share.choose(request.ask, allowed, members)
         if backend is None:
             return False
-        self._limits.take_local(backend, now)
+        self._reports.limits.take_local(backend, now)
         request.local = True
         self._local_share.acquire(backend)
         self._metrics.count(Decision.FAIL_OPEN)
@@ -225,7 +216,7 @@
     def _grant(self, request: PermitRequest, backend: str) -> None:
         request.state = RequestState.RUNNING
         request.backend = backend
-        limit_per_s = self._limits.per_s(backend, self._clock())
+        limit_per_s = self._reports.limits.per_s(backend, self._clock())
         grant = Grant(request.ask.ask_id, backend, limit_per_s)
         self._resolve(request, grant)
 
@@ -258,7 +249,7 @@
         request = self._requests.get(message.ask_id)
         match message:
             case Grant(ask_id=ask_id, backend=backend):
-                self._compare_limits(session, message)
+                self._compare(session, message)
                 self._on_grant(session, request, ask_id, backend)
             case Refuse() if request and request.owner == session.owner:
                 self._on_refuse(request, message)
@@ -309,7 +300,8 @@
 
     def _on_open(self, session: OwnerSession) -> None:
         """Send an owner all its requests and permits on a new connection."""
-        self._send_limits(session.owner)
+        for report in self._reports.for_new_owner(self._clock()):
+            self._sessions.send(session.owner, report)
         for request in self._requests.values():
             if request.owner == session.owner:
                 self._send(request)
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -26,6 +26,8 @@
 LOG = get_logger(__name__)
 HOLDER_PROGRAMS = ("entry", "batch", "control")
 OWNER_PROGRAM = "entry"
+# A smaller change of an engine's pace isn't logged.
+PACE_CHANGE = 1.2
 
 
 class OwnedCells:
@@ -42,6 +44,7 @@
         self._owners = CellOwners()
         self._logged_shares: dict[str, float] = {}
         self._logged_limits: dict[str, float] = {}
+        self._logged_paces: dict[str, float] = {}
         self.loaded: dict[str, frozenset[str]] = {}
 
     def __len__(self) -> int:
@@ -108,6 +111,26 @@
         for name in before.keys() - limits.keys():
             LOG.info("engine limit ended", engine=name)
 
+    def log_paces(self, now: float) -> None:
+        """Log engines whose lasting pace changed since its last line."""
+        engines = {name for cell in self for name in cell.engines}
+        for name in self._logged_paces.keys() - engines:
+            del self._logged_paces[name]
+        for cell in self:
+            for name in cell.engines:
+                pace = cell.paces.lasting.known(name)
+                before = self._logged_paces.get(name, 1.0)
+                change = (pace or 1.0) / before
+                if 1 / PACE_CHANGE < change < PACE_CHANGE:
+                    continue
+                self._logged_paces[name] = pace or 1.0
+                LOG.info(
+                    "engine pace",
+                    engine=name,
+                    lasting=round(pace, 2),
+                    moment=round(cell.paces.momentary.pace(name, now), 2),
+                )
+
     def log_health(self) -> None:
         """Log engines whose health score changed since the last call."""
         for cell in self._cells.values():
@@ -147,10 +170,11 @@
                 ],
             )
 
-    def state(self) -> dict[str, Any]:
+    def state(self, now: float) -> dict[str, Any]:
         """Return queues, permits and scores of each cell as JSON values."""
         return {
-            key.name: _cell_state(cell) for key, cell in self._cells.items()
+            key.name: _cell_state(cell, now)
+            for key, cell in self._cells.items()
         }
 
     def _configure(
@@ -189,7 +213,7 @@
         return zones
 
 
-def _cell_state(cell: Cell) -> dict[str, Any]:
+def _cell_state(cell: Cell, now: float) -> dict[str, Any]:
     return {
         "queued": {
             work_class.value: cell.queued(work_class).counts()
@@ -208,6 +232,8 @@
                 "kv_tokens": engine.kv_tokens,
                 "prefill_tokens": engine.prefill_tokens,
                 "prefixes": len(engine.prefixes),
+                "lasting_pace": cell.paces.lasting.known(name),
+                "momentary_pace": cell.paces.momentary.pace(name, now),
             }
             for name, engine in list(cell.engines.items())
         },
