--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -391,7 +391,10 @@
 
     def _on_done(self, permit: Permit, message: Release, now: float) -> None:
         if not permit.is_batch:
-            self._service.observe(permit.work, message.service_s)
+            # In a pulse all engines are in use, and not only the fast ones
+            # that run the work of quiet times.
+            pace = self.paces.lasting.pace(permit.backend)
+            self._service.observe(permit.work, message.service_s / pace)
             if message.gap_s > 0:
                 self.batch_pacer.observe_gap(message.gap_s)
         if message.tokens == 0:
--- a/src/mulberrypass/policy/admission/routing.py
+++ b/src/mulberrypass/policy/admission/routing.py
@@ -24,6 +24,8 @@
 # Multiple of an item's expected time that must fit before its deadline, as
 # estimates of its tokens are rough.
 END_MARGIN = 1.5
+# The last engines to choose: those on which an item would end too late.
+LATE_TIER = 2
 
 
 @value_class
@@ -78,7 +80,7 @@
         may_spread = online or self.may_spread_batch(ask, engines)
         uneven = not online and self._paces.lasting.uneven()
         best = None
-        best_rank: tuple[bool, int, float, int] = (True, 0, inf, 0)
+        best_rank: tuple[bool, int, float, int] = (True, LATE_TIER, inf, 0)
         for engine in engines:
             if not self.has_slot(engine, ask.work_class, now):
                 continue
@@ -90,6 +92,8 @@
                 continue
             uncached = self._uncached(engine, ask)
             steps = expected_steps(engine, uncached, self._settings.routing)
+            if online and self._misses_target(ask, engine, steps, now):
+                continue
             score = self._score(ask, engine, steps, zone, now)
             tier = 0
             if uneven:
@@ -178,6 +182,21 @@
         cached = blocks * self._settings.routing.block_tokens
         return max(0, ask.prompt_tokens - cached)
 
+    def _misses_target(
+        self, ask: Ask, engine: Engine, steps: float, now: float
+    ) -> bool:
+        """Return whether a first event is likely to be late on an engine.
+
+        In a pulse the slowest engine has the last free slots. Prompts that
+        queue for its prefill are served sooner elsewhere, as soon as a slot
+        is free there. An engine in no prefill is never left out, so that
+        nothing waits for long.
+        """
+        if not engine.prefill_tokens or ask.start_within_s <= 0:
+            return False
+        first_s = self._paces.first_event_s(engine.backend.name, steps, now)
+        return first_s > ask.start_within_s
+
     def _rank_batch(
         self, ask: Ask, engine: Engine, steps: float
     ) -> tuple[int, float]:
@@ -194,7 +213,7 @@
         ends_s = self._paces.completion_s(name, steps, ask.output_tokens)
         pace = self._paces.lasting.pace(name)
         if ends_s * END_MARGIN > ask.budget_s:
-            return 2, ends_s
+            return LATE_TIER, ends_s
         if engine.share < 1.0 or engine.prefill_tokens:
             return 1, steps * pace / max(MIN_SHARE, engine.share)
         return 0, -decode_steps(engine, self._settings.routing) * pace
--- a/src/mulberrypass/policy/health/paces.py
+++ b/src/mulberrypass/policy/health/paces.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import exp, log
+from math import exp, log, pow
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -38,6 +38,11 @@
 # Slowness of an engine without a lasting pace that health overlooks, as it
 # may be the engine's own.
 MAX_UNPROVEN_PACE = 1.5
+# Weight of the lasting pace among the costs of online work, as an exponent.
+# With 1 the fast engines have no slot left when a pulse or a long prompt
+# comes (trial: share in time 0.983 against 0.984, 99th percentile of the time
+# to first event 294 ms against 283 ms).
+LASTING_WEIGHT = 0.5
 HINT_WEIGHT = 16.0
 # Own samples, in buckets, at which a hint has no weight any more.
 HINT_BUCKETS = 24.0
@@ -363,8 +368,18 @@
         )
 
     def online(self, name: str, now: float) -> float:
-        """Return the factor of the time to first event of online work."""
-        return self.lasting.pace(name) * self.momentary.pace(name, now)
+        """Return the factor of the cost of online work."""
+        lasting = pow(self.lasting.pace(name), LASTING_WEIGHT)
+        return lasting * self.momentary.pace(name, now)
+
+    def first_event_s(self, name: str, steps: float, now: float) -> float:
+        """Return the expected seconds to a first event on a slower engine.
+
+        :param steps: expected time to first token, in steps
+        :returns: 0 if unknown, or if the engine isn't slower than its peers
+        """
+        pace = self.lasting.pace(name) * self.momentary.pace(name, now)
+        return steps * self.lasting.step_s * pace if pace > 1 else 0.0
 
     def completion_s(self, name: str, steps: float, tokens: int) -> float:
         """Return the expected seconds of an item; 0 if unknown.
