--- a/tests/peer/test_permit_codec.py
+++ b/tests/peer/test_permit_codec.py
@@ -18,7 +18,9 @@
     FirstToken,
     Grant,
     HolderMessage,
+    LimitReport,
     OwnerMessage,
+    PaceReport,
     RefusalReason,
     Refuse,
     Release,
@@ -40,16 +42,27 @@
     ASK_WITH_ALL_FIELDS,
     Withdraw("a"),
     FirstToken("a", 0.25),
+    FirstToken("a", 0.25, 2.5),
+    LimitReport("a", "core-0", 2.5),
+    PaceReport("core-0", 1.5, 12.25),
     *(Release("a", outcome, 1.5, 12, 0.04) for outcome in ReleaseOutcome),
 )
 OWNER_MESSAGES: tuple[OwnerMessage, ...] = (
     Grant("a", "core-0"),
+    Grant("a", "core-0", 2.5, 1.5),
     Revoke("a"),
     *(Refuse("a", reason, 0.5) for reason in RefusalReason),
 )
 
 
 class PermitCodecTest(unittest.TestCase):
+    def test_fields_of_a_later_version_are_unknown(self) -> None:
+        """Members of an earlier version don't send paces."""
+        first = pb.HolderMessage(first_token=pb.FirstToken(ask_id="a"))
+        self.assertEqual(FirstToken("a", 0.0, 0.0), decode_holder(first, "h"))
+        grant = pb.OwnerMessage(grant=pb.Grant(ask_id="a", backend="b"))
+        self.assertEqual(Grant("a", "b", 0.0, 0.0), decode_owner(grant))
+
     def test_round_trip(self) -> None:
         for sent in HOLDER_MESSAGES:
             with self.subTest(sent=sent):
