Test that the slowness of an engine is reported with the first event

Cause: nothing guarded against dropping the figure again on the way. Change: scripted engines may name a load; a stream and an item report it.

--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -24,6 +24,7 @@
     EngineAnswer,
     EngineClient,
     EngineHead,
+    EngineLoad,
     RelayRequest,
 )
 from mulberrypass.relay.directory import Directory
@@ -115,6 +116,7 @@
     leaving: bool = False
     stamped: bool = True
     stamp: str = "s"
+    load: EngineLoad | None = None
     parts: list[bytes | EngineFailed] = field(default_factory=list)
     before: Callable[[], object] | None = None
 
@@ -132,7 +134,7 @@
             script.not_run,
             False,
             None,
-            None,
+            script.load,
             ends_with_connection=script.ends_with_connection,
             leaving=script.leaving,
             stamped=script.stamped,
