--- a/src/mulberrypass/peer/permit_paces.py
+++ b/src/mulberrypass/peer/permit_paces.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from mulberrypass.policy.health.paces import HINT_AGE_S
+from mulberrypass.policy.health.lasting_paces import HINT_AGE_S
 from mulberrypass.policy.messages import PaceReport
 
 # An owner that takes a report tells the pace in its next grants; it doesn't
--- a/tests/peer/test_permit_paces.py
+++ b/tests/peer/test_permit_paces.py
@@ -10,7 +10,7 @@
 from mulberrypass.peer.owner_reports import OwnerReports
 from mulberrypass.peer.permit_agent import PermitAgent
 from mulberrypass.peer.permit_paces import REJECTED_AFTER_S, KnownPaces
-from mulberrypass.policy.health.paces import HINT_AGE_S
+from mulberrypass.policy.health.lasting_paces import HINT_AGE_S
 from mulberrypass.policy.messages import Grant, LimitReport, PaceReport
 from mulberrypass.runtime.metrics import Metrics
 
--- a/tests/policy/admission/uneven.py
+++ b/tests/policy/admission/uneven.py
@@ -13,7 +13,8 @@
 from unittest import mock
 
 from mulberrypass.model.value_class import value_class
-from mulberrypass.policy.health.paces import LastingPaces, MomentaryPaces
+from mulberrypass.policy.health.lasting_paces import LastingPaces
+from mulberrypass.policy.health.paces import MomentaryPaces
 from mulberrypass.policy.messages import (
     Ask,
     FirstToken,
--- a/tests/policy/health/test_paces.py
+++ b/tests/policy/health/test_paces.py
@@ -6,15 +6,14 @@
 import random
 import unittest
 
-from mulberrypass.policy.health.paces import (
+from mulberrypass.policy.health.lasting_paces import (
     ALIKE,
-    FIGURE_AGE_S,
     HINT_AGE_S,
     HINT_BUCKETS,
     MAX_PACE,
-    EnginePaces,
     LastingPaces,
 )
+from mulberrypass.policy.health.paces import FIGURE_AGE_S, EnginePaces
 
 NAMES = tuple(f"core-{index}" for index in range(6))
 ADDRESSES = {name: f"10.0.0.{i}:80" for i, name in enumerate(NAMES)}
@@ -209,6 +208,13 @@
         self.assertEqual(2.5, self.moment(FIGURE_AGE_S))
         self.assertEqual(1.0, self.moment(FIGURE_AGE_S + 0.01))
 
+    def test_engine_at_another_address_has_no_figure(self) -> None:
+        self.paces.momentary.note("core-1", 2.5, 0.0)
+        self.paces.set_engines(ADDRESSES)
+        self.assertEqual(2.5, self.moment(0.1))
+        self.paces.set_engines(ADDRESSES | {"core-1": "10.0.0.99:80"})
+        self.assertEqual(1.0, self.moment(0.1))
+
     def test_fast_moment_counts_as_usual(self) -> None:
         self.paces.momentary.note("core-1", 0.4, 0.0)
         self.assertEqual(1.0, self.moment(0.0))
