--- a/src/mulberrypass/batches/item_attempt.py
+++ b/src/mulberrypass/batches/item_attempt.py
@@ -290,7 +290,7 @@
                 break
             events = splitter.feed(data)
             if events:
-                self._on_events()
+                self._on_events(answer.head.slowness)
                 event_due = deadline.within(READ_TIMEOUT_S)
             for event in events:
                 order.accept(event)
@@ -303,14 +303,15 @@
                 self._wait()
         return count
 
-    def _on_events(self) -> None:
+    def _on_events(self, slowness: float) -> None:
         """Note that events have come.
 
+        :param slowness: what the answer says of the engine's moment
         :raises WireError: if a second run was ahead
         """
         if self._race is not None:
             self._race.on_event()
-        self._permit.mark_first_event()
+        self._permit.mark_first_event(slowness)
 
     def _wait(self) -> None:
         """Wait for the next event, which may be late near the due time."""
--- a/src/mulberrypass/relay/engine_run.py
+++ b/src/mulberrypass/relay/engine_run.py
@@ -59,6 +59,11 @@
         """Name of the engine."""
         return self.permit.engine.name
 
+    @property
+    def slowness(self) -> float:
+        """What the answer says of the engine's moment; 0 if unknown."""
+        return 0.0 if self.answer is None else self.answer.head.slowness
+
     @property
     def aborted(self) -> bool:
         """Whether the connection was closed because the caller had left."""
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -249,7 +249,7 @@
         :raises WireError: if a second run was ahead
         """
         self._count_event()
-        run.permit.mark_first_event()
+        run.permit.mark_first_event(run.slowness)
 
     def _event_due(self) -> Deadline:
         """Begin to wait for the next event; return until when it is due."""
--- a/src/mulberrypass/relay/repeated_run.py
+++ b/src/mulberrypass/relay/repeated_run.py
@@ -211,7 +211,7 @@
             if not self._race.on_answer(self):
                 self._lose(run)
             elif self._plan.stream:
-                run.permit.mark_first_event()
+                run.permit.mark_first_event(run.slowness)
 
     def _acquire(self) -> EngineRun | None:
         """Wait for a permit; return ``None`` if the run doesn't start."""
