--- a/tests/relay/test_customer_quotas.py
+++ b/tests/relay/test_customer_quotas.py
@@ -28,6 +28,7 @@
     Undecided,
 )
 from tests.policy.quotas.cases import ranked
+from tests.quiet import captured_logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -273,6 +274,36 @@
         self.assertEqual(Taken(), self.deputy.take())
 
 
+class UnexplainedRefusalTest(QuotaCase):
+    """An operator can't see why requests within the limit were refused."""
+
+    def test_change_of_the_owner_is_logged_by_the_former_one(self) -> None:
+        with captured_logs() as lines:
+            self.assertEqual(Taken(), self.holder.take())
+            rest = [name for name in NAMES if name != OWNER]
+            # Another instance ranks above it now, as after its return.
+            self.on_loop(lambda: self.deputy.members.see(*rest))
+            self.offset_s += AGE_S
+            self.assertEqual(Taken(), self.deputy.take())
+            self.on_loop(lambda: self.deputy.members.see(*NAMES))
+            self.wait_for(lambda: bool(lines))
+        expected = {
+            "event": "owner of a limit changed",
+            "customer": CUSTOMER.name,
+            "lent": 1,
+            "owner": OWNER,
+        }
+        self.assertEqual(lines[0], {**lines[0], **expected})
+
+    def test_state_names_the_use_of_the_limit(self) -> None:
+        for _request in range(2):
+            self.assertEqual(Taken(), self.holder.take())
+        bucket = self.owner.quotas.state()["buckets"][CUSTOMER.name]
+        self.assertEqual(5.0, bucket["capacity"])
+        self.assertEqual(2, bucket["lent_in_window"])
+        self.assertAlmostEqual(3.0, bucket["tokens"], delta=0.1)
+
+
 class UnboundedWaitTest(QuotaCase):
     """A request waits for longer than 240 ms, or past its deadline."""
 
