Judge the losers of calls by the heads of their answers

A first run that lost was reported with a first event at the time that it had had, calls without a stream too. Owners compare calls by their ends only while no engine has first events, so that one slow call would have ended that; and a call that takes longer than its target counted as a failure of its engine whenever it lost.

Only streams report a first event, and a call without any head counts.

--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -79,6 +79,7 @@
         self._req = req
         self._log = RequestLog(req, req.digest(), route.name, now)
         self._route = route
+        self._is_stream = route.kind is RouteKind.STREAM
         self._disconnected = disconnected
         self._deadline = Deadline(now + wait_s)
         self._quota = RequestQuota(
@@ -109,7 +110,7 @@
             RaceTerms(
                 req.request_id,
                 route.name,
-                route.kind is RouteKind.STREAM,
+                self._is_stream,
                 req.output_tokens,
                 route.target_s,
                 route.gap_s if route.gap_s > 0 else None,
@@ -193,7 +194,7 @@
         try:
             answer = get_answer()
             self._answered = True
-            if self._route.kind is RouteKind.STREAM and answer.head.is_success:
+            if self._is_stream and answer.head.is_success:
                 with run.hold(answer) as held:
                     yield from self._forward_stream(run, answer, held)
                 self._complete(run, answer)
@@ -221,25 +222,26 @@
         avoided = self._runs.avoided(run.engine, engines)
         service = run.permit.engine.service
         is_last = self._runs.attempts + 1 >= self._route.max_attempts
-        stream = self._route.kind is RouteKind.STREAM
-
         return RepeatPlan(
             replace(self._req, after_event=self._stream.last),
             service,
-            stream,
+            self._is_stream,
             self._deadline,
             lambda abandoned, _on_revoke: self._admission.acquire_repeat(
                 service, avoided, abandoned
             ),
-            lambda: self._due.second(stream, is_last),
+            lambda: self._due.second(self._is_stream, is_last),
             self._quota,
         )
 
     def _after_overtaken(self, run: EngineRun) -> None:
         """Release a run that a second one was ahead of."""
         self._runs.note_overtaken(run)
-        outcome = overtaken_outcome(run, self._route.target_s)
-        run.permit.mark_overtaken()
+        target_s = self._route.target_s
+        outcome = overtaken_outcome(run, self._is_stream, target_s)
+        if self._is_stream:
+            # Owners compare calls by their ends, if none has first events.
+            run.permit.mark_overtaken()
         self._release(outcome)
 
     def _on_events(self, run: EngineRun) -> None:
--- a/src/mulberrypass/relay/run_outcome.py
+++ b/src/mulberrypass/relay/run_outcome.py
@@ -47,14 +47,18 @@
     return ReleaseOutcome.FAILED
 
 
-def overtaken_outcome(run: EngineRun, target_s: float) -> ReleaseOutcome:
+def overtaken_outcome(
+    run: EngineRun, stream: bool, target_s: float
+) -> ReleaseOutcome:
     """Return the outcome of a run that a second one was ahead of.
 
     That alone is no fault. An engine that has given no first event in the
-    time in which it is due has failed, as one that is left for its silence.
+    time in which it is due has failed, as one that is left for its silence;
+    so has one without even the head of an answer that isn't a stream.
     """
     run_s = time.monotonic() - run.permit.sent_at
-    if run.permit.first_at is None and run_s >= target_s:
+    silent = run.permit.first_at is None if stream else run.answer is None
+    if silent and run_s >= target_s:
         return ReleaseOutcome.FAILED
     return ReleaseOutcome.CANCELLED
 
--- a/tests/relay/test_race.py
+++ b/tests/relay/test_race.py
@@ -19,7 +19,7 @@
     AnswerHead,
     TruncatedAnswerError,
 )
-from mulberrypass.relay.crash_guard import CrashGuard
+from mulberrypass.relay.crash_guard import CrashGuard, QuarantinedError
 from mulberrypass.relay.forward import Forwarder, RelayDependencies
 from mulberrypass.relay.quotas import (
     CustomerQuotas,
@@ -359,6 +359,20 @@
         self.assertEqual(WHOLE, body)
         self.assertEqual([], engines.of("e3"))
 
+    def test_none_for_a_request_in_quarantine(self) -> None:
+        engines = TimedEngines(e1=[Timed([(0.4, WHOLE)])], e2=[FAST])
+        deps = self.make(engines)
+
+        def check(*_: object) -> None:
+            if engines.calls:
+                raise QuarantinedError("request_crashes_engines", ("e9",))
+
+        self.guard.check = check  # type: ignore[assignment]
+        body, _, _ = self.run_one(deps)
+        self.assertEqual(WHOLE, body)
+        self.assertEqual(1, len(engines.calls))
+        self.assertEqual({"refused_otherwise": 1}, self.counts(deps))
+
 
 class CallTest(RaceCase):
     """A late call without a stream: its whole answer is its first event."""
@@ -374,6 +388,20 @@
         self.assertIsNotNone(engines.of("e1")[0].closed_at)
         self.assertEqual([["cancelled"], ["done"]], self.permits.outcomes)
 
+    def test_slow_call_is_no_late_first_event(self) -> None:
+        """Owners judge calls by their ends while none has first events."""
+        late = Timed([(0.3, b"whole")])
+        for head_s, outcome in ((0.0, "cancelled"), (NEVER_S, "failed")):
+            with self.subTest(head_s=head_s):
+                self.permits = ScriptedPermits(*self.names)
+                silent = Timed([(NEVER_S, b"")], head_s=head_s)
+                engines = TimedEngines(e1=[silent], e2=[late])
+                body, _, _ = self.run_one(self.make(engines, CALL))
+                self.assertEqual(b"whole", body)
+                self.assertEqual([[outcome], ["done"]], self.permits.outcomes)
+                told = [type(m) for m in self.permits.told]
+                self.assertNotIn(FirstToken, told)
+
     def test_first_wins(self) -> None:
         engines = TimedEngines(
             e1=[Timed([(0.25, b"whole")])], e2=[Timed([(NEVER_S, b"")])]
