Share scarce slots among customers

Cause: when one customer sent 5 times its usual rate, the others waited for slots that it had filled at the start of the pulse, and its own work was queued and refused 1.5 s later. Change: policy/admission/shares.py gives each customer its max-min share by weight. Estimates of waits move out of cell.py. Without customers no shares apply.

--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -5,11 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.admission.capacity import (
-    free_slots,
-    limited_wait_s,
-    usable_slots,
-)
+from mulberrypass.policy.admission.capacity import free_slots
 from mulberrypass.policy.admission.cells import CellLoad
 from mulberrypass.policy.admission.decisions import CellDecision
 from mulberrypass.policy.admission.dispatch import Dispatcher
@@ -17,13 +13,13 @@
 from mulberrypass.policy.admission.engine_limits import EngineLimit
 from mulberrypass.policy.admission.ledger import Ledger
 from mulberrypass.policy.admission.pacing import BatchPacer
-from mulberrypass.policy.admission.queue_wait import ServiceEstimate, wait_s
 from mulberrypass.policy.admission.queueing import (
     QueuedAsk,
     estimate_work,
     lane_of,
 )
 from mulberrypass.policy.admission.settings import CellSettings
+from mulberrypass.policy.admission.wait_estimate import WaitEstimator
 from mulberrypass.policy.health.holder_baselines import HolderBaselines
 from mulberrypass.policy.health.tracker import HealthTracker
 from mulberrypass.policy.messages import (
@@ -76,7 +72,9 @@
             self.batch_pacer,
             now + self.settings.settle_s,
         )
-        self._service = ServiceEstimate()
+        self._waits = WaitEstimator(
+            self._ledger, self._dispatcher.online, self._dispatcher.shares
+        )
         self._early = EarlyRefusal(self.settings.early)
         self._baselines = HolderBaselines()
         self._sequence = 0
@@ -107,6 +105,7 @@
         weights = {name: c.weight for name, c in customers.items()}
         for queue in self._dispatcher.queues:
             queue.set_weights(weights)
+        self._dispatcher.shares.enforced = bool(customers)
         self._ledger.limits.configure(customers, quotas, cells, now)
         self._dispatcher.zones = members
         for holder in self._ledger.holders() - set(members):
@@ -242,9 +241,9 @@
                 self._refuse(ask, RefusalReason.CUSTOMER_LIMIT, wait)
                 return
         work = estimate_work(ask.prompt_tokens, ask.output_tokens)
-        needed_s = self._service.expected_s(work) if online else 0.0
+        needed_s = self._waits.service.expected_s(work) if online else 0.0
         needed_s *= self.settings.service_margin
-        wait = self._wait_s(ask, now) if online else 0.0
+        wait = self._waits.wait_s(ask, now) if online else 0.0
         wait *= self.settings.wait_margin
         if ask.budget_s <= 0 or wait + needed_s > ask.budget_s:
             self._refuse(ask, RefusalReason.DEADLINE, wait)
@@ -272,10 +271,15 @@
     def _refuse_early(self, ask: Ask, now: float) -> bool:
         """Refuse online work that would start too late."""
         self._early.count_arrival(now)
-        wait = self._wait_s(ask, now)
-        mean = self._service.mean_s()
-        capacity = self._slots(ask) / mean if mean > 0 else math.inf
-        retry_after_s = self._early.retry_after_s(ask, wait, capacity, now)
+        wait = self._waits.wait_s(ask, now)
+        capacity = self._waits.capacity_per_s(ask)
+        retry_after_s = self._early.retry_after_s(
+            ask,
+            wait,
+            capacity,
+            now,
+            over_share=self._dispatcher.shares.is_over(ask.customer),
+        )
         if retry_after_s is None:
             return False
         self._refuse(ask, RefusalReason.LATE_START, retry_after_s)
@@ -375,7 +379,7 @@
 
     def _on_done(self, permit: Permit, message: Release, now: float) -> None:
         if not permit.is_batch:
-            self._service.observe(permit.work, message.service_s)
+            self._waits.service.observe(permit.work, message.service_s)
             if message.gap_s > 0:
                 self.batch_pacer.observe_gap(message.gap_s)
         if message.tokens == 0:
@@ -389,38 +393,6 @@
         queue = self.queued(permit.ask.work_class)
         queue.adjust_charge(permit.ask.customer, work - permit.work)
 
-    def _wait_s(self, ask: Ask, now: float) -> float:
-        """Estimate how long a new online ask waits for a slot."""
-        queue = self.queued(WorkClass.ONLINE)
-        limits = self._ledger.limits
-        limited_s = self._limited_wait_s(ask, now)
-        if not len(queue) and self.may_run(ask.customer, WorkClass.ONLINE):
-            return limited_s
-        slots = self._slots(ask)
-        work = queue.work_ahead(ask.customer)
-        wait = wait_s(self._service.expected_s(work), slots)
-        wait = max(wait, limited_s)
-        limit = limits.max_running(ask.customer, WorkClass.ONLINE)
-        if limit is None:
-            return wait
-        own = self._service.expected_s(queue.queued_work(ask.customer))
-        return max(wait, wait_s(own, min(slots, limit)))
-
-    def _limited_wait_s(self, ask: Ask, now: float) -> float:
-        """Estimate the wait if all engines name limits."""
-        serving = [e for e in self.engines.values() if e.serves(ask)]
-        ahead = len(self.queued(WorkClass.ONLINE)) + 1
-        return limited_wait_s(serving, ahead, now)
-
-    def _slots(self, ask: Ask) -> int:
-        """Count the slots that can serve an online ask."""
-        mean_s = self._service.mean_s()
-        return sum(
-            usable_slots(engine, mean_s)
-            for engine in self.engines.values()
-            if engine.serves(ask)
-        )
-
     def _refuse_unservable(self) -> None:
         for queue in self._dispatcher.queues:
             for queued in queue:
@@ -453,6 +425,7 @@
     def _run(self, now: float) -> list[CellDecision]:
         ahead = self._early.rate_per_s(now) * self.settings.ahead_s
         self._dispatcher.online_headroom = int(ahead)
+        self._dispatcher.shares.update(self._waits.service.mean_s(), now)
         self._decisions.extend(self._dispatcher.run(now))
         return self._take_decisions()
 
--- a/src/mulberrypass/policy/admission/customer_limits.py
+++ b/src/mulberrypass/policy/admission/customer_limits.py
@@ -70,6 +70,10 @@
             return math.inf
         return max(0, limit - self._running[work_class][customer])
 
+    def running_of(self, customer: str, work_class: WorkClass) -> int:
+        """Return the number of running asks of a customer."""
+        return self._running[work_class][customer]
+
     def started(self, customer: str, work_class: WorkClass) -> None:
         """Count work that starts to run."""
         self._running[work_class][customer] += 1
--- a/src/mulberrypass/policy/admission/dispatch.py
+++ b/src/mulberrypass/policy/admission/dispatch.py
@@ -11,6 +11,7 @@
 from mulberrypass.policy.admission.queueing import FairQueue
 from mulberrypass.policy.admission.revoke import Revoker
 from mulberrypass.policy.admission.routing import Router
+from mulberrypass.policy.admission.shares import CustomerShares
 from mulberrypass.policy.messages import Grant, WorkClass
 
 if TYPE_CHECKING:
@@ -35,10 +36,12 @@
 
     :param lanes: lanes for whose asks no engine has room
     :param ask_waits: whether an eligible ask waits for room
+    :param level: share of slots for a weight of 1; infinity for no limit
     """
 
     lanes: set[Lane] = field(default_factory=set)
     ask_waits: bool = False
+    level: float = inf
 
 
 class Dispatcher:
@@ -65,6 +68,9 @@
         self.online_headroom = 0
         self.online = FairQueue()
         self.batch = FairQueue()
+        self.shares = CustomerShares(
+            settings.share_headroom, ledger, self.online
+        )
 
     @property
     def queues(self) -> tuple[FairQueue, FairQueue]:
@@ -147,6 +153,8 @@
         ):
             return any(self.may_run(c, work_class) for c in queue.customers)
         blocked = _Blocked()
+        if work_class is WorkClass.ONLINE:
+            blocked.level = self.shares.level()
         found = self._next(work_class, blocked, now)
         while found is not None:
             if work_class is WorkClass.BATCH and not self._has_batch_slot():
@@ -190,9 +198,15 @@
         :param blocked: is updated
         """
         queue = self.queue(work_class)
+        online = work_class is WorkClass.ONLINE
         for queued in queue.scan(lambda c: self.may_run(c, work_class)):
             if queued.lane in blocked.lanes:
                 continue
+            if online and self.shares.must_wait(
+                queued.ask.customer, blocked.level
+            ):
+                blocked.ask_waits = True
+                continue
             choice = self._choose(queued.ask, now)
             if choice is not None:
                 return queued, choice
--- a/src/mulberrypass/policy/admission/early_refusal.py
+++ b/src/mulberrypass/policy/admission/early_refusal.py
@@ -30,6 +30,9 @@
     :param window_s: window of the arrival rate
     :param fresh_share: share of the start limit that the expected wait of a
         first attempt may take; a retry may use all of it
+    :param over_share: the same for a customer over its share of the slots,
+        which shrinks while the others' demand grows; its retries may use
+        ``fresh_share``
     :param return_share: share of the remaining budget within which callers
         retry
     :param spread: share of the retry delay over which retries are spread
@@ -39,6 +42,7 @@
 
     window_s: float = 0.5
     fresh_share: float = 0.65
+    over_share: float = 0.3
     return_share: float = 1 / 3
     spread: float = 0.25
     remembered: int = 10_000
@@ -63,16 +67,27 @@
         return bool(ask.subject) and until is not None and now < until
 
     def retry_after_s(
-        self, ask: Ask, wait_s: float, capacity_per_s: float, now: float
+        self,
+        ask: Ask,
+        wait_s: float,
+        capacity_per_s: float,
+        now: float,
+        *,
+        over_share: bool = False,
     ) -> float | None:
         """Return the delay before a retry; ``None`` to queue the ask.
 
         :param wait_s: expected wait for a slot
         :param capacity_per_s: online asks that can start per second
+        :param over_share: whether its customer uses all of its share
         """
         if ask.start_within_s <= 0:
             return None
-        share = 1.0 if self.is_retry(ask, now) else self._settings.fresh_share
+        cfg = self._settings
+        first, again = cfg.fresh_share, 1.0
+        if over_share:
+            first, again = cfg.over_share, cfg.fresh_share
+        share = again if self.is_retry(ask, now) else first
         if wait_s <= ask.start_within_s * share:
             return None
         self._remember(ask, now)
--- a/src/mulberrypass/policy/admission/settings.py
+++ b/src/mulberrypass/policy/admission/settings.py
@@ -112,6 +112,8 @@
     :param over_share_prefill_tokens: maximum pending prefill of an engine
         to which a customer over its fair share may add; one request is
         always allowed
+    :param share_headroom: share of the slots that customers over their share
+        leave free for the online work of others; 0 for no shares
     :param alone: limits of batch work after ``quiet_s`` seconds without
         online work
     :param burst_s: time after a quiet period in which online grants that
@@ -138,6 +140,7 @@
     batch_prefill_tokens: int = 256
     batch_prefill_share: float = 0.6
     over_share_prefill_tokens: int = 256
+    share_headroom: float = 0.0
     alone: BatchLimits = BatchLimits(4, 1_024, 1.0)
     quiet_s: float = 2.0
     burst_s: float = 1.0
--- a/src/mulberrypass/programs/site_settings.py
+++ b/src/mulberrypass/programs/site_settings.py
@@ -31,6 +31,7 @@
     batch_prefill_tokens=16_384,
     batch_prefill_share=1.0,
     over_share_prefill_tokens=16_384,
+    share_headroom=1 / 12,
     alone=BatchLimits(0, 16_384, 1.0),
     fixed_share=1.0,
     service_margin=0.0,
--- a/tests/policy/admission/test_early_refusal.py
+++ b/tests/policy/admission/test_early_refusal.py
@@ -69,6 +69,21 @@
             early_refusal.retry_after_s(other, 0.19, 10.0, 1.5)
         )
 
+    def test_customer_over_its_share_may_wait_less(self) -> None:
+        """Its queued work would become late as the others' demand grows."""
+        early_refusal = EarlyRefusal(SETTINGS)
+        request = ask("a", start_within_s=0.2, subject=7)
+        for over_share, refused in ((False, False), (True, True)):
+            with self.subTest(over_share=over_share):
+                retry_after_s = early_refusal.retry_after_s(
+                    request, 0.1, 10.0, 0.0, over_share=over_share
+                )
+                self.assertEqual(refused, retry_after_s is not None)
+        again = replace(request, ask_id="b")
+        self.assertIsNone(
+            early_refusal.retry_after_s(again, 0.1, 10.0, 1.0, over_share=True)
+        )
+
     def test_retries_in_a_burst_are_late_and_spread(self) -> None:
         early_refusal = EarlyRefusal(SETTINGS)
         for number in range(50):
