Find KV memory for large online asks

Cause: a large ask that fits no engine's memory held up all asks of its lane though slots were free, or was passed over while small asks of other customers took the memory. Batch items that held the memory of all engines were revoked one by one in any place.

--- a/src/mulberrypass/policy/admission/dispatch.py
+++ b/src/mulberrypass/policy/admission/dispatch.py
@@ -8,6 +8,7 @@
 
 from mulberrypass.policy.admission.decisions import CellDecision
 from mulberrypass.policy.admission.engine_limits import MIN_PER_S
+from mulberrypass.policy.admission.large_asks import LargeAskReserve
 from mulberrypass.policy.admission.queueing import FairQueue
 from mulberrypass.policy.admission.revoke import Revoker
 from mulberrypass.policy.admission.routing import Router
@@ -37,11 +38,27 @@
     :param lanes: lanes for whose asks no engine has room
     :param ask_waits: whether an eligible ask waits for room
     :param level: share of slots for a weight of 1; infinity for no limit
+    :param tokens: tokens of the smallest ask of each lane that fits no
+        engine's memory, though there are slots
+    :param large: asks that fit no engine's memory, in fair order
     """
 
     lanes: set[Lane] = field(default_factory=set)
     ask_waits: bool = False
     level: float = inf
+    tokens: dict[Lane, int] = field(default_factory=dict)
+    large: dict[str, QueuedAsk] = field(default_factory=dict)
+
+    def is_too_large(self, queued: QueuedAsk) -> bool:
+        """Return whether an ask is as large as one that fits no engine."""
+        return queued.tokens >= self.tokens.get(queued.lane, inf)
+
+    def add_large(self, queued: QueuedAsk) -> None:
+        """Record an ask that fits no engine's memory."""
+        self.ask_waits = True
+        self.large[queued.ask.ask_id] = queued
+        known = self.tokens.get(queued.lane, queued.tokens)
+        self.tokens[queued.lane] = min(known, queued.tokens)
 
 
 class Dispatcher:
@@ -71,6 +88,7 @@
         self.shares = CustomerShares(
             settings.share_headroom, ledger, self.online
         )
+        self._reserve = LargeAskReserve(ledger, self.online)
 
     @property
     def queues(self) -> tuple[FairQueue, FairQueue]:
@@ -87,15 +105,27 @@
         """Yield the grants and revocations that are due now."""
         if self._update_batch_limits(now):
             yield from self._revoker.for_burst(now)
+        self._reserve.update()
         if len(self.online):
-            ask_waits = yield from self._grant_queued(WorkClass.ONLINE, now)
-            if ask_waits:
-                asks = self._count_waiting_online()
-                yield from self._revoker.for_waiting(asks, now)
+            blocked = yield from self._grant_queued(WorkClass.ONLINE, now)
+            if blocked.ask_waits:
+                yield from self._make_room(blocked, now)
                 return
         if len(self.batch) and now >= self._batch_start_at:
             yield from self._grant_queued(WorkClass.BATCH, now)
 
+    def _make_room(
+        self, blocked: _Blocked, now: float
+    ) -> Iterator[CellDecision]:
+        """Revoke batch work for waiting online asks."""
+        self._reserve.update()
+        self._reserve.keep_for(blocked.large.values(), now)
+        large = next(iter(blocked.large.values()), None)
+        if large is not None:
+            yield from self._revoker.for_memory(large.ask, now)
+        asks = self._count_waiting_online(blocked.level) - len(blocked.large)
+        yield from self._revoker.for_waiting(asks, now)
+
     def _update_batch_limits(self, now: float) -> bool:
         """Relax the limits of batch work while there is no online work.
 
@@ -140,25 +170,28 @@
 
     def _grant_queued(
         self, work_class: WorkClass, now: float
-    ) -> Generator[CellDecision, None, bool]:
+    ) -> Generator[CellDecision, None, _Blocked]:
         """Grant queued asks in fair order.
 
-        :returns: whether an eligible ask waits for room
+        :returns: what could not be granted
         """
         queue = self.queue(work_class)
+        blocked = _Blocked()
+        if work_class is WorkClass.ONLINE:
+            blocked.level = self.shares.level()
         engines = self._ledger.engines.values()
         if not any(
             self._router.has_slot(engine, work_class, now)
             for engine in engines
         ):
-            return any(self.may_run(c, work_class) for c in queue.customers)
-        blocked = _Blocked()
-        if work_class is WorkClass.ONLINE:
-            blocked.level = self.shares.level()
+            blocked.ask_waits = any(
+                self.may_run(c, work_class) for c in queue.customers
+            )
+            return blocked
         found = self._next(work_class, blocked, now)
         while found is not None:
             if work_class is WorkClass.BATCH and not self._has_batch_slot():
-                return blocked.ask_waits
+                return blocked
             queued, choice = found
             queue.serve(queued)
             ask = queued.ask
@@ -167,7 +200,7 @@
             if work_class is WorkClass.ONLINE:
                 yield from self._refill(choice.engine, now)
             found = self._next(work_class, blocked, now) if queue else None
-        return blocked.ask_waits
+        return blocked
 
     def _grant(self, ask: Ask, choice: Choice, now: float) -> Grant:
         """Return the grant, and count it against the engine's limit."""
@@ -199,6 +232,10 @@
         """
         queue = self.queue(work_class)
         online = work_class is WorkClass.ONLINE
+        if online:
+            found = self._kept_choice(blocked, now)
+            if found is not None:
+                return found
         for queued in queue.scan(lambda c: self.may_run(c, work_class)):
             if queued.lane in blocked.lanes:
                 continue
@@ -207,9 +244,15 @@
             ):
                 blocked.ask_waits = True
                 continue
+            if blocked.is_too_large(queued):
+                blocked.add_large(queued)
+                continue
             choice = self._choose(queued.ask, now)
             if choice is not None:
                 return queued, choice
+            if self._has_only_slots(queued.ask, now):
+                blocked.add_large(queued)
+                continue
             blocked.ask_waits = True
             if not self._is_over_share(queued.ask):
                 blocked.lanes.add(queued.lane)
@@ -217,9 +260,38 @@
                 break
         return None
 
+    def _kept_choice(
+        self, blocked: _Blocked, now: float
+    ) -> tuple[QueuedAsk, Choice] | None:
+        """Return the ask that an engine is kept for once it has room."""
+        self._reserve.update()
+        queued = self._reserve.queued
+        if queued is None:
+            return None
+        customer = queued.ask.customer
+        if not self.may_run(customer, WorkClass.ONLINE):
+            return None
+        if self.shares.must_wait(customer, blocked.level):
+            return None
+        choice = self._choose(queued.ask, now)
+        return (queued, choice) if choice is not None else None
+
+    def _has_only_slots(self, ask: Ask, now: float) -> bool:
+        """Return whether engines have slots for an ask but no memory."""
+        return any(
+            self._router.has_slot(engine, ask.work_class, now)
+            and engine.serves(ask)
+            and not engine.fits(ask)
+            for engine in self._ledger.engines.values()
+        )
+
     def _choose(self, ask: Ask, now: float) -> Choice | None:
         """Choose an engine; asks over their fair share leave the reserve."""
-        engines = self._ledger.engines.values()
+        engines = [
+            engine
+            for engine in self._ledger.engines.values()
+            if not self._reserve.is_kept_from(engine, ask)
+        ]
         zone = self.zones.get(ask.holder, "")
         if not self._is_over_share(ask):
             return self._router.choose(ask, engines, zone, now)
@@ -268,11 +340,13 @@
             engine.batch_ready_at = start_at + interval_s
         return permit
 
-    def _count_waiting_online(self) -> int:
+    def _count_waiting_online(self, level: float) -> int:
+        """Count the online asks for which batch work gives up slots."""
         limits = self._ledger.limits
         counts = (
             min(count, limits.headroom(name, WorkClass.ONLINE))
             for name, count in self.online.counts().items()
+            if not self.shares.must_wait(name, level)
         )
         return int(sum(counts))
 
--- a/src/mulberrypass/policy/admission/queueing.py
+++ b/src/mulberrypass/policy/admission/queueing.py
@@ -14,22 +14,31 @@
     from mulberrypass.policy.messages import Ask
 
 PROMPT_TOKEN_WORK = 0.125
+# Asks below this form the smallest class; each further one is twice as large.
+SMALLEST_CLASS_TOKENS = 1_024
 # Longer than any deadline, so that late work sorts after all other work.
 LATE_OFFSET_S = 3_600.0
 
 
 @value_class
 class Lane:
-    """Requirements that asks share; each lane is a queue of its own."""
+    """Requirements that asks share; each lane is a queue of its own.
+
+    :param size: class of the KV memory needed, so that a large ask that
+        waits for memory doesn't hold up its customer's small ones
+    """
 
     version: str
     avoid: tuple[str, ...]
     revocable: bool
+    size: int = 0
 
 
 def lane_of(ask: Ask) -> Lane:
     """Return the lane of an ask."""
-    return Lane(ask.version, ask.avoid, ask.revocable)
+    tokens = ask.prompt_tokens + ask.output_tokens
+    size = (tokens // SMALLEST_CLASS_TOKENS).bit_length()
+    return Lane(ask.version, ask.avoid, ask.revocable, size)
 
 
 def estimate_work(prompt_tokens: int, output_tokens: int) -> float:
@@ -57,6 +66,11 @@
     order_at: float | None = None
     waiting: bool = True
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of KV memory that it may use."""
+        return self.ask.prompt_tokens + self.ask.output_tokens
+
     def __lt__(self, other: QueuedAsk) -> bool:
         """Sort by ``order_at`` or else the deadline, then by arrival."""
         return self._rank() < other._rank()
--- a/src/mulberrypass/policy/admission/ramps.py
+++ b/src/mulberrypass/policy/admission/ramps.py
@@ -27,7 +27,8 @@
     """Limits the running work of large customers.
 
     In one service time a large customer's running work may grow by the slots
-    that the others' demand has left at its peak of the last seconds.
+    that the others' demand has left at its peak of the last seconds. A
+    quarter of the bound may be used at once.
     """
 
     def __init__(self) -> None:
@@ -62,7 +63,9 @@
         per_s = max(bound, slots - self._peaks[0][1])
         per_s /= service_s or DEFAULT_SERVICE_S
         self._allowed = {
-            name: max(bound, min(self._allowed.get(name, bound), used))
+            name: max(
+                bound, min(self._allowed.get(name, used), used + bound / 4)
+            )
             + per_s * passed_s
             for name, used in running.items()
             if used >= bound / 2 and len(demands) > 1
--- a/src/mulberrypass/policy/admission/revoke.py
+++ b/src/mulberrypass/policy/admission/revoke.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.policy.admission.decisions import CellDecision
+from mulberrypass.policy.admission.large_asks import permits_in_the_way
 from mulberrypass.policy.messages import Revoke
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from mulberrypass.policy.admission.engines import Engine, Permit
     from mulberrypass.policy.admission.ledger import Ledger
     from mulberrypass.policy.admission.settings import CellSettings
+    from mulberrypass.policy.messages import Ask
 
 REFILL_PERMITS = 2
 
@@ -32,6 +34,11 @@
             lambda permit: self._is_usable(permit, now), need, now
         )
 
+    def for_memory(self, ask: Ask, now: float) -> Iterator[CellDecision]:
+        """Revoke the permits whose KV memory an online ask needs."""
+        for permit in permits_in_the_way(ask, self._ledger):
+            yield self._revoke_permit(permit, now)
+
     def for_burst(self, now: float) -> Iterator[CellDecision]:
         """Revoke batch permits in prefill, which would delay online work."""
         need = len(self._ledger.permits)
@@ -54,12 +61,15 @@
             if not matches(permit):
                 continue
             limit -= 1
-            self._ledger.engines[permit.backend].revoke(permit)
-            permits.remove_revocable(permit)
-            reclaim_at = now + self._settings.revoke_grace_s
-            permits.reclaim_at(permit, min(permit.reclaim_at, reclaim_at))
-            ask = permit.ask
-            yield CellDecision(ask.holder, Revoke(ask.ask_id))
+            yield self._revoke_permit(permit, now)
+
+    def _revoke_permit(self, permit: Permit, now: float) -> CellDecision:
+        permits = self._ledger.permits
+        self._ledger.engines[permit.backend].revoke(permit)
+        permits.remove_revocable(permit)
+        reclaim_at = now + self._settings.revoke_grace_s
+        permits.reclaim_at(permit, min(permit.reclaim_at, reclaim_at))
+        return CellDecision(permit.ask.holder, Revoke(permit.ask.ask_id))
 
     def _is_usable(self, permit: Permit, now: float) -> bool:
         """Return whether online work can use the slot once it is free.
