Don't limit a customer's growth below the slots that others leave

Cause: beside batch work the large customer waited up to 114 ms at its usual rate, as its growth was limited to 16 slots a second though half of the slots were free. Its own work counted in the demand that is kept free from it. Change: a large customer may use at once what the others' peak has left. Another customer's 1,500 items don't hold up 60 of a second one.

--- a/src/mulberrypass/policy/admission/ramps.py
+++ b/src/mulberrypass/policy/admission/ramps.py
@@ -26,9 +26,9 @@
 class RampLimits:
     """Limits the running work of large customers.
 
-    In one service time a large customer's running work may grow by the slots
-    that the others' demand has left at its peak of the last seconds. A
-    quarter of the bound may be used at once.
+    A large customer may use the slots that the others' demand has left at its
+    peak of the last seconds, and grow by as many in a service time. A quarter
+    of the bound may be used at once.
     """
 
     def __init__(self) -> None:
@@ -60,16 +60,17 @@
         self._updated_at = now
         total = sum(min(need, bound) for need in demands.values())
         self._record_peak(total, now)
-        per_s = max(bound, slots - self._peaks[0][1])
-        per_s /= service_s or DEFAULT_SERVICE_S
-        self._allowed = {
-            name: max(
-                bound, min(self._allowed.get(name, used), used + bound / 4)
-            )
-            + per_s * passed_s
-            for name, used in running.items()
-            if used >= bound / 2 and len(demands) > 1
-        }
+        peak = self._peaks[0][1]
+        allowed: dict[str, float] = {}
+        for name, used in running.items():
+            if used < bound / 2 or len(demands) < 2:
+                continue
+            own = min(demands.get(name, 0), bound)
+            room = max(bound, slots - (peak - own))
+            before = min(self._allowed.get(name, used), used + bound / 4)
+            growth = passed_s * room / (service_s or DEFAULT_SERVICE_S)
+            allowed[name] = max(room, before + growth)
+        self._allowed = allowed
 
     def allowed(self, customer: str) -> float:
         """Return the running asks that a customer may have."""
