Serve callers that return first among equals of their customer

Cause: a caller that came back after a refusal was queued behind requests of its customer that came for the first time. Change: policy/admission/order.py, taken out of cell.py, puts it first until it is late. Result: LateWorkTest.test_returning_work_goes_first_among_its_customers.

--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -12,11 +12,11 @@
 from mulberrypass.policy.admission.early_refusal import EarlyRefusal
 from mulberrypass.policy.admission.engine_limits import EngineLimit
 from mulberrypass.policy.admission.ledger import Ledger
+from mulberrypass.policy.admission.order import make_queued
 from mulberrypass.policy.admission.pacing import BatchPacer
 from mulberrypass.policy.admission.queueing import (
     QueuedAsk,
     estimate_work,
-    lane_of,
 )
 from mulberrypass.policy.admission.settings import CellSettings
 from mulberrypass.policy.admission.wait_estimate import WaitEstimator
@@ -251,7 +251,17 @@
         if online and self._refuse_early(ask, now):
             return
         self._sequence += 1
-        self._enqueue(self._make_queued(ask, work, needed_s, now))
+        self._enqueue(
+            make_queued(
+                ask,
+                work,
+                needed_s,
+                now,
+                sequence=self._sequence,
+                patience_s=self.settings.patience_s,
+                returns=online and self._early.is_retry(ask, now),
+            )
+        )
 
     def _has_spare(self, ask: Ask, now: float) -> bool:
         """Return whether a second run of an ask would delay no other work.
@@ -285,28 +295,6 @@
         self._refuse(ask, RefusalReason.LATE_START, retry_after_s)
         return True
 
-    def _make_queued(
-        self, ask: Ask, work: float, needed_s: float, now: float
-    ) -> QueuedAsk:
-        """Return an ask with its place in its customer's order.
-
-        Online work sorts by latest start, and behind all other work once late;
-        batch work sorts by deadline and is refused after its latest start.
-        """
-        deadline = now + ask.budget_s
-        order = deadline
-        drop_at = deadline - needed_s
-        if ask.work_class is WorkClass.BATCH and ask.start_within_s > 0:
-            drop_at = now + ask.start_within_s
-        elif ask.start_within_s > 0:
-            order = now + ask.start_within_s
-            if self.settings.patience_s > 0:
-                drop_at = min(drop_at, now + self.settings.patience_s)
-        lane = lane_of(ask)
-        return QueuedAsk(
-            ask, work, deadline, drop_at, self._sequence, lane, order
-        )
-
     def _enqueue(self, queued: QueuedAsk) -> None:
         """Queue an ask; a full queue drops one of the largest customer."""
         ask = queued.ask
--- a/src/mulberrypass/policy/admission/queueing.py
+++ b/src/mulberrypass/policy/admission/queueing.py
@@ -54,6 +54,8 @@
     :param drop_at: time from which it is too late to start the work
     :param order_at: sort key within a customer, lowest first; the deadline
         by default
+    :param first: whether it goes before its customer's other asks that can
+        still start in time
     :param waiting: false once it has left the queue; heaps drop it lazily
     """
 
@@ -64,6 +66,7 @@
     sequence: int
     lane: Lane
     order_at: float | None = None
+    first: bool = False
     waiting: bool = True
 
     @property
@@ -75,9 +78,9 @@
         """Sort by ``order_at`` or else the deadline, then by arrival."""
         return self._rank() < other._rank()
 
-    def _rank(self) -> tuple[float, int]:
+    def _rank(self) -> tuple[bool, float, int]:
         order = self.deadline if self.order_at is None else self.order_at
-        return order, self.sequence
+        return not self.first, order, self.sequence
 
 
 @dataclass(slots=True)
@@ -276,7 +279,9 @@
             _, _, queued = heapq.heappop(self._start_heap)
             if queued.waiting:
                 late = replace(
-                    queued, order_at=queued.deadline + LATE_OFFSET_S
+                    queued,
+                    order_at=queued.deadline + LATE_OFFSET_S,
+                    first=False,
                 )
                 self.remove(queued.ask.ask_id)
                 self.add(late)
--- a/tests/policy/admission/test_early_refusal.py
+++ b/tests/policy/admission/test_early_refusal.py
@@ -20,6 +20,8 @@
     Refuse,
     Release,
     ReleaseOutcome,
+    Withdraw,
+    WorkClass,
 )
 from tests.policy.admission.cases import ask, engine, make_cell
 
@@ -121,6 +123,31 @@
         names = [d.message.ask_id for d in got]
         self.assertEqual(["fresh"], names)
 
+    def test_returning_work_goes_first_among_its_customers(self) -> None:
+        """A caller that was refused would wait behind later requests."""
+        cell = make_cell([engine("core-0", slots=1)], CELL_SETTINGS)
+        now = 0.0
+        for number in range(6):
+            cell.handle(ask(f"old-{number}"), now)
+            now += 0.1
+            done = Release(f"old-{number}", ReleaseOutcome.DONE, 0.1, 5)
+            cell.handle(done, now)
+        limits = {"start_within_s": 0.24, "budget_s": 5.0}
+        cell.handle(ask("runs"), now)
+        for number in range(9):
+            request = ask(f"busy-{number}", subject=number + 1, **limits)
+            for decision in cell.handle(request, now):
+                if isinstance(decision.message, Refuse):
+                    refused = request
+        for queued in cell.queued(WorkClass.ONLINE):
+            cell.handle(Withdraw(queued.ask.ask_id), now)
+        cell.handle(ask("fresh", subject=90, **limits), now + 0.01)
+        again = replace(refused, ask_id="again")
+        cell.handle(again, now + 0.02)
+        done = Release("runs", ReleaseOutcome.DONE, 0.1, 5)
+        got = cell.handle(done, now + 0.1)
+        self.assertEqual(["again"], [d.message.ask_id for d in got])
+
     def test_work_out_of_patience_is_refused(self) -> None:
         cell = make_cell([engine("core-0", slots=1)], CELL_SETTINGS)
         cell.handle(ask("runs"), 0.0)
