Name the customer that is over its share

Cause: neither the log nor the state dump said which customer takes the room. A second run of a request isn't queued for a customer over its share.

--- a/src/mulberrypass/peer/owner.py
+++ b/src/mulberrypass/peer/owner.py
@@ -271,6 +271,7 @@
         if now >= self._loads_logged_at + LOAD_LOG_INTERVAL_S:
             self._loads_logged_at = now
             self._cells.log_loads()
+            self._cells.log_shares()
         # In a large fleet most members own no cell and have nothing to do
         # between refreshes.
         idle_s = IDLE_TICK_S if len(self._cells) else REFRESH_INTERVAL_S
--- a/src/mulberrypass/peer/permit_cells.py
+++ b/src/mulberrypass/peer/permit_cells.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.model.jsonable import jsonable
@@ -41,6 +42,7 @@
         self._live: tuple[str, ...] = ()
         self._owners = CellOwners()
         self._logged_shares: dict[str, float] = {}
+        self._logged_refusals: dict[tuple[str, str], int] = {}
         self._logged_limits: dict[str, float] = {}
         self.loaded: dict[str, frozenset[str]] = {}
 
@@ -147,6 +149,25 @@
                 ],
             )
 
+    def log_shares(self) -> None:
+        """Log customers refused over their shares since the last call."""
+        for key, cell in self._cells.items():
+            for customer, use in cell.customer_uses().items():
+                name = (key.name, customer)
+                before = self._logged_refusals.get(name, 0)
+                self._logged_refusals[name] = use.refused
+                if use.refused <= before:
+                    continue
+                LOG.info(
+                    "customer over its share",
+                    cell=key.name,
+                    customer=customer,
+                    refused=use.refused - before,
+                    running=use.running,
+                    queued=use.queued,
+                    slots=_finite(use.slots),
+                )
+
     def state(self) -> dict[str, Any]:
         """Return queues, permits and scores of each cell as JSON values."""
         return {
@@ -179,6 +200,8 @@
 
     def _remove(self, key: CellKey) -> list[CellDecision]:
         LOG.info("cell given up", cell=key.name)
+        for name in [n for n in self._logged_refusals if n[0] == key.name]:
+            del self._logged_refusals[name]
         return self._cells.pop(key).close()
 
     def _zones(self, sessions: Mapping[str, object]) -> dict[str, str]:
@@ -189,6 +212,11 @@
         return zones
 
 
+def _finite(slots: float) -> float | None:
+    """Return a number of slots for JSON; ``None`` for no limit."""
+    return round(slots, 1) if isfinite(slots) else None
+
+
 def _cell_state(cell: Cell) -> dict[str, Any]:
     return {
         "queued": {
@@ -196,6 +224,15 @@
             for work_class in WorkClass
         },
         "running": cell.running(),
+        "shares": {
+            name: {
+                "running": use.running,
+                "queued": use.queued,
+                "slots": _finite(use.slots),
+                "refused": use.refused,
+            }
+            for name, use in cell.customer_uses().items()
+        },
         "permits": len(cell.permits),
         "batch_prefill_tokens_per_s": cell.batch_pacer.tokens_per_s,
         "engines": {
--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -10,7 +10,6 @@
 from mulberrypass.policy.admission.decisions import CellDecision
 from mulberrypass.policy.admission.dispatch import Dispatcher
 from mulberrypass.policy.admission.early_refusal import EarlyRefusal
-from mulberrypass.policy.admission.engine_limits import EngineLimit
 from mulberrypass.policy.admission.ledger import Ledger
 from mulberrypass.policy.admission.order import make_queued
 from mulberrypass.policy.admission.pacing import BatchPacer
@@ -45,6 +44,7 @@
     from mulberrypass.policy.admission.engines import Engine, Permit
     from mulberrypass.policy.admission.permits import PermitTable
     from mulberrypass.policy.admission.queueing import FairQueue
+    from mulberrypass.policy.admission.shares import CustomerUse
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
 
 MIN_TOKENS_FOR_RATE = 8
@@ -152,20 +152,15 @@
     def close(self) -> list[CellDecision]:
         """Refuse all queued asks because another member owns the cell now."""
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                queue.remove(queued.ask.ask_id)
-                self._refuse(queued.ask, RefusalReason.NOT_OWNER, 0.0)
+            for ask in queue.pop_unless(lambda _: False):
+                self._refuse(ask, RefusalReason.NOT_OWNER, 0.0)
         return self._take_decisions()
 
     def cache_hint(self, backend: str, stored: bool, block: int) -> None:
         """Apply an engine's delayed report of a change to its prefix cache."""
         engine = self.engines.get(backend)
-        if engine is None:
-            return
-        if stored:
-            engine.prefixes.remember((block,))
-        else:
-            engine.prefixes.forget(block)
+        if engine is not None:
+            engine.prefixes.apply_hint(stored, block)
 
     @property
     def queueing(self) -> bool:
@@ -179,8 +174,7 @@
             for engine in self.engines.values()
             if not engine.leaving
         )
-        online, batch = self._dispatcher.queues
-        return CellLoad(free, len(online), len(batch))
+        return CellLoad(free, *map(len, self._dispatcher.queues))
 
     @property
     def engines(self) -> Mapping[str, Engine]:
@@ -200,6 +194,10 @@
         """Return the number of running asks, by class and customer."""
         return self._ledger.limits.running()
 
+    def customer_uses(self) -> dict[str, CustomerUse]:
+        """Return the use of customers limited to their shares."""
+        return self._dispatcher.shares.state()
+
     def knows(self, ask_id: str) -> bool:
         """Return whether an ask is queued, has a permit, or may be judged."""
         if self.permits.get(ask_id) is not None or ask_id in self._unjudged:
@@ -241,10 +239,11 @@
                 self._refuse(ask, RefusalReason.CUSTOMER_LIMIT, wait)
                 return
         work = estimate_work(ask.prompt_tokens, ask.output_tokens)
-        needed_s = self._waits.service.expected_s(work) if online else 0.0
-        needed_s *= self.settings.service_margin
-        wait = self._waits.wait_s(ask, now) if online else 0.0
-        wait *= self.settings.wait_margin
+        needed_s = wait = 0.0
+        if online:
+            needed_s = self._waits.service.expected_s(work)
+            needed_s *= self.settings.service_margin
+            wait = self._waits.wait_s(ask, now) * self.settings.wait_margin
         if ask.budget_s <= 0 or wait + needed_s > ask.budget_s:
             self._refuse(ask, RefusalReason.DEADLINE, wait)
             return
@@ -268,27 +267,21 @@
 
         Batch work that runs doesn't give up its slot for it.
         """
+        shares = self._dispatcher.shares
         if len(self.queued(WorkClass.ONLINE)):
             return False
-        return any(
-            engine.running < engine.cap
-            and engine.admits(False, now)
-            and engine.serves(ask)
-            and engine.fits(ask)
-            for engine in self.engines.values()
-        )
+        if shares.must_wait(ask.customer, shares.level()):
+            return False
+        return self._ledger.has_spare(ask, now)
 
     def _refuse_early(self, ask: Ask, now: float) -> bool:
         """Refuse online work that would start too late."""
         self._early.count_arrival(now)
         wait = self._waits.wait_s(ask, now)
         capacity = self._waits.capacity_per_s(ask)
+        over_share = self._dispatcher.shares.is_over(ask.customer)
         retry_after_s = self._early.retry_after_s(
-            ask,
-            wait,
-            capacity,
-            now,
-            over_share=self._dispatcher.shares.is_over(ask.customer),
+            ask, wait, capacity, now, over_share=over_share
         )
         if retry_after_s is None:
             return False
@@ -299,7 +292,7 @@
         """Queue an ask; a full queue drops one of the largest customer."""
         ask = queued.ask
         queue = self.queued(ask.work_class)
-        if len(queue) >= self._max_queued(ask.work_class):
+        if len(queue) >= self.settings.max_queued(ask.work_class):
             victim = queue.eviction_candidate()
             mine = queue.work_share(ask.customer, queued.work)
             if victim is None or mine >= queue.work_share(victim.ask.customer):
@@ -334,17 +327,7 @@
         engine = self.engines.get(report.backend)
         if engine is None:
             return
-        per_s = report.requests_per_s
-        if per_s > 0:
-            if engine.limit is None:
-                engine.limit = EngineLimit(per_s, now)
-            else:
-                engine.limit.change(per_s, now)
-            return
-        permit = self.permits.get(report.ask_id)
-        if engine.limit is not None and permit is not None:
-            if permit.granted_at >= engine.limit.since:
-                engine.limit = None
+        engine.apply_limit(report, self.permits.get(report.ask_id), now)
 
     def _on_release(self, message: Release, now: float) -> None:
         permit = self.permits.get(message.ask_id)
@@ -383,26 +366,17 @@
 
     def _refuse_unservable(self) -> None:
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                if not self._ledger.servable(queued.ask):
-                    queue.remove(queued.ask.ask_id)
-                    reason = RefusalReason.NO_BACKEND
-                    self._refuse(queued.ask, reason, RETRY_AFTER_S)
+            for ask in queue.pop_unless(self._ledger.servable):
+                self._refuse(ask, RefusalReason.NO_BACKEND, RETRY_AFTER_S)
 
     def _lose_holder(self, holder: str, now: float) -> None:
         self._baselines.forget(holder)
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                if queued.ask.holder == holder:
-                    queue.remove(queued.ask.ask_id)
+            queue.pop_unless(lambda ask: ask.holder != holder)
         self._ledger.lose_holder(holder, now)
 
-    def _max_queued(self, work_class: WorkClass) -> int:
-        if work_class is WorkClass.ONLINE:
-            return self.settings.max_queued_online
-        return self.settings.max_queued_batch
-
     def _refuse(self, ask: Ask, reason: RefusalReason, wait: float) -> None:
+        self._dispatcher.shares.count_refusal(ask)
         limit = self.settings.max_retry_after_s
         retry_after_s = min(limit, wait) if math.isfinite(wait) else limit
         self._send(ask, Refuse(ask.ask_id, reason, retry_after_s))
@@ -411,8 +385,9 @@
         self._decisions.append(CellDecision(ask.holder, message))
 
     def _run(self, now: float) -> list[CellDecision]:
-        ahead = self._early.rate_per_s(now) * self.settings.ahead_s
-        self._dispatcher.online_headroom = int(ahead)
+        self._dispatcher.online_headroom = int(
+            self._early.rate_per_s(now) * self.settings.ahead_s
+        )
         self._dispatcher.shares.update(self._waits.service.mean_s(), now)
         self._decisions.extend(self._dispatcher.run(now))
         return self._take_decisions()
--- a/src/mulberrypass/policy/admission/engines.py
+++ b/src/mulberrypass/policy/admission/engines.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from mulberrypass.policy.admission.engine_limits import EngineLimit
 from mulberrypass.policy.messages import WorkClass
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from mulberrypass.model.objects import Backend
-    from mulberrypass.policy.admission.engine_limits import EngineLimit
-    from mulberrypass.policy.messages import Ask
+    from mulberrypass.policy.messages import Ask, LimitReport
 
 
 class PrefixTable:
@@ -44,6 +44,13 @@
         while len(self._blocks) > self._max_blocks:
             self._blocks.popitem(last=False)
 
+    def apply_hint(self, stored: bool, block: int) -> None:
+        """Apply an engine's report of a change to its cache."""
+        if stored:
+            self.remember((block,))
+        else:
+            self.forget(block)
+
     def forget(self, block: int) -> None:
         """Remove a block that the engine evicted."""
         self._blocks.pop(block, None)
@@ -136,6 +143,23 @@
         """Return whether the limit that it names leaves room now."""
         return self.limit is None or self.limit.admits(is_batch, now)
 
+    def apply_limit(
+        self, report: LimitReport, permit: Permit | None, now: float
+    ) -> None:
+        """Apply the limit that it names; the last to be granted counts.
+
+        :param permit: the permit whose answer has named it, if it is known
+        """
+        per_s = report.requests_per_s
+        if per_s > 0:
+            if self.limit is None:
+                self.limit = EngineLimit(per_s, now)
+            else:
+                self.limit.change(per_s, now)
+        elif self.limit is not None and permit is not None:
+            if permit.granted_at >= self.limit.since:
+                self.limit = None
+
     def fits(self, ask: Ask) -> bool:
         """Return whether the KV cache has room; an idle engine always has."""
         if self.backend.kv_tokens <= 0 or self.running == 0:
--- a/src/mulberrypass/policy/admission/ledger.py
+++ b/src/mulberrypass/policy/admission/ledger.py
@@ -59,6 +59,16 @@
         """Return whether any engine can ever serve an ask."""
         return any(engine.serves(ask) for engine in self.engines.values())
 
+    def has_spare(self, ask: Ask, now: float) -> bool:
+        """Return whether an engine has room without revoking batch work."""
+        return any(
+            engine.running < engine.cap
+            and engine.admits(False, now)
+            and engine.serves(ask)
+            and engine.fits(ask)
+            for engine in self.engines.values()
+        )
+
     def admit(
         self, ask: Ask, choice: Choice, deadline: float, now: float
     ) -> Permit:
--- a/src/mulberrypass/policy/admission/queueing.py
+++ b/src/mulberrypass/policy/admission/queueing.py
@@ -230,6 +230,13 @@
             self._start_heap.clear()
         return queued
 
+    def pop_unless(self, stays: Callable[[Ask], bool]) -> list[Ask]:
+        """Remove and return the asks that don't stay."""
+        gone = [queued.ask for queued in self if not stays(queued.ask)]
+        for ask in gone:
+            self.remove(ask.ask_id)
+        return gone
+
     def serve(self, queued: QueuedAsk) -> None:
         """Remove an ask and charge its customer for the work."""
         flow = self._flows[queued.ask.customer]
--- a/src/mulberrypass/policy/admission/settings.py
+++ b/src/mulberrypass/policy/admission/settings.py
@@ -6,6 +6,7 @@
 
 from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.early_refusal import EarlyRefusalSettings
+from mulberrypass.policy.messages import WorkClass
 
 
 @value_class
@@ -163,6 +164,12 @@
     routing: RoutingSettings = field(default_factory=RoutingSettings)
     early: EarlyRefusalSettings = field(default_factory=EarlyRefusalSettings)
 
+    def max_queued(self, work_class: WorkClass) -> int:
+        """Return the maximum of queued asks of a class."""
+        if work_class is WorkClass.ONLINE:
+            return self.max_queued_online
+        return self.max_queued_batch
+
     @property
     def beside_online(self) -> BatchLimits:
         """Limits of batch work while there is online work."""
--- a/src/mulberrypass/policy/admission/shares.py
+++ b/src/mulberrypass/policy/admission/shares.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from math import inf
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.admission.ramps import RampLimits
 from mulberrypass.policy.messages import WorkClass
 
@@ -18,6 +20,7 @@
 
     from mulberrypass.policy.admission.ledger import Ledger
     from mulberrypass.policy.admission.queueing import FairQueue
+    from mulberrypass.policy.messages import Ask
 
 
 # Slots from which on a customer's growth is limited, as a share of all.
@@ -42,12 +45,27 @@
     return inf
 
 
+@value_class
+class CustomerUse:
+    """What a customer uses of the slots of a cell.
+
+    :param slots: slots that it may use now; infinity for no limit
+    :param refused: asks refused so far while it was over its share
+    """
+
+    running: int
+    queued: int
+    slots: float
+    refused: int
+
+
 class CustomerShares:
     """Compares customers' online work with their shares of the slots.
 
     :param headroom_share: share of the slots that customers over their share
         leave free
     :ivar enforced: whether there are customers; without them no shares apply
+    :ivar refused: asks refused while their customer was over its share
     """
 
     def __init__(
@@ -58,6 +76,7 @@
         self._online = online
         self._ramps = RampLimits()
         self.enforced = False
+        self.refused: Counter[str] = Counter()
 
     def update(self, service_s: float, now: float) -> None:
         """Update the limits of growth.
@@ -84,7 +103,7 @@
             return inf
         demands = self._demands()
         if more:
-            demands[customer] = demands.get(customer, 0) + more
+            demands[customer] += more
         if len(demands) < 2:
             return inf
         weight = self._online.weight
@@ -105,7 +124,7 @@
         """Return whether a customer with one more ask exceeds its share."""
         if not self._active:
             return False
-        need = self._demands().get(customer, 0) + 1
+        need = self._demands()[customer] + 1
         return need > self.slots_of(customer, 1)
 
     def must_wait(self, customer: str, level: float) -> bool:
@@ -122,15 +141,33 @@
             return False
         return self._free_slots() <= self._headroom()
 
+    def count_refusal(self, ask: Ask) -> None:
+        """Count a refusal, if the customer is over its share."""
+        online = ask.work_class is WorkClass.ONLINE
+        if online and self.is_over(ask.customer):
+            self.refused[ask.customer] += 1
+
+    def state(self) -> dict[str, CustomerUse]:
+        """Return the use of customers that are limited or were refused."""
+        demands = self._demands()
+        uses: dict[str, CustomerUse] = {}
+        for name in demands.keys() | self.refused.keys():
+            slots = self.slots_of(name)
+            refused = self.refused[name]
+            if refused or demands[name] > slots:
+                running = self._ledger.limits.running_of(
+                    name, WorkClass.ONLINE
+                )
+                queued = self._online.count(name)
+                uses[name] = CustomerUse(running, queued, slots, refused)
+        return uses
+
     @property
     def _active(self) -> bool:
         return self.enforced and self._headroom_share > 0
 
-    def _demands(self) -> dict[str, int]:
-        demands = dict(self._ledger.limits.online)
-        for name, count in self._online.counts().items():
-            demands[name] = demands.get(name, 0) + count
-        return demands
+    def _demands(self) -> Counter[str]:
+        return self._ledger.limits.online + Counter(self._online.counts())
 
     def _headroom(self) -> int:
         return int(self._slots() * self._headroom_share)
@@ -151,4 +188,4 @@
         )
 
 
-__all__ = ["CustomerShares", "fair_level"]
+__all__ = ["CustomerShares", "CustomerUse", "fair_level"]
