--- a/src/mulberrypass/policy/admission/cell.py
+++ b/src/mulberrypass/policy/admission/cell.py
@@ -5,26 +5,21 @@
 import math
 from typing import TYPE_CHECKING
 
-from mulberrypass.policy.admission.capacity import (
-    free_slots,
-    limited_wait_s,
-    usable_slots,
-)
+from mulberrypass.policy.admission.capacity import free_slots
 from mulberrypass.policy.admission.cells import CellLoad
 from mulberrypass.policy.admission.decisions import CellDecision
 from mulberrypass.policy.admission.dispatch import Dispatcher
 from mulberrypass.policy.admission.early_refusal import EarlyRefusal
-from mulberrypass.policy.admission.engine_limits import EngineLimit
 from mulberrypass.policy.admission.ledger import Ledger
+from mulberrypass.policy.admission.order import make_queued
 from mulberrypass.policy.admission.pacing import BatchPacer
-from mulberrypass.policy.admission.queue_wait import ServiceEstimate, wait_s
 from mulberrypass.policy.admission.queueing import (
     QueuedAsk,
     estimate_work,
-    lane_of,
 )
 from mulberrypass.policy.admission.routing import decode_steps
 from mulberrypass.policy.admission.settings import CellSettings
+from mulberrypass.policy.admission.wait_estimate import WaitEstimator
 from mulberrypass.policy.health.holder_baselines import HolderBaselines
 from mulberrypass.policy.health.paces import EnginePaces
 from mulberrypass.policy.health.tracker import FULL_SHARE, HealthTracker
@@ -51,6 +46,7 @@
     from mulberrypass.policy.admission.engines import Engine, Permit
     from mulberrypass.policy.admission.permits import PermitTable
     from mulberrypass.policy.admission.queueing import FairQueue
+    from mulberrypass.policy.admission.shares import CustomerUse
     from mulberrypass.policy.messages import HolderMessage, OwnerMessage
 
 MIN_TOKENS_FOR_RATE = 8
@@ -80,7 +76,9 @@
             self.paces,
             now + self.settings.settle_s,
         )
-        self._service = ServiceEstimate()
+        self._waits = WaitEstimator(
+            self._ledger, self._dispatcher.online, self._dispatcher.shares
+        )
         self._early = EarlyRefusal(self.settings.early)
         self._baselines = HolderBaselines()
         self._sequence = 0
@@ -115,6 +113,7 @@
         weights = {name: c.weight for name, c in customers.items()}
         for queue in self._dispatcher.queues:
             queue.set_weights(weights)
+        self._dispatcher.shares.enforced = bool(customers)
         self._ledger.limits.configure(customers, quotas, cells, now)
         self._dispatcher.zones = members
         for holder in self._ledger.holders() - set(members):
@@ -164,20 +163,15 @@
     def close(self) -> list[CellDecision]:
         """Refuse all queued asks because another member owns the cell now."""
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                queue.remove(queued.ask.ask_id)
-                self._refuse(queued.ask, RefusalReason.NOT_OWNER, 0.0)
+            for ask in queue.pop_unless(lambda _: False):
+                self._refuse(ask, RefusalReason.NOT_OWNER, 0.0)
         return self._take_decisions()
 
     def cache_hint(self, backend: str, stored: bool, block: int) -> None:
         """Apply an engine's delayed report of a change to its prefix cache."""
         engine = self.engines.get(backend)
-        if engine is None:
-            return
-        if stored:
-            engine.prefixes.remember((block,))
-        else:
-            engine.prefixes.forget(block)
+        if engine is not None:
+            engine.prefixes.apply_hint(stored, block)
 
     @property
     def queueing(self) -> bool:
@@ -191,8 +185,7 @@
             for engine in self.engines.values()
             if not engine.leaving
         )
-        online, batch = self._dispatcher.queues
-        return CellLoad(free, len(online), len(batch))
+        return CellLoad(free, *map(len, self._dispatcher.queues))
 
     @property
     def engines(self) -> Mapping[str, Engine]:
@@ -212,6 +205,10 @@
         """Return the number of running asks, by class and customer."""
         return self._ledger.limits.running()
 
+    def customer_uses(self) -> dict[str, CustomerUse]:
+        """Return the use of customers limited to their shares."""
+        return self._dispatcher.shares.state()
+
     def knows(self, ask_id: str) -> bool:
         """Return whether an ask is queued, has a permit, or may be judged."""
         if self.permits.get(ask_id) is not None or ask_id in self._unjudged:
@@ -255,72 +252,60 @@
                 self._refuse(ask, RefusalReason.CUSTOMER_LIMIT, wait)
                 return
         work = estimate_work(ask.prompt_tokens, ask.output_tokens)
-        needed_s = self._service.expected_s(work) if online else 0.0
-        needed_s *= self.settings.service_margin
-        wait = self._wait_s(ask, now) if online else 0.0
-        wait *= self.settings.wait_margin
+        needed_s = wait = 0.0
+        if online:
+            needed_s = self._waits.service.expected_s(work)
+            needed_s *= self.settings.service_margin
+            wait = self._waits.wait_s(ask, now) * self.settings.wait_margin
         if ask.budget_s <= 0 or wait + needed_s > ask.budget_s:
             self._refuse(ask, RefusalReason.DEADLINE, wait)
             return
         if online and self._refuse_early(ask, now):
             return
         self._sequence += 1
-        self._enqueue(self._make_queued(ask, work, needed_s, now))
+        self._enqueue(
+            make_queued(
+                ask,
+                work,
+                needed_s,
+                now,
+                sequence=self._sequence,
+                patience_s=self.settings.patience_s,
+                returns=online and self._early.is_retry(ask, now),
+            )
+        )
 
     def _has_spare(self, ask: Ask, now: float) -> bool:
         """Return whether a second run of an ask would delay no other work.
 
         Batch work that runs doesn't give up its slot for it.
         """
+        shares = self._dispatcher.shares
         if len(self.queued(WorkClass.ONLINE)):
             return False
-        return any(
-            engine.running < engine.cap
-            and engine.admits(False, now)
-            and engine.serves(ask)
-            and engine.fits(ask)
-            for engine in self.engines.values()
-        )
+        if shares.must_wait(ask.customer, shares.level()):
+            return False
+        return self._ledger.has_spare(ask, now)
 
     def _refuse_early(self, ask: Ask, now: float) -> bool:
         """Refuse online work that would start too late."""
         self._early.count_arrival(now)
-        wait = self._wait_s(ask, now)
-        mean = self._service.mean_s()
-        capacity = self._slots(ask) / mean if mean > 0 else math.inf
-        retry_after_s = self._early.retry_after_s(ask, wait, capacity, now)
+        wait = self._waits.wait_s(ask, now)
+        capacity = self._waits.capacity_per_s(ask)
+        over_share = self._dispatcher.shares.is_over(ask.customer)
+        retry_after_s = self._early.retry_after_s(
+            ask, wait, capacity, now, over_share=over_share
+        )
         if retry_after_s is None:
             return False
         self._refuse(ask, RefusalReason.LATE_START, retry_after_s)
         return True
 
-    def _make_queued(
-        self, ask: Ask, work: float, needed_s: float, now: float
-    ) -> QueuedAsk:
-        """Return an ask with its place in its customer's order.
-
-        Online work sorts by latest start, and behind all other work once late;
-        batch work sorts by deadline and is refused after its latest start.
-        """
-        deadline = now + ask.budget_s
-        order = deadline
-        drop_at = deadline - needed_s
-        if ask.work_class is WorkClass.BATCH and ask.start_within_s > 0:
-            drop_at = now + ask.start_within_s
-        elif ask.start_within_s > 0:
-            order = now + ask.start_within_s
-            if self.settings.patience_s > 0:
-                drop_at = min(drop_at, now + self.settings.patience_s)
-        lane = lane_of(ask)
-        return QueuedAsk(
-            ask, work, deadline, drop_at, self._sequence, lane, order
-        )
-
     def _enqueue(self, queued: QueuedAsk) -> None:
         """Queue an ask; a full queue drops one of the largest customer."""
         ask = queued.ask
         queue = self.queued(ask.work_class)
-        if len(queue) >= self._max_queued(ask.work_class):
+        if len(queue) >= self.settings.max_queued(ask.work_class):
             victim = queue.eviction_candidate()
             mine = queue.work_share(ask.customer, queued.work)
             if victim is None or mine >= queue.work_share(victim.ask.customer):
@@ -358,17 +343,7 @@
         engine = self.engines.get(report.backend)
         if engine is None:
             return
-        per_s = report.requests_per_s
-        if per_s > 0:
-            if engine.limit is None:
-                engine.limit = EngineLimit(per_s, now)
-            else:
-                engine.limit.change(per_s, now)
-            return
-        permit = self.permits.get(report.ask_id)
-        if engine.limit is not None and permit is not None:
-            if permit.granted_at >= engine.limit.since:
-                engine.limit = None
+        engine.apply_limit(report, self.permits.get(report.ask_id), now)
 
     def _on_release(self, message: Release, now: float) -> None:
         permit = self.permits.get(message.ask_id)
@@ -394,7 +369,8 @@
             # In a pulse all engines are in use, and not only the fast ones
             # that run the work of quiet times.
             pace = self.paces.lasting.pace(permit.backend)
-            self._service.observe(permit.work, message.service_s / pace)
+            service_s = message.service_s / pace
+            self._waits.service.observe(permit.work, service_s)
             if message.gap_s > 0:
                 self.batch_pacer.observe_gap(message.gap_s)
         if message.tokens == 0:
@@ -425,60 +401,19 @@
             return 1.0
         return decode_steps(engine, self.settings.routing)
 
-    def _wait_s(self, ask: Ask, now: float) -> float:
-        """Estimate how long a new online ask waits for a slot."""
-        queue = self.queued(WorkClass.ONLINE)
-        limits = self._ledger.limits
-        limited_s = self._limited_wait_s(ask, now)
-        if not len(queue) and self.may_run(ask.customer, WorkClass.ONLINE):
-            return limited_s
-        slots = self._slots(ask)
-        work = queue.work_ahead(ask.customer)
-        wait = wait_s(self._service.expected_s(work), slots)
-        wait = max(wait, limited_s)
-        limit = limits.max_running(ask.customer, WorkClass.ONLINE)
-        if limit is None:
-            return wait
-        own = self._service.expected_s(queue.queued_work(ask.customer))
-        return max(wait, wait_s(own, min(slots, limit)))
-
-    def _limited_wait_s(self, ask: Ask, now: float) -> float:
-        """Estimate the wait if all engines name limits."""
-        serving = [e for e in self.engines.values() if e.serves(ask)]
-        ahead = len(self.queued(WorkClass.ONLINE)) + 1
-        return limited_wait_s(serving, ahead, now)
-
-    def _slots(self, ask: Ask) -> int:
-        """Count the slots that can serve an online ask."""
-        mean_s = self._service.mean_s()
-        return sum(
-            usable_slots(engine, mean_s)
-            for engine in self.engines.values()
-            if engine.serves(ask)
-        )
-
     def _refuse_unservable(self) -> None:
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                if not self._ledger.servable(queued.ask):
-                    queue.remove(queued.ask.ask_id)
-                    reason = RefusalReason.NO_BACKEND
-                    self._refuse(queued.ask, reason, RETRY_AFTER_S)
+            for ask in queue.pop_unless(self._ledger.servable):
+                self._refuse(ask, RefusalReason.NO_BACKEND, RETRY_AFTER_S)
 
     def _lose_holder(self, holder: str, now: float) -> None:
         self._baselines.forget(holder)
         for queue in self._dispatcher.queues:
-            for queued in queue:
-                if queued.ask.holder == holder:
-                    queue.remove(queued.ask.ask_id)
+            queue.pop_unless(lambda ask: ask.holder != holder)
         self._ledger.lose_holder(holder, now)
 
-    def _max_queued(self, work_class: WorkClass) -> int:
-        if work_class is WorkClass.ONLINE:
-            return self.settings.max_queued_online
-        return self.settings.max_queued_batch
-
     def _refuse(self, ask: Ask, reason: RefusalReason, wait: float) -> None:
+        self._dispatcher.shares.count_refusal(ask)
         limit = self.settings.max_retry_after_s
         retry_after_s = min(limit, wait) if math.isfinite(wait) else limit
         self._send(ask, Refuse(ask.ask_id, reason, retry_after_s))
@@ -487,8 +422,10 @@
         self._decisions.append(CellDecision(ask.holder, message))
 
     def _run(self, now: float) -> list[CellDecision]:
-        ahead = self._early.rate_per_s(now) * self.settings.ahead_s
-        self._dispatcher.online_headroom = int(ahead)
+        self._dispatcher.online_headroom = int(
+            self._early.rate_per_s(now) * self.settings.ahead_s
+        )
+        self._dispatcher.shares.update(self._waits.service.mean_s(), now)
         self._decisions.extend(self._dispatcher.run(now))
         return self._take_decisions()
 
--- a/src/mulberrypass/policy/admission/queueing.py
+++ b/src/mulberrypass/policy/admission/queueing.py
@@ -14,22 +14,31 @@
     from mulberrypass.policy.messages import Ask
 
 PROMPT_TOKEN_WORK = 0.125
+# Asks below this form the smallest class; each further one is twice as large.
+SMALLEST_CLASS_TOKENS = 1_024
 # Longer than any deadline, so that late work sorts after all other work.
 LATE_OFFSET_S = 3_600.0
 
 
 @value_class
 class Lane:
-    """Requirements that asks share; each lane is a queue of its own."""
+    """Requirements that asks share; each lane is a queue of its own.
+
+    :param size: class of the KV memory needed, so that a large ask that
+        waits for memory doesn't hold up its customer's small ones
+    """
 
     version: str
     avoid: tuple[str, ...]
     revocable: bool
+    size: int = 0
 
 
 def lane_of(ask: Ask) -> Lane:
     """Return the lane of an ask."""
-    return Lane(ask.version, ask.avoid, ask.revocable)
+    tokens = ask.prompt_tokens + ask.output_tokens
+    size = (tokens // SMALLEST_CLASS_TOKENS).bit_length()
+    return Lane(ask.version, ask.avoid, ask.revocable, size)
 
 
 def estimate_work(prompt_tokens: int, output_tokens: int) -> float:
@@ -45,6 +54,8 @@
     :param drop_at: time from which it is too late to start the work
     :param order_at: sort key within a customer, lowest first; the deadline
         by default
+    :param first: whether it goes before its customer's other asks that can
+        still start in time
     :param waiting: false once it has left the queue; heaps drop it lazily
     """
 
@@ -55,15 +66,21 @@
     sequence: int
     lane: Lane
     order_at: float | None = None
+    first: bool = False
     waiting: bool = True
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of KV memory that it may use."""
+        return self.ask.prompt_tokens + self.ask.output_tokens
+
     def __lt__(self, other: QueuedAsk) -> bool:
         """Sort by ``order_at`` or else the deadline, then by arrival."""
         return self._rank() < other._rank()
 
-    def _rank(self) -> tuple[float, int]:
+    def _rank(self) -> tuple[bool, float, int]:
         order = self.deadline if self.order_at is None else self.order_at
-        return order, self.sequence
+        return not self.first, order, self.sequence
 
 
 @dataclass(slots=True)
@@ -213,6 +230,13 @@
             self._start_heap.clear()
         return queued
 
+    def pop_unless(self, stays: Callable[[Ask], bool]) -> list[Ask]:
+        """Remove and return the asks that don't stay."""
+        gone = [queued.ask for queued in self if not stays(queued.ask)]
+        for ask in gone:
+            self.remove(ask.ask_id)
+        return gone
+
     def serve(self, queued: QueuedAsk) -> None:
         """Remove an ask and charge its customer for the work."""
         flow = self._flows[queued.ask.customer]
@@ -262,7 +286,9 @@
             _, _, queued = heapq.heappop(self._start_heap)
             if queued.waiting:
                 late = replace(
-                    queued, order_at=queued.deadline + LATE_OFFSET_S
+                    queued,
+                    order_at=queued.deadline + LATE_OFFSET_S,
+                    first=False,
                 )
                 self.remove(queued.ask.ask_id)
                 self.add(late)
