Ask who calls about a job in the manager of jobs

Change: BatchJobManager.identify and identify_owner ask policy/access.py. Result: tests.test_layers passes.

--- a/src/mulberrypass/batches/manager.py
+++ b/src/mulberrypass/batches/manager.py
@@ -15,7 +15,14 @@
     StoreUnavailable,
 )
 from mulberrypass.model.routes import RouteKind
-from mulberrypass.policy.access import may_see_job
+from mulberrypass.policy.access import (
+    Allowed,
+    JobCaller,
+    check_access,
+    check_job_caller,
+    may_see_job,
+)
+from mulberrypass.relay.api import Unauthorized
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -48,6 +55,29 @@
         self._holder = holder
         self._directory = directory
 
+    def identify(
+        self, host: str, key: str
+    ) -> Result[str | None, Unauthorized]:
+        """Return who calls about a job; see ``JobCaller``."""
+        match check_job_caller(self._directory.routes(), host, key):
+            case JobCaller(name=name):
+                return Ok(name)
+            case _:
+                return Error(Unauthorized())
+
+    def identify_owner(
+        self, host: str, path: str, key: str
+    ) -> Result[str | None, Unauthorized]:
+        """Return whose a new job is; see ``NewJob``."""
+        table = self._directory.routes()
+        match check_access(table, host, path, key):
+            case Allowed(customer=customer) if table.customers is not None:
+                return Ok("" if customer is None else customer.name)
+            case Allowed():
+                return Ok(None)
+            case _:
+                return Error(Unauthorized())
+
     def submit(
         self, job: NewJob
     ) -> Result[
--- a/src/mulberrypass/platform/lots.py
+++ b/src/mulberrypass/platform/lots.py
@@ -30,13 +30,6 @@
     read_request,
 )
 from mulberrypass.platform.ingress import Reply, json_reply
-from mulberrypass.policy.access import (
-    Allowed,
-    JobCaller,
-    UnknownKey,
-    check_access,
-    check_job_caller,
-)
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
@@ -103,11 +96,10 @@
         if about_lot or (item is not None and req.method == "GET"):
             if table.version == 0:
                 return _error_reply(StoreUnavailable("no configuration"))
-            match check_job_caller(table, req.host, req.key):
-                case UnknownKey():
-                    return self._unknown_key(req)
-                case JobCaller(name=caller):
-                    pass
+            found = self._manager.identify(req.host, req.key)
+            if found.is_error():
+                return self._unknown_key(req)
+            caller = found.ok
             if item is not None:
                 return self._item_body(req, unquote(item[1]), caller)
             assert lot is not None
@@ -122,11 +114,10 @@
                 {"reason": "a batch job is handed in by POST"},
                 HTTPStatus.METHOD_NOT_ALLOWED,
             )
-        access = check_access(table, req.host, req.path, req.key)
-        if not isinstance(access, Allowed):
+        owner = self._manager.identify_owner(req.host, req.path, req.key)
+        if owner.is_error():
             return self._unknown_key(req)
-        named = table.customers is not None
-        return self._submit(req, access.name if named else None)
+        return self._submit(req, owner.ok)
 
     def _unknown_key(self, req: RelayRequest) -> Reply:
         LOG.info(
