Report files that a parser crashes on as faults

The parsers raise RecursionError on documents that are nested too deeply, TypeError on a list as a key and ValueError on a tag with the wrong content. load_files let these through, so mulberryctl ended with a traceback, or with a usage error that names no file.

They become faults of the file, as other unreadable files do. A test reads four such files; it fails without the change.

--- a/src/mulberrypass/model/load.py
+++ b/src/mulberrypass/model/load.py
@@ -15,6 +15,15 @@
     from collections.abc import Iterable, Iterator
 
 SUFFIXES = frozenset({".yaml", ".yml", ".json"})
+# What the parsers raise, besides their own errors, on documents that are
+# nested too deeply, have collections as keys, or tags with the wrong content.
+PARSER_CRASHES = (
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
 
 
@@ -73,6 +82,9 @@
             except (OSError, UnicodeDecodeError) as exc:
                 problem = f"the file can't be read: {exc}"
                 faults.append(_file_fault(str(file), 0, problem))
+            except PARSER_CRASHES as exc:
+                problem = f"the file can't be parsed: {type(exc).__name__}"
+                faults.append(_file_fault(str(file), 0, problem))
     return LoadResult(tuple(documents), tuple(faults))
 
 
--- a/tests/model/test_check.py
+++ b/tests/model/test_check.py
@@ -4,6 +4,7 @@
 
 import copy
 from pathlib import Path
+import tempfile
 from typing import Any
 import unittest
 
@@ -347,6 +348,22 @@
         self.assertEqual("no-such-file.yaml", loaded.faults[0].file)
         self.assertIn("can't be read", loaded.faults[0].problem)
 
+    def test_text_that_a_parser_crashes_on_is_a_fault(self) -> None:
+        texts = {
+            "deep.json": "[" * 100_000,
+            "deep.yaml": "[" * 2_000,
+            "key.yaml": "? [a]\n: b\n",
+            "tag.yaml": "a: !!int b\n",
+        }
+        with tempfile.TemporaryDirectory() as directory:
+            for name, text in texts.items():
+                path = Path(directory, name)
+                path.write_text(text)
+                with self.subTest(name):
+                    (fault,) = load_files([str(path)]).faults
+                    self.assertEqual(str(path), fault.file)
+                    self.assertIn("can't be parsed", fault.problem)
+
 
 class ExamplesTest(unittest.TestCase):
     """The example sets are valid and survive a round trip."""
