--- a/src/mulberrypass/operator/commands.py
+++ b/src/mulberrypass/operator/commands.py
@@ -15,6 +15,7 @@
 from mulberrypass.caller.auth import key_digest
 from mulberrypass.model.check import check
 from mulberrypass.model.fault import pluralize
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.model.load import load_files
 from mulberrypass.model.snapshot import KINDS
 from mulberrypass.operator import text
@@ -253,6 +254,8 @@
         raise CommandFailed(text.error_lines(exc), _is_retryable(exc))
 
     def _fail_faults(self, faults: Iterable[Fault]) -> None:
+        if self._as_json:
+            raise CommandFailed(_json_lines({"faults": _fault_bodies(faults)}))
         lines = [fault.text() for fault in faults]
         lines.append(f"mulberryctl: {pluralize(len(lines), 'fault')}")
         raise CommandFailed(lines)
@@ -276,6 +279,10 @@
     ]
 
 
+def _fault_bodies(faults: Iterable[Fault]) -> list[dict[str, Any]]:
+    return [jsonable(fault) | {"text": fault.text()} for fault in faults]
+
+
 def _is_retryable(exc: ClientError) -> bool:
     return isinstance(exc, NoAnswer) or exc.code in ("store_down", "not_ready")
 
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -168,6 +168,7 @@
     "json": (
         CommandStep("boot", "submit first.yaml"),
         CommandStep("ann", "check faulty.yaml --json"),
+        CommandStep("ann", "check broken.yaml --json"),
         CommandStep("bob", "plan bob.yaml --json"),
         CommandStep("ann", "generation --json"),
     ),
