Check a configuration before it is sent

Part I of docs/design/hard-load.md: operators had no check of the platform's desired state, and none for entries that are valid but can't work as meant.

"mulberryctl lint FILE... [--against FILE] [--strict]" reads the product's objects or one desired state without a network. It reports all errors with entry and field, entries that never match, limits that contradict each other, ignored fields that look misspelt, and the differences from the version in force.

The parser's document model is public for this.

--- a/src/mulberrypass/operator/commands.py
+++ b/src/mulberrypass/operator/commands.py
@@ -25,6 +25,7 @@
     NoAnswer,
     Reply,
 )
+from mulberrypass.operator.lint import lint
 
 if TYPE_CHECKING:
     from mulberrypass.model.fault import Fault
@@ -96,6 +97,26 @@
                     self._fail(exc)
         self._check_offline(documents)
 
+    def lint(self, files: tuple[str, ...], against: str, strict: bool) -> None:
+        """Check files without a control program, also for odd entries.
+
+        :param against: file of the version in force; empty for none
+        :param strict: fail on warnings
+        """
+        match lint(files, against):
+            case Result(tag="ok", ok=report):
+                pass
+            case Result(error=faults):
+                self._fail_faults(faults)
+        answer = {
+            "warnings": _fault_bodies(report.warnings),
+            "against": against,
+            "changes": jsonable(report.changes),
+        }
+        self._write(answer, text.lint_lines)
+        if strict and report.warnings:
+            raise CommandFailed(["mulberryctl: --strict allows no warning"])
+
     def plan(self, files: tuple[str, ...]) -> None:
         """Show the changes that submitting a set of files would make."""
         body = {"documents": _document_bodies(self._load_documents(files))}
--- a/src/mulberrypass/operator/text.py
+++ b/src/mulberrypass/operator/text.py
@@ -44,7 +44,8 @@
     if not changes:
         yield "  nothing changes"
     for change in changes:
-        yield f"  {ACTION_SIGNS[change['action']]} {object_label(change)}"
+        label = change.get("entry") or object_label(change)
+        yield f"  {ACTION_SIGNS[change['action']]} {label}"
         for field in change.get("fields", ()):
             before, after = (
                 _inline_yaml(field["before"]),
@@ -53,6 +54,16 @@
             yield f"      {field['field']}: {before} -> {after}"
 
 
+def lint_lines(answer: dict[str, Any]) -> Iterator[str]:
+    """Yield the warnings about a configuration, and its differences."""
+    for warning in answer["warnings"]:
+        yield f"warning: {warning['text']}"
+    if answer["changes"] is not None:
+        yield f"against {answer['against']}:"
+        yield from change_lines(answer["changes"])
+    yield f"no error, {pluralize(len(answer['warnings']), 'warning')}"
+
+
 def object_label(change: dict[str, Any]) -> str:
     """Return kind and name of a changed object."""
     action = Action(change["action"])
@@ -237,6 +248,7 @@
     "explain_lines",
     "generation_lines",
     "history_lines",
+    "lint_lines",
     "plan_lines",
     "status_lines",
     "submitted_lines",
--- a/src/mulberrypass/platform/desired.py
+++ b/src/mulberrypass/platform/desired.py
@@ -127,7 +127,9 @@
     idle_timeout_ms: Ms = 60_000
 
 
-class _Desired(_Model):
+class DesiredState(_Model):
+    """The document of a desired state."""
+
     version: Int
     routes: list[_Route]
     services: list[_Service]
@@ -162,7 +164,7 @@
 
     :raises DocumentError: if a field is missing or has the wrong type
     """
-    desired = _validate(_Desired, data)
+    desired = _validate(DesiredState, data)
     services = {
         service.name: RelayService(
             service.name,
@@ -274,7 +276,9 @@
 __all__ = [
     "CONFIG_KEY",
     "CONFIG_TABLE",
+    "DesiredState",
     "ENGINE_TABLE",
+    "ROUTE_KINDS",
     "read_desired",
     "read_engine",
 ]
--- a/src/mulberrypass/programs/ctl.py
+++ b/src/mulberrypass/programs/ctl.py
@@ -59,6 +59,21 @@
         """
         self._commands().check(_files(files), offline)
 
+    def lint(
+        self, *files: str, against: str = "", strict: bool = False
+    ) -> None:
+        """Check files offline, and report entries that can't work as meant.
+
+        The files are a complete set of objects, or one desired state of the
+        platform.
+
+        :param against: file of the version in force, to show the differences
+        :param strict: exit with 1 on warnings too
+        """
+        if not isinstance(strict, bool) or isinstance(against, bool):
+            raise UsageError("write --strict last, and --against FILE")
+        self._commands().lint(_files(files), str(against), strict)
+
     def plan(self, *files: str) -> None:
         """Show what a complete set of files would change."""
         self._commands().plan(_files(files))
--- a/tests/operator/test_session.py
+++ b/tests/operator/test_session.py
@@ -172,6 +172,20 @@
         CommandStep("bob", "plan bob.yaml --json"),
         CommandStep("ann", "generation --json"),
     ),
+    "lint": (
+        CommandStep("ann", "lint desired.json"),
+        CommandStep("ann", "lint desired.json --against desired-odd.json"),
+        CommandStep(
+            "ann", "lint desired-odd.json --against desired.json --strict"
+        ),
+        CommandStep("ann", "lint desired-bad.json --against desired.json"),
+        CommandStep("ann", "lint first.yaml --against night.yaml"),
+        CommandStep("ann", "lint faulty.yaml"),
+        CommandStep("ann", "lint first.yaml --against desired.json"),
+        CommandStep("ann", "lint first.yaml desired.json"),
+        CommandStep("ann", "lint no-such-file.json"),
+        CommandStep("ann", "lint --strict desired-odd.json"),
+    ),
 }
 
 
