--- a/src/mulberrypass/operator/commands.py
+++ b/src/mulberrypass/operator/commands.py
@@ -15,6 +15,7 @@
 from mulberrypass.caller.auth import key_digest
 from mulberrypass.model.check import check
 from mulberrypass.model.fault import pluralize
+from mulberrypass.model.jsonable import jsonable
 from mulberrypass.model.load import load_files
 from mulberrypass.model.snapshot import KINDS
 from mulberrypass.operator import text
@@ -24,6 +25,7 @@
     NoAnswer,
     Reply,
 )
+from mulberrypass.operator.lint import lint
 
 if TYPE_CHECKING:
     from mulberrypass.model.fault import Fault
@@ -95,6 +97,26 @@
                     self._fail(exc)
         self._check_offline(documents)
 
+    def lint(self, files: tuple[str, ...], against: str, strict: bool) -> None:
+        """Check files without a control program, also for odd entries.
+
+        :param against: file of the version in force; empty for none
+        :param strict: fail on warnings
+        """
+        match lint(files, against):
+            case Result(tag="ok", ok=report):
+                pass
+            case Result(error=faults):
+                self._fail_faults(faults)
+        answer = {
+            "warnings": _fault_bodies(report.warnings),
+            "against": against,
+            "changes": jsonable(report.changes),
+        }
+        self._write(answer, text.lint_lines)
+        if strict and report.warnings:
+            raise CommandFailed(["mulberryctl: --strict allows no warning"])
+
     def plan(self, files: tuple[str, ...]) -> None:
         """Show the changes that submitting a set of files would make."""
         body = {"documents": _document_bodies(self._load_documents(files))}
@@ -253,6 +275,8 @@
         raise CommandFailed(text.error_lines(exc), _is_retryable(exc))
 
     def _fail_faults(self, faults: Iterable[Fault]) -> None:
+        if self._as_json:
+            raise CommandFailed(_json_lines({"faults": _fault_bodies(faults)}))
         lines = [fault.text() for fault in faults]
         lines.append(f"mulberryctl: {pluralize(len(lines), 'fault')}")
         raise CommandFailed(lines)
@@ -276,6 +300,10 @@
     ]
 
 
+def _fault_bodies(faults: Iterable[Fault]) -> list[dict[str, Any]]:
+    return [jsonable(fault) | {"text": fault.text()} for fault in faults]
+
+
 def _is_retryable(exc: ClientError) -> bool:
     return isinstance(exc, NoAnswer) or exc.code in ("store_down", "not_ready")
 
