Let the engine's stand-in note keys and customers, and be uneven

Cause: the soak test can't see whether an engine gets a customer's key or name, and its engines all have the same speed.

Change: the engine's log holds the requests that bore a key, in any header and also where the request is refused, and the names of customers by request. With a seed of moments, an engine is 2.5 times slower for 0.3 s at times, and says so as the fourth figure of its load. The caller's stand-in sends a key and a claimed name; the sample desired state can have customers, and its routes of one version are public.

--- a/src/mulberrypass/platform/stand_in/caller.py
+++ b/src/mulberrypass/platform/stand_in/caller.py
@@ -55,11 +55,20 @@
             to.host, to.port, timeout=timeout_s
         )
         self._timeout_s = timeout_s
+        self._identity: dict[str, str] = {}
 
     def close(self) -> None:
         """Close the connection."""
         self._conn.close()
 
+    def identify(self, key: str, claimed: str = "") -> None:
+        """Set the key of the next calls.
+
+        :param claimed: name of a customer, which no caller may set
+        """
+        pairs = ((names.CUSTOMER_KEY, key), (names.CUSTOMER, claimed))
+        self._identity = {name: value for name, value in pairs if value}
+
     def resolve(self, zone: str) -> tuple[str, ...]:
         """Look up the addresses for a zone.
 
@@ -151,7 +160,7 @@
         body: bytes | None,
     ) -> CallResult:
         try:
-            self._conn.request(method, path, body, headers)
+            self._conn.request(method, path, body, headers | self._identity)
             resp = self._conn.getresponse()
             data = resp.read()
         except (OSError, http.client.HTTPException) as exc:
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -5,13 +5,18 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
+import random
 import threading
 import time
 from typing import TYPE_CHECKING, Any
 
 from mulberrypass.platform import headers as names
 from mulberrypass.platform.ingress import Reply, send_reply
-from mulberrypass.platform.stand_in.site import BATCH_PATH, RESUMABLE_PATH
+from mulberrypass.platform.stand_in.site import (
+    BATCH_PATH,
+    KEY_PREFIX,
+    RESUMABLE_PATH,
+)
 from mulberrypass.runtime.connection import END_WITH_CONNECTION
 from mulberrypass.runtime.in_flight import CallCounter
 
@@ -21,6 +26,11 @@
 RESPONSE_STAMP = names.RESPONSE_STAMP
 INSTANCE_ID = names.INSTANCE_ID
 RESUMABLE_PATHS = (BATCH_PATH, RESUMABLE_PATH)
+# Each 0.6 s some engines are 2.5 times slower for a moment.
+MOMENT_EVERY_S = 0.6
+MOMENT_S = 0.3
+MOMENT_PROBABILITY = 0.4
+MOMENT_SLOWNESS = 2.5
 
 
 @dataclass(slots=True)
@@ -57,6 +67,9 @@
     :param resumed: numbers of the events after which streams resumed, by id
     :param closed: ids of the requests whose streams the client closed
     :param said: times and request ids of the answers that said it leaves
+    :param keyed: ids of the requests that bore a customer's key
+    :param customers: names of customers in the requests, by id; an empty
+        one where none is named
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -66,6 +79,8 @@
     paths: dict[str, str] = field(default_factory=dict)
     closed: list[str] = field(default_factory=list)
     said: list[tuple[float, str]] = field(default_factory=list)
+    keyed: list[str] = field(default_factory=list)
+    customers: dict[str, set[str]] = field(default_factory=dict)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
 
@@ -73,15 +88,22 @@
     """Streams events that depend only on the request id.
 
     :param event_s: seconds between two events
+    :param moments: seed of the moments in which it is slower; ``None`` for
+        an even speed
     """
 
     def __init__(
-        self, name: str, events: int = 5, event_s: float = 0.0
+        self,
+        name: str,
+        events: int = 5,
+        event_s: float = 0.0,
+        moments: str | None = None,
     ) -> None:
         super().__init__()
         self.name = name
         self.events = events
         self.event_s = event_s
+        self.moments = moments
         self.faults = EngineFaults()
         self.log = EngineLog()
 
@@ -92,6 +114,7 @@
         body = environ["wsgi.input"].read()
         expected = _header(environ, names.EXPECT_INSTANCE)
         request_id = _header(environ, names.REQUEST_ID)
+        self._note_customer(environ, request_id)
         if expected and expected != self.name:
             reply = Reply(HTTPStatus.MISDIRECTED_REQUEST)
             reply.headers.append((INSTANCE_ID, self.name))
@@ -114,6 +137,28 @@
             return send_reply(reply, start_response)
         return self._stream(environ, request_id, start_response)
 
+    def _note_customer(self, environ: dict[str, Any], request_id: str) -> None:
+        """Note whose request it is said to be, also if it is refused."""
+        keyed = bool(_header(environ, names.CUSTOMER_KEY)) or any(
+            KEY_PREFIX in str(value)
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        )
+        with self.log.lock:
+            if keyed:
+                self.log.keyed.append(request_id)
+            seen = self.log.customers.setdefault(request_id, set())
+            seen.add(_header(environ, names.CUSTOMER))
+
+    def _slowness(self) -> float:
+        """Return how much longer work takes at this moment."""
+        if self.moments is None:
+            return 1.0
+        number, since_s = divmod(time.monotonic(), MOMENT_EVERY_S)
+        rng = random.Random(f"{self.moments}-{number:.0f}")
+        slow = since_s < MOMENT_S and rng.random() < MOMENT_PROBABILITY
+        return MOMENT_SLOWNESS if slow else 1.0
+
     def _stream(
         self, environ: dict[str, Any], request_id: str, start_response: Any
     ) -> Iterator[bytes]:
@@ -135,7 +180,7 @@
                 ("Content-Type", "text/event-stream"),
                 (names.REQUEST_ID, answer_id),
                 (RESPONSE_STAMP, f"stamp-{request_id}"),
-                (names.SERVER_LOAD, "1,0,8,100"),
+                (names.SERVER_LOAD, f"1,0,8,{100 * self._slowness():.0f}"),
                 *self._leaving_headers(request_id),
             ],
         )
@@ -159,7 +204,7 @@
                 if ends_after == produced:
                     return
                 if self.event_s:
-                    time.sleep(self.event_s)
+                    time.sleep(self.event_s * self._slowness())
                 produced += 1
                 if number != self.faults.skip:
                     yield event(request_id, number)
--- a/src/mulberrypass/platform/stand_in/site.py
+++ b/src/mulberrypass/platform/stand_in/site.py
@@ -11,6 +11,8 @@
 BATCH_PATH = "/crates/1"
 SERVICE = "generation"
 BASE_TIMEOUT_MS = 8_000
+# Begins each key of a customer, so that an engine can find one in any header.
+KEY_PREFIX = "soak-key-"
 
 
 def settings_text(
@@ -33,14 +35,19 @@
 """
 
 
-def desired_document(version: int) -> dict[str, Any]:
-    """Return a desired state with one route that only this version has."""
-    return {
+def desired_document(
+    version: int, tenants: list[dict[str, Any]] | None = None
+) -> dict[str, Any]:
+    """Return a desired state with one route that only this version has.
+
+    :param tenants: entries of the customers; ``None`` for none at all
+    """
+    doc = {
         "Version": version,
         "Routes": [
             _route("lookup", ONLINE_HOST, version),
             _route("slip", ONLINE_HOST, version, Resumable=True),
-            _route(version_route(version), ONLINE_HOST, version),
+            _route(version_route(version), ONLINE_HOST, version, Public=True),
             _route(
                 "crates",
                 BATCH_HOST,
@@ -51,6 +58,7 @@
         ],
         "Services": [{"Name": SERVICE, "Engine": {"Stride": 1}}],
     }
+    return doc if tenants is None else doc | {"Tenants": tenants}
 
 
 def version_route(version: int) -> str:
@@ -97,6 +105,7 @@
 __all__ = [
     "BATCH_HOST",
     "BATCH_PATH",
+    "KEY_PREFIX",
     "ONCE_PATH",
     "ONLINE_HOST",
     "RESUMABLE_PATH",
