Soak customers with keys and limits, second runs and uneven engines

Cause: the soak test has no customers, so it doesn't see a key that reaches an engine, a limit that doesn't hold across instances, or a job that others read; nor does it run with second runs or engines of uneven speed.

Each version withdraws a key and adds one, also while an instance is cut off from the store. Callers keep connections and keys until a 401, claim other names, and send keys that were never configured. Jobs are read, resent and ended with any key of their customer and tried with others. Twice a run a customer sends several times its rate, once in the calm, as faults hold up the callers. The streams of faults of earlier seeds are unchanged. Violation moves to the records, which both modules of checks import.

--- a/src/mulberrypass/soak/callers.py
+++ b/src/mulberrypass/soak/callers.py
@@ -15,12 +15,18 @@
 )
 from mulberrypass.platform.stand_in.site import (
     BATCH_HOST,
-    BATCH_PATH,
     ONCE_PATH,
     ONLINE_HOST,
     RESUMABLE_PATH,
 )
+from mulberrypass.soak.customers import (
+    HOT,
+    Customers,
+    Identity,
+    unknown_key,
+)
 from mulberrypass.soak.records import AttemptRecord, JobRecord
+from mulberrypass.soak.strangers import intrude, submit_job
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -39,21 +45,35 @@
 # Time within which every instance knows of an accepted job.
 JOB_VISIBLE_S = 1.0
 CANCEL_PROBABILITY = 0.15
+STRANGER_PROBABILITY = 0.25
+RESEND_PROBABILITY = 0.2
+# Would say that an accepted job is another or unknown.
+CONFLICTS = (404, 409)
 POLL_INTERVAL_S = 0.3
 # Rhythms of the callers that keep to one connection, from nearly always busy
 # to idle for most of a stop.
 KEPT_INTERVALS_S = (0.02, 0.4, 1.3, 2.9)
+# In a hot moment about 30 requests per second beside the usual 8; the limit
+# is 9.
+HOT_CALLERS = 6
+HOT_INTERVAL_S = 0.05
+UNAUTHORIZED = 401
 
 
 class Callers:
     """Starts the callers; holds the instances, records and stop events."""
 
     def __init__(
-        self, instances: Sequence[Instance], records: SoakRecords, seed: int
+        self,
+        instances: Sequence[Instance],
+        records: SoakRecords,
+        seed: int,
+        customers: Customers | None = None,
     ) -> None:
         self.instances = instances
         self.records = records
         self.seed = seed
+        self.customers = customers
         self.stop_online = threading.Event()
         self.stop_batch = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -66,6 +86,14 @@
             self._start(_KeptCaller(self, number).run)
         for number in range(batch):
             self._start(_BatchCaller(self, number).run)
+        if self.customers is not None:
+            for number in range(HOT_CALLERS):
+                self._start(_HotCaller(self, number, self.customers).run)
+
+    def customer_of(self, number: int) -> str:
+        """Return the customer of a caller; empty for none."""
+        names = self.customers.names if self.customers else ("",)
+        return names[number % len(names)]
 
     def join(self) -> None:
         """Wait for all caller threads to end."""
@@ -140,6 +168,8 @@
             caller = SiteCaller(at, REQUEST_TIMEOUT_S)
         resumable = self._rng.random() < 0.5
         path = RESUMABLE_PATH if resumable else ONCE_PATH
+        identity = self._identity()
+        caller.identify(identity.key, identity.claimed)
         began = time.monotonic()
         answer = CallResult(0, b"", False, True)
         reason = ""
@@ -162,12 +192,70 @@
                 answer.stamped,
                 resumable,
                 reason,
+                identity.customer,
+                identity.held,
             )
         )
+        self._answered(answer.status)
+
+    def _identity(self) -> Identity:
+        customers = self._callers.customers
+        if customers is None:
+            return Identity()
+        return customers.draw(
+            self._callers.customer_of(self._number), self._rng
+        )
+
+    def _answered(self, status: int) -> None:
+        """Take note of the status of an answer."""
+
+
+class _HotCaller(_OnlineCaller):
+    """Sends without a pause in hot moments."""
+
+    def __init__(
+        self, callers: Callers, number: int, customers: Customers
+    ) -> None:
+        super().__init__(callers, number)
+        self._customers = customers
+        self._rng = random.Random(f"{callers.seed}-hot-{number}")
+
+    def run(self) -> None:
+        """Send requests in hot moments until ``stop_online`` is set."""
+        count = 0
+        while not self._callers.stop_online.wait(HOT_INTERVAL_S):
+            if self._customers.hot.is_set():
+                count += 1
+                self._send(f"h{self._number}-{count}")
+        for caller in self._connections.values():
+            caller.close()
+
+    def _identity(self) -> Identity:
+        return self._customers.identity(HOT, self._rng)
 
 
 class _KeptCaller(_OnlineCaller):
-    """Keeps to one connection, listed or not, until it is closed."""
+    """Keeps to one connection, listed or not, until it is closed.
+
+    Keeps to its key until that is refused, so that keys are withdrawn on
+    connections that are kept open.
+    """
+
+    def __init__(self, callers: Callers, number: int) -> None:
+        super().__init__(callers, number)
+        self._kept: Identity | None = None
+
+    def _identity(self) -> Identity:
+        customers = self._callers.customers
+        if self._kept is None and customers is not None:
+            # The busiest of them isn't of the customer with hot moments.
+            customer = self._callers.customer_of(self._number + 1)
+            self._kept = customers.identity(customer, self._rng)
+        return self._kept or Identity()
+
+    def _answered(self, status: int) -> None:
+        if status == UNAUTHORIZED:
+            self._kept = None
 
     def run(self) -> None:
         """Send requests in its rhythm until ``stop_online`` is set."""
@@ -194,6 +282,7 @@
         self._number = number
         self._rng = random.Random(f"{callers.seed}-batch-{number}")
         self._addresses = _AddressCache(callers, self._rng)
+        self._customer = callers.customer_of(number)
 
     def run(self) -> None:
         """Submit jobs until ``stop_online`` is set; finish the last one."""
@@ -204,21 +293,64 @@
             items = tuple(
                 f"{name}.{number}" for number in range(ITEMS_PER_JOB)
             )
-            job = JobRecord(name, items)
+            job = JobRecord(name, items, customer=self._customer)
             self._callers.records.add_job(job)
             self._run_job(job)
             job.done = True
 
     def _run_job(self, job: JobRecord) -> None:
+        self._submit_unknown(job.job_id)
         self._submit(job)
         if job.accepted_at is None:
             return
+        self._resend(job)
         if self._rng.random() < CANCEL_PROBABILITY:
             self._cancel(job)
         self._poll_results(job)
 
     def _connect(self) -> SiteCaller:
-        return SiteCaller(self._addresses.choose().front, REQUEST_TIMEOUT_S)
+        """Return a caller with any key of the customer."""
+        caller = SiteCaller(self._addresses.choose().front, REQUEST_TIMEOUT_S)
+        customers = self._callers.customers
+        if customers is not None:
+            identity = customers.identity(self._customer, self._rng)
+            caller.identify(identity.key)
+        return caller
+
+    def _resend(self, job: JobRecord) -> None:
+        """Submit an accepted job again with any key of its customer."""
+        if self._rng.random() < RESEND_PROBABILITY:
+            status = submit_job(self._connect(), job)
+            if status in CONFLICTS:
+                job.inconsistencies.append(f"resent, answered {status}")
+
+    def _submit_unknown(self, name: str) -> None:
+        """Submit a job with a key that no configuration ever held."""
+        if (
+            self._callers.customers is None
+            or self._rng.random() >= STRANGER_PROBABILITY
+        ):
+            return
+        job = JobRecord(f"{name}u", (f"{name}u.0",), held=False, done=True)
+        self._callers.records.add_job(job)
+        caller = self._connect()
+        caller.identify(unknown_key(self._rng), self._customer)
+        job.statuses.append(submit_job(caller, job))
+
+    def _intrude(self, job: JobRecord) -> None:
+        """Read, end or resend a job with a key that may not."""
+        customers = self._callers.customers
+        if customers is None or self._rng.random() >= STRANGER_PROBABILITY:
+            return
+        key = self._rng.choice(
+            (
+                customers.other(job.customer, self._rng).key,
+                unknown_key(self._rng),
+            )
+        )
+        caller = self._connect()
+        caller.identify(key, job.customer)
+        intrude(caller, job, self._rng)
 
     def _submit(self, job: JobRecord) -> None:
         """Submit a job until accepted, ``MAX_SUBMIT_ATTEMPTS`` times at most.
@@ -229,15 +361,7 @@
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             if stop.is_set():
                 return
-            caller = self._connect()
-            try:
-                status = caller.submit(
-                    BATCH_HOST, BATCH_PATH, job.job_id, job.items
-                )
-            except CallFailedError:
-                status = 0
-            finally:
-                caller.close()
+            status = submit_job(self._connect(), job)
             job.statuses.append(status)
             if status == ACCEPTED:
                 job.accepted_at = time.monotonic()
@@ -269,6 +393,7 @@
         polls_left = 3 if cancelled else None
         while not self._callers.stop_batch.wait(POLL_INTERVAL_S):
             from_start = self._rng.random() < 0.2
+            self._intrude(job)
             self._read_page(job, 0 if from_start else len(job.results))
             if polls_left is not None:
                 polls_left -= 1
--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -28,6 +28,7 @@
 )
 from mulberrypass.platform.stand_in.store import StoreApp
 from mulberrypass.runtime.http_server import HttpServer
+from mulberrypass.soak.customers import Setup
 from mulberrypass.soak.proxy import Link
 from mulberrypass.storage.rows import RowKey, Transaction
 from mulberrypass.testing.row_state import RowState
@@ -49,6 +50,11 @@
 EVENTS_PER_ANSWER = 8
 EVENT_INTERVAL_S = 0.015
 SLOTS_PER_ENGINE = 4
+SHARE_VARIABLE = "MULBERRYPASS_REPEAT_SHARE"
+# Share of second runs, in runs that have any.
+REPEAT_SHARE = 0.1
+# How much slower the first engine is for good in runs with uneven engines.
+LASTING_SLOWNESS = 2.2
 GRACE_S = 6
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
@@ -101,7 +107,12 @@
     """An instance: its process and its link to the store."""
 
     def __init__(
-        self, subnet: str, number: int, link: Link, folder: Path
+        self,
+        subnet: str,
+        number: int,
+        link: Link,
+        folder: Path,
+        repeats: bool = False,
     ) -> None:
         self.number = number
         self.link = link
@@ -110,6 +121,7 @@
         self.directory = HostPort(self.address, DIRECTORY_PORT)
         self.expected_down = True
         self._folder = folder
+        self._repeat_share = REPEAT_SHARE if repeats else 0.0
         self._processes: list[subprocess.Popen[bytes]] = []
 
     def start(self) -> None:
@@ -119,6 +131,7 @@
         environ = os.environ | {
             SETTINGS_VARIABLE: str(self._settings_path),
             PEER_KEY_VARIABLE: "soak",
+            SHARE_VARIABLE: str(self._repeat_share),
         }
         log_path = self._folder / f"{name}.{self.boots + 1}.log"
         with log_path.open("wb") as log:
@@ -218,18 +231,34 @@
             self._process.wait()
 
 
+NO_SETUP = Setup()
+
+
+def _engine(number: int, uneven: bool) -> EngineApp:
+    """Return an engine; the first is the slowest of uneven ones."""
+    slowest = uneven and number == 0
+    return EngineApp(
+        f"i-{number}-1",
+        EVENTS_PER_ANSWER,
+        EVENT_INTERVAL_S * (LASTING_SLOWNESS if slowest else 1.0),
+        str(number) if uneven else None,
+    )
+
+
 class SoakCluster:
     """Instances, engines, store and links of a run."""
 
-    def __init__(self, instances: int, engines: int) -> None:
+    def __init__(
+        self, instances: int, engines: int, setup: Setup = NO_SETUP
+    ) -> None:
+        self.customers = setup.customers
         self.folder = Path(tempfile.mkdtemp(prefix="mulberry-soak-"))
         self.subnet, self._reservation = reserve_subnet()
         self.rows = RowState()
         self.loop = LoopThread("soak-links")
         self.version = 0
         self.apps = [
-            EngineApp(f"i-{number}-1", EVENTS_PER_ANSWER, EVENT_INTERVAL_S)
-            for number in range(engines)
+            _engine(number, setup.uneven) for number in range(engines)
         ]
         self.engine_links = [
             Link(
@@ -246,6 +275,7 @@
                 number,
                 self._store_link(number, store),
                 self.folder,
+                setup.repeats,
             )
             for number in range(instances)
         ]
@@ -297,9 +327,17 @@
         self._reservation.close()
 
     def publish(self) -> int:
-        """Write the next configuration version and return its number."""
+        """Write the next configuration version and return its number.
+
+        Each changes the keys of a customer.
+        """
         self.version += 1
-        self.put_row("op", "config", desired_document(self.version))
+        tenants = None
+        if self.customers is not None:
+            self.customers.rotate()
+            tenants = self.customers.documents()
+        doc = desired_document(self.version, tenants)
+        self.put_row("op", "config", doc)
         return self.version
 
     def register(self, number: int, leaving: bool = False) -> None:
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import field
 import signal
 from typing import TYPE_CHECKING
 
 from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.stand_in.engine import event, output
-from mulberrypass.soak.records import STOP
+from mulberrypass.soak.customer_checks import check_customers
+from mulberrypass.soak.records import STOP, Violation
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
@@ -40,18 +42,6 @@
 DISTURBANCE_MARGIN_S = 3.0
 
 
-@value_class
-class Violation:
-    """One violation of a guarantee.
-
-    :param subject: id of the request or job, engine or instance
-    """
-
-    guarantee: str
-    subject: str
-    detail: str
-
-
 @value_class
 class Observations:
     """Everything observed in a run.
@@ -59,6 +49,7 @@
     :param logs: log of each engine, by its number
     :param events: number of events in each complete answer
     :param reloads: reloads of instances that went on running
+    :param limits: rate and burst of each customer with a limit
     """
 
     records: SoakRecords
@@ -69,6 +60,7 @@
     reloads: Sequence[ReloadRecord] = ()
     departures: Sequence[Departure] = ()
     halts: Sequence[Halt] = ()
+    limits: Mapping[str, tuple[float, float]] = field(default_factory=dict)
 
     def count_runs(self) -> Counter[str]:
         """Count the runs of each request id over all engines."""
@@ -109,6 +101,9 @@
         *_check_departures(observed),
         *_check_planned_work(observed, runs),
         *_check_reloads(observed),
+        *check_customers(
+            observed.records, observed.logs.values(), observed.limits
+        ),
     )
 
 
--- a/src/mulberrypass/soak/injector.py
+++ b/src/mulberrypass/soak/injector.py
@@ -54,6 +54,7 @@
 LOST_REPLIES = 4
 LINK_STATES = {
     FaultKind.STORE_CUT: LinkState.PARTITIONED,
+    FaultKind.KEYS: LinkState.PARTITIONED,
     FaultKind.STORE_ONE_WAY: LinkState.DROP_REPLIES,
     FaultKind.STORE_SLOW: LinkState.SLOW,
     FaultKind.ENGINE_CUT: LinkState.PARTITIONED,
@@ -61,7 +62,12 @@
     FaultKind.ENGINE_SLOW: LinkState.SLOW,
 }
 STORE_LINK_KINDS = frozenset(
-    {FaultKind.STORE_CUT, FaultKind.STORE_ONE_WAY, FaultKind.STORE_SLOW}
+    {
+        FaultKind.STORE_CUT,
+        FaultKind.STORE_ONE_WAY,
+        FaultKind.STORE_SLOW,
+        FaultKind.KEYS,
+    }
 )
 # Disturb when they happen, which may be later or never.
 DELAYED_KINDS = frozenset({FaultKind.LOSS, FaultKind.ENGINE_SAYS})
@@ -159,6 +165,11 @@
                 self._drain(fault.target, now, fault.duration_s)
             case FaultKind.ENGINE_SAYS:
                 self._leave_with_word(fault, now)
+            case FaultKind.KEYS:
+                self._set_link(fault, end)
+                self._publish(now)
+            case FaultKind.HOT:
+                self._heat(end)
             case FaultKind.CONFIG:
                 self._publish(now)
             case _ if fault.kind in RELOAD_KINDS:
@@ -294,6 +305,13 @@
         )
         instance.send(signal.SIGHUP)
 
+    def _heat(self, end: float) -> None:
+        """Make a customer send several times its rate."""
+        customers = self._cluster.customers
+        if customers is not None:
+            customers.hot.set()
+            self.schedule(end, customers.hot.clear)
+
     def _deliver_late(self) -> None:
         self._cluster.rows.faults.late = 0
         self._cluster.rows.deliver_late()
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -24,6 +24,8 @@
     :param stamped: whether the answer has an engine's response stamp
     :param resumable: whether it may run more than once
     :param reason: why no complete answer was received
+    :param customer: holder of its key; empty if it has none
+    :param held: whether any configuration ever held its key
     """
 
     request_id: str
@@ -35,6 +37,8 @@
     stamped: bool = False
     resumable: bool = False
     reason: str = ""
+    customer: str = ""
+    held: bool = True
 
 
 @dataclass(slots=True)
@@ -48,6 +52,9 @@
     :param not_found: times at which the job was not found, and the answer
     :param accepted_late: whether it was accepted after polling had stopped
     :param done: whether its caller has finished with it
+    :param customer: who submitted it; empty if it is no customer's
+    :param held: whether any configuration ever held its submitter's key
+    :param strangers: calls of others that were not refused
     """
 
     job_id: str
@@ -60,6 +67,9 @@
     not_found: list[tuple[float, str]] = field(default_factory=list)
     accepted_late: bool = False
     done: bool = False
+    customer: str = ""
+    held: bool = True
+    strangers: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -91,6 +101,18 @@
             return all(job.done for job in self.jobs)
 
 
+@value_class
+class Violation:
+    """One violation of a guarantee.
+
+    :param subject: id of the request or job, engine or instance
+    """
+
+    guarantee: str
+    subject: str
+    detail: str
+
+
 @value_class
 class Disturbance:
     """A fault, start, stop or reload that may affect requests.
@@ -165,4 +187,5 @@
     "ReloadRecord",
     "SoakRecords",
     "Disturbance",
+    "Violation",
 ]
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
     read_page,
 )
 from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, SoakCluster
+from mulberrypass.soak.customers import draw_setup
 from mulberrypass.soak.guarantees import (
     Observations,
     Violation,
@@ -78,7 +80,10 @@
 
     def __init__(self, plan: SoakPlan) -> None:
         self._plan = plan
-        self._cluster = SoakCluster(plan.instances, plan.engines)
+        setup = draw_setup(plan.seed)
+        self._cluster = SoakCluster(plan.instances, plan.engines, setup)
+        self._customers = setup.customers
+        self._rng = random.Random(f"{plan.seed}-run")
         self._records = SoakRecords()
         self._injector = Injector(self._cluster, self._records, self._publish)
         self._violations: list[Violation] = []
@@ -90,7 +95,12 @@
         faults = draw_run(
             plan.seed, plan.seconds, plan.instances, plan.engines
         )
-        callers = Callers(self._cluster.instances, self._records, plan.seed)
+        callers = Callers(
+            self._cluster.instances,
+            self._records,
+            plan.seed,
+            self._customers,
+        )
         try:
             self._start()
             began = time.monotonic()
@@ -168,6 +178,10 @@
     def _serves(self, instance: Instance) -> bool:
         caller = SiteCaller(instance.front, REQUEST_TIMEOUT_S)
         name = f"r{instance.number}-{next(self._sequence)}"
+        if self._customers is not None:
+            # The last customer has no limit.
+            customer = self._customers.names[-1]
+            self._identify(caller, customer)
         try:
             answer = caller.request(ONLINE_HOST, RESUMABLE_PATH, name)
         except CallFailedError:
@@ -176,6 +190,11 @@
             caller.close()
         return answer.status == 200
 
+    def _identify(self, caller: SiteCaller, customer: str) -> SiteCaller:
+        if self._customers is not None:
+            caller.identify(self._customers.identity(customer, self._rng).key)
+        return caller
+
     def _read_again(self) -> None:
         """Read all results of the accepted jobs again at each instance."""
         time.sleep(JOB_VISIBLE_S)
@@ -186,7 +205,13 @@
             for instance in running:
                 if not self._cluster.wait_until(
                     lambda job=job, at=instance: read_page(
-                        SiteCaller(at.front, REQUEST_TIMEOUT_S), job, 0, True
+                        self._identify(
+                            SiteCaller(at.front, REQUEST_TIMEOUT_S),
+                            job.customer,
+                        ),
+                        job,
+                        0,
+                        True,
                     )
                 ):
                     self._violations.append(
@@ -215,6 +240,7 @@
             self._injector.reloads,
             self._injector.departures,
             self._injector.halts,
+            {} if self._customers is None else self._customers.limits,
         )
 
     def _report(self, faults: tuple[ScheduledFault, ...]) -> SoakReport:
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -41,6 +41,11 @@
 MAX_SAYS_GAP_S = 14.0
 # Gaps between two series of answers without framing.
 MAX_ENDS_GAP_S = 4.0
+# Gaps between two changes of keys.
+MIN_KEYS_GAP_S = 1.0
+MAX_KEYS_GAP_S = 4.0
+# How long a customer sends several times its rate: most of a window of 5 s.
+HOT_S = (3.0, 5.0)
 
 
 class FaultKind(enum.StrEnum):
@@ -73,6 +78,8 @@
     RELOAD_STARTING = "reloads during a start"
     LOSS = "all instances lost at once"
     ENGINE_SAYS = "engine says that it leaves, store away"
+    KEYS = "keys change, store away from an instance"
+    HOT = "customer sends several times its rate"
     ENGINE_UNFRAMED = "engine's answers end with their connections"
     ENGINE_ENDS = "engine ends such answers between two events"
 
@@ -85,15 +92,28 @@
     FaultKind.RELOAD_STOPPING,
     FaultKind.RELOAD_STARTING,
 )
+CUSTOMER_KINDS = (FaultKind.KEYS, FaultKind.HOT)
 END_KINDS = (FaultKind.ENGINE_UNFRAMED, FaultKind.ENGINE_ENDS)
 LATER_KINDS = frozenset(
-    {*RELOAD_KINDS, FaultKind.LOSS, FaultKind.ENGINE_SAYS, *END_KINDS}
+    {
+        *RELOAD_KINDS,
+        FaultKind.LOSS,
+        FaultKind.ENGINE_SAYS,
+        *CUSTOMER_KINDS,
+        *END_KINDS,
+    }
 )
 # Drawn from the seed's first stream, which must not change: a seed that once
 # failed must give the same faults again.
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 PLANNED_KINDS = frozenset(
-    {FaultKind.STOP, FaultKind.CONFIG, FaultKind.ENGINE_DRAINS, *RELOAD_KINDS}
+    {
+        FaultKind.STOP,
+        FaultKind.CONFIG,
+        FaultKind.HOT,
+        FaultKind.ENGINE_DRAINS,
+        *RELOAD_KINDS,
+    }
 ) - {FaultKind.RELOAD_STARTING}
 INSTANCE_KINDS = frozenset(
     {
@@ -189,6 +209,8 @@
     faults += _draw_series(
         fourth, (CALM_S, end), MAX_ENDS_GAP_S, gaps_s, END_KINDS, engines
     )
+    fifth = random.Random(f"{seed}-fifth")
+    faults += _draw_keys(fifth, CALM_S, end, instances)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -197,6 +219,22 @@
     return ScheduledFault(at, FaultKind.LOSS, 0, duration_s)
 
 
+def _draw_keys(
+    rng: random.Random, begin: float, end: float, instances: int
+) -> Iterator[ScheduledFault]:
+    """Draw changes of keys, and moments in which a customer sends more."""
+    at = begin + rng.uniform(0.0, MAX_KEYS_GAP_S)
+    while at < end:
+        duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        target = rng.randrange(instances)
+        yield ScheduledFault(at, FaultKind.KEYS, target, duration_s)
+        at += rng.uniform(MIN_KEYS_GAP_S, MAX_KEYS_GAP_S)
+    # In the calm no fault holds up the callers, so that all send at once.
+    calm_at = rng.uniform(CALM_FIRST_S, CALM_LAST_S)
+    for at in (calm_at, begin + rng.uniform(0.0, MAX_KEYS_GAP_S)):
+        yield ScheduledFault(at, FaultKind.HOT, 0, rng.uniform(*HOT_S))
+
+
 def _draw_says(
     rng: random.Random, begin: float, end: float, engines: int
 ) -> Iterator[ScheduledFault]:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -124,6 +124,17 @@
         ]
         self.assertTrue(0 < len(at_end) < len(last))
 
+    def test_customer_sends_more_before_and_during_the_faults(self) -> None:
+        """A limit that is off isn't seen if no customer goes beyond it."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                hot = [
+                    fault.at < CALM_S
+                    for fault in draw_run(seed, 8.0, 4, 3)
+                    if fault.kind is FaultKind.HOT
+                ]
+                self.assertEqual([True, False], hot)
+
 
 class RunTest(unittest.TestCase):
     def test_short_run_has_no_violations(self) -> None:
