Split the soak's batch callers and addresses off

Change: AddressCache moves to soak/addresses.py, the batch callers with read_page to soak/batch_callers.py. The tests of callers import from there; nothing else in them changes.

--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -14,12 +14,12 @@
     RESUMABLE_PATH,
     version_path,
 )
-from mulberrypass.soak.callers import (
+from mulberrypass.soak.batch_callers import (
     JOB_VISIBLE_S,
     REQUEST_TIMEOUT_S,
-    Callers,
     read_page,
 )
+from mulberrypass.soak.callers import Callers
 from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, SoakCluster
 from mulberrypass.soak.customers import draw_setup
 from mulberrypass.soak.guarantees import (
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -10,8 +10,9 @@
 
 from mulberrypass.platform.site import HostPort
 from mulberrypass.platform.stand_in.caller import CallFailedError, ResultsPage
-from mulberrypass.soak import callers
-from mulberrypass.soak.callers import Callers, read_page
+from mulberrypass.soak.addresses import AddressCache
+from mulberrypass.soak.batch_callers import read_page
+from mulberrypass.soak.callers import Callers, _KeptCaller
 from mulberrypass.soak.records import JobRecord, SoakRecords
 
 ENOUGH_REQUESTS = 5
@@ -57,9 +58,9 @@
         records = SoakRecords()
         started = Callers([instance], records, 1)
         with patch.object(
-            callers._AddressCache, "choose", return_value=instance
+            AddressCache, "choose", return_value=instance
         ) as choose:
-            kept = callers._KeptCaller(started, 0)
+            kept = _KeptCaller(started, 0)
             thread = threading.Thread(target=kept.run)
             thread.start()
             end = time.monotonic() + DEADLINE_S
