Check the limits on second runs where they are built

Cause: check_share was called by its own test only; shares that don't come from the site's environment or an object's document were not checked. Change: RepeatShares checks its shares. Result: the test fails on the sources before, passes now; 68 tests of second runs, of the product's online calls and of the site's session pass.

--- a/src/mulberrypass/policy/online/repeats.py
+++ b/src/mulberrypass/policy/online/repeats.py
@@ -110,6 +110,14 @@
     default: float = 0.0
     by_service: Mapping[str, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Check the limits.
+
+        :raises ValueError: if one is no share
+        """
+        for share in (self.default, *self.by_service.values()):
+            check_share(share)
+
     @property
     def any(self) -> bool:
         """Whether any service may have second runs."""
--- a/tests/policy/online/test_repeats.py
+++ b/tests/policy/online/test_repeats.py
@@ -210,3 +210,7 @@
         for share in (-0.01, 1.01, float("nan"), float("inf")):
             with self.assertRaises(ValueError, msg=str(share)):
                 check_share(share)
+            with self.assertRaises(ValueError, msg=str(share)):
+                RepeatShares(share)
+            with self.assertRaises(ValueError, msg=str(share)):
+                RepeatShares(0.05, {"a": share})
