Show that a move of a route cuts streams that are whole

Cause: a stream whose engine ends it with its channel needs a second run to settle its end; the permit for it is denied once the route leads to another service, and the answer is cut after its last event.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,11 @@
-"""A week of batch jobs, then a restart: do the processes fit their memory?"""
+"""A route moves to another service while its streams run: are any cut?"""
 
+import http.client
 import os
 from pathlib import Path
 import secrets
 import sys
+import threading
 import time
 
 HERE = Path(__file__).resolve().parent
@@ -11,113 +13,198 @@
 
 import site2  # noqa: E402
 
-JOBS_PER_S = 0.258
-STATUS_S = 120
-DAYS = 7
-MEMORY_MB = 350
-PLAY_S = 60.0
+HOST = "ficu95.example"
+PREFIX = "/pufi791/"
+FORMER, LATER = "huvo11a", "rimo42b"
+EVENTS, EVENT_S = 31, 0.025
+RATE_PER_S = 8.0
+CALM_S, PLAY_S = 10.0, 20.0
+CONFIG_APPLY_S = 2.0
 BROKEN, HELD, NOT_RUN = 1, 0, 2
-# Two machines, three ends each: the figures of the rule.
-MACHINES, ENDS = 2, 3
-
-
-def head_of_one_job(site):
-    """Let the program itself run a job, and hand in another one.
-
-    :returns: the row of the first, which is done, and the id of the other,
-        which was accepted right before the process was killed
-    """
-    first = site.add_instance(1, memory_mb=MEMORY_MB)
-    until = time.monotonic() + 20
-    while not first.ready():
-        if time.monotonic() > until:
-            return None
-        time.sleep(0.1)
-    items = [secrets.token_hex(8) for _ in range(10)]
-    job = secrets.token_hex(8)
-    status, _ = site2.submit(first.address, job, items)
-    site.record.write("handed in", job=job, status=status)
-    if status != 202:
-        return None
-    done = 0
-    while done < len(items) and time.monotonic() < until:
-        time.sleep(0.2)
-        _, doc = site2.results(first.address, job)
-        done = len(doc.get("Results", ()))
-    site.record.write("done", job=job, results=done)
-    value = site.store.value("batch_heads", site2.HOST, job)
-    still_open = secrets.token_hex(8)
-    items = [secrets.token_hex(8) for _ in range(100)]
-    status, _ = site2.submit(first.address, still_open, items)
-    first.kill()
-    site.instances.clear()
-    site.record.write("handed in", job=still_open, status=status)
-    if status != 202 or done < 10:
-        return None
-    return value, still_open
-
-
-def play(site, job):
-    """Start three instances; make one online request each half second.
-
-    :param job: a job that was accepted before
-    """
-    machines = [
-        site.add_instance(number, memory_mb=MEMORY_MB) for number in (1, 2, 3)
+
+
+class ClosingEngine(site2.Engine):
+    """An engine whose answers have no length and end with their channel."""
+
+    def stream(self, conn, rid, headers):
+        """Write the events of a request, then close the channel."""
+        first = int(headers.get("last-event-id", 0)) + 1
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"X-Mulberrypass-Request-Id: {rid}\r\n"
+            f"X-Mulberrypass-Response-Stamp: {self.name}.{rid}\r\n"
+            f"X-Mulberrypass-Server-Load: {self.running},0,8\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        conn.sendall(head.encode())
+        for number in range(first, self.events + 1):
+            time.sleep(self.event_s)
+            conn.sendall(event(rid, number))
+        raise ConnectionError("the answer is over")
+
+
+def event(rid, number):
+    """Return an event as it is sent."""
+    return f"id: {number}\ndata: {rid}-{number}\n\n".encode()
+
+
+def desired(version, service):
+    """Return a desired state whose route leads to a service."""
+    doc = site2.config(version)
+    engine = doc["Services"][0]
+    doc["Services"] = [engine | {"Name": name} for name in (FORMER, LATER)]
+    doc["Routes"] = [
+        doc["Routes"][0]
+        | {
+            "Name": "r-x73d3zj",
+            "Host": HOST,
+            "Prefix": PREFIX,
+            "Service": service,
+            "MaxAttempts": 2,
+            "Resumable": True,
+        }
     ]
-    served = sent = 0
-    until = time.monotonic() + PLAY_S
-    while time.monotonic() < until:
-        time.sleep(0.5)
-        for machine in machines:
-            if not machine.ready():
-                continue
-            sent += 1
-            rid = secrets.token_hex(8)
-            status, _ = site2.online(machine.address, rid)
-            served += status == 200
-            site.record.write(
-                "answered", instance=machine.number, id=rid, status=status
-            )
-        if all(len(machine.ends) >= ENDS for machine in machines):
-            break
-    for machine in machines:
-        if machine.ready():
-            _, doc = site2.results(machine.address, job)
-            listed = len(doc.get("Results", ()))
-            site.record.write(
-                "read", job=job, total=doc.get("Total"), listed=listed
-            )
-    for machine in machines:
-        site.record.write(
-            "machine",
-            number=machine.number,
-            ends=machine.ends,
-            peak_mb=round(machine.peak_mb),
+    return doc
+
+
+class Callers:
+    """Sends requests at a steady rate, each on a channel of its own."""
+
+    def __init__(self, site):
+        self.site = site
+        self.ends = []
+        self.lock = threading.Lock()
+
+    def run(self, seconds):
+        """Send for some seconds; wait until all are answered."""
+        threads = []
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            machines = self.site.instances
+            machine = machines[len(threads) % len(machines)]
+            thread = threading.Thread(target=self.one, args=(machine.address,))
+            thread.start()
+            threads.append(thread)
+            time.sleep(1 / RATE_PER_S)
+        for thread in threads:
+            thread.join()
+
+    def one(self, address):
+        """Make one request and note how it ended."""
+        rid = secrets.token_hex(8)
+        sent = time.monotonic()
+        headers = {
+            "Host": HOST,
+            "X-Mulberrypass-Request-Id": rid,
+            "X-Mulberrypass-Model": "m",
+            "X-Mulberrypass-Token-Counts": "450,31",
+            "X-Mulberrypass-Deadline-Ms": "5000",
+        }
+        conn = http.client.HTTPConnection(address, site2.FRONT, timeout=6)
+        try:
+            conn.request("POST", f"{PREFIX}2f", b"{}", headers)
+            answer = conn.getresponse()
+            body = answer.read()
+            whole = b"".join(event(rid, n + 1) for n in range(EVENTS))
+            how = str(answer.status)
+            if answer.status == 200 and body != whole:
+                how = "another body"
+        except http.client.IncompleteRead as exc:
+            how = f"cut after {exc.partial.count(b'id: ')} events"
+        except (OSError, http.client.HTTPException) as exc:
+            how = f"cut: {type(exc).__name__}"
+        finally:
+            conn.close()
+        ended = time.monotonic()
+        self.site.record.write(
+            "answered",
+            id=rid,
+            at=address,
+            how=repr(how),
+            seconds=round(ended - sent, 3),
+        )
+        with self.lock:
+            self.ends.append((sent, ended, rid, how))
+
+
+def add_engines(site):
+    """Start two engines for each service."""
+    for number, service in enumerate((FORMER, FORMER, LATER, LATER), 1):
+        engine = ClosingEngine(
+            f"i-{number}",
+            f"{site.net}.{100 + number}",
+            EVENTS,
+            EVENT_S,
+            site.record,
+            service,
+        )
+        site.engines.append(engine)
+        site.store.write("servers", engine.name, engine.entry())
+
+
+def judge(callers, moved_at, record):
+    """Return how the case ended."""
+    window = moved_at, moved_at + CONFIG_APPLY_S + 1.0
+    cut = [end for end in callers.ends if end[3].startswith("cut")]
+    beside = [c for c in cut if c[0] < window[1] and c[1] > window[0]]
+    in_window = sum(
+        sent < window[1] and ended > window[0]
+        for sent, ended, _, _ in callers.ends
+    )
+    record.write(
+        "end",
+        requests=len(callers.ends),
+        in_window=in_window,
+        cut_in_window=len(beside),
+        cut_at_other_times=len(cut) - len(beside),
+        other=sorted({h for *_, h in callers.ends if h != "200"}),
+    )
+    for sent, ended, rid, how in cut:
+        runs = [
+            (engine.name, round(at - moved_at, 3))
+            for engine in callers.site.engines
+            for at, run, _ in engine.runs
+            if run == rid
+        ]
+        record.write(
+            "cut",
+            id=rid,
+            how=repr(how),
+            sent=round(sent - moved_at, 3),
+            ended=round(ended - moved_at, 3),
+            runs=runs,
         )
-    site.record.write("online", sent=sent, served=served)
-    often = [machine for machine in machines if len(machine.ends) >= ENDS]
-    if len(often) >= MACHINES:
-        return BROKEN
-    return HELD if served else NOT_RUN
+    rest = len(callers.ends) - in_window
+    often = len(beside) * rest > 3 * (len(cut) - len(beside)) * in_window
+    return BROKEN if beside and often else HELD
 
 
 def main():
     """Run the case; return how it ended."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    lasted_s = DAYS * 86_400 if trouble else STATUS_S
     record = site2.Record(HERE / "record.txt")
-    site = site2.Site(record)
+    site = site2.Site(record, engines=0, desired=desired(1, FORMER))
     try:
-        found = head_of_one_job(site)
-        if found is None:
+        add_engines(site)
+        machines = [site.add_instance(number) for number in (1, 2, 3)]
+        until = time.monotonic() + 20
+        while not all(machine.ready() for machine in machines):
+            if time.monotonic() > until:
+                return NOT_RUN
+            time.sleep(0.1)
+        time.sleep(3.0)
+        callers = Callers(site)
+        sender = threading.Thread(target=callers.run, args=(PLAY_S,))
+        sender.start()
+        time.sleep(CALM_S)
+        moved_at = time.monotonic()
+        if trouble:
+            site.store.write("op", "config", site2.encode(desired(2, LATER)))
+            record.write("route moved", to=LATER)
+        sender.join()
+        if sum(how == "200" for *_, how in callers.ends) < 50:
             return NOT_RUN
-        value, still_open = found
-        count = int(lasted_s * JOBS_PER_S)
-        rows = [(secrets.token_hex(8), value) for _ in range(count)]
-        site.store.load("batch_heads", site2.HOST, rows)
-        record.write("earlier jobs", count=count, seconds=lasted_s)
-        return play(site, still_open)
+        return judge(callers, moved_at, record)
     finally:
         site.close()
         record.write("ended")
--- a/review/second/site2.py
+++ b/review/second/site2.py
@@ -72,8 +72,17 @@
 class Engine:
     """A sound engine: streams events, one request at a time on a channel."""
 
-    def __init__(self, name, address, events=10, event_s=0.01, record=None):
+    def __init__(
+        self,
+        name,
+        address,
+        events=10,
+        event_s=0.01,
+        record=None,
+        service=SERVICE,
+    ):
         self.name = name
+        self.service = service
         self.address = address
         self.events = events
         self.event_s = event_s
@@ -90,7 +99,7 @@
         """Return the engine's entry in the store."""
         return encode(
             {
-                "Service": SERVICE,
+                "Service": self.service,
                 "Address": f"{self.address}:{ENGINE_PORT}",
                 "Zone": "zone-1",
                 "Version": "v1",
@@ -374,7 +383,7 @@
 class Site:
     """A store, engines and instances on loopback addresses."""
 
-    def __init__(self, record, engines=2, bounds=None, **batch):
+    def __init__(self, record, engines=2, bounds=None, desired=None, **batch):
         self.record = record
         self.net = free_net()
         self.ended = threading.Event()
@@ -390,7 +399,8 @@
             "ttl_max_s": 5,
         } | (bounds or {})
         self.store = store2.Store()
-        self.store.write("op", "config", encode(config(**batch)))
+        desired = desired or config(**batch)
+        self.store.write("op", "config", encode(desired))
         self.engines = []
         for number in range(1, engines + 1):
             address = f"{self.net}.{100 + number}"
