--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,9 +8,9 @@
 import time
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "second"))
+sys.path.insert(0, str(HERE.parent))
 
-import site2  # noqa: E402
+import site_standin_2 as site2  # noqa: E402
 
 BATCH_SERVICE, OTHER_SERVICE = "huvo11a", "rimo42b"
 ADDED_PREFIX = f"{site2.BATCH_PREFIX}3/"
