Run the items of a job by the job's route

Cause: the service, the limit of attempts, the quarantine and whether there is a route at all were looked up by the path of the item, which is only what its engine is sent. PROTOCOL.md: an item is a POST "at an engine of the route's service", the route under whose prefix the job was handed in.

Fix: one function, job_route, tells the route of a job from its head, and all that a route decides for an item is asked of it. The head names the route, and has its prefix from now on, so that a renamed route keeps its jobs. Heads of earlier versions are read.

--- a/src/mulberrypass/batches/codec.py
+++ b/src/mulberrypass/batches/codec.py
@@ -108,6 +108,8 @@
     busy_for_s: Seconds = 0.0
     busy_until: Seconds
     customer: str = ""
+    # Versions before this field know the route by its name only.
+    prefix: str = ""
 
 
 def head_key(host: str, job_id: str) -> RowKey:
@@ -143,6 +145,8 @@
     }
     if head.customer:
         doc["customer"] = head.customer
+    if head.prefix:
+        doc["prefix"] = head.prefix
     return json.dumps(doc, separators=(",", ":")).encode()
 
 
@@ -171,6 +175,7 @@
         busy_for_s=doc.busy_for_s,
         busy_until=doc.busy_until,
         customer=doc.customer,
+        prefix=doc.prefix,
     )
 
 
--- a/src/mulberrypass/batches/holder.py
+++ b/src/mulberrypass/batches/holder.py
@@ -16,6 +16,7 @@
 from mulberrypass.batches.takeover import Members, Takeover
 from mulberrypass.model.batch_jobs import StoreUnavailable, VersionedHead
 from mulberrypass.policy.batches import heads as policy
+from mulberrypass.policy.batches.job_route import job_route
 from mulberrypass.policy.batches.order import ItemPace
 from mulberrypass.policy.batches.times import JobTimes
 from mulberrypass.runtime.logs import get_logger
@@ -26,6 +27,7 @@
 
     from mulberrypass.batches.store import BatchStore
     from mulberrypass.model.batch_jobs import BatchItem, ItemOutcome, JobHead
+    from mulberrypass.model.routes import RelayRoute
     from mulberrypass.relay.api import RelayRequest
     from mulberrypass.relay.forward import RelayDependencies
     from mulberrypass.storage.rows import StoredRow
@@ -334,11 +336,14 @@
             return False
         item = job.items[index]
         parts = self._make_request(job.head, item, None).shared_parts
-        table = self._dependencies.directory.routes()
-        route = table.find(job.head.host, item.path)
+        route = self._route(job)
         acquirer = self._dependencies.acquirer
         return acquirer.is_quarantined(route, item.item_id, parts)
 
+    def _route(self, job: HeldJob) -> RelayRoute | None:
+        """Return the route that is in force for the items of a job."""
+        return job_route(self._dependencies.directory.routes(), job.head)
+
     def _load_items(self, job: HeldJob) -> None:
         """Read the manifest of a job, unless that goes on already."""
         with self._lock:
@@ -372,8 +377,7 @@
             return not late and not self._should_stop(job, index)
 
         def find_service() -> str:
-            table = self._dependencies.directory.routes()
-            route = table.find(job.head.host, item.path)
+            route = self._route(job)
             if route is None or not route.services:
                 return ""
             return self._dependencies.acquirer.choose(route, item.item_id)
--- a/src/mulberrypass/batches/item_log.py
+++ b/src/mulberrypass/batches/item_log.py
@@ -30,6 +30,7 @@
         """
         self.write(
             "item placed",
+            service=permit.engine.service,
             engine=permit.engine.name,
             ask=permit.ask_id,
             queued_ms=round(permit.queued_s * MS_PER_S),
--- a/src/mulberrypass/batches/item_work.py
+++ b/src/mulberrypass/batches/item_work.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.policy.batches.job_route import job_route
 from mulberrypass.policy.batches.order import order_item
 from mulberrypass.policy.messages import WorkClass
 from mulberrypass.relay.permits import WorkSpec
@@ -40,8 +41,7 @@
 
     def find_route(self) -> RelayRoute | None:
         """Return the route that is in force for the item."""
-        table = self._directory.routes()
-        return table.find(self._head.host, self._item.path)
+        return job_route(self._directory.routes(), self._head)
 
     def due_in_s(self) -> float:
         """Return the seconds until the item is due."""
@@ -87,10 +87,7 @@
         return len(self._progress.event_texts) * self._event_tokens(service)
 
     def _event_tokens(self, service: str) -> int:
-        table = self._directory.routes()
-        if table.find(self._head.host, self._item.path) is None:
-            return 1
-        known = table.services.get(service)
+        known = self._directory.routes().services.get(service)
         return known.event_tokens if known is not None else 1
 
 
--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -321,6 +321,7 @@
             tokens=tuple(item.tokens for item in job.items),
             holder=holder,
             customer=job.customer or "",
+            prefix=route.prefix,
         )
         pieces = codec.item_rows(job.host, job.job_id, job.items)
         *before, last = _split(pieces)
--- a/src/mulberrypass/model/batch_jobs.py
+++ b/src/mulberrypass/model/batch_jobs.py
@@ -85,6 +85,8 @@
         stopped
     :param busy_until: the end of that time as Unix time of that member
     :param customer: whose job it is; empty if it is no customer's
+    :param prefix: that of the route that accepted it; empty if an earlier
+        version of the program has written the head
     """
 
     job_id: str
@@ -103,6 +105,7 @@
     busy_for_s: float = 0.0
     busy_until: float = 0.0
     customer: str = ""
+    prefix: str = ""
 
     @property
     def key(self) -> JobKey:
--- a/src/mulberrypass/model/routes.py
+++ b/src/mulberrypass/model/routes.py
@@ -152,17 +152,21 @@
     _by_prefix: dict[tuple[str, str], RelayRoute] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
+    _by_name: dict[tuple[str, str], RelayRoute] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
     _lengths: dict[str, list[int]] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
 
     def __post_init__(self) -> None:
-        """Index the routes by prefix.
+        """Index the routes by prefix and by name.
 
         A host may have thousands of routes, with few distinct prefix lengths.
         """
         for route in self.routes:
             self._by_prefix.setdefault((route.host, route.prefix), route)
+            self._by_name.setdefault((route.host, route.name), route)
         for host, prefix in self._by_prefix:
             lengths = self._lengths.setdefault(host, [])
             if len(prefix) not in lengths:
@@ -178,6 +182,14 @@
                 return found
         return None
 
+    def with_name(self, host: str, name: str) -> RelayRoute | None:
+        """Return the route of a host that has this name."""
+        return self._by_name.get((host, name))
+
+    def with_prefix(self, host: str, prefix: str) -> RelayRoute | None:
+        """Return the route of a host that has exactly this prefix."""
+        return self._by_prefix.get((host, prefix))
+
     def customer_of(self, key: str) -> RelayCustomer | None:
         """Return the customer that holds a key."""
         if not key or not self.customers:
