Withdraw asks of items whose route has left the service

Seen by callers: items whose job's route moves or is removed while they wait for an engine were neither run nor listed for as long as the former service was full; of a removed route, items are to be listed after 3 s.

Cause: only the grant looked at the route again. An item without output tried another service after 1 s if its route had one; one whose output had begun, or whose route was gone, waited on.

--- a/src/mulberrypass/batches/dispatch.py
+++ b/src/mulberrypass/batches/dispatch.py
@@ -330,13 +330,19 @@
         pending = item.pending
         if pending is None:
             run.renew_output()
-        elif run.yielded or now >= pending.work.deadline:
+        elif self._ask_is_void(run, pending, now):
             self._withdraw(item)
             self._settle(item, Pause(RETRY_S))
         elif now >= pending.since + SERVICE_WAIT_S and run.pass_over(pending):
             self._withdraw(item)
             self._enqueue(item)
 
+    def _ask_is_void(
+        self, run: ItemRun, pending: PendingPermit, now: float
+    ) -> bool:
+        late = now >= pending.work.deadline
+        return late or run.yielded or not run.may_wait(pending)
+
     def _forget_ended(self) -> None:
         self._waiting.keep(lambda item: not item.ended)
 
--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -163,6 +163,11 @@
         """
         return self._progress.last is None and self._refuse(pending)
 
+    def may_wait(self, pending: PendingPermit) -> bool:
+        """Return whether the route still leads to the service of an ask."""
+        route = self._work.find_route()
+        return route is not None and route.leads_to(pending.service)
+
     def _refuse(self, pending: PendingPermit) -> bool:
         """Note that a service didn't grant; return whether another may."""
         refused = (*self._refused, pending.service)
