Don't give an item up by the attempts of a missing route

Seen by callers: an item that got a 500 while its job's route was missing was listed as dead_lettered at once, though the route was back within the 3 s for which items wait for it, and allows more attempts.

Cause: without a route, the limit of attempts was taken as 1.

Evidence: test_failed_without_route listed the item as abandoned before.

Fix: without a route the failure is counted, and the next ask decides: it waits for the route, and gives the item up as "no route" after 3 s.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -355,8 +355,9 @@
         if failed.status == HTTPStatus.INTERNAL_SERVER_ERROR:
             self._progress.failures += 1
             route = self._work.find_route()
-            limit = route.max_attempts if route is not None else 1
-            if self._progress.failures >= limit:
+            # Without a route, the next ask decides.
+            failures = self._progress.failures
+            if route is not None and failures >= route.max_attempts:
                 return self._abandon("failed at each run")
         # The next start of an engine that leaves may have its name.
         keep = not self._revoked and failed is not LEAVES
