End streams that have begun where they began, whatever the route says

Cause: such an end is settled by another run of the same service. Its route was looked up in the newest version, like that of a request that hasn't started; as that didn't lead to the service any more, no engine was asked for, and a request whose head is sent can't be refused but only cut.

Fix: no version is asked about an answer that has begun; it ends at its service. Requests whose answers haven't begun, and second runs beside those, go by the newest version as before. "not placed" names the service, the version at admission and the one in force.

test_begun_stream_is_cut_if_its_route_moves has a name that tells what it checks, with the same checks: the stream isn't ended by the other service. It is cut there as its only engine has failed.

--- a/src/mulberrypass/relay/admission.py
+++ b/src/mulberrypass/relay/admission.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from mulberrypass.model.routes import ServiceShare
 from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.access import (
     Allowed,
@@ -99,6 +100,7 @@
         self._disconnected = disconnected
         self._log = log
         self._started_at = started_at
+        self._admitted_by = directory.routes().version
 
     def acquire(self, need: PermitNeed) -> HeldPermit | FinalEvent:
         """Wait for a permit; return the final event if there is none."""
@@ -124,18 +126,21 @@
     def acquire_repeat(
         self,
         service: str,
+        begun: bool,
         avoided: tuple[str, ...],
         abandoned: Callable[[], bool],
     ) -> HeldPermit:
         """Wait for the permit of a second run; safe on any thread.
 
         :param service: that of the run beside it
+        :param begun: whether that has begun the answer
         :raises NoPermitError: if none is granted
         :raises NoRouteError: if no route matches any more
         :raises QuarantinedError: if the request would crash the engine
         """
-        need = PermitNeed([], float("inf"), 0, True, service)
-        work = replace(self._work(need), repeat=True)
+        begun_by = service if begun else ""
+        need = PermitNeed([], float("inf"), 0, True, begun_by)
+        work = replace(self._work(need), service=service, repeat=True)
         return self._acquirer.acquire(work, avoided, abandoned)
 
     def _wait(self, need: PermitNeed) -> HeldPermit:
@@ -198,12 +203,17 @@
     def _find_route(self, need: PermitNeed) -> RelayRoute | None:
         """Return the route in force, if the request may still use it.
 
-        A key that is withdrawn or given to another customer ends only what
-        has not run.
+        An answer that has begun ends at its service, wherever the route leads
+        by now: its head can't be taken back, and no other service may go on
+        with it. A key that is withdrawn or given to another customer ends
+        only what has not run.
         """
+        if need.begun:
+            begun_by = ServiceShare(need.service, 1.0)
+            return replace(self._route, services=(begun_by,))
         table = self._directory.routes()
         req = self._req
-        if need.maybe_ran or need.begun:
+        if need.maybe_ran:
             return table.find(req.host, req.path)
         found = check_access(table, req.host, req.path, req.key)
         if isinstance(found, Allowed) and found.name == self._access.name:
@@ -227,7 +237,12 @@
     ) -> Refused | Failed | NoRoute | Unauthorized:
         """Return the final event: a refusal only if the request never ran."""
         self._log.not_placed(
-            reason, attempts=need.attempts, maybe_ran=need.maybe_ran
+            reason,
+            attempts=need.attempts,
+            maybe_ran=need.maybe_ran,
+            service=need.service,
+            admitted_by=self._admitted_by,
+            version=self._directory.routes().version,
         )
         if need.maybe_ran:
             return Failed(reason, late=reason == "deadline")
--- a/src/mulberrypass/relay/forwarded.py
+++ b/src/mulberrypass/relay/forwarded.py
@@ -222,6 +222,7 @@
         engines = self._deps.directory.engine_names()
         avoided = self._runs.avoided(run.engine, engines)
         service = run.permit.engine.service
+        begun = bool(self._service)
         is_last = self._runs.attempts + 1 >= self._route.max_attempts
         return RepeatPlan(
             replace(self._req, after_event=self._stream.last),
@@ -229,7 +230,7 @@
             self._is_stream,
             self._deadline,
             lambda abandoned, _on_revoke: self._admission.acquire_repeat(
-                service, avoided, abandoned
+                service, begun, avoided, abandoned
             ),
             lambda: self._due.second(self._is_stream, is_last),
             self._quota,
--- a/tests/relay/test_other_service.py
+++ b/tests/relay/test_other_service.py
@@ -159,7 +159,7 @@
             self.assertEqual(event(1), body(events))
             self.assertEqual(1, len(engines.sent))
 
-    def test_begun_stream_is_cut_if_its_route_moves(self) -> None:
+    def test_begun_stream_is_not_ended_where_its_route_moves_to(self) -> None:
         moved = table(route(services=BOTH[1:], resumable=True), version=2)
         engines = ScriptedEngines(
             Script(
