Keep the pool of a dropped service while it has engines

Seen by callers: where a version drops the former service together with the move of its route, streams that had begun there were cut, as no owner could grant the run that settles their ends.

Cause: pools were made of the services of the newest version only.

Fix: a service that was named before keeps its pool as long as engines are registered for it. No route leads to it, so that nothing starts there. An entry whose service no version has named is still not used.

--- a/src/mulberrypass/relay/directory.py
+++ b/src/mulberrypass/relay/directory.py
@@ -13,7 +13,7 @@
     Customer,
     Pool,
 )
-from mulberrypass.model.routes import RouteTable
+from mulberrypass.model.routes import RelayService, RouteTable
 from mulberrypass.model.source import ConfigurationSource
 from mulberrypass.policy.access import priority_weight
 from mulberrypass.relay.departures import DepartureGuard
@@ -32,7 +32,8 @@
 
     The version of the routes never decreases. Pool owners see a
     configuration with one pool per service, which contains the engines that
-    accept new work.
+    accept new work. A service that is dropped keeps its pool as long as it has
+    engines, as answers that it has begun end there; no route leads to it.
 
     :param departures: knows the engines that have said that they leave
     """
@@ -46,6 +47,7 @@
         self._departures = departures or DepartureGuard()
         self._lock = threading.Lock()
         self._routes = RouteTable()
+        self._services: dict[str, RelayService] = {}
         self._engines: dict[str, RegisteredEngine] = {}
         self._current = Configuration()
         self._generation = 0
@@ -156,13 +158,24 @@
     def _publish(self) -> None:
         with self._lock:
             self._generation += 1
+            self._services = self._services_in_use()
             self._current = self._configuration()
             current = self._current
         for changed in self._subscribers:
             changed(current)
 
+    def _services_in_use(self) -> dict[str, RelayService]:
+        """Return the services of the routes, and former ones with engines."""
+        registered = {engine.service for engine in self._engines.values()}
+        former = {
+            name: service
+            for name, service in self._services.items()
+            if name in registered
+        }
+        return former | dict(self._routes.services)
+
     def _configuration(self) -> Configuration:
-        services = self._routes.services
+        services = self._services
         usable = [
             engine
             for engine in self._engines.values()
