Withdraw asks of requests whose route has left the service

Seen by callers: a request that waited for an engine of a full service while its route moved to another one was refused at its deadline, beside that one's idle engines; without a route it was refused late instead of answered 404.

Cause: only the grant looked at the route again.

Fix: while it waits, the holder looks whether the route in force still leads to the service, and asks anew if not. Answers that have begun wait on at theirs. Items of batch jobs ask by the same rule.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -165,8 +165,7 @@
 
     def may_wait(self, pending: PendingPermit) -> bool:
         """Return whether the route still leads to the service of an ask."""
-        route = self._work.find_route()
-        return route is not None and route.leads_to(pending.service)
+        return self._dependencies.acquirer.may_wait(pending)
 
     def _refuse(self, pending: PendingPermit) -> bool:
         """Note that a service didn't grant; return whether another may."""
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -233,7 +233,8 @@
         refused: tuple[str, ...] = ()
         while True:
             pending = self.ask(work, avoid, on_revoke, since, refused)
-            self._wait(pending, abandoned)
+            if not self._wait(pending, abandoned):
+                continue
             try:
                 match self.take(pending):
                     case HeldPermit() as permit:
@@ -351,6 +352,11 @@
                     work.request,
                 )
 
+    def may_wait(self, pending: PendingPermit) -> bool:
+        """Return whether the route still leads to the service of an ask."""
+        route = pending.work.find()
+        return route is not None and route.leads_to(pending.service)
+
     def withdraw(self, pending: PendingPermit) -> None:
         """Withdraw an ask, and release the permit if it was granted."""
         self._permits.tell(Withdraw(pending.ask_id))
@@ -406,18 +412,23 @@
 
     def _wait(
         self, pending: PendingPermit, abandoned: Callable[[], bool]
-    ) -> None:
+    ) -> bool:
         """Wait for the answer to an ask.
 
+        :returns: whether there is one; the ask is withdrawn if the route has
+            left its service
         :raises NoPermitError: if none comes in time
         """
         while True:
             with contextlib.suppress(FutureTimeoutError):
                 pending.answer.result(ABANDONED_POLL_S)
-                return
+                return True
             late = time.monotonic() >= pending.work.deadline
             if not late and not abandoned():
-                continue
+                if self.may_wait(pending):
+                    continue
+                self.withdraw(pending)
+                return False
             self.withdraw(pending)
             reason = RefusalReason.DEADLINE.value if late else "left"
             raise NoPermitError(reason)
