Count the jobs of a renamed route against its quota

Seen by callers: after a rename of a route for batch jobs, its customers could have twice the tokens waiting that its Cap allows.

Cause: waiting jobs were counted by the name of the route that accepted them.

Evidence: test_quota_of_a_route_that_was_renamed had the second job accepted before.

Fix: a job counts for the route of the name or of the prefix in its head. If two routes exchange their prefixes, jobs count for both until they have ended, which refuses early rather than late.

--- a/src/mulberrypass/batches/store.py
+++ b/src/mulberrypass/batches/store.py
@@ -102,7 +102,9 @@
                 return Ok(Accepted(job.job_id, again=True))
             if any(row.at.key == job.job_id for row in rows):
                 return Error(StoreUnavailable(UNREADABLE_HEAD, maybe_done))
-            waiting = policy.waiting_tokens(heads, route.name, job.customer)
+            waiting = policy.waiting_tokens(
+                heads, route.name, job.customer, route.prefix
+            )
             if not policy.within_quota(
                 waiting, job.tokens, route.quota_tokens
             ):
--- a/src/mulberrypass/policy/batches/heads.py
+++ b/src/mulberrypass/policy/batches/heads.py
@@ -42,16 +42,27 @@
 
 
 def waiting_tokens(
-    heads: Iterable[JobHead], route: str, customer: str | None = None
+    heads: Iterable[JobHead],
+    route: str,
+    customer: str | None = None,
+    prefix: str = "",
 ) -> int:
     """Return the number of tokens in unfinished items on a route.
 
+    :param route: name of the route
     :param customer: whose items to count; ``None`` for all
+    :param prefix: that of the route, which may have been renamed since it
+        accepted a job; empty to go by its name only
     """
+
+    def is_on(head: JobHead) -> bool:
+        renamed = bool(prefix) and head.prefix == prefix
+        return head.route == route or renamed
+
     return sum(
         head.waiting_tokens
         for head in heads
-        if head.route == route and customer in (None, head.customer)
+        if is_on(head) and customer in (None, head.customer)
     )
 
 
--- a/tests/batches/test_store.py
+++ b/tests/batches/test_store.py
@@ -70,6 +70,17 @@
         self.assertTrue(result.is_ok())
         self.assertEqual(large.items, store(rows).items(HOST, "job-1").ok)
 
+    def test_quota_of_a_route_that_was_renamed(self) -> None:
+        """Jobs accepted under the former name didn't count."""
+        jobs = store(RowState())
+        limited = route(quota_tokens=400)
+        self.assertTrue(jobs.accept(job("one"), limited, "entry@a").is_ok())
+        renamed = route(name="boxes", quota_tokens=400)
+        refused = jobs.accept(job("two"), renamed, "entry@a").error
+        self.assertEqual(OverQuota(300), refused)
+        other = route(name="b", prefix="/b/", quota_tokens=400)
+        self.assertTrue(jobs.accept(job("two"), other, "entry@a").is_ok())
+
     def test_quota_counts_waiting_tokens(self) -> None:
         rows = RowState()
         limited = route(quota_tokens=500)
