Soak moves of routes between services, and items with paths of their own

Change: in about half of the runs the engines belong to two services and the routes lead now to one, now to the other, in series, also while nothing else happens; their engines' answers have no framing at first. Items of a job have paths below the job's route, below another service's, and below none.

--- a/src/mulberrypass/platform/stand_in/caller.py
+++ b/src/mulberrypass/platform/stand_in/caller.py
@@ -92,23 +92,31 @@
         return self._call("POST", path, headers, request_id.encode())
 
     def submit(
-        self, host: str, path: str, job_id: str, items: tuple[str, ...]
+        self,
+        host: str,
+        path: str,
+        job_id: str,
+        items: tuple[str, ...],
+        item_paths: tuple[str, ...] = (),
     ) -> int:
         """Submit a job and return the status of the answer.
 
+        :param item_paths: used in turn for the items; by default the path of
+            the job
         :raises CallFailedError: if the answer is missing or incomplete
         """
+        paths = item_paths or (path,)
         body = json.dumps(
             {
                 "Items": [
                     {
                         "Id": item,
-                        "Path": path,
+                        "Path": paths[number % len(paths)],
                         "Headers": {},
                         "Body": base64.b64encode(item.encode()).decode(),
                         "Tokens": ITEM_TOKENS,
                     }
-                    for item in items
+                    for number, item in enumerate(items)
                 ]
             }
         ).encode()
--- a/src/mulberrypass/platform/stand_in/engine.py
+++ b/src/mulberrypass/platform/stand_in/engine.py
@@ -13,7 +13,7 @@
 from mulberrypass.platform import headers as names
 from mulberrypass.platform.ingress import Reply, send_reply
 from mulberrypass.platform.stand_in.site import (
-    BATCH_PATH,
+    ITEM_PATHS,
     KEY_PREFIX,
     RESUMABLE_PATH,
 )
@@ -25,7 +25,7 @@
 
 RESPONSE_STAMP = names.RESPONSE_STAMP
 INSTANCE_ID = names.INSTANCE_ID
-RESUMABLE_PATHS = (BATCH_PATH, RESUMABLE_PATH)
+RESUMABLE_PATHS = (*ITEM_PATHS, RESUMABLE_PATH)
 # Each 0.6 s some engines are 2.5 times slower for a moment.
 MOMENT_EVERY_S = 0.6
 MOMENT_S = 0.3
--- a/src/mulberrypass/platform/stand_in/site.py
+++ b/src/mulberrypass/platform/stand_in/site.py
@@ -9,7 +9,9 @@
 ONCE_PATH = "/lookup/1"
 RESUMABLE_PATH = "/slip/1"
 BATCH_PATH = "/crates/1"
-SERVICE = "generation"
+# Of items: below their job's route, below another service's, and below none.
+ITEM_PATHS = (BATCH_PATH, "/aside/1", "/nowhere/1")
+SERVICE, OTHER_SERVICE = "generation", "rewriting"
 BASE_TIMEOUT_MS = 8_000
 # Begins each key of a customer, so that an engine can find one in any header.
 KEY_PREFIX = "soak-key-"
@@ -36,17 +38,22 @@
 
 
 def desired_document(
-    version: int, tenants: list[dict[str, Any]] | None = None
+    version: int,
+    tenants: list[dict[str, Any]] | None = None,
+    service: str = SERVICE,
 ) -> dict[str, Any]:
     """Return a desired state with one route that only this version has.
 
     :param tenants: entries of the customers; ``None`` for none at all
+    :param service: where the routes of callers lead
     """
+    slip = {"Resumable": True, "Service": service}
     doc = {
         "Version": version,
         "Routes": [
-            _route("lookup", ONLINE_HOST, version),
-            _route("slip", ONLINE_HOST, version, Resumable=True),
+            _route("lookup", ONLINE_HOST, version, Service=service),
+            _route("slip", ONLINE_HOST, version, **slip),
+            _route("aside", BATCH_HOST, version, Service=OTHER_SERVICE),
             _route(version_route(version), ONLINE_HOST, version, Public=True),
             _route(
                 "crates",
@@ -54,9 +61,13 @@
                 version,
                 RouteType="batch",
                 Cap=1_000_000,
+                Service=service,
             ),
         ],
-        "Services": [{"Name": SERVICE, "Engine": {"Stride": 1}}],
+        "Services": [
+            {"Name": name, "Engine": {"Stride": 1}}
+            for name in (SERVICE, OTHER_SERVICE)
+        ],
     }
     return doc if tenants is None else doc | {"Tenants": tenants}
 
@@ -72,11 +83,11 @@
 
 
 def engine_document(
-    address: str, slots: int, leaving: bool = False
+    address: str, slots: int, leaving: bool = False, service: str = SERVICE
 ) -> dict[str, Any]:
     """Return an engine's registration."""
     return {
-        "Service": SERVICE,
+        "Service": service,
         "Address": address,
         "Zone": "zone-0",
         "Version": "v1",
@@ -105,9 +116,11 @@
 __all__ = [
     "BATCH_HOST",
     "BATCH_PATH",
+    "ITEM_PATHS",
     "KEY_PREFIX",
     "ONCE_PATH",
     "ONLINE_HOST",
+    "OTHER_SERVICE",
     "RESUMABLE_PATH",
     "SERVICE",
     "desired_document",
--- a/src/mulberrypass/soak/cluster.py
+++ b/src/mulberrypass/soak/cluster.py
@@ -22,6 +22,8 @@
 )
 from mulberrypass.platform.stand_in.engine import EngineApp
 from mulberrypass.platform.stand_in.site import (
+    OTHER_SERVICE,
+    SERVICE,
     desired_document,
     engine_document,
     settings_text,
@@ -257,9 +259,13 @@
         self.rows = RowState()
         self.loop = LoopThread("soak-links")
         self.version = 0
+        self.service = SERVICE
+        self._moves = setup.moves
         self.apps = [
             _engine(number, setup.uneven) for number in range(engines)
         ]
+        for app in self.apps:
+            app.faults.unframed = setup.moves
         self.engine_links = [
             Link(
                 self.loop,
@@ -336,15 +342,32 @@
         if self.customers is not None:
             self.customers.rotate()
             tenants = self.customers.documents()
-        doc = desired_document(self.version, tenants)
+        doc = desired_document(self.version, tenants, self.service)
         self.put_row("op", "config", doc)
         return self.version
 
+    def move(self) -> bool:
+        """Lead the routes to the other service from the next version on.
+
+        :returns: whether there is another one
+        """
+        if self._moves:
+            others = {SERVICE: OTHER_SERVICE, OTHER_SERVICE: SERVICE}
+            self.service = others[self.service]
+        return self._moves
+
+    @property
+    def services(self) -> dict[str, str]:
+        """The service of each engine, by its number."""
+        names = (SERVICE, OTHER_SERVICE if self._moves else SERVICE)
+        return {str(n): names[n % 2] for n in range(len(self.apps))}
+
     def register(self, number: int, leaving: bool = False) -> None:
         """Write the entry of an engine."""
         at = self.engine_links[number].address
         address = f"{at.host}:{at.port}"
-        doc = engine_document(address, SLOTS_PER_ENGINE, leaving)
+        service = self.services[str(number)]
+        doc = engine_document(address, SLOTS_PER_ENGINE, leaving, service)
         self.put_row("servers", self.apps[number].name, doc)
 
     def unregister(self, number: int) -> None:
--- a/src/mulberrypass/soak/customers.py
+++ b/src/mulberrypass/soak/customers.py
@@ -12,6 +12,7 @@
 CUSTOMERS_PROBABILITY = 0.7
 REPEATS_PROBABILITY = 0.5
 UNEVEN_PROBABILITY = 0.7
+MOVES_PROBABILITY = 0.5
 KEYS_PER_CUSTOMER = 2
 # The first is the hot one: its callers send several times its rate in a hot
 # moment. The last has no limit.
@@ -124,11 +125,14 @@
     :param customers: ``None`` for a run without customers
     :param repeats: whether slow requests may run a second time
     :param uneven: whether engines differ in speed
+    :param moves: whether the routes move between two services, whose engines
+        send answers without framing at first
     """
 
     customers: Customers | None = None
     repeats: bool = False
     uneven: bool = False
+    moves: bool = False
 
 
 def draw_setup(seed: int) -> Setup:
@@ -139,6 +143,7 @@
         Customers(seed) if with_customers else None,
         rng.random() < REPEATS_PROBABILITY,
         rng.random() < UNEVEN_PROBABILITY,
+        rng.random() < MOVES_PROBABILITY,
     )
 
 
--- a/src/mulberrypass/soak/guarantees.py
+++ b/src/mulberrypass/soak/guarantees.py
@@ -10,7 +10,8 @@
 from mulberrypass.model.value_class import value_class
 from mulberrypass.platform.stand_in.engine import event, output
 from mulberrypass.soak.customer_checks import check_customers
-from mulberrypass.soak.records import STOP, Violation
+from mulberrypass.soak.records import MOVE, STOP, Violation
+from mulberrypass.soak.service_checks import check_services
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
@@ -50,6 +51,8 @@
     :param events: number of events in each complete answer
     :param reloads: reloads of instances that went on running
     :param limits: rate and burst of each customer with a limit
+    :param services: service of each engine, by its number
+    :param moves: see ``check_services``
     """
 
     records: SoakRecords
@@ -61,6 +64,8 @@
     departures: Sequence[Departure] = ()
     halts: Sequence[Halt] = ()
     limits: Mapping[str, tuple[float, float]] = field(default_factory=dict)
+    services: Mapping[str, str] = field(default_factory=dict)
+    moves: Sequence[tuple[float, str]] = ()
 
     def count_runs(self) -> Counter[str]:
         """Count the runs of each request id over all engines."""
@@ -104,6 +109,13 @@
         *check_customers(
             observed.records, observed.logs.values(), observed.limits
         ),
+        *check_services(
+            observed.records,
+            observed.logs,
+            observed.services,
+            observed.moves,
+            observed.undisturbed,
+        ),
     )
 
 
@@ -275,7 +287,7 @@
 def _check_planned_work(
     observed: Observations, runs: Counter[str]
 ) -> Iterator[Violation]:
-    """Check that a planned stop or reload alone interrupts no request.
+    """Check that a planned stop, reload or move interrupts no request.
 
     A request that failed fast and never ran does not count during a stop:
     the instance closed its idle connection while the request was being sent.
@@ -284,7 +296,8 @@
     planned = [
         disturbance
         for disturbance in observed.disturbances
-        if disturbance.planned and disturbance.instance is not None
+        if disturbance.planned
+        and (disturbance.instance is not None or disturbance.kind == MOVE)
     ]
     for attempt in observed.records.attempts:
         if attempt.status or not observed.undisturbed(
@@ -294,7 +307,7 @@
         near = {
             work.kind: work.began
             for work in planned
-            if work.instance == attempt.instance
+            if work.instance in (None, attempt.instance)
             and work.began <= attempt.ended
             and attempt.began < work.ended
         }
@@ -306,8 +319,7 @@
             yield Violation(
                 f"a {kind} cuts nothing off",
                 attempt.request_id,
-                f"{attempt.reason}, {attempt.ended - began:.2f} s "
-                f"after the signal",
+                f"{attempt.reason}, {attempt.ended - began:.2f} s after it",
             )
 
 
--- a/src/mulberrypass/soak/injector.py
+++ b/src/mulberrypass/soak/injector.py
@@ -12,6 +12,7 @@
 from mulberrypass.soak.cluster import EVENTS_PER_ANSWER, GRACE_S
 from mulberrypass.soak.proxy import LinkState
 from mulberrypass.soak.records import (
+    MOVE,
     RELOAD,
     STOP,
     Departure,
@@ -90,6 +91,7 @@
         self.departures: list[Departure] = []
         self.halts: list[Halt] = []
         self.reloads: list[ReloadRecord] = []
+        self.moves: list[tuple[float, str]] = [(0.0, cluster.service)]
         self._cluster = cluster
         self._records = records
         self._publish = publish
@@ -172,6 +174,8 @@
                 self._heat(end)
             case FaultKind.CONFIG:
                 self._publish(now)
+            case FaultKind.MOVE:
+                self._move(now)
             case _ if fault.kind in RELOAD_KINDS:
                 self._reload(fault, now, end)
             case _:
@@ -305,6 +309,15 @@
         )
         instance.send(signal.SIGHUP)
 
+    def _move(self, now: float) -> None:
+        """Lead the routes to the other service, if there is one."""
+        if not self._cluster.move():
+            return
+        end = now + APPLY_TIMEOUT_S
+        self.disturbances.append(Disturbance(MOVE, now, end, True))
+        self.moves.append((now, self._cluster.service))
+        self._publish(now)
+
     def _heat(self, end: float) -> None:
         """Make a customer send several times its rate."""
         customers = self._cluster.customers
--- a/src/mulberrypass/soak/records.py
+++ b/src/mulberrypass/soak/records.py
@@ -13,6 +13,7 @@
 # Kinds of disturbance that must not interrupt requests.
 STOP = "stop"
 RELOAD = "reload"
+MOVE = "move of the routes"
 
 
 @value_class
--- a/src/mulberrypass/soak/run.py
+++ b/src/mulberrypass/soak/run.py
@@ -241,6 +241,8 @@
             self._injector.departures,
             self._injector.halts,
             {} if self._customers is None else self._customers.limits,
+            self._cluster.services,
+            self._injector.moves,
         )
 
     def _report(self, faults: tuple[ScheduledFault, ...]) -> SoakReport:
--- a/src/mulberrypass/soak/schedule.py
+++ b/src/mulberrypass/soak/schedule.py
@@ -44,6 +44,9 @@
 # Gaps between two changes of keys.
 MIN_KEYS_GAP_S = 1.0
 MAX_KEYS_GAP_S = 4.0
+# Gaps between two series of moves of the routes.
+MIN_MOVE_GAP_S = 2.0
+MAX_MOVE_GAP_S = 6.0
 # How long a customer sends several times its rate: most of a window of 5 s.
 HOT_S = (3.0, 5.0)
 
@@ -82,6 +85,7 @@
     HOT = "customer sends several times its rate"
     ENGINE_UNFRAMED = "engine's answers end with their connections"
     ENGINE_ENDS = "engine ends such answers between two events"
+    MOVE = "routes move to another service"
 
 
 RELOAD_KINDS = (
@@ -101,6 +105,7 @@
         FaultKind.ENGINE_SAYS,
         *CUSTOMER_KINDS,
         *END_KINDS,
+        FaultKind.MOVE,
     }
 )
 # Drawn from the seed's first stream, which must not change: a seed that once
@@ -111,6 +116,7 @@
         FaultKind.STOP,
         FaultKind.CONFIG,
         FaultKind.HOT,
+        FaultKind.MOVE,
         FaultKind.ENGINE_DRAINS,
         *RELOAD_KINDS,
     }
@@ -211,6 +217,16 @@
     )
     fifth = random.Random(f"{seed}-fifth")
     faults += _draw_keys(fifth, CALM_S, end, instances)
+    sixth = random.Random(f"{seed}-sixth")
+    for span in ((CALM_FIRST_S, CALM_LAST_S), (CALM_S, end)):
+        faults += _draw_series(
+            sixth,
+            span,
+            MIN_SERIES_GAP_S,
+            (MIN_MOVE_GAP_S, MAX_MOVE_GAP_S),
+            (FaultKind.MOVE,),
+            1,
+        )
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
--- a/src/mulberrypass/soak/strangers.py
+++ b/src/mulberrypass/soak/strangers.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING
 
 from mulberrypass.platform.stand_in.caller import CallFailedError
-from mulberrypass.platform.stand_in.site import BATCH_HOST, BATCH_PATH
+from mulberrypass.platform.stand_in.site import (
+    BATCH_HOST,
+    BATCH_PATH,
+    ITEM_PATHS,
+)
 
 if TYPE_CHECKING:
     import random
@@ -20,7 +24,9 @@
 def submit_job(caller: SiteCaller, job: JobRecord) -> int:
     """Submit a job and return the status of the answer; 0 for none."""
     try:
-        return caller.submit(BATCH_HOST, BATCH_PATH, job.job_id, job.items)
+        return caller.submit(
+            BATCH_HOST, BATCH_PATH, job.job_id, job.items, ITEM_PATHS
+        )
     except CallFailedError:
         return 0
     finally:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -17,6 +17,7 @@
     check_ends,
 )
 from mulberrypass.soak.records import (
+    MOVE,
     RELOAD,
     STOP,
     AttemptRecord,
@@ -294,6 +295,16 @@
 if __name__ == "__main__":
     unittest.main()
 
+    def test_move_of_the_routes_that_cuts_a_request(self) -> None:
+        cut = attempt(status=0, reason="incomplete answer")
+        for began, wanted in (
+            (10.2, ["a move of the routes cuts nothing off"]),
+            (11.0, []),
+        ):
+            move = Disturbance(MOVE, began, began + 2.5, True)
+            found = self.check((cut,), disturbances=(move,))
+            self.assertEqual(wanted, found)
+
 
 class JobRecordTest(unittest.TestCase):
     def test_unfinished_job_is_waited_for(self) -> None:
