--- a/review/standins3/harness3.py
+++ b/review/standins3/harness3.py
@@ -198,6 +198,24 @@
         proc.wait()
         self.note(f"killed {name}")
 
+    def drain(self, name):
+        """Let an engine leave; it ends by itself."""
+        self.procs[name].send_signal(signal.SIGUSR1)
+        self.note(f"{name} leaves")
+
+    def stop_instance(self, number):
+        """Stop a process of the system as the platform does; wait for it."""
+        name = f"i{number}"
+        proc = self.procs.pop(name)
+        proc.terminate()
+        self.note(f"SIGTERM to {name}")
+        try:
+            proc.wait(self.grace_s)
+        except subprocess.TimeoutExpired:
+            proc.kill()
+            proc.wait()
+        self.note(f"{name} has ended")
+
     def engine_events(self):
         return [json.loads(line)
                 for line in self.engine_log.read_text().splitlines()]
