--- a/review/standins3/harness3.py
+++ b/review/standins3/harness3.py
@@ -8,8 +8,10 @@
 import json
 import os
 from pathlib import Path
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -25,14 +27,28 @@
     """The case could not run."""
 
 
+def free_net(case):
+    """Return the first three numbers of addresses that nobody uses."""
+    for _ in range(50):
+        net = f"127.{random.randint(60, 250)}.{case}"
+        try:
+            for host, port in ((1, 8161), (100, 8169), (101, 9000)):
+                with socket.create_server((f"{net}.{host}", port)):
+                    pass
+        except OSError:
+            continue
+        return net
+    raise CannotRunError("no free addresses")
+
+
 class Site:
     """A small deployment on addresses of its own in 127.0.0.0/8.
 
-    :param case: number of the case, which selects the addresses
+    :param case: number of the case
     """
 
     def __init__(self, case, instances=3, grace_s=8):
-        self.net = f"127.57.{case}"
+        self.net = free_net(case)
         self.store = f"{self.net}.100:8169"
         self.admin = f"{self.net}.100:8170"
         self.dir = Path(tempfile.mkdtemp(prefix=f"review3-{case}-"))
