--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins3"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from harness3 import TROUBLE, Site, run
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -d target/deps || { echo "run the build of deploy/system.toml first" >&2; exit 1; }
-python3 -m compileall -q review/standins3
+python3 -m compileall -q review/harness3.py review/engine3.py review/store3.py
 PYTHONPATH="$PWD/target/deps:$PWD/src" python3 -S -c '
 import mulberrypass.platform.stand_in.store
 import mulberrypass.testing.row_state
--- a/review/standins3/harness3.py
+++ b/review/harness3.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HERE = Path(__file__).resolve().parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
