Try what is held after seconds, one run at a time

Cause: what engines have crashed under was held for an hour, doubling, and got no engine meanwhile, so that no answer could show that it is sound. The rows of the crashes carry the hold over restarts. No count tells a cause from a coincidence, so a verdict needs a way back.

Change: one request or item of all members tries what is held, at one engine, 8 s after the crash that held it, then 16 and 128 s after one more each; no other until its answer begins. The users' bounds are budgets of trials and are kept: two within the five crashes of a part, three more as before, and three of a request. Who tries is decided by a conditional write to the store, since a cell may have several owners, none, or two for a moment; while the store takes no call, the first live member by rendezvous hash. A trial that shows nothing makes the next one four times later: with the first form, a second later, a part reached nine engines in a test while the store was down. Log lines say when the next trial is, and how one ended.

Two tests are replaced, as strict as before: the times of trials of a part aren't a doubling any more, so they are looked up, and must grow; the spread of members is searched in steps of the same share of the wait, which is no longer an hour.

--- a/src/mulberrypass/batches/run.py
+++ b/src/mulberrypass/batches/run.py
@@ -216,7 +216,10 @@
         """Run on an engine; blocks until that has ended."""
         self._permit = permit
         try:
+            permit.start_trials()
             end = self._run(permit)
+        except QuarantinedError as exc:
+            return self._hold_back(exc)
         except WireError as exc:
             permit = self._permit
             self._connection_ended |= exc.failed.closed and not self._revoked
--- a/src/mulberrypass/policy/health/crashes.py
+++ b/src/mulberrypass/policy/health/crashes.py
@@ -16,52 +16,19 @@
 
 from mulberrypass.model.value_class import value_class
 from mulberrypass.policy.health.crash import Crash
+from mulberrypass.policy.health.quarantine import (
+    Quarantine,
+    QuarantineSettings,
+)
 from mulberrypass.policy.health.requests import (
     CrashingRequest,
     CrashingRequests,
     count_occasions,
 )
+from mulberrypass.policy.health.trials import Trial
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
-
-
-@value_class
-class Quarantine:
-    """A part that gets no engine, and the crashes that count against it."""
-
-    part: int
-    engines: tuple[str, ...]
-
-
-@value_class
-class QuarantineSettings:
-    """Settings of the quarantine of parts.
-
-    :param crashes: crashes that quarantine a part under which no answer is
-        known to have begun
-    :param familiar_crashes: crashes that quarantine any part; a site's users
-        allow five
-    :param coincidence_ms: crashes within this time count once, as a common
-        cause, such as a lost rack, ends many engines at once
-    :param trial_after_s: time after which a request may try the part;
-        doubles with each further crash
-    :param doubt_s: the same while another part may be the cause
-    :param no_trial_crashes: crashes after which no request tries it; a
-        site's users allow three more requests after the fifth crash
-    :param remembered: maximum number of crashes remembered
-    :param recent: the newest of them, which are not forgotten, so that a new
-        cause can be found beside many known ones
-    """
-
-    crashes: int = 3
-    familiar_crashes: int = 5
-    coincidence_ms: int = 100
-    trial_after_s: float = 3_600.0
-    doubt_s: float = 10.0
-    no_trial_crashes: int = 8
-    remembered: int = 256
-    recent: int = 64
+    from collections.abc import Collection, Iterable, Iterator
 
 
 @dataclass(slots=True)
@@ -77,6 +44,7 @@
     """Parts that explain some crashes equally well, as always together.
 
     :param occasions: number of crashes, those that coincide counted once
+    :param needed: number of them that quarantines the parts
     :param sure: whether no other part explains nearly as many
     :param last_known_at: monotonic time
     """
@@ -84,6 +52,7 @@
     parts: frozenset[int]
     engines: tuple[str, ...]
     occasions: int
+    needed: int
     sure: bool
     last_known_at: float
 
@@ -184,22 +153,50 @@
 
         :param parts: the parts of its prompt that others may share
         """
-        for part in parts:
-            verdict = self._judged().get((service, part))
-            # A request without some of the parts can tell which it is.
-            if verdict is None or not verdict.parts.issubset(parts):
-                continue
-            if self._is_held(verdict, now):
-                return Quarantine(part, verdict.engines)
+        for part, verdict in self._verdicts_on(service, parts):
+            trial_in_s = self._trial_at(verdict) - now
+            if trial_in_s > 0:
+                return Quarantine(part, verdict.engines, trial_in_s)
         return None
 
+    def due_trials(
+        self, service: str, parts: Collection[int], request: int | None
+    ) -> tuple[Trial, ...]:
+        """Return the trials of a request that isn't held any more.
+
+        :param request: its digest; ``None`` for an item
+        """
+        trials = {}
+        found = None if request is None else self._requests().get(request)
+        if found is not None:
+            name = f"request/{found.request:x}"
+            trials[name] = Trial(name, found.engines)
+        for part, verdict in self._verdicts_on(service, parts):
+            name = f"part/{service}/{min(verdict.parts):x}"
+            trials.setdefault(name, Trial(name, verdict.engines, part))
+        return tuple(trials.values())
+
     def quarantined(self, now: float) -> dict[tuple[str, int], Quarantine]:
         """Return the parts with enough crashes, by service and part."""
-        return {
-            (service, part): Quarantine(part, verdict.engines)
-            for (service, part), verdict in self._judged().items()
-            if self._is_held(verdict, now)
-        }
+        found = {}
+        for (service, part), verdict in self._judged().items():
+            trial_in_s = self._trial_at(verdict) - now
+            if trial_in_s > 0:
+                held = Quarantine(part, verdict.engines, trial_in_s)
+                found[service, part] = held
+        return found
+
+    def _verdicts_on(
+        self, service: str, parts: Collection[int]
+    ) -> Iterator[tuple[int, _Verdict]]:
+        """Yield the verdicts that apply to a request, and their parts.
+
+        A request without some of the parts can tell which it is.
+        """
+        for part in parts:
+            verdict = self._judged().get((service, part))
+            if verdict is not None and verdict.parts.issubset(parts):
+                yield part, verdict
 
     def _requests(self) -> CrashingRequests:
         """Return the verdicts on requests."""
@@ -211,15 +208,11 @@
             self._causes = self._crashing.causes()
         return self._crashing
 
-    def _is_held(self, verdict: _Verdict, now: float) -> bool:
-        """Return whether no request may try the parts now."""
-        settings = self._settings
-        if verdict.occasions >= settings.no_trial_crashes:
-            return True
-        doublings = verdict.occasions - settings.crashes
-        hold_s = settings.trial_after_s if verdict.sure else settings.doubt_s
-        hold_s *= 2.0**doublings
-        return now < verdict.last_known_at + hold_s
+    def _trial_at(self, verdict: _Verdict) -> float:
+        """Return when a request may try the parts, in monotonic seconds."""
+        return verdict.last_known_at + self._settings.hold_s(
+            verdict.occasions, verdict.needed, verdict.sure
+        )
 
     def _judged(self) -> dict[tuple[str, int], _Verdict]:
         """Return the verdicts on parts with enough crashes."""
@@ -279,10 +272,14 @@
         worst = max(counts, key=counts.__getitem__, default=None)
         if worst is None or counts[worst] < crashes:
             return None
-        return self._verdict(unexplained, frozenset(unexplained[worst]))
+        engines = frozenset(unexplained[worst])
+        return self._verdict(unexplained, engines, crashes)
 
     def _verdict(
-        self, unexplained: dict[int, set[str]], engines: frozenset[str]
+        self,
+        unexplained: dict[int, set[str]],
+        engines: frozenset[str],
+        needed: int,
     ) -> _Verdict:
         parts = frozenset(
             part for part, found in unexplained.items() if engines <= found
@@ -291,6 +288,7 @@
             parts,
             tuple(engine for engine in self._known if engine in engines),
             self._count_occasions(engines),
+            needed,
             not self._has_rival(engines, parts)
             and not self._has_request(engines),
             max(self._known[engine].known_at for engine in engines),
--- a/src/mulberrypass/policy/health/requests.py
+++ b/src/mulberrypass/policy/health/requests.py
@@ -18,6 +18,8 @@
 
 OFFSET_BYTES = 8
 OFFSETS = float(1 << (8 * OFFSET_BYTES))
+# Of the time until a trial; the longest first one is a site's ``RecoveryS``.
+MAX_SPREAD = 0.5
 
 
 @value_class
@@ -29,7 +31,8 @@
         rack may end several engines that run the same sound request
     :param coincidence_ms: crashes within this time are of one moment
     :param trial_after_s: least time after which a member lets the request
-        run again; doubles with each further crash
+        run again, within a site's ``RecoveryS`` and ``FinishS``; doubles with
+        each further crash
     :param no_trial_crashes: crashes after which none does; a site's users
         allow three requests after the third crash
     """
@@ -37,7 +40,7 @@
     crashes: int = 3
     occasions: int = 2
     coincidence_ms: int = 100
-    trial_after_s: float = 3_600.0
+    trial_after_s: float = 8.0
     no_trial_crashes: int = 6
 
 
@@ -48,12 +51,15 @@
     :param request: its digest
     :param services: those whose engines have crashed
     :param last_known_at: monotonic time of the last of these crashes
+    :param trial_at: monotonic time from which it may run again; infinite if
+        it may not
     """
 
     request: int
     services: frozenset[str]
     engines: tuple[str, ...]
     last_known_at: float
+    trial_at: float
 
 
 class CrashingRequests:
@@ -80,29 +86,26 @@
                 found = by_request.setdefault(request, [])
                 found.append((crash, known_at))
         self._found = {
-            request: CrashingRequest(
-                request,
-                frozenset(crash.service for crash, _ in crashes),
-                tuple(crash.engine for crash, _ in crashes),
-                max(known_at for _, known_at in crashes),
-            )
+            request: self._judge(request, crashes)
             for request, crashes in by_request.items()
             if self._are_enough([crash.at_ms for crash, _ in crashes])
         }
 
+    def get(self, request: int) -> CrashingRequest | None:
+        """Return a request with enough crashes, whether it is held or not."""
+        return self._found.get(request)
+
     def held(self, request: int, now: float) -> CrashingRequest | None:
         """Return why a request may not run; ``None`` if it may."""
         found = self._found.get(request)
-        if found is None or not self._is_held(found, now):
-            return None
-        return found
+        return None if found is None or now >= found.trial_at else found
 
     def all_held(self, now: float) -> dict[tuple[str, int], CrashingRequest]:
         """Return the requests that may not run, by service and digest."""
         return {
             (service, request): found
             for request, found in self._found.items()
-            if self._is_held(found, now)
+            if now < found.trial_at
             for service in found.services
         }
 
@@ -126,16 +129,27 @@
         moments = count_occasions(times_ms, settings.coincidence_ms)
         return moments >= settings.occasions
 
-    def _is_held(self, found: CrashingRequest, now: float) -> bool:
+    def _judge(
+        self, request: int, crashes: Sequence[tuple[Crash, float]]
+    ) -> CrashingRequest:
+        last_known_at = max(known_at for _, known_at in crashes)
+        return CrashingRequest(
+            request,
+            frozenset(crash.service for crash, _ in crashes),
+            tuple(crash.engine for crash, _ in crashes),
+            last_known_at,
+            last_known_at + self._hold_s(request, len(crashes)),
+        )
+
+    def _hold_s(self, request: int, crashes: int) -> float:
         settings = self._settings
-        crashes = len(found.engines)
         if crashes >= settings.no_trial_crashes:
-            return True
+            return float("inf")
         doublings: float = crashes - settings.crashes
-        # Otherwise all members would try it at once.
-        spread = 1.0 + self._offset(found.request)
+        # Otherwise all members would claim the trial at once.
+        spread = 1.0 + MAX_SPREAD * self._offset(request)
         hold_s: float = settings.trial_after_s * 2.0**doublings * spread
-        return now < found.last_known_at + hold_s
+        return hold_s
 
     def _offset(self, request: int) -> float:
         """Return this member's share of the span in which members try."""
--- a/src/mulberrypass/programs/site.py
+++ b/src/mulberrypass/programs/site.py
@@ -41,6 +41,7 @@
     read_site,
 )
 from mulberrypass.policy.held_bytes import ByteLimits
+from mulberrypass.policy.rendezvous import pick
 from mulberrypass.programs.session import Process, run
 from mulberrypass.programs.site_gauges import register_gauges
 from mulberrypass.programs.site_peers import PeerRoutes
@@ -58,6 +59,7 @@
 )
 from mulberrypass.relay.catch_up import CatchUp
 from mulberrypass.relay.crash_guard import CrashGuard
+from mulberrypass.relay.crash_trials import CrashTrials
 from mulberrypass.relay.departures import DepartureGuard
 from mulberrypass.relay.directory import Directory
 from mulberrypass.relay.ending import PlannedEnd
@@ -75,6 +77,7 @@
 from mulberrypass.runtime.memory import limit_arenas
 from mulberrypass.runtime.metrics import Metrics
 from mulberrypass.runtime.thread_times import thread_times
+from mulberrypass.storage.crash_trials import RowTrialClaims
 from mulberrypass.storage.crashes import CRASHES_TABLE, RowCrashes
 from mulberrypass.storage.follow import TableFollower
 from mulberrypass.storage.instances import RowInstances
@@ -221,6 +224,11 @@
         self._guard = CrashGuard(
             lambda name: self._directory.engine(name) is None,
             member=self._me.name,
+            trials=CrashTrials(
+                self._me.name,
+                RowTrialClaims(self._rows),
+                lambda name: pick(name, self._members().live) == self._me.name,
+            ),
         )
         self._crashes = RowCrashes(
             self._rows,
--- a/src/mulberrypass/relay/crash_guard.py
+++ b/src/mulberrypass/relay/crash_guard.py
@@ -12,13 +12,15 @@
 
 from mulberrypass.policy.health.crashes import Crash, CrashHistory
 from mulberrypass.relay.api import digest_name, part_names
+from mulberrypass.relay.crash_trials import CrashTrials
+from mulberrypass.relay.quarantine_log import QuarantineLog
 from mulberrypass.runtime.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from mulberrypass.model.routes import RegisteredEngine
-    from mulberrypass.policy.health.requests import CrashingRequest
+    from mulberrypass.policy.health.trials import Trial
 
 LOG = get_logger(__name__)
 # The connections of a crashed engine end within a few ms of each other.
@@ -70,6 +72,7 @@
     :param is_listening: returns whether an address takes connections;
         ``None`` if that can't be told
     :param member: name of this member
+    :param trials: lets one request at a time try what is held
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         clock: Callable[[], float] = time.monotonic,
         unix_clock: Callable[[], float] = time.time,
         member: str = "",
+        trials: CrashTrials | None = None,
     ) -> None:
+        self._trials = trials or CrashTrials(member, clock=clock)
         self._leaves = leaves
         self._is_listening = is_listening or is_listening_at
         self._clock = clock
@@ -87,8 +92,7 @@
         self._lock = threading.Lock()
         self._history = CrashHistory(member=member)
         self._begun: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self._logged: frozenset[tuple[str, int]] = frozenset()
-        self._logged_requests: frozenset[tuple[str, int]] = frozenset()
+        self._log = QuarantineLog()
         self._ended: dict[str, _EndedConnections] = {}
         self._pending = threading.Event()
         self._stopped = threading.Event()
@@ -120,26 +124,77 @@
         service: str,
         parts: Collection[int],
         request: int | None = None,
+        repeat: bool = False,
     ) -> None:
-        """Check right before a request is sent to an engine.
+        """Check before an engine is asked for.
 
         :param parts: parts of its prompt that others may share
         :param request: its digest; ``None`` for an item, which is owed
+        :param repeat: whether this is a second run, which is no trial
+        :raises QuarantinedError: if it would crash the engine, or another
+            request tries that
+        """
+        if trials := self.find_trials(service, parts, request, repeat):
+            preceded = self._trials.note_asked(trials)
+            if preceded is not None:
+                raise _quarantined_by(preceded)
+
+    def holds(self, service: str, parts: Collection[int]) -> bool:
+        """Return whether an item with these parts may not ask now."""
+        try:
+            trials = self.find_trials(service, parts)
+        except QuarantinedError:
+            return True
+        return self._trials.may_ask(trials) is not None
+
+    def find_trials(
+        self,
+        service: str,
+        parts: Collection[int],
+        request: int | None = None,
+        repeat: bool = False,
+    ) -> tuple[Trial, ...]:
+        """Return the trials that sending a request would be.
+
+        They are to be started right before; see ``check``.
+
         :raises QuarantinedError: if it would crash the engine
         """
         if not len(self._history):
-            return
+            return ()
         now = self._clock()
         with self._lock:
             crashing = None
             if request is not None:
                 crashing = self._history.crashing_request(request, now)
             found = self._history.quarantine(service, parts, now)
+            trials = self._history.due_trials(service, parts, request)
         if crashing is not None:
             raise QuarantinedError(REQUEST_CRASHES, crashing.engines)
         if found is not None:
             part = part_names((found.part,))[0]
             raise QuarantinedError(PART_CRASHES, found.engines, part)
+        if repeat and trials:
+            raise _quarantined_by(trials[0])
+        return trials
+
+    def start_trials(self, trials: Collection[Trial]) -> None:
+        """Start trials right before a request is sent; may block.
+
+        :raises QuarantinedError: if another request tries the same
+        """
+        if (preceded := self._trials.start(trials)) is not None:
+            raise _quarantined_by(preceded)
+
+    def end_trials(
+        self, trials: Collection[Trial], sent: bool, begun: bool
+    ) -> None:
+        """End trials that have started.
+
+        :param sent: whether the request may have been sent
+        :param begun: whether its answer has begun
+        """
+        self._trials.end(trials, sent, begun)
 
     def on_begun(
         self,
@@ -309,46 +364,17 @@
         """Log what enters or leaves quarantine."""
         now = self._clock()
         with self._lock:
-            found = self._history.quarantined(now)
-            held = frozenset(found)
-            before, self._logged = self._logged, held
+            parts = self._history.quarantined(now)
             requests = self._history.crashing_requests(now)
-            before_requests = self._logged_requests
-            self._logged_requests = frozenset(requests)
-        _log_requests(requests, before_requests)
-        for service, part in held - before:
-            LOG.warning(
-                "part quarantined",
-                service=service,
-                part=part_names((part,))[0],
-                engines=found[service, part].engines,
-            )
-        for service, part in before - held:
-            LOG.info(
-                "part released from quarantine",
-                service=service,
-                part=part_names((part,))[0],
-            )
+            self._log.note(parts, requests, now)
 
 
-def _log_requests(
-    held: dict[tuple[str, int], CrashingRequest],
-    before: frozenset[tuple[str, int]],
-) -> None:
-    """Log requests that enter or leave quarantine."""
-    for service, request in held.keys() - before:
-        LOG.warning(
-            "request quarantined",
-            service=service,
-            request=digest_name(request),
-            engines=held[service, request].engines,
-        )
-    for service, request in before - held.keys():
-        LOG.info(
-            "request released from quarantine",
-            service=service,
-            request=digest_name(request),
-        )
+def _quarantined_by(trial: Trial) -> QuarantinedError:
+    """Return the error of a request that another one precedes."""
+    if trial.part is None:
+        return QuarantinedError(REQUEST_CRASHES, trial.engines)
+    part = part_names((trial.part,))[0]
+    return QuarantinedError(PART_CRASHES, trial.engines, part)
 
 
 def is_listening_at(address: str) -> bool | None:
--- a/src/mulberrypass/relay/permits.py
+++ b/src/mulberrypass/relay/permits.py
@@ -34,6 +34,7 @@
 
     from mulberrypass.model.routes import RegisteredEngine, RelayRoute
     from mulberrypass.peer.api import PermitClient
+    from mulberrypass.policy.health.trials import Trial
     from mulberrypass.policy.messages import WorkClass
     from mulberrypass.relay.directory import Directory
 
@@ -101,6 +102,7 @@
     :param parts: parts of the prompt that other requests may share
     :param limit_per_s: limit of the engine when it was granted; 0 for none
     :param request: digest of the request; ``None`` for an item
+    :param trials: what the run tries, see ``start_trials``
     :ivar succeeded: whether the answer is no error, as a refusal or an error
         doesn't show that the engine has run the request
     """
@@ -113,13 +115,31 @@
     parts: tuple[int, ...] = ()
     limit_per_s: float = 0.0
     request: int | None = None
+    trials: tuple[Trial, ...] = ()
     sent_at: float = field(default_factory=time.monotonic)
     first_at: float | None = None
     succeeded: bool = True
     released: bool = False
     _unjudged: Release | None = field(default=None, init=False)
+    _started: tuple[Trial, ...] = field(default=(), init=False)
     revoked: Callable[[], bool] = lambda: False
 
+    def start_trials(self) -> None:
+        """Start the trials right before the request is sent; may block.
+
+        Releases the permit if they may not start.
+
+        :raises QuarantinedError: if another request tries the same
+        """
+        if not self.trials:
+            return
+        try:
+            self.guard.start_trials(self.trials)
+        except QuarantinedError:
+            self.release_unused()
+            raise
+        self._started = self.trials
+
     def mark_first_event(self, slowness: float = 0.0) -> None:
         """Report the latency of the first event to the owner.
 
@@ -154,6 +174,12 @@
 
     def _mark_begun(self) -> None:
         self.guard.on_begun(self.engine.service, self.parts, self.request)
+        self._end_trials(sent=True, begun=True)
+
+    def _end_trials(self, sent: bool, begun: bool) -> None:
+        started, self._started = self._started, ()
+        if started:
+            self.guard.end_trials(started, sent, begun)
 
     def release(self, outcome: ReleaseOutcome, tokens: int = 0) -> None:
         """Release the permit; further calls do nothing."""
@@ -163,6 +189,8 @@
         done = outcome is ReleaseOutcome.DONE and self.succeeded
         if done and self.first_at is None:
             self._mark_begun()
+        sent = outcome is not ReleaseOutcome.UNUSED
+        self._end_trials(sent, begun=False)
         service_s = time.monotonic() - self.sent_at
         message = Release(self.ask_id, outcome, service_s, tokens)
         self.permits.tell(message)
@@ -238,6 +266,7 @@
             try:
                 match self.take(pending):
                     case HeldPermit() as permit:
+                        permit.start_trials()
                         return permit
                     case backend:
                         avoid = (*avoid, backend)
@@ -271,7 +300,9 @@
         if route is None or not route.services:
             raise NoRouteError
         service = self._choose(route, work, avoid, refused)
-        self._guard.check(service, work.shared_parts, work.request)
+        self._guard.check(
+            service, work.shared_parts, work.request, work.repeat
+        )
         ask = self._make_ask(work, service, avoid)
         answer = self._permits.ask(ask, on_revoke or _ignore_revocation)
         asked_at = time.monotonic() if since is None else since
@@ -340,7 +371,7 @@
                 if engine is None:
                     self._release_unused(pending.ask_id)
                     return backend
-                self._check_granted(pending.ask_id, work, service)
+                trials = self._check_granted(pending.ask_id, work, service)
                 return HeldPermit(
                     self._permits,
                     pending.ask_id,
@@ -350,6 +381,7 @@
                     work.shared_parts,
                     limit_per_s,
                     work.request,
+                    trials,
                 )
 
     def may_wait(self, pending: PendingPermit) -> bool:
@@ -370,22 +402,20 @@
         routing_key: str,
         parts: tuple[int, ...],
     ) -> bool:
-        """Return whether work with these parts would crash an engine."""
+        """Return whether an item with these parts may not ask now."""
         if route is None or not route.services:
             return False
         service = self.choose(route, routing_key)
-        try:
-            self._guard.check(service, parts)
-        except QuarantinedError:
-            return True
-        return False
+        return self._guard.holds(service, parts)
 
     def _check_granted(
         self, ask_id: str, work: WorkSpec, service: str
-    ) -> None:
-        """Check again after the wait."""
+    ) -> tuple[Trial, ...]:
+        """Check again after the wait; return the trials of the run."""
         try:
-            self._guard.check(service, work.shared_parts, work.request)
+            return self._guard.find_trials(
+                service, work.shared_parts, work.request, work.repeat
+            )
         except QuarantinedError:
             self._release_unused(ask_id)
             raise
