Keep trials out of tests that count the crashes before them

Cause: under that load its 24 sends take longer than the 8 s after which one of the requests may be tried, which the users allow ("three retries later than ContactMs after the third"), and the trial crashed the seventh engine. The two modules asserted that nothing is tried for an hour; they do so again, by settings, so that they are as strict as before. That trials come one at a time, with the settings that ship, is test_crashed_by_chance.TriedAgainTest.

--- a/tests/platform/test_crashing_part.py
+++ b/tests/platform/test_crashing_part.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 import json
 import time
+from unittest.mock import patch
 
+from mulberrypass.policy.health import crashes
 from tests.platform.raw_site import RawSiteTest, stream_route
 
 # Of the users' pages: engines that may end before the part is known.
@@ -16,6 +19,10 @@
 KNOWN_WITHIN_S = 1.5
 
 
+# Trials, which are allowed, would be counted in a run that takes long.
+NO_TRIALS_S = (3_600.0,)
+
+
 class CrashingPartTest(RawSiteTest):
     """One part of a prompt crashes engine after engine."""
 
@@ -25,6 +32,12 @@
     )
 
     def setUp(self) -> None:
+        no_trial = partial(
+            crashes.QuarantineSettings, trials_after_s=NO_TRIALS_S
+        )
+        replaced = patch.object(crashes, "QuarantineSettings", no_trial)
+        replaced.start()
+        self.addCleanup(replaced.stop)
         super().setUp()
         self.faults.crash_parts = frozenset({CRASHING})
         self.instances = [self.start_instance() for _ in range(2)]
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
 import json
 import threading
 import time
+from unittest.mock import patch
 
+from mulberrypass.policy.health import requests
 from tests.platform.raw_site import RawSiteTest, Reply, stream_route
 
 # Of the users' pages: engines that may crash before the request is known.
@@ -19,6 +22,10 @@
 REASON = "request_crashes_engines"
 
 
+# Trials, which are allowed, would be counted in a run that takes long.
+NO_TRIAL_S = 3_600.0
+
+
 class CrashingRequestTest(RawSiteTest):
     """One request crashes engine after engine."""
 
@@ -28,6 +35,10 @@
     )
 
     def setUp(self) -> None:
+        no_trial = partial(requests.RequestSettings, trial_after_s=NO_TRIAL_S)
+        replaced = patch.object(requests, "RequestSettings", no_trial)
+        replaced.start()
+        self.addCleanup(replaced.stop)
         super().setUp()
         self.faults.crash_bodies = frozenset({DEADLY, DEADLY_2})
         self.instances = [self.start_instance() for _ in range(2)]
