--- a/tests/relay/test_customer_quotas.py
+++ b/tests/relay/test_customer_quotas.py
@@ -27,6 +27,7 @@
     Taken,
     Undecided,
 )
+from tests.known_red import known_red
 from tests.policy.quotas.cases import ranked
 from tests.quiet import captured_logs
 
@@ -357,6 +358,7 @@
 class MessagesTest(QuotaCase):
     """Limits cost more messages than requests need."""
 
+    @known_red(33, at_times=True)
     def test_requests_at_the_same_time_share_datagrams(self) -> None:
         busy = RelayCustomer("acme", rate_per_s=1_000.0, burst=1_000.0)
         self.table = RouteTable(2, customers={"acme": busy})
